--- a/chervilpass/dispatch/completion_runner.cc
+++ b/chervilpass/dispatch/completion_runner.cc
@@ -67,6 +67,15 @@
         .first->second;
   }
 
+  void HeartbeatLoop() {
+    while (true) {
+      this->runtime->SleepFor(this->settings.heartbeat_interval);
+      for (const auto& [number, sink] : this->active) {
+        sink->heartbeat();
+      }
+    }
+  }
+
   // Takes over the strikes that other VMs have reported.
   void TakeStrikes(const membership::FleetView& view) {
     const WallTime now = this->runtime->WallNow();
@@ -152,24 +161,42 @@
   std::map<std::string, std::vector<routing::Cell>> cells;  // by pipeline
   std::uint64_t cells_version = 0;
   std::map<std::uint64_t, SharedChain> shared_chains;  // by fingerprint
-  std::size_t in_flight = 0;
+  std::map<std::uint64_t, const rpc::AttemptSink*> active;  // by number
+  std::uint64_t last_active = 0;
+  std::set<std::uint64_t> running_suspects;  // fingerprints
 };
 
 namespace {
 
+// Registers an attempt for heartbeats while it waits or runs.
+class ActiveAttempt {
+ public:
+  ActiveAttempt(CompletionRunner::State* state, const rpc::AttemptSink& sink)
+      : state(state), number(++state->last_active) {
+    state->active.emplace(this->number, &sink);
+  }
+  ~ActiveAttempt() { this->state->active.erase(this->number); }
+  ActiveAttempt(const ActiveAttempt&) = delete;
+  ActiveAttempt& operator=(const ActiveAttempt&) = delete;
+
+ private:
+  CompletionRunner::State* state;
+  std::uint64_t number;
+};
+
 // One attempt while it holds a place in its cell.
 class SessionDriver {
  public:
   SessionDriver(CompletionRunner::State* state,
                 const rpc::CompletionRequest& request,
                 const routing::Cell& cell,
-                const rpc::TokenEmitter& emit,
+                const rpc::AttemptSink& sink,
                 std::shared_ptr<rpc::CancelFlag> cancel,
                 std::uint32_t priority)
       : state(state),
         request(request),
         cell(cell),
-        emit(emit),
+        sink(sink),
         cancel(std::move(cancel)),
         priority(priority),
         session({request.prompt, request.accepted, request.max_tokens,
@@ -185,11 +212,21 @@
       }
       this->owner = {this->request.fingerprint,
                      verdict == quarantine::Verdict::kSuspect};
+      // Copies of a suspect run one after the other, not at once.
+      if (this->owner.suspect && !this->state->running_suspects
+                                      .insert(this->request.fingerprint)
+                                      .second) {
+        return SessionEnd::kFailed;
+      }
       const auto chain = this->Choose();
+      const SessionEnd end =
+          chain ? this->RunChain(chain->workers) : SessionEnd::kFailed;
+      if (this->owner.suspect) {
+        this->state->running_suspects.erase(this->request.fingerprint);
+      }
       if (!chain) {
         return SessionEnd::kFailed;
       }
-      const SessionEnd end = this->RunChain(chain->workers);
       if (end != SessionEnd::kFailed) {
         return end;
       }
@@ -273,7 +310,7 @@
       const auto backend = view->config->backends.find(id);
       if (backend != view->config->backends.end()) {
         this->state->workers->ReleaseCache(backend->second,
-                                           this->request.request_id);
+                                           this->request.session);
       }
     }
   }
@@ -288,7 +325,7 @@
         } else if (const auto* token =
                        std::get_if<pipeline::EmitToken>(&action)) {
           this->state->metrics->Count("chervil_tokens_total");
-          this->emit(token->index, token->token);
+          this->sink.token(token->index, token->token);
         } else if (std::holds_alternative<pipeline::SessionDone>(action)) {
           return SessionEnd::kDone;
         } else if (std::holds_alternative<pipeline::SessionSuperseded>(
@@ -314,7 +351,7 @@
     ++this->steps_sent;
     const auto answer = this->state->workers->RunStep(
         backend->second,
-        {this->request.request_id, this->request.seed, this->priority, step},
+        {this->request.session, this->request.seed, this->priority, step},
         this->owner);
     if (answer.has_error()) {
       return this->session.OnStageFailed(step.stage, step.epoch);
@@ -325,7 +362,7 @@
   CompletionRunner::State* state;
   const rpc::CompletionRequest& request;
   const routing::Cell& cell;
-  const rpc::TokenEmitter& emit;
+  const rpc::AttemptSink& sink;
   std::shared_ptr<rpc::CancelFlag> cancel;
   std::uint32_t priority;
   pipeline::DecodeSession session;
@@ -355,13 +392,14 @@
       });
   link->OnChange(
       [raw](const membership::FleetView& view) { raw->TakeStrikes(view); });
+  runtime->Spawn([state] { state->HeartbeatLoop(); });
   return std::shared_ptr<CompletionRunner>(
       new CompletionRunner(std::move(state)));
 }
 
 rpc::CompletionOutcome CompletionRunner::Run(
     const rpc::CompletionRequest& request,
-    const rpc::TokenEmitter& emit,
+    const rpc::AttemptSink& sink,
     const std::shared_ptr<rpc::CancelFlag>& cancel) {
   State& state = *this->state;
   const auto view = state.link->Current();
@@ -396,12 +434,12 @@
                              kRetryAfter,
                              "a stage of the cell has no usable worker"});
   }
-  ++state.in_flight;
+  // From here on the entry hears of this attempt until it ends.
+  const ActiveAttempt active(&state, sink);
   const auto entered = queue.Enter(
       {0, request.organisation, row.weight, 0, row.priority,
        static_cast<double>(request.max_tokens), arrived + request.deadline});
   if (entered.has_error()) {
-    --state.in_flight;
     state.log.Info("queue.refused", {{"request", request.request_id},
                                      {"cell", fmt::format("{:08x}", cell.id)},
                                      {"detail", entered.error().detail}});
@@ -409,10 +447,9 @@
   }
   const Instant started = state.runtime->Now();
   state.metrics->Observe("chervil_queue_wait_seconds", started - arrived);
-  SessionDriver driver(&state, request, cell, emit, cancel, row.priority);
+  SessionDriver driver(&state, request, cell, sink, cancel, row.priority);
   const SessionEnd end = driver.Run();
   queue.Leave(request.organisation, state.runtime->Now() - started);
-  --state.in_flight;
   state.log.Info("session.ended", {{"request", request.request_id},
                                    {"tokens", driver.TokenCount()},
                                    {"end", static_cast<int>(end)}});
@@ -437,7 +474,7 @@
 }
 
 std::size_t CompletionRunner::InFlight() const {
-  return this->state->in_flight;
+  return this->state->active.size();
 }
 
 }  // namespace chervilpass::dispatch
--- a/chervilpass/dispatch/completion_runner.h
+++ b/chervilpass/dispatch/completion_runner.h
@@ -18,6 +18,7 @@
 struct CompletionRunnerSettings {
   std::uint32_t queue_limit = 256;  ///< waiting requests of one cell
   std::uint32_t most_chains = 8;    ///< chains tried for one attempt
+  Duration heartbeat_interval = milliseconds(250);
   WorkerPoolSettings workers;
 
   bool operator==(const CompletionRunnerSettings&) const = default;
@@ -36,7 +37,7 @@
 
   /// Runs one attempt to its end.
   rpc::CompletionOutcome Run(const rpc::CompletionRequest& request,
-                             const rpc::TokenEmitter& emit,
+                             const rpc::AttemptSink& sink,
                              const std::shared_ptr<rpc::CancelFlag>& cancel);
 
   /// Attempts running or waiting now.
--- /dev/null
+++ b/chervilpass/entry/completion_call_runner.cc
@@ -0,0 +1,553 @@
+#include "chervilpass/entry/completion_call_runner.h"
+
+#include <fmt/format.h>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/json.hpp>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "chervilpass/core/hash.h"
+#include "chervilpass/entry/problem.h"
+#include "chervilpass/membership/rendezvous.h"
+#include "chervilpass/pipeline/tokenizer.h"
+#include "chervilpass/routing/cells.h"
+#include "chervilpass/routing/completion_flow.h"
+
+namespace chervilpass::entry {
+namespace {
+
+namespace json = boost::json;
+using admission::Refusal;
+
+constexpr Duration kTickInterval = milliseconds(50);
+
+// ---- what attempts tell the request ----
+
+struct TokenArrived {
+  std::uint32_t attempt = 0;
+  std::uint32_t index = 0;
+  std::uint32_t token = 0;
+};
+struct HeartbeatArrived {
+  std::uint32_t attempt = 0;
+};
+struct AttemptEnded {
+  std::uint32_t attempt = 0;
+  Result<rpc::CompletionOutcome, rpc::RpcError> result;
+};
+using CallEvent = std::variant<TokenArrived, HeartbeatArrived, AttemptEnded>;
+
+// Shared with attempts, which can outlive the request.
+class EventQueue {
+ public:
+  void Push(CallEvent event) {
+    this->events.push_back(std::move(event));
+    this->filled.notify_one();
+  }
+
+  // The next event, or none after `timeout`.
+  std::optional<CallEvent> Pop(Duration timeout) {
+    std::unique_lock<boost::fibers::mutex> lock(this->mutex);
+    const bool any = this->filled.wait_for(
+        lock, timeout, [this] { return !this->events.empty(); });
+    if (!any) {
+      return std::nullopt;
+    }
+    CallEvent event = std::move(this->events.front());
+    this->events.pop_front();
+    return event;
+  }
+
+ private:
+  std::deque<CallEvent> events;
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable filled;
+};
+
+// ---- the answer to the caller ----
+
+// Writes the answer in the form that the caller asked for.
+class AnswerWriter {
+ public:
+  AnswerWriter(const CompletionCall& call, io::HttpExchange* exchange)
+      : call(call), exchange(exchange) {}
+
+  // False once the caller is gone.
+  bool Token(std::uint32_t index, std::uint32_t token) {
+    if (index >= this->call.skip_tokens) {
+      this->tokens.push_back(token);
+    }
+    if (!this->call.stream || index < this->call.skip_tokens) {
+      return true;
+    }
+    if (!this->streaming && !this->Begin()) {
+      return false;
+    }
+    return this->exchange->WriteChunk(fmt::format(
+        "id: {}\ndata: {}\n\n", index,
+        json::serialize(json::object{{"index", index},
+                                     {"token", token},
+                                     {"text", pipeline::TokenText(token)}})));
+  }
+
+  void Complete() {
+    if (this->call.stream) {
+      if (this->streaming || this->Begin()) {
+        this->exchange->WriteChunk("data: [DONE]\n\n");
+        this->exchange->EndStream();
+      }
+      return;
+    }
+    io::HttpResponse response = this->Head("application/json");
+    response.body = this->WholeAnswer();
+    this->exchange->Respond(response);
+  }
+
+  void Refuse(const Refusal& refusal) {
+    if (!this->streaming) {
+      io::HttpResponse response = ProblemResponse(refusal);
+      response.headers.Add("X-Request-Id", this->call.request_id);
+      return this->exchange->Respond(response);
+    }
+    this->exchange->WriteChunk(
+        fmt::format("event: error\ndata: {}\n\n", ProblemJson(refusal)));
+    this->exchange->EndStream();
+  }
+
+  bool CallerGone() { return this->exchange->PeerGone(); }
+
+ private:
+  io::HttpResponse Head(const char* content_type) const {
+    io::HttpResponse head;
+    head.headers.Add("Content-Type", content_type);
+    head.headers.Add("X-Request-Id", this->call.request_id);
+    head.headers.Add("X-Seed", std::to_string(this->call.seed));
+    return head;
+  }
+
+  bool Begin() {
+    this->streaming = true;
+    io::HttpResponse head = this->Head("text/event-stream");
+    head.headers.Add("Cache-Control", "no-store");
+    return this->exchange->BeginStream(head);
+  }
+
+  std::string WholeAnswer() const {
+    std::string text;
+    json::array ids;
+    for (const std::uint32_t token : this->tokens) {
+      text += pipeline::TokenText(token);
+      ids.emplace_back(token);
+    }
+    const json::object choice = {{"index", 0},
+                                 {"text", text},
+                                 {"tokens", ids},
+                                 {"finish_reason", "length"}};
+    const json::object usage = {
+        {"prompt_tokens", this->call.prompt.size()},
+        {"completion_tokens", this->tokens.size()}};
+    return json::serialize(json::object{{"id", this->call.request_id},
+                                        {"object", "text_completion"},
+                                        {"model", this->call.pipeline},
+                                        {"seed", this->call.seed},
+                                        {"choices", json::array{choice}},
+                                        {"usage", usage}});
+  }
+
+  const CompletionCall& call;
+  io::HttpExchange* exchange;
+  std::vector<std::uint32_t> tokens;
+  bool streaming = false;
+};
+
+// ---- the request ----
+
+class CompletionCallRunner {
+ public:
+  CompletionCallRunner(EntryContext* context,
+                       const std::string& organisation,
+                       const CompletionCall& call,
+                       io::HttpExchange* exchange)
+      : context(context),
+        organisation(organisation),
+        call(call),
+        writer(call, exchange),
+        start(context->runtime->Now()),
+        session(call.request_id + "#" + RandomId().substr(0, 8)),
+        flow(FlowSettings(*context, organisation, call, this->start),
+             &context->budget) {}
+
+  void Run() {
+    this->Apply(this->flow.Start(this->start));
+    while (!this->flow.Ended()) {
+      const auto event = this->events->Pop(kTickInterval);
+      if (event) {
+        this->Apply(std::visit(
+            [this](const auto& item) { return this->On(item); }, *event));
+      }
+      this->OnTick();
+    }
+  }
+
+ private:
+  static routing::CompletionFlowSettings FlowSettings(
+      const EntryContext& context,
+      const std::string& organisation,
+      const CompletionCall& call,
+      Instant now) {
+    const auto view = context.link->Current();
+    const config::TableRow row =
+        view->config->RowOf(organisation, call.pipeline);
+    Duration deadline = row.deadline_ms > 0 ? milliseconds(row.deadline_ms)
+                                            : context.default_deadline;
+    if (call.deadline) {
+      deadline = std::min(deadline, *call.deadline);
+    }
+    routing::CompletionFlowSettings settings;
+    settings.max_tokens = call.max_tokens;
+    settings.accepted = call.resume_tokens;
+    settings.deadline = now + deadline;
+    settings.stall = context.stall;
+    return settings;
+  }
+
+  Instant Now() const { return this->context->runtime->Now(); }
+
+  void OnTick() {
+    if (this->flow.Ended()) {
+      return;
+    }
+    const Instant now = this->Now();
+    if (now - this->last_tick < kTickInterval) {
+      return;
+    }
+    this->last_tick = now;
+    if (this->writer.CallerGone()) {
+      this->CallerLeft();
+      return;
+    }
+    this->Apply(this->flow.OnTick(now));
+  }
+
+  void CallerLeft() {
+    this->context->metrics->Count("chervil_callers_gone_total");
+    this->context->log.Info("caller.gone",
+                            {{"request", this->call.request_id}});
+    this->Apply(this->flow.OnCallerGone());
+  }
+
+  routing::FlowActions On(const TokenArrived& event) {
+    return this->flow.OnToken(event.attempt, event.index, event.token,
+                              this->Now());
+  }
+
+  routing::FlowActions On(const HeartbeatArrived& event) {
+    return this->flow.OnHeartbeat(event.attempt, this->Now());
+  }
+
+  routing::FlowActions On(const AttemptEnded& event) {
+    const Attempt& attempt = this->attempts.at(event.attempt);
+    const Instant now = this->Now();
+    if (event.result.has_error()) {
+      this->failed_dispatchers.insert(attempt.dispatcher);
+      this->context->pool.Avoid(attempt.dispatcher, now);
+      this->context->log.Warning(
+          "attempt.lost", {{"request", this->call.request_id},
+                           {"attempt", event.attempt},
+                           {"dispatcher", attempt.dispatcher},
+                           {"detail", event.result.error().detail}});
+      return this->flow.OnAttemptLost(event.attempt, now);
+    }
+    const rpc::CompletionOutcome& outcome = event.result.value();
+    this->context->pool.OnReport(attempt.cell,
+                                 {outcome.in_flight, outcome.capacity}, now);
+    if (const auto* finished = std::get_if<rpc::Finished>(&outcome.result)) {
+      return this->flow.OnFinished(event.attempt, finished->tokens, now);
+    }
+    const Refusal& refusal = std::get<Refusal>(outcome.result);
+    this->failed_cells.insert(attempt.cell);
+    this->context->log.Info(
+        "attempt.refused",
+        {{"request", this->call.request_id},
+         {"attempt", event.attempt},
+         {"code", admission::RefusalName(refusal.code)},
+         {"detail", refusal.detail}});
+    return this->flow.OnRefused(event.attempt, refusal, now);
+  }
+
+  // Actions can lead to further ones; they are carried out in order.
+  void Apply(const routing::FlowActions& actions) {
+    for (const routing::FlowAction& action : actions) {
+      std::visit([this](const auto& item) { this->Do(item); }, action);
+    }
+  }
+
+  void Do(const routing::StartAttempt& action) {
+    const auto view = this->context->link->Current();
+    const auto choice = this->ChooseCell(*view);
+    if (!choice) {
+      return this->Apply(this->flow.OnNoChoice(action.attempt, this->Now()));
+    }
+    const routing::Cell cell =
+        *routing::FindCell(this->cells, choice->cell);
+    const std::string vm = this->ChooseDispatcher(*view, cell);
+    const auto client = this->context->pool.ClientOf(*view, vm);
+    if (client == nullptr) {
+      return this->Apply(this->flow.OnNotSent(action.attempt, this->Now()));
+    }
+    this->context->log.Info(
+        "route.cell", {{"request", this->call.request_id},
+                       {"organisation", this->organisation},
+                       {"attempt", action.attempt},
+                       {"chosen", fmt::format("{:08x}", cell.id)},
+                       {"dispatcher", vm},
+                       {"reason", routing::ReasonName(choice->reason)},
+                       {"weighed", routing::Describe(*choice)},
+                       {"accepted", this->flow.Accepted().size()}});
+    this->attempts[action.attempt] = Attempt{cell.id, vm, nullptr};
+    this->LaunchAttempt(action, cell.id, client);
+  }
+
+  // Runs the call on a fiber of its own, which can outlive this object.
+  void LaunchAttempt(const routing::StartAttempt& action,
+                     std::uint32_t cell,
+                     std::shared_ptr<rpc::DispatchClient> client) {
+    rpc::CompletionRequest request;
+    request.request_id = this->call.request_id;
+    request.session = this->session;
+    request.organisation = this->organisation;
+    request.pipeline = this->call.pipeline;
+    request.cell = cell;
+    request.prompt = this->call.prompt;
+    request.accepted = this->flow.Accepted();
+    request.max_tokens = this->call.max_tokens;
+    request.seed = this->call.seed;
+    request.epoch = action.epoch;
+    request.deadline = this->DeadlineLeft();
+    request.fingerprint = this->call.fingerprint;
+    auto handle = std::make_shared<std::optional<rpc::CallHandle>>();
+    this->attempts[action.attempt].handle = handle;
+    this->context->pool.OnStart(cell);
+    this->context->runtime->Spawn([context = this->context,
+                                   events = this->events,
+                                   attempt = action.attempt, cell, client,
+                                   request = std::move(request), handle] {
+      rpc::AttemptSink sink;
+      sink.token = [events, attempt](std::uint32_t index,
+                                     std::uint32_t token) {
+        events->Push(TokenArrived{attempt, index, token});
+      };
+      sink.heartbeat = [events, attempt] {
+        events->Push(HeartbeatArrived{attempt});
+      };
+      auto result = client->Complete(
+          request, sink,
+          [handle](rpc::CallHandle started) { *handle = started; });
+      context->pool.OnEnd(cell);
+      events->Push(AttemptEnded{attempt, std::move(result)});
+    });
+  }
+
+  Duration DeadlineLeft() const {
+    const routing::CompletionFlowSettings settings = FlowSettings(
+        *this->context, this->organisation, this->call, this->start);
+    return std::max<Duration>(milliseconds(1),
+                              settings.deadline - this->Now());
+  }
+
+  std::optional<routing::CellChoice> ChooseCell(
+      const membership::FleetView& view) {
+    this->cells = routing::FormCells(*view.config, this->call.pipeline);
+    std::vector<routing::CellOption> options = this->Options(view);
+    const bool all_failed =
+        std::all_of(options.begin(), options.end(),
+                    [](const auto& option) { return option.excluded; });
+    if (all_failed) {
+      // Each has failed once; what failed may have passed.
+      this->failed_cells.clear();
+      options = this->Options(view);
+    }
+    if (this->IsSuspect()) {
+      return this->ChooseForSuspect(options);
+    }
+    return routing::ChooseCell(options, this->call.prefix_hash,
+                               routing::ChooserSettings{},
+                               &this->context->random);
+  }
+
+  std::vector<routing::CellOption> Options(
+      const membership::FleetView& view) const {
+    std::vector<routing::CellOption> options;
+    for (const routing::Cell& cell : this->cells) {
+      if (!HasUsableWorkers(view, cell)) {
+        continue;
+      }
+      options.push_back({cell.id, this->LocalityOf(cell),
+                         this->context->pool.LoadOf(cell.id, this->Now()),
+                         this->failed_cells.contains(cell.id)});
+    }
+    return options;
+  }
+
+  static bool HasUsableWorkers(const membership::FleetView& view,
+                               const routing::Cell& cell) {
+    return std::all_of(
+        cell.stages.begin(), cell.stages.end(),
+        [&view](const routing::Stage& stage) {
+          return std::any_of(stage.workers.begin(), stage.workers.end(),
+                             [&view](const std::string& id) {
+                               return view.TakesNewWork(
+                                   view.config->backends.at(id));
+                             });
+        });
+  }
+
+  bool IsSuspect() const {
+    return this->context->strikes.Judge(this->call.fingerprint,
+                                        this->context->runtime->WallNow()) ==
+           quarantine::Verdict::kSuspect;
+  }
+
+  // All copies of a suspected request meet at one cell, whichever entry they
+  // come through, so that they do not crash several workers at once.
+  std::optional<routing::CellChoice> ChooseForSuspect(
+      const std::vector<routing::CellOption>& options) const {
+    const routing::CellOption* best = nullptr;
+    for (const routing::CellOption& option : options) {
+      const auto score = [this](const routing::CellOption& candidate) {
+        return HashCombine(candidate.cell, this->call.fingerprint);
+      };
+      if (!option.excluded && (best == nullptr || score(option) > score(*best))) {
+        best = &option;
+      }
+    }
+    if (best == nullptr) {
+      return std::nullopt;
+    }
+    return routing::CellChoice{best->cell, routing::ChoiceReason::kAffinity,
+                               options};
+  }
+
+  routing::Locality LocalityOf(const routing::Cell& cell) const {
+    if (cell.data_centre == this->context->data_centre) {
+      return routing::Locality::kSameDataCentre;
+    }
+    return cell.region == this->context->region
+               ? routing::Locality::kSameRegion
+               : routing::Locality::kOtherRegion;
+  }
+
+  std::string ChooseDispatcher(const membership::FleetView& view,
+                               const routing::Cell& cell) {
+    const auto order = membership::RendezvousOrder(
+        view.Dispatchers(cell.data_centre, cell.region), cell.id);
+    std::string vm =
+        this->context->pool.Pick(order, this->failed_dispatchers, this->Now());
+    if (vm.empty()) {
+      // None of the data centre is left: any other can serve the cell.
+      vm = this->context->pool.Pick(
+          membership::RendezvousOrder(view.AllDispatchers(), cell.id),
+          this->failed_dispatchers, this->Now());
+    }
+    if (vm.empty()) {
+      this->failed_dispatchers.clear();
+      vm = this->context->pool.Pick(order, {}, this->Now());
+    }
+    return vm;
+  }
+
+  void Do(const routing::CancelAttempt& action) {
+    const auto found = this->attempts.find(action.attempt);
+    if (found == this->attempts.end()) {
+      return;
+    }
+    if (!this->flow.Ended()) {
+      // Given up on because it went silent.
+      this->failed_dispatchers.insert(found->second.dispatcher);
+      this->context->pool.Avoid(found->second.dispatcher, this->Now());
+      this->context->log.Warning("attempt.silent",
+                                 {{"request", this->call.request_id},
+                                  {"attempt", action.attempt},
+                                  {"dispatcher", found->second.dispatcher}});
+    }
+    if (found->second.handle && found->second.handle->has_value()) {
+      (*found->second.handle)->Cancel();
+    }
+  }
+
+  void Do(const routing::DeliverToken& action) {
+    const Instant now = this->Now();
+    if (!this->first_token_seen) {
+      this->first_token_seen = true;
+      this->context->metrics->Observe("chervil_first_token_seconds",
+                                      now - this->start);
+    } else {
+      this->context->metrics->Observe("chervil_token_gap_seconds",
+                                      now - this->last_token);
+    }
+    this->last_token = now;
+    if (!this->writer.Token(action.index, action.token)) {
+      this->CallerLeft();
+    }
+  }
+
+  void Do(const routing::CompleteAnswer&) {
+    this->context->metrics->Count("chervil_answers_total");
+    this->context->log.Info("answer.complete",
+                            {{"request", this->call.request_id},
+                             {"tokens", this->flow.Accepted().size()},
+                             {"attempts", this->attempts.size()}});
+    this->writer.Complete();
+  }
+
+  void Do(const routing::RefuseAnswer& action) {
+    const Refusal& refusal = action.refusal;
+    this->context->metrics->Count(
+        "chervil_refusals_total",
+        fmt::format("code=\"{}\"", admission::RefusalName(refusal.code)));
+    this->context->log.Info(
+        "answer.refused",
+        {{"request", this->call.request_id},
+         {"code", admission::RefusalName(refusal.code)},
+         {"executed", admission::ExecutedName(refusal.executed)},
+         {"detail", refusal.detail}});
+    this->writer.Refuse(refusal);
+  }
+
+  struct Attempt {
+    std::uint32_t cell = 0;
+    std::string dispatcher;
+    std::shared_ptr<std::optional<rpc::CallHandle>> handle;
+  };
+
+  EntryContext* context;
+  const std::string& organisation;
+  const CompletionCall& call;
+  AnswerWriter writer;
+  Instant start;
+  std::string session;
+  routing::CompletionFlow flow;
+  std::shared_ptr<EventQueue> events = std::make_shared<EventQueue>();
+  std::vector<routing::Cell> cells;
+  std::map<std::uint32_t, Attempt> attempts;
+  std::set<std::uint32_t> failed_cells;
+  std::set<std::string> failed_dispatchers;
+  bool first_token_seen = false;
+  Instant last_token{};
+  Instant last_tick{};
+};
+
+}  // namespace
+
+void RunCompletionCall(EntryContext* context,
+                       const std::string& organisation,
+                       const CompletionCall& call,
+                       io::HttpExchange* exchange) {
+  CompletionCallRunner(context, organisation, call, exchange).Run();
+}
+
+}  // namespace chervilpass::entry
--- /dev/null
+++ b/chervilpass/entry/completion_call_runner.h
@@ -0,0 +1,44 @@
+// Runs one completion for a caller: attempts at dispatchers, the stream to the
+// caller, and the final answer.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "chervilpass/control/view_link.h"
+#include "chervilpass/core/log.h"
+#include "chervilpass/core/metrics.h"
+#include "chervilpass/core/random.h"
+#include "chervilpass/entry/caller_request.h"
+#include "chervilpass/entry/dispatch_pool.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/io/runtime.h"
+#include "chervilpass/quarantine/strike_book.h"
+#include "chervilpass/routing/retry_budget.h"
+
+namespace chervilpass::entry {
+
+/// What the requests of one entry share. Fiber thread only.
+struct EntryContext {
+  io::Runtime* runtime = nullptr;
+  MetricsRegistry* metrics = nullptr;
+  Logger log;
+  std::shared_ptr<control::ViewLink> link;
+  DispatchPool pool;
+  routing::RetryBudget budget;
+  quarantine::StrikeBook strikes;
+  Random random;
+  std::string vm;
+  std::string data_centre;
+  std::string region;
+  Duration stall = seconds(1);
+  Duration default_deadline = seconds(120);
+};
+
+/// Answers `exchange` with the completion that `call` asks for.
+void RunCompletionCall(EntryContext* context,
+                       const std::string& organisation,
+                       const CompletionCall& call,
+                       io::HttpExchange* exchange);
+
+}  // namespace chervilpass::entry
--- a/chervilpass/routing/completion_flow.cc
+++ b/chervilpass/routing/completion_flow.cc
@@ -59,11 +59,17 @@
     return {};  // Repeated or out of order.
   }
   this->settings.accepted.push_back(token);
-  this->got_token = true;
   this->last_progress = now;
   return {DeliverToken{index, token}};
 }
 
+FlowActions CompletionFlow::OnHeartbeat(std::uint32_t attempt, Instant now) {
+  if (this->IsCurrent(attempt)) {
+    this->last_progress = now;
+  }
+  return {};
+}
+
 FlowActions CompletionFlow::OnFinished(std::uint32_t attempt,
                                        std::uint32_t tokens,
                                        Instant now) {
@@ -146,9 +152,7 @@
     actions.insert(actions.begin(), CancelAttempt{late});
     return actions;
   }
-  const Duration stall = this->got_token ? this->settings.token_stall
-                                         : this->settings.first_token_stall;
-  if (now - this->last_progress < stall) {
+  if (now - this->last_progress < this->settings.stall) {
     return {};
   }
   // The dispatcher may be frozen: go on elsewhere under a newer epoch.
@@ -156,7 +160,7 @@
   this->may_have_run = true;
   FlowActions actions =
       this->Retry({RefusalCode::kTimedOut, Executed::kUnknown, kRetryAfter,
-                   "no token arrived in time"},
+                   "the dispatcher went silent"},
                   now);
   actions.insert(actions.begin(), CancelAttempt{stalled});
   return actions;
@@ -172,7 +176,6 @@
     return this->Refuse(reason);
   }
   ++this->current;
-  this->got_token = false;
   this->last_progress = now;
   return {StartAttempt{this->current,
                        (this->current - 1) * kEpochsPerAttempt}};
--- a/chervilpass/routing/completion_flow.h
+++ b/chervilpass/routing/completion_flow.h
@@ -18,8 +18,7 @@
   std::uint32_t max_tokens = 0;          ///< of the whole answer
   std::vector<std::uint32_t> accepted;   ///< tokens the caller has already
   Instant deadline{};                    ///< for the whole answer
-  Duration first_token_stall = seconds(3);  ///< without a first token
-  Duration token_stall = seconds(1);        ///< between two tokens
+  Duration stall = seconds(1);  ///< without a token or heartbeat
   std::uint32_t most_attempts = 6;
 
   bool operator==(const CompletionFlowSettings&) const = default;
@@ -76,6 +75,7 @@
                       std::uint32_t index,
                       std::uint32_t token,
                       Instant now);
+  FlowActions OnHeartbeat(std::uint32_t attempt, Instant now);
   /// The attempt says that it has generated the whole answer.
   FlowActions OnFinished(std::uint32_t attempt,
                          std::uint32_t tokens,
@@ -90,7 +90,7 @@
   /// No cell is left to try.
   FlowActions OnNoChoice(std::uint32_t attempt, Instant now);
   FlowActions OnCallerGone();
-  /// To be called a few times within the shortest stall time.
+  /// To be called a few times within the stall time.
   FlowActions OnTick(Instant now);
 
   bool Ended() const { return this->ended; }
@@ -110,7 +110,6 @@
   std::uint32_t current = 0;  ///< number of the current attempt; 0: none yet
   bool ended = false;
   bool may_have_run = false;
-  bool got_token = false;  ///< in the current attempt
   Instant last_progress{};
 };
 
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -35,6 +35,7 @@
   epoch @8 :UInt32;             # rises with each attempt of one request
   deadlineMs @9 :UInt32;        # from now
   fingerprint @10 :UInt64;
+  session @11 :Text;            # name of the session on the engines
 }
 
 struct CompletionOutcome {
@@ -86,6 +87,7 @@
 
 interface TokenSink {
   token @0 (index :UInt32, token :UInt32) -> stream;
+  heartbeat @1 () -> stream;    # the attempt waits or runs
 }
 
 interface Dispatch {
--- a/chervilpass/rpc/codec.cc
+++ b/chervilpass/rpc/codec.cc
@@ -97,6 +97,7 @@
 void Write(const CompletionRequest& value,
            schema::CompletionRequest::Builder to) {
   to.setRequestId(value.request_id);
+  to.setSession(value.session);
   to.setOrganisation(value.organisation);
   to.setPipeline(value.pipeline);
   to.setCell(value.cell);
@@ -113,6 +114,7 @@
   CompletionRequest value;
   value.request_id = ToString(from.getRequestId());
   value.organisation = ToString(from.getOrganisation());
+  value.session = ToString(from.getSession());
   value.pipeline = ToString(from.getPipeline());
   value.cell = from.getCell();
   value.prompt = ReadTokens(from.getPrompt());
--- a/chervilpass/rpc/dispatch_client.cc
+++ b/chervilpass/rpc/dispatch_client.cc
@@ -6,26 +6,29 @@
 namespace chervilpass::rpc {
 namespace {
 
-// Receives tokens on the RPC thread and passes them to the fiber thread.
+// Receives signs of life on the RPC thread and passes them to the fiber thread.
 class SinkServer final : public schema::TokenSink::Server {
  public:
-  SinkServer(RpcLoop* loop, TokenCallback on_token)
-      : loop(loop),
-        on_token(std::make_shared<TokenCallback>(std::move(on_token))) {}
+  SinkServer(RpcLoop* loop, const AttemptSink& sink)
+      : loop(loop), sink(std::make_shared<AttemptSink>(sink)) {}
 
   kj::Promise<void> token(TokenContext context) override {
     const auto params = context.getParams();
     const std::uint32_t index = params.getIndex();
     const std::uint32_t token = params.getToken();
-    this->loop->Fibers().Post([callback = this->on_token, index, token] {
-      (*callback)(index, token);
-    });
+    this->loop->Fibers().Post(
+        [sink = this->sink, index, token] { sink->token(index, token); });
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> heartbeat(HeartbeatContext) override {
+    this->loop->Fibers().Post([sink = this->sink] { sink->heartbeat(); });
     return kj::READY_NOW;
   }
 
  private:
   RpcLoop* loop;
-  std::shared_ptr<TokenCallback> on_token;
+  std::shared_ptr<AttemptSink> sink;
 };
 
 }  // namespace
@@ -77,17 +80,17 @@
 
 Result<CompletionOutcome, RpcError> DispatchClient::Complete(
     const CompletionRequest& request,
-    TokenCallback on_token,
+    const AttemptSink& sink,
     const std::function<void(CallHandle)>& on_start) {
   const auto pending = std::make_shared<PendingCall<CompletionOutcome>>();
   const std::uint64_t call = ++this->state->next_call;
   RpcLoop* loop = this->state->loop.get();
   StartCall(this->state->loop, this->state->peer, call, pending,
-            [request, on_token, loop](capnp::Capability::Client client) {
+            [request, sink, loop](capnp::Capability::Client client) {
               auto message =
                   client.castAs<schema::Dispatch>().completeRequest();
               Write(request, message.initRequest());
-              message.setSink(kj::heap<SinkServer>(loop, on_token));
+              message.setSink(kj::heap<SinkServer>(loop, sink));
               return message.send().then([](auto&& response) {
                 return Read(response.getOutcome());
               });
--- a/chervilpass/rpc/dispatch_rpc.h
+++ b/chervilpass/rpc/dispatch_rpc.h
@@ -12,12 +12,13 @@
 
 namespace chervilpass::rpc {
 
-/// Called on the fiber thread for each token, in the order sent.
-using TokenCallback =
-    std::function<void(std::uint32_t index, std::uint32_t token)>;
-
-/// Sends one token to the caller of a completion; never waits.
-using TokenEmitter = TokenCallback;
+/// Signs of life of an attempt, in the order sent. On the entry's side they
+/// are called on the fiber thread; on the dispatcher's side they send, and
+/// never wait.
+struct AttemptSink {
+  std::function<void(std::uint32_t index, std::uint32_t token)> token;
+  std::function<void()> heartbeat;  ///< The attempt waits or runs.
+};
 
 /// A call that can be given up while it runs. Fiber thread only.
 class CallHandle {
@@ -42,7 +43,7 @@
   /// Runs one attempt. `on_start` receives the handle before the wait begins.
   Result<CompletionOutcome, RpcError> Complete(
       const CompletionRequest& request,
-      TokenCallback on_token,
+      const AttemptSink& sink,
       const std::function<void(CallHandle)>& on_start);
 
   Result<ServiceOutcome, RpcError> CallService(const ServiceRequest& request,
@@ -66,7 +67,7 @@
 /// What a dispatcher does for its callers. Each call runs on its own fiber.
 struct DispatchHandlers {
   std::function<CompletionOutcome(const CompletionRequest&,
-                                  const TokenEmitter&,
+                                  const AttemptSink&,
                                   const std::shared_ptr<CancelFlag>&)>
       complete;
   std::function<ServiceOutcome(const ServiceRequest&)> call_service;
--- a/chervilpass/rpc/dispatch_server.cc
+++ b/chervilpass/rpc/dispatch_server.cc
@@ -11,10 +11,10 @@
   std::map<std::uint64_t, schema::TokenSink::Client> sinks;
   std::uint64_t last = 0;
 
-  void Send(LoopContext& context,
-            std::uint64_t sink,
-            std::uint32_t index,
-            std::uint32_t token) {
+  void SendToken(LoopContext& context,
+                 std::uint64_t sink,
+                 std::uint32_t index,
+                 std::uint32_t token) {
     const auto found = this->sinks.find(sink);
     if (found == this->sinks.end()) {
       return;
@@ -24,6 +24,13 @@
     message.setToken(token);
     context.tasks->add(message.send());
   }
+
+  void SendHeartbeat(LoopContext& context, std::uint64_t sink) {
+    const auto found = this->sinks.find(sink);
+    if (found != this->sinks.end()) {
+      context.tasks->add(found->second.heartbeatRequest().send());
+    }
+  }
 };
 
 class DispatchServer final : public schema::Dispatch::Server {
@@ -36,16 +43,11 @@
     const std::uint64_t sink = ++this->sinks->last;
     this->sinks->sinks.emplace(sink, params.getSink());
     const auto flag = std::make_shared<CancelFlag>();
-    const TokenEmitter emit = [loop = this->loop, sinks = this->sinks, sink](
-                                  std::uint32_t index, std::uint32_t token) {
-      loop->Post([sinks, sink, index, token](LoopContext& loop_context) {
-        sinks->Send(loop_context, sink, index, token);
-      });
-    };
+    const AttemptSink sender = this->MakeSender(sink);
     auto outcome = AnswerOnFiber<CompletionOutcome>(
         this->loop, this->completions,
-        [handlers = this->handlers, request = Read(params.getRequest()), emit,
-         flag] { return handlers->complete(request, emit, flag); });
+        [handlers = this->handlers, request = Read(params.getRequest()),
+         sender, flag] { return handlers->complete(request, sender, flag); });
     // Runs when the call has ended and also when its caller has gone.
     auto on_end =
         kj::defer([loop = this->loop, sinks = this->sinks, sink, flag] {
@@ -87,6 +89,22 @@
   }
 
  private:
+  AttemptSink MakeSender(std::uint64_t sink) const {
+    AttemptSink sender;
+    sender.token = [loop = this->loop, sinks = this->sinks, sink](
+                       std::uint32_t index, std::uint32_t token) {
+      loop->Post([sinks, sink, index, token](LoopContext& context) {
+        sinks->SendToken(context, sink, index, token);
+      });
+    };
+    sender.heartbeat = [loop = this->loop, sinks = this->sinks, sink] {
+      loop->Post([sinks, sink](LoopContext& context) {
+        sinks->SendHeartbeat(context, sink);
+      });
+    };
+    return sender;
+  }
+
   RpcLoop* loop;
   std::shared_ptr<DispatchHandlers> handlers;
   std::shared_ptr<OpenSinks> sinks = std::make_shared<OpenSinks>();
--- a/chervilpass/rpc/messages.h
+++ b/chervilpass/rpc/messages.h
@@ -18,6 +18,7 @@
 /// One attempt at a completion.
 struct CompletionRequest {
   std::string request_id;
+  std::string session;  ///< name of the session on the engines
   std::string organisation;
   std::string pipeline;
   std::uint32_t cell = 0;
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -114,9 +114,9 @@
   bool Serve() {
     rpc::DispatchHandlers handlers;
     handlers.complete = [this](const rpc::CompletionRequest& request,
-                               const rpc::TokenEmitter& emit,
+                               const rpc::AttemptSink& sink,
                                const std::shared_ptr<rpc::CancelFlag>& cancel) {
-      return this->completions->Run(request, emit, cancel);
+      return this->completions->Run(request, sink, cancel);
     };
     handlers.call_service = [this](const rpc::ServiceRequest& request) {
       return this->services->Run(request);
--- /dev/null
+++ b/programs/entry/main.cc
@@ -0,0 +1,134 @@
+// chervil-entry: the daemon that callers talk to.
+#include "chervilpass/app/program.h"
+#include "chervilpass/core/hash.h"
+#include "chervilpass/entry/entry_service.h"
+
+namespace chervilpass {
+namespace {
+
+constexpr Duration kDrainPoll = milliseconds(20);
+
+struct EntrySettings {
+  std::string vm;
+  std::string data_centre;
+  std::string region;
+  io::HttpServerSettings http;
+  io::Endpoint control;
+  entry::EntryServiceSettings service;
+  Duration stall{0};
+  Duration default_deadline{0};
+  routing::RetryBudgetSettings retries;
+  Duration drain_limit{0};
+  LogSettings log;
+};
+
+EntrySettings ReadSettings(config::SettingsReader& reader,
+                           const app::CommandLine& command_line) {
+  EntrySettings settings;
+  settings.vm = reader.Text("vm");
+  settings.data_centre = reader.Text("data_centre");
+  settings.region = reader.Text("region");
+  settings.http.listen = reader.Address("listen");
+  settings.control = reader.Address("control");
+  settings.drain_limit =
+      reader.Milliseconds("drain_limit_ms", {0, 3600000}, 60000);
+  config::SettingsReader http = reader.Section("http");
+  settings.http.header_limit = static_cast<std::uint32_t>(
+      http.Integer("header_limit_bytes", {1024, 1 << 20}, 16 * 1024));
+  settings.http.body_limit = static_cast<std::uint64_t>(
+      http.Integer("body_limit_bytes", {1024, 1 << 26}, 1024 * 1024));
+  settings.http.read_timeout =
+      http.Milliseconds("read_timeout_ms", {10, 600000}, 10000);
+  settings.http.write_timeout =
+      http.Milliseconds("write_timeout_ms", {10, 600000}, 10000);
+  settings.http.connection_limit = static_cast<std::size_t>(
+      http.Integer("connection_limit", {1, 1000000}, 8192));
+  config::SettingsReader requests = reader.Section("requests");
+  settings.stall = requests.Milliseconds("stall_ms", {300, 600000}, 1000);
+  settings.default_deadline =
+      requests.Milliseconds("default_deadline_ms", {1, 86400000}, 120000);
+  settings.retries.share = requests.Real("retry_share", 0, 10, 0.2);
+  settings.retries.reserve = requests.Real("retry_reserve", 1, 100000, 100);
+  config::SettingsReader entries = reader.Section("entries");
+  settings.service.entries_ttl =
+      entries.Milliseconds("ttl_ms", {100, 600000}, 5000);
+  config::SettingsReader ledger = reader.Section("ledger");
+  settings.service.ledger_shards =
+      static_cast<std::uint32_t>(ledger.Integer("shards", {1, 1024}, 4));
+  settings.log =
+      app::ReadLogSettings(reader, "chervil-entry", settings.vm, command_line);
+  return settings;
+}
+
+// Leaves in three steps: out of the address lists, then no new work once
+// callers have had the time to notice, then the end once nothing is in flight.
+void Drain(io::Runtime& runtime,
+           const EntrySettings& settings,
+           const Logger& log,
+           control::ViewLink* link,
+           entry::EntryService* service,
+           io::HttpServer* server) {
+  log.Info("entry.draining", {{"in_flight", service->InFlight()}});
+  link->Stop();
+  const Instant start = runtime.Now();
+  const Instant end = start + settings.drain_limit;
+  runtime.SleepFor(
+      std::min(settings.drain_limit, settings.service.entries_ttl));
+  service->StopTakingWork();
+  while (service->InFlight() > 0 && runtime.Now() < end) {
+    runtime.SleepFor(kDrainPoll);
+  }
+  server->StopAccepting();
+  log.Info("entry.stopped", {{"in_flight", service->InFlight()}});
+}
+
+int RunDaemon(io::Runtime& runtime, const EntrySettings& settings) {
+  const Logger log(settings.log);
+  MetricsRegistry metrics;
+  const auto loop = rpc::RpcLoop::Create(&runtime);
+  const auto link =
+      control::ViewLink::Create(loop, settings.control, "entry", log);
+  entry::EntryContext context{
+      &runtime,
+      &metrics,
+      log,
+      link,
+      entry::DispatchPool(loop),
+      routing::RetryBudget(settings.retries),
+      quarantine::StrikeBook(quarantine::StrikeBookSettings{}),
+      Random(HashText(RandomId())),
+      settings.vm,
+      settings.data_centre,
+      settings.region,
+      settings.stall,
+      settings.default_deadline};
+  entry::EntryService service(&context, settings.service);
+  const auto server = io::HttpServer::Create(
+      &runtime, settings.http,
+      [&service](io::HttpExchange& exchange) { service.Handle(exchange); },
+      entry::EntryService::Unreadable);
+  if (server.has_error()) {
+    log.Error("listen.failed", {{"detail", server.error().detail}});
+    return app::kExitFailure;
+  }
+  log.Info("entry.ready", {{"listen", settings.http.listen.ToText()}});
+  runtime.WaitForStopSignal();
+  Drain(runtime, settings, log, link.get(), &service, server.value().get());
+  return app::kExitOk;
+}
+
+}  // namespace
+}  // namespace chervilpass
+
+int main(int argc, char** argv) {
+  using namespace chervilpass;
+  const app::CommandLine command_line = app::ParseCommandLine(
+      argc, argv, "Takes callers' requests and streams the answers");
+  const auto settings = app::LoadSettings<EntrySettings>(
+      command_line, [&](config::SettingsReader& reader) {
+        return ReadSettings(reader, command_line);
+      });
+  io::Runtime::Run([&](io::Runtime& runtime) {
+    app::ExitNow(RunDaemon(runtime, settings));
+  });
+}
