--- a/chervilpass/admission/fair_queue.cc
+++ b/chervilpass/admission/fair_queue.cc
@@ -15,13 +15,13 @@
   flow.weight = ticket.weight;
   flow.limit = ticket.concurrency_limit;
   const QueuedTicket queued{ticket, ++this->arrivals};
-  const auto place = std::upper_bound(
-      flow.waiting.begin(), flow.waiting.end(), queued,
-      [](const QueuedTicket& a, const QueuedTicket& b) {
-        return a.ticket.priority != b.ticket.priority
-                   ? a.ticket.priority > b.ticket.priority
-                   : a.arrival < b.arrival;
-      });
+  const auto place =
+      std::upper_bound(flow.waiting.begin(), flow.waiting.end(), queued,
+                       [](const QueuedTicket& a, const QueuedTicket& b) {
+                         return a.ticket.priority != b.ticket.priority
+                                    ? a.ticket.priority > b.ticket.priority
+                                    : a.arrival < b.arrival;
+                       });
   flow.waiting.insert(place, queued);
   ++this->waiting;
   return true;
@@ -76,10 +76,9 @@
 
 bool FairQueue::Remove(TicketId id) {
   for (auto& [organisation, flow] : this->flows) {
-    const auto removed =
-        std::erase_if(flow.waiting, [id](const QueuedTicket& queued) {
-          return queued.ticket.id == id;
-        });
+    const auto removed = std::erase_if(
+        flow.waiting,
+        [id](const QueuedTicket& queued) { return queued.ticket.id == id; });
     if (removed > 0) {
       --this->waiting;
       this->DropIfIdle(organisation);
--- a/chervilpass/admission/fair_queue.h
+++ b/chervilpass/admission/fair_queue.h
@@ -1,7 +1,7 @@
 // Weighted fair queue of the requests that wait for a cell: start-time fair
-// queueing over organisations (Goyal, Vin and Cheng, "Start-time fair queueing",
-// IEEE/ACM Transactions on Networking, 1997). Within an organisation the higher
-// priority goes first, then the earlier arrival.
+// queueing over organisations (Goyal, Vin and Cheng, "Start-time fair
+// queueing", IEEE/ACM Transactions on Networking, 1997). Within an organisation
+// the higher priority goes first, then the earlier arrival.
 #pragma once
 
 #include <cstdint>
--- a/chervilpass/admission/refusal.cc
+++ b/chervilpass/admission/refusal.cc
@@ -13,24 +13,15 @@
 };
 
 constexpr std::array<RefusalRow, 19> kRows = {{
-    {500, "internal"},
-    {400, "malformed"},
-    {413, "too-large"},
-    {401, "unauthorized"},
-    {404, "not-found"},
-    {408, "deadline-passed"},
-    {422, "key-reused"},
-    {400, "key-required"},
-    {409, "in-progress"},
-    {409, "outcome-unknown"},
-    {429, "overloaded"},
-    {503, "no-backend"},
-    {502, "backend-failed"},
-    {422, "quarantined"},
-    {503, "store-unavailable"},
-    {503, "leaving"},
-    {503, "not-ready"},
-    {504, "timed-out"},
+    {500, "internal"},           {400, "malformed"},
+    {413, "too-large"},          {401, "unauthorized"},
+    {404, "not-found"},          {408, "deadline-passed"},
+    {422, "key-reused"},         {400, "key-required"},
+    {409, "in-progress"},        {409, "outcome-unknown"},
+    {429, "overloaded"},         {503, "no-backend"},
+    {502, "backend-failed"},     {422, "quarantined"},
+    {503, "store-unavailable"},  {503, "leaving"},
+    {503, "not-ready"},          {504, "timed-out"},
     {405, "method-not-allowed"},
 }};
 
--- a/chervilpass/admission/refusal.h
+++ b/chervilpass/admission/refusal.h
@@ -15,24 +15,24 @@
 
 /// Why a request was refused. The numbers are sent between daemons.
 enum class RefusalCode : std::uint16_t {
-  kMalformed = 1,         ///< The request cannot be read.
-  kTooLarge = 2,          ///< A header or body is over its limit.
-  kUnauthorized = 3,      ///< Missing or wrong key.
-  kNotFound = 4,          ///< Unknown path, pipeline or service.
-  kDeadlinePassed = 5,    ///< The deadline passes before an answer can be had.
-  kKeyReused = 6,         ///< Idempotency key used with another request.
-  kKeyRequired = 7,       ///< The call may not be repeated and has no key.
-  kInProgress = 8,        ///< A call with the same key is running.
-  kOutcomeUnknown = 9,    ///< An earlier call with this key may have run.
-  kOverloaded = 10,       ///< The queue or a limit is full.
-  kNoBackend = 11,        ///< No live backend server can serve it.
-  kBackendFailed = 12,    ///< Retries are used up.
-  kQuarantined = 13,      ///< The request has crashed backend servers.
-  kStoreUnavailable = 14, ///< The claim cannot be made durable now.
-  kLeaving = 15,          ///< This VM is leaving; use another address.
-  kNotReady = 16,         ///< No configuration is known yet.
-  kTimedOut = 17,         ///< No answer arrived in time.
-  kMethod = 18,           ///< The method does not fit the path.
+  kMalformed = 1,          ///< The request cannot be read.
+  kTooLarge = 2,           ///< A header or body is over its limit.
+  kUnauthorized = 3,       ///< Missing or wrong key.
+  kNotFound = 4,           ///< Unknown path, pipeline or service.
+  kDeadlinePassed = 5,     ///< The deadline passes before an answer can be had.
+  kKeyReused = 6,          ///< Idempotency key used with another request.
+  kKeyRequired = 7,        ///< The call may not be repeated and has no key.
+  kInProgress = 8,         ///< A call with the same key is running.
+  kOutcomeUnknown = 9,     ///< An earlier call with this key may have run.
+  kOverloaded = 10,        ///< The queue or a limit is full.
+  kNoBackend = 11,         ///< No live backend server can serve it.
+  kBackendFailed = 12,     ///< Retries are used up.
+  kQuarantined = 13,       ///< The request has crashed backend servers.
+  kStoreUnavailable = 14,  ///< The claim cannot be made durable now.
+  kLeaving = 15,           ///< This VM is leaving; use another address.
+  kNotReady = 16,          ///< No configuration is known yet.
+  kTimedOut = 17,          ///< No answer arrived in time.
+  kMethod = 18,            ///< The method does not fit the path.
 };
 
 /// A refusal as a value.
--- a/chervilpass/admission/wait_estimator.h
+++ b/chervilpass/admission/wait_estimator.h
@@ -13,9 +13,9 @@
   void OnFinished(Duration held) {
     const double sample = ToSeconds(held);
     this->held_seconds =
-        this->known ? this->held_seconds +
-                          kSmoothing * (sample - this->held_seconds)
-                    : sample;
+        this->known
+            ? this->held_seconds + kSmoothing * (sample - this->held_seconds)
+            : sample;
     this->known = true;
   }
 
--- a/chervilpass/app/program.cc
+++ b/chervilpass/app/program.cc
@@ -61,13 +61,12 @@
                             const CommandLine& command_line) {
   config::SettingsReader section = reader.Section("log");
   LogSettings settings{program, vm, LogLevel::kInfo, LogFormat::kKeyValue};
-  const std::string level = section.Choice(
-      "level", {"debug", "info", "warning", "error"}, "info");
+  const std::string level =
+      section.Choice("level", {"debug", "info", "warning", "error"}, "info");
   ParseLogLevel(level, &settings.level);
   const std::string format =
       section.Choice("format", {"key-value", "json"}, "key-value");
-  settings.format =
-      format == "json" ? LogFormat::kJson : LogFormat::kKeyValue;
+  settings.format = format == "json" ? LogFormat::kJson : LogFormat::kKeyValue;
   if (command_line.log_level) {
     settings.level = *command_line.log_level;
   }
--- a/chervilpass/config/change_merge.cc
+++ b/chervilpass/config/change_merge.cc
@@ -32,8 +32,7 @@
 }
 
 std::string ValueText(const Service& value) {
-  return fmt::format("non_repeatable={}",
-                     fmt::join(value.non_repeatable, "+"));
+  return fmt::format("non_repeatable={}", fmt::join(value.non_repeatable, "+"));
 }
 
 std::string ValueText(const Organisation& value) {
@@ -82,9 +81,9 @@
     const auto our_value = Outcome(ours, key);
     const auto their_value = Outcome(theirs, key);
     if (our_value != their_value) {
-      *clashes += fmt::format("{} {}: yours {}; theirs {}\n", kind,
-                              KeyText(key), OutcomeText(our_value),
-                              OutcomeText(their_value));
+      *clashes +=
+          fmt::format("{} {}: yours {}; theirs {}\n", kind, KeyText(key),
+                      OutcomeText(our_value), OutcomeText(their_value));
     }
   }
 }
--- a/chervilpass/config/change_merge.h
+++ b/chervilpass/config/change_merge.h
@@ -22,8 +22,8 @@
   bool operator==(const BaseUnknown&) const = default;
 };
 
-using MergeResult = std::
-    variant<FleetConfig, MergeConflict, BaseUnknown, ConfigErrors>;
+using MergeResult =
+    std::variant<FleetConfig, MergeConflict, BaseUnknown, ConfigErrors>;
 
 /// Applies `change` on top of `current`. `base` is the version that the change
 /// starts from, or null if it is not known. The result has the next version and
--- a/chervilpass/config/config_json.cc
+++ b/chervilpass/config/config_json.cc
@@ -381,11 +381,12 @@
       {"organisations", WriteValues(delta.organisations.changed)},
       {"backends", WriteValues(delta.backends.changed)},
       {"rows", WriteRows(delta.rows.changed)}};
-  return json::serialize(json::object{{"from", delta.from_version},
-                                      {"to", delta.to_version},
-                                      {"recent_changes", WriteChanges(delta.recent_changes)},
-                                      {"changed", changed},
-                                      {"removed", removed}});
+  return json::serialize(
+      json::object{{"from", delta.from_version},
+                   {"to", delta.to_version},
+                   {"recent_changes", WriteChanges(delta.recent_changes)},
+                   {"changed", changed},
+                   {"removed", removed}});
 }
 
 Result<ConfigDelta, ConfigErrors> DeltaFromJson(std::string_view text) {
--- a/chervilpass/config/fleet_config.cc
+++ b/chervilpass/config/fleet_config.cc
@@ -56,9 +56,8 @@
     const std::string place = "pipeline " + name;
     this->CheckName(place, name);
     if (pipeline.layers == 0 || pipeline.layers > kMostLayers) {
-      this->Add(place + " layers",
-                fmt::format("{} given, 1 to {} allowed", pipeline.layers,
-                            kMostLayers));
+      this->Add(place + " layers", fmt::format("{} given, 1 to {} allowed",
+                                               pipeline.layers, kMostLayers));
     }
     if (pipeline.token_limit == 0) {
       this->Add(place + " token_limit", "must be above 0");
@@ -116,9 +115,9 @@
                                                row.weight, kHighestWeight));
     }
     if (row.priority > kHighestPriority) {
-      this->Add(place + " priority", fmt::format("{} given, 0 to {} allowed",
-                                                 row.priority,
-                                                 kHighestPriority));
+      this->Add(place + " priority",
+                fmt::format("{} given, 0 to {} allowed", row.priority,
+                            kHighestPriority));
     }
   }
 
--- a/chervilpass/config/fleet_config.h
+++ b/chervilpass/config/fleet_config.h
@@ -18,9 +18,9 @@
 /// A language-model pipeline.
 struct Pipeline {
   std::string name;
-  std::uint32_t layers = 0;        ///< layers of the model
-  std::uint32_t token_limit = 0;   ///< most tokens of one answer
-  std::uint32_t cell_replicas = 2; ///< replicas of each stage in a cell
+  std::uint32_t layers = 0;         ///< layers of the model
+  std::uint32_t token_limit = 0;    ///< most tokens of one answer
+  std::uint32_t cell_replicas = 2;  ///< replicas of each stage in a cell
 
   auto operator<=>(const Pipeline&) const = default;
 };
@@ -49,7 +49,7 @@
   std::uint32_t last_layer = 0;  ///< inclusive
   std::string accelerator;       ///< kind of accelerator
   std::uint32_t session_limit = 0;
-  bool checks_fencing = false;   ///< refuses orders with an old fence number
+  bool checks_fencing = false;  ///< refuses orders with an old fence number
 
   auto operator<=>(const StageRole&) const = default;
 };
--- a/chervilpass/config/settings_reader.cc
+++ b/chervilpass/config/settings_reader.cc
@@ -68,9 +68,9 @@
   void Wrong(const YAML::Node& node,
              std::string_view field,
              std::string_view expected) {
-    this->Add(LineOf(node), field,
-              fmt::format("{} given; {} is expected", QuoteNode(node),
-                          expected));
+    this->Add(
+        LineOf(node), field,
+        fmt::format("{} given; {} is expected", QuoteNode(node), expected));
   }
 
   // Reads a scalar of type T that fulfils `allowed`.
@@ -231,8 +231,8 @@
   }
   const bool usable = node.IsDefined() && node.IsMap();
   const YAML::Node empty(YAML::NodeType::Map);
-  return SettingsReader(this->state->Child(usable ? node : empty,
-                                           this->state->Path(field)));
+  return SettingsReader(
+      this->state->Child(usable ? node : empty, this->state->Path(field)));
 }
 
 std::vector<SettingsReader> SettingsReader::List(std::string_view field) {
@@ -246,8 +246,7 @@
     return readers;
   }
   for (std::size_t i = 0; i < node.size(); ++i) {
-    const std::string path =
-        fmt::format("{}[{}]", this->state->Path(field), i);
+    const std::string path = fmt::format("{}[{}]", this->state->Path(field), i);
     if (!node[i].IsMap()) {
       this->state->Wrong(node[i], fmt::format("{}[{}]", field, i),
                          "a section of fields");
@@ -260,8 +259,8 @@
 
 void SettingsReader::Fault(std::string_view field, std::string detail) {
   const YAML::Node node = this->state->Get(field);
-  const int line = node.IsDefined() ? LineOf(node)
-                                    : LineOf(this->state->section->node);
+  const int line =
+      node.IsDefined() ? LineOf(node) : LineOf(this->state->section->node);
   this->state->Add(line, field, std::move(detail));
 }
 
--- a/chervilpass/control/control_node.cc
+++ b/chervilpass/control/control_node.cc
@@ -41,9 +41,9 @@
  public:
   Duration Next(Random* random) {
     this->ceiling = std::min(kLongestBackoff, this->ceiling * 2);
-    return duration_cast<Duration>(random->Unit() *
-                                   std::chrono::duration<double>(
-                                       ToSeconds(this->ceiling)));
+    return duration_cast<Duration>(
+        random->Unit() *
+        std::chrono::duration<double>(ToSeconds(this->ceiling)));
   }
   void Reset() { this->ceiling = kLeastBackoff; }
 
@@ -196,13 +196,12 @@
       client = rpc::ControlClient::Create(this->loop,
                                           {member.ip, member.control_port});
     }
-    const auto changes =
-        client->PullConfig(this->book.Version(), kPullTimeout);
+    const auto changes = client->PullConfig(this->book.Version(), kPullTimeout);
     this->pulling = false;
     if (changes.has_error()) {
-      this->log.Warning("config.pull-failed",
-                        {{"from", member.vm},
-                         {"detail", changes.error().detail}});
+      this->log.Warning(
+          "config.pull-failed",
+          {{"from", member.vm}, {"detail", changes.error().detail}});
       this->peers.erase(member.vm);
       return;
     }
@@ -312,15 +311,14 @@
   std::optional<rpc::ChangeResult> TryChange(const config::ConfigDelta& delta,
                                              const std::string& change_id,
                                              std::uint64_t store_version) {
-    const auto current = store_version == 0 ? this->book.Find(0)
-                                            : this->book.Current();
+    const auto current =
+        store_version == 0 ? this->book.Find(0) : this->book.Current();
     if (const std::uint64_t made =
             config::VersionOfChange(*current, change_id)) {
       return rpc::ChangeAccepted{made};
     }
     const auto base = this->book.Find(delta.from_version);
-    auto merged =
-        config::MergeChange(*current, base.get(), delta, change_id);
+    auto merged = config::MergeChange(*current, base.get(), delta, change_id);
     if (const auto* conflict = std::get_if<config::MergeConflict>(&merged)) {
       return rpc::ChangeConflict{conflict->detail};
     }
@@ -378,8 +376,7 @@
   void OnListedLeaving(const std::string& name) {
     const auto config = this->book.Current();
     if (config != nullptr && config->backends.contains(name)) {
-      this->Apply(
-          this->detector.AddLeaving({name, this->runtime->WallNow()}));
+      this->Apply(this->detector.AddLeaving({name, this->runtime->WallNow()}));
     } else {
       this->Apply(this->detector.MarkLeaving(name, this->runtime->Now()));
     }
@@ -408,9 +405,9 @@
     role.seen = true;
     role.last_seen = this->runtime->Now();
     std::unique_lock<boost::fibers::mutex> lock(this->view_mutex);
-    this->view_changed.wait_until(
-        lock, this->runtime->Now() + kViewWait,
-        [&] { return this->generation != query.known_generation; });
+    this->view_changed.wait_until(lock, this->runtime->Now() + kViewWait, [&] {
+      return this->generation != query.known_generation;
+    });
     role.last_seen = this->runtime->Now();
     rpc::View view;
     view.generation = this->generation;
@@ -508,8 +505,7 @@
   if (socket.has_error()) {
     return ControlError{socket.error().detail};
   }
-  const std::uint64_t seed =
-      HashText(settings.self.vm, settings.self.boot_id);
+  const std::uint64_t seed = HashText(settings.self.vm, settings.self.boot_id);
   auto state = std::make_shared<State>(
       runtime, metrics, std::move(log), std::move(loop), std::move(store),
       std::move(settings), std::move(socket).value(), seed);
@@ -526,10 +522,16 @@
     return state->book.Version() == 0 ? rpc::ConfigChanges{}
                                       : state->book.ChangesSince(have);
   };
-  handlers.report_strike =
-      [state = this->state](const quarantine::Strike& strike) {
-        state->Apply(state->detector.AddStrike(strike));
-      };
+  handlers.get_version = [state = this->state](std::uint64_t version) {
+    const auto config = state->book.Find(version);
+    return config == nullptr
+               ? rpc::ConfigChanges{}
+               : rpc::ConfigChanges{version, true, config::ToJson(*config)};
+  };
+  handlers.report_strike = [state =
+                                this->state](const quarantine::Strike& strike) {
+    state->Apply(state->detector.AddStrike(strike));
+  };
   handlers.change = [state = this->state](const rpc::ChangeRequest& request) {
     return state->Change(request);
   };
--- a/chervilpass/control/view_link.cc
+++ b/chervilpass/control/view_link.cc
@@ -57,10 +57,9 @@
     next->config = this->view->config;
     this->TakeConfig(received, next.get());
     this->view = next;
-    this->log.Debug("view.taken",
-                    {{"generation", next->generation},
-                     {"members", next->members.size()},
-                     {"config", received.config_version}});
+    this->log.Debug("view.taken", {{"generation", next->generation},
+                                   {"members", next->members.size()},
+                                   {"config", received.config_version}});
     for (const auto& listener : this->listeners) {
       listener(*next);
     }
@@ -105,8 +104,8 @@
                                            std::string role,
                                            Logger log) {
   auto client = rpc::ControlClient::Create(loop, std::move(control));
-  auto state = std::make_shared<State>(loop, std::move(client),
-                                       std::move(role), std::move(log));
+  auto state = std::make_shared<State>(loop, std::move(client), std::move(role),
+                                       std::move(log));
   loop->Fibers().Spawn([state] { state->Follow(); });
   return std::shared_ptr<ViewLink>(new ViewLink(std::move(state)));
 }
--- a/chervilpass/control/view_link.h
+++ b/chervilpass/control/view_link.h
@@ -28,8 +28,7 @@
   std::shared_ptr<const membership::FleetView> Current() const;
 
   /// Calls `listener` after each new view.
-  void OnChange(
-      std::function<void(const membership::FleetView&)> listener);
+  void OnChange(std::function<void(const membership::FleetView&)> listener);
 
   /// Hands a strike to control, which spreads it. Does not wait.
   void ReportStrike(const quarantine::Strike& strike);
--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -19,8 +19,8 @@
 
 // A value is quoted if a reader could take it for more than one word.
 std::string QuoteIfNeeded(const std::string& value) {
-  const bool plain = !value.empty() && value.find_first_of(" =\"\n\r\t") ==
-                                           std::string::npos;
+  const bool plain =
+      !value.empty() && value.find_first_of(" =\"\n\r\t") == std::string::npos;
   return plain ? value : boost::json::serialize(boost::json::string(value));
 }
 
@@ -60,10 +60,9 @@
     }
     return boost::json::serialize(line);
   }
-  std::string line =
-      fmt::format("time={} level={} program={} vm={} event={}", time,
-                  LevelName(level), settings.program,
-                  QuoteIfNeeded(settings.vm), event);
+  std::string line = fmt::format("time={} level={} program={} vm={} event={}",
+                                 time, LevelName(level), settings.program,
+                                 QuoteIfNeeded(settings.vm), event);
   for (const LogField& field : fields) {
     line += fmt::format(" {}={}", field.name, QuoteIfNeeded(field.value));
   }
--- a/chervilpass/core/log.h
+++ b/chervilpass/core/log.h
@@ -31,8 +31,7 @@
   LogField(std::string name, bool value)
       : name(std::move(name)), value(value ? "true" : "false") {}
   template <class T>
-    requires std::is_arithmetic_v<T>
-  LogField(std::string name, T value)
+  requires std::is_arithmetic_v<T> LogField(std::string name, T value)
       : name(std::move(name)), value(fmt::format("{}", value)) {}
 
   bool operator==(const LogField&) const = default;
--- a/chervilpass/core/metrics.cc
+++ b/chervilpass/core/metrics.cc
@@ -17,11 +17,11 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
-using LatencyAccumulator = acc::accumulator_set<
-    double,
-    acc::stats<acc::tag::count,
-               acc::tag::sum,
-               acc::tag::extended_p_square_quantile>>;
+using LatencyAccumulator =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count,
+                                    acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
 
 // Name and labels of one time series.
 struct SeriesKey {
@@ -63,9 +63,8 @@
   auto found = this->state->latencies.find(std::string(name));
   if (found == this->state->latencies.end()) {
     LatencyAccumulator fresh(acc::extended_p_square_probabilities = kQuantiles);
-    found =
-        this->state->latencies.emplace(std::string(name), std::move(fresh))
-            .first;
+    found = this->state->latencies.emplace(std::string(name), std::move(fresh))
+                .first;
   }
   found->second(ToSeconds(sample));
 }
--- a/chervilpass/core/random.h
+++ b/chervilpass/core/random.h
@@ -22,9 +22,7 @@
   std::uint64_t Below(std::uint64_t bound) { return this->Next() % bound; }
 
   /// Uniform real number in [0, 1).
-  double Unit() {
-    return static_cast<double>(this->Next() >> 11) * 0x1.0p-53;
-  }
+  double Unit() { return static_cast<double>(this->Next() >> 11) * 0x1.0p-53; }
 
   /// True with the given probability.
   bool Chance(double probability) { return this->Unit() < probability; }
--- a/chervilpass/dispatch/completion_runner.cc
+++ b/chervilpass/dispatch/completion_runner.cc
@@ -62,8 +62,7 @@
     if (found != this->cells.end()) {
       return found->second;
     }
-    return this->cells
-        .emplace(pipeline, routing::FormCells(config, pipeline))
+    return this->cells.emplace(pipeline, routing::FormCells(config, pipeline))
         .first->second;
   }
 
@@ -160,7 +159,7 @@
   std::map<std::uint32_t, std::unique_ptr<CellQueue>> queues;
   std::map<std::string, std::vector<routing::Cell>> cells;  // by pipeline
   std::uint64_t cells_version = 0;
-  std::map<std::uint64_t, SharedChain> shared_chains;  // by fingerprint
+  std::map<std::uint64_t, SharedChain> shared_chains;       // by fingerprint
   std::map<std::uint64_t, const rpc::AttemptSink*> active;  // by number
   std::uint64_t last_active = 0;
   std::set<std::uint64_t> running_suspects;  // fingerprints
@@ -213,9 +212,9 @@
       this->owner = {this->request.fingerprint,
                      verdict == quarantine::Verdict::kSuspect};
       // Copies of a suspect run one after the other, not at once.
-      if (this->owner.suspect && !this->state->running_suspects
-                                      .insert(this->request.fingerprint)
-                                      .second) {
+      if (this->owner.suspect &&
+          !this->state->running_suspects.insert(this->request.fingerprint)
+               .second) {
         return SessionEnd::kFailed;
       }
       const auto chain = this->Choose();
@@ -254,13 +253,13 @@
     }
     this->JoinSharedChain(stages, &choice->workers);
     this->state->log.Info(
-        "place.chain", {{"request", this->request.request_id},
-                        {"cell", fmt::format("{:08x}", this->cell.id)},
-                        {"epoch", this->session.Epoch()},
-                        {"chosen", fmt::format("{}", fmt::join(
-                                                         choice->workers, ">"))},
-                        {"weighed", pipeline::Describe(*choice)},
-                        {"reason", "lowest expected step time"}});
+        "place.chain",
+        {{"request", this->request.request_id},
+         {"cell", fmt::format("{:08x}", this->cell.id)},
+         {"epoch", this->session.Epoch()},
+         {"chosen", fmt::format("{}", fmt::join(choice->workers, ">"))},
+         {"weighed", pipeline::Describe(*choice)},
+         {"reason", "lowest expected step time"}});
     return choice;
   }
 
@@ -284,8 +283,7 @@
   }
 
   SessionEnd RunChain(const std::vector<std::string>& chain) {
-    SharedChain& shared =
-        this->state->shared_chains[this->request.fingerprint];
+    SharedChain& shared = this->state->shared_chains[this->request.fingerprint];
     shared.workers = chain;
     ++shared.users;
     this->state->workers->PlaceSession(chain, this->owner);
@@ -381,15 +379,14 @@
     Logger log,
     std::shared_ptr<control::ViewLink> link,
     CompletionRunnerSettings settings) {
-  auto state =
-      std::make_shared<State>(runtime, metrics, log, link, settings);
+  auto state = std::make_shared<State>(runtime, metrics, log, link, settings);
   State* raw = state.get();
-  state->workers = WorkerPool::Create(
-      runtime, metrics, log, settings.workers,
-      [raw](const std::string& worker,
-            const std::vector<std::uint64_t>& blamed) {
-        raw->OnCrash(worker, blamed);
-      });
+  state->workers =
+      WorkerPool::Create(runtime, metrics, log, settings.workers,
+                         [raw](const std::string& worker,
+                               const std::vector<std::uint64_t>& blamed) {
+                           raw->OnCrash(worker, blamed);
+                         });
   link->OnChange(
       [raw](const membership::FleetView& view) { raw->TakeStrikes(view); });
   runtime->Spawn([state] { state->HeartbeatLoop(); });
@@ -425,9 +422,8 @@
   queue.SetCapacity(State::CapacityOf(state.ReplicasOf(*view, cell)));
   const Instant arrived = state.runtime->Now();
   const auto with_load = [&queue](auto result) {
-    return rpc::CompletionOutcome{std::move(result),
-                                  queue.Running() + queue.Waiting(),
-                                  queue.Capacity()};
+    return rpc::CompletionOutcome{
+        std::move(result), queue.Running() + queue.Waiting(), queue.Capacity()};
   };
   if (queue.Capacity() == 0) {
     return with_load(Refusal{RefusalCode::kNoBackend, Executed::kNo,
--- a/chervilpass/dispatch/ledger_service.cc
+++ b/chervilpass/dispatch/ledger_service.cc
@@ -125,16 +125,15 @@
     const std::string name = ObjectName(shard->number, action.index);
     const std::string value = ledger::ToJson(action.segment);
     const Instant start = this->runtime->Now();
-    const auto written =
-        action.version == 0
-            ? this->store->CreateObject(name, value)
-            : this->store->Update(name, action.version, value);
+    const auto written = action.version == 0
+                             ? this->store->CreateObject(name, value)
+                             : this->store->Update(name, action.version, value);
     const Instant now = this->runtime->Now();
     this->metrics->Observe("chervil_ledger_write_seconds", now - start);
     if (written.has_error()) {
-      this->log.Warning("ledger.write-failed",
-                        {{"shard", shard->number},
-                         {"detail", written.error().detail}});
+      this->log.Warning(
+          "ledger.write-failed",
+          {{"shard", shard->number}, {"detail", written.error().detail}});
     }
     this->Apply(shard, shard->log.OnWrite(WriteResultFrom(written), now));
   }
@@ -194,10 +193,9 @@
                                 std::uint64_t digest) {
   Shard& shard = this->state->ShardOf(key);
   auto reply = shard.claims[attempt].get_future();
-  this->state->Apply(
-      &shard, shard.log.Claim(key, attempt, digest,
-                              this->state->runtime->WallNow(),
-                              this->state->runtime->Now()));
+  this->state->Apply(&shard, shard.log.Claim(key, attempt, digest,
+                                             this->state->runtime->WallNow(),
+                                             this->state->runtime->Now()));
   return reply.get();
 }
 
@@ -206,10 +204,9 @@
                            const io::HttpResponse& outcome) {
   Shard& shard = this->state->ShardOf(key);
   auto durable = shard.records[attempt].get_future();
-  this->state->Apply(
-      &shard, shard.log.Finish(key, attempt, outcome,
-                               this->state->runtime->WallNow(),
-                               this->state->runtime->Now()));
+  this->state->Apply(&shard, shard.log.Finish(key, attempt, outcome,
+                                              this->state->runtime->WallNow(),
+                                              this->state->runtime->Now()));
   return durable.get();
 }
 
@@ -217,10 +214,9 @@
                             const std::string& attempt) {
   Shard& shard = this->state->ShardOf(key);
   auto durable = shard.records[attempt].get_future();
-  this->state->Apply(&shard,
-                     shard.log.Release(key, attempt,
-                                       this->state->runtime->WallNow(),
-                                       this->state->runtime->Now()));
+  this->state->Apply(
+      &shard, shard.log.Release(key, attempt, this->state->runtime->WallNow(),
+                                this->state->runtime->Now()));
   return durable.get();
 }
 
@@ -228,8 +224,8 @@
   Shard& shard = this->state->ShardOf(key);
   const std::string query = RandomId();
   auto reply = shard.claims[query].get_future();
-  this->state->Apply(
-      &shard, shard.log.Query(key, query, this->state->runtime->Now()));
+  this->state->Apply(&shard,
+                     shard.log.Query(key, query, this->state->runtime->Now()));
   return reply.get();
 }
 
--- a/chervilpass/dispatch/service_runner.cc
+++ b/chervilpass/dispatch/service_runner.cc
@@ -105,8 +105,8 @@
       if (auto* refuse = std::get_if<ledger::RefuseCall>(&action)) {
         return {std::move(refuse->refusal), false};
       }
-      actions = std::visit(
-          [this](const auto& item) { return this->Do(item); }, action);
+      actions = std::visit([this](const auto& item) { return this->Do(item); },
+                           action);
     }
   }
 
@@ -125,27 +125,27 @@
     if (!backend) {
       return this->flow.OnNoBackend(this->Now());
     }
-    this->state->log.Info("place.service", {{"request", this->request.request_id},
-                                            {"service", this->request.service},
-                                            {"chosen", backend->id},
-                                            {"reason", "fewest in flight"}});
+    this->state->log.Info("place.service",
+                          {{"request", this->request.request_id},
+                           {"service", this->request.service},
+                           {"chosen", backend->id},
+                           {"reason", "fewest in flight"}});
     io::HttpRequest call = this->request.call;
     if (!this->request.idempotency_key.empty()) {
       call.headers.Add("Idempotency-Key", this->request.idempotency_key);
     }
     call.headers.Add("X-Request-Id", this->request.request_id);
     ++this->state->running[backend->id];
-    const auto response = this->state->http->Call(
-        backend->address, call, this->deadline - this->Now(),
-        io::ConnectionUse::kFresh);
+    const auto response = this->state->http->Call(backend->address, call,
+                                                  this->deadline - this->Now(),
+                                                  io::ConnectionUse::kFresh);
     --this->state->running[backend->id];
     if (response.has_value()) {
       this->state->health.OnSuccess(backend->id, Duration(1), this->Now());
       return this->flow.OnResponse(response.value(), this->Now());
     }
     this->failed.insert(backend->id);
-    const bool not_sent =
-        response.error().code == io::HttpErrorCode::kConnect;
+    const bool not_sent = response.error().code == io::HttpErrorCode::kConnect;
     if (not_sent) {
       this->state->health.OnRefusedConnection(backend->id, this->Now());
     } else {
@@ -156,15 +156,14 @@
                               {"backend", backend->id},
                               {"sent", !not_sent},
                               {"detail", response.error().detail}});
-    return this->flow.OnSendFailed(not_sent
-                                       ? ledger::SendFailure::kNotSent
-                                       : ledger::SendFailure::kAmbiguous,
+    return this->flow.OnSendFailed(not_sent ? ledger::SendFailure::kNotSent
+                                            : ledger::SendFailure::kAmbiguous,
                                    this->Now());
   }
 
   ledger::ServiceActions Do(const ledger::RecordOutcome& record) {
-    return this->flow.OnRecorded(this->state->ledger->Finish(
-        this->key, this->attempt, record.outcome));
+    return this->flow.OnRecorded(
+        this->state->ledger->Finish(this->key, this->attempt, record.outcome));
   }
 
   ledger::ServiceActions Do(const ledger::RecordRelease&) {
@@ -196,8 +195,8 @@
     std::shared_ptr<LedgerService> ledger,
     ServiceRunnerSettings settings) {
   return std::shared_ptr<ServiceRunner>(new ServiceRunner(
-      std::make_shared<State>(runtime, metrics, std::move(log),
-                              std::move(link), std::move(ledger), settings)));
+      std::make_shared<State>(runtime, metrics, std::move(log), std::move(link),
+                              std::move(ledger), settings)));
 }
 
 rpc::ServiceOutcome ServiceRunner::Run(const rpc::ServiceRequest& request) {
--- a/chervilpass/dispatch/worker_pool.cc
+++ b/chervilpass/dispatch/worker_pool.cc
@@ -65,8 +65,8 @@
   void Pump(Worker* worker) {
     while (!worker->queue.empty() &&
            worker->batches_in_flight < this->settings.batches_in_flight) {
-      const std::size_t size = std::min<std::size_t>(
-          this->settings.batch_limit, worker->queue.size());
+      const std::size_t size = std::min<std::size_t>(this->settings.batch_limit,
+                                                     worker->queue.size());
       std::vector<QueuedStepPtr> batch(
           worker->queue.begin(),
           worker->queue.begin() + static_cast<std::ptrdiff_t>(size));
@@ -74,10 +74,10 @@
           worker->queue.begin(),
           worker->queue.begin() + static_cast<std::ptrdiff_t>(size));
       ++worker->batches_in_flight;
-      this->runtime->Spawn([self = this->shared_from_this(), worker,
-                            batch = std::move(batch)] {
-        self->RunBatch(worker, batch);
-      });
+      this->runtime->Spawn(
+          [self = this->shared_from_this(), worker, batch = std::move(batch)] {
+            self->RunBatch(worker, batch);
+          });
     }
   }
 
@@ -86,7 +86,8 @@
     steps.reserve(batch.size());
     for (const QueuedStepPtr& queued : batch) {
       steps.push_back(queued->step);
-      worker->running.insert({queued->owner.fingerprint, queued->owner.suspect});
+      worker->running.insert(
+          {queued->owner.fingerprint, queued->owner.suspect});
     }
     const Instant sent = this->runtime->Now();
     const auto answers = this->client.RunSteps(worker->backend.address, steps,
--- a/chervilpass/engine/engine_client.cc
+++ b/chervilpass/engine/engine_client.cc
@@ -29,12 +29,9 @@
   for (const std::uint64_t value : item.step.values) {
     values.emplace_back(value);
   }
-  return {{"session", item.session},
-          {"seed", item.seed},
-          {"priority", item.priority},
-          {"epoch", item.step.epoch},
-          {"position", item.step.position},
-          {"sample", item.step.sample},
+  return {{"session", item.session},        {"seed", item.seed},
+          {"priority", item.priority},      {"epoch", item.step.epoch},
+          {"position", item.step.position}, {"sample", item.step.sample},
           {"values", std::move(values)}};
 }
 
--- a/chervilpass/entry/caller_request.cc
+++ b/chervilpass/entry/caller_request.cc
@@ -18,8 +18,8 @@
 using admission::Refusal;
 using admission::RefusalCode;
 
-constexpr std::size_t kLongestKey = 128;          // characters
-constexpr std::size_t kPrefixTokens = 16;         // that share a cache
+constexpr std::size_t kLongestKey = 128;   // characters
+constexpr std::size_t kPrefixTokens = 16;  // that share a cache
 constexpr std::uint32_t kDefaultMaxTokens = 16;
 constexpr std::int64_t kLongestDeadlineMs = 24LL * 3600 * 1000;
 constexpr std::string_view kServicesPath = "/v1/services/";
@@ -101,9 +101,9 @@
     boost::system::error_code error;
     const auto number = value->to_number<std::uint64_t>(error);
     if (error || value->is_double() || number > highest) {
-      return Malformed(fmt::format(
-          "field '{}': a whole number from 0 to {} is expected", field,
-          highest));
+      return Malformed(
+          fmt::format("field '{}': a whole number from 0 to {} is expected",
+                      field, highest));
     }
     return number;
   }
@@ -134,9 +134,10 @@
       boost::system::error_code error;
       const auto token = item.to_number<std::uint32_t>(error);
       if (error || token >= pipeline::kVocabulary) {
-        return Malformed(fmt::format("field '{}': token ids from 0 to {} are "
-                                     "expected",
-                                     field, pipeline::kVocabulary - 1));
+        return Malformed(
+            fmt::format("field '{}': token ids from 0 to {} are "
+                        "expected",
+                        field, pipeline::kVocabulary - 1));
       }
       tokens.push_back(token);
     }
@@ -217,8 +218,7 @@
 }
 
 Result<std::string, Refusal> ReadBearerKey(const io::HttpRequest& request) {
-  const std::string value =
-      request.headers.Find("Authorization").value_or("");
+  const std::string value = request.headers.Find("Authorization").value_or("");
   if (!value.starts_with(kBearer) || value.size() == kBearer.size()) {
     return Refusal{RefusalCode::kUnauthorized, Executed::kNo, Duration(0),
                    "the header 'Authorization: Bearer KEY' is expected"};
@@ -238,9 +238,9 @@
   BodyReader reader(body);
   if (const auto unknown = reader.UnknownField(KnownFields())) {
     const auto nearest = NearestName(*unknown, KnownFields());
-    return Malformed(fmt::format(
-        "field '{}' is not known{}", *unknown,
-        nearest ? "; did you mean '" + *nearest + "'?" : ""));
+    return Malformed(
+        fmt::format("field '{}' is not known{}", *unknown,
+                    nearest ? "; did you mean '" + *nearest + "'?" : ""));
   }
   BOOST_OUTCOME_TRY(call.pipeline, reader.Text("model"));
   const auto pipeline = config.pipelines.find(call.pipeline);
@@ -249,23 +249,22 @@
   }
   BOOST_OUTCOME_TRY(const std::string prompt, reader.Text("prompt"));
   const std::uint32_t limit = pipeline->second.token_limit;
-  BOOST_OUTCOME_TRY(const std::uint64_t max_tokens,
-                    reader.Unsigned("max_tokens",
-                                    std::min(kDefaultMaxTokens, limit), limit));
+  BOOST_OUTCOME_TRY(
+      const std::uint64_t max_tokens,
+      reader.Unsigned("max_tokens", std::min(kDefaultMaxTokens, limit), limit));
   call.max_tokens = static_cast<std::uint32_t>(max_tokens);
   BOOST_OUTCOME_TRY(call.stream, reader.Flag("stream"));
   // Derived from the id, so that a request sent again has the same answer.
-  BOOST_OUTCOME_TRY(call.seed,
-                    reader.Unsigned("seed", HashText(call.request_id) >> 1,
-                                    INT64_MAX));
+  BOOST_OUTCOME_TRY(
+      call.seed,
+      reader.Unsigned("seed", HashText(call.request_id) >> 1, INT64_MAX));
   BOOST_OUTCOME_TRY(call.resume_tokens, reader.Tokens("resume_tokens"));
   BOOST_OUTCOME_TRY(call.skip_tokens, ReadSkip(request));
   if (call.resume_tokens.size() > call.max_tokens) {
     return Malformed("field 'resume_tokens': longer than max_tokens");
   }
-  call.skip_tokens =
-      std::max(call.skip_tokens,
-               static_cast<std::uint32_t>(call.resume_tokens.size()));
+  call.skip_tokens = std::max(
+      call.skip_tokens, static_cast<std::uint32_t>(call.resume_tokens.size()));
   call.prompt = pipeline::Tokenize(prompt);
   call.prefix_hash = HashPrefix(call.prompt);
   call.fingerprint =
--- a/chervilpass/entry/caller_request.h
+++ b/chervilpass/entry/caller_request.h
@@ -28,8 +28,8 @@
   /// Tokens of the answer that the caller has and does not want again.
   std::uint32_t skip_tokens = 0;
   std::optional<Duration> deadline;  ///< from now
-  std::uint64_t fingerprint = 0;  ///< of organisation, pipeline and body
-  std::uint64_t prefix_hash = 0;  ///< of the first words of the prompt
+  std::uint64_t fingerprint = 0;     ///< of organisation, pipeline and body
+  std::uint64_t prefix_hash = 0;     ///< of the first words of the prompt
 
   bool operator==(const CompletionCall&) const = default;
 };
--- a/chervilpass/entry/completion_call_runner.cc
+++ b/chervilpass/entry/completion_call_runner.cc
@@ -147,9 +147,8 @@
                                  {"text", text},
                                  {"tokens", ids},
                                  {"finish_reason", "length"}};
-    const json::object usage = {
-        {"prompt_tokens", this->call.prompt.size()},
-        {"completion_tokens", this->tokens.size()}};
+    const json::object usage = {{"prompt_tokens", this->call.prompt.size()},
+                                {"completion_tokens", this->tokens.size()}};
     return json::serialize(json::object{{"id", this->call.request_id},
                                         {"object", "text_completion"},
                                         {"model", this->call.pipeline},
@@ -255,11 +254,11 @@
     if (event.result.has_error()) {
       this->failed_dispatchers.insert(attempt.dispatcher);
       this->context->pool.Avoid(attempt.dispatcher, now);
-      this->context->log.Warning(
-          "attempt.lost", {{"request", this->call.request_id},
-                           {"attempt", event.attempt},
-                           {"dispatcher", attempt.dispatcher},
-                           {"detail", event.result.error().detail}});
+      this->context->log.Warning("attempt.lost",
+                                 {{"request", this->call.request_id},
+                                  {"attempt", event.attempt},
+                                  {"dispatcher", attempt.dispatcher},
+                                  {"detail", event.result.error().detail}});
       return this->flow.OnAttemptLost(event.attempt, now);
     }
     const rpc::CompletionOutcome& outcome = event.result.value();
@@ -270,12 +269,11 @@
     }
     const Refusal& refusal = std::get<Refusal>(outcome.result);
     this->failed_cells.insert(attempt.cell);
-    this->context->log.Info(
-        "attempt.refused",
-        {{"request", this->call.request_id},
-         {"attempt", event.attempt},
-         {"code", admission::RefusalName(refusal.code)},
-         {"detail", refusal.detail}});
+    this->context->log.Info("attempt.refused",
+                            {{"request", this->call.request_id},
+                             {"attempt", event.attempt},
+                             {"code", admission::RefusalName(refusal.code)},
+                             {"detail", refusal.detail}});
     return this->flow.OnRefused(event.attempt, refusal, now);
   }
 
@@ -292,22 +290,21 @@
     if (!choice) {
       return this->Apply(this->flow.OnNoChoice(action.attempt, this->Now()));
     }
-    const routing::Cell cell =
-        *routing::FindCell(this->cells, choice->cell);
+    const routing::Cell cell = *routing::FindCell(this->cells, choice->cell);
     const std::string vm = this->ChooseDispatcher(*view, cell);
     const auto client = this->context->pool.ClientOf(*view, vm);
     if (client == nullptr) {
       return this->Apply(this->flow.OnNotSent(action.attempt, this->Now()));
     }
-    this->context->log.Info(
-        "route.cell", {{"request", this->call.request_id},
-                       {"organisation", this->organisation},
-                       {"attempt", action.attempt},
-                       {"chosen", fmt::format("{:08x}", cell.id)},
-                       {"dispatcher", vm},
-                       {"reason", routing::ReasonName(choice->reason)},
-                       {"weighed", routing::Describe(*choice)},
-                       {"accepted", this->flow.Accepted().size()}});
+    this->context->log.Info("route.cell",
+                            {{"request", this->call.request_id},
+                             {"organisation", this->organisation},
+                             {"attempt", action.attempt},
+                             {"chosen", fmt::format("{:08x}", cell.id)},
+                             {"dispatcher", vm},
+                             {"reason", routing::ReasonName(choice->reason)},
+                             {"weighed", routing::Describe(*choice)},
+                             {"accepted", this->flow.Accepted().size()}});
     this->attempts[action.attempt] = Attempt{cell.id, vm, nullptr};
     this->LaunchAttempt(action, cell.id, client);
   }
@@ -337,8 +334,7 @@
                                    attempt = action.attempt, cell, client,
                                    request = std::move(request), handle] {
       rpc::AttemptSink sink;
-      sink.token = [events, attempt](std::uint32_t index,
-                                     std::uint32_t token) {
+      sink.token = [events, attempt](std::uint32_t index, std::uint32_t token) {
         events->Push(TokenArrived{attempt, index, token});
       };
       sink.heartbeat = [events, attempt] {
@@ -355,8 +351,7 @@
   Duration DeadlineLeft() const {
     const routing::CompletionFlowSettings settings = FlowSettings(
         *this->context, this->organisation, this->call, this->start);
-    return std::max<Duration>(milliseconds(1),
-                              settings.deadline - this->Now());
+    return std::max<Duration>(milliseconds(1), settings.deadline - this->Now());
   }
 
   std::optional<routing::CellChoice> ChooseCell(
@@ -398,11 +393,11 @@
     return std::all_of(
         cell.stages.begin(), cell.stages.end(),
         [&view](const routing::Stage& stage) {
-          return std::any_of(stage.workers.begin(), stage.workers.end(),
-                             [&view](const std::string& id) {
-                               return view.TakesNewWork(
-                                   view.config->backends.at(id));
-                             });
+          return std::any_of(
+              stage.workers.begin(), stage.workers.end(),
+              [&view](const std::string& id) {
+                return view.TakesNewWork(view.config->backends.at(id));
+              });
         });
   }
 
@@ -421,7 +416,8 @@
       const auto score = [this](const routing::CellOption& candidate) {
         return HashCombine(candidate.cell, this->call.fingerprint);
       };
-      if (!option.excluded && (best == nullptr || score(option) > score(*best))) {
+      if (!option.excluded &&
+          (best == nullptr || score(option) > score(*best))) {
         best = &option;
       }
     }
--- a/chervilpass/entry/dispatch_pool.cc
+++ b/chervilpass/entry/dispatch_pool.cc
@@ -69,9 +69,9 @@
                               static_cast<std::int64_t>(load.own_at_report);
   const std::int64_t estimate =
       static_cast<std::int64_t>(load.reported.in_flight) + change;
-  return {static_cast<std::uint32_t>(
-              std::max<std::int64_t>(load.own, estimate)),
-          load.reported.capacity};
+  return {
+      static_cast<std::uint32_t>(std::max<std::int64_t>(load.own, estimate)),
+      load.reported.capacity};
 }
 
 }  // namespace chervilpass::entry
--- a/chervilpass/entry/dispatch_pool.h
+++ b/chervilpass/entry/dispatch_pool.h
@@ -40,9 +40,7 @@
   void OnEnd(std::uint32_t cell) { --this->loads[cell].own; }
 
   /// A dispatcher reported the load of a cell.
-  void OnReport(std::uint32_t cell,
-                const routing::CellLoad& load,
-                Instant now);
+  void OnReport(std::uint32_t cell, const routing::CellLoad& load, Instant now);
 
   /// Best knowledge of the load of a cell.
   routing::CellLoad LoadOf(std::uint32_t cell, Instant now) const;
--- a/chervilpass/entry/entry_service.cc
+++ b/chervilpass/entry/entry_service.cc
@@ -31,8 +31,7 @@
 
 }  // namespace
 
-EntryService::EntryService(EntryContext* context,
-                           EntryServiceSettings settings)
+EntryService::EntryService(EntryContext* context, EntryServiceSettings settings)
     : context(context), settings(settings) {
   // Strikes judged here stop a quarantined request at every entry.
   context->link->OnChange([context](const membership::FleetView& view) {
@@ -177,13 +176,12 @@
         (self && this->leaving)) {
       continue;
     }
-    entries.push_back(
-        json::object{{"vm", member.vm},
-                     {"address", member.ip + ":" +
-                                     std::to_string(member.http_port)},
-                     {"data_centre", member.data_centre},
-                     {"region", member.region},
-                     {"weight", member.status == Status::kAlive ? 1 : 0}});
+    entries.push_back(json::object{
+        {"vm", member.vm},
+        {"address", member.ip + ":" + std::to_string(member.http_port)},
+        {"data_centre", member.data_centre},
+        {"region", member.region},
+        {"weight", member.status == Status::kAlive ? 1 : 0}});
   }
   io::HttpResponse response;
   response.headers.Add("Content-Type", "application/json");
--- a/chervilpass/entry/entry_service.h
+++ b/chervilpass/entry/entry_service.h
@@ -11,8 +11,8 @@
 
 /// Describes an EntryService.
 struct EntryServiceSettings {
-  std::uint32_t ledger_shards = 4;         ///< the same on every VM
-  Duration entries_ttl = seconds(5);       ///< of the address list
+  std::uint32_t ledger_shards = 4;    ///< the same on every VM
+  Duration entries_ttl = seconds(5);  ///< of the address list
 
   bool operator==(const EntryServiceSettings&) const = default;
 };
--- a/chervilpass/entry/service_call_runner.cc
+++ b/chervilpass/entry/service_call_runner.cc
@@ -15,7 +15,7 @@
 using admission::Refusal;
 using admission::RefusalCode;
 
-constexpr std::uint32_t kMostDispatchers = 3;   // tried for one call
+constexpr std::uint32_t kMostDispatchers = 3;  // tried for one call
 constexpr Duration kRetryAfter = seconds(1);
 constexpr Duration kReplySlack = milliseconds(500);
 constexpr Duration kQueryTimeout = seconds(3);
@@ -33,8 +33,7 @@
         view.Dispatchers(context->data_centre, context->region),
         HashText(request_id));
   }
-  const std::uint32_t shard =
-      dispatch::ShardOfKey({organisation, key}, shards);
+  const std::uint32_t shard = dispatch::ShardOfKey({organisation, key}, shards);
   return membership::RendezvousOrder(view.AllDispatchers(),
                                      dispatch::ShardOwnerKey(shard));
 }
@@ -117,9 +116,9 @@
                        {"reason", call.idempotency_key.empty()
                                       ? "same data centre"
                                       : "owner of the ledger shard"}});
-    const rpc::ServiceRequest request{
-        call.request_id, organisation, call.service, call.idempotency_key,
-        call.call,       deadline - now};
+    const rpc::ServiceRequest request{call.request_id, organisation,
+                                      call.service,    call.idempotency_key,
+                                      call.call,       deadline - now};
     const auto outcome =
         client->CallService(request, deadline - now + kReplySlack);
     if (outcome.has_value()) {
@@ -135,10 +134,9 @@
     may_have_run = true;
     failed.insert(vm);
     context->pool.Avoid(vm, context->runtime->Now());
-    context->log.Warning("attempt.lost",
-                         {{"request", call.request_id},
-                          {"dispatcher", vm},
-                          {"detail", outcome.error().detail}});
+    context->log.Warning("attempt.lost", {{"request", call.request_id},
+                                          {"dispatcher", vm},
+                                          {"detail", outcome.error().detail}});
   }
   const bool late = context->runtime->Now() >= deadline;
   return Refuse(context, call.request_id,
@@ -153,13 +151,12 @@
                               const std::string& key,
                               std::uint32_t ledger_shards) {
   if (!IsIdempotencyKey(key)) {
-    return ProblemResponse({RefusalCode::kMalformed, Executed::kNo,
-                            Duration(0),
+    return ProblemResponse({RefusalCode::kMalformed, Executed::kNo, Duration(0),
                             "a key has 1 to 128 visible ASCII characters"});
   }
   const auto view = context->link->Current();
-  const auto order = DispatchersFor(context, *view, organisation, key, key,
-                                    ledger_shards);
+  const auto order =
+      DispatchersFor(context, *view, organisation, key, key, ledger_shards);
   std::set<std::string> failed;
   for (std::uint32_t i = 0; i < kMostDispatchers; ++i) {
     const std::string vm =
--- a/chervilpass/io/fiber_scheduler.h
+++ b/chervilpass/io/fiber_scheduler.h
@@ -17,14 +17,13 @@
   void awakened(boost::fibers::context* fiber) noexcept override;
   boost::fibers::context* pick_next() noexcept override;
   bool has_ready_fibers() const noexcept override;
-  void suspend_until(const std::chrono::steady_clock::time_point& until)
-      noexcept override;
+  void suspend_until(
+      const std::chrono::steady_clock::time_point& until) noexcept override;
   void notify() noexcept override;
 
  private:
   boost::asio::io_context* context;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      work;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   boost::fibers::scheduler::ready_queue_type ready;
   unsigned switches = 0;
 };
--- a/chervilpass/io/http.cc
+++ b/chervilpass/io/http.cc
@@ -44,7 +44,8 @@
   std::uint16_t port = 0;
   const auto [end, code] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  const bool whole = code == std::errc() && end == digits.data() + digits.size();
+  const bool whole =
+      code == std::errc() && end == digits.data() + digits.size();
   if (error || !whole || port == 0) {
     return std::nullopt;
   }
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -145,8 +145,7 @@
                                                  const HttpRequest& request,
                                                  Duration timeout,
                                                  ConnectionUse use) {
-  BOOST_OUTCOME_TRY(StreamPtr stream,
-                    this->state->Open(address, timeout, use));
+  BOOST_OUTCOME_TRY(StreamPtr stream, this->state->Open(address, timeout, use));
   const http::request<http::string_body> message = ToBeast(address, request);
   stream->expires_after(timeout);
   const Completion written = Await([&](auto handler) {
@@ -178,9 +177,8 @@
     const HttpRequest& request,
     Duration timeout,
     const std::function<bool(std::string_view)>& on_data) {
-  BOOST_OUTCOME_TRY(
-      StreamPtr stream,
-      this->state->Open(address, timeout, ConnectionUse::kFresh));
+  BOOST_OUTCOME_TRY(StreamPtr stream,
+                    this->state->Open(address, timeout, ConnectionUse::kFresh));
   const http::request<http::string_body> message = ToBeast(address, request);
   stream->expires_after(timeout);
   const Completion written = Await([&](auto handler) {
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -17,11 +17,11 @@
 /// Describes an HttpServer.
 struct HttpServerSettings {
   Endpoint listen;
-  std::uint32_t header_limit = 16 * 1024;      ///< bytes
-  std::uint64_t body_limit = 1024 * 1024;      ///< bytes
-  Duration read_timeout = seconds(10);         ///< for one whole request
-  Duration write_timeout = seconds(10);        ///< for one write
-  Duration idle_timeout = seconds(60);         ///< between two requests
+  std::uint32_t header_limit = 16 * 1024;  ///< bytes
+  std::uint64_t body_limit = 1024 * 1024;  ///< bytes
+  Duration read_timeout = seconds(10);     ///< for one whole request
+  Duration write_timeout = seconds(10);    ///< for one write
+  Duration idle_timeout = seconds(60);     ///< between two requests
   std::size_t connection_limit = 8192;
 
   bool operator==(const HttpServerSettings&) const = default;
--- a/chervilpass/ledger/segment_json.cc
+++ b/chervilpass/ledger/segment_json.cc
@@ -9,7 +9,8 @@
 
 namespace json = boost::json;
 
-// JSON texts must be UTF-8, and bodies can be anything: they are kept in base64.
+// JSON texts must be UTF-8, and bodies can be anything: they are kept in
+// base64.
 std::string Encode(const std::string& bytes) {
   const std::size_t size = 4 * ((bytes.size() + 2) / 3);
   std::string text(size + 1, '\0');  // EVP ends the text with a zero.
@@ -106,8 +107,7 @@
   try {
     Segment segment;
     segment.sealed = value.as_object().at("sealed").as_bool();
-    for (const json::value& item :
-         value.as_object().at("entries").as_array()) {
+    for (const json::value& item : value.as_object().at("entries").as_array()) {
       segment.entries.push_back(ReadEntry(item.as_object()));
     }
     return segment;
--- a/chervilpass/ledger/service_flow.cc
+++ b/chervilpass/ledger/service_flow.cc
@@ -40,9 +40,9 @@
 
 ServiceActions ServiceFlow::Start(Instant now) {
   if (now >= this->settings.deadline) {
-    return this->End(RefuseCall{{RefusalCode::kDeadlinePassed, Executed::kNo,
-                                 Duration(0),
-                                 "the deadline has passed already"}});
+    return this->End(
+        RefuseCall{{RefusalCode::kDeadlinePassed, Executed::kNo, Duration(0),
+                    "the deadline has passed already"}});
   }
   this->budget->OnFirstTry();
   if (this->settings.repeatable) {
@@ -68,9 +68,9 @@
     if (done->whole) {
       return this->End(AnswerCall{done->outcome, true});
     }
-    return this->End(RefuseCall{
-        {RefusalCode::kOutcomeUnknown, Executed::kYes, Duration(0),
-         "the call has run; its answer was too large to be kept"}});
+    return this->End(
+        RefuseCall{{RefusalCode::kOutcomeUnknown, Executed::kYes, Duration(0),
+                    "the call has run; its answer was too large to be kept"}});
   }
   return this->End(RefuseCall{RefusalFor(reply)});
 }
@@ -103,9 +103,9 @@
     this->may_have_run = true;
     if (this->claimed) {
       // The claim stays: the call may have run and must not run again.
-      return this->End(RefuseCall{
-          {RefusalCode::kOutcomeUnknown, Executed::kUnknown, kSoon,
-           "the backend server was lost while it ran the call"}});
+      return this->End(
+          RefuseCall{{RefusalCode::kOutcomeUnknown, Executed::kUnknown, kSoon,
+                      "the backend server was lost while it ran the call"}});
     }
   }
   const bool may_retry = this->sends < this->settings.most_sends &&
--- a/chervilpass/ledger/shard_log.cc
+++ b/chervilpass/ledger/shard_log.cc
@@ -104,8 +104,8 @@
 // Starts the next store call, if there is need of one and none is outstanding.
 LogActions ShardLog::Advance(Instant now) {
   LogActions actions;
-  const bool idle = this->claims.empty() && this->records.empty() &&
-                    this->queries.empty();
+  const bool idle =
+      this->claims.empty() && this->records.empty() && this->queries.empty();
   if (idle || this->retry_at) {
     return actions;
   }
@@ -114,8 +114,8 @@
     this->StartRead(&actions);
     return actions;
   }
-  const bool too_soon = this->last_write && now - *this->last_write <
-                                                this->settings.write_interval;
+  const bool too_soon = this->last_write &&
+                        now - *this->last_write < this->settings.write_interval;
   if (this->phase == Phase::kReady && !too_soon) {
     this->StartWrite(now, &actions);
   }
@@ -235,8 +235,8 @@
   this->tail_attempts.insert(entry.attempt);
   const auto found = this->keys.find(entry.key);
   if (const auto* claimed = std::get_if<Claimed>(&entry.what)) {
-    const bool known = found != this->keys.end() &&
-                       found->second.attempt == entry.attempt;
+    const bool known =
+        found != this->keys.end() && found->second.attempt == entry.attempt;
     if (!known) {
       this->keys[entry.key] =
           KeyState{entry.attempt, claimed->digest, entry.what};
--- a/chervilpass/ledger/shard_log.h
+++ b/chervilpass/ledger/shard_log.h
@@ -54,8 +54,8 @@
   bool operator==(const Unavailable&) const = default;
 };
 
-using ClaimReply =
-    std::variant<Granted, Running, Unknown, Mismatch, Absent, Unavailable, Done>;
+using ClaimReply = std::
+    variant<Granted, Running, Unknown, Mismatch, Absent, Unavailable, Done>;
 
 // ---- results of store calls ----
 
@@ -187,7 +187,7 @@
   Segment tail;
   std::size_t tail_bytes = 0;
   std::map<ClaimKey, KeyState> keys;
-  std::set<std::string> running;  ///< attempts granted here and not ended
+  std::set<std::string> running;        ///< attempts granted here and not ended
   std::set<std::string> tail_attempts;  ///< attempts named in the tail
   std::vector<PendingClaim> claims;
   std::vector<PendingRecord> records;
--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -7,7 +7,7 @@
 namespace chervilpass::membership {
 namespace {
 
-constexpr std::size_t kRumoursKept = 64;       // of each kind
+constexpr std::size_t kRumoursKept = 64;        // of each kind
 constexpr std::size_t kRumoursPerDatagram = 8;  // of each kind
 
 template <class Rumours, class News>
@@ -76,8 +76,7 @@
   }
   const std::uint64_t sequence = ++this->next_sequence;
   this->probes.emplace(sequence, Probe{*target, now, false});
-  GossipMessage ping =
-      this->MakeMessage(MessageKind::kPing, sequence, *target);
+  GossipMessage ping = this->MakeMessage(MessageKind::kPing, sequence, *target);
   this->Send(this->others.at(*target).member, std::move(ping), actions);
 }
 
@@ -91,8 +90,8 @@
   }
   for (std::uint32_t i = 0; i < count && !alive.empty(); ++i) {
     const std::size_t pick = this->random.Below(alive.size());
-    GossipMessage ping = this->MakeMessage(
-        MessageKind::kPing, ++this->next_sequence, alive[pick]);
+    GossipMessage ping = this->MakeMessage(MessageKind::kPing,
+                                           ++this->next_sequence, alive[pick]);
     this->Send(this->others.at(alive[pick]).member, std::move(ping), &actions);
     alive.erase(alive.begin() + static_cast<std::ptrdiff_t>(pick));
   }
@@ -135,8 +134,7 @@
 }
 
 void Detector::RefillTargets() {
-  const bool remote =
-      this->periods % this->settings.remote_region_period == 0;
+  const bool remote = this->periods % this->settings.remote_region_period == 0;
   for (const auto& [vm, entry] : this->others) {
     // Members of other regions are probed in some rounds only; their own
     // region watches them closely.
@@ -285,9 +283,9 @@
       }
       const auto requester = this->others.find(relay->second.requester);
       if (requester != this->others.end()) {
-        GossipMessage ack = this->MakeMessage(
-            MessageKind::kAck, relay->second.requester_sequence,
-            requester->first);
+        GossipMessage ack = this->MakeMessage(MessageKind::kAck,
+                                              relay->second.requester_sequence,
+                                              requester->first);
         this->Send(requester->second.member, std::move(ack), &actions);
       }
       this->relayed.erase(relay);
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -21,8 +21,8 @@
 /// Describes a Detector.
 struct DetectorSettings {
   Duration probe_period = milliseconds(500);
-  Duration probe_timeout = milliseconds(150);   ///< before indirect probes
-  Duration suspicion_timeout = seconds(1);      ///< before a suspect is dead
+  Duration probe_timeout = milliseconds(150);  ///< before indirect probes
+  Duration suspicion_timeout = seconds(1);     ///< before a suspect is dead
   std::uint32_t indirect_probes = 3;
   std::uint32_t members_per_datagram = 6;
   std::uint32_t retransmit_factor = 4;  ///< times log2(members + 1)
@@ -95,11 +95,8 @@
   bool operator==(const ConfigHeard&) const = default;
 };
 
-using DetectorAction = std::variant<SendGossip,
-                                    MemberChanged,
-                                    StrikeHeard,
-                                    LeavingHeard,
-                                    ConfigHeard>;
+using DetectorAction = std::
+    variant<SendGossip, MemberChanged, StrikeHeard, LeavingHeard, ConfigHeard>;
 using DetectorActions = std::vector<DetectorAction>;
 
 /// One node's part in the protocol. Not thread-safe.
--- a/chervilpass/membership/fleet_view.cc
+++ b/chervilpass/membership/fleet_view.cc
@@ -6,8 +6,8 @@
 namespace {
 
 bool CanDispatch(const Member& member) {
-  const bool present = member.status == Status::kAlive ||
-                       member.status == Status::kSuspect;
+  const bool present =
+      member.status == Status::kAlive || member.status == Status::kSuspect;
   return present && member.dispatch_up;
 }
 
--- a/chervilpass/membership/loss_guard.cc
+++ b/chervilpass/membership/loss_guard.cc
@@ -18,10 +18,9 @@
         }));
     most = std::max(most, count);
   }
-  const bool sudden =
-      most >= this->settings.least_members &&
-      static_cast<double>(most) >
-          this->settings.share * static_cast<double>(members);
+  const bool sudden = most >= this->settings.least_members &&
+                      static_cast<double>(most) >
+                          this->settings.share * static_cast<double>(members);
   std::set<std::string> held;
   if (sudden) {
     for (const auto& [vm, at] : this->dead) {
--- a/chervilpass/pipeline/chain_chooser.cc
+++ b/chervilpass/pipeline/chain_chooser.cc
@@ -51,10 +51,10 @@
     text += text.empty() ? "" : "|";
     bool first = true;
     for (const ReplicaState& replica : replicas) {
-      text += fmt::format("{}{}:{}/{}@{:.1f}ms", first ? "" : ",",
-                          replica.worker, replica.sessions,
-                          replica.session_limit,
-                          ToSeconds(replica.step_time) * 1000);
+      text +=
+          fmt::format("{}{}:{}/{}@{:.1f}ms", first ? "" : ",", replica.worker,
+                      replica.sessions, replica.session_limit,
+                      ToSeconds(replica.step_time) * 1000);
       first = false;
     }
   }
--- a/chervilpass/pipeline/chain_chooser.h
+++ b/chervilpass/pipeline/chain_chooser.h
@@ -15,9 +15,9 @@
 /// What the choice knows of one replica.
 struct ReplicaState {
   std::string worker;
-  std::uint32_t sessions = 0;       ///< placed there now
+  std::uint32_t sessions = 0;  ///< placed there now
   std::uint32_t session_limit = 0;
-  Duration step_time{0};  ///< smoothed, link delay included; 0 if unknown
+  Duration step_time{0};      ///< smoothed, link delay included; 0 if unknown
   bool runs_suspect = false;  ///< a suspected request runs there
 
   bool operator==(const ReplicaState&) const = default;
@@ -37,9 +37,8 @@
 /// Chooses for each stage the replica with the lowest expected step time: its
 /// smoothed step time grown by its share of sessions. A suspected request goes
 /// only where no other one runs. Empty if a stage has no replica with room.
-std::optional<ChainChoice> ChooseChain(
-    const std::vector<StageReplicas>& stages,
-    bool suspect);
+std::optional<ChainChoice> ChooseChain(const std::vector<StageReplicas>& stages,
+                                       bool suspect);
 
 /// For the log line: "w1:3/8@1.2ms,w2:..|..", stages parted by '|'.
 std::string Describe(const ChainChoice& choice);
--- a/chervilpass/pipeline/tokenizer.cc
+++ b/chervilpass/pipeline/tokenizer.cc
@@ -10,8 +10,8 @@
   std::vector<std::uint32_t> tokens;
   std::size_t start = 0;
   while (start < prompt.size()) {
-    const std::size_t end = std::min(prompt.find_first_of(" \t\r\n", start),
-                                     prompt.size());
+    const std::size_t end =
+        std::min(prompt.find_first_of(" \t\r\n", start), prompt.size());
     if (end > start) {
       const std::string_view word = prompt.substr(start, end - start);
       tokens.push_back(
--- a/chervilpass/platform/object_client.cc
+++ b/chervilpass/platform/object_client.cc
@@ -153,12 +153,11 @@
   return this->state->Write(name, value, {"If-Match", QuoteVersion(version)});
 }
 
-Result<StoredObject, PlatformError> ObjectClient::Watch(
-    const std::string& name,
-    std::uint64_t version,
-    Duration timeout) {
-  const std::string query = fmt::format("watch={}&timeout_ms={}", version,
-                                        ToMilliseconds(timeout));
+Result<StoredObject, PlatformError> ObjectClient::Watch(const std::string& name,
+                                                        std::uint64_t version,
+                                                        Duration timeout) {
+  const std::string query =
+      fmt::format("watch={}&timeout_ms={}", version, ToMilliseconds(timeout));
   return this->state->Read("watch", name, query, timeout + kWatchSlack);
 }
 
--- a/chervilpass/routing/cells.cc
+++ b/chervilpass/routing/cells.cc
@@ -61,8 +61,8 @@
       std::max<std::size_t>(1, scarcest / pipeline.cell_replicas);
   for (std::size_t index = 0; index < count; ++index) {
     Cell cell;
-    cell.id = static_cast<std::uint32_t>(HashText(
-        fmt::format("{}/{}/{}", pipeline.name, data_centre, index)));
+    cell.id = static_cast<std::uint32_t>(
+        HashText(fmt::format("{}/{}/{}", pipeline.name, data_centre, index)));
     cell.pipeline = pipeline.name;
     cell.data_centre = data_centre;
     cell.region = region;
@@ -108,9 +108,9 @@
 }
 
 const Cell* FindCell(const std::vector<Cell>& cells, std::uint32_t id) {
-  const auto found = std::find_if(
-      cells.begin(), cells.end(),
-      [id](const Cell& cell) { return cell.id == id; });
+  const auto found =
+      std::find_if(cells.begin(), cells.end(),
+                   [id](const Cell& cell) { return cell.id == id; });
   return found == cells.end() ? nullptr : &*found;
 }
 
--- a/chervilpass/routing/cells.h
+++ b/chervilpass/routing/cells.h
@@ -13,7 +13,7 @@
 /// The replicas that hold one range of layers.
 struct Stage {
   std::uint32_t first_layer = 0;
-  std::uint32_t last_layer = 0;  ///< inclusive
+  std::uint32_t last_layer = 0;      ///< inclusive
   std::vector<std::string> workers;  ///< backend server ids
 
   auto operator<=>(const Stage&) const = default;
--- a/chervilpass/routing/completion_flow.cc
+++ b/chervilpass/routing/completion_flow.cc
@@ -93,8 +93,7 @@
   if (!this->IsCurrent(attempt)) {
     return {};
   }
-  this->may_have_run =
-      this->may_have_run || refusal.executed != Executed::kNo;
+  this->may_have_run = this->may_have_run || refusal.executed != Executed::kNo;
   if (IsRetryable(refusal.code)) {
     return this->Retry(refusal, now);
   }
@@ -158,10 +157,9 @@
   // The dispatcher may be frozen: go on elsewhere under a newer epoch.
   const std::uint32_t stalled = this->current;
   this->may_have_run = true;
-  FlowActions actions =
-      this->Retry({RefusalCode::kTimedOut, Executed::kUnknown, kRetryAfter,
-                   "the dispatcher went silent"},
-                  now);
+  FlowActions actions = this->Retry({RefusalCode::kTimedOut, Executed::kUnknown,
+                                     kRetryAfter, "the dispatcher went silent"},
+                                    now);
   actions.insert(actions.begin(), CancelAttempt{stalled});
   return actions;
 }
@@ -177,8 +175,7 @@
   }
   ++this->current;
   this->last_progress = now;
-  return {StartAttempt{this->current,
-                       (this->current - 1) * kEpochsPerAttempt}};
+  return {StartAttempt{this->current, (this->current - 1) * kEpochsPerAttempt}};
 }
 
 FlowActions CompletionFlow::Refuse(Refusal refusal) {
--- a/chervilpass/routing/completion_flow.h
+++ b/chervilpass/routing/completion_flow.h
@@ -15,16 +15,17 @@
 
 /// Describes a CompletionFlow.
 struct CompletionFlowSettings {
-  std::uint32_t max_tokens = 0;          ///< of the whole answer
-  std::vector<std::uint32_t> accepted;   ///< tokens the caller has already
-  Instant deadline{};                    ///< for the whole answer
-  Duration stall = seconds(1);  ///< without a token or heartbeat
+  std::uint32_t max_tokens = 0;         ///< of the whole answer
+  std::vector<std::uint32_t> accepted;  ///< tokens the caller has already
+  Instant deadline{};                   ///< for the whole answer
+  Duration stall = seconds(1);          ///< without a token or heartbeat
   std::uint32_t most_attempts = 6;
 
   bool operator==(const CompletionFlowSettings&) const = default;
 };
 
-/// Epochs of one attempt; a dispatcher uses the ones below for its own restarts.
+/// Epochs of one attempt; a dispatcher uses the ones below for its own
+/// restarts.
 constexpr std::uint32_t kEpochsPerAttempt = 1024;
 
 /// Starts an attempt with the tokens accepted so far.
--- a/chervilpass/routing/retry_budget.h
+++ b/chervilpass/routing/retry_budget.h
@@ -9,8 +9,8 @@
 
 /// Describes a RetryBudget.
 struct RetryBudgetSettings {
-  double share = 0.2;    ///< retries for each first try
-  double reserve = 20;   ///< retries that can be saved up
+  double share = 0.2;   ///< retries for each first try
+  double reserve = 20;  ///< retries that can be saved up
 
   bool operator==(const RetryBudgetSettings&) const = default;
 };
--- a/chervilpass/routing/worker_health.cc
+++ b/chervilpass/routing/worker_health.cc
@@ -29,8 +29,7 @@
   }
 }
 
-void WorkerHealth::OnRefusedConnection(const std::string& worker,
-                                       Instant now) {
+void WorkerHealth::OnRefusedConnection(const std::string& worker, Instant now) {
   Record& record = this->records[worker];
   ++record.failures;
   record.unreachable = true;
@@ -66,8 +65,7 @@
   return found != this->records.end() && found->second.ejected_until > now;
 }
 
-double WorkerHealth::MedianStep(
-    const std::vector<std::string>& workers) const {
+double WorkerHealth::MedianStep(const std::vector<std::string>& workers) const {
   std::vector<double> steps;
   for (const std::string& worker : workers) {
     const auto found = this->records.find(worker);
@@ -109,10 +107,10 @@
   }
   // Never leave out more than the allowed share: what is called an outlier may
   // be a fault of this node's own.
-  const auto floor = static_cast<std::size_t>(
-      static_cast<double>(workers.size()) *
-          (1 - this->settings.largest_ejected_share) +
-      0.5);
+  const auto floor =
+      static_cast<std::size_t>(static_cast<double>(workers.size()) *
+                                   (1 - this->settings.largest_ejected_share) +
+                               0.5);
   std::stable_sort(ejected.begin(), ejected.end(),
                    [this](const std::string& a, const std::string& b) {
                      return this->records.at(a).ejected_until <
--- a/chervilpass/routing/worker_health.h
+++ b/chervilpass/routing/worker_health.h
@@ -13,13 +13,13 @@
 
 /// Describes a WorkerHealth.
 struct WorkerHealthSettings {
-  std::uint32_t failures_to_eject = 3;    ///< in a row
+  std::uint32_t failures_to_eject = 3;  ///< in a row
   Duration first_ejection = milliseconds(500);
   Duration longest_ejection = seconds(15);
-  double slow_factor = 4;        ///< times the median step time
-  std::uint32_t slow_samples = 20;  ///< before a worker can be called slow
+  double slow_factor = 4;              ///< times the median step time
+  std::uint32_t slow_samples = 20;     ///< before a worker can be called slow
   double largest_ejected_share = 0.5;  ///< of the workers of a stage
-  double smoothing = 0.1;        ///< weight of a new sample
+  double smoothing = 0.1;              ///< weight of a new sample
 
   bool operator==(const WorkerHealthSettings&) const = default;
 };
@@ -53,8 +53,8 @@
 
  private:
   struct Record {
-    std::uint32_t failures = 0;  ///< in a row
-    std::uint32_t ejections = 0; ///< in a row
+    std::uint32_t failures = 0;   ///< in a row
+    std::uint32_t ejections = 0;  ///< in a row
     Instant ejected_until{};
     bool unreachable = false;
     double step_seconds = 0;
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -155,6 +155,7 @@
   pullConfig @1 (haveVersion :UInt64) -> (changes :ConfigChanges);
   reportStrike @2 (strike :Strike) -> ();
   change @3 (request :ChangeRequest) -> (result :ChangeResult);
+  getVersion @4 (version :UInt64) -> (changes :ConfigChanges);
 }
 
 struct LeavingNotice {
--- a/chervilpass/rpc/client_core.h
+++ b/chervilpass/rpc/client_core.h
@@ -85,16 +85,14 @@
   loop->Post([raw, peer, call, pending, send](LoopContext& context) {
     auto finish = [raw, peer, call, pending](Result<T, RpcError> result) {
       peer->running.erase(call);
-      raw->Fibers().Post([pending, result = std::move(result)] {
-        pending->Resolve(result);
-      });
+      raw->Fibers().Post(
+          [pending, result = std::move(result)] { pending->Resolve(result); });
     };
     auto canceler = kj::heap<kj::Canceler>();
-    auto answer =
-        peer->connection.Bootstrap(context, peer->address)
-            .then([send](capnp::Capability::Client client) {
-              return send(client);
-            });
+    auto answer = peer->connection.Bootstrap(context, peer->address)
+                      .then([send](capnp::Capability::Client client) {
+                        return send(client);
+                      });
     auto guarded = canceler->wrap(kj::mv(answer));
     peer->running.emplace(call, kj::mv(canceler));
     context.tasks->add(
@@ -102,8 +100,7 @@
                      [finish, peer](kj::Exception&& exception) {
                        const RpcError error = FromKj(exception);
                        if (error.code == RpcErrorCode::kDisconnected) {
-                         peer->connection.Reset(
-                             peer->connection.Generation());
+                         peer->connection.Reset(peer->connection.Generation());
                        }
                        finish(error);
                      }));
--- a/chervilpass/rpc/codec.cc
+++ b/chervilpass/rpc/codec.cc
@@ -54,8 +54,7 @@
   }
 }
 
-std::vector<std::uint32_t> ReadTokens(
-    capnp::List<std::uint32_t>::Reader list) {
+std::vector<std::uint32_t> ReadTokens(capnp::List<std::uint32_t>::Reader list) {
   std::vector<std::uint32_t> tokens;
   tokens.reserve(list.size());
   for (const std::uint32_t token : list) {
--- a/chervilpass/rpc/control_rpc.cc
+++ b/chervilpass/rpc/control_rpc.cc
@@ -7,6 +7,21 @@
 namespace chervilpass::rpc {
 namespace {
 
+void WriteChanges(const ConfigChanges& value,
+                  schema::ConfigChanges::Builder to) {
+  to.setVersion(value.version);
+  to.setWhole(value.whole);
+  to.setBody(capnp::Data::Reader(
+      reinterpret_cast<const kj::byte*>(value.body.data()), value.body.size()));
+}
+
+ConfigChanges ReadChanges(schema::ConfigChanges::Reader from) {
+  const auto body = from.getBody();
+  return {
+      from.getVersion(), from.getWhole(),
+      std::string(reinterpret_cast<const char*>(body.begin()), body.size())};
+}
+
 class ControlServer final : public schema::Control::Server {
  public:
   ControlServer(RpcLoop* loop, std::shared_ptr<ControlHandlers> handlers)
@@ -32,21 +47,26 @@
                                           return handlers->pull_config(have);
                                         })
         .then([context](ConfigChanges&& value) mutable {
-          auto changes = context.getResults().initChanges();
-          changes.setVersion(value.version);
-          changes.setWhole(value.whole);
-          changes.setBody(capnp::Data::Reader(
-              reinterpret_cast<const kj::byte*>(value.body.data()),
-              value.body.size()));
+          WriteChanges(value, context.getResults().initChanges());
         });
   }
 
-  kj::Promise<void> reportStrike(ReportStrikeContext context) override {
-    this->loop->Fibers().Post(
-        [handlers = this->handlers,
-         strike = Read(context.getParams().getStrike())] {
-          handlers->report_strike(strike);
+  kj::Promise<void> getVersion(GetVersionContext context) override {
+    const std::uint64_t version = context.getParams().getVersion();
+    return AnswerOnFiber<ConfigChanges>(this->loop, this->pulls,
+                                        [handlers = this->handlers, version] {
+                                          return handlers->get_version(version);
+                                        })
+        .then([context](ConfigChanges&& value) mutable {
+          WriteChanges(value, context.getResults().initChanges());
         });
+  }
+
+  kj::Promise<void> reportStrike(ReportStrikeContext context) override {
+    this->loop->Fibers().Post([handlers = this->handlers,
+                               strike = Read(context.getParams().getStrike())] {
+      handlers->report_strike(strike);
+    });
     return kj::READY_NOW;
   }
 
@@ -95,10 +115,8 @@
 
 ControlClient::~ControlClient() {
   // The connection must end on the RPC thread.
-  this->state->loop->Post(
-      [peer = std::move(this->state->peer)](LoopContext&) mutable {
-        peer.reset();
-      });
+  this->state->loop->Post([peer = std::move(this->state->peer)](
+                              LoopContext&) mutable { peer.reset(); });
 }
 
 std::shared_ptr<ControlClient> ControlClient::Create(
@@ -129,14 +147,19 @@
       timeout, [have_version](capnp::Capability::Client client) {
         auto message = client.castAs<schema::Control>().pullConfigRequest();
         message.setHaveVersion(have_version);
-        return message.send().then([](auto&& response) {
-          const auto changes = response.getChanges();
-          const auto body = changes.getBody();
-          return ConfigChanges{
-              changes.getVersion(), changes.getWhole(),
-              std::string(reinterpret_cast<const char*>(body.begin()),
-                          body.size())};
-        });
+        return message.send().then(
+            [](auto&& response) { return ReadChanges(response.getChanges()); });
+      });
+}
+
+Result<ConfigChanges, RpcError> ControlClient::GetVersion(std::uint64_t version,
+                                                          Duration timeout) {
+  return this->state->Call<ConfigChanges>(
+      timeout, [version](capnp::Capability::Client client) {
+        auto message = client.castAs<schema::Control>().getVersionRequest();
+        message.setVersion(version);
+        return message.send().then(
+            [](auto&& response) { return ReadChanges(response.getChanges()); });
       });
 }
 
--- a/chervilpass/rpc/control_rpc.h
+++ b/chervilpass/rpc/control_rpc.h
@@ -35,6 +35,10 @@
   Result<ConfigChanges, RpcError> PullConfig(std::uint64_t have_version,
                                              Duration timeout);
 
+  /// The whole configuration of one version; an empty body if it is not kept.
+  Result<ConfigChanges, RpcError> GetVersion(std::uint64_t version,
+                                             Duration timeout);
+
   Result<bool, RpcError> ReportStrike(const quarantine::Strike& strike,
                                       Duration timeout);
 
@@ -52,6 +56,7 @@
 struct ControlHandlers {
   std::function<View(const ViewQuery&)> watch_view;
   std::function<ConfigChanges(std::uint64_t have_version)> pull_config;
+  std::function<ConfigChanges(std::uint64_t version)> get_version;
   std::function<void(const quarantine::Strike&)> report_strike;
   std::function<ChangeResult(const ChangeRequest&)> change;
 };
--- a/chervilpass/rpc/dispatch_client.cc
+++ b/chervilpass/rpc/dispatch_client.cc
@@ -47,10 +47,8 @@
   if (const auto pending = this->state->pending.lock()) {
     pending->Resolve(RpcError{RpcErrorCode::kTimeout, "given up"});
   }
-  this->state->loop->Post(
-      [peer = this->state->peer, call = this->state->call](LoopContext&) {
-        peer->Cancel(call);
-      });
+  this->state->loop->Post([peer = this->state->peer, call = this->state->call](
+                              LoopContext&) { peer->Cancel(call); });
 }
 
 struct DispatchClient::State {
@@ -64,10 +62,8 @@
 
 DispatchClient::~DispatchClient() {
   // The connection must end on the RPC thread.
-  this->state->loop->Post(
-      [peer = std::move(this->state->peer)](LoopContext&) mutable {
-        peer.reset();
-      });
+  this->state->loop->Post([peer = std::move(this->state->peer)](
+                              LoopContext&) mutable { peer.reset(); });
 }
 
 std::shared_ptr<DispatchClient> DispatchClient::Create(
@@ -91,12 +87,11 @@
                   client.castAs<schema::Dispatch>().completeRequest();
               Write(request, message.initRequest());
               message.setSink(kj::heap<SinkServer>(loop, sink));
-              return message.send().then([](auto&& response) {
-                return Read(response.getOutcome());
-              });
+              return message.send().then(
+                  [](auto&& response) { return Read(response.getOutcome()); });
             });
-  on_start(CallHandle(std::make_shared<CallHandle::State>(CallHandle::State{
-      this->state->loop, this->state->peer, call, pending})));
+  on_start(CallHandle(std::make_shared<CallHandle::State>(
+      CallHandle::State{this->state->loop, this->state->peer, call, pending})));
   return pending->Wait();
 }
 
@@ -110,9 +105,8 @@
               auto message =
                   client.castAs<schema::Dispatch>().callServiceRequest();
               Write(request, message.initRequest());
-              return message.send().then([](auto&& response) {
-                return Read(response.getOutcome());
-              });
+              return message.send().then(
+                  [](auto&& response) { return Read(response.getOutcome()); });
             });
   ArmTimeout(this->state->loop, this->state->peer, call, pending, timeout);
   return pending->Wait();
@@ -130,9 +124,8 @@
                   client.castAs<schema::Dispatch>().claimStateRequest();
               message.setOrganisation(organisation);
               message.setKey(key);
-              return message.send().then([](auto&& response) {
-                return Read(response.getState());
-              });
+              return message.send().then(
+                  [](auto&& response) { return Read(response.getState()); });
             });
   ArmTimeout(this->state->loop, this->state->peer, call, pending, timeout);
   return pending->Wait();
--- a/chervilpass/rpc/dispatch_server.cc
+++ b/chervilpass/rpc/dispatch_server.cc
@@ -46,8 +46,8 @@
     const AttemptSink sender = this->MakeSender(sink);
     auto outcome = AnswerOnFiber<CompletionOutcome>(
         this->loop, this->completions,
-        [handlers = this->handlers, request = Read(params.getRequest()),
-         sender, flag] { return handlers->complete(request, sender, flag); });
+        [handlers = this->handlers, request = Read(params.getRequest()), sender,
+         flag] { return handlers->complete(request, sender, flag); });
     // Runs when the call has ended and also when its caller has gone.
     auto on_end =
         kj::defer([loop = this->loop, sinks = this->sinks, sink, flag] {
--- a/chervilpass/rpc/messages.h
+++ b/chervilpass/rpc/messages.h
@@ -138,10 +138,8 @@
   std::string detail;
   bool operator==(const ChangeUnavailable&) const = default;
 };
-using ChangeResult = std::variant<ChangeAccepted,
-                                  ChangeConflict,
-                                  ChangeInvalid,
-                                  ChangeUnavailable>;
+using ChangeResult = std::
+    variant<ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeUnavailable>;
 
 /// What went wrong between two daemons.
 enum class RpcErrorCode {
--- a/chervilpass/rpc/server_core.cc
+++ b/chervilpass/rpc/server_core.cc
@@ -9,22 +9,19 @@
     const io::Endpoint& listen,
     std::function<capnp::Capability::Client()> make_bootstrap) {
   using Listening = Result<void, RpcError>;
-  const auto listening =
-      std::make_shared<boost::fibers::promise<Listening>>();
+  const auto listening = std::make_shared<boost::fibers::promise<Listening>>();
   RpcLoop* raw = loop.get();
   loop->Post([raw, listen, listening, make_bootstrap](LoopContext& context) {
     const auto report = [raw, listening](Listening result) {
-      raw->Fibers().Post(
-          [listening, result] { listening->set_value(result); });
+      raw->Fibers().Post([listening, result] { listening->set_value(result); });
     };
     auto serving =
         context.io->provider->getNetwork()
             .parseAddress(listen.ip, listen.port)
-            .then([report, make_bootstrap](
-                      kj::Own<kj::NetworkAddress>&& address) {
+            .then([report,
+                   make_bootstrap](kj::Own<kj::NetworkAddress>&& address) {
               auto receiver = address->listen();
-              auto server =
-                  kj::heap<capnp::TwoPartyServer>(make_bootstrap());
+              auto server = kj::heap<capnp::TwoPartyServer>(make_bootstrap());
               report(success());
               auto accepting = server->listen(*receiver);
               return accepting.attach(kj::mv(server), kj::mv(receiver));
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -114,8 +114,8 @@
   node.value()->Leave();
   const Instant start = runtime.Now();
   const Instant end = start + settings.drain_limit;
-  while (runtime.Now() < end && (node.value()->DaemonsUp() ||
-                                 runtime.Now() < start + kLeaveNotice)) {
+  while (runtime.Now() < end &&
+         (node.value()->DaemonsUp() || runtime.Now() < start + kLeaveNotice)) {
     runtime.SleepFor(kLeavePoll);
   }
   log.Info("control.stopped", {});
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -46,14 +46,13 @@
   config::SettingsReader workers = reader.Section("workers");
   settings.completions.workers.step_timeout =
       workers.Milliseconds("step_timeout_ms", {10, 600000}, 2000);
-  settings.completions.workers.batches_in_flight =
-      static_cast<std::uint32_t>(
-          workers.Integer("batches_in_flight", {1, 64}, 2));
+  settings.completions.workers.batches_in_flight = static_cast<std::uint32_t>(
+      workers.Integer("batches_in_flight", {1, 64}, 2));
   settings.completions.workers.batch_limit = static_cast<std::uint32_t>(
       workers.Integer("batch_limit", {1, 10000}, 64));
   config::SettingsReader queue = reader.Section("queue");
-  settings.completions.queue_limit = static_cast<std::uint32_t>(
-      queue.Integer("limit", {1, 1000000}, 256));
+  settings.completions.queue_limit =
+      static_cast<std::uint32_t>(queue.Integer("limit", {1, 1000000}, 256));
   config::SettingsReader ledger = reader.Section("ledger");
   settings.ledger.shards =
       static_cast<std::uint32_t>(ledger.Integer("shards", {1, 1024}, 4));
@@ -167,9 +166,9 @@
     this->link->Stop();
     const Instant start = this->runtime->Now();
     const Instant end = start + this->settings.drain_limit;
-    while (this->runtime->Now() < end &&
-           (this->InFlight() > 0 ||
-            this->runtime->Now() < start + kDrainNotice)) {
+    while (
+        this->runtime->Now() < end &&
+        (this->InFlight() > 0 || this->runtime->Now() < start + kDrainNotice)) {
       this->runtime->SleepFor(kDrainPoll);
     }
     this->log.Info("dispatch.stopped", {{"in_flight", this->InFlight()}});
--- /dev/null
+++ b/programs/load/main.cc
@@ -0,0 +1,226 @@
+// chervil-load: open-loop load on a running system, from a YAML experiment.
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <cmath>
+
+#include "chervilpass/app/program.h"
+#include "programs/load/caller.h"
+#include "programs/load/report.h"
+
+namespace chervilpass::load {
+namespace {
+
+constexpr Duration kProgressInterval = seconds(1);
+constexpr Duration kEndPoll = milliseconds(20);
+constexpr std::uint32_t kDifferentWords = 5000;
+
+// Starts the requests of an experiment at their times, whatever becomes of the
+// earlier ones: callers do not wait for each other.
+class Generator {
+ public:
+  Generator(io::Runtime* runtime, const Experiment& experiment)
+      : runtime(runtime),
+        experiment(experiment),
+        http(io::HttpClient::Create(runtime, io::HttpClientSettings{})),
+        entries(runtime, this->http.get(), experiment.entries),
+        random(experiment.seed) {
+    this->context = {runtime,         this->http.get(), &this->entries,
+                     &this->recorder, &experiment,      runtime->Now()};
+  }
+
+  // Runs to the end of the last request; returns the length of the arrivals.
+  Duration Run() {
+    std::size_t sources = 0;
+    for (const LoadPipeline& pipeline : this->experiment.pipelines) {
+      this->StartSource(pipeline.rate, ++sources, [this, &pipeline](auto* r) {
+        this->StartCompletion(pipeline, r);
+      });
+    }
+    for (const LoadService& service : this->experiment.services) {
+      this->StartSource(service.rate, ++sources, [this, &service](auto* r) {
+        this->StartService(service, r);
+      });
+    }
+    if (this->experiment.progress && ::isatty(STDERR_FILENO) != 0) {
+      this->runtime->Spawn([this] { this->ProgressLoop(); });
+    }
+    this->runtime->SleepFor(this->experiment.duration);
+    const Duration elapsed = this->runtime->Now() - this->context.start;
+    while (this->open > 0) {
+      this->runtime->SleepFor(kEndPoll);
+    }
+    return elapsed;
+  }
+
+  const Recorder& Records() const { return this->recorder; }
+
+ private:
+  // Poisson arrivals at `rate` until the experiment's end.
+  template <class StartOne>
+  void StartSource(double rate, std::uint64_t number, StartOne start_one) {
+    if (rate <= 0) {
+      return;
+    }
+    this->runtime->Spawn([this, rate, number, start_one] {
+      Random arrivals(HashCombine(this->experiment.seed, number));
+      Instant next = this->context.start;
+      const Instant end = this->context.start + this->experiment.duration;
+      while (true) {
+        next += duration_cast<Duration>(std::chrono::duration<double>(
+            -std::log(1 - arrivals.Unit()) / rate));
+        if (next >= end) {
+          return;
+        }
+        const Instant now = this->runtime->Now();
+        if (next > now) {
+          this->runtime->SleepFor(next - now);
+        }
+        start_one(&arrivals);
+      }
+    });
+  }
+
+  const LoadOrganisation& PickOrganisation(Random* source) const {
+    double sum = 0;
+    for (const LoadOrganisation& item : this->experiment.organisations) {
+      sum += item.share;
+    }
+    double point = source->Unit() * sum;
+    for (const LoadOrganisation& item : this->experiment.organisations) {
+      point -= item.share;
+      if (point < 0) {
+        return item;
+      }
+    }
+    return this->experiment.organisations.back();
+  }
+
+  static std::uint32_t PickIn(const CountRange& range, Random* source) {
+    return range.low + static_cast<std::uint32_t>(
+                           source->Below(range.high - range.low + 1));
+  }
+
+  std::string NewId() {
+    return fmt::format("load-{}-{}", this->experiment.seed, ++this->ids);
+  }
+
+  static std::string MakePrompt(const LoadPipeline& pipeline, Random* source) {
+    std::string prompt;
+    if (pipeline.shared_prefixes > 0) {
+      const std::uint64_t prefix = source->Below(pipeline.shared_prefixes);
+      for (std::uint32_t i = 0; i < pipeline.prefix_words; ++i) {
+        prompt += fmt::format("shared{}x{} ", prefix, i);
+      }
+    }
+    const std::uint32_t words = PickIn(pipeline.prompt_words, source);
+    for (std::uint32_t i = 0; i < words; ++i) {
+      prompt += fmt::format("word{} ", source->Below(kDifferentWords));
+    }
+    return prompt;
+  }
+
+  void StartCompletion(const LoadPipeline& pipeline, Random* source) {
+    CompletionOrder order{this->NewId(),
+                          &this->PickOrganisation(source),
+                          &pipeline,
+                          MakePrompt(pipeline, source),
+                          PickIn(pipeline.answer_tokens, source),
+                          source->Next()};
+    ++this->open;
+    this->runtime->Spawn([this, order = std::move(order)] {
+      RunCompletion(&this->context, order);
+      --this->open;
+    });
+  }
+
+  void StartService(const LoadService& service, Random* source) {
+    ServiceOrder order{this->NewId(), &this->PickOrganisation(source), &service,
+                       source->Chance(service.non_repeatable_share),
+                       source->Next()};
+    ++this->open;
+    this->runtime->Spawn([this, order = std::move(order)] {
+      RunService(&this->context, order);
+      --this->open;
+    });
+  }
+
+  void ProgressLoop() {
+    while (true) {
+      this->runtime->SleepFor(kProgressInterval);
+      fmt::print(stderr, "\r{:.0f} s  open {}  ended {}   ",
+                 ToSeconds(this->runtime->Now() - this->context.start),
+                 this->open, this->recorder.Records().size());
+    }
+  }
+
+  io::Runtime* runtime;
+  const Experiment& experiment;
+  std::unique_ptr<io::HttpClient> http;
+  EntryList entries;
+  Recorder recorder;
+  Random random;
+  CallerContext context;
+  std::uint64_t ids = 0;
+  std::size_t open = 0;
+};
+
+struct Options {
+  std::string csv;
+  std::string plot;
+};
+
+// Takes --csv and --plot out of the arguments; the rest is common to all
+// programs.
+Options TakeOptions(int* argc, char** argv) {
+  Options options;
+  int kept = 1;
+  for (int i = 1; i < *argc; ++i) {
+    const std::string word = argv[i];
+    if ((word == "--csv" || word == "--plot") && i + 1 < *argc) {
+      (word == "--csv" ? options.csv : options.plot) = argv[++i];
+    } else {
+      argv[kept++] = argv[i];
+    }
+  }
+  *argc = kept;
+  return options;
+}
+
+int Main(int argc, char** argv) {
+  const Options options = TakeOptions(&argc, argv);
+  const app::CommandLine command_line = app::ParseCommandLine(
+      argc, argv,
+      "Open-loop load on a running system. Also: --csv FILE writes a line a "
+      "request, --plot FILE draws an SVG over time");
+  const auto experiment = app::LoadSettings<Experiment>(
+      command_line, [&](config::SettingsReader& reader) {
+        return ReadExperiment(reader, command_line);
+      });
+  io::Runtime::Run([&](io::Runtime& runtime) {
+    Generator generator(&runtime, experiment);
+    const Duration elapsed = generator.Run();
+    const std::size_t faults =
+        PrintSummary(experiment, generator.Records(), elapsed);
+    bool written = true;
+    if (!options.csv.empty()) {
+      written = WriteCsv(options.csv, generator.Records());
+    }
+    if (!options.plot.empty()) {
+      written =
+          WritePlot(options.plot, experiment, generator.Records()) && written;
+    }
+    if (!written) {
+      fmt::print(stderr, "a report could not be written\n");
+    }
+    app::ExitNow(faults == 0 && written ? app::kExitOk : app::kExitFailure);
+  });
+  return app::kExitOk;
+}
+
+}  // namespace
+}  // namespace chervilpass::load
+
+int main(int argc, char** argv) {
+  return chervilpass::load::Main(argc, argv);
+}
--- a/stand_ins/engine/engine_model.cc
+++ b/stand_ins/engine/engine_model.cc
@@ -68,14 +68,14 @@
     std::uint64_t activation = order.values[i];
     const auto position = static_cast<std::uint32_t>(order.position + i);
     for (std::size_t layer = 0; layer < layers; ++layer) {
-      activation = ApplyLayer(
-          static_cast<std::uint32_t>(this->first_layer + layer), position,
-          activation, &session->cache.layers[layer]);
+      activation =
+          ApplyLayer(static_cast<std::uint32_t>(this->first_layer + layer),
+                     position, activation, &session->cache.layers[layer]);
     }
     result.values.push_back(activation);
   }
-  session->cache.next_position = static_cast<std::uint32_t>(
-      order.position + order.values.size());
+  session->cache.next_position =
+      static_cast<std::uint32_t>(order.position + order.values.size());
   if (order.sample && !result.values.empty()) {
     result.token = SampleToken(result.values.back(), order.seed);
     result.values.clear();
--- a/stand_ins/engine/main.cc
+++ b/stand_ins/engine/main.cc
@@ -22,15 +22,15 @@
   std::uint32_t first_layer = 0;
   std::uint32_t last_layer = 0;
   std::uint32_t session_limit = 0;
-  std::uint32_t batch_limit = 0;     ///< steps in one batch
-  double batch_us = 0;               ///< for each batch
-  double decode_us = 0;              ///< for each step of one position
-  double prefill_us = 0;             ///< for each position of a longer step
-  std::size_t prefix_limit = 0;      ///< prompt prefixes kept
-  std::uint32_t prefix_tokens = 0;   ///< length of a kept prefix
+  std::uint32_t batch_limit = 0;    ///< steps in one batch
+  double batch_us = 0;              ///< for each batch
+  double decode_us = 0;             ///< for each step of one position
+  double prefill_us = 0;            ///< for each position of a longer step
+  std::size_t prefix_limit = 0;     ///< prompt prefixes kept
+  std::uint32_t prefix_tokens = 0;  ///< length of a kept prefix
   Duration load_lag{0};
   bool checks_fencing = false;
-  std::string crash_word;            ///< a prompt with it ends the process
+  std::string crash_word;  ///< a prompt with it ends the process
   LogSettings log;
 };
 
@@ -45,8 +45,8 @@
       static_cast<std::uint32_t>(reader.Integer("last_layer", {0, 4095}));
   settings.session_limit = static_cast<std::uint32_t>(
       reader.Integer("session_limit", {1, 100000}, 64));
-  settings.batch_limit = static_cast<std::uint32_t>(
-      reader.Integer("batch_limit", {1, 10000}, 64));
+  settings.batch_limit =
+      static_cast<std::uint32_t>(reader.Integer("batch_limit", {1, 10000}, 64));
   settings.batch_us = reader.Real("batch_us", 0, 1e7, 1000);
   settings.decode_us = reader.Real("decode_us", 0, 1e7, 20);
   settings.prefill_us = reader.Real("prefill_us", 0, 1e7, 10);
@@ -202,8 +202,8 @@
                        [](const auto& a, const auto& b) {
                          return a->order.priority > b->order.priority;
                        });
-      const std::size_t size = std::min<std::size_t>(
-          this->settings.batch_limit, this->queue.size());
+      const std::size_t size =
+          std::min<std::size_t>(this->settings.batch_limit, this->queue.size());
       std::vector<std::shared_ptr<QueuedStep>> batch(
           this->queue.begin(),
           this->queue.begin() + static_cast<std::ptrdiff_t>(size));
@@ -252,23 +252,24 @@
 
   void LoadLoop() {
     while (true) {
-      this->load_report = json::serialize(
-          json::object{{"boot_id", this->boot_id},
-                       {"sessions", this->model.SessionCount()},
-                       {"queued_steps", this->queue.size()}});
+      this->load_report =
+          json::serialize(json::object{{"boot_id", this->boot_id},
+                                       {"sessions", this->model.SessionCount()},
+                                       {"queued_steps", this->queue.size()}});
       this->runtime->SleepFor(
           std::max<Duration>(this->settings.load_lag, milliseconds(10)));
     }
   }
 
   std::string RecordReport() const {
-    return json::serialize(json::object{{"id", this->settings.id},
-                                        {"boot_id", this->boot_id},
-                                        {"steps_run", this->steps_run},
-                                        {"busy_us", this->busy_us},
-                                        {"prefix_hits", this->prefix_hits},
-                                        {"sessions", this->model.SessionCount()},
-                                        {"orders", this->orders}});
+    return json::serialize(
+        json::object{{"id", this->settings.id},
+                     {"boot_id", this->boot_id},
+                     {"steps_run", this->steps_run},
+                     {"busy_us", this->busy_us},
+                     {"prefix_hits", this->prefix_hits},
+                     {"sessions", this->model.SessionCount()},
+                     {"orders", this->orders}});
   }
 
   io::HttpResponse HandleExport(const json::object& body) {
@@ -281,11 +282,12 @@
     for (const std::uint64_t value : cache->layers) {
       layers.emplace_back(value);
     }
-    return {200,
-            {},
-            json::serialize(json::object{{"epoch", cache->epoch},
-                                         {"next_position", cache->next_position},
-                                         {"layers", layers}})};
+    return {
+        200,
+        {},
+        json::serialize(json::object{{"epoch", cache->epoch},
+                                     {"next_position", cache->next_position},
+                                     {"layers", layers}})};
   }
 
   io::HttpResponse HandleImport(const json::object& body) {
@@ -295,8 +297,8 @@
     for (const json::value& value : body.at("layers").as_array()) {
       cache.layers.push_back(value.to_number<std::uint64_t>());
     }
-    const bool taken = this->model.Import(
-        std::string(body.at("session").as_string()), cache);
+    const bool taken =
+        this->model.Import(std::string(body.at("session").as_string()), cache);
     return taken ? io::HttpResponse{200, {}, "{}"}
                  : io::HttpResponse{409, {}, "cannot take this cache"};
   }
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -158,8 +158,8 @@
     std::unique_lock<boost::fibers::mutex> lock(this->mutex);
     this->changed.wait_until(lock, this->runtime->Now() + timeout, [&] {
       const auto found = this->objects.find(name);
-      return this->faults.outage || (found != this->objects.end() &&
-                                     found->second.version > after);
+      return this->faults.outage ||
+             (found != this->objects.end() && found->second.version > after);
     });
     --this->waiting_watches;
     if (this->faults.outage) {
@@ -231,8 +231,7 @@
       command_line, [&](config::SettingsReader& reader) {
         PlatformSettings read;
         read.listen = reader.Address("listen");
-        read.writes_per_second =
-            reader.Real("writes_per_second", 1, 1e6, 400);
+        read.writes_per_second = reader.Real("writes_per_second", 1, 1e6, 400);
         read.reads_per_second = reader.Real("reads_per_second", 1, 1e6, 2000);
         read.vm_list_lag = reader.Milliseconds("vm_list_lag_ms", {0, 60000}, 0);
         read.log = app::ReadLogSettings(reader, "fake-platform", "platform",
--- a/stand_ins/service/main.cc
+++ b/stand_ins/service/main.cc
@@ -81,17 +81,16 @@
 int Main(int argc, char** argv) {
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, "Stand-in for a plain service that counts executions");
-  const auto settings = app::LoadSettings<ServiceSettings>(
-      command_line, [&](config::SettingsReader& reader) {
-        ServiceSettings read;
-        read.id = reader.Text("id");
-        read.listen = reader.Address("listen");
-        read.service_time =
-            reader.Milliseconds("service_time_ms", {0, 60000}, 5);
-        read.log =
-            app::ReadLogSettings(reader, "fake-service", read.id, command_line);
-        return read;
-      });
+  const auto settings = app::LoadSettings<
+      ServiceSettings>(command_line, [&](config::SettingsReader& reader) {
+    ServiceSettings read;
+    read.id = reader.Text("id");
+    read.listen = reader.Address("listen");
+    read.service_time = reader.Milliseconds("service_time_ms", {0, 60000}, 5);
+    read.log =
+        app::ReadLogSettings(reader, "fake-service", read.id, command_line);
+    return read;
+  });
   io::Runtime::Run([&](io::Runtime& runtime) {
     const Logger log(settings.log);
     Service service(&runtime, settings);
