--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -1,6 +1,7 @@
 #include "chervilpass/io/http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -142,6 +143,35 @@
   bool broken = false;
 };
 
+// Cancels a read that takes too long. The stream's own timer would close the
+// socket, and the peer could not be told why.
+class ReadTimer {
+ public:
+  ReadTimer(Runtime* runtime, beast::tcp_stream* stream, Duration timeout)
+      : timer(runtime->Context(), timeout) {
+    this->timer.async_wait([stream, flags = this->flags](
+                               const boost::system::error_code& error) {
+      if (!error && !flags->ended) {
+        flags->expired = true;
+        stream->cancel();
+      }
+    });
+  }
+  ~ReadTimer() { this->flags->ended = true; }
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+
+  bool Expired() const { return this->flags->expired; }
+
+ private:
+  struct Flags {
+    bool expired = false;
+    bool ended = false;  // the stream may be gone
+  };
+  asio::steady_timer timer;
+  std::shared_ptr<Flags> flags = std::make_shared<Flags>();
+};
+
 unsigned StatusOfReadError(const boost::system::error_code& error) {
   if (error == http::error::body_limit) {
     return 413;
@@ -215,10 +245,14 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(this->settings.header_limit);
     parser.body_limit(this->settings.body_limit);
-    stream->expires_after(this->settings.read_timeout);
-    const Completion read = Await([&](auto handler) {
+    stream->expires_never();
+    const ReadTimer timer(this->runtime, stream, this->settings.read_timeout);
+    Completion read = Await([&](auto handler) {
       http::async_read(*stream, *buffer, parser, std::move(handler));
     });
+    if (timer.Expired()) {
+      read.error = beast::error::timeout;
+    }
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -1,10 +1,13 @@
 #include "chervilpass/io/runtime.h"
 
+#include <unistd.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <future>
 #include <thread>
 
 #include "chervilpass/io/await.h"
@@ -20,13 +23,20 @@
 Runtime::~Runtime() = default;
 
 void Runtime::Run(const std::function<void(Runtime&)>& body) {
-  Runtime runtime;
-  std::thread thread([&runtime, &body] {
+  // The scheduler would wait for all fibers at the end of its thread, and some
+  // serve for ever: the thread is parked instead, and the runtime kept.
+  auto* runtime = new Runtime();
+  std::promise<void> ended;
+  std::thread([runtime, &body, &ended] {
     boost::fibers::use_scheduling_algorithm<FiberScheduler>(
-        &runtime.state->context);
-    body(runtime);
-  });
-  thread.join();
+        &runtime->state->context);
+    body(*runtime);
+    ended.set_value();
+    while (true) {
+      ::pause();
+    }
+  }).detach();
+  ended.get_future().wait();
 }
 
 void Runtime::Spawn(std::function<void()> body) {
--- a/chervilpass/io/runtime.h
+++ b/chervilpass/io/runtime.h
@@ -15,7 +15,8 @@
 class Runtime {
  public:
   /// Runs `body` as the first fiber on a new thread and returns when it ends.
-  /// The io_context outlives the thread's fiber scheduler.
+  /// Fibers that have not ended by then are never resumed, and what they hold
+  /// is not freed: call this once a process.
   static void Run(const std::function<void(Runtime&)>& body);
 
   Runtime(const Runtime&) = delete;
--- a/chervilpass/ledger/shard_log.cc
+++ b/chervilpass/ledger/shard_log.cc
@@ -285,11 +285,13 @@
       return false;
     }
     // The abandoned claim can no longer take effect once anything was written
-    // after it: the release itself, or another claim on the key.
+    // after it: the release itself, or another claim on the key. If it has
+    // taken effect, the release is still due.
     const auto found = this->keys.find(record.entry.key);
-    const bool other_claim = found != this->keys.end() &&
-                             found->second.attempt != record.entry.attempt;
-    return other_claim || this->tail_attempts.contains(record.entry.attempt);
+    if (found == this->keys.end()) {
+      return this->tail_attempts.contains(record.entry.attempt);
+    }
+    return found->second.attempt != record.entry.attempt;
   });
 }
 
--- a/chervilpass/membership/loss_guard.cc
+++ b/chervilpass/membership/loss_guard.cc
@@ -10,7 +10,8 @@
   });
   // The largest number of deaths that fell into one window.
   std::size_t most = 0;
-  for (const auto& [vm, start] : this->dead) {
+  for (const auto& item : this->dead) {
+    const Instant start = item.second;
     const auto count = static_cast<std::size_t>(std::count_if(
         this->dead.begin(), this->dead.end(), [&](const auto& other) {
           return other.second >= start &&
--- a/chervilpass/rpc/loop.cc
+++ b/chervilpass/rpc/loop.cc
@@ -64,12 +64,13 @@
       // The observer reports edges: the counter is read before the queue, so
       // that work posted after the look at the queue makes a new edge.
       this->ClearWake();
-      if (!this->Take(&work)) {
-        return;
-      }
+      const bool go_on = this->Take(&work);
       for (const Work& item : work) {
         item(context);
       }
+      if (!go_on) {
+        return;
+      }
       if (work.empty()) {
         observer.whenBecomesReadable().wait(io.waitScope);
       } else {
--- /dev/null
+++ b/unit_tests/admission_test.cc
@@ -0,0 +1,137 @@
+// Tests of the fair queue, the wait estimate and refusals.
+#include <criterion/criterion.h>
+
+#include <map>
+
+#include "chervilpass/admission/fair_queue.h"
+#include "chervilpass/admission/refusal.h"
+#include "chervilpass/admission/wait_estimator.h"
+
+using namespace chervilpass;
+using namespace chervilpass::admission;
+
+namespace {
+
+Ticket MakeTicket(TicketId id,
+                  const std::string& organisation,
+                  std::uint32_t weight,
+                  std::uint32_t priority = 0) {
+  Ticket ticket;
+  ticket.id = id;
+  ticket.organisation = organisation;
+  ticket.weight = weight;
+  ticket.priority = priority;
+  ticket.deadline = Instant{} + seconds(10);
+  return ticket;
+}
+
+}  // namespace
+
+Test(fair_queue, busy_organisations_get_their_weights) {
+  FairQueue queue(1, 10000);
+  TicketId id = 0;
+  for (int i = 0; i < 600; ++i) {
+    queue.Push(MakeTicket(++id, "one", 1));
+    queue.Push(MakeTicket(++id, "two", 2));
+    queue.Push(MakeTicket(++id, "three", 3));
+  }
+  std::map<std::string, int> started;
+  for (int i = 0; i < 600; ++i) {
+    const auto ticket = queue.Next();
+    ++started[ticket->organisation];
+    queue.Finish(ticket->organisation);
+  }
+  cr_assert_eq(started["one"], 100);
+  cr_assert_eq(started["two"], 200);
+  cr_assert_eq(started["three"], 300);
+}
+
+Test(fair_queue, an_idle_organisations_share_is_used_by_others) {
+  FairQueue queue(4, 100);
+  for (TicketId id = 1; id <= 4; ++id) {
+    queue.Push(MakeTicket(id, "busy", 1));
+  }
+  for (int i = 0; i < 4; ++i) {
+    cr_assert(queue.Next().has_value());
+  }
+  cr_assert(!queue.Next().has_value());
+}
+
+Test(fair_queue, an_organisation_that_was_idle_has_saved_no_credit) {
+  FairQueue queue(1, 10000);
+  TicketId id = 0;
+  for (int i = 0; i < 100; ++i) {
+    queue.Push(MakeTicket(++id, "old", 1));
+    queue.Finish(queue.Next()->organisation);
+  }
+  std::map<std::string, int> started;
+  for (int i = 0; i < 50; ++i) {
+    queue.Push(MakeTicket(++id, "old", 1));
+    queue.Push(MakeTicket(++id, "new", 1));
+  }
+  for (int i = 0; i < 20; ++i) {
+    const auto ticket = queue.Next();
+    ++started[ticket->organisation];
+    queue.Finish(ticket->organisation);
+  }
+  cr_assert_geq(started["old"], 9);
+  cr_assert_geq(started["new"], 9);
+}
+
+Test(fair_queue, higher_priority_goes_first_within_an_organisation) {
+  FairQueue queue(1, 100);
+  queue.Push(MakeTicket(1, "a", 1, 0));
+  queue.Push(MakeTicket(2, "a", 1, 5));
+  queue.Push(MakeTicket(3, "a", 1, 5));
+  cr_assert_eq(queue.Next()->id, 2);
+  queue.Finish("a");
+  cr_assert_eq(queue.Next()->id, 3);
+  queue.Finish("a");
+  cr_assert_eq(queue.Next()->id, 1);
+}
+
+Test(fair_queue, an_organisation_at_its_limit_does_not_block_others) {
+  FairQueue queue(10, 100);
+  Ticket limited = MakeTicket(1, "limited", 100);
+  limited.concurrency_limit = 1;
+  queue.Push(limited);
+  limited.id = 2;
+  queue.Push(limited);
+  queue.Push(MakeTicket(3, "other", 1));
+  cr_assert_eq(queue.Next()->id, 1);
+  cr_assert_eq(queue.Next()->id, 3);
+  cr_assert(!queue.Next().has_value());
+  queue.Finish("limited");
+  cr_assert_eq(queue.Next()->id, 2);
+}
+
+Test(fair_queue, expired_and_removed_tickets_are_gone) {
+  FairQueue queue(1, 3);
+  queue.Push(MakeTicket(1, "a", 1));
+  queue.Push(MakeTicket(2, "a", 1));
+  Ticket late = MakeTicket(3, "b", 1);
+  late.deadline = Instant{} + seconds(1);
+  queue.Push(late);
+  cr_assert(!queue.Push(MakeTicket(4, "c", 1)));
+  cr_assert_eq(queue.TakeExpired(Instant{} + seconds(2)).size(), 1);
+  cr_assert(queue.Remove(1));
+  cr_assert(!queue.Remove(1));
+  cr_assert_eq(queue.Next()->id, 2);
+  cr_assert_eq(queue.Waiting(), 0);
+}
+
+Test(wait_estimator, wait_grows_with_the_queue_and_falls_with_capacity) {
+  WaitEstimator estimator;
+  cr_assert(estimator.Estimate(100, 10) == Duration(0));
+  estimator.OnFinished(seconds(2));
+  cr_assert(estimator.Estimate(10, 10) == seconds(2));
+  cr_assert(estimator.Estimate(10, 20) == seconds(1));
+}
+
+Test(refusal, every_code_has_a_status_and_a_name) {
+  for (int code = 1; code <= 18; ++code) {
+    const auto refusal = static_cast<RefusalCode>(code);
+    cr_assert_geq(HttpStatus(refusal), 400);
+    cr_assert(!RefusalName(refusal).empty());
+  }
+}
--- /dev/null
+++ b/unit_tests/codec_test.cc
@@ -0,0 +1,51 @@
+// Tests of the gossip datagrams' codec.
+#include <criterion/criterion.h>
+
+#include "chervilpass/core/random.h"
+#include "chervilpass/rpc/gossip_codec.h"
+
+using namespace chervilpass;
+using namespace chervilpass::membership;
+
+namespace {
+
+GossipMessage SampleMessage() {
+  GossipMessage message;
+  message.kind = MessageKind::kPingRequest;
+  message.sequence = 77;
+  message.from = "vm-1";
+  message.target = "vm-2";
+  Member member{"vm-1", "dc", "r", "127.0.0.1",      1,    2,     3,
+                4,      9,    5,   Status::kLeaving, true, false, 12};
+  message.members = {member, member};
+  message.strikes = {{123, "worker", {456}}};
+  message.leaving = {{"backend", {789}}};
+  return message;
+}
+
+}  // namespace
+
+Test(gossip_codec, gives_back_what_was_written) {
+  const GossipMessage message = SampleMessage();
+  cr_assert(rpc::DecodeGossip(rpc::EncodeGossip(message)) == message);
+}
+
+Test(gossip_codec, a_full_datagram_fits_into_a_packet) {
+  GossipMessage message = SampleMessage();
+  message.members.resize(6, message.members.front());
+  // 1,500 bytes of an Ethernet frame less the IP and UDP headers.
+  cr_assert_lt(rpc::EncodeGossip(message).size(), 1472);
+}
+
+Test(gossip_codec, mutated_datagrams_never_end_the_process) {
+  const std::string good = rpc::EncodeGossip(SampleMessage());
+  Random random(3);
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes = good;
+    for (std::uint64_t e = 0; e < 1 + random.Below(8); ++e) {
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+    }
+    bytes.resize(random.Below(bytes.size() + 1));
+    rpc::DecodeGossip(bytes);
+  }
+}
--- /dev/null
+++ b/unit_tests/io_test.cc
@@ -0,0 +1,280 @@
+// Tests of the fiber runtime, the HTTP server and client, and the RPC between
+// daemons, on loopback sockets.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "chervilpass/io/http_client.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/rpc/dispatch_rpc.h"
+
+using namespace chervilpass;
+using namespace chervilpass::io;
+
+namespace {
+
+// Runs `body` on a runtime; tests end the process, so nothing is torn down.
+void OnRuntime(const std::function<void(Runtime&)>& body) {
+  Runtime::Run([&body](Runtime& runtime) { body(runtime); });
+}
+
+// Every test runs in a process of its own: each takes another port.
+Endpoint TestEndpoint(std::uint16_t number) {
+  return {"127.0.200.1", static_cast<std::uint16_t>(21000 + number)};
+}
+
+std::unique_ptr<HttpServer> Serve(Runtime& runtime,
+                                  const Endpoint& listen,
+                                  HttpHandler handler) {
+  HttpServerSettings settings;
+  settings.listen = listen;
+  settings.body_limit = 1000;
+  settings.header_limit = 1024;
+  settings.read_timeout = milliseconds(300);
+  auto server =
+      HttpServer::Create(&runtime, settings, std::move(handler),
+                         [](unsigned status, std::string_view detail) {
+                           return HttpResponse{status, {}, std::string(detail)};
+                         });
+  cr_assert(server.has_value());
+  return std::move(server).value();
+}
+
+// Sends bytes on a plain socket and returns what comes back.
+std::string RawExchange(const Endpoint& to, const std::string& bytes) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({boost::asio::ip::make_address(to.ip), to.port});
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::string answer;
+  char piece[1000];
+  while (!error) {
+    const std::size_t size =
+        socket.read_some(boost::asio::buffer(piece), error);
+    answer.append(piece, size);
+  }
+  return answer;
+}
+
+}  // namespace
+
+Test(runtime, fibers_take_turns_and_timers_fire) {
+  OnRuntime([](Runtime& runtime) {
+    int count = 0;
+    for (int i = 0; i < 10; ++i) {
+      runtime.Spawn([&] {
+        runtime.SleepFor(milliseconds(5));
+        ++count;
+      });
+    }
+    runtime.SleepFor(milliseconds(100));
+    cr_assert_eq(count, 10);
+  });
+}
+
+Test(http, request_and_response_arrive_whole) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(1);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      HttpResponse response;
+      response.headers.Add("X-Path", exchange.Request().path);
+      response.body = exchange.Request().body + exchange.Request().query;
+      exchange.Respond(response);
+    });
+    const auto client = HttpClient::Create(&runtime, {});
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/a/b";
+    request.query = "q=1";
+    request.body = "body ";
+    for (int i = 0; i < 3; ++i) {
+      const auto response = client->Call(listen, request, seconds(1));
+      cr_assert(response.has_value());
+      cr_assert(response.value().body == "body q=1");
+      cr_assert(response.value().headers.Find("x-path") == "/a/b");
+    }
+  });
+}
+
+Test(http, a_stream_arrives_piece_by_piece) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(2);
+    const auto server =
+        Serve(runtime, listen, [&runtime](HttpExchange& exchange) {
+          exchange.BeginStream({});
+          for (int i = 0; i < 5; ++i) {
+            exchange.WriteChunk(std::to_string(i));
+            runtime.SleepFor(milliseconds(5));
+          }
+          exchange.EndStream();
+        });
+    const auto client = HttpClient::Create(&runtime, {});
+    std::string data;
+    int pieces = 0;
+    const auto head =
+        client->Stream(listen, {}, seconds(1), [&](std::string_view piece) {
+          data += piece;
+          ++pieces;
+          return true;
+        });
+    cr_assert(head.has_value());
+    cr_assert(data == "01234");
+    cr_assert_geq(pieces, 3);
+  });
+}
+
+Test(http, errors_are_told_apart) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(3);
+    const auto client = HttpClient::Create(&runtime, {});
+    cr_assert(client->Call(listen, {}, seconds(1)).error().code ==
+              HttpErrorCode::kConnect);
+    const auto server =
+        Serve(runtime, listen, [&runtime](HttpExchange& exchange) {
+          if (exchange.Request().path == "/abort") {
+            return exchange.Abort();
+          }
+          runtime.SleepFor(milliseconds(200));
+          exchange.Respond({});
+        });
+    HttpRequest request;
+    cr_assert(client->Call(listen, request, milliseconds(50)).error().code ==
+              HttpErrorCode::kTimeout);
+    request.path = "/abort";
+    cr_assert(client->Call(listen, request, seconds(1)).error().code ==
+              HttpErrorCode::kReset);
+  });
+}
+
+Test(http, bad_input_gets_a_status_and_harms_nobody) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(4);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    std::atomic<bool> finished = false;
+    std::vector<std::string> answers(5);
+    std::thread peer([&] {
+      answers[0] = RawExchange(listen, "NONSENSE\r\n\r\n");
+      answers[1] =
+          RawExchange(listen, "GET / HTTP/1.1\r\nX: " + std::string(4000, 'a') +
+                                  "\r\n\r\n");
+      answers[2] = RawExchange(
+          listen, "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" +
+                      std::string(5000, 'a'));
+      answers[3] = RawExchange(listen, "GET / HT");  // goes silent
+      answers[4] =
+          RawExchange(listen, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+      finished = true;
+    });
+    while (!finished) {
+      runtime.SleepFor(milliseconds(5));
+    }
+    peer.join();
+    cr_assert(answers[0].find(" 400 ") != std::string::npos);
+    cr_assert(answers[1].find(" 431 ") != std::string::npos);
+    cr_assert(answers[2].find(" 413 ") != std::string::npos);
+    cr_assert(answers[3].find(" 408 ") != std::string::npos);
+    cr_assert(answers[4].find("ok") != std::string::npos);
+  });
+}
+
+Test(endpoint, reads_ip_and_port_only) {
+  cr_assert(Endpoint::Parse("127.0.0.1:80").has_value());
+  for (const char* bad : {"", "127.0.0.1", "host:80", "127.0.0.1:0",
+                          "127.0.0.1:70000", "127.0.0.1:8x"}) {
+    cr_assert(!Endpoint::Parse(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(rpc, tokens_arrive_in_order_before_the_outcome) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(5);
+    rpc::DispatchHandlers handlers;
+    handlers.complete = [](const rpc::CompletionRequest& request,
+                           const rpc::AttemptSink& sink,
+                           const std::shared_ptr<rpc::CancelFlag>&) {
+      for (std::uint32_t i = 0; i < request.max_tokens; ++i) {
+        sink.token(i, i * 3);
+        if (i % 16 == 0) {
+          sink.heartbeat();
+        }
+      }
+      return rpc::CompletionOutcome{rpc::Finished{request.max_tokens}, 1, 2};
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    std::vector<std::uint32_t> tokens;
+    int heartbeats = 0;
+    rpc::CompletionRequest request;
+    request.max_tokens = 200;
+    const auto outcome =
+        client->Complete(request,
+                         {[&](std::uint32_t index, std::uint32_t token) {
+                            cr_assert_eq(index, tokens.size());
+                            tokens.push_back(token);
+                          },
+                          [&] { ++heartbeats; }},
+                         [](rpc::CallHandle) {});
+    cr_assert(outcome.has_value());
+    cr_assert_eq(tokens.size(), 200);
+    cr_assert_eq(tokens.back(), 597);
+    cr_assert_eq(heartbeats, 13);
+    cr_assert_eq(outcome.value().capacity, 2);
+  });
+}
+
+Test(rpc, a_cancelled_call_ends_on_both_sides) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(6);
+    bool saw_cancel = false;
+    rpc::DispatchHandlers handlers;
+    handlers.complete = [&](const rpc::CompletionRequest&,
+                            const rpc::AttemptSink&,
+                            const std::shared_ptr<rpc::CancelFlag>& flag) {
+      for (int i = 0; i < 200 && !flag->cancelled; ++i) {
+        runtime.SleepFor(milliseconds(5));
+      }
+      saw_cancel = flag->cancelled;
+      return rpc::CompletionOutcome{rpc::Finished{0}, 0, 0};
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    const auto outcome =
+        client->Complete({}, {[](std::uint32_t, std::uint32_t) {}, [] {}},
+                         [&runtime](rpc::CallHandle handle) {
+                           runtime.Spawn([&runtime, handle]() mutable {
+                             runtime.SleepFor(milliseconds(50));
+                             handle.Cancel();
+                           });
+                         });
+    cr_assert(outcome.has_error());
+    runtime.SleepFor(milliseconds(100));
+    cr_assert(saw_cancel);
+  });
+}
+
+Test(rpc, a_peer_that_is_not_there_is_told_and_found_once_it_is) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(7);
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    const auto missing = client->QueryClaim("o", "k", seconds(1));
+    cr_assert(missing.error().code == rpc::RpcErrorCode::kDisconnected);
+    rpc::DispatchHandlers handlers;
+    handlers.query_claim = [&runtime](const std::string&, const std::string&) {
+      runtime.SleepFor(milliseconds(20));
+      return rpc::ClaimState(rpc::ClaimAbsent{});
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    cr_assert(client->QueryClaim("o", "k", seconds(1)).has_value());
+    const auto late = client->QueryClaim("o", "k", milliseconds(5));
+    cr_assert(late.error().code == rpc::RpcErrorCode::kTimeout);
+  });
+}
--- /dev/null
+++ b/unit_tests/membership_test.cc
@@ -0,0 +1,298 @@
+// Tests of rendezvous hashing, the failure detector and the loss guard.
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "chervilpass/membership/detector.h"
+#include "chervilpass/membership/fleet_view.h"
+#include "chervilpass/membership/loss_guard.h"
+#include "chervilpass/membership/rendezvous.h"
+
+using namespace chervilpass;
+using namespace chervilpass::membership;
+
+namespace {
+
+Member MakeMember(int number, const std::string& region = "r") {
+  Member member;
+  member.vm = "vm-" + std::to_string(number);
+  member.data_centre = "dc";
+  member.region = region;
+  member.ip = "127.0.0.1";
+  member.boot_id = 1;
+  member.dispatch_up = true;
+  return member;
+}
+
+// Nodes that pass datagrams to each other in memory. Seeded and deterministic.
+class Network {
+ public:
+  explicit Network(int nodes, std::uint64_t seed = 1) : random(seed) {
+    for (int i = 0; i < nodes; ++i) {
+      this->Add(i, 1);
+    }
+  }
+
+  void Add(int number, std::uint64_t boot_id) {
+    Member self = MakeMember(number);
+    self.boot_id = boot_id;
+    const std::string vm = self.vm;
+    this->nodes.erase(vm);
+    this->nodes.emplace(
+        vm, Detector(DetectorSettings{}, self, this->random.Next(), this->now));
+    if (number != 0) {
+      Member seed = MakeMember(0);
+      seed.boot_id = 0;
+      this->Apply(vm, this->nodes.at(vm).AddSeed(seed, this->now));
+    }
+  }
+
+  void RunFor(Duration duration) {
+    const Instant end = this->now + duration;
+    while (this->now < end) {
+      this->now += milliseconds(10);
+      for (auto& [vm, node] : this->nodes) {
+        if (!this->frozen.contains(vm)) {
+          this->Apply(vm, node.OnTick(this->now));
+        }
+      }
+      this->Deliver();
+    }
+  }
+
+  void Apply(const std::string& from, const DetectorActions& actions) {
+    for (const DetectorAction& action : actions) {
+      if (const auto* send = std::get_if<SendGossip>(&action)) {
+        this->bytes += 1;
+        this->queue.push_back({from, send->to.vm, send->message});
+      } else if (const auto* heard = std::get_if<StrikeHeard>(&action)) {
+        this->strikes[from].insert(heard->strike.fingerprint);
+      } else if (const auto* notice = std::get_if<LeavingHeard>(&action)) {
+        this->leaving[from].insert(notice->notice.backend);
+      }
+    }
+  }
+
+  Status StatusAt(const std::string& observer, const std::string& vm) {
+    for (const Member& member : this->nodes.at(observer).Members()) {
+      if (member.vm == vm) {
+        return member.status;
+      }
+    }
+    return Status::kDead;
+  }
+
+  bool AllSeeAllAlive() {
+    for (auto& [observer, node] : this->nodes) {
+      if (node.Members().size() != this->nodes.size()) {
+        return false;
+      }
+      for (const Member& member : node.Members()) {
+        if (member.status != Status::kAlive) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  std::set<std::string> frozen;
+  std::set<std::string> side_a;  // parted from the rest if not empty
+  double loss = 0;
+  Random random;
+  Instant now{};
+  std::map<std::string, Detector> nodes;
+  std::map<std::string, std::set<std::uint64_t>> strikes;
+  std::map<std::string, std::set<std::string>> leaving;
+  std::uint64_t bytes = 0;
+
+ private:
+  struct Datagram {
+    std::string from;
+    std::string to;
+    GossipMessage message;
+  };
+
+  void Deliver() {
+    for (int round = 0; round < 20 && !this->queue.empty(); ++round) {
+      const Datagram datagram = this->queue.front();
+      this->queue.pop_front();
+      round = 0;
+      const auto node = this->nodes.find(datagram.to);
+      const bool cut = this->side_a.contains(datagram.from) !=
+                       this->side_a.contains(datagram.to);
+      if (node == this->nodes.end() || cut ||
+          this->frozen.contains(datagram.to) ||
+          this->random.Chance(this->loss)) {
+        continue;
+      }
+      this->Apply(datagram.to,
+                  node->second.OnMessage(datagram.message, this->now));
+    }
+  }
+
+  std::deque<Datagram> queue;
+};
+
+}  // namespace
+
+Test(rendezvous, a_leaving_candidate_moves_only_its_own_keys) {
+  std::vector<std::string> vms;
+  for (int i = 0; i < 20; ++i) {
+    vms.push_back("vm-" + std::to_string(i));
+  }
+  std::vector<std::string> fewer(vms.begin() + 1, vms.end());
+  int moved = 0;
+  for (std::uint64_t key = 0; key < 1000; ++key) {
+    const std::string before = RendezvousOrder(vms, key).front();
+    const std::string after = RendezvousOrder(fewer, key).front();
+    if (before != vms[0]) {
+      cr_assert(before == after);
+    } else {
+      ++moved;
+    }
+  }
+  cr_assert_gt(moved, 20);
+  cr_assert_lt(moved, 100);
+}
+
+Test(rendezvous, order_does_not_depend_on_input_order) {
+  cr_assert(RendezvousOrder({"a", "b", "c"}, 7) ==
+            RendezvousOrder({"c", "a", "b"}, 7));
+}
+
+Test(detector, all_nodes_learn_of_all_others) {
+  Network network(20);
+  network.RunFor(seconds(10));
+  cr_assert(network.AllSeeAllAlive());
+}
+
+Test(detector, a_killed_node_is_dead_everywhere_within_the_bound) {
+  Network network(9);
+  network.RunFor(seconds(10));
+  network.frozen.insert("vm-4");
+  // Two periods of probing on average, the suspicion, and the spreading.
+  network.RunFor(seconds(9));
+  for (int i = 0; i < 9; ++i) {
+    if (i != 4) {
+      const std::string vm = "vm-" + std::to_string(i);
+      cr_assert(network.StatusAt(vm, "vm-4") == Status::kDead, "%s",
+                vm.c_str());
+    }
+  }
+}
+
+Test(detector, a_frozen_node_that_wakes_is_taken_back) {
+  Network network(9);
+  network.RunFor(seconds(10));
+  network.frozen.insert("vm-4");
+  network.RunFor(seconds(20));
+  network.frozen.clear();
+  network.RunFor(seconds(20));
+  cr_assert(network.AllSeeAllAlive());
+}
+
+Test(detector, no_one_is_called_dead_at_five_percent_loss) {
+  Network network(12, 3);
+  network.RunFor(seconds(10));
+  network.loss = 0.05;
+  network.RunFor(seconds(60));
+  network.loss = 0;
+  network.RunFor(seconds(10));
+  cr_assert(network.AllSeeAllAlive());
+}
+
+Test(detector, parted_sides_find_each_other_again) {
+  Network network(12);
+  network.RunFor(seconds(10));
+  for (int i = 0; i < 5; ++i) {
+    network.side_a.insert("vm-" + std::to_string(i));
+  }
+  network.RunFor(seconds(60));
+  cr_assert(network.StatusAt("vm-1", "vm-9") == Status::kDead);
+  cr_assert(network.StatusAt("vm-9", "vm-1") == Status::kDead);
+  network.side_a.clear();
+  network.RunFor(seconds(60));
+  cr_assert(network.AllSeeAllAlive());
+}
+
+Test(detector, a_restarted_node_supersedes_its_former_self) {
+  Network network(6);
+  network.RunFor(seconds(10));
+  network.Add(3, 2);
+  network.RunFor(seconds(10));
+  cr_assert(network.AllSeeAllAlive());
+  for (const Member& member : network.nodes.at("vm-1").Members()) {
+    if (member.vm == "vm-3") {
+      cr_assert_eq(member.boot_id, 2);
+    }
+  }
+}
+
+Test(detector, leaving_is_told_apart_from_failing) {
+  Network network(6);
+  network.RunFor(seconds(10));
+  Member self = network.nodes.at("vm-2").Self();
+  self.status = Status::kLeaving;
+  network.Apply("vm-2", network.nodes.at("vm-2").UpdateSelf(self, network.now));
+  network.RunFor(seconds(3));
+  cr_assert(network.StatusAt("vm-5", "vm-2") == Status::kLeaving);
+}
+
+Test(detector, strikes_and_leaving_notices_reach_everyone_at_once) {
+  Network network(30);
+  network.RunFor(seconds(15));
+  network.Apply("vm-3", network.nodes.at("vm-3").AddStrike({42, "w", {}}));
+  network.Apply("vm-3", network.nodes.at("vm-3").AddLeaving({"backend", {1}}));
+  network.RunFor(milliseconds(10));
+  cr_assert_eq(network.strikes.size(), 30);
+  cr_assert_eq(network.leaving.size(), 30);
+}
+
+Test(detector, messages_per_node_do_not_grow_with_the_fleet) {
+  const auto messages_per_node = [](int nodes) {
+    Network network(nodes);
+    network.RunFor(seconds(20));
+    const std::uint64_t before = network.bytes;
+    network.RunFor(seconds(20));
+    return static_cast<double>(network.bytes - before) / nodes;
+  };
+  cr_assert_lt(messages_per_node(40), 1.2 * messages_per_node(10));
+}
+
+Test(loss_guard, a_single_loss_is_believed_at_once) {
+  LossGuard guard({});
+  guard.OnDead("a", Instant{});
+  cr_assert(guard.Held(9, Instant{}).empty());
+}
+
+Test(loss_guard, a_sudden_loss_of_many_is_held_back_and_then_believed) {
+  LossGuard guard({});
+  const Instant start{};
+  for (const char* vm : {"a", "b", "c", "d"}) {
+    guard.OnDead(vm, start);
+  }
+  cr_assert_eq(guard.Held(9, start + seconds(1)).size(), 4);
+  guard.OnAlive("a");
+  cr_assert_eq(guard.Held(9, start + seconds(1)).size(), 0);
+  guard.OnDead("a", start + seconds(2));
+  cr_assert_eq(guard.Held(9, start + seconds(3)).size(), 4);
+  cr_assert_eq(guard.Held(9, start + seconds(60)).size(), 0);
+}
+
+Test(view, dispatchers_are_near_first_and_never_dead_or_leaving) {
+  FleetView view;
+  for (int i = 0; i < 4; ++i) {
+    view.members.push_back(MakeMember(i));
+  }
+  view.members[0].data_centre = "other";
+  view.members[1].status = Status::kDead;
+  view.members[2].status = Status::kLeaving;
+  cr_assert(view.Dispatchers("dc", "r") == std::vector<std::string>{"vm-3"});
+  cr_assert(view.Dispatchers("none", "r") ==
+            (std::vector<std::string>{"vm-0", "vm-3"}));
+  view.members[3].dispatch_up = false;
+  cr_assert(view.Dispatchers("dc", "r") == std::vector<std::string>{"vm-0"});
+}
--- /dev/null
+++ b/unit_tests/routing_test.cc
@@ -0,0 +1,289 @@
+// Tests of cells, cell choice, retry budget, worker health and the life of a
+// completion at an entry.
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+
+#include "chervilpass/routing/cell_chooser.h"
+#include "chervilpass/routing/cells.h"
+#include "chervilpass/routing/completion_flow.h"
+#include "chervilpass/routing/retry_budget.h"
+#include "chervilpass/routing/worker_health.h"
+
+using namespace chervilpass;
+using namespace chervilpass::routing;
+using admission::Executed;
+using admission::Refusal;
+using admission::RefusalCode;
+
+namespace {
+
+config::FleetConfig FleetOf(int replicas) {
+  config::FleetConfig fleet;
+  fleet.pipelines["llm"] = {"llm", 8, 64, 2};
+  for (const char* dc : {"a", "b"}) {
+    for (std::uint32_t stage = 0; stage < 4; ++stage) {
+      for (int i = 0; i < replicas; ++i) {
+        config::Backend backend;
+        backend.id = fmt::format("{}-{}-{}", dc, stage, i);
+        backend.data_centre = dc;
+        backend.region = "r";
+        backend.role =
+            config::StageRole{"llm", stage * 2, stage * 2 + 1, "x", 8, true};
+        fleet.backends[backend.id] = backend;
+      }
+    }
+  }
+  return fleet;
+}
+
+CompletionFlowSettings FlowSettings() {
+  CompletionFlowSettings settings;
+  settings.max_tokens = 3;
+  settings.deadline = Instant{} + seconds(60);
+  return settings;
+}
+
+template <class T>
+const T* Find(const FlowActions& actions) {
+  for (const FlowAction& action : actions) {
+    if (const auto* found = std::get_if<T>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Test(cells, every_worker_is_in_one_cell_and_every_cell_is_a_whole_chain) {
+  const auto cells = FormCells(FleetOf(6), "llm");
+  cr_assert_eq(cells.size(), 6);
+  std::set<std::string> seen;
+  std::set<std::uint32_t> ids;
+  for (const Cell& cell : cells) {
+    ids.insert(cell.id);
+    std::uint32_t next = 0;
+    for (const Stage& stage : cell.stages) {
+      cr_assert_eq(stage.first_layer, next);
+      next = stage.last_layer + 1;
+      for (const std::string& worker : stage.workers) {
+        cr_assert(seen.insert(worker).second);
+      }
+    }
+    cr_assert_eq(next, 8);
+  }
+  cr_assert_eq(seen.size(), 48);
+  cr_assert_eq(ids.size(), 6);
+}
+
+Test(cells, a_data_centre_without_a_whole_chain_has_no_cell) {
+  config::FleetConfig fleet = FleetOf(2);
+  fleet.backends.erase("a-1-0");
+  fleet.backends.erase("a-1-1");
+  const auto cells = FormCells(fleet, "llm");
+  cr_assert_eq(cells.size(), 1);
+  cr_assert(cells.front().data_centre == "b");
+  cr_assert(FormCells(fleet, "none").empty());
+}
+
+Test(chooser, near_cells_go_first_until_they_are_full) {
+  Random random(1);
+  std::vector<CellOption> options = {
+      {1, Locality::kSameDataCentre, {5, 10}, false},
+      {2, Locality::kSameRegion, {0, 10}, false},
+      {3, Locality::kOtherRegion, {0, 10}, false}};
+  cr_assert_eq(ChooseCell(options, 0, {}, &random)->cell, 1);
+  options[0].load.in_flight = 10;
+  cr_assert_eq(ChooseCell(options, 0, {}, &random)->cell, 2);
+  options[1].excluded = true;
+  cr_assert_eq(ChooseCell(options, 0, {}, &random)->cell, 3);
+}
+
+Test(chooser, a_prefix_stays_with_its_cell_unless_it_is_overloaded) {
+  Random random(1);
+  std::vector<CellOption> options;
+  for (std::uint32_t cell = 1; cell <= 4; ++cell) {
+    options.push_back({cell, Locality::kSameDataCentre, {5, 10}, false});
+  }
+  const auto first = ChooseCell(options, 99, {}, &random);
+  cr_assert(first->reason == ChoiceReason::kAffinity);
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(ChooseCell(options, 99, {}, &random)->cell, first->cell);
+  }
+  options[first->cell - 1].load.in_flight = 9;
+  const auto moved = ChooseCell(options, 99, {}, &random);
+  cr_assert_neq(moved->cell, first->cell);
+}
+
+Test(chooser, two_choices_keep_the_load_even) {
+  Random random(5);
+  std::vector<CellOption> options;
+  for (std::uint32_t cell = 0; cell < 10; ++cell) {
+    options.push_back({cell, Locality::kSameDataCentre, {0, 1000}, false});
+  }
+  for (int i = 0; i < 5000; ++i) {
+    ++options[ChooseCell(options, 0, {}, &random)->cell].load.in_flight;
+  }
+  for (const CellOption& option : options) {
+    cr_assert_geq(option.load.in_flight, 480);
+    cr_assert_leq(option.load.in_flight, 520);
+  }
+}
+
+Test(chooser, nothing_is_chosen_if_all_are_excluded) {
+  Random random(1);
+  cr_assert(!ChooseCell({{1, Locality::kSameRegion, {}, true}}, 0, {}, &random)
+                 .has_value());
+}
+
+Test(retry_budget, retries_stay_within_their_share) {
+  RetryBudget budget({0.1, 5});
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstTry();
+    retries += budget.TryRetry() ? 1 : 0;
+  }
+  cr_assert_leq(retries, 105);
+  cr_assert_geq(retries, 100);
+}
+
+Test(worker_health, failures_in_a_row_eject_for_a_growing_time) {
+  WorkerHealth health({});
+  const Instant start{};
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(!health.IsEjected("w", start));
+    health.OnFailure("w", start);
+  }
+  cr_assert(health.IsEjected("w", start + milliseconds(499)));
+  cr_assert(!health.IsEjected("w", start + milliseconds(501)));
+  health.OnFailure("w", start + milliseconds(600));
+  cr_assert(health.IsEjected("w", start + milliseconds(1500)));
+  health.OnSuccess("w", milliseconds(1), start + milliseconds(1600));
+  cr_assert(!health.IsEjected("w", start + milliseconds(1600)));
+}
+
+Test(worker_health, no_more_than_the_largest_share_is_left_out) {
+  WorkerHealth health({});
+  const std::vector<std::string> workers = {"a", "b", "c", "d"};
+  for (const std::string& worker : workers) {
+    for (int i = 0; i < 3; ++i) {
+      health.OnFailure(worker, Instant{});
+    }
+  }
+  cr_assert_eq(health.Usable(workers, Instant{}).size(), 2);
+}
+
+Test(worker_health, a_worker_that_refuses_connections_is_left_out_entirely) {
+  WorkerHealth health({});
+  health.OnRefusedConnection("a", Instant{});
+  cr_assert(health.Usable({"a"}, Instant{}).empty());
+  cr_assert_eq(health.Usable({"a"}, Instant{} + seconds(1)).size(), 1);
+}
+
+Test(worker_health, a_slow_worker_is_left_out_but_not_the_last_one) {
+  WorkerHealth health({});
+  for (int i = 0; i < 30; ++i) {
+    health.OnSuccess("fast", milliseconds(2), Instant{});
+    health.OnSuccess("slow", milliseconds(50), Instant{});
+  }
+  cr_assert(health.Usable({"fast", "slow"}, Instant{}) ==
+            std::vector<std::string>{"fast"});
+  cr_assert_eq(health.Usable({"slow"}, Instant{}).size(), 1);
+}
+
+Test(flow, tokens_are_delivered_once_and_in_order) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  const Instant now{};
+  cr_assert(Find<StartAttempt>(flow.Start(now)) != nullptr);
+  cr_assert_eq(flow.OnToken(1, 0, 10, now).size(), 1);
+  cr_assert_eq(flow.OnToken(1, 0, 10, now).size(), 0);  // repeated
+  cr_assert_eq(flow.OnToken(1, 2, 12, now).size(), 0);  // out of order
+  cr_assert_eq(flow.OnToken(1, 1, 11, now).size(), 1);
+  cr_assert_eq(flow.OnToken(1, 2, 12, now).size(), 1);
+  cr_assert(Find<CompleteAnswer>(flow.OnFinished(1, 3, now)) != nullptr);
+}
+
+Test(flow, a_lost_attempt_goes_on_elsewhere_and_its_late_tokens_are_dropped) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  const Instant now{};
+  flow.Start(now);
+  flow.OnToken(1, 0, 10, now);
+  const FlowActions retry = flow.OnAttemptLost(1, now);
+  const auto* start = Find<StartAttempt>(retry);
+  cr_assert(start != nullptr);
+  cr_assert_eq(start->attempt, 2);
+  cr_assert_eq(start->epoch, kEpochsPerAttempt);
+  cr_assert(flow.OnToken(1, 1, 99, now).empty());
+  cr_assert(flow.OnFinished(1, 3, now).empty());
+  cr_assert_eq(flow.OnToken(2, 1, 11, now).size(), 1);
+}
+
+Test(flow, a_silent_attempt_is_cancelled_and_replaced) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  Instant now{};
+  flow.Start(now);
+  now += milliseconds(900);
+  flow.OnHeartbeat(1, now);
+  now += milliseconds(900);
+  cr_assert(flow.OnTick(now).empty());
+  now += milliseconds(200);
+  const FlowActions actions = flow.OnTick(now);
+  cr_assert_eq(Find<CancelAttempt>(actions)->attempt, 1);
+  cr_assert_eq(Find<StartAttempt>(actions)->attempt, 2);
+}
+
+Test(flow, missing_tokens_are_fetched_by_another_attempt) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  flow.Start(Instant{});
+  flow.OnToken(1, 0, 10, Instant{});
+  cr_assert(Find<StartAttempt>(flow.OnFinished(1, 3, Instant{})) != nullptr);
+}
+
+Test(flow, not_run_is_said_only_if_nothing_can_have_run) {
+  const Refusal overloaded{RefusalCode::kOverloaded, Executed::kNo, seconds(1),
+                           ""};
+  RetryBudget none({0, 0});
+  CompletionFlow never_ran(FlowSettings(), &none);
+  never_ran.Start(Instant{});
+  const auto first = never_ran.OnRefused(1, overloaded, Instant{});
+  cr_assert(Find<RefuseAnswer>(first)->refusal.executed == Executed::kNo);
+
+  RetryBudget one({0, 1});
+  CompletionFlow lost_once(FlowSettings(), &one);
+  lost_once.Start(Instant{});
+  lost_once.OnAttemptLost(1, Instant{});
+  const auto second = lost_once.OnRefused(2, overloaded, Instant{});
+  cr_assert(Find<RefuseAnswer>(second)->refusal.executed == Executed::kUnknown);
+}
+
+Test(flow, the_deadline_ends_the_request_at_once) {
+  RetryBudget budget({});
+  CompletionFlowSettings settings = FlowSettings();
+  settings.deadline = Instant{} + milliseconds(500);
+  CompletionFlow flow(settings, &budget);
+  flow.Start(Instant{});
+  const auto actions = flow.OnTick(Instant{} + milliseconds(500));
+  cr_assert(Find<CancelAttempt>(actions) != nullptr);
+  cr_assert(Find<RefuseAnswer>(actions)->refusal.code ==
+            RefusalCode::kTimedOut);
+  CompletionFlow late(settings, &budget);
+  cr_assert(
+      Find<RefuseAnswer>(late.Start(Instant{} + seconds(1)))->refusal.code ==
+      RefusalCode::kDeadlinePassed);
+}
+
+Test(flow, a_caller_that_leaves_cancels_the_attempt) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  flow.Start(Instant{});
+  cr_assert(Find<CancelAttempt>(flow.OnCallerGone()) != nullptr);
+  cr_assert(flow.Ended());
+}
