--- /dev/null
+++ b/fault_tests/core_matrix.cc
@@ -0,0 +1,214 @@
+// core-matrix: every fault at every step of a request, alone and in pairs, over
+// seeded schedules of the state machines. Prints a line a cell.
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <mutex>
+#include <thread>
+
+#include "fault_tests/schedule.h"
+
+namespace chervilpass::fault_tests {
+namespace {
+
+constexpr std::uint32_t kMostOccurrence = 4;
+constexpr int kViolationsShown = 5;
+
+enum class Workload { kCompletion, kService };
+
+// One cell of the grid.
+struct Cell {
+  Workload workload = Workload::kCompletion;
+  Fault fault = Fault::kKillEntry;
+  Step step = Step::kAccepted;
+  std::uint64_t runs = 0;
+  std::uint64_t struck = 0;
+  std::uint64_t violations = 0;
+};
+
+bool HasStep(Workload workload, Step step) {
+  switch (step) {
+    case Step::kPrefill:
+    case Step::kStageStep:
+    case Step::kTokenOnItsWay:
+    case Step::kLastToken:
+      return workload == Workload::kCompletion;
+    case Step::kClaimSent:
+    case Step::kClaimTaken:
+    case Step::kRunning:
+    case Step::kOutcomeWritten:
+      return workload == Workload::kService;
+    default:
+      return true;
+  }
+}
+
+// Steps that a request goes through once are reached once.
+std::uint32_t PickOccurrence(Step step, Random* random) {
+  return step == Step::kStageStep || step == Step::kTokenOnItsWay
+             ? 1 + static_cast<std::uint32_t>(
+                       random->Below(step == Step::kStageStep
+                                         ? kMostOccurrence
+                                         : kMostOccurrence - 1))
+             : 1;
+}
+
+ScheduleResult RunOne(const Cell& cell, std::uint64_t seed, Sabotage sabotage) {
+  Random random(seed ^ 0xfaf1);
+  std::vector<PlannedFault> faults = {
+      {cell.fault, cell.step, PickOccurrence(cell.step, &random)}};
+  if (random.Chance(0.5)) {
+    const auto step = static_cast<Step>(random.Below(kSteps));
+    faults.push_back({static_cast<Fault>(random.Below(kFaults)), step,
+                      PickOccurrence(step, &random)});
+  }
+  return cell.workload == Workload::kCompletion
+             ? RunCompletionSchedule(seed, faults, sabotage)
+             : RunServiceSchedule(seed, faults, sabotage);
+}
+
+struct Options {
+  std::uint64_t runs_per_cell = 0;
+  std::uint64_t first_seed = 0;
+  std::string fault;
+  std::string step;
+  Sabotage sabotage = Sabotage::kNone;
+  bool quiet = false;
+};
+
+std::vector<Cell> MakeGrid(const Options& options) {
+  std::vector<Cell> cells;
+  for (const Workload workload : {Workload::kCompletion, Workload::kService}) {
+    for (int fault = 0; fault < kFaults; ++fault) {
+      for (int step = 0; step < kSteps; ++step) {
+        const Cell cell{workload, static_cast<Fault>(fault),
+                        static_cast<Step>(step)};
+        const bool wanted =
+            (options.fault.empty() || FaultName(cell.fault) == options.fault) &&
+            (options.step.empty() || StepName(cell.step) == options.step);
+        if (HasStep(workload, cell.step) && wanted) {
+          cells.push_back(cell);
+        }
+      }
+    }
+  }
+  return cells;
+}
+
+void RunCell(const Options& options, Cell* cell, std::mutex* output) {
+  for (std::uint64_t i = 0; i < options.runs_per_cell; ++i) {
+    const std::uint64_t seed = options.first_seed + i;
+    const ScheduleResult result = RunOne(*cell, seed, options.sabotage);
+    ++cell->runs;
+    cell->struck += result.fault_struck ? 1 : 0;
+    if (!result.violation) {
+      continue;
+    }
+    if (++cell->violations <= kViolationsShown && !options.quiet) {
+      const std::lock_guard<std::mutex> lock(*output);
+      fmt::print(
+          "violation: check={} detail=\"{}\" workload={} fault={} step={} "
+          "replay: --core --seed {} --runs 1 --fault {} --step {}\n",
+          result.violation->check, result.violation->detail,
+          cell->workload == Workload::kCompletion ? "completion" : "service",
+          FaultName(cell->fault), StepName(cell->step), seed,
+          FaultName(cell->fault), StepName(cell->step));
+    }
+  }
+}
+
+// Returns the number of violations.
+std::uint64_t RunGrid(const Options& options) {
+  std::vector<Cell> cells = MakeGrid(options);
+  std::mutex output;
+  std::mutex next_mutex;
+  std::size_t next = 0;
+  std::vector<std::thread> threads;
+  const unsigned count = std::max(1U, std::thread::hardware_concurrency());
+  for (unsigned t = 0; t < count; ++t) {
+    threads.emplace_back([&] {
+      while (true) {
+        std::size_t index = 0;
+        {
+          const std::lock_guard<std::mutex> lock(next_mutex);
+          if (next >= cells.size()) {
+            return;
+          }
+          index = next++;
+        }
+        RunCell(options, &cells[index], &output);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::uint64_t runs = 0;
+  std::uint64_t violations = 0;
+  std::uint64_t unvisited = 0;
+  for (const Cell& cell : cells) {
+    runs += cell.runs;
+    violations += cell.violations;
+    unvisited += cell.struck == 0 ? 1 : 0;
+    if (!options.quiet) {
+      fmt::print("cell: workload={} fault={} step={} runs={} struck={} "
+                 "violations={}\n",
+                 cell.workload == Workload::kCompletion ? "completion"
+                                                        : "service",
+                 FaultName(cell.fault), StepName(cell.step), cell.runs,
+                 cell.struck, cell.violations);
+    }
+  }
+  fmt::print("fault_matrix: cells={} runs={} violations={} unvisited={}{}\n",
+             cells.size(), runs, violations, unvisited,
+             options.sabotage == Sabotage::kNone
+                 ? ""
+                 : fmt::format(" sabotage={}", SabotageName(options.sabotage)));
+  return violations + (options.sabotage == Sabotage::kNone ? unvisited : 0);
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine command("Faults at every step, over the state machines", ' ',
+                         CHERVILPASS_VERSION);
+  TCLAP::ValueArg<std::uint64_t> runs("", "runs", "schedules a cell", false,
+                                      100, "N", command);
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N",
+                                      command);
+  TCLAP::ValueArg<std::string> fault("", "fault", "only this fault", false, "",
+                                     "NAME", command);
+  TCLAP::ValueArg<std::string> step("", "step", "only this step", false, "",
+                                    "NAME", command);
+  TCLAP::ValueArg<std::string> sabotage(
+      "", "sabotage", "take a mechanism away; 'all' tries each", false, "",
+      "NAME", command);
+  command.parse(argc, argv);
+  Options options{runs.getValue(), seed.getValue(), fault.getValue(),
+                  step.getValue(), Sabotage::kNone, false};
+  if (sabotage.getValue().empty()) {
+    return RunGrid(options) == 0 ? 0 : 1;
+  }
+  // Each sabotage must be caught: no violation is a failure of the check.
+  options.quiet = true;
+  bool all_caught = true;
+  bool known = false;
+  for (int i = 1; i < kSabotages; ++i) {
+    options.sabotage = static_cast<Sabotage>(i);
+    const std::string_view name = SabotageName(options.sabotage);
+    if (sabotage.getValue() != "all" && sabotage.getValue() != name) {
+      continue;
+    }
+    known = true;
+    const bool caught = RunGrid(options) > 0;
+    fmt::print("sabotage={} {}\n", name, caught ? "caught" : "NOT CAUGHT");
+    all_caught = all_caught && caught;
+  }
+  return known && all_caught ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace chervilpass::fault_tests
+
+int main(int argc, char** argv) {
+  return chervilpass::fault_tests::Main(argc, argv);
+}
--- /dev/null
+++ b/performance_tests/hop_bench.cc
@@ -0,0 +1,122 @@
+// hop-bench: what each process on the path adds to one token. Runs steps on a
+// chain of engines directly, as the dispatcher does, and prints the time of
+// each token; the driver compares it to a stream through an entry.
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+
+#include "chervilpass/app/program.h"
+#include "chervilpass/core/text.h"
+#include "chervilpass/engine/engine_client.h"
+#include "chervilpass/rpc/dispatch_rpc.h"
+
+namespace chervilpass {
+namespace {
+
+void PrintQuantiles(const char* name, std::vector<double> samples) {
+  std::sort(samples.begin(), samples.end());
+  const auto at = [&samples](double share) {
+    return samples[static_cast<std::size_t>(
+               share * static_cast<double>(samples.size() - 1))] *
+           1000;
+  };
+  fmt::print("{} median_ms={:.3f} p99_ms={:.3f} n={}\n", name, at(0.5),
+             at(0.99), samples.size());
+}
+
+// The engines alone: one token after the other, straight over HTTP.
+void RunDirect(io::Runtime& runtime,
+               const std::vector<io::Endpoint>& chain,
+               std::uint32_t tokens) {
+  engine::EngineClient client(&runtime);
+  std::vector<double> samples;
+  std::vector<std::uint64_t> values = {1};
+  for (std::uint32_t position = 0; position < tokens; ++position) {
+    const Instant start = runtime.Now();
+    for (std::uint32_t stage = 0; stage < chain.size(); ++stage) {
+      pipeline::StageStep step;
+      step.stage = stage;
+      step.position = position;
+      step.values = values;
+      step.sample = stage + 1 == chain.size();
+      const auto answers = client.RunSteps(
+          chain[stage], {{"hop-direct", 1, 0, step}}, seconds(5));
+      if (answers.has_error()) {
+        fmt::print(stderr, "engine: {}\n", answers.error().detail);
+        app::ExitNow(app::kExitFailure);
+      }
+      values = answers.value().front().values;
+      if (step.sample) {
+        values = {answers.value().front().token};
+      }
+    }
+    samples.push_back(ToSeconds(runtime.Now() - start));
+  }
+  PrintQuantiles("direct", samples);
+}
+
+// Through the dispatcher: the time between two tokens as an entry sees them.
+void RunThroughDispatch(io::Runtime& runtime,
+                        const io::Endpoint& dispatch,
+                        std::uint32_t cell,
+                        std::uint32_t tokens) {
+  const auto loop = rpc::RpcLoop::Create(&runtime);
+  const auto client = rpc::DispatchClient::Create(loop, dispatch);
+  rpc::CompletionRequest request;
+  request.request_id = "hop";
+  request.session = "hop-dispatch";
+  request.organisation = "skagen";
+  request.pipeline = "sprogmodel";
+  request.cell = cell;
+  request.prompt = {1};
+  request.max_tokens = tokens;
+  request.deadline = seconds(60);
+  std::vector<double> samples;
+  Instant last{};
+  const auto outcome = client->Complete(
+      request,
+      {[&](std::uint32_t index, std::uint32_t) {
+         const Instant now = runtime.Now();
+         if (index > 0) {
+           samples.push_back(ToSeconds(now - last));
+         }
+         last = now;
+       },
+       [] {}},
+      [](rpc::CallHandle) {});
+  if (outcome.has_error() || samples.empty()) {
+    fmt::print(stderr, "dispatch: no tokens\n");
+    app::ExitNow(app::kExitFailure);
+  }
+  PrintQuantiles("dispatch", samples);
+}
+
+}  // namespace
+}  // namespace chervilpass
+
+int main(int argc, char** argv) {
+  using namespace chervilpass;
+  TCLAP::CmdLine command("Time of one token with and without the dispatcher",
+                         ' ', CHERVILPASS_VERSION);
+  TCLAP::ValueArg<std::string> engines("", "engines", "one engine a stage",
+                                       true, "", "IP:PORT,...", command);
+  TCLAP::ValueArg<std::string> dispatch("", "dispatch", "dispatcher's RPC",
+                                        true, "", "IP:PORT", command);
+  TCLAP::ValueArg<std::string> cell("", "cell", "cell id, hexadecimal", true,
+                                    "", "HEX", command);
+  TCLAP::ValueArg<std::uint32_t> tokens("", "tokens", "tokens to time", false,
+                                        400, "N", command);
+  command.parse(argc, argv);
+  std::vector<io::Endpoint> chain;
+  for (const std::string& text : SplitText(engines.getValue(), ',')) {
+    chain.push_back(io::Endpoint::Parse(text).value());
+  }
+  io::Runtime::Run([&](io::Runtime& runtime) {
+    RunDirect(runtime, chain, tokens.getValue());
+    RunThroughDispatch(
+        runtime, io::Endpoint::Parse(dispatch.getValue()).value(),
+        static_cast<std::uint32_t>(std::stoul(cell.getValue(), nullptr, 16)),
+        tokens.getValue());
+  });
+  app::ExitNow(app::kExitOk);
+}
