An entry does not pass on 'not run' after it has lost a dispatcher

Change: it says 'unknown'. The schedule now makes an ownership disagreement of two asks, as two entries would.

--- a/chervilpass/entry/service_call_runner.cc
+++ b/chervilpass/entry/service_call_runner.cc
@@ -127,7 +127,12 @@
         context->metrics->Count("chervil_service_answers_total");
         return Answer(call.request_id, *answer, outcome.value().replayed);
       }
-      return Refuse(context, call.request_id, std::get<Refusal>(result));
+      Refusal refusal = std::get<Refusal>(result);
+      if (may_have_run && refusal.executed == Executed::kNo) {
+        // True of this dispatcher, but not known of the one that was lost.
+        refusal.executed = Executed::kUnknown;
+      }
+      return Refuse(context, call.request_id, refusal);
     }
     // The dispatcher is lost, and with it what it did. Asking the next one is
     // safe: a call that may not be repeated is guarded by its claim.
--- a/fault_tests/service_schedule.cc
+++ b/fault_tests/service_schedule.cc
@@ -120,13 +120,17 @@
     this->SendTo(dispatcher, number);
     if (this->disagreement) {
       this->disagreement = false;
+      ++this->asks;
       this->SendTo(
-          this->dispatchers[(this->owner + 1) % kDispatchers].get(), number);
+          this->dispatchers[(this->owner + 1) % kDispatchers].get(),
+          this->asks);
     }
     // The entry gives up on a silent dispatcher; a caller whose entry is lost
     // asks again with the same key.
     this->loop.After(kEntryPatience, [this, number] {
-      if (!this->final_word && this->asks == number) {
+      if (!this->final_word && this->asks >= number &&
+          this->gave_up_on < number) {
+        this->gave_up_on = this->asks;
         ++this->owner;
         this->Ask();
       }
@@ -173,7 +177,7 @@
                          (refusal->executed == Executed::kNo ||
                           refusal->code == RefusalCode::kStoreUnavailable ||
                           refusal->code == RefusalCode::kInProgress);
-      if (again && this->asks == number && this->asks < kMostAsks) {
+      if (again && this->asks < kMostAsks) {
         this->loop.After(refusal->retry_after, [this] { this->Ask(); });
         return;
       }
@@ -479,6 +483,9 @@
         this->store.lose_answers = 2;
         break;
       case Fault::kOwnershipDisagreement:
+        // The caller asks again through an entry that believes in another
+        // owner; both asks are under way at once.
+        ++this->asks;
         this->SendTo(
             this->dispatchers[(this->owner + 1) % kDispatchers].get(),
             this->asks);
@@ -539,6 +546,7 @@
   bool final_word = false;
   std::optional<std::string> body;
   std::uint32_t first_executed_ask = 0;  ///< 0: none has been
+  std::uint32_t gave_up_on = 0;  ///< last ask that the caller gave up on
   bool untruthful = false;
 };
 
