Giving up one RPC call no longer breaks the others on its connection

Cause: kj::Canceler::cancel(text) makes an exception of the kind DISCONNECTED, which the client took for a broken connection and dropped, with every other call on it, from inside a callback. Change: the cancelling exception is of the kind FAILED, and a connection is dropped only by calls that were sent on it. Ruled out: a swallowed exception as the remedy (tried, reverted: it hid the crash and left the refusals). Test: rpc::giving_up_one_call..., failed before, passes now. Also: a repeatable service call goes on to dispatchers of other data centres.

--- a/chervilpass/entry/service_call_runner.cc
+++ b/chervilpass/entry/service_call_runner.cc
@@ -1,6 +1,6 @@
 #include "chervilpass/entry/service_call_runner.h"
 
-#include <boost/json.hpp>
+#include <algorithm>
 #include <set>
 
 #include "chervilpass/core/hash.h"
@@ -29,9 +29,17 @@
                                         const std::string& request_id,
                                         std::uint32_t shards) {
   if (key.empty()) {
-    return membership::RendezvousOrder(
-        view.Dispatchers(context->data_centre, context->region),
-        HashText(request_id));
+    const std::uint64_t hash = HashText(request_id);
+    std::vector<std::string> order = membership::RendezvousOrder(
+        view.Dispatchers(context->data_centre, context->region), hash);
+    // If the near ones fail, any other will do.
+    for (const std::string& vm :
+         membership::RendezvousOrder(view.AllDispatchers(), hash)) {
+      if (std::find(order.begin(), order.end(), vm) == order.end()) {
+        order.push_back(vm);
+      }
+    }
+    return order;
   }
   const std::uint32_t shard = dispatch::ShardOfKey({organisation, key}, shards);
   return membership::RendezvousOrder(view.AllDispatchers(),
--- a/chervilpass/rpc/client_core.cc
+++ b/chervilpass/rpc/client_core.cc
@@ -1,6 +1,7 @@
 #include "chervilpass/rpc/client_core.h"
 
 #include <kj/exception.h>
+#include <kj/string.h>
 
 namespace chervilpass::rpc {
 
@@ -43,7 +44,11 @@
   // Cancelling runs the call's continuation, which erases the entry.
   kj::Own<kj::Canceler> canceler = kj::mv(found->second);
   this->running.erase(found);
-  canceler->cancel("given up by the caller");
+  // Not of the kind "disconnected": the connection is fine, and other calls
+  // are running on it.
+  canceler->cancel(kj::Exception(kj::Exception::Type::FAILED, __FILE__,
+                                 __LINE__,
+                                 kj::str("given up by the caller")));
 }
 
 RpcError FromKj(const kj::Exception& exception) {
--- a/chervilpass/rpc/client_core.h
+++ b/chervilpass/rpc/client_core.h
@@ -89,21 +89,25 @@
           [pending, result = std::move(result)] { pending->Resolve(result); });
     };
     auto canceler = kj::heap<kj::Canceler>();
-    auto answer = peer->connection.Bootstrap(context, peer->address)
-                      .then([send](capnp::Capability::Client client) {
-                        return send(client);
-                      });
+    // Only the connection that the call was sent on may be dropped for it.
+    const auto used = std::make_shared<std::uint64_t>(0);
+    auto answer =
+        peer->connection.Bootstrap(context, peer->address)
+            .then([peer, used, send](capnp::Capability::Client client) {
+              *used = peer->connection.Generation();
+              return send(client);
+            });
     auto guarded = canceler->wrap(kj::mv(answer));
     peer->running.emplace(call, kj::mv(canceler));
-    context.tasks->add(
-        guarded.then([finish](T&& value) { finish(std::move(value)); },
-                     [finish, peer](kj::Exception&& exception) {
-                       const RpcError error = FromKj(exception);
-                       if (error.code == RpcErrorCode::kDisconnected) {
-                         peer->connection.Reset(peer->connection.Generation());
-                       }
-                       finish(error);
-                     }));
+    context.tasks->add(guarded.then(
+        [finish](T&& value) { finish(std::move(value)); },
+        [finish, peer, used](kj::Exception&& exception) {
+          const RpcError error = FromKj(exception);
+          if (error.code == RpcErrorCode::kDisconnected) {
+            peer->connection.Reset(*used);
+          }
+          finish(error);
+        }));
   });
 }
 
--- a/chervilpass/rpc/loop.cc
+++ b/chervilpass/rpc/loop.cc
@@ -14,7 +14,7 @@
 namespace chervilpass::rpc {
 namespace {
 
-using Work = std::function<void(LoopContext&)>;
+using LoopWork = std::function<void(LoopContext&)>;
 
 // Failures of background work have been reported to their callers already.
 class IgnoreErrors final : public kj::TaskSet::ErrorHandler {
@@ -28,7 +28,7 @@
   io::Runtime* runtime = nullptr;
   int wake_fd = -1;
   std::mutex mutex;
-  std::vector<Work> queue;  // guarded by mutex
+  std::vector<LoopWork> queue;  // guarded by mutex
   bool stopping = false;    // guarded by mutex
   std::thread thread;
 
@@ -45,7 +45,7 @@
   }
 
   // Takes all queued work; false once the loop is to end.
-  bool Take(std::vector<Work>* work) {
+  bool Take(std::vector<LoopWork>* work) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     work->swap(this->queue);
     return !this->stopping;
@@ -59,13 +59,13 @@
     kj::UnixEventPort::FdObserver observer(
         io.unixEventPort, this->wake_fd,
         kj::UnixEventPort::FdObserver::OBSERVE_READ);
-    std::vector<Work> work;
+    std::vector<LoopWork> work;
     while (true) {
       // The observer reports edges: the counter is read before the queue, so
       // that work posted after the look at the queue makes a new edge.
       this->ClearWake();
       const bool go_on = this->Take(&work);
-      for (const Work& item : work) {
+      for (const LoopWork& item : work) {
         item(context);
       }
       if (!go_on) {
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -278,3 +278,85 @@
     cr_assert(late.error().code == rpc::RpcErrorCode::kTimeout);
   });
 }
+
+// A peer that resets connections while calls run and are given up on: each
+// call ends with an error, and the process lives on.
+Test(rpc, broken_connections_and_cancelled_calls_never_end_the_process) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(8);
+    std::atomic<bool> stop = false;
+    std::thread peer([&] {
+      boost::asio::io_context context;
+      boost::asio::ip::tcp::acceptor acceptor(
+          context, {boost::asio::ip::make_address(listen.ip), listen.port});
+      acceptor.non_blocking(true);
+      while (!stop) {
+        boost::system::error_code error;
+        boost::asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket, error);
+        std::this_thread::sleep_for(milliseconds(3));
+        if (!error) {
+          // Closing with a linger of zero sends a reset.
+          socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        }
+      }
+    });
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    int ended = 0;
+    constexpr int kCalls = 300;
+    for (int i = 0; i < kCalls; ++i) {
+      runtime.Spawn([&, i] {
+        rpc::CompletionRequest request;
+        request.prompt.resize(20000);  // Larger than the socket's buffer.
+        const auto outcome = client->Complete(
+            request, {[](std::uint32_t, std::uint32_t) {}, [] {}},
+            [&runtime, i](rpc::CallHandle handle) {
+              runtime.Spawn([&runtime, handle, i]() mutable {
+                runtime.SleepFor(microseconds(200 * (i % 40)));
+                handle.Cancel();
+              });
+            });
+        cr_assert(outcome.has_error());
+        ++ended;
+      });
+      runtime.SleepFor(milliseconds(1));
+    }
+    for (int i = 0; i < 500 && ended < kCalls; ++i) {
+      runtime.SleepFor(milliseconds(10));
+    }
+    cr_assert_eq(ended, kCalls);
+    stop = true;
+    peer.join();
+  });
+}
+
+Test(rpc, giving_up_one_call_leaves_the_others_on_the_connection_alone) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(9);
+    rpc::DispatchHandlers handlers;
+    handlers.complete = [&runtime](const rpc::CompletionRequest&,
+                                   const rpc::AttemptSink&,
+                                   const std::shared_ptr<rpc::CancelFlag>&) {
+      runtime.SleepFor(milliseconds(200));
+      return rpc::CompletionOutcome{rpc::Finished{7}, 0, 0};
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    const rpc::AttemptSink sink{[](std::uint32_t, std::uint32_t) {}, [] {}};
+    runtime.Spawn([&] {
+      const auto cancelled =
+          client->Complete({}, sink, [&runtime](rpc::CallHandle handle) {
+            runtime.Spawn([&runtime, handle]() mutable {
+              runtime.SleepFor(milliseconds(50));
+              handle.Cancel();
+            });
+          });
+      cr_assert(cancelled.has_error());
+    });
+    const auto other = client->Complete({}, sink, [](rpc::CallHandle) {});
+    cr_assert(other.has_value(), "%s",
+              other.has_error() ? other.error().detail.c_str() : "");
+  });
+}
