--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <vector>
 
 #include "chervilpass/io/await.h"
 
@@ -17,6 +18,9 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
+constexpr Duration kDiscardTime = milliseconds(500);
+constexpr std::size_t kDiscardPiece = 64 * 1024;             // bytes
+constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;      // bytes
 
 HttpRequest FromBeast(http::request<http::string_body>&& message) {
   HttpRequest request;
@@ -285,6 +289,25 @@
     Exchange exchange(stream, &this->settings, HttpRequest{}, false);
     exchange.Respond(
         this->error_responder(StatusOfReadError(error), error.message()));
+    this->DiscardInput(stream);
+  }
+
+  // Closing a socket with unread input resets the connection, and the peer may
+  // lose the answer: takes in what is still on its way, within bounds.
+  void DiscardInput(beast::tcp_stream* stream) {
+    boost::system::error_code ignored;
+    stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    std::vector<char> piece(kDiscardPiece);
+    stream->expires_after(kDiscardTime);
+    for (std::size_t taken = 0; taken < kDiscardLimit;) {
+      const Completion read = Await([&](auto handler) {
+        stream->async_read_some(asio::buffer(piece), std::move(handler));
+      });
+      if (read.error) {
+        return;
+      }
+      taken += read.bytes;
+    }
   }
 
   Runtime* runtime;
