--- a/fault_tests/process_matrix.py
+++ b/fault_tests/process_matrix.py
@@ -4,6 +4,7 @@
 import argparse
 import os
 import signal
+import socket
 import sys
 import threading
 import time
@@ -23,12 +24,77 @@
 SERVICE = "name: register, rate: 14, non_repeatable_share: 0.7"
 
 
+class Relay:
+    """A link that can be cut, or slowed, between a dispatcher and an engine."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target = listen, target
+        self.cut = False
+        self.half_open = False
+        self.delay = 0.0
+        self.sockets = set()
+        self.server = socket.create_server(listen)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.server.accept()
+            if self.cut:
+                near.close()
+                continue
+            try:
+                far = socket.create_connection(self.target, timeout=2)
+            except OSError:
+                near.close()
+                continue
+            far.settimeout(None)
+            self.sockets |= {near, far}
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(target=self.copy, args=(source, sink), daemon=True).start()
+
+    def copy(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                if not data:
+                    break
+                if self.delay:
+                    time.sleep(self.delay)
+                if not self.half_open:  # otherwise taken and never passed on
+                    sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def break_all(self):
+        for end in list(self.sockets):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.sockets.clear()
+
+
 class Matrix:
     def __init__(self, seed):
         self.seed = seed
         self.cells = self.runs = 0
         self.violations = []
         self.fleet = fleets.small_fleet(FOLDER, 20)
+        # Both replicas of one stage are reached over links that faults can
+        # strike, so that no session of the cell avoids them.
+        self.relays = []
+        for number, engine in enumerate(self.fleet.engines[4:6]):
+            host = self.fleet.ip(200 + number)
+            target = (engine.address.split(":")[0], fleets.ENGINE_PORT)
+            self.relays.append(Relay((host, fleets.ENGINE_PORT), target))
+            self.fleet.fleet_lines["backends"] = [
+                line.replace(engine.address, "%s:%d" % (host, fleets.ENGINE_PORT))
+                for line in self.fleet.fleet_lines["backends"]]
 
     # ---- faults: each returns what undoes it ----
 
@@ -55,6 +121,21 @@
             self.fleet.platform_faults(outage=False, slow_ms=0, lose_answers=0)
         return undo
 
+    def link(self, **values):
+        for relay in self.relays:
+            for name, value in values.items():
+                setattr(relay, name, value)
+            if relay.cut:
+                relay.break_all()
+
+        def undo():
+            time.sleep(1.5)
+            for relay in self.relays:
+                relay.cut = relay.half_open = False
+                relay.delay = 0.0
+                relay.break_all()
+        return undo
+
     def stop_in_turn(self):
         """A planned stop of every daemon, one after another, each restarted
         before the next is stopped."""
@@ -86,6 +167,9 @@
             "kill-service": lambda: self.kill(service),
             "lose-service-answers": lose_service_answers,
             "kill-vm": lambda: self.kill(*vm.processes()),
+            "cut-link": lambda: self.link(cut=True),
+            "half-open-link": lambda: self.link(half_open=True),
+            "slow-link": lambda: self.link(delay=0.1),
             "platform-down": lambda: self.platform(outage=True),
             "platform-slow": lambda: self.platform(slow_ms=300),
             "platform-answer-lost": lambda: self.platform(lose_answers=5),
--- a/performance_tests/bench.py
+++ b/performance_tests/bench.py
@@ -51,7 +51,8 @@
         cell = re.search(r"chosen=([0-9a-f]{8})", open(fleet.vms[0].entry.log).read()).group(1)
         done = subprocess.run(
             [os.path.join(PERFORMANCE, "hop-bench"), "--engines", ",".join(e.address for e in fleet.engines),
-             "--dispatch", "%s:%d" % (fleet.vms[0].ip, fleets.DISPATCH_PORT), "--cell", cell, "--tokens", str(tokens)],
+             "--dispatch", "%s:%d" % (fleet.vms[0].ip, fleets.DISPATCH_PORT), "--entry",
+             "%s:%d" % (fleet.vms[0].ip, fleets.HTTP_PORT), "--cell", cell, "--tokens", str(tokens)],
             capture_output=True, text=True, timeout=120)
         sys.stderr.write(done.stderr)
         rows = {text.split()[0]: fields(text) for text in done.stdout.splitlines()}
@@ -65,8 +66,15 @@
     line("hop.through_dispatch.p99", float(rows["dispatch"]["p99_ms"]), "ms/token")
     line("hop.through_entry.median", entry, "ms/token")
     line("hop.through_entry.p99", gaps[int(0.99 * (len(gaps) - 1))], "ms/token")
+    one = {name: float(rows["one_" + name]["median_ms"]) for name in ("direct", "dispatch", "entry")}
+    worst = {name: float(rows["one_" + name]["p99_ms"]) for name in ("direct", "dispatch", "entry")}
+    for name in ("direct", "dispatch", "entry"):
+        line("hop.one_token.%s.median" % name, one[name], "ms")
+        line("hop.one_token.%s.p99" % name, worst[name], "ms")
+    line("hop.added_by_dispatch", one["dispatch"] - one["direct"], "ms/token")
+    line("hop.added_by_entry", one["entry"] - one["dispatch"], "ms/token")
     # Of the 30 ms between tokens, the processes may take a tenth.
-    line("hop.added_by_dispatch_and_entry", entry - direct, "ms/token", 3)
+    line("hop.added_by_both", one["entry"] - one["direct"], "ms/token", 3)
 
 
 def through_entry(fleet, tokens):
--- a/performance_tests/hop_bench.cc
+++ b/performance_tests/hop_bench.cc
@@ -91,6 +91,79 @@
   PrintQuantiles("dispatch", samples);
 }
 
+// Latency of whole requests for one token: through the engines alone, through
+// the dispatcher, and through the entry. The difference is what each process
+// adds to a token on its way.
+void RunOneToken(io::Runtime& runtime,
+                 const std::vector<io::Endpoint>& chain,
+                 const io::Endpoint& dispatch,
+                 const io::Endpoint& entry,
+                 std::uint32_t cell,
+                 std::uint32_t count) {
+  engine::EngineClient engines(&runtime);
+  const auto loop = rpc::RpcLoop::Create(&runtime);
+  const auto dispatcher = rpc::DispatchClient::Create(loop, dispatch);
+  const auto http = io::HttpClient::Create(&runtime, {});
+  std::vector<double> direct;
+  std::vector<double> through_dispatch;
+  std::vector<double> through_entry;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const std::string session = fmt::format("one-{}", i);
+    Instant start = runtime.Now();
+    std::vector<std::uint64_t> values = {1};
+    for (std::uint32_t stage = 0; stage < chain.size(); ++stage) {
+      pipeline::StageStep step;
+      step.stage = stage;
+      step.values = values;
+      step.sample = stage + 1 == chain.size();
+      const auto answers = engines.RunSteps(chain[stage],
+                                            {{session, 1, 0, step}}, seconds(5));
+      if (answers.has_value()) {
+        values = answers.value().front().values;
+      }
+    }
+    direct.push_back(ToSeconds(runtime.Now() - start));
+    for (const io::Endpoint& worker : chain) {
+      const auto released = engines.ReleaseSessions(worker, {session}, seconds(5));
+      (void)released;
+    }
+
+    rpc::CompletionRequest request;
+    request.request_id = session;
+    request.session = session + "-d";
+    request.organisation = "skagen";
+    request.pipeline = "sprogmodel";
+    request.cell = cell;
+    request.prompt = {1};
+    request.max_tokens = 1;
+    request.deadline = seconds(60);
+    start = runtime.Now();
+    Instant arrived{};
+    const auto outcome = dispatcher->Complete(
+        request,
+        {[&](std::uint32_t, std::uint32_t) { arrived = runtime.Now(); },
+         [] {}},
+        [](rpc::CallHandle) {});
+    if (outcome.has_value()) {
+      through_dispatch.push_back(ToSeconds(arrived - start));
+    }
+
+    io::HttpRequest call;
+    call.method = "POST";
+    call.path = "/v1/completions";
+    call.headers.Add("Authorization", "Bearer key-skagen");
+    call.body = R"({"model":"sprogmodel","prompt":"hop","max_tokens":1})";
+    start = runtime.Now();
+    const auto answer = http->Call(entry, call, seconds(10));
+    if (answer.has_value() && answer.value().status == 200) {
+      through_entry.push_back(ToSeconds(runtime.Now() - start));
+    }
+  }
+  PrintQuantiles("one_direct", direct);
+  PrintQuantiles("one_dispatch", through_dispatch);
+  PrintQuantiles("one_entry", through_entry);
+}
+
 }  // namespace
 }  // namespace chervilpass
 
@@ -102,6 +175,8 @@
                                        true, "", "IP:PORT,...", command);
   TCLAP::ValueArg<std::string> dispatch("", "dispatch", "dispatcher's RPC",
                                         true, "", "IP:PORT", command);
+  TCLAP::ValueArg<std::string> entry("", "entry", "entry's HTTP", true, "",
+                                     "IP:PORT", command);
   TCLAP::ValueArg<std::string> cell("", "cell", "cell id, hexadecimal", true,
                                     "", "HEX", command);
   TCLAP::ValueArg<std::uint32_t> tokens("", "tokens", "tokens to time", false,
@@ -112,11 +187,15 @@
     chain.push_back(io::Endpoint::Parse(text).value());
   }
   io::Runtime::Run([&](io::Runtime& runtime) {
+    const auto cell_id =
+        static_cast<std::uint32_t>(std::stoul(cell.getValue(), nullptr, 16));
+    const io::Endpoint dispatcher =
+        io::Endpoint::Parse(dispatch.getValue()).value();
     RunDirect(runtime, chain, tokens.getValue());
-    RunThroughDispatch(
-        runtime, io::Endpoint::Parse(dispatch.getValue()).value(),
-        static_cast<std::uint32_t>(std::stoul(cell.getValue(), nullptr, 16)),
-        tokens.getValue());
+    RunThroughDispatch(runtime, dispatcher, cell_id, tokens.getValue());
+    RunOneToken(runtime, chain, dispatcher,
+                io::Endpoint::Parse(entry.getValue()).value(), cell_id,
+                tokens.getValue());
   });
   app::ExitNow(app::kExitOk);
 }
