Handlers no longer run inside a suspending fiber

Cause, from the stack of the spinning thread: the scheduler polled sockets in pick_next, which runs while the suspending fiber holds the spinlock of the condition it waits on; a handler that notifies that condition waits for the lock for ever. Change: a poller fiber is picked every 32 switches instead, with no lock held. Test: runtime::handlers_never_run_inside_a_suspending_fiber hung before (ended after 20 s), passes now; busy_fibers_leave_room_for_timers guards the polling. Also: an expected wait over 2 s (setting) is refused at once, and an overload is not asked again at the same cell.

--- a/chervilpass/dispatch/cell_queue.cc
+++ b/chervilpass/dispatch/cell_queue.cc
@@ -23,8 +23,8 @@
 }  // namespace
 
 struct CellQueue::State : std::enable_shared_from_this<CellQueue::State> {
-  State(io::Runtime* runtime, std::uint32_t queue_limit)
-      : runtime(runtime), queue(0, queue_limit) {}
+  State(io::Runtime* runtime, CellQueueSettings settings)
+      : runtime(runtime), settings(settings), queue(0, settings.limit) {}
 
   void Pump() {
     while (const auto ticket = this->queue.Next()) {
@@ -52,6 +52,7 @@
   }
 
   io::Runtime* runtime;
+  CellQueueSettings settings;
   admission::FairQueue queue;
   admission::WaitEstimator estimator;
   std::map<admission::TicketId, boost::fibers::promise<Admission>> waiting;
@@ -59,8 +60,8 @@
   bool expiring = false;
 };
 
-CellQueue::CellQueue(io::Runtime* runtime, std::uint32_t queue_limit)
-    : state(std::make_shared<State>(runtime, queue_limit)) {}
+CellQueue::CellQueue(io::Runtime* runtime, CellQueueSettings settings)
+    : state(std::make_shared<State>(runtime, settings)) {}
 
 CellQueue::~CellQueue() = default;
 
@@ -82,6 +83,9 @@
     if (now + wait > ticket.deadline) {
       return Overloaded(wait, "the expected wait passes the deadline");
     }
+    if (wait > state.settings.longest_wait) {
+      return Overloaded(wait, "the expected wait is over the longest allowed");
+    }
   }
   if (!state.queue.Push(ticket)) {
     return Overloaded(Duration(0), "the queue of the cell is full");
--- a/chervilpass/dispatch/cell_queue.h
+++ b/chervilpass/dispatch/cell_queue.h
@@ -13,10 +13,18 @@
 
 namespace chervilpass::dispatch {
 
+/// Describes a CellQueue.
+struct CellQueueSettings {
+  std::uint32_t limit = 256;           ///< waiting requests
+  Duration longest_wait = seconds(2);  ///< expected; refused above it
+
+  bool operator==(const CellQueueSettings&) const = default;
+};
+
 /// Lets requests run one cell, in fair order. Fiber thread only.
 class CellQueue {
  public:
-  CellQueue(io::Runtime* runtime, std::uint32_t queue_limit);
+  CellQueue(io::Runtime* runtime, CellQueueSettings settings);
   ~CellQueue();
   CellQueue(const CellQueue&) = delete;
   CellQueue& operator=(const CellQueue&) = delete;
@@ -25,8 +33,8 @@
   void SetCapacity(std::uint32_t capacity);
 
   /// Suspends the fiber until the request may run. Refuses at once if the
-  /// queue is full or the expected wait passes the deadline, and as soon as
-  /// the deadline has passed.
+  /// queue is full, or the expected wait passes the deadline or the longest
+  /// wait allowed, and as soon as the deadline has passed.
   Result<void, admission::Refusal> Enter(admission::Ticket ticket);
 
   /// A request that had entered has ended after `held`.
--- a/chervilpass/dispatch/completion_runner.cc
+++ b/chervilpass/dispatch/completion_runner.cc
@@ -45,8 +45,7 @@
   CellQueue& QueueOf(std::uint32_t cell) {
     auto& queue = this->queues[cell];
     if (queue == nullptr) {
-      queue = std::make_unique<CellQueue>(this->runtime,
-                                          this->settings.queue_limit);
+      queue = std::make_unique<CellQueue>(this->runtime, this->settings.queue);
     }
     return *queue;
   }
--- a/chervilpass/dispatch/completion_runner.h
+++ b/chervilpass/dispatch/completion_runner.h
@@ -7,6 +7,7 @@
 #include "chervilpass/control/view_link.h"
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
+#include "chervilpass/dispatch/cell_queue.h"
 #include "chervilpass/dispatch/worker_pool.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/quarantine/strike_book.h"
@@ -16,8 +17,8 @@
 
 /// Describes a CompletionRunner.
 struct CompletionRunnerSettings {
-  std::uint32_t queue_limit = 256;  ///< waiting requests of one cell
-  std::uint32_t most_chains = 8;    ///< chains tried for one attempt
+  CellQueueSettings queue;
+  std::uint32_t most_chains = 8;  ///< chains tried for one attempt
   Duration heartbeat_interval = milliseconds(250);
   WorkerPoolSettings workers;
 
--- a/chervilpass/entry/completion_call_runner.cc
+++ b/chervilpass/entry/completion_call_runner.cc
@@ -269,6 +269,8 @@
     }
     const Refusal& refusal = std::get<Refusal>(outcome.result);
     this->failed_cells.insert(attempt.cell);
+    this->met_overload = this->met_overload ||
+                         refusal.code == admission::RefusalCode::kOverloaded;
     this->context->log.Info("attempt.refused",
                             {{"request", this->call.request_id},
                              {"attempt", event.attempt},
@@ -361,8 +363,9 @@
     const bool all_failed =
         std::all_of(options.begin(), options.end(),
                     [](const auto& option) { return option.excluded; });
-    if (all_failed) {
-      // Each has failed once; what failed may have passed.
+    if (all_failed && !this->met_overload) {
+      // Each has failed once; what failed may have passed. An overload has not:
+      // asking again would add to it.
       this->failed_cells.clear();
       options = this->Options(view);
     }
@@ -531,6 +534,7 @@
   std::vector<routing::Cell> cells;
   std::map<std::uint32_t, Attempt> attempts;
   std::set<std::uint32_t> failed_cells;
+  bool met_overload = false;
   std::set<std::string> failed_dispatchers;
   bool first_token_seen = false;
   Instant last_token{};
--- a/chervilpass/io/fiber_scheduler.cc
+++ b/chervilpass/io/fiber_scheduler.cc
@@ -10,16 +10,25 @@
 
 }  // namespace
 
-FiberScheduler::FiberScheduler(boost::asio::io_context* context)
-    : context(context), work(context->get_executor()) {}
+FiberScheduler::FiberScheduler(boost::asio::io_context* context,
+                               PollerSlot* poller)
+    : context(context), poller(poller), work(context->get_executor()) {}
 
 void FiberScheduler::awakened(boost::fibers::context* fiber) noexcept {
+  if (fiber == this->poller->fiber) {
+    // Starting the count anew, so that the poller is not picked by its own
+    // yield.
+    this->poller->parked = true;
+    this->switches = 0;
+    return;
+  }
   fiber->ready_link(this->ready);
 }
 
 boost::fibers::context* FiberScheduler::pick_next() noexcept {
-  if (++this->switches % kSwitchesPerPoll == 0) {
-    this->context->poll();
+  if (++this->switches >= kSwitchesPerPoll && this->poller->parked) {
+    this->poller->parked = false;
+    return this->poller->fiber;
   }
   if (this->ready.empty()) {
     return nullptr;
--- a/chervilpass/io/fiber_scheduler.h
+++ b/chervilpass/io/fiber_scheduler.h
@@ -8,11 +8,19 @@
 
 namespace chervilpass::io {
 
-/// First-come-first-served scheduler of one thread. Sockets are polled every
-/// few dozen switches, so that busy fibers do not starve them.
+/// The fiber that polls sockets while others are busy. Handlers must not run in
+/// `pick_next` itself: the fiber that suspends may hold the lock of a condition
+/// that a handler notifies.
+struct PollerSlot {
+  boost::fibers::context* fiber = nullptr;  ///< null until it runs
+  bool parked = false;                      ///< waits to be picked
+};
+
+/// First-come-first-served scheduler of one thread. The poller fiber is picked
+/// every few dozen switches, so that busy fibers do not starve sockets.
 class FiberScheduler final : public boost::fibers::algo::algorithm {
  public:
-  explicit FiberScheduler(boost::asio::io_context* context);
+  FiberScheduler(boost::asio::io_context* context, PollerSlot* poller);
 
   void awakened(boost::fibers::context* fiber) noexcept override;
   boost::fibers::context* pick_next() noexcept override;
@@ -23,6 +31,7 @@
 
  private:
   boost::asio::io_context* context;
+  PollerSlot* poller;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   boost::fibers::scheduler::ready_queue_type ready;
   unsigned switches = 0;
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -19,8 +19,8 @@
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
 constexpr Duration kDiscardTime = milliseconds(500);
-constexpr std::size_t kDiscardPiece = 64 * 1024;             // bytes
-constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;      // bytes
+constexpr std::size_t kDiscardPiece = 64 * 1024;         // bytes
+constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
 
 HttpRequest FromBeast(http::request<http::string_body>&& message) {
   HttpRequest request;
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -17,6 +17,7 @@
 
 struct Runtime::State {
   boost::asio::io_context context{1};
+  PollerSlot poller;
 };
 
 Runtime::Runtime() : state(std::make_unique<State>()) {}
@@ -29,7 +30,14 @@
   std::promise<void> ended;
   std::thread([runtime, &body, &ended] {
     boost::fibers::use_scheduling_algorithm<FiberScheduler>(
-        &runtime->state->context);
+        &runtime->state->context, &runtime->state->poller);
+    runtime->Spawn([state = runtime->state.get()] {
+      state->poller.fiber = boost::fibers::context::active();
+      while (true) {
+        state->context.poll();
+        boost::this_fiber::yield();
+      }
+    });
     body(*runtime);
     ended.set_value();
     while (true) {
--- a/chervilpass/routing/completion_flow.cc
+++ b/chervilpass/routing/completion_flow.cc
@@ -94,6 +94,7 @@
     return {};
   }
   this->may_have_run = this->may_have_run || refusal.executed != Executed::kNo;
+  this->last_refusal = refusal;
   if (IsRetryable(refusal.code)) {
     return this->Retry(refusal, now);
   }
@@ -124,8 +125,9 @@
   if (!this->IsCurrent(attempt)) {
     return {};
   }
-  return this->Refuse({RefusalCode::kNoBackend, Executed::kNo, kRetryAfter,
-                       "no backend server of this pipeline can take it now"});
+  return this->Refuse(this->last_refusal.value_or(
+      Refusal{RefusalCode::kNoBackend, Executed::kNo, kRetryAfter,
+              "no backend server of this pipeline can take it now"}));
 }
 
 FlowActions CompletionFlow::OnCallerGone() {
--- a/chervilpass/routing/completion_flow.h
+++ b/chervilpass/routing/completion_flow.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -88,7 +89,7 @@
   FlowActions OnAttemptLost(std::uint32_t attempt, Instant now);
   /// No dispatcher could be reached: nothing was sent.
   FlowActions OnNotSent(std::uint32_t attempt, Instant now);
-  /// No cell is left to try.
+  /// No cell is left to try; the last refusal, if there was one, is final.
   FlowActions OnNoChoice(std::uint32_t attempt, Instant now);
   FlowActions OnCallerGone();
   /// To be called a few times within the stall time.
@@ -111,6 +112,7 @@
   std::uint32_t current = 0;  ///< number of the current attempt; 0: none yet
   bool ended = false;
   bool may_have_run = false;
+  std::optional<admission::Refusal> last_refusal;
   Instant last_progress{};
 };
 
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -51,8 +51,10 @@
   settings.completions.workers.batch_limit = static_cast<std::uint32_t>(
       workers.Integer("batch_limit", {1, 10000}, 64));
   config::SettingsReader queue = reader.Section("queue");
-  settings.completions.queue_limit =
+  settings.completions.queue.limit =
       static_cast<std::uint32_t>(queue.Integer("limit", {1, 1000000}, 256));
+  settings.completions.queue.longest_wait =
+      queue.Milliseconds("longest_wait_ms", {1, 3600000}, 2000);
   config::SettingsReader ledger = reader.Section("ledger");
   settings.ledger.shards =
       static_cast<std::uint32_t>(ledger.Integer("shards", {1, 1024}, 4));
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -1,16 +1,20 @@
 // Tests of the fiber runtime, the HTTP server and client, and the RPC between
 // daemons, on loopback sockets.
-#include <criterion/criterion.h>
-
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
 #include <thread>
 
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/rpc/dispatch_rpc.h"
 
+// Last: its macros clash with names in Boost.
+#include <criterion/criterion.h>
+
 using namespace chervilpass;
 using namespace chervilpass::io;
 
@@ -76,6 +80,60 @@
   });
 }
 
+// Handlers notify a condition on which the thread's fibers are just about to
+// suspend. Handlers that ran while a fiber holds the condition's lock would
+// wait for it for ever.
+Test(runtime, handlers_never_run_inside_a_suspending_fiber) {
+  OnRuntime([](Runtime& runtime) {
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable condition;
+    std::atomic<bool> stop = false;
+    std::thread poster([&] {
+      while (!stop) {
+        for (int i = 0; i < 50; ++i) {
+          runtime.Post([&] { condition.notify_one(); });
+        }
+        std::this_thread::sleep_for(microseconds(50));
+      }
+    });
+    int ended = 0;
+    for (int f = 0; f < 8; ++f) {
+      runtime.Spawn([&] {
+        for (int i = 0; i < 4000; ++i) {
+          std::unique_lock<boost::fibers::mutex> lock(mutex);
+          condition.wait_for(lock, milliseconds(1));
+        }
+        ++ended;
+      });
+    }
+    while (ended < 8) {
+      runtime.SleepFor(milliseconds(5));
+    }
+    stop = true;
+    poster.join();
+  });
+}
+
+// Fibers that are always ready do not starve sockets and timers.
+Test(runtime, busy_fibers_leave_room_for_timers) {
+  OnRuntime([](Runtime& runtime) {
+    bool stop = false;
+    for (int f = 0; f < 3; ++f) {
+      runtime.Spawn([&stop] {
+        while (!stop) {
+          boost::this_fiber::yield();
+        }
+      });
+    }
+    const Instant start = runtime.Now();
+    for (int i = 0; i < 20; ++i) {
+      runtime.SleepFor(milliseconds(1));
+    }
+    stop = true;
+    cr_assert(runtime.Now() - start < milliseconds(500));
+  });
+}
+
 Test(http, request_and_response_arrive_whole) {
   OnRuntime([](Runtime& runtime) {
     const Endpoint listen = TestEndpoint(1);
--- a/unit_tests/routing_test.cc
+++ b/unit_tests/routing_test.cc
@@ -287,3 +287,15 @@
   cr_assert(Find<CancelAttempt>(flow.OnCallerGone()) != nullptr);
   cr_assert(flow.Ended());
 }
+
+Test(flow, with_no_cell_left_the_last_refusal_is_final) {
+  RetryBudget budget({});
+  CompletionFlow flow(FlowSettings(), &budget);
+  flow.Start(Instant{});
+  const Refusal overloaded{RefusalCode::kOverloaded, Executed::kNo, seconds(4),
+                           "full"};
+  cr_assert(Find<StartAttempt>(flow.OnRefused(1, overloaded, Instant{})) !=
+            nullptr);
+  const auto actions = flow.OnNoChoice(2, Instant{});
+  cr_assert(Find<RefuseAnswer>(actions)->refusal == overloaded);
+}
