Load tool: throughput counts tokens that came while load was offered

Cause: the backlog worked off after the last arrival was divided by the time of arrivals alone: 1.5 and 1.9 of the bound were printed at 1.5 and 3 times the load. Change: tokens after the end of arrivals do not count.

--- a/programs/load/caller.cc
+++ b/programs/load/caller.cc
@@ -207,6 +207,9 @@
       this->record.longest_gap = std::max(this->record.longest_gap, gap);
     }
     this->last_token = now;
+    if (now - this->context->start < this->context->experiment->duration) {
+      ++this->record.tokens_in_time;
+    }
     this->context->recorder->OnToken(now - this->context->start, gap);
   }
 
--- a/programs/load/recorder.h
+++ b/programs/load/recorder.h
@@ -31,6 +31,7 @@
   Duration first_token{0};  ///< from the start of the request
   Duration longest_gap{0};  ///< between two tokens
   std::uint32_t tokens = 0;
+  std::uint32_t tokens_in_time = 0;  ///< before arrivals ended
   std::uint32_t connections = 0;  ///< used for this request
   bool keyed = false;             ///< may not be repeated
 };
--- a/programs/load/report.cc
+++ b/programs/load/report.cc
@@ -125,8 +125,10 @@
       ++refusals[record.refusal + "/" + record.executed];
     }
     if (record.ending == Ending::kCorrect) {
-      correct_tokens += record.tokens;
-      tokens_by_org[record.organisation] += record.tokens;
+      // Only what came while load was offered: the backlog that is worked off
+      // afterwards would make the rate look higher than it was.
+      correct_tokens += record.tokens_in_time;
+      tokens_by_org[record.organisation] += record.tokens_in_time;
       if (record.first_token.count() > 0) {
         first_tokens.push_back(ToSeconds(record.first_token));
       }
