--- a/chervilpass/control/control_node.cc
+++ b/chervilpass/control/control_node.cc
@@ -5,11 +5,9 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <map>
-#include <optional>
 
-#include "chervilpass/config/change_merge.h"
 #include "chervilpass/config/config_json.h"
-#include "chervilpass/control/config_book.h"
+#include "chervilpass/control/config_keeper.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/io/udp_socket.h"
 #include "chervilpass/membership/rendezvous.h"
@@ -20,37 +18,17 @@
 
 using membership::Member;
 using membership::Status;
-using platform::PlatformErrorCode;
 
-constexpr const char* kConfigObject = "config/fleet";
 constexpr Duration kViewWait = milliseconds(500);  // of one watch call
 constexpr Duration kRoleTimeout = milliseconds(1200);
 constexpr Duration kRoleCheckInterval = milliseconds(100);
 constexpr Duration kSeedInterval = seconds(5);
 constexpr Duration kPullTimeout = seconds(2);
-constexpr Duration kLeastBackoff = milliseconds(100);
-constexpr Duration kLongestBackoff = seconds(5);
 constexpr Duration kLeavingLifetime = seconds(60);
 constexpr std::uint32_t kAnnounceFanout = 3;
-constexpr std::uint32_t kChangeAttempts = 5;
 constexpr std::uint64_t kRelayKey = 0x72656c61790000ULL;
 constexpr std::size_t kStrikesInView = 64;
 
-// Exponential backoff with full jitter.
-class Backoff {
- public:
-  Duration Next(Random* random) {
-    this->ceiling = std::min(kLongestBackoff, this->ceiling * 2);
-    return duration_cast<Duration>(
-        random->Unit() *
-        std::chrono::duration<double>(ToSeconds(this->ceiling)));
-  }
-  void Reset() { this->ceiling = kLeastBackoff; }
-
- private:
-  Duration ceiling = kLeastBackoff;
-};
-
 // A daemon of this VM is up while it asks for views.
 struct RoleWatch {
   Instant last_seen{};
@@ -84,7 +62,13 @@
                  this->settings.self,
                  seed,
                  runtime->Now()),
-        loss_guard(this->settings.loss_guard) {}
+        loss_guard(this->settings.loss_guard),
+        keeper(runtime,
+               this->log,
+               this->store,
+               seed,
+               [this](const std::string& from) { this->OnConfigTaken(from); }) {
+  }
 
   void Start() {
     const auto self = this->shared_from_this();
@@ -180,7 +164,8 @@
   }
 
   void Do(const membership::ConfigHeard& heard) {
-    if (this->pulling || heard.member.config_version <= this->book.Version()) {
+    if (this->pulling ||
+        heard.member.config_version <= this->keeper.Book().Version()) {
       return;
     }
     this->pulling = true;
@@ -196,7 +181,8 @@
       client = rpc::ControlClient::Create(this->loop,
                                           {member.ip, member.control_port});
     }
-    const auto changes = client->PullConfig(this->book.Version(), kPullTimeout);
+    const auto changes =
+        client->PullConfig(this->keeper.Book().Version(), kPullTimeout);
     this->pulling = false;
     if (changes.has_error()) {
       this->log.Warning(
@@ -207,13 +193,11 @@
     }
     this->metrics->Count("chervil_config_bytes_pulled_total", "",
                          changes.value().body.size());
-    if (this->book.Take(changes.value())) {
-      this->OnConfigTaken(member.vm);
-    }
+    this->keeper.TakeFromPeer(changes.value(), member.vm);
   }
 
   void OnConfigTaken(const std::string& from) {
-    const std::uint64_t version = this->book.Version();
+    const std::uint64_t version = this->keeper.Book().Version();
     this->log.Info("config.taken", {{"version", version}, {"from", from}});
     this->metrics->Count("chervil_config_taken_total");
     this->detector.SetConfigVersion(version);
@@ -243,111 +227,15 @@
 
   // Reads the configuration at start and, on relays, watches it.
   void ConfigLoop() {
-    Backoff backoff;
     while (true) {
-      if (!this->IsRelay() && this->book.Version() > 0) {
+      if (!this->IsRelay() && this->keeper.Book().Version() > 0) {
         this->runtime->SleepFor(this->settings.vm_list_interval);
         continue;
       }
-      const auto object =
-          this->store_version == 0
-              ? this->store->Get(kConfigObject)
-              : this->store->Watch(kConfigObject, this->store_version,
-                                   this->settings.watch_timeout);
-      if (object.has_value()) {
-        backoff.Reset();
-        this->TakeStored(object.value());
-        continue;
-      }
-      if (object.error().code == PlatformErrorCode::kNotFound &&
-          this->store_version != 0) {
-        backoff.Reset();  // The watch ended without news.
-        continue;
-      }
-      this->runtime->SleepFor(backoff.Next(&this->random));
-    }
-  }
-
-  void TakeStored(const platform::StoredObject& object) {
-    this->store_version = std::max(this->store_version, object.version);
-    auto config = config::ConfigFromJson(object.value);
-    if (config.has_error()) {
-      this->log.Error("config.unreadable",
-                      {{"detail", config::ToText(config.error())}});
-      return;
-    }
-    if (this->book.Take(std::move(config).value())) {
-      this->OnConfigTaken("platform");
+      this->keeper.FollowOnce(this->settings.watch_timeout);
     }
   }
 
-  rpc::ChangeResult Change(const rpc::ChangeRequest& request) {
-    const auto delta = config::DeltaFromJson(request.delta);
-    if (delta.has_error()) {
-      return rpc::ChangeInvalid{config::ToText(delta.error())};
-    }
-    std::string last_detail = "the platform does not answer";
-    for (std::uint32_t i = 0; i < kChangeAttempts; ++i) {
-      // What the store holds decides, not what this node has heard of.
-      const auto stored = this->store->Get(kConfigObject);
-      std::uint64_t store_version = 0;
-      if (stored.has_value()) {
-        this->TakeStored(stored.value());
-        store_version = stored.value().version;
-      } else if (stored.error().code != PlatformErrorCode::kNotFound) {
-        last_detail = stored.error().detail;
-        continue;
-      }
-      const auto result =
-          this->TryChange(delta.value(), request.change_id, store_version);
-      if (result) {
-        return *result;
-      }
-    }
-    return rpc::ChangeUnavailable{last_detail};
-  }
-
-  // One attempt on top of the stored version; empty if it is to be made again.
-  std::optional<rpc::ChangeResult> TryChange(const config::ConfigDelta& delta,
-                                             const std::string& change_id,
-                                             std::uint64_t store_version) {
-    const auto current =
-        store_version == 0 ? this->book.Find(0) : this->book.Current();
-    if (const std::uint64_t made =
-            config::VersionOfChange(*current, change_id)) {
-      return rpc::ChangeAccepted{made};
-    }
-    const auto base = this->book.Find(delta.from_version);
-    auto merged = config::MergeChange(*current, base.get(), delta, change_id);
-    if (const auto* conflict = std::get_if<config::MergeConflict>(&merged)) {
-      return rpc::ChangeConflict{conflict->detail};
-    }
-    if (std::holds_alternative<config::BaseUnknown>(merged)) {
-      return rpc::ChangeConflict{fmt::format(
-          "version {} is too old to merge with; get the table again\n",
-          delta.from_version)};
-    }
-    if (const auto* errors = std::get_if<config::ConfigErrors>(&merged)) {
-      return rpc::ChangeInvalid{config::ToText(*errors)};
-    }
-    config::FleetConfig next = std::get<config::FleetConfig>(std::move(merged));
-    const std::string json = config::ToJson(next);
-    const auto written =
-        store_version == 0
-            ? this->store->CreateObject(kConfigObject, json)
-            : this->store->Update(kConfigObject, store_version, json);
-    if (written.has_error()) {
-      // Another operator was first, or the answer was lost: look again.
-      return std::nullopt;
-    }
-    this->store_version = std::max(this->store_version, written.value());
-    const std::uint64_t version = next.version;
-    if (this->book.Take(std::move(next))) {
-      this->OnConfigTaken("operator");
-    }
-    return rpc::ChangeAccepted{version};
-  }
-
   // ---- VM list ----
 
   void VmListLoop() {
@@ -374,7 +262,7 @@
   }
 
   void OnListedLeaving(const std::string& name) {
-    const auto config = this->book.Current();
+    const auto config = this->keeper.Book().Current();
     if (config != nullptr && config->backends.contains(name)) {
       this->Apply(this->detector.AddLeaving({name, this->runtime->WallNow()}));
     } else {
@@ -411,7 +299,7 @@
     role.last_seen = this->runtime->Now();
     rpc::View view;
     view.generation = this->generation;
-    view.config_version = this->book.Version();
+    view.config_version = this->keeper.Book().Version();
     if (this->generation == query.known_generation) {
       return view;
     }
@@ -420,8 +308,8 @@
     for (const auto& [backend, at] : this->leaving) {
       view.leaving_backends.push_back(backend);
     }
-    if (this->book.Version() > query.known_config) {
-      view.config = this->book.CurrentJson();
+    if (this->keeper.Book().Version() > query.known_config) {
+      view.config = this->keeper.Book().CurrentJson();
     }
     return view;
   }
@@ -473,8 +361,7 @@
   Random random;
   membership::Detector detector;
   membership::LossGuard loss_guard;
-  ConfigBook book;
-  std::uint64_t store_version = 0;  // of the configuration object
+  ConfigKeeper keeper;
   bool pulling = false;
   std::map<std::string, std::shared_ptr<rpc::ControlClient>> peers;  // by VM
   std::vector<quarantine::Strike> strikes;
@@ -519,11 +406,12 @@
     return state->WatchView(query);
   };
   handlers.pull_config = [state = this->state](std::uint64_t have) {
-    return state->book.Version() == 0 ? rpc::ConfigChanges{}
-                                      : state->book.ChangesSince(have);
+    return state->keeper.Book().Version() == 0
+               ? rpc::ConfigChanges{}
+               : state->keeper.Book().ChangesSince(have);
   };
   handlers.get_version = [state = this->state](std::uint64_t version) {
-    const auto config = state->book.Find(version);
+    const auto config = state->keeper.Book().Find(version);
     return config == nullptr
                ? rpc::ConfigChanges{}
                : rpc::ConfigChanges{version, true, config::ToJson(*config)};
@@ -533,7 +421,7 @@
     state->Apply(state->detector.AddStrike(strike));
   };
   handlers.change = [state = this->state](const rpc::ChangeRequest& request) {
-    return state->Change(request);
+    return state->keeper.Change(request);
   };
   return handlers;
 }
@@ -557,7 +445,7 @@
   set("chervil_gossip_bytes_sent", this->state->socket->BytesSent());
   set("chervil_gossip_datagrams_sent", this->state->socket->DatagramsSent());
   set("chervil_gossip_bytes_received", this->state->bytes_received);
-  set("chervil_config_version", this->state->book.Version());
+  set("chervil_config_version", this->state->keeper.Book().Version());
   set("chervil_view_generation", this->state->generation);
   std::uint64_t alive = 0;
   for (const Member& member : this->state->detector.Members()) {
--- a/chervilpass/entry/completion_call_runner.cc
+++ b/chervilpass/entry/completion_call_runner.cc
@@ -4,23 +4,20 @@
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
-#include <boost/json.hpp>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 
 #include "chervilpass/core/hash.h"
-#include "chervilpass/entry/problem.h"
+#include "chervilpass/entry/answer_writer.h"
 #include "chervilpass/membership/rendezvous.h"
-#include "chervilpass/pipeline/tokenizer.h"
 #include "chervilpass/routing/cells.h"
 #include "chervilpass/routing/completion_flow.h"
 
 namespace chervilpass::entry {
 namespace {
 
-namespace json = boost::json;
 using admission::Refusal;
 
 constexpr Duration kTickInterval = milliseconds(50);
@@ -68,101 +65,6 @@
   boost::fibers::condition_variable filled;
 };
 
-// ---- the answer to the caller ----
-
-// Writes the answer in the form that the caller asked for.
-class AnswerWriter {
- public:
-  AnswerWriter(const CompletionCall& call, io::HttpExchange* exchange)
-      : call(call), exchange(exchange) {}
-
-  // False once the caller is gone.
-  bool Token(std::uint32_t index, std::uint32_t token) {
-    if (index >= this->call.skip_tokens) {
-      this->tokens.push_back(token);
-    }
-    if (!this->call.stream || index < this->call.skip_tokens) {
-      return true;
-    }
-    if (!this->streaming && !this->Begin()) {
-      return false;
-    }
-    return this->exchange->WriteChunk(fmt::format(
-        "id: {}\ndata: {}\n\n", index,
-        json::serialize(json::object{{"index", index},
-                                     {"token", token},
-                                     {"text", pipeline::TokenText(token)}})));
-  }
-
-  void Complete() {
-    if (this->call.stream) {
-      if (this->streaming || this->Begin()) {
-        this->exchange->WriteChunk("data: [DONE]\n\n");
-        this->exchange->EndStream();
-      }
-      return;
-    }
-    io::HttpResponse response = this->Head("application/json");
-    response.body = this->WholeAnswer();
-    this->exchange->Respond(response);
-  }
-
-  void Refuse(const Refusal& refusal) {
-    if (!this->streaming) {
-      io::HttpResponse response = ProblemResponse(refusal);
-      response.headers.Add("X-Request-Id", this->call.request_id);
-      return this->exchange->Respond(response);
-    }
-    this->exchange->WriteChunk(
-        fmt::format("event: error\ndata: {}\n\n", ProblemJson(refusal)));
-    this->exchange->EndStream();
-  }
-
-  bool CallerGone() { return this->exchange->PeerGone(); }
-
- private:
-  io::HttpResponse Head(const char* content_type) const {
-    io::HttpResponse head;
-    head.headers.Add("Content-Type", content_type);
-    head.headers.Add("X-Request-Id", this->call.request_id);
-    head.headers.Add("X-Seed", std::to_string(this->call.seed));
-    return head;
-  }
-
-  bool Begin() {
-    this->streaming = true;
-    io::HttpResponse head = this->Head("text/event-stream");
-    head.headers.Add("Cache-Control", "no-store");
-    return this->exchange->BeginStream(head);
-  }
-
-  std::string WholeAnswer() const {
-    std::string text;
-    json::array ids;
-    for (const std::uint32_t token : this->tokens) {
-      text += pipeline::TokenText(token);
-      ids.emplace_back(token);
-    }
-    const json::object choice = {{"index", 0},
-                                 {"text", text},
-                                 {"tokens", ids},
-                                 {"finish_reason", "length"}};
-    const json::object usage = {{"prompt_tokens", this->call.prompt.size()},
-                                {"completion_tokens", this->tokens.size()}};
-    return json::serialize(json::object{{"id", this->call.request_id},
-                                        {"object", "text_completion"},
-                                        {"model", this->call.pipeline},
-                                        {"seed", this->call.seed},
-                                        {"choices", json::array{choice}},
-                                        {"usage", usage}});
-  }
-
-  const CompletionCall& call;
-  io::HttpExchange* exchange;
-  std::vector<std::uint32_t> tokens;
-  bool streaming = false;
-};
-
 // ---- the request ----
 
 class CompletionCallRunner {
--- a/stand_ins/engine/main.cc
+++ b/stand_ins/engine/main.cc
@@ -9,6 +9,7 @@
 #include "chervilpass/core/hash.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/pipeline/tokenizer.h"
+#include "stand_ins/common/serve.h"
 #include "stand_ins/engine/engine_model.h"
 
 namespace chervilpass::stand_ins {
@@ -341,25 +342,14 @@
         return ReadSettings(reader, command_line);
       });
   io::Runtime::Run([&](io::Runtime& runtime) {
-    const Logger log(settings.log);
     Engine engine(&runtime, settings);
     engine.Start();
     io::HttpServerSettings server_settings;
     server_settings.listen = settings.listen;
     server_settings.body_limit = 32 * 1024 * 1024;
-    auto server = io::HttpServer::Create(
-        &runtime, server_settings,
-        [&engine](io::HttpExchange& exchange) { engine.Handle(exchange); },
-        [](unsigned status, std::string_view detail) {
-          return io::HttpResponse{status, {}, std::string(detail)};
-        });
-    if (server.has_error()) {
-      log.Error("listen.failed", {{"detail", server.error().detail}});
-      app::ExitNow(app::kExitFailure);
-    }
-    log.Info("engine.ready", {{"listen", settings.listen.ToText()}});
-    runtime.WaitForStopSignal();
-    app::ExitNow(app::kExitOk);
+    ServeUntilStopped(
+        &runtime, settings.log, server_settings, "engine.ready",
+        [&engine](io::HttpExchange& exchange) { engine.Handle(exchange); });
   });
   return app::kExitOk;
 }
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -11,6 +11,7 @@
 #include "chervilpass/app/program.h"
 #include "chervilpass/core/token_bucket.h"
 #include "chervilpass/io/http_server.h"
+#include "stand_ins/common/serve.h"
 
 namespace chervilpass::stand_ins {
 namespace {
@@ -239,24 +240,13 @@
         return read;
       });
   io::Runtime::Run([&](io::Runtime& runtime) {
-    const Logger log(settings.log);
     Platform platform(&runtime, settings);
     io::HttpServerSettings server_settings;
     server_settings.listen = settings.listen;
     server_settings.body_limit = 2 * kLargestValue;
-    auto server = io::HttpServer::Create(
-        &runtime, server_settings,
-        [&platform](io::HttpExchange& exchange) { platform.Handle(exchange); },
-        [](unsigned status, std::string_view detail) {
-          return io::HttpResponse{status, {}, std::string(detail)};
-        });
-    if (server.has_error()) {
-      log.Error("listen.failed", {{"detail", server.error().detail}});
-      app::ExitNow(app::kExitFailure);
-    }
-    log.Info("platform.ready", {{"listen", settings.listen.ToText()}});
-    runtime.WaitForStopSignal();
-    app::ExitNow(app::kExitOk);
+    ServeUntilStopped(
+        &runtime, settings.log, server_settings, "platform.ready",
+        [&platform](io::HttpExchange& exchange) { platform.Handle(exchange); });
   });
   return app::kExitOk;
 }
--- a/stand_ins/service/main.cc
+++ b/stand_ins/service/main.cc
@@ -5,6 +5,7 @@
 
 #include "chervilpass/app/program.h"
 #include "chervilpass/io/http_server.h"
+#include "stand_ins/common/serve.h"
 
 namespace chervilpass::stand_ins {
 namespace {
@@ -92,23 +93,12 @@
     return read;
   });
   io::Runtime::Run([&](io::Runtime& runtime) {
-    const Logger log(settings.log);
     Service service(&runtime, settings);
     io::HttpServerSettings server_settings;
     server_settings.listen = settings.listen;
-    auto server = io::HttpServer::Create(
-        &runtime, server_settings,
-        [&service](io::HttpExchange& exchange) { service.Handle(exchange); },
-        [](unsigned status, std::string_view detail) {
-          return io::HttpResponse{status, {}, std::string(detail)};
-        });
-    if (server.has_error()) {
-      log.Error("listen.failed", {{"detail", server.error().detail}});
-      app::ExitNow(app::kExitFailure);
-    }
-    log.Info("service.ready", {{"listen", settings.listen.ToText()}});
-    runtime.WaitForStopSignal();
-    app::ExitNow(app::kExitOk);
+    ServeUntilStopped(
+        &runtime, settings.log, server_settings, "service.ready",
+        [&service](io::HttpExchange& exchange) { service.Handle(exchange); });
   });
   return app::kExitOk;
 }
