--- a/chervilpass/dispatch/completion_runner.cc
+++ b/chervilpass/dispatch/completion_runner.cc
@@ -50,6 +50,11 @@
     return *queue;
   }
 
+  admission::GapLimit& LimitOf(std::uint32_t cell) {
+    return this->limits.try_emplace(cell, this->settings.gap_limit)
+        .first->second;
+  }
+
   // Cells are formed again only when the configuration has changed.
   const std::vector<routing::Cell>& CellsOf(const config::FleetConfig& config,
                                             const std::string& pipeline) {
@@ -156,6 +161,7 @@
   std::set<quarantine::Strike> cleared;  // strikes taken back
   std::shared_ptr<WorkerPool> workers;
   std::map<std::uint32_t, std::unique_ptr<CellQueue>> queues;
+  std::map<std::uint32_t, admission::GapLimit> limits;      // by cell
   std::map<std::string, std::vector<routing::Cell>> cells;  // by pipeline
   std::uint64_t cells_version = 0;
   std::map<std::uint64_t, SharedChain> shared_chains;       // by fingerprint
@@ -321,7 +327,7 @@
           step = send->step;
         } else if (const auto* token =
                        std::get_if<pipeline::EmitToken>(&action)) {
-          this->state->metrics->Count("chervil_tokens_total");
+          this->CountToken();
           this->sink.token(token->index, token->token);
         } else if (std::holds_alternative<pipeline::SessionDone>(action)) {
           return SessionEnd::kDone;
@@ -339,6 +345,18 @@
     }
   }
 
+  // Counts a token and tells the cell's limit how long it took.
+  void CountToken() {
+    this->state->metrics->Count("chervil_tokens_total");
+    const Instant now = this->state->runtime->Now();
+    if (this->last_token != Instant{}) {
+      this->state->LimitOf(this->cell.id)
+          .OnGap(now - this->last_token,
+                 this->state->QueueOf(this->cell.id).Running(), now);
+    }
+    this->last_token = now;
+  }
+
   pipeline::SessionActions RunStep(const pipeline::StageStep& step) {
     const auto view = this->state->link->Current();
     const auto backend = view->config->backends.find(step.worker);
@@ -365,6 +383,7 @@
   pipeline::DecodeSession session;
   StepOwner owner;
   std::uint64_t steps_sent = 0;
+  Instant last_token{};  // none yet
 };
 
 }  // namespace
@@ -418,7 +437,8 @@
   const config::TableRow row =
       view->config->RowOf(request.organisation, request.pipeline);
   CellQueue& queue = state.QueueOf(request.cell);
-  queue.SetCapacity(State::CapacityOf(state.ReplicasOf(*view, cell)));
+  queue.SetCapacity(std::min(State::CapacityOf(state.ReplicasOf(*view, cell)),
+                             state.LimitOf(request.cell).Limit()));
   const Instant arrived = state.runtime->Now();
   const auto with_load = [&queue](auto result) {
     return rpc::CompletionOutcome{
--- a/chervilpass/dispatch/completion_runner.h
+++ b/chervilpass/dispatch/completion_runner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "chervilpass/admission/gap_limit.h"
 #include "chervilpass/control/view_link.h"
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
@@ -18,6 +19,7 @@
 /// Describes a CompletionRunner.
 struct CompletionRunnerSettings {
   CellQueueSettings queue;
+  admission::GapLimitSettings gap_limit;
   std::uint32_t most_chains = 8;  ///< chains tried for one attempt
   Duration heartbeat_interval = milliseconds(250);
   WorkerPoolSettings workers;
--- a/chervilpass/dispatch/worker_pool.h
+++ b/chervilpass/dispatch/worker_pool.h
@@ -22,8 +22,8 @@
 /// Describes a WorkerPool.
 struct WorkerPoolSettings {
   Duration step_timeout = seconds(2);
-  std::uint32_t batches_in_flight = 2;  ///< for each worker
-  std::uint32_t batch_limit = 64;       ///< steps of one HTTP request
+  std::uint32_t batches_in_flight = 8;  ///< for each worker
+  std::uint32_t batch_limit = 4;        ///< steps of one HTTP request
   routing::WorkerHealthSettings health;
 
   bool operator==(const WorkerPoolSettings&) const = default;
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -47,14 +47,16 @@
   settings.completions.workers.step_timeout =
       workers.Milliseconds("step_timeout_ms", {10, 600000}, 2000);
   settings.completions.workers.batches_in_flight = static_cast<std::uint32_t>(
-      workers.Integer("batches_in_flight", {1, 64}, 2));
-  settings.completions.workers.batch_limit = static_cast<std::uint32_t>(
-      workers.Integer("batch_limit", {1, 10000}, 64));
+      workers.Integer("batches_in_flight", {1, 64}, 8));
+  settings.completions.workers.batch_limit =
+      static_cast<std::uint32_t>(workers.Integer("batch_limit", {1, 10000}, 4));
   config::SettingsReader queue = reader.Section("queue");
   settings.completions.queue.limit =
       static_cast<std::uint32_t>(queue.Integer("limit", {1, 1000000}, 256));
   settings.completions.queue.longest_wait =
       queue.Milliseconds("longest_wait_ms", {1, 3600000}, 2000);
+  settings.completions.gap_limit.target =
+      queue.Milliseconds("target_token_gap_ms", {1, 600000}, 25);
   config::SettingsReader ledger = reader.Section("ledger");
   settings.ledger.shards =
       static_cast<std::uint32_t>(ledger.Integer("shards", {1, 1024}, 4));
--- a/programs/load/recorder.h
+++ b/programs/load/recorder.h
@@ -32,8 +32,8 @@
   Duration longest_gap{0};  ///< between two tokens
   std::uint32_t tokens = 0;
   std::uint32_t tokens_in_time = 0;  ///< before arrivals ended
-  std::uint32_t connections = 0;  ///< used for this request
-  bool keyed = false;             ///< may not be repeated
+  std::uint32_t connections = 0;     ///< used for this request
+  bool keyed = false;                ///< may not be repeated
 };
 
 /// Tokens and requests of one second, for plots.
