--- a/fault_tests/completion_schedule.cc
+++ b/fault_tests/completion_schedule.cc
@@ -407,7 +407,7 @@
     };
     // A step without an answer is given up on in the end.
     const std::uint64_t number = ++attempt->last_step;
-    this->loop.After(kStepTimeout, [this, attempt, step, number, fail] {
+    this->loop.After(kStepTimeout, [attempt, step, number, fail] {
       if (attempt->last_step == number) {
         fail();
       }
--- a/performance_tests/core_bench.cc
+++ b/performance_tests/core_bench.cc
@@ -144,8 +144,8 @@
   std::uint64_t id = 0;
   for (auto _ : state) {
     now += milliseconds(20);
-    auto actions = log.Claim({"organisation", std::to_string(++id)},
-                             std::to_string(id), 1, {}, now);
+    const std::string name = std::to_string(++id);
+    auto actions = log.Claim({"organisation", name}, name, 1, {}, now);
     while (!actions.empty()) {
       if (std::holds_alternative<ledger::ReadSegment>(actions.front())) {
         actions =
--- a/performance_tests/ledger_bench.cc
+++ b/performance_tests/ledger_bench.cc
@@ -28,7 +28,6 @@
                   MakeClaim make_claim) {
   Outcome outcome;
   Random arrivals(kArrivalSeed);
-  std::uint32_t open = count;
   Instant next = runtime.Now();
   for (std::uint32_t i = 0; i < count; ++i) {
     next += duration_cast<Duration>(
@@ -42,10 +41,9 @@
       } else {
         ++outcome.refused;
       }
-      --open;
     });
   }
-  while (open > 0) {
+  while (outcome.seconds.size() + outcome.refused < count) {
     runtime.SleepFor(milliseconds(5));
   }
   return outcome;
