Entry and dispatcher share one cache of cells

Found in reading the whole change: the dispatcher kept the cells of a pipeline by configuration version, and the entry formed them anew for every attempt of every request, over all backend servers. Change: one CellCache serves both. Its gain was not measured.

--- a/chervilpass/dispatch/completion_runner.cc
+++ b/chervilpass/dispatch/completion_runner.cc
@@ -6,7 +6,7 @@
 
 #include "chervilpass/dispatch/cell_queue.h"
 #include "chervilpass/pipeline/decode_session.h"
-#include "chervilpass/routing/cells.h"
+#include "chervilpass/routing/cell_cache.h"
 
 namespace chervilpass::dispatch {
 namespace {
@@ -55,21 +55,6 @@
         .first->second;
   }
 
-  // Cells are formed again only when the configuration has changed.
-  const std::vector<routing::Cell>& CellsOf(const config::FleetConfig& config,
-                                            const std::string& pipeline) {
-    if (this->cells_version != config.version) {
-      this->cells.clear();
-      this->cells_version = config.version;
-    }
-    const auto found = this->cells.find(pipeline);
-    if (found != this->cells.end()) {
-      return found->second;
-    }
-    return this->cells.emplace(pipeline, routing::FormCells(config, pipeline))
-        .first->second;
-  }
-
   void HeartbeatLoop() {
     while (true) {
       this->runtime->SleepFor(this->settings.heartbeat_interval);
@@ -161,9 +146,8 @@
   std::set<quarantine::Strike> cleared;  // strikes taken back
   std::shared_ptr<WorkerPool> workers;
   std::map<std::uint32_t, std::unique_ptr<CellQueue>> queues;
-  std::map<std::uint32_t, admission::GapLimit> limits;      // by cell
-  std::map<std::string, std::vector<routing::Cell>> cells;  // by pipeline
-  std::uint64_t cells_version = 0;
+  std::map<std::uint32_t, admission::GapLimit> limits;  // by cell
+  routing::CellCache cells;
   std::map<std::uint64_t, SharedChain> shared_chains;       // by fingerprint
   std::map<std::uint64_t, const rpc::AttemptSink*> active;  // by number
   std::uint64_t last_active = 0;
@@ -424,7 +408,7 @@
             0, 0};
   }
   const routing::Cell* known = routing::FindCell(
-      state.CellsOf(*view->config, request.pipeline), request.cell);
+      state.cells.Of(*view->config, request.pipeline), request.cell);
   if (known == nullptr) {
     return {Refusal{RefusalCode::kNoBackend, Executed::kNo, kRetryAfter,
                     "the cell is not known here"},
--- a/chervilpass/entry/completion_call_runner.cc
+++ b/chervilpass/entry/completion_call_runner.cc
@@ -190,11 +190,13 @@
 
   void Do(const routing::StartAttempt& action) {
     const auto view = this->context->link->Current();
-    const auto choice = this->ChooseCell(*view);
+    const std::vector<routing::Cell>& cells =
+        this->context->cells.Of(*view->config, this->call.pipeline);
+    const auto choice = this->ChooseCell(*view, cells);
     if (!choice) {
       return this->Apply(this->flow.OnNoChoice(action.attempt, this->Now()));
     }
-    const routing::Cell cell = *routing::FindCell(this->cells, choice->cell);
+    const routing::Cell cell = *routing::FindCell(cells, choice->cell);
     const std::string vm = this->ChooseDispatcher(*view, cell);
     const auto client = this->context->pool.ClientOf(*view, vm);
     if (client == nullptr) {
@@ -259,9 +261,9 @@
   }
 
   std::optional<routing::CellChoice> ChooseCell(
-      const membership::FleetView& view) {
-    this->cells = routing::FormCells(*view.config, this->call.pipeline);
-    std::vector<routing::CellOption> options = this->Options(view);
+      const membership::FleetView& view,
+      const std::vector<routing::Cell>& cells) {
+    std::vector<routing::CellOption> options = this->Options(view, cells);
     const bool all_failed =
         std::all_of(options.begin(), options.end(),
                     [](const auto& option) { return option.excluded; });
@@ -269,7 +271,7 @@
       // Each has failed once; what failed may have passed. An overload has not:
       // asking again would add to it.
       this->failed_cells.clear();
-      options = this->Options(view);
+      options = this->Options(view, cells);
     }
     if (this->IsSuspect()) {
       return this->ChooseForSuspect(options);
@@ -280,9 +282,10 @@
   }
 
   std::vector<routing::CellOption> Options(
-      const membership::FleetView& view) const {
+      const membership::FleetView& view,
+      const std::vector<routing::Cell>& cells) const {
     std::vector<routing::CellOption> options;
-    for (const routing::Cell& cell : this->cells) {
+    for (const routing::Cell& cell : cells) {
       if (!HasUsableWorkers(view, cell)) {
         continue;
       }
@@ -433,7 +436,6 @@
   std::string session;
   routing::CompletionFlow flow;
   std::shared_ptr<EventQueue> events = std::make_shared<EventQueue>();
-  std::vector<routing::Cell> cells;
   std::map<std::uint32_t, Attempt> attempts;
   std::set<std::uint32_t> failed_cells;
   bool met_overload = false;
--- a/chervilpass/entry/completion_call_runner.h
+++ b/chervilpass/entry/completion_call_runner.h
@@ -14,6 +14,7 @@
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/quarantine/strike_book.h"
+#include "chervilpass/routing/cell_cache.h"
 #include "chervilpass/routing/retry_budget.h"
 
 namespace chervilpass::entry {
@@ -33,6 +34,7 @@
   std::string region;
   Duration stall = seconds(1);
   Duration default_deadline = seconds(120);
+  routing::CellCache cells;
 };
 
 /// Answers `exchange` with the completion that `call` asks for.
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -101,7 +101,8 @@
       settings.data_centre,
       settings.region,
       settings.stall,
-      settings.default_deadline};
+      settings.default_deadline,
+      routing::CellCache()};
   entry::EntryService service(&context, settings.service);
   const auto server = io::HttpServer::Create(
       &runtime, settings.http,
