--- a/chervilpass/admission/refusal.cc
+++ b/chervilpass/admission/refusal.cc
@@ -37,6 +37,22 @@
   return RowOf(code).status;
 }
 
+unsigned HttpStatus(const Refusal& refusal) {
+  const unsigned status = HttpStatus(refusal.code);
+  if (refusal.executed == Executed::kNo) {
+    return status == 502 ? 503 : status;
+  }
+  switch (status) {
+    case 429:
+    case 503:
+      return 502;
+    case 408:
+      return 504;
+    default:
+      return status;
+  }
+}
+
 std::string_view RefusalName(RefusalCode code) {
   return RowOf(code).name;
 }
--- a/chervilpass/admission/refusal.h
+++ b/chervilpass/admission/refusal.h
@@ -48,6 +48,10 @@
 /// HTTP status that fits the code.
 unsigned HttpStatus(RefusalCode code);
 
+/// HTTP status of a refusal. 429, 503 and 408 are kept for requests that have
+/// not run, since callers repeat those.
+unsigned HttpStatus(const Refusal& refusal);
+
 /// Short stable name, used as problem type and in metrics.
 std::string_view RefusalName(RefusalCode code);
 
--- a/chervilpass/app/program.cc
+++ b/chervilpass/app/program.cc
@@ -22,6 +22,7 @@
 }  // namespace
 
 void ExitNow(int code) {
+  FlushLog();
   std::fflush(stdout);
   std::fflush(stderr);
   std::_Exit(code);
--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -1,10 +1,14 @@
 #include "chervilpass/core/log.h"
 
 #include <fmt/chrono.h>
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
 #include <vector>
 
 namespace chervilpass {
@@ -30,6 +34,66 @@
                      wall_milliseconds % 1000);
 }
 
+// Lines on their way to standard output.
+// Invariant: at most kLargestBuffer bytes are held.
+class LogBuffer {
+ public:
+  static LogBuffer& Instance() {
+    static LogBuffer buffer;
+    return buffer;
+  }
+
+  void Add(const std::string& line, bool flush_now) {
+    const std::lock_guard lock(this->mutex);
+    if (this->bytes.size() + line.size() > kLargestBuffer) {
+      ++this->dropped;
+      return;
+    }
+    this->bytes += line;
+    if (flush_now || this->bytes.size() >= kWriteSize) {
+      this->WriteOut();
+    }
+  }
+
+  void Flush() {
+    const std::lock_guard lock(this->mutex);
+    this->WriteOut();
+  }
+
+  std::uint64_t Dropped() {
+    const std::lock_guard lock(this->mutex);
+    return this->dropped;
+  }
+
+ private:
+  // A pipe that polls writable takes PIPE_BUF bytes without blocking.
+  void WriteOut() {
+    std::size_t written = 0;
+    while (written < this->bytes.size()) {
+      pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        break;
+      }
+      const std::size_t size =
+          std::min(kWriteSize, this->bytes.size() - written);
+      const ssize_t taken =
+          ::write(STDOUT_FILENO, this->bytes.data() + written, size);
+      if (taken <= 0) {
+        break;
+      }
+      written += static_cast<std::size_t>(taken);
+    }
+    this->bytes.erase(0, written);
+  }
+
+  static constexpr std::size_t kWriteSize = PIPE_BUF;
+  static constexpr std::size_t kLargestBuffer = 256 * 1024;  // bytes
+
+  std::mutex mutex;
+  std::string bytes;
+  std::uint64_t dropped = 0;
+};
+
 }  // namespace
 
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
@@ -84,10 +148,17 @@
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const std::int64_t wall =
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  // One call writes the whole line, so that lines of threads do not mix.
   std::string line =
       FormatLogLine(this->settings, level, wall, event, fields) + "\n";
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  LogBuffer::Instance().Add(line, level >= LogLevel::kError);
+}
+
+void FlushLog() {
+  LogBuffer::Instance().Flush();
+}
+
+std::uint64_t DroppedLogLines() {
+  return LogBuffer::Instance().Dropped();
 }
 
 }  // namespace chervilpass
--- a/chervilpass/core/log.h
+++ b/chervilpass/core/log.h
@@ -1,9 +1,11 @@
-// Structured log lines on standard error: one line an event, as key=value
-// pairs or JSON, with UTC time, level, program and VM.
+// Structured log lines on standard output: one line an event, as key=value
+// pairs or JSON, with UTC time, level, program and VM. Writing never blocks:
+// what the reader does not take in time is dropped and counted.
 #pragma once
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <initializer_list>
 #include <memory>
 #include <string>
@@ -57,7 +59,14 @@
                           std::string_view event,
                           const std::vector<LogField>& fields);
 
-/// Writes log lines. Thread-safe; copies share nothing but the settings.
+/// Writes buffered lines out as far as the reader takes them. To be called
+/// every few hundred milliseconds, and before the process ends.
+void FlushLog();
+
+/// Lines dropped since the start because the reader was too slow.
+std::uint64_t DroppedLogLines();
+
+/// Writes log lines. Thread-safe; all loggers share one bounded buffer.
 class Logger {
  public:
   explicit Logger(LogSettings settings);
@@ -65,7 +74,7 @@
   /// True if lines of this level are written.
   bool Enabled(LogLevel level) const;
 
-  /// Writes one line to standard error.
+  /// Adds one line to the buffer, or drops it when the buffer is full.
   void Write(LogLevel level,
              std::string_view event,
              std::initializer_list<LogField> fields) const;
--- /dev/null
+++ b/chervilpass/fleet/decider_claim.cc
@@ -0,0 +1,89 @@
+#include "chervilpass/fleet/decider_claim.h"
+
+#include <algorithm>
+
+namespace chervilpass::fleet {
+namespace {
+
+using membership::Member;
+using membership::Status;
+
+bool CanDecide(const Member& member) {
+  return member.store_up && (member.status == Status::kAlive ||
+                             member.status == Status::kSuspect);
+}
+
+}  // namespace
+
+void DeciderClaim::OnRead(const std::optional<DeciderRecord>& read,
+                          Instant now) {
+  if (read != this->record) {
+    this->holder_missing_since.reset();
+  }
+  this->known = true;
+  this->record = read;
+  this->read_at = now;
+}
+
+bool DeciderClaim::Holds() const {
+  return this->record && this->record->vm == this->vm &&
+         this->record->boot_id == this->boot_id;
+}
+
+DeciderRecord DeciderClaim::Proposal() const {
+  return {this->vm, this->boot_id, this->record ? this->record->term + 1 : 1};
+}
+
+const Member* DeciderClaim::Candidate(const std::vector<Member>& members) {
+  const Member* candidate = nullptr;
+  for (const Member& member : members) {
+    if (CanDecide(member) &&
+        (candidate == nullptr || member.vm < candidate->vm)) {
+      candidate = &member;
+    }
+  }
+  return candidate;
+}
+
+ClaimAction DeciderClaim::Next(const std::vector<Member>& members,
+                               Instant now) {
+  this->boot_id = members.front().boot_id;
+  const Member* candidate = Candidate(members);
+  const bool own_turn = candidate != nullptr && candidate->vm == this->vm;
+  if (this->Holds()) {
+    return ClaimAction::kRead;  // so as to notice a takeover
+  }
+  if (!own_turn) {
+    this->holder_missing_since.reset();
+    return ClaimAction::kNone;
+  }
+  if (!this->known) {
+    return ClaimAction::kRead;
+  }
+  if (!this->record) {
+    return ClaimAction::kCreate;
+  }
+  const bool holder_present =
+      std::any_of(members.begin(), members.end(), [this](const Member& member) {
+        return member.vm == this->record->vm &&
+               member.boot_id == this->record->boot_id && CanDecide(member);
+      });
+  // An earlier start of this VM cannot act any more.
+  if (this->record->vm == this->vm) {
+    return ClaimAction::kTakeOver;
+  }
+  if (holder_present) {
+    this->holder_missing_since.reset();
+    return ClaimAction::kRead;
+  }
+  if (!this->holder_missing_since) {
+    this->holder_missing_since = now;
+  }
+  if (now - *this->holder_missing_since < this->settings.patience &&
+      now - this->started < this->settings.patience) {
+    return ClaimAction::kRead;
+  }
+  return ClaimAction::kTakeOver;
+}
+
+}  // namespace chervilpass::fleet
--- /dev/null
+++ b/chervilpass/fleet/peer_group.cc
@@ -0,0 +1,312 @@
+#include "chervilpass/fleet/peer_group.h"
+
+#include <boost/json.hpp>
+
+#include "chervilpass/core/hash.h"
+#include "chervilpass/rpc/gossip_codec.h"
+#include "platform/json_fields.h"
+
+namespace chervilpass::fleet {
+namespace {
+
+namespace json = boost::json;
+using membership::Member;
+using membership::Status;
+
+constexpr std::uint32_t kAnnounceFanout = 3;  // members told at once of news
+constexpr Duration kRegisterRetry = milliseconds(500);
+
+json::value EncodeMember(const Member& member) {
+  json::object body;
+  body["ip"] = member.ip;
+  body["data_centre"] = member.data_centre;
+  body["region"] = member.region;
+  body["http_port"] = member.http_port;
+  body["control_port"] = member.control_port;
+  body["gossip_port"] = member.gossip_port;
+  body["boot_id"] = member.boot_id;
+  return body;
+}
+
+std::optional<Member> DecodeMember(const std::string& name,
+                                   const json::value& body) {
+  platform::JsonFields fields(body, name);
+  Member member;
+  member.vm = name;
+  member.ip = fields.Text("ip");
+  member.data_centre = fields.Text("data_centre");
+  member.region = fields.Text("region");
+  member.http_port = static_cast<std::uint16_t>(fields.Whole("http_port"));
+  member.control_port =
+      static_cast<std::uint16_t>(fields.Whole("control_port"));
+  member.gossip_port = static_cast<std::uint16_t>(fields.Whole("gossip_port"));
+  return fields.FirstFault() ? std::nullopt : std::optional<Member>(member);
+}
+
+}  // namespace
+
+struct PeerGroup::State : std::enable_shared_from_this<PeerGroup::State> {
+  State(io::Runtime* runtime,
+        platform::StoreClient* store,
+        MetricsRegistry* metrics,
+        const Logger* log,
+        PeerGroupSettings settings,
+        PeerGroupEvents events,
+        std::unique_ptr<io::UdpSocket> socket)
+      : runtime(runtime),
+        store(store),
+        metrics(metrics),
+        log(log),
+        settings(std::move(settings)),
+        events(std::move(events)),
+        socket(std::move(socket)),
+        detector(this->settings.detector,
+                 this->settings.self,
+                 HashText(this->settings.self.vm) ^
+                     this->settings.self.boot_id,
+                 runtime->Now()) {}
+
+  void Start() {
+    const auto self = this->shared_from_this();
+    this->runtime->Spawn([self] { self->ReceiveLoop(); });
+    this->runtime->Spawn([self] { self->TickLoop(); });
+    this->runtime->Spawn([self] { self->SeedLoop(); });
+    this->runtime->Spawn([self] { self->RegisterAndList(); });
+  }
+
+  void ReceiveLoop() {
+    while (!this->stopped) {
+      const std::string datagram = this->socket->Receive();
+      if (const auto message = rpc::DecodeGossip(datagram)) {
+        this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
+      } else {
+        this->metrics->Count("chervil_gossip_unreadable_total");
+      }
+    }
+  }
+
+  void TickLoop() {
+    const Duration interval = this->settings.detector.probe_timeout / 2;
+    while (!this->stopped) {
+      this->runtime->SleepFor(interval);
+      this->Apply(this->detector.OnTick(this->runtime->Now()));
+    }
+  }
+
+  // Seeds that are not known to be alive are greeted again and again: they may
+  // have started later, or have been parted from this VM.
+  void SeedLoop() {
+    while (!this->stopped) {
+      for (const std::string& ip : this->settings.seed_ips) {
+        Member seed = this->settings.self;
+        seed.vm = ip;
+        seed.ip = ip;
+        seed.boot_id = 0;
+        seed.entry_up = false;
+        seed.store_up = false;
+        this->Greet(seed);
+      }
+      for (const Member& seed : this->listed) {
+        this->Greet(seed);
+      }
+      this->runtime->SleepFor(this->settings.seed_period);
+    }
+  }
+
+  void Greet(const Member& seed) {
+    for (const Member& member : this->detector.Members()) {
+      if (member.vm == seed.vm && member.boot_id != 0 &&
+          member.status != Status::kDead) {
+        return;
+      }
+    }
+    // Peers that the detector has given up on are greeted by it now and then.
+    this->Apply(this->detector.AddSeed(seed, this->runtime->Now()));
+  }
+
+  // Registers this VM in the store and reads who else is there.
+  void RegisterAndList() {
+    const json::value body = EncodeMember(this->settings.self);
+    while (!this->stopped && !this->Register(body)) {
+      this->runtime->SleepFor(kRegisterRetry);
+    }
+    while (!this->stopped) {
+      const auto listing = this->store->List(platform::StoreKind::kEntries);
+      if (listing.has_value()) {
+        this->TakeListing(listing.value());
+        this->runtime->SleepFor(this->settings.list_period);
+      } else {
+        this->runtime->SleepFor(kRegisterRetry);
+      }
+    }
+  }
+
+  bool Register(const json::value& body) {
+    const std::string& name = this->settings.self.vm;
+    const auto created =
+        this->store->Create(platform::StoreKind::kEntries, name, body);
+    if (created.has_value()) {
+      return true;
+    }
+    if (created.error().code != platform::StoreErrorCode::kConflict) {
+      this->log->Info("entry.register_failed",
+                      {{"detail", created.error().detail}});
+      return false;
+    }
+    const auto known = this->store->Get(platform::StoreKind::kEntries, name);
+    if (known.has_error()) {
+      return false;
+    }
+    if (known.value().spec == body) {
+      return true;
+    }
+    return this->store
+        ->Replace(platform::StoreKind::kEntries, name,
+                  known.value().revision, body)
+        .has_value();
+  }
+
+  void TakeListing(const platform::Listing& listing) {
+    this->listed.clear();
+    for (const platform::StoredObject& object : listing.objects) {
+      if (object.name == this->settings.self.vm) {
+        continue;
+      }
+      if (const auto member = DecodeMember(object.name, object.spec)) {
+        this->listed.push_back(*member);
+        this->Greet(*member);
+      } else {
+        this->log->Warning("entry.unreadable", {{"entry", object.name}});
+      }
+    }
+  }
+
+  void Apply(const membership::DetectorActions& actions) {
+    for (const membership::DetectorAction& action : actions) {
+      std::visit([this](const auto& item) { this->Do(item); }, action);
+    }
+  }
+
+  void Do(const membership::SendGossip& send) {
+    this->socket->Send({send.to.ip, send.to.gossip_port},
+                       rpc::EncodeGossip(send.message));
+  }
+
+  void Do(const membership::MemberChanged& change) {
+    const Member& member = change.member;
+    this->log->Info("member.changed",
+                    {{"member", member.vm},
+                     {"status", static_cast<int>(member.status)},
+                     {"incarnation", member.incarnation},
+                     {"entry_up", member.entry_up},
+                     {"store_up", member.store_up}});
+    std::size_t alive = 0;
+    for (const Member& known : this->detector.Members()) {
+      alive += known.status != Status::kDead ? 1 : 0;
+    }
+    this->most_alive = std::max(this->most_alive, alive);
+  }
+
+  void Do(const membership::StrikeHeard& heard) {
+    this->events.strike(heard.strike);
+  }
+
+  void Do(const membership::LeavingHeard& heard) {
+    this->log->Debug("worker.leaving_heard",
+                     {{"worker", heard.notice.backend}});
+  }
+
+  void Do(const membership::UnreachableHeard& heard) {
+    this->events.unreachable(heard.notice.backend);
+  }
+
+  void Do(const membership::ConfigHeard& heard) {
+    this->events.newer_config(heard.member);
+  }
+
+  template <class Change>
+  void ChangeSelf(Change change) {
+    Member self = this->detector.Self();
+    const Member before = self;
+    change(&self);
+    if (self != before) {
+      this->Apply(this->detector.UpdateSelf(self, this->runtime->Now()));
+      this->Apply(this->detector.Announce(kAnnounceFanout));
+    }
+  }
+
+  io::Runtime* runtime;
+  platform::StoreClient* store;
+  MetricsRegistry* metrics;
+  const Logger* log;
+  PeerGroupSettings settings;
+  PeerGroupEvents events;
+  std::unique_ptr<io::UdpSocket> socket;
+  membership::Detector detector;
+  std::vector<Member> listed;  ///< in the store
+  std::size_t most_alive = 1;
+  bool stopped = false;
+};
+
+PeerGroup::PeerGroup(std::shared_ptr<State> state) : state(std::move(state)) {}
+
+PeerGroup::~PeerGroup() {
+  this->state->stopped = true;
+}
+
+Result<std::unique_ptr<PeerGroup>, io::HttpError> PeerGroup::Create(
+    io::Runtime* runtime,
+    platform::StoreClient* store,
+    MetricsRegistry* metrics,
+    const Logger* log,
+    PeerGroupSettings settings,
+    PeerGroupEvents events) {
+  BOOST_OUTCOME_TRY(
+      auto socket,
+      io::UdpSocket::Create(runtime,
+                            {settings.self.ip, settings.self.gossip_port}));
+  auto state = std::make_shared<State>(runtime, store, metrics, log,
+                                       std::move(settings), std::move(events),
+                                       std::move(socket));
+  state->Start();
+  return std::unique_ptr<PeerGroup>(new PeerGroup(std::move(state)));
+}
+
+void PeerGroup::SetReady(bool ready) {
+  this->state->ChangeSelf([ready](Member* self) { self->entry_up = ready; });
+}
+
+void PeerGroup::SetStoreUp(bool up) {
+  this->state->ChangeSelf([up](Member* self) { self->store_up = up; });
+}
+
+void PeerGroup::SetConfigVersion(std::uint64_t version) {
+  this->state->detector.SetConfigVersion(version);
+  this->state->Apply(this->state->detector.Announce(kAnnounceFanout));
+}
+
+void PeerGroup::SetLeaving() {
+  this->state->ChangeSelf([](Member* self) {
+    self->entry_up = false;
+    self->status = Status::kLeaving;
+  });
+}
+
+void PeerGroup::SpreadStrike(const quarantine::Strike& strike) {
+  this->state->Apply(this->state->detector.AddStrike(strike));
+}
+
+void PeerGroup::SpreadUnreachable(const std::string& backend) {
+  this->state->Apply(this->state->detector.AddUnreachable(
+      {backend, this->state->runtime->WallNow()}));
+}
+
+std::vector<Member> PeerGroup::Members() const {
+  return this->state->detector.Members();
+}
+
+std::size_t PeerGroup::MostAlive() const {
+  return this->state->most_alive;
+}
+
+}  // namespace chervilpass::fleet
--- /dev/null
+++ b/chervilpass/fleet/peer_group.h
@@ -0,0 +1,71 @@
+// The other entry VMs: membership by gossip over UDP, and the news that
+// travels with it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chervilpass/core/log.h"
+#include "chervilpass/core/metrics.h"
+#include "chervilpass/io/runtime.h"
+#include "chervilpass/io/udp_socket.h"
+#include "chervilpass/membership/detector.h"
+#include "platform/store_client.h"
+
+namespace chervilpass::fleet {
+
+/// Describes a PeerGroup.
+struct PeerGroupSettings {
+  membership::Member self;  ///< `vm` is the IP address
+  std::vector<std::string> seed_ips;
+  membership::DetectorSettings detector;
+  /// Peers not heard of are greeted, and the store's list is read, this often.
+  Duration seed_period = seconds(1);
+  Duration list_period = seconds(20);
+
+  bool operator==(const PeerGroupSettings&) const = default;
+};
+
+/// News from other VMs. Called on the fiber thread; must not wait.
+struct PeerGroupEvents {
+  std::function<void(const quarantine::Strike&)> strike;
+  std::function<void(const std::string& backend)> unreachable;
+  std::function<void(const membership::Member& holder)> newer_config;
+};
+
+/// Fiber thread only.
+class PeerGroup {
+ public:
+  static Result<std::unique_ptr<PeerGroup>, io::HttpError> Create(
+      io::Runtime* runtime,
+      platform::StoreClient* store,
+      MetricsRegistry* metrics,
+      const Logger* log,
+      PeerGroupSettings settings,
+      PeerGroupEvents events);
+  ~PeerGroup();
+
+  /// What this VM says of itself.
+  void SetReady(bool ready);
+  void SetStoreUp(bool up);
+  void SetConfigVersion(std::uint64_t version);
+  void SetLeaving();
+
+  void SpreadStrike(const quarantine::Strike& strike);
+  void SpreadUnreachable(const std::string& backend);
+
+  /// All members known, this VM first, dead ones too.
+  std::vector<membership::Member> Members() const;
+
+  /// The largest number of VMs that were alive at the same time.
+  std::size_t MostAlive() const;
+
+ private:
+  struct State;
+  explicit PeerGroup(std::shared_ptr<State> state);
+  std::shared_ptr<State> state;
+};
+
+}  // namespace chervilpass::fleet
--- a/chervilpass/io/http.h
+++ b/chervilpass/io/http.h
@@ -39,6 +39,8 @@
   std::string method = "GET";
   std::string path = "/";
   std::string query;
+  /// Path and query exactly as received; where set, it is what is sent.
+  std::string target;
   HttpHeaders headers;
   std::string body;
 
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -1,9 +1,13 @@
 #include "chervilpass/io/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdlib>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "chervilpass/io/await.h"
@@ -16,8 +20,11 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 constexpr std::size_t kStreamBuffer = 16 * 1024;  // bytes
+constexpr Duration kKeepAliveMargin = milliseconds(500);
 
 HttpError FromBeastError(const boost::system::error_code& error) {
   HttpErrorCode code = HttpErrorCode::kReset;
@@ -40,11 +47,17 @@
   http::request<http::string_body> message;
   message.version(11);
   message.method_string(request.method);
-  message.target(request.query.empty() ? request.path
-                                       : request.path + "?" + request.query);
-  message.set(http::field::host, address.ToText());
+  if (!request.target.empty()) {
+    message.target(request.target);
+  } else {
+    message.target(request.query.empty() ? request.path
+                                         : request.path + "?" + request.query);
+  }
+  if (!request.headers.Find("Host")) {
+    message.set(http::field::host, address.ToText());
+  }
   for (const HttpHeader& field : request.headers.All()) {
-    message.set(field.name, field.value);
+    message.insert(field.name, field.value);
   }
   message.body() = request.body;
   message.keep_alive(true);
@@ -71,30 +84,51 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// "timeout=5, max=100", less a margin for the request to travel: the server may
+// be closing the connection as it is used.
+Duration KeepAliveTimeout(const std::string& field) {
+  const std::size_t at = field.find("timeout=");
+  if (at == std::string::npos) {
+    return hours(1);
+  }
+  const int given = std::atoi(field.c_str() + at + 8);
+  return seconds(given) - kKeepAliveMargin;
+}
+
 }  // namespace
 
 struct HttpClient::State {
+  /// A connection kept for later calls, with the time from which it is not
+  /// used any more.
+  struct Idle {
+    StreamPtr stream;
+    Instant until;
+  };
+
   Runtime* runtime;
   HttpClientSettings settings;
-  std::map<Endpoint, std::vector<StreamPtr>> idle;
+  std::map<Endpoint, std::vector<Idle>> idle = {};
+  std::uint64_t connections_made = 0;
 
   StreamPtr TakeIdle(const Endpoint& address) {
-    std::vector<StreamPtr>& pool = this->idle[address];
+    std::vector<Idle>& pool = this->idle[address];
+    const Instant now = this->runtime->Now();
     while (!pool.empty()) {
-      StreamPtr stream = std::move(pool.back());
+      Idle kept = std::move(pool.back());
       pool.pop_back();
-      if (StillOpen(*stream)) {
-        return stream;
+      if (now < kept.until && StillOpen(*kept.stream)) {
+        return std::move(kept.stream);
       }
     }
     return nullptr;
   }
 
-  void GiveBack(const Endpoint& address, StreamPtr stream) {
-    std::vector<StreamPtr>& pool = this->idle[address];
+  void GiveBack(const Endpoint& address, StreamPtr stream, Duration keep) {
+    std::vector<Idle>& pool = this->idle[address];
     if (pool.size() < this->settings.idle_connections) {
       stream->expires_never();
-      pool.push_back(std::move(stream));
+      const Duration limit = std::min(keep, this->settings.idle_limit);
+      pool.push_back({std::move(stream), this->runtime->Now() + limit});
     }
   }
 
@@ -106,6 +140,7 @@
     if (error) {
       return HttpError{HttpErrorCode::kConnect, error.message()};
     }
+    ++this->connections_made;
     stream->expires_after(std::min(timeout, this->settings.connect_timeout));
     const Completion connected = Await([&](auto handler) {
       stream->async_connect(Tcp::endpoint(ip, address.port),
@@ -116,59 +151,203 @@
                        address.ToText() + ": " + connected.error.message()};
     }
     stream->socket().set_option(Tcp::no_delay(true), error);
+    if (this->settings.unacknowledged_limit > Duration::zero()) {
+      stream->socket().set_option(
+          UserTimeout(static_cast<int>(
+              ToMilliseconds(this->settings.unacknowledged_limit))),
+          error);
+    }
     return stream;
   }
+};
 
-  Result<StreamPtr, HttpError> Open(const Endpoint& address,
-                                    Duration timeout,
-                                    ConnectionUse use) {
-    if (use == ConnectionUse::kPooled) {
-      if (StreamPtr kept = this->TakeIdle(address)) {
-        return kept;
-      }
+// State of one call. The parser is made anew for each response head.
+struct HttpCall::State {
+  State(HttpClient::State* client,
+        Endpoint address,
+        StreamPtr stream,
+        bool reused)
+      : client(client),
+        address(std::move(address)),
+        stream(std::move(stream)),
+        reused(reused) {}
+
+  HttpClient::State* client;
+  Endpoint address;
+  StreamPtr stream;
+  bool reused;
+  bool sent = false;
+  bool cancelled = false;
+  bool foreign_skipped = false;
+  Duration keep = hours(1);
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::vector<char> piece;
+
+  HttpError ErrorOf(const boost::system::error_code& error) const {
+    if (this->cancelled) {
+      return {HttpErrorCode::kReset, "cancelled"};
     }
-    return this->Connect(address, timeout);
+    return FromBeastError(error);
   }
 };
 
+HttpCall::HttpCall(std::unique_ptr<State> state) : state(std::move(state)) {}
+HttpCall::~HttpCall() = default;
+
+Result<void, HttpError> HttpCall::Send(const HttpRequest& request,
+                                       Duration timeout) {
+  State& call = *this->state;
+  const http::request<http::string_body> message =
+      ToBeast(call.address, request);
+  call.stream->expires_after(timeout);
+  const Completion written = Await([&](auto handler) {
+    http::async_write(*call.stream, message, std::move(handler));
+  });
+  if (written.error) {
+    return call.ErrorOf(written.error);
+  }
+  call.stream->expires_never();
+  call.sent = true;
+  return success();
+}
+
+Result<HttpResponse, HttpError> HttpCall::ReadHead() {
+  State& call = *this->state;
+  while (true) {
+    call.parser.emplace();
+    call.parser->body_limit(call.client->settings.body_limit);
+    const Completion head = Await([&](auto handler) {
+      http::async_read_header(*call.stream, call.buffer, *call.parser,
+                              std::move(handler));
+    });
+    if (head.error) {
+      return call.ErrorOf(head.error);
+    }
+    // Interim responses (RFC 9110, section 15.2) precede the final one.
+    if (call.parser->get().result_int() >= 200) {
+      break;
+    }
+  }
+  HttpResponse response = HeadFromBeast(call.parser->get());
+  if (const auto field = response.headers.Find("Keep-Alive")) {
+    call.keep = KeepAliveTimeout(*field);
+  }
+  return response;
+}
+
+Result<std::string_view, HttpError> HttpCall::ReadPiece() {
+  State& call = *this->state;
+  call.piece.resize(kStreamBuffer);
+  while (!call.parser->is_done()) {
+    call.parser->get().body().data = call.piece.data();
+    call.parser->get().body().size = call.piece.size();
+    const Completion read = Await([&](auto handler) {
+      http::async_read_some(*call.stream, call.buffer, *call.parser,
+                            std::move(handler));
+    });
+    if (read.error && read.error != http::error::need_buffer) {
+      return call.ErrorOf(read.error);
+    }
+    const std::size_t size =
+        call.piece.size() - call.parser->get().body().size;
+    if (size > 0) {
+      return std::string_view(call.piece.data(), size);
+    }
+  }
+  return std::string_view();
+}
+
+Result<std::string, HttpError> HttpCall::ReadBody(std::size_t limit) {
+  std::string body;
+  while (true) {
+    BOOST_OUTCOME_TRY(const std::string_view piece, this->ReadPiece());
+    if (piece.empty()) {
+      return body;
+    }
+    if (body.size() + piece.size() > limit) {
+      return HttpError{HttpErrorCode::kTooLarge, "response body over limit"};
+    }
+    body.append(piece);
+  }
+}
+
+Result<void, HttpError> HttpCall::SkipBody() {
+  BOOST_OUTCOME_TRY(const std::string body,
+                    this->ReadBody(this->state->client->settings.body_limit));
+  this->state->foreign_skipped = true;
+  return success();
+}
+
+bool HttpCall::Ended() const {
+  return this->state->parser && this->state->parser->is_done();
+}
+
+void HttpCall::Cancel() {
+  this->state->cancelled = true;
+  boost::system::error_code ignored;
+  this->state->stream->socket().close(ignored);
+}
+
+bool HttpCall::Reused() const {
+  return this->state->reused;
+}
+
+void HttpCall::Finish() {
+  State& call = *this->state;
+  // Bytes behind the response belong to no request of ours, and a connection
+  // that has carried a foreign response may carry another.
+  const bool clean = this->Ended() && call.parser->get().keep_alive() &&
+                     !call.parser->get().need_eof() &&
+                     call.buffer.size() == 0 && !call.cancelled &&
+                     !call.foreign_skipped;
+  if (clean) {
+    call.client->GiveBack(call.address, std::move(call.stream), call.keep);
+  }
+}
+
 HttpClient::HttpClient(std::unique_ptr<State> state)
     : state(std::move(state)) {}
 HttpClient::~HttpClient() = default;
 
 std::unique_ptr<HttpClient> HttpClient::Create(Runtime* runtime,
                                                HttpClientSettings settings) {
-  auto state = std::make_unique<State>(State{runtime, settings, {}});
+  auto state = std::make_unique<State>(State{runtime, settings});
   return std::unique_ptr<HttpClient>(new HttpClient(std::move(state)));
 }
 
+Result<std::unique_ptr<HttpCall>, HttpError> HttpClient::Open(
+    const Endpoint& address,
+    Duration connect_timeout,
+    ConnectionUse use) {
+  StreamPtr stream;
+  if (use == ConnectionUse::kPooled) {
+    stream = this->state->TakeIdle(address);
+  }
+  const bool reused = stream != nullptr;
+  if (!reused) {
+    BOOST_OUTCOME_TRY(stream, this->state->Connect(address, connect_timeout));
+  }
+  auto call = std::make_unique<HttpCall::State>(
+      this->state.get(), address, std::move(stream), reused);
+  return std::unique_ptr<HttpCall>(new HttpCall(std::move(call)));
+}
+
+std::uint64_t HttpClient::ConnectionsMade() const {
+  return this->state->connections_made;
+}
+
 Result<HttpResponse, HttpError> HttpClient::Call(const Endpoint& address,
                                                  const HttpRequest& request,
                                                  Duration timeout,
                                                  ConnectionUse use) {
-  BOOST_OUTCOME_TRY(StreamPtr stream, this->state->Open(address, timeout, use));
-  const http::request<http::string_body> message = ToBeast(address, request);
-  stream->expires_after(timeout);
-  const Completion written = Await([&](auto handler) {
-    http::async_write(*stream, message, std::move(handler));
-  });
-  if (written.error) {
-    return FromBeastError(written.error);
-  }
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(this->state->settings.body_limit);
-  const Completion read = Await([&](auto handler) {
-    http::async_read(*stream, buffer, parser, std::move(handler));
-  });
-  if (read.error) {
-    return FromBeastError(read.error);
-  }
-  HttpResponse response = HeadFromBeast(parser.get());
-  const bool reusable = parser.get().keep_alive();
-  response.body = std::move(parser.get().body());
-  if (reusable) {
-    this->state->GiveBack(address, std::move(stream));
-  }
+  BOOST_OUTCOME_TRY(auto call, this->Open(address, timeout, use));
+  BOOST_OUTCOME_TRY(call->Send(request, timeout));
+  call->state->stream->expires_after(timeout);
+  BOOST_OUTCOME_TRY(HttpResponse response, call->ReadHead());
+  BOOST_OUTCOME_TRY(response.body,
+                    call->ReadBody(this->state->settings.body_limit));
+  call->Finish();
   return response;
 }
 
@@ -177,43 +356,18 @@
     const HttpRequest& request,
     Duration timeout,
     const std::function<bool(std::string_view)>& on_data) {
-  BOOST_OUTCOME_TRY(StreamPtr stream,
-                    this->state->Open(address, timeout, ConnectionUse::kFresh));
-  const http::request<http::string_body> message = ToBeast(address, request);
-  stream->expires_after(timeout);
-  const Completion written = Await([&](auto handler) {
-    http::async_write(*stream, message, std::move(handler));
-  });
-  if (written.error) {
-    return FromBeastError(written.error);
-  }
-  beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(this->state->settings.body_limit);
-  const Completion head = Await([&](auto handler) {
-    http::async_read_header(*stream, buffer, parser, std::move(handler));
-  });
-  if (head.error) {
-    return FromBeastError(head.error);
-  }
-  const HttpResponse response = HeadFromBeast(parser.get());
-  std::vector<char> piece(kStreamBuffer);
-  while (!parser.is_done()) {
-    parser.get().body().data = piece.data();
-    parser.get().body().size = piece.size();
-    stream->expires_after(timeout);
-    const Completion read = Await([&](auto handler) {
-      http::async_read_some(*stream, buffer, parser, std::move(handler));
-    });
-    if (read.error && read.error != http::error::need_buffer) {
-      return FromBeastError(read.error);
-    }
-    const std::size_t size = piece.size() - parser.get().body().size;
-    if (size > 0 && !on_data({piece.data(), size})) {
-      break;
+  BOOST_OUTCOME_TRY(auto call,
+                    this->Open(address, timeout, ConnectionUse::kFresh));
+  BOOST_OUTCOME_TRY(call->Send(request, timeout));
+  call->state->stream->expires_after(timeout);
+  BOOST_OUTCOME_TRY(HttpResponse response, call->ReadHead());
+  while (true) {
+    call->state->stream->expires_after(timeout);
+    BOOST_OUTCOME_TRY(const std::string_view piece, call->ReadPiece());
+    if (piece.empty() || !on_data(piece)) {
+      return response;
     }
   }
-  return response;
 }
 
 }  // namespace chervilpass::io
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "chervilpass/io/await.h"
@@ -25,7 +26,8 @@
 HttpRequest FromBeast(http::request<http::string_body>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
-  const std::string target(message.target());
+  request.target = std::string(message.target());
+  const std::string& target = request.target;
   const std::size_t mark = target.find('?');
   request.path = target.substr(0, mark);
   if (mark != std::string::npos) {
@@ -46,16 +48,33 @@
   }
 }
 
+enum class Input { kNone, kSome, kClosed };
+
+Input PendingInput(beast::tcp_stream& stream) {
+  char byte = 0;
+  const ssize_t got = ::recv(stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    return Input::kSome;
+  }
+  const bool pending = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return pending ? Input::kNone : Input::kClosed;
+}
+
 class Exchange final : public HttpExchange {
  public:
   Exchange(beast::tcp_stream* stream,
            const HttpServerSettings* settings,
            HttpRequest request,
-           bool keep_alive)
+           bool keep_alive,
+           const bool* keeping_alive)
       : stream(stream),
         settings(settings),
         request(std::move(request)),
-        keep_alive(keep_alive) {}
+        keep_alive(keep_alive),
+        keeping_alive(keeping_alive) {}
+
+  ~Exchange() override { *this->watch_ended = true; }
 
   const HttpRequest& Request() const override { return this->request; }
 
@@ -64,6 +83,7 @@
       return;
     }
     this->answered = true;
+    this->keep_alive = this->keep_alive && *this->keeping_alive;
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), 11);
     CopyHeaders(response.headers, &message);
@@ -79,6 +99,7 @@
 
   bool BeginStream(const HttpResponse& head) override {
     this->answered = true;
+    this->keep_alive = this->keep_alive && *this->keeping_alive;
     http::response<http::empty_body> message(
         static_cast<http::status>(head.status), 11);
     CopyHeaders(head.headers, &message);
@@ -127,11 +148,20 @@
   }
 
   bool PeerGone() override {
-    char byte = 0;
-    const ssize_t got = ::recv(this->stream->socket().native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
-    const bool pending = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return this->broken || got == 0 || (got < 0 && !pending);
+    const Input input = PendingInput(*this->stream);
+    return this->broken || input == Input::kClosed;
+  }
+
+  void WatchPeer(std::function<void()> on_gone) override {
+    this->stream->socket().async_wait(
+        Tcp::socket::wait_read,
+        [this, ended = this->watch_ended, on_gone = std::move(on_gone)](
+            const boost::system::error_code& error) {
+          if (!*ended && !error && this->PeerGone()) {
+            this->broken = true;
+            on_gone();
+          }
+        });
   }
 
   bool Reusable() const {
@@ -143,8 +173,11 @@
   const HttpServerSettings* settings;
   HttpRequest request;
   bool keep_alive;
+  const bool* keeping_alive;  // false once the server is about to leave
   bool answered = false;
   bool broken = false;
+  // Outlives the exchange in the handler that watches the peer.
+  std::shared_ptr<bool> watch_ended = std::make_shared<bool>(false);
 };
 
 // Cancels a read that takes too long. The stream's own timer would close the
@@ -247,10 +280,11 @@
       return false;
     }
     http::request_parser<http::string_body> parser;
-    parser.header_limit(this->settings.header_limit);
-    parser.body_limit(this->settings.body_limit);
+    parser.header_limit(this->settings.limits.header);
+    parser.body_limit(this->settings.limits.body);
     stream->expires_never();
-    const ReadTimer timer(this->runtime, stream, this->settings.read_timeout);
+    const ReadTimer timer(this->runtime, stream,
+                          this->settings.limits.read_time);
     Completion read = Await([&](auto handler) {
       http::async_read(*stream, *buffer, parser, std::move(handler));
     });
@@ -268,25 +302,40 @@
     }
     const bool keep_alive = parser.get().keep_alive();
     Exchange exchange(stream, &this->settings, FromBeast(parser.release()),
-                      keep_alive);
+                      keep_alive, &this->keeping_alive);
     ++this->in_flight;
+    boost::system::error_code ignored;
     stream->expires_never();
     this->handler(exchange);
     --this->in_flight;
+    stream->socket().cancel(ignored);
     return exchange.Reusable();
   }
 
   bool WaitForNextRequest(beast::tcp_stream* stream) {
-    stream->expires_after(this->settings.idle_timeout);
-    const Completion ready = Await([&](auto handler) {
-      stream->socket().async_wait(Tcp::socket::wait_read, std::move(handler));
-    });
+    const Instant start = this->runtime->Now();
+    this->idle.insert(stream);
+    Completion ready;
+    // The limit may have been raised while waiting.
+    do {
+      const ReadTimer timer(
+          this->runtime, stream,
+          start + this->settings.limits.idle_time - this->runtime->Now());
+      ready = Await([&](auto handler) {
+        stream->socket().async_wait(Tcp::socket::wait_read, std::move(handler));
+      });
+      if (!timer.Expired()) {
+        break;
+      }
+    } while (this->runtime->Now() < start + this->settings.limits.idle_time);
+    this->idle.erase(stream);
     return !ready.error;
   }
 
   void AnswerUnreadable(beast::tcp_stream* stream,
                         const boost::system::error_code& error) {
-    Exchange exchange(stream, &this->settings, HttpRequest{}, false);
+    Exchange exchange(stream, &this->settings, HttpRequest{}, false,
+                      &this->keeping_alive);
     exchange.Respond(
         this->error_responder(StatusOfReadError(error), error.message()));
     this->DiscardInput(stream);
@@ -316,6 +365,8 @@
   HttpErrorResponder error_responder;
   Tcp::acceptor acceptor;
   bool stopping = false;
+  bool keeping_alive = true;
+  std::set<beast::tcp_stream*> idle;  // between two requests
   std::size_t connections = 0;
   std::size_t in_flight = 0;
 };
@@ -362,6 +413,28 @@
   this->state->acceptor.close(ignored);
 }
 
+void HttpServer::StopKeepingAlive() {
+  this->state->keeping_alive = false;
+}
+
+void HttpServer::CloseIdle() {
+  boost::system::error_code ignored;
+  for (beast::tcp_stream* stream : this->state->idle) {
+    // A request that has arrived is still answered.
+    if (PendingInput(*stream) == Input::kNone) {
+      stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+  }
+}
+
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  this->state->settings.limits = limits;
+}
+
+std::size_t HttpServer::Connections() const {
+  return this->state->connections;
+}
+
 std::size_t HttpServer::InFlight() const {
   return this->state->in_flight;
 }
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -14,14 +14,21 @@
 
 namespace chervilpass::io {
 
+/// What a peer may send, and how long it may take.
+struct HttpServerLimits {
+  std::uint32_t header = 16 * 1024;     ///< bytes
+  std::uint64_t body = 1024 * 1024;     ///< bytes
+  Duration read_time = seconds(10);     ///< for one whole request
+  Duration idle_time = seconds(60);     ///< between two requests
+
+  bool operator==(const HttpServerLimits&) const = default;
+};
+
 /// Describes an HttpServer.
 struct HttpServerSettings {
   Endpoint listen;
-  std::uint32_t header_limit = 16 * 1024;  ///< bytes
-  std::uint64_t body_limit = 1024 * 1024;  ///< bytes
-  Duration read_timeout = seconds(10);     ///< for one whole request
-  Duration write_timeout = seconds(10);    ///< for one write
-  Duration idle_timeout = seconds(60);     ///< between two requests
+  HttpServerLimits limits;
+  Duration write_timeout = seconds(10);  ///< for one write
   std::size_t connection_limit = 8192;
 
   bool operator==(const HttpServerSettings&) const = default;
@@ -52,6 +59,10 @@
 
   /// True if the peer has closed its connection.
   virtual bool PeerGone() = 0;
+
+  /// Calls `on_gone` once if the peer closes its connection before the handler
+  /// returns. Not called any more once the peer has sent further bytes.
+  virtual void WatchPeer(std::function<void()> on_gone) = 0;
 };
 
 /// Called on a fiber of its own for each request.
@@ -76,6 +87,18 @@
   /// Stops accepting; open connections close after the request in flight.
   void StopAccepting();
 
+  /// Goes on accepting and serving, but every response closes its connection.
+  void StopKeepingAlive();
+
+  /// Closes connections on which no request is in flight.
+  void CloseIdle();
+
+  /// Applies to requests read from now on.
+  void SetLimits(const HttpServerLimits& limits);
+
+  /// Connections that are open now.
+  std::size_t Connections() const;
+
   /// Requests being answered now.
   std::size_t InFlight() const;
 
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -10,10 +10,17 @@
 #include <future>
 #include <thread>
 
+#include "chervilpass/core/log.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/fiber_scheduler.h"
 
 namespace chervilpass::io {
+namespace {
+
+// Lines reach the reader within this time; longer saves wake-ups.
+constexpr Duration kLogFlushPeriod = milliseconds(200);
+
+}  // namespace
 
 struct Runtime::State {
   boost::asio::io_context context{1};
@@ -38,6 +45,12 @@
         boost::this_fiber::yield();
       }
     });
+    runtime->Spawn([runtime] {
+      while (true) {
+        runtime->SleepFor(kLogFlushPeriod);
+        FlushLog();
+      }
+    });
     body(*runtime);
     ended.set_value();
     while (true) {
@@ -76,6 +89,24 @@
   });
 }
 
+void Runtime::OnReloadSignal(std::function<void()> on_reload) {
+  this->Spawn([this, on_reload = std::move(on_reload)] {
+    boost::asio::signal_set signals(this->state->context, SIGHUP);
+    while (true) {
+      const Completion received = Await([&signals](auto handler) {
+        signals.async_wait(
+            [handler](boost::system::error_code error, int) mutable {
+              handler(error, 0);
+            });
+      });
+      if (received.error) {
+        return;
+      }
+      on_reload();
+    }
+  });
+}
+
 boost::asio::io_context& Runtime::Context() {
   return this->state->context;
 }
--- a/chervilpass/io/runtime.h
+++ b/chervilpass/io/runtime.h
@@ -42,6 +42,10 @@
   /// Suspends the calling fiber until SIGTERM or SIGINT arrives.
   void WaitForStopSignal();
 
+  /// Calls `on_reload` on the fiber thread at each SIGHUP, which would end the
+  /// process otherwise.
+  void OnReloadSignal(std::function<void()> on_reload);
+
   /// For the socket classes of this folder.
   boost::asio::io_context& Context();
 
--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -221,6 +221,30 @@
   });
 }
 
+// True if nothing of the kind was known of the backend server; a later notice
+// on the same one keeps it known without being spread at once.
+template <class Heard, class Notice>
+bool Detector::HearNotice(std::vector<Rumour<Notice>>* rumours,
+                          const Notice& notice,
+                          DetectorActions* actions) const {
+  for (auto& known : *rumours) {
+    if (known.news.backend != notice.backend) {
+      continue;
+    }
+    if (notice.at > known.news.at) {
+      known = {notice, this->RetransmitLimit()};
+      actions->push_back(Heard{notice});
+    }
+    return false;
+  }
+  rumours->push_back({notice, this->RetransmitLimit()});
+  if (rumours->size() > kRumoursKept) {
+    rumours->erase(rumours->begin());
+  }
+  actions->push_back(Heard{notice});
+  return true;
+}
+
 DetectorActions Detector::OnMessage(const GossipMessage& message, Instant now) {
   DetectorActions actions;
   for (const Member& member : message.members) {
@@ -233,7 +257,10 @@
     this->HearStrike(strike, &actions);
   }
   for (const LeavingNotice& notice : message.leaving) {
-    this->HearLeaving(notice, &actions);
+    this->HearNotice<LeavingHeard>(&this->leaving, notice, &actions);
+  }
+  for (const UnreachableNotice& notice : message.unreachable) {
+    this->HearNotice<UnreachableHeard>(&this->unreachable, notice, &actions);
   }
   const auto sender = this->others.find(message.from);
   if (sender == this->others.end()) {
@@ -320,6 +347,14 @@
 // Somebody believes this node to be suspect or dead, or knows an incarnation
 // that this node has not reached: say something newer.
 void Detector::Refute(const Member& heard, DetectorActions* actions) {
+  // Boot ids come from the time of day, which may have been set back since an
+  // earlier start of this VM: that start must not supersede this one.
+  if (heard.boot_id > this->self.boot_id) {
+    this->self.boot_id = heard.boot_id + 1;
+    this->self_sends_left = this->RetransmitLimit();
+    actions->push_back(MemberChanged{this->self});
+    return;
+  }
   if (heard.boot_id != this->self.boot_id) {
     return;
   }
@@ -382,28 +417,6 @@
   return true;
 }
 
-// True if the backend server was not known to be leaving; a later notice on
-// the same one keeps it known without being spread at once.
-bool Detector::HearLeaving(const LeavingNotice& notice,
-                           DetectorActions* actions) {
-  for (auto& known : this->leaving) {
-    if (known.news.backend != notice.backend) {
-      continue;
-    }
-    if (notice.at > known.news.at) {
-      known = {notice, this->RetransmitLimit()};
-      actions->push_back(LeavingHeard{notice});
-    }
-    return false;
-  }
-  this->leaving.push_back({notice, this->RetransmitLimit()});
-  if (this->leaving.size() > kRumoursKept) {
-    this->leaving.erase(this->leaving.begin());
-  }
-  actions->push_back(LeavingHeard{notice});
-  return true;
-}
-
 DetectorActions Detector::UpdateSelf(const Member& self, Instant now) {
   DetectorActions actions;
   (void)now;
@@ -432,7 +445,7 @@
 // Sent to every member at once, for new work must stop within seconds.
 DetectorActions Detector::AddLeaving(const LeavingNotice& notice) {
   DetectorActions actions;
-  if (this->HearLeaving(notice, &actions)) {
+  if (this->HearNotice<LeavingHeard>(&this->leaving, notice, &actions)) {
     GossipMessage news;
     news.leaving = {notice};
     this->Broadcast(news, &actions);
@@ -440,6 +453,17 @@
   return actions;
 }
 
+// Sent to every member at once: each request sent there before it is heard of
+// stalls.
+DetectorActions Detector::AddUnreachable(const UnreachableNotice& notice) {
+  DetectorActions actions;
+  this->HearNotice<UnreachableHeard>(&this->unreachable, notice, &actions);
+  GossipMessage news;
+  news.unreachable = {notice};
+  this->Broadcast(news, &actions);
+  return actions;
+}
+
 void Detector::Broadcast(const GossipMessage& news, DetectorActions* actions) {
   for (const auto& [vm, entry] : this->others) {
     if (entry.member.status != Status::kDead) {
@@ -506,6 +530,7 @@
   }
   TakeRumours(&this->strikes, &message.strikes);
   TakeRumours(&this->leaving, &message.leaving);
+  TakeRumours(&this->unreachable, &message.unreachable);
   return message;
 }
 
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -46,6 +46,14 @@
   auto operator<=>(const LeavingNotice&) const = default;
 };
 
+/// A backend server did not answer a request.
+struct UnreachableNotice {
+  std::string backend;
+  WallTime at;  ///< when that was found out, by the finder's clock
+
+  auto operator<=>(const UnreachableNotice&) const = default;
+};
+
 /// What travels in one datagram. The first member is the sender itself.
 struct GossipMessage {
   MessageKind kind = MessageKind::kPing;
@@ -55,6 +63,7 @@
   std::vector<Member> members;
   std::vector<quarantine::Strike> strikes;
   std::vector<LeavingNotice> leaving;
+  std::vector<UnreachableNotice> unreachable;
 
   bool operator==(const GossipMessage&) const = default;
 };
@@ -88,6 +97,13 @@
   bool operator==(const LeavingHeard&) const = default;
 };
 
+/// A backend server was found unreachable, or once more.
+struct UnreachableHeard {
+  UnreachableNotice notice;
+
+  bool operator==(const UnreachableHeard&) const = default;
+};
+
 /// A member has a newer configuration than the one last heard of from it.
 struct ConfigHeard {
   Member member;
@@ -95,8 +111,12 @@
   bool operator==(const ConfigHeard&) const = default;
 };
 
-using DetectorAction = std::
-    variant<SendGossip, MemberChanged, StrikeHeard, LeavingHeard, ConfigHeard>;
+using DetectorAction = std::variant<SendGossip,
+                                    MemberChanged,
+                                    StrikeHeard,
+                                    LeavingHeard,
+                                    UnreachableHeard,
+                                    ConfigHeard>;
 using DetectorActions = std::vector<DetectorAction>;
 
 /// One node's part in the protocol. Not thread-safe.
@@ -136,6 +156,9 @@
   /// Spreads a leaving notice.
   DetectorActions AddLeaving(const LeavingNotice& notice);
 
+  /// Spreads the news that a backend server does not answer.
+  DetectorActions AddUnreachable(const UnreachableNotice& notice);
+
   /// Marks another member leaving, as the VM list says.
   DetectorActions MarkLeaving(const std::string& vm, Instant now);
 
@@ -176,7 +199,10 @@
               DetectorActions* actions);
   void HearSender(const Member& sender, DetectorActions* actions);
   bool HearStrike(const quarantine::Strike& strike, DetectorActions* actions);
-  bool HearLeaving(const LeavingNotice& notice, DetectorActions* actions);
+  template <class Heard, class Notice>
+  bool HearNotice(std::vector<Rumour<Notice>>* rumours,
+                  const Notice& notice,
+                  DetectorActions* actions) const;
   void Broadcast(const GossipMessage& news, DetectorActions* actions);
   GossipMessage MakeMessage(MessageKind kind,
                             std::uint64_t sequence,
@@ -200,6 +226,7 @@
   std::map<std::uint64_t, RelayedProbe> relayed;
   std::vector<Rumour<quarantine::Strike>> strikes;
   std::vector<Rumour<LeavingNotice>> leaving;
+  std::vector<Rumour<UnreachableNotice>> unreachable;
   std::uint32_t self_sends_left = 0;
   std::uint64_t next_sequence = 0;
   std::uint64_t periods = 0;
--- a/chervilpass/membership/member.h
+++ b/chervilpass/membership/member.h
@@ -26,6 +26,7 @@
   Status status = Status::kAlive;
   bool entry_up = false;
   bool dispatch_up = false;
+  bool store_up = false;  ///< It has heard from the platform's store of late.
   std::uint64_t config_version = 0;
 
   auto operator<=>(const Member&) const = default;
--- /dev/null
+++ b/chervilpass/placement/load_book.h
@@ -0,0 +1,62 @@
+// What this entry has in flight on each worker, and an estimate of what other
+// entries have there.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "chervilpass/core/time.h"
+#include "chervilpass/placement/path.h"
+
+namespace chervilpass::placement {
+
+/// Requests that pass through one worker.
+struct WorkerLoad {
+  double sequences = 0;
+  double context_tokens = 0;   ///< over all sequences
+  double kv_token_layers = 0;  ///< reserved
+
+  bool operator==(const WorkerLoad&) const = default;
+};
+
+/// Not thread-safe. Invariant: the counts are the sums over the paths added and
+/// not yet removed.
+class LoadBook {
+ public:
+  /// A request of `tokens` in all, prompt and expected answer, takes `path`.
+  void Add(const Path& path, double tokens);
+
+  /// The request has ended, or left this path.
+  void Remove(const Path& path, double tokens);
+
+  /// A worker states how many requests it runs as first of their paths, from
+  /// all entries.
+  void OnStatedRunning(const std::string& worker,
+                       const std::string& data_centre,
+                       std::uint32_t running,
+                       Instant now);
+
+  /// This entry's own load on a worker.
+  WorkerLoad Own(const std::string& worker) const;
+
+  /// Requests of other entries that run in a data centre, as far as its workers
+  /// have stated of late.
+  double OthersIn(const std::string& data_centre, Instant now) const;
+
+ private:
+  struct Record {
+    WorkerLoad load;
+    double as_first = 0;  ///< requests
+  };
+  struct Stated {
+    std::string data_centre;
+    double others = 0;  ///< requests
+    Instant at;
+  };
+
+  std::map<std::string, Record> records;
+  std::map<std::string, Stated> stated;
+};
+
+}  // namespace chervilpass::placement
--- /dev/null
+++ b/chervilpass/placement/planner.cc
@@ -0,0 +1,360 @@
+#include "chervilpass/placement/planner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+#include <map>
+
+namespace chervilpass::placement {
+namespace {
+
+// Plans the workers of one group: a data centre, or several that are too small.
+class GroupPlan {
+ public:
+  GroupPlan(const ModelProfile& model,
+            std::vector<PlannedWorker> workers,
+            const PlannerSettings& settings)
+      : model(model),
+        settings(settings),
+        sizes(ChooseSizes(model, workers, settings)),
+        workers(std::move(workers)) {}
+
+  std::vector<PlaceOrder> Run() {
+    this->PlaceEmptyWorkers();
+    this->CloseGaps();
+    if (Gaps(this->model, this->workers).empty()) {
+      this->TrimExtended();
+    }
+    return std::move(this->orders);
+  }
+
+ private:
+  std::uint32_t SizeOf(const PlannedWorker& worker) const {
+    return this->sizes.For(this->model, worker.kind);
+  }
+
+  // Usable workers for each layer, `except` left out.
+  std::vector<std::uint32_t> Coverage(const PlannedWorker* except) const {
+    std::vector<std::uint32_t> coverage(this->model.layers, 0);
+    for (const PlannedWorker& worker : this->workers) {
+      if (!worker.usable || &worker == except) {
+        continue;
+      }
+      for (std::uint32_t l = worker.layers.from;
+           l < std::min(worker.layers.to, this->model.layers); ++l) {
+        ++coverage[l];
+      }
+    }
+    return coverage;
+  }
+
+  // Tokens that fit at each layer, over all usable workers.
+  std::vector<double> RoomByLayer() const {
+    std::vector<double> room(this->model.layers, 0);
+    for (const PlannedWorker& worker : this->workers) {
+      const std::uint32_t size = worker.layers.Size();
+      if (!worker.usable || worker.layers.Empty()) {
+        continue;
+      }
+      const double tokens =
+          this->model.KvTokenLayers(worker.kind, size) / size /
+          std::max(1.0, worker.slowness);
+      for (std::uint32_t l = worker.layers.from;
+           l < std::min(worker.layers.to, this->model.layers); ++l) {
+        room[l] += tokens;
+      }
+    }
+    return room;
+  }
+
+  void Order(PlannedWorker* worker, const LayerRange& layers, bool urgent) {
+    assert(layers.Size() <= this->model.LargestRange(worker->kind));
+    worker->layers = layers;
+    worker->order_open = true;
+    this->orders.push_back({worker->worker, layers, urgent});
+  }
+
+  // Range of `size` layers that starts in `gap`, within the model.
+  LayerRange RangeFor(const LayerRange& gap, std::uint32_t size) const {
+    const std::uint32_t to = std::min(gap.from + size, this->model.layers);
+    return {to - std::min(size, to), to};
+  }
+
+  // Where one more worker adds most: the window with the least room, its
+  // narrowest layer first.
+  LayerRange NarrowestWindow(std::uint32_t size) const {
+    const std::vector<double> room = this->RoomByLayer();
+    LayerRange best;
+    double best_narrowest = std::numeric_limits<double>::infinity();
+    double best_sum = std::numeric_limits<double>::infinity();
+    for (std::uint32_t from = 0; from + size <= this->model.layers; ++from) {
+      const auto begin = room.begin() + from;
+      const double narrowest = *std::min_element(begin, begin + size);
+      double sum = 0;
+      for (std::uint32_t l = from; l < from + size; ++l) {
+        sum += room[l];
+      }
+      if (narrowest < best_narrowest ||
+          (narrowest == best_narrowest && sum < best_sum)) {
+        best = {from, from + size};
+        best_narrowest = narrowest;
+        best_sum = sum;
+      }
+    }
+    return best;
+  }
+
+  // Larger workers first: their long ranges fit only while gaps are long.
+  void PlaceEmptyWorkers() {
+    std::vector<PlannedWorker*> empty;
+    for (PlannedWorker& worker : this->workers) {
+      if (worker.usable && !worker.order_open && worker.layers.Empty() &&
+          this->SizeOf(worker) > 0) {
+        empty.push_back(&worker);
+      }
+    }
+    std::stable_sort(empty.begin(), empty.end(),
+                     [this](const PlannedWorker* a, const PlannedWorker* b) {
+                       return this->SizeOf(*a) > this->SizeOf(*b);
+                     });
+    for (PlannedWorker* worker : empty) {
+      const auto gaps = Gaps(this->model, this->workers);
+      if (gaps.empty()) {
+        this->Order(worker, this->NarrowestWindow(this->SizeOf(*worker)),
+                    false);
+      } else {
+        this->Order(worker, this->RangeFor(gaps[0], this->SizeOf(*worker)),
+                    true);
+      }
+    }
+  }
+
+  void CloseGaps() {
+    // Each round closes a gap or a part of one with an order to one worker, so
+    // there are no more rounds than workers.
+    for (std::size_t round = 0; round < this->workers.size(); ++round) {
+      const auto gaps = Gaps(this->model, this->workers);
+      bool closed = false;
+      for (const LayerRange& gap : gaps) {
+        closed = this->MoveSpare(gap) || this->ExtendNeighbour(gap);
+        if (closed) {
+          break;
+        }
+      }
+      if (!closed) {
+        return;
+      }
+    }
+  }
+
+  // A spare holds only layers that others hold as well. The one that covers
+  // most of the gap is taken, then the one whose layers have most room left.
+  bool MoveSpare(const LayerRange& gap) {
+    PlannedWorker* best = nullptr;
+    std::uint32_t best_covered = 0;
+    double best_room = 0;
+    for (PlannedWorker& worker : this->workers) {
+      if (!worker.usable || worker.order_open || worker.layers.Empty() ||
+          this->SizeOf(worker) == 0) {
+        continue;
+      }
+      const auto coverage = this->Coverage(&worker);
+      const auto begin = coverage.begin() + worker.layers.from;
+      const auto end =
+          coverage.begin() + std::min(worker.layers.to, this->model.layers);
+      if (std::any_of(begin, end, [](std::uint32_t c) { return c == 0; })) {
+        continue;
+      }
+      const std::uint32_t covered =
+          std::min(gap.Size(), this->SizeOf(worker));
+      const double room = this->RoomLeftWithout(worker);
+      if (covered > best_covered ||
+          (covered == best_covered && room > best_room)) {
+        best = &worker;
+        best_covered = covered;
+        best_room = room;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    this->Order(best, this->RangeFor(gap, this->SizeOf(*best)), true);
+    return true;
+  }
+
+  double RoomLeftWithout(const PlannedWorker& worker) const {
+    const std::vector<double> room = this->RoomByLayer();
+    const double own =
+        this->model.KvTokenLayers(worker.kind, worker.layers.Size()) /
+        worker.layers.Size() / std::max(1.0, worker.slowness);
+    double least = std::numeric_limits<double>::infinity();
+    for (std::uint32_t l = worker.layers.from;
+         l < std::min(worker.layers.to, this->model.layers); ++l) {
+      least = std::min(least, room[l] - own);
+    }
+    return least;
+  }
+
+  // A worker next to the gap takes as much of it as leaves room to serve.
+  bool ExtendNeighbour(const LayerRange& gap) {
+    PlannedWorker* best = nullptr;
+    LayerRange best_range;
+    std::uint32_t best_gain = 0;
+    for (PlannedWorker& worker : this->workers) {
+      if (!worker.usable || worker.order_open || worker.layers.Empty()) {
+        continue;
+      }
+      const std::uint32_t limit =
+          this->model.RangeWithRoom(worker.kind, this->settings.repair_room);
+      const std::uint32_t size = worker.layers.Size();
+      if (limit <= size) {
+        continue;
+      }
+      const std::uint32_t gain = std::min(limit - size, gap.Size());
+      LayerRange range = worker.layers;
+      if (worker.layers.to == gap.from) {
+        range.to += gain;
+      } else if (worker.layers.from == gap.to) {
+        range.from -= gain;
+      } else {
+        continue;
+      }
+      if (gain > best_gain) {
+        best = &worker;
+        best_range = range;
+        best_gain = gain;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    this->Order(best, best_range, true);
+    return true;
+  }
+
+  // Ranges that were extended over a gap shrink again, once others hold the
+  // layers at their ends: their room for requests comes back.
+  void TrimExtended() {
+    for (PlannedWorker& worker : this->workers) {
+      const std::uint32_t size = this->SizeOf(worker);
+      if (!worker.usable || worker.order_open || size == 0 ||
+          worker.layers.Size() <= size) {
+        continue;
+      }
+      const auto coverage = this->Coverage(&worker);
+      LayerRange range = worker.layers;
+      while (range.Size() > size && coverage[range.from] > 0) {
+        ++range.from;
+      }
+      while (range.Size() > size && coverage[range.to - 1] > 0) {
+        --range.to;
+      }
+      if (range != worker.layers) {
+        this->Order(&worker, range, false);
+      }
+    }
+  }
+
+  const ModelProfile& model;
+  const PlannerSettings& settings;
+  RangeSizes sizes;
+  std::vector<PlannedWorker> workers;
+  std::vector<PlaceOrder> orders;
+};
+
+double LayersIn(const ModelProfile& model,
+                const std::vector<PlannedWorker>& workers,
+                double room) {
+  double layers = 0;
+  for (const PlannedWorker& worker : workers) {
+    if (worker.usable) {
+      layers += RangeSizes{room}.For(model, worker.kind);
+    }
+  }
+  return layers;
+}
+
+}  // namespace
+
+std::uint32_t RangeSizes::For(const ModelProfile& model,
+                              const AcceleratorKind& kind) const {
+  const std::uint32_t with_room = model.RangeWithRoom(kind, this->room);
+  return std::min(std::max(1U, with_room), model.LargestRange(kind));
+}
+
+RangeSizes ChooseSizes(const ModelProfile& model,
+                       const std::vector<PlannedWorker>& workers,
+                       const PlannerSettings& settings) {
+  const double wanted = settings.coverage * model.layers;
+  double largest_whole = 0;
+  for (double room = settings.most_room; room >= settings.least_room;
+       room -= settings.room_step) {
+    const double layers = LayersIn(model, workers, room);
+    if (layers >= wanted) {
+      return {room};
+    }
+    if (largest_whole == 0 && layers >= model.layers) {
+      largest_whole = room;
+    }
+  }
+  // Too few for spares: one replica with as much room as it can have, but at
+  // least the room below which requests do not fit.
+  return {largest_whole};
+}
+
+std::vector<LayerRange> Gaps(const ModelProfile& model,
+                             const std::vector<PlannedWorker>& workers) {
+  std::vector<bool> held(model.layers, false);
+  for (const PlannedWorker& worker : workers) {
+    if (worker.usable) {
+      for (std::uint32_t l = worker.layers.from;
+           l < std::min(worker.layers.to, model.layers); ++l) {
+        held[l] = true;
+      }
+    }
+  }
+  std::vector<LayerRange> gaps;
+  for (std::uint32_t l = 0; l < model.layers; ++l) {
+    if (held[l]) {
+      continue;
+    }
+    if (gaps.empty() || gaps.back().to != l) {
+      gaps.push_back({l, l});
+    }
+    gaps.back().to = l + 1;
+  }
+  return gaps;
+}
+
+std::vector<PlaceOrder> PlanPlacement(const ModelProfile& model,
+                                      const std::vector<PlannedWorker>& workers,
+                                      const PlannerSettings& settings) {
+  std::map<std::string, std::vector<PlannedWorker>> groups;
+  for (const PlannedWorker& worker : workers) {
+    groups[worker.data_centre].push_back(worker);
+  }
+  std::vector<PlannedWorker> small;
+  std::vector<PlaceOrder> orders;
+  const auto plan = [&](const std::vector<PlannedWorker>& group) {
+    const auto more = GroupPlan(model, group, settings).Run();
+    orders.insert(orders.end(), more.begin(), more.end());
+  };
+  for (const auto& [data_centre, group] : groups) {
+    if (LayersIn(model, group, settings.least_room) < model.layers) {
+      small.insert(small.end(), group.begin(), group.end());
+    } else {
+      plan(group);
+    }
+  }
+  if (!small.empty()) {
+    plan(small);
+  }
+  std::stable_sort(orders.begin(), orders.end(),
+                   [](const PlaceOrder& a, const PlaceOrder& b) {
+                     return a.urgent && !b.urgent;
+                   });
+  return orders;
+}
+
+}  // namespace chervilpass::placement
--- /dev/null
+++ b/chervilpass/routing/backend_server.h
@@ -0,0 +1,31 @@
+// A backend server as it is registered: where it is, what it holds, whether it
+// is leaving.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "chervilpass/core/time.h"
+#include "chervilpass/io/http.h"
+#include "chervilpass/placement/model_profile.h"
+
+namespace chervilpass::routing {
+
+/// One incarnation of a backend server.
+struct BackendServer {
+  std::string id;  ///< instance; sent along so that another one refuses
+  std::string service;
+  io::Endpoint address;
+  std::string data_centre;
+  std::uint32_t slots = 0;  ///< requests that it runs at once
+  bool leaving = false;
+  Duration warm_up_left{0};
+  WallTime started;              ///< tells incarnations of one id apart
+  std::string model;             ///< empty for a plain service
+  std::string accelerator_kind;  ///< empty for a plain service
+  placement::LayerRange layers;  ///< empty if it holds none
+
+  bool operator==(const BackendServer&) const = default;
+};
+
+}  // namespace chervilpass::routing
--- a/chervilpass/routing/retry_budget.h
+++ b/chervilpass/routing/retry_budget.h
@@ -36,6 +36,12 @@
     return true;
   }
 
+  /// Changes how much can be saved up.
+  void SetReserve(double reserve) {
+    this->settings.reserve = reserve;
+    this->balance = std::min(this->balance, reserve);
+  }
+
   double Balance() const { return this->balance; }
 
  private:
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -112,6 +112,7 @@
   entryUp @11 :Bool;
   dispatchUp @12 :Bool;
   configVersion @13 :UInt64;
+  storeUp @14 :Bool;
 }
 
 struct Strike {
@@ -158,6 +159,7 @@
   getVersion @4 (version :UInt64) -> (changes :ConfigChanges);
 }
 
+# Leaving or unreachable, as the list that holds it says.
 struct LeavingNotice {
   backend @0 :Text;
   wallMs @1 :Int64;
@@ -171,4 +173,5 @@
   members @4 :List(Member);
   strikes @5 :List(Strike);
   leaving @6 :List(LeavingNotice);
+  unreachable @7 :List(LeavingNotice);
 }
--- a/chervilpass/rpc/codec.cc
+++ b/chervilpass/rpc/codec.cc
@@ -252,6 +252,7 @@
   to.setStatus(static_cast<std::uint8_t>(value.status));
   to.setEntryUp(value.entry_up);
   to.setDispatchUp(value.dispatch_up);
+  to.setStoreUp(value.store_up);
   to.setConfigVersion(value.config_version);
 }
 
@@ -271,6 +272,7 @@
       std::min<std::uint8_t>(from.getStatus(), 3));
   value.entry_up = from.getEntryUp();
   value.dispatch_up = from.getDispatchUp();
+  value.store_up = from.getStoreUp();
   value.config_version = from.getConfigVersion();
   return value;
 }
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -31,9 +31,22 @@
     message.leaving.push_back(
         {notice.getBackend().cStr(), WallTime{notice.getWallMs()}});
   }
+  for (const auto notice : from.getUnreachable()) {
+    message.unreachable.push_back(
+        {notice.getBackend().cStr(), WallTime{notice.getWallMs()}});
+  }
   return message;
 }
 
+template <class Notice>
+void WriteNotices(const std::vector<Notice>& notices,
+                  capnp::List<schema::LeavingNotice>::Builder to) {
+  for (unsigned i = 0; i < notices.size(); ++i) {
+    to[i].setBackend(notices[i].backend);
+    to[i].setWallMs(notices[i].at.milliseconds);
+  }
+}
+
 }  // namespace
 
 std::string EncodeGossip(const membership::GossipMessage& message) {
@@ -51,11 +64,9 @@
   for (unsigned i = 0; i < message.strikes.size(); ++i) {
     Write(message.strikes[i], strikes[i]);
   }
-  auto leaving = root.initLeaving(message.leaving.size());
-  for (unsigned i = 0; i < message.leaving.size(); ++i) {
-    leaving[i].setBackend(message.leaving[i].backend);
-    leaving[i].setWallMs(message.leaving[i].at.milliseconds);
-  }
+  WriteNotices(message.leaving, root.initLeaving(message.leaving.size()));
+  WriteNotices(message.unreachable,
+               root.initUnreachable(message.unreachable.size()));
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, builder);
   const auto bytes = stream.getArray();
--- /dev/null
+++ b/chervilpass/serving/request_context.h
@@ -0,0 +1,62 @@
+// One request on its way through the router, and what all parts of the router
+// share.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "chervilpass/core/log.h"
+#include "chervilpass/core/metrics.h"
+#include "chervilpass/io/http_client.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/io/runtime.h"
+#include "chervilpass/serving/attempt_policy.h"
+#include "chervilpass/serving/request_facts.h"
+#include "chervilpass/serving/world.h"
+
+namespace chervilpass::serving {
+
+/// What the parts of the router share. All members outlive every request.
+struct RouterParts {
+  io::Runtime* runtime = nullptr;
+  World* world = nullptr;
+  io::HttpClient* http = nullptr;
+  MetricsRegistry* metrics = nullptr;
+  const Logger* log = nullptr;
+  AttemptPolicySettings attempts;
+  Duration connect_timeout = milliseconds(400);
+  /// Tells peers and the placement decider of a worker that does not answer.
+  std::function<void(const std::string& worker)> report_unreachable;
+  /// Tells peers of a request that was running on a worker when it crashed.
+  std::function<void(const quarantine::Strike&)> report_strike;
+};
+
+/// Notes that a worker does not answer and, if that is news, tells peers.
+void NoteUnreachable(const RouterParts& parts,
+                     const std::string& worker,
+                     std::string_view evidence);
+
+/// A request that has been authenticated and routed.
+struct RequestContext {
+  io::HttpExchange* exchange = nullptr;
+  RequestFacts facts;
+  std::shared_ptr<const routing::RouteTable> table;  ///< keeps `route` alive
+  const routing::Route* route = nullptr;
+  std::string organisation;
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  Instant received{};
+};
+
+/// How a request ended, for the log and the metrics.
+struct RequestEnd {
+  unsigned status = 0;   ///< 0: the connection was closed without an answer
+  std::string outcome;   ///< "served", "refused", "failed", "broken", "left"
+  std::string reason;
+  std::string worker;
+  std::uint32_t sends = 0;
+};
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/router.h
@@ -0,0 +1,53 @@
+// The router's answer to callers: reads, authenticates, routes, and hands over
+// to the relay that fits the route.
+#pragma once
+
+#include <memory>
+
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/serving/request_context.h"
+#include "chervilpass/serving/stream_registry.h"
+
+namespace chervilpass::serving {
+
+/// Describes a Router.
+struct RouterSettings {
+  StreamRegistrySettings streams;
+  /// For requests that name no deadline and whose route has none.
+  Duration default_deadline = seconds(60);
+  /// A leaving VM refuses streams that would not end before it does.
+  Duration longest_stream_while_leaving = milliseconds(4500);
+  /// Served requests that get a line in the log: one in so many. Others get
+  /// one always.
+  std::uint32_t log_one_served_in = 20;
+
+  bool operator==(const RouterSettings&) const = default;
+};
+
+/// Fiber thread only.
+class Router {
+ public:
+  static std::unique_ptr<Router> Create(RouterParts parts,
+                                        RouterSettings settings);
+  ~Router();
+
+  /// Answers one request of a caller.
+  void Handle(io::HttpExchange& exchange);
+
+  /// The answer to a request that could not be read.
+  static io::HttpResponse AnswerUnreadable(unsigned status,
+                                           std::string_view detail);
+
+  /// The process will end at `end`: what cannot be finished by then is refused.
+  void SetEnd(Instant end);
+
+  /// Requests in progress.
+  std::size_t InFlight() const;
+
+ private:
+  struct State;
+  explicit Router(std::unique_ptr<State> state);
+  std::unique_ptr<State> state;
+};
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/stream_registry.cc
@@ -0,0 +1,299 @@
+#include "chervilpass/serving/stream_registry.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "platform/worker_decoder.h"
+
+namespace chervilpass::serving {
+namespace {
+
+using placement::Path;
+using placement::PathPart;
+
+constexpr int kMostMoves = 3;  // orders for one fault of one stream
+
+std::string WorkersOf(const Path& path) {
+  std::string text;
+  for (const PathPart& part : path) {
+    text += fmt::format("{}{}:{}-{}", text.empty() ? "" : ",", part.worker,
+                        part.layers.from, part.layers.to);
+  }
+  return text;
+}
+
+}  // namespace
+
+struct StreamRegistry::State
+    : std::enable_shared_from_this<StreamRegistry::State> {
+  State(const RouterParts* parts, StreamRegistrySettings settings)
+      : parts(parts), settings(settings) {}
+
+  void Watch() {
+    while (!this->stopped) {
+      this->parts->runtime->SleepFor(this->settings.tick);
+      this->LookAtAll();
+    }
+  }
+
+  // True if the stream is still in progress; it may have ended during a wait.
+  bool Alive(const ActiveStream* stream) const {
+    return this->streams.contains(const_cast<ActiveStream*>(stream));
+  }
+
+  void LookAtAll() {
+    const Instant now = this->parts->runtime->Now();
+    for (ActiveStream* stream : this->streams) {
+      if (stream->path.empty() || stream->moving || stream->scope->Ended()) {
+        continue;
+      }
+      const Duration silent = now - stream->last_progress;
+      const Duration limit = stream->first_event_seen || stream->moved
+                                 ? this->settings.event_gap
+                                 : this->settings.first_event_gap;
+      if (silent < limit) {
+        continue;
+      }
+      if (this->HasUnreachablePart(*stream, now)) {
+        this->StartMove(stream);
+      } else if (silent >= this->settings.give_up_gap && stream->resumable) {
+        this->GiveUp(stream, "no event for too long");
+      } else {
+        this->StartExamining(stream->path.front());
+      }
+    }
+  }
+
+  bool HasUnreachablePart(const ActiveStream& stream, Instant now) const {
+    return std::any_of(
+        stream.path.begin(), stream.path.end(), [&](const PathPart& part) {
+          return this->parts->world->IsUnreachable(part.worker, now);
+        });
+  }
+
+  void GiveUp(ActiveStream* stream, std::string_view reason) {
+    this->parts->log->Info("stream.stalled",
+                           {{"request", stream->request_id},
+                            {"path", WorkersOf(stream->path)},
+                            {"reason", reason}});
+    this->parts->metrics->Count("chervil_streams_stalled_total");
+    stream->scope->Stop(StopReason::kStalled);
+  }
+
+  // Asks the first worker of a path which of its requests wait for whom; one
+  // question at a time serves all streams that begin there.
+  void StartExamining(const PathPart& first) {
+    if (!this->examined.insert(first.worker).second) {
+      return;
+    }
+    this->parts->runtime->Spawn(
+        [self = this->shared_from_this(), first] { self->Examine(first); });
+  }
+
+  void Examine(const PathPart& first) {
+    io::HttpRequest request;
+    request.path = platform::ReportPath();
+    const auto answer = this->parts->http->Call(first.address, request,
+                                                this->settings.report_timeout);
+    this->examined.erase(first.worker);
+    if (answer.has_error() || answer.value().status != 200) {
+      NoteUnreachable(*this->parts, 
+          first.worker,
+          answer.has_error() ? answer.error().detail
+                             : fmt::format("status {}", answer.value().status));
+      return;
+    }
+    const auto report = platform::DecodeReport(answer.value().body);
+    if (report.has_error()) {
+      this->parts->log->Warning(
+          "worker.report_unreadable",
+          {{"worker", first.worker}, {"reason", report.error().detail}});
+      return;
+    }
+    for (const platform::StalledRequest& stalled : report.value().stalled) {
+      const auto* server =
+          this->parts->world->Servers().FindByAddress(stalled.waits_for);
+      if (server != nullptr) {
+        NoteUnreachable(*this->parts, server->id, "requests stall there");
+      } else {
+        this->StopByAddress(stalled.request_id, stalled.waits_for);
+      }
+    }
+  }
+
+  // The worker is not registered any more: its address still tells the part.
+  void StopByAddress(const std::string& request_id,
+                     const io::Endpoint& address) {
+    for (ActiveStream* stream : this->streams) {
+      if (stream->request_id != request_id) {
+        continue;
+      }
+      for (const PathPart& part : stream->path) {
+        if (part.address == address) {
+          NoteUnreachable(*this->parts, part.worker, "gone, and requests stall there");
+        }
+      }
+    }
+  }
+
+  void StartMove(ActiveStream* stream) {
+    stream->moving = true;
+    this->parts->runtime->Spawn([self = this->shared_from_this(), stream,
+                                 id = stream->request_id] {
+      self->Move(stream, id);
+    });
+  }
+
+  // The path with unreachable parts replaced; empty if that cannot be done.
+  Path Replacement(const ActiveStream& stream) const {
+    World& world = *this->parts->world;
+    const Instant now = this->parts->runtime->Now();
+    Path path;
+    std::set<std::string> used;
+    for (const PathPart& part : stream.path) {
+      used.insert(part.worker);
+    }
+    for (const PathPart& part : stream.path) {
+      if (!world.IsUnreachable(part.worker, now)) {
+        path.push_back(part);
+        continue;
+      }
+      if (path.empty()) {
+        return {};  // the first worker holds the request
+      }
+      placement::PathQuery query;
+      query.layers = part.layers;
+      const auto* before = world.Servers().Find(path.back().worker);
+      query.from_data_centre = before == nullptr
+                                   ? world.Settings().data_centre
+                                   : before->data_centre;
+      query.prompt_tokens = stream.prompt_tokens;
+      query.answer_tokens = stream.answer_tokens;
+      query.excluded = used;
+      query.first_part_included = false;
+      const auto found =
+          world.FindPath(stream.service, *stream.model, query, now);
+      if (found.has_error()) {
+        return {};
+      }
+      for (const PathPart& replacement : found.value().path) {
+        used.insert(replacement.worker);
+        path.push_back(replacement);
+      }
+    }
+    return path;
+  }
+
+  void Move(ActiveStream* stream, const std::string& id) {
+    for (int i = 0; i < kMostMoves; ++i) {
+      if (!this->Alive(stream) || stream->request_id != id ||
+          stream->path.empty()) {
+        return;
+      }
+      const Path path = this->Replacement(*stream);
+      if (path.empty()) {
+        break;
+      }
+      if (path == stream->path) {
+        stream->moving = false;
+        return;
+      }
+      io::HttpRequest order;
+      order.method = "POST";
+      order.path = platform::OrderPath();
+      order.headers.Add("Content-Type", "application/json");
+      order.body = platform::EncodeRepathOrder(id, path);
+      const PathPart first = path.front();
+      const auto answer = this->parts->http->Call(
+          first.address, order, this->settings.report_timeout);
+      if (!this->Alive(stream) || stream->request_id != id ||
+          stream->path.empty()) {
+        return;
+      }
+      if (answer.has_error()) {
+        NoteUnreachable(*this->parts, first.worker, answer.error().detail);
+        break;
+      }
+      const auto outcome = platform::OrderOutcomeOf(answer.value().status);
+      this->parts->log->Info(
+          "stream.moved", {{"request", id},
+                           {"from", WorkersOf(stream->path)},
+                           {"to", WorkersOf(path)},
+                           {"status", answer.value().status}});
+      if (outcome == platform::OrderOutcome::kBegun ||
+          outcome == platform::OrderOutcome::kHolds) {
+        this->parts->metrics->Count("chervil_streams_moved_total");
+        this->parts->world->Loads().Remove(stream->path, stream->tokens);
+        stream->path = path;
+        this->parts->world->Loads().Add(stream->path, stream->tokens);
+        stream->last_progress = this->parts->runtime->Now();
+        stream->moved = true;
+        stream->moving = false;
+        return;
+      }
+      if (outcome != platform::OrderOutcome::kConflict) {
+        break;
+      }
+      this->AvoidRefusingPart(path, answer.value());
+    }
+    if (!this->Alive(stream)) {
+      return;
+    }
+    stream->moving = false;
+    if (stream->resumable) {
+      this->GiveUp(stream, "its path cannot be mended");
+    } else {
+      // Nothing else can finish it: keep hoping for the worker.
+      stream->last_progress = this->parts->runtime->Now();
+    }
+  }
+
+  void AvoidRefusingPart(const Path& path, const io::HttpResponse& answer) {
+    const auto refusing = platform::ReadRefusingWorker(answer);
+    for (const PathPart& part : path) {
+      if (refusing && part.address == *refusing) {
+        this->parts->world->Avoid(part.worker,
+                                  routing::AvoidReason::kNotHolding,
+                                  this->parts->runtime->Now());
+      }
+    }
+  }
+
+  const RouterParts* parts;
+  StreamRegistrySettings settings;
+  std::set<ActiveStream*> streams;
+  std::set<std::string> examined;  ///< workers whose report is asked for now
+  bool stopped = false;
+};
+
+StreamRegistry::StreamRegistry(std::shared_ptr<State> state)
+    : state(std::move(state)) {}
+
+StreamRegistry::~StreamRegistry() {
+  this->state->stopped = true;
+}
+
+std::unique_ptr<StreamRegistry> StreamRegistry::Create(
+    const RouterParts* parts,
+    StreamRegistrySettings settings) {
+  auto state = std::make_shared<State>(parts, settings);
+  parts->runtime->Spawn([state] { state->Watch(); });
+  return std::unique_ptr<StreamRegistry>(new StreamRegistry(std::move(state)));
+}
+
+void StreamRegistry::Add(ActiveStream* stream) {
+  this->state->streams.insert(stream);
+}
+
+void StreamRegistry::Remove(ActiveStream* stream) {
+  this->state->streams.erase(stream);
+}
+
+std::size_t StreamRegistry::Count() const {
+  return this->state->streams.size();
+}
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/stream_registry.h
@@ -0,0 +1,68 @@
+// The streams that are in progress, and the watch over them: finds workers at
+// which streams stall and moves the streams to other paths.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "chervilpass/serving/call_scope.h"
+#include "chervilpass/serving/request_context.h"
+
+namespace chervilpass::serving {
+
+/// Describes a StreamRegistry.
+struct StreamRegistrySettings {
+  /// How often streams are looked at.
+  Duration tick = milliseconds(50);
+  /// Silence of a running stream after which its path is examined. Events come
+  /// every few tens of milliseconds.
+  Duration event_gap = milliseconds(280);
+  /// The same before the first event: prompts wait for their turn.
+  Duration first_event_gap = milliseconds(700);
+  /// After this silence the run is given up, if no fault was found and the
+  /// stream may be resumed. Callers leave after two seconds.
+  Duration give_up_gap = milliseconds(1400);
+  /// Time for a worker's report or the answer to an order.
+  Duration report_timeout = milliseconds(250);
+
+  bool operator==(const StreamRegistrySettings&) const = default;
+};
+
+/// One stream in progress. Lives in the fiber that serves it.
+struct ActiveStream {
+  std::string request_id;
+  std::string service;
+  const placement::ModelProfile* model = nullptr;
+  CallScope* scope = nullptr;
+  bool resumable = false;
+
+  placement::Path path;   ///< empty while no run is in progress
+  double tokens = 0;      ///< reserved on the path
+  double prompt_tokens = 0;
+  double answer_tokens = 0;
+  Instant last_progress{};
+  bool first_event_seen = false;
+  bool moving = false;    ///< an order for another path is on its way
+  bool moved = false;     ///< since the last event
+};
+
+/// Fiber thread only.
+class StreamRegistry {
+ public:
+  static std::unique_ptr<StreamRegistry> Create(const RouterParts* parts,
+                                                StreamRegistrySettings settings);
+  ~StreamRegistry();
+
+  /// Watches a stream from now on; it must be removed before it ends.
+  void Add(ActiveStream* stream);
+  void Remove(ActiveStream* stream);
+
+  std::size_t Count() const;
+
+ private:
+  struct State;
+  explicit StreamRegistry(std::shared_ptr<State> state);
+  std::shared_ptr<State> state;
+};
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/stream_relay.h
@@ -0,0 +1,17 @@
+// Carries a generation over a path of workers and its events back, one by one.
+// A run that breaks is resumed on another path within the same answer.
+#pragma once
+
+#include "chervilpass/serving/request_context.h"
+#include "chervilpass/serving/stream_registry.h"
+
+namespace chervilpass::serving {
+
+/// Serves one request; returns how it ended. The answer has been sent by then.
+RequestEnd RelayStream(const RouterParts& parts,
+                       StreamRegistry* registry,
+                       const RequestContext& context,
+                       const placement::ModelProfile& model,
+                       Duration time_left);
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/world.h
@@ -0,0 +1,115 @@
+// What the router believes at a moment: configuration, backend servers, their
+// load, whom to avoid. Shared by all requests of a process; fiber thread only.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chervilpass/core/log.h"
+#include "chervilpass/core/metrics.h"
+#include "chervilpass/core/random.h"
+#include "chervilpass/placement/load_book.h"
+#include "chervilpass/placement/path_chooser.h"
+#include "chervilpass/quarantine/strike_book.h"
+#include "chervilpass/routing/avoid_book.h"
+#include "chervilpass/routing/retry_budget.h"
+#include "chervilpass/routing/route_table.h"
+#include "chervilpass/routing/server_book.h"
+#include "chervilpass/routing/worker_health.h"
+
+namespace chervilpass::serving {
+
+/// Describes a World.
+struct WorldSettings {
+  std::string vm;
+  std::string data_centre;
+  routing::RetryBudgetSettings retries;
+  placement::PathChooserSettings paths;
+  quarantine::StrikeBookSettings strikes{3, std::chrono::minutes(10)};
+
+  bool operator==(const WorldSettings&) const = default;
+};
+
+/// What is in flight on a plain backend server.
+struct PlainLoad {
+  std::uint32_t own = 0;
+  std::uint32_t others = 0;  ///< when it last stated its load
+  Instant stated_at{};
+
+  bool operator==(const PlainLoad&) const = default;
+};
+
+/// The router's beliefs. State machines inside are pure; this class joins them.
+class World {
+ public:
+  World(WorldSettings settings, std::uint64_t seed);
+
+  /// Takes a configuration if it is newer than the one in force; true if so.
+  bool Adopt(std::shared_ptr<const routing::RouteTable> table);
+
+  const std::shared_ptr<const routing::RouteTable>& Table() const {
+    return this->table;
+  }
+
+  /// A path for a request of that size, avoiding what is known to be unusable.
+  Result<placement::ChosenPath, placement::NoPathReason> FindPath(
+      const std::string& service,
+      const placement::ModelProfile& model,
+      const placement::PathQuery& query,
+      Instant now);
+
+  /// Workers for parts of paths, with estimated load.
+  std::vector<placement::PathCandidate> PathCandidates(
+      const std::string& service,
+      const placement::ModelProfile& model,
+      Instant now) const;
+
+  /// A server of a plain service; empty if there is none.
+  std::optional<routing::BackendServer> PickServer(
+      const std::string& service,
+      const std::set<std::string>& excluded,
+      Instant now);
+
+  /// Marks a worker; true if that is news.
+  bool Avoid(const std::string& worker,
+             routing::AvoidReason reason,
+             Instant now);
+
+  bool IsAvoided(const std::string& worker, Instant now) const;
+  bool IsUnreachable(const std::string& worker, Instant now) const;
+
+  /// A worker has carried a request to its end.
+  void OnServed(const std::string& worker);
+
+  routing::ServerBook& Servers() { return this->servers; }
+  const routing::ServerBook& Servers() const { return this->servers; }
+  placement::LoadBook& Loads() { return this->loads; }
+  std::map<std::string, PlainLoad>& PlainLoads() { return this->plain_loads; }
+  routing::WorkerHealth& PlainHealth() { return this->plain_health; }
+  routing::RetryBudget& Retries() { return this->retries; }
+  quarantine::StrikeBook& Strikes() { return this->strikes; }
+  Random& Dice() { return this->random; }
+  const WorldSettings& Settings() const { return this->settings; }
+
+  /// To be called a few times a second.
+  void Expire(Instant now, WallTime wall);
+
+ private:
+  std::string Incarnation(const std::string& worker) const;
+
+  WorldSettings settings;
+  std::shared_ptr<const routing::RouteTable> table;  ///< null until known
+  routing::ServerBook servers{routing::ServerBookSettings{}};
+  routing::AvoidBook avoid{routing::AvoidBookSettings{}};
+  placement::LoadBook loads;
+  std::map<std::string, PlainLoad> plain_loads;
+  routing::WorkerHealth plain_health{routing::WorkerHealthSettings{}};
+  routing::RetryBudget retries;
+  quarantine::StrikeBook strikes;
+  Random random;
+};
+
+}  // namespace chervilpass::serving
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -33,11 +33,11 @@
   settings.drain_limit =
       reader.Milliseconds("drain_limit_ms", {0, 3600000}, 60000);
   config::SettingsReader http = reader.Section("http");
-  settings.http.header_limit = static_cast<std::uint32_t>(
+  settings.http.limits.header = static_cast<std::uint32_t>(
       http.Integer("header_limit_bytes", {1024, 1 << 20}, 16 * 1024));
-  settings.http.body_limit = static_cast<std::uint64_t>(
+  settings.http.limits.body = static_cast<std::uint64_t>(
       http.Integer("body_limit_bytes", {1024, 1 << 26}, 1024 * 1024));
-  settings.http.read_timeout =
+  settings.http.limits.read_time =
       http.Milliseconds("read_timeout_ms", {10, 600000}, 10000);
   settings.http.write_timeout =
       http.Milliseconds("write_timeout_ms", {10, 600000}, 10000);
--- /dev/null
+++ b/programs/router/main.cc
@@ -0,0 +1,440 @@
+// chervil-router: the daemon of an entry VM. Serves callers, answers which
+// addresses they are to use, and takes part in the fleet's own duties.
+#include <fstream>
+#include <sstream>
+
+#include "chervilpass/app/program.h"
+#include "chervilpass/core/hash.h"
+#include "chervilpass/fleet/address_list.h"
+#include "chervilpass/fleet/peer_group.h"
+#include "chervilpass/fleet/placement_keeper.h"
+#include "chervilpass/fleet/store_sync.h"
+#include "chervilpass/serving/router.h"
+#include "platform/entry_calls.h"
+#include "programs/router/settings.h"
+
+namespace chervilpass {
+namespace {
+
+// Part of the fleet's retry reserve that is given out; the rest covers restarts
+// of processes, which start with a full share.
+constexpr double kReserveShare = 0.7;
+// A fleet of unknown size is taken to be this large.
+constexpr std::size_t kLeastFleet = 9;
+constexpr Duration kHousekeepingPeriod = milliseconds(250);
+constexpr Duration kSettingsPeriod = seconds(3);
+constexpr Duration kDrainPoll = milliseconds(50);
+// Before the end of the grace period: idle connections are closed, then the
+// process ends by itself.
+constexpr Duration kCloseIdleBefore = milliseconds(900);
+constexpr Duration kEndBefore = milliseconds(350);
+// Callers may keep addresses three times as long as they are told.
+constexpr int kAddressLifetimes = 3;
+constexpr Duration kUnacknowledgedLimit = seconds(3);
+constexpr std::size_t kIdleConnections = 64;  // to one backend server
+constexpr std::uint32_t kReservedDescriptors = 200;
+
+std::uint64_t BootId(io::Runtime& runtime) {
+  return static_cast<std::uint64_t>(runtime.WallNow().milliseconds);
+}
+
+membership::Member SelfOf(const RouterProgramSettings& settings,
+                          std::uint64_t boot_id) {
+  membership::Member self;
+  self.vm = settings.ip;
+  self.data_centre = settings.data_centre;
+  self.region = settings.region;
+  self.ip = settings.ip;
+  self.http_port = settings.callers.port;
+  self.control_port = settings.peers.port;
+  self.gossip_port = settings.gossip_port;
+  self.boot_id = boot_id;
+  return self;
+}
+
+membership::DetectorSettings FastDetector() {
+  membership::DetectorSettings settings;
+  // Callers are told of an address for two seconds: an entry that is gone has
+  // to be out of the lists sooner.
+  settings.probe_period = milliseconds(350);
+  settings.probe_timeout = milliseconds(120);
+  settings.suspicion_timeout = milliseconds(900);
+  return settings;
+}
+
+// The parts of the daemon and how they hang together.
+class Daemon {
+ public:
+  Daemon(io::Runtime& runtime,
+         RouterProgramSettings settings,
+         const app::CommandLine& command_line)
+      : runtime(runtime),
+        settings(std::move(settings)),
+        command_line(command_line),
+        log(this->settings.log),
+        boot_id(BootId(runtime)),
+        world(this->BeliefSettings(),
+              HashCombine(HashText(this->settings.ip), this->boot_id)) {}
+
+  int Run() {
+    this->CreateClients();
+    if (!this->CreatePeers() || !this->CreateServers()) {
+      return app::kExitFailure;
+    }
+    this->log.Info("router.started",
+                   {{"version", CHERVILPASS_VERSION},
+                    {"callers", this->settings.callers.ToText()},
+                    {"boot_id", this->boot_id}});
+    this->runtime.Spawn([this] { this->Housekeeping(); });
+    this->runtime.Spawn([this] { this->WatchSettings(); });
+    this->runtime.OnReloadSignal([this] { this->Reload("signal"); });
+    this->runtime.WaitForStopSignal();
+    this->Leave();
+    return app::kExitOk;
+  }
+
+ private:
+  serving::WorldSettings BeliefSettings() const {
+    serving::WorldSettings beliefs;
+    beliefs.vm = this->settings.ip;
+    beliefs.data_centre = this->settings.data_centre;
+    beliefs.retries = {this->settings.retry_share,
+                       this->ReserveFor(kLeastFleet)};
+    return beliefs;
+  }
+
+  double ReserveFor(std::size_t fleet) const {
+    return this->settings.retry_reserve * kReserveShare /
+           static_cast<double>(std::max(fleet, kLeastFleet));
+  }
+
+  void CreateClients() {
+    this->store = platform::StoreClient::Create(
+        &this->runtime, &this->metrics, {this->settings.store});
+    io::HttpClientSettings http;
+    http.idle_connections = kIdleConnections;
+    http.unacknowledged_limit = kUnacknowledgedLimit;
+    this->http = io::HttpClient::Create(&this->runtime, http);
+  }
+
+  bool CreatePeers() {
+    fleet::PeerGroupSettings group;
+    group.self = SelfOf(this->settings, this->boot_id);
+    group.seed_ips = this->settings.seed_ips;
+    std::erase(group.seed_ips, this->settings.ip);
+    group.detector = FastDetector();
+    fleet::PeerGroupEvents events;
+    events.strike = [this](const quarantine::Strike& strike) {
+      this->world.Strikes().Add(strike, this->runtime.WallNow());
+    };
+    events.unreachable = [this](const std::string& worker) {
+      this->OnPeerFoundUnreachable(worker);
+    };
+    events.newer_config = [this](const membership::Member& holder) {
+      this->OnPeerHasNewerConfig(holder);
+    };
+    auto created = fleet::PeerGroup::Create(&this->runtime, this->store.get(),
+                                            &this->metrics, &this->log,
+                                            std::move(group),
+                                            std::move(events));
+    if (created.has_error()) {
+      this->log.Error("router.cannot_listen",
+                      {{"detail", created.error().detail}});
+      return false;
+    }
+    this->peers = std::move(created).value();
+    this->CreateSync();
+    this->placement = fleet::PlacementKeeper::Create(
+        &this->runtime, this->store.get(), this->http.get(), &this->world,
+        &this->metrics, &this->log, {}, SelfOf(this->settings, this->boot_id),
+        [this] { return this->peers->Members(); });
+    return true;
+  }
+
+  void CreateSync() {
+    fleet::StoreSyncEvents events;
+    events.config_changed = [this] { this->OnConfigChanged(); };
+    events.store_changed = [this](bool up) { this->peers->SetStoreUp(up); };
+    events.find_peer = [this] { return this->PeerWithStore(); };
+    this->sync = fleet::StoreSync::Create(&this->runtime, this->store.get(),
+                                          &this->world, &this->metrics,
+                                          &this->log, {}, std::move(events));
+  }
+
+  bool CreateServers() {
+    serving::RouterParts parts;
+    parts.runtime = &this->runtime;
+    parts.world = &this->world;
+    parts.http = this->http.get();
+    parts.metrics = &this->metrics;
+    parts.log = &this->log;
+    parts.report_unreachable = [this](const std::string& worker) {
+      this->peers->SpreadUnreachable(worker);
+      this->placement->OnSuspect(worker);
+    };
+    parts.report_strike = [this](const quarantine::Strike& strike) {
+      this->peers->SpreadStrike(strike);
+    };
+    this->router = serving::Router::Create(std::move(parts), {});
+    this->callers = this->Listen(
+        this->settings.callers,
+        [this](io::HttpExchange& exchange) { this->router->Handle(exchange); });
+    const auto ask = [this](io::HttpExchange& exchange) {
+      std::visit([&](const auto& question) { this->Answer(exchange, question); },
+                 platform::ReadEntryQuestion(exchange.Request()));
+    };
+    this->readiness = this->Listen(this->settings.readiness, ask);
+    this->directory = this->Listen(this->settings.directory, ask);
+    this->state = this->Listen(
+        this->settings.peers,
+        [this](io::HttpExchange& exchange) { this->AnswerPeer(exchange); });
+    this->metrics_server = this->Listen(
+        this->settings.metrics,
+        [this](io::HttpExchange& exchange) { this->AnswerMetrics(exchange); });
+    return this->callers && this->readiness && this->directory && this->state &&
+           this->metrics_server;
+  }
+
+  std::unique_ptr<io::HttpServer> Listen(const io::Endpoint& address,
+                                         io::HttpHandler handler) {
+    io::HttpServerSettings server;
+    server.listen = address;
+    server.connection_limit =
+        this->settings.descriptors > 2 * kReservedDescriptors
+            ? (this->settings.descriptors - kReservedDescriptors) / 2
+            : kReservedDescriptors;
+    auto created = io::HttpServer::Create(&this->runtime, server,
+                                          std::move(handler),
+                                          serving::Router::AnswerUnreadable);
+    if (created.has_error()) {
+      this->log.Error("router.cannot_listen",
+                      {{"detail", created.error().detail}});
+      return nullptr;
+    }
+    return std::move(created).value();
+  }
+
+  // ---- questions ----
+
+  bool Ready() const { return !this->leaving && this->sync->Complete(); }
+
+  void Answer(io::HttpExchange& exchange, const platform::ReadyQuestion&) {
+    exchange.Respond(platform::ReadyAnswer(this->Ready()));
+  }
+
+  void Answer(io::HttpExchange& exchange,
+              const platform::AddressQuestion& question) {
+    exchange.Respond(platform::AddressAnswer(
+        fleet::ListAddresses(this->peers->Members(), question.data_centre, {},
+                             &this->world.Dice()),
+        this->settings.address_ttl));
+  }
+
+  void Answer(io::HttpExchange& exchange, const platform::UnknownQuestion&) {
+    exchange.Respond(serving::Router::AnswerUnreadable(404, "no such call"));
+  }
+
+  void AnswerPeer(io::HttpExchange& exchange) {
+    const io::HttpRequest& request = exchange.Request();
+    if (request.path != fleet::PeerStatePath()) {
+      exchange.Respond(serving::Router::AnswerUnreadable(404, "no such call"));
+      return;
+    }
+    const auto number = [&request](std::string_view name) {
+      const std::string text = request.QueryParameter(name).value_or("0");
+      return std::strtoull(text.c_str(), nullptr, 10);
+    };
+    io::HttpResponse answer;
+    answer.headers.Add("Content-Type", "application/json");
+    answer.body = this->sync->StateSince(number("config"), number("workers"));
+    exchange.Respond(answer);
+  }
+
+  void AnswerMetrics(io::HttpExchange& exchange) {
+    this->metrics.Set("chervil_log_lines_dropped", "",
+                      static_cast<double>(DroppedLogLines()));
+    this->metrics.Set("chervil_requests_in_flight", "",
+                      static_cast<double>(this->router->InFlight()));
+    this->metrics.Set("chervil_connections_made", "",
+                      static_cast<double>(this->http->ConnectionsMade()));
+    this->metrics.Set("chervil_placement_decides", "",
+                      this->placement->Decides() ? 1 : 0);
+    io::HttpResponse answer;
+    answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    answer.body = this->metrics.PrometheusText();
+    exchange.Respond(answer);
+  }
+
+  // ---- events ----
+
+  void OnConfigChanged() {
+    const auto table = this->world.Table();
+    this->peers->SetConfigVersion(table->Version());
+    const routing::CallerLimits& limits = table->Limits();
+    io::HttpServerLimits server;
+    server.header = limits.header_bytes;
+    server.body = limits.body_bytes;
+    server.idle_time = limits.idle_time;
+    if (this->callers) {
+      this->callers->SetLimits(server);
+    }
+  }
+
+  void OnPeerFoundUnreachable(const std::string& worker) {
+    // Hearsay keeps new requests away for a moment; only what this VM finds
+    // itself moves streams or layers.
+    this->world.Avoid(worker, routing::AvoidReason::kNotHolding,
+                      this->runtime.Now());
+    this->placement->OnSuspect(worker);
+  }
+
+  void OnPeerHasNewerConfig(const membership::Member& holder) {
+    const auto table = this->world.Table();
+    const bool behind =
+        !table || table->Version() < holder.config_version;
+    // With the store in reach the own watch brings it as soon.
+    if (behind && !this->sync->StoreUp()) {
+      this->sync->PullFrom({holder.ip, holder.control_port});
+    }
+  }
+
+  std::optional<io::Endpoint> PeerWithStore() {
+    std::vector<io::Endpoint> able;
+    for (const membership::Member& member : this->peers->Members()) {
+      if (member.vm != this->settings.ip && member.store_up &&
+          member.status != membership::Status::kDead) {
+        able.push_back({member.ip, member.control_port});
+      }
+    }
+    if (able.empty()) {
+      return std::nullopt;
+    }
+    return able[this->world.Dice().Below(able.size())];
+  }
+
+  // ---- upkeep ----
+
+  void Housekeeping() {
+    bool was_ready = false;
+    while (true) {
+      this->runtime.SleepFor(kHousekeepingPeriod);
+      this->world.Expire(this->runtime.Now(), this->runtime.WallNow());
+      this->world.Retries().SetReserve(
+          this->ReserveFor(this->peers->MostAlive()));
+      if (this->Ready() != was_ready) {
+        was_ready = this->Ready();
+        this->log.Info("router.ready", {{"ready", was_ready}});
+        this->peers->SetReady(was_ready);
+      }
+    }
+  }
+
+  // The file may change without a signal.
+  void WatchSettings() {
+    std::string known = this->SettingsText();
+    while (true) {
+      this->runtime.SleepFor(kSettingsPeriod);
+      std::string text = this->SettingsText();
+      if (text != known) {
+        known = std::move(text);
+        this->Reload("file changed");
+      }
+    }
+  }
+
+  std::string SettingsText() const {
+    std::ifstream file(this->command_line.config_path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+
+  void Reload(std::string_view why) {
+    auto reader =
+        config::SettingsReader::FromFile(this->command_line.config_path);
+    config::SettingsErrors faults;
+    std::optional<RouterProgramSettings> fresh;
+    if (reader.has_error()) {
+      faults = reader.error();
+    } else {
+      fresh = ReadRouterSettings(reader.value(), this->command_line);
+      faults = reader.value().Finish();
+    }
+    if (!faults.empty()) {
+      this->log.Error("settings.rejected",
+                      {{"why", why}, {"faults", config::ToText(faults)}});
+      return;
+    }
+    // Addresses stay until the next start.
+    this->settings.address_ttl = fresh->address_ttl;
+    this->settings.grace = fresh->grace;
+    this->settings.retry_reserve = fresh->retry_reserve;
+    this->log.Info("settings.reloaded", {{"why", why}});
+  }
+
+  // Out of the address lists first, then no new work that would not end in
+  // time, then the end.
+  void Leave() {
+    const Instant start = this->runtime.Now();
+    const Instant end = start + this->settings.grace - kEndBefore;
+    this->leaving = true;
+    this->log.Info("router.leaving",
+                   {{"in_flight", this->router->InFlight()},
+                    {"grace_ms", ToMilliseconds(this->settings.grace)}});
+    this->peers->SetLeaving();
+    this->callers->StopKeepingAlive();
+    this->router->SetEnd(end);
+    const Instant addresses_expired =
+        start + kAddressLifetimes * this->settings.address_ttl;
+    while (this->runtime.Now() < end) {
+      this->runtime.SleepFor(kDrainPoll);
+      const Instant now = this->runtime.Now();
+      if (now > end - kCloseIdleBefore || now > addresses_expired) {
+        this->callers->CloseIdle();
+      }
+      if (now > addresses_expired && this->router->InFlight() == 0) {
+        break;
+      }
+    }
+    this->log.Info("router.stopped", {{"in_flight", this->router->InFlight()}});
+  }
+
+  io::Runtime& runtime;
+  RouterProgramSettings settings;
+  app::CommandLine command_line;
+  Logger log;
+  MetricsRegistry metrics;
+  std::uint64_t boot_id;
+  serving::World world;
+  bool leaving = false;
+  std::unique_ptr<platform::StoreClient> store;
+  std::unique_ptr<io::HttpClient> http;
+  std::unique_ptr<fleet::PeerGroup> peers;
+  std::unique_ptr<fleet::StoreSync> sync;
+  std::unique_ptr<fleet::PlacementKeeper> placement;
+  std::unique_ptr<serving::Router> router;
+  std::unique_ptr<io::HttpServer> callers;
+  std::unique_ptr<io::HttpServer> readiness;
+  std::unique_ptr<io::HttpServer> directory;
+  std::unique_ptr<io::HttpServer> state;
+  std::unique_ptr<io::HttpServer> metrics_server;
+};
+
+}  // namespace
+}  // namespace chervilpass
+
+int main(int argc, char** argv) {
+  using namespace chervilpass;
+  const app::CommandLine command_line =
+      app::ParseCommandLine(argc, argv, "Router daemon of an entry VM.");
+  const auto settings = app::LoadSettings<RouterProgramSettings>(
+      command_line, [&](config::SettingsReader& reader) {
+        return ReadRouterSettings(reader, command_line);
+      });
+  int code = app::kExitOk;
+  io::Runtime::Run([&](io::Runtime& runtime) {
+    code = Daemon(runtime, settings, command_line).Run();
+    app::ExitNow(code);
+  });
+  return code;
+}
--- /dev/null
+++ b/programs/router/settings.cc
@@ -0,0 +1,69 @@
+#include "programs/router/settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "chervilpass/core/text.h"
+
+namespace chervilpass {
+namespace {
+
+// "IP:PORT,IP:PORT", possibly empty; only the IP addresses matter.
+std::vector<std::string> ReadSeeds(config::SettingsReader& reader) {
+  std::vector<std::string> ips;
+  const std::string text = reader.Text("seeds", "");
+  for (const std::string& part : SplitText(text, ',')) {
+    if (part.empty()) {
+      continue;
+    }
+    if (const auto address = io::Endpoint::Parse(part)) {
+      ips.push_back(address->ip);
+    } else {
+      reader.Fault("seeds", "'" + part + "' given; IP:PORT is expected");
+    }
+  }
+  return ips;
+}
+
+std::uint16_t ReadPort(config::SettingsReader& reader,
+                       std::string_view field) {
+  return static_cast<std::uint16_t>(reader.Integer(field, {1, 65535}));
+}
+
+}  // namespace
+
+RouterProgramSettings ReadRouterSettings(config::SettingsReader& reader,
+                                         const app::CommandLine& command_line) {
+  RouterProgramSettings settings;
+  settings.vm = reader.Text("vm");
+  settings.ip = reader.Text("ip");
+  settings.data_centre = reader.Text("data_centre");
+  settings.region = reader.Text("region");
+  config::SettingsReader listen = reader.Section("listen");
+  settings.callers = listen.Address("callers");
+  settings.readiness = listen.Address("readiness");
+  settings.directory = listen.Address("directory");
+  config::SettingsReader peers = reader.Section("peers");
+  settings.gossip_port = ReadPort(peers, "gossip_port");
+  settings.peers = {settings.ip, ReadPort(peers, "state_port")};
+  settings.metrics = {settings.ip, ReadPort(listen, "metrics_port")};
+  settings.seed_ips = ReadSeeds(peers);
+  config::SettingsReader store = reader.Section("store");
+  settings.store = store.Address("address");
+  config::SettingsReader limits = reader.Section("limits");
+  settings.address_ttl =
+      limits.Milliseconds("address_ttl_ms", {100, 600000}, 2000);
+  settings.grace = duration_cast<Duration>(std::chrono::duration<double>(
+      limits.Real("grace_seconds", 0.5, 3600, 8.0)));
+  settings.retry_share = limits.Real("retry_share", 0, 10, 0.2);
+  settings.retry_reserve = limits.Real("retry_reserve", 0, 1e6, 100);
+  settings.memory_mb = static_cast<std::uint32_t>(
+      limits.Integer("memory_mb", {16, 1 << 20}, 256));
+  settings.descriptors = static_cast<std::uint32_t>(
+      limits.Integer("descriptors", {64, 1 << 24}, 4096));
+  settings.log = app::ReadLogSettings(reader, "chervil-router", settings.vm,
+                                      command_line);
+  return settings;
+}
+
+}  // namespace chervilpass
--- a/stand_ins/engine/main.cc
+++ b/stand_ins/engine/main.cc
@@ -346,7 +346,7 @@
     engine.Start();
     io::HttpServerSettings server_settings;
     server_settings.listen = settings.listen;
-    server_settings.body_limit = 32 * 1024 * 1024;
+    server_settings.limits.body = 32 * 1024 * 1024;
     ServeUntilStopped(
         &runtime, settings.log, server_settings, "engine.ready",
         [&engine](io::HttpExchange& exchange) { engine.Handle(exchange); });
