Placement waits for workers to show up; room first, then spares

Sizes that aimed at 1.25 workers a layer left 45,000 tokens in the smallest data centre: 109 preemptions. Sizes now weigh room against spares.

--- a/chervilpass/fleet/placement_keeper.cc
+++ b/chervilpass/fleet/placement_keeper.cc
@@ -87,6 +87,9 @@
   std::map<std::string, OpenOrder> open;             ///< by worker
   std::map<std::string, ConfirmedLayers> confirmed;  ///< by worker
   std::set<std::string> suspects;  ///< are asked until they answer
+  std::size_t workers_seen = 0;
+  Instant last_new_worker{};
+  std::optional<Instant> first_worker;
   bool held = false;
   bool stopped = false;
 
@@ -195,18 +198,20 @@
   void Plan(const std::string& service, const placement::ModelProfile& model) {
     this->ForgetOld();
     const auto workers = this->Planned(service, model);
+    // While most workers are empty nothing is served, and all load at once.
+    const auto holding = std::count_if(
+        workers.begin(), workers.end(),
+        [](const PlannedWorker& worker) { return !worker.layers.Empty(); });
+    const bool filling =
+        2 * static_cast<std::size_t>(holding) < workers.size();
+    if (filling && !this->Settled(workers.size())) {
+      return;
+    }
     const auto orders =
         placement::PlanPlacement(model, workers, this->settings.planner);
     if (orders.empty() || !this->ConfirmClaim()) {
       return;
     }
-    const std::size_t holding = static_cast<std::size_t>(
-        std::count_if(workers.begin(), workers.end(),
-                      [](const PlannedWorker& worker) {
-                        return !worker.layers.Empty();
-                      }));
-    // While most workers are empty all load at once: nothing is served yet.
-    const bool filling = 2 * holding < workers.size();
     for (const PlaceOrder& order : orders) {
       if (!filling && !order.urgent &&
           this->open.size() >= model.loads_at_once) {
@@ -216,6 +221,23 @@
     }
   }
 
+  // True once no worker has shown up for a while.
+  bool Settled(std::size_t workers) {
+    const Instant now = this->runtime->Now();
+    if (workers == 0) {
+      return false;
+    }
+    if (!this->first_worker) {
+      this->first_worker = now;
+    }
+    if (workers != this->workers_seen) {
+      this->workers_seen = workers;
+      this->last_new_worker = now;
+    }
+    return now - this->last_new_worker >= this->settings.settle ||
+           now - *this->first_worker >= this->settings.longest_settle;
+  }
+
   void ForgetOld() {
     const Instant now = this->runtime->Now();
     std::erase_if(this->confirmed, [now](const auto& entry) {
@@ -295,7 +317,9 @@
         this->log->Info("placement.placed",
                         {{"worker", worker.id},
                          {"from", order.layers.from},
-                         {"to", order.layers.to}});
+                         {"to", order.layers.to},
+                         {"kv_used", report->kv_used},
+                         {"kv_capacity", report->kv_capacity}});
         return;
       }
       if (!report->order_in_progress) {
--- a/chervilpass/fleet/placement_keeper.h
+++ b/chervilpass/fleet/placement_keeper.h
@@ -27,6 +27,10 @@
   Duration report_timeout = milliseconds(300);
   /// Between two looks at a worker that loads layers.
   Duration poll = milliseconds(250);
+  /// While most workers are empty, planning waits until no new one has shown up
+  /// for this long, since ranges depend on how many there are.
+  Duration settle = milliseconds(700);
+  Duration longest_settle = milliseconds(3500);
   /// An order that has not taken effect by then is planned anew.
   Duration order_limit = seconds(20);
   placement::PlannerSettings planner;
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -286,21 +286,29 @@
 RangeSizes ChooseSizes(const ModelProfile& model,
                        const std::vector<PlannedWorker>& workers,
                        const PlannerSettings& settings) {
-  const double wanted = settings.coverage * model.layers;
-  double largest_whole = 0;
-  for (double room = settings.most_room; room >= settings.least_room;
-       room -= settings.room_step) {
-    const double layers = LayersIn(model, workers, room);
-    if (layers >= wanted) {
-      return {room};
+  const double usual_tokens =
+      model.usual_prompt_tokens + model.usual_answer_tokens / 2.0;
+  const double wanted =
+      std::max(settings.least_room,
+               settings.wanted_batches * model.batch_limit * usual_tokens);
+  RangeSizes best;
+  double best_worth = 0;
+  for (double room = settings.least_room; room <= 2 * wanted;
+       room += settings.room_step) {
+    const double coverage =
+        LayersIn(model, workers, room) / std::max(1U, model.layers);
+    if (coverage < 1) {
+      break;
     }
-    if (largest_whole == 0 && layers >= model.layers) {
-      largest_whole = room;
+    const double worth =
+        std::min(1.0, room / wanted) +
+        settings.coverage_weight * std::min(coverage, settings.most_coverage);
+    if (worth >= best_worth) {
+      best = {room};
+      best_worth = worth;
     }
   }
-  // Too few for spares: one replica with as much room as it can have, but at
-  // least the room below which requests do not fit.
-  return {largest_whole};
+  return best;
 }
 
 std::vector<LayerRange> Gaps(const ModelProfile& model,
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -38,13 +38,18 @@
 
 /// Describes the planner.
 struct PlannerSettings {
-  /// Workers in a data centre for each layer, on average, that the size of
-  /// ranges aims at: above 1 leaves spares.
-  double coverage = 1.25;
-  /// Room for requests, in tokens of each layer, that ranges aim at.
-  double most_room = 240000;
-  double least_room = 15000;
-  double room_step = 5000;
+  /// Room for requests, as a share of full batches of usual requests, that
+  /// ranges aim at. Beyond it more room is worth less than more spares.
+  double wanted_batches = 0.65;
+  /// Workers for each layer, on average, beyond which more spares are worth
+  /// nothing.
+  double most_coverage = 1.6;
+  /// Worth of one more worker for each layer, against that of the whole room
+  /// wanted.
+  double coverage_weight = 0.5;
+  /// Room below which requests do not fit, in tokens of each layer.
+  double least_room = 10000;
+  double room_step = 5000;  ///< of the search
   /// A range may be extended over a gap while this room is left.
   double repair_room = 12000;
 
@@ -61,7 +66,7 @@
   bool operator==(const RangeSizes&) const = default;
 };
 
-/// The largest room with which the workers cover the model often enough.
+/// The sizes that are worth most, of those that cover the model.
 RangeSizes ChooseSizes(const ModelProfile& model,
                        const std::vector<PlannedWorker>& workers,
                        const PlannerSettings& settings);
