--- a/chervilpass/control/control_node.cc
+++ b/chervilpass/control/control_node.cc
@@ -164,8 +164,7 @@
   }
 
   void Do(const membership::UnreachableHeard& heard) {
-    this->log.Debug("backend.unreachable",
-                    {{"backend", heard.notice.backend}});
+    this->log.Debug("backend.unreachable", {{"backend", heard.notice.backend}});
   }
 
   void Do(const membership::ConfigHeard& heard) {
--- a/chervilpass/fleet/decider_claim.cc
+++ b/chervilpass/fleet/decider_claim.cc
@@ -9,8 +9,8 @@
 using membership::Status;
 
 bool CanDecide(const Member& member) {
-  return member.store_up && (member.status == Status::kAlive ||
-                             member.status == Status::kSuspect);
+  return member.store_up &&
+         (member.status == Status::kAlive || member.status == Status::kSuspect);
 }
 
 }  // namespace
--- a/chervilpass/fleet/decider_claim.h
+++ b/chervilpass/fleet/decider_claim.h
@@ -46,10 +46,7 @@
                std::string vm,
                std::uint64_t boot_id,
                Instant now)
-      : settings(settings),
-        vm(std::move(vm)),
-        boot_id(boot_id),
-        started(now) {}
+      : settings(settings), vm(std::move(vm)), boot_id(boot_id), started(now) {}
 
   /// The record as read, or none if there is none.
   void OnRead(const std::optional<DeciderRecord>& record, Instant now);
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -62,8 +62,7 @@
         socket(std::move(socket)),
         detector(this->settings.detector,
                  this->settings.self,
-                 HashText(this->settings.self.vm) ^
-                     this->settings.self.boot_id,
+                 HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
                  runtime->Now()) {}
 
   void Start() {
@@ -161,8 +160,8 @@
       return true;
     }
     return this->store
-        ->Replace(platform::StoreKind::kEntries, name,
-                  known.value().revision, body)
+        ->Replace(platform::StoreKind::kEntries, name, known.value().revision,
+                  body)
         .has_value();
   }
 
@@ -262,12 +261,11 @@
     PeerGroupSettings settings,
     PeerGroupEvents events) {
   BOOST_OUTCOME_TRY(
-      auto socket,
-      io::UdpSocket::Create(runtime,
-                            {settings.self.ip, settings.self.gossip_port}));
-  auto state = std::make_shared<State>(runtime, store, metrics, log,
-                                       std::move(settings), std::move(events),
-                                       std::move(socket));
+      auto socket, io::UdpSocket::Create(
+                       runtime, {settings.self.ip, settings.self.gossip_port}));
+  auto state =
+      std::make_shared<State>(runtime, store, metrics, log, std::move(settings),
+                              std::move(events), std::move(socket));
   state->Start();
   return std::unique_ptr<PeerGroup>(new PeerGroup(std::move(state)));
 }
--- a/chervilpass/fleet/placement_keeper.cc
+++ b/chervilpass/fleet/placement_keeper.cc
@@ -99,11 +99,10 @@
       this->UpdateClaim();
       if (this->claim.Holds() != this->held) {
         this->held = this->claim.Holds();
-        this->log->Info("placement.decider",
-                        {{"decides", this->held},
-                         {"term", this->claim.Record()
-                                      ? this->claim.Record()->term
-                                      : 0}});
+        this->log->Info(
+            "placement.decider",
+            {{"decides", this->held},
+             {"term", this->claim.Record() ? this->claim.Record()->term : 0}});
       }
       if (this->held) {
         this->PlanAll();
@@ -125,9 +124,9 @@
         }
         return;
       case ClaimAction::kCreate:
-        this->TakeWritten(this->store->Create(
-            StoreKind::kControl, std::string(kClaimName),
-            EncodeRecord(this->claim.Proposal())));
+        this->TakeWritten(
+            this->store->Create(StoreKind::kControl, std::string(kClaimName),
+                                EncodeRecord(this->claim.Proposal())));
         return;
       case ClaimAction::kTakeOver:
         this->TakeWritten(this->store->Replace(
@@ -202,8 +201,7 @@
     const auto holding = std::count_if(
         workers.begin(), workers.end(),
         [](const PlannedWorker& worker) { return !worker.layers.Empty(); });
-    const bool filling =
-        2 * static_cast<std::size_t>(holding) < workers.size();
+    const bool filling = 2 * static_cast<std::size_t>(holding) < workers.size();
     if (filling && !this->Settled(workers.size())) {
       return;
     }
@@ -280,12 +278,11 @@
 
   void Begin(const PlaceOrder& order) {
     this->open[order.worker] = {order.layers, this->runtime->Now()};
-    this->log->Info("placement.order",
-                    {{"worker", order.worker},
-                     {"from", order.layers.from},
-                     {"to", order.layers.to},
-                     {"urgent", order.urgent},
-                     {"term", this->claim.Record()->term}});
+    this->log->Info("placement.order", {{"worker", order.worker},
+                                        {"from", order.layers.from},
+                                        {"to", order.layers.to},
+                                        {"urgent", order.urgent},
+                                        {"term", this->claim.Record()->term}});
     this->runtime->Spawn([self = this->shared_from_this(), order] {
       self->SeeThrough(order);
       self->open.erase(order.worker);
@@ -344,9 +341,9 @@
     }
     auto report = platform::DecodeReport(answer.value().body);
     if (report.has_error()) {
-      this->log->Warning("worker.report_unreadable",
-                         {{"worker", worker.id},
-                          {"reason", report.error().detail}});
+      this->log->Warning(
+          "worker.report_unreadable",
+          {{"worker", worker.id}, {"reason", report.error().detail}});
       return std::nullopt;
     }
     return std::move(report).value();
@@ -369,8 +366,7 @@
          {"expected", accepted},
          {"answer", answer.has_error()
                         ? answer.error().detail
-                        : "status " +
-                              std::to_string(answer.value().status)}});
+                        : "status " + std::to_string(answer.value().status)}});
   }
 
   // ---- suspects ----
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -122,8 +122,8 @@
   void NoteFailure(StoreKind kind, const StoreError& error) {
     this->metrics->Count("chervil_store_sync_failures_total");
     if (this->log->Enabled(LogLevel::kDebug)) {
-      this->log->Debug("store.call_failed", {{"what", NameOf(kind)},
-                                             {"detail", error.detail}});
+      this->log->Debug("store.call_failed",
+                       {{"what", NameOf(kind)}, {"detail", error.detail}});
     }
   }
 
@@ -161,9 +161,9 @@
 
   void TakeListing(StoreKind kind, const Listing& listing) {
     if (listing.unreadable > 0) {
-      this->log->Warning("store.unreadable_objects",
-                         {{"what", NameOf(kind)},
-                          {"count", listing.unreadable}});
+      this->log->Warning(
+          "store.unreadable_objects",
+          {{"what", NameOf(kind)}, {"count", listing.unreadable}});
     }
     if (kind == StoreKind::kConfig) {
       for (const StoredObject& object : listing.objects) {
@@ -176,9 +176,9 @@
 
   void TakeChanges(StoreKind kind, const Changes& changes) {
     if (changes.unreadable > 0) {
-      this->log->Warning("store.unreadable_objects",
-                         {{"what", NameOf(kind)},
-                          {"count", changes.unreadable}});
+      this->log->Warning(
+          "store.unreadable_objects",
+          {{"what", NameOf(kind)}, {"count", changes.unreadable}});
     }
     for (const ObjectChange& change : changes.changes) {
       if (kind == StoreKind::kConfig) {
@@ -193,8 +193,7 @@
         this->workers[change.object.name] = change.object;
       }
       this->world->Servers().ApplyChange(this->RecordOf(change.object),
-                                         change.deleted,
-                                         this->runtime->Now());
+                                         change.deleted, this->runtime->Now());
       this->LogWorker(change);
     }
     if (kind == StoreKind::kWorkers) {
@@ -205,14 +204,13 @@
 
   void LogWorker(const ObjectChange& change) const {
     const auto* server = this->world->Servers().Find(change.object.name);
-    this->log->Info(
-        "worker.changed",
-        {{"worker", change.object.name},
-         {"revision", change.object.revision},
-         {"deleted", change.deleted},
-         {"leaving", server != nullptr && server->leaving},
-         {"from", server == nullptr ? 0 : server->layers.from},
-         {"to", server == nullptr ? 0 : server->layers.to}});
+    this->log->Info("worker.changed",
+                    {{"worker", change.object.name},
+                     {"revision", change.object.revision},
+                     {"deleted", change.deleted},
+                     {"leaving", server != nullptr && server->leaving},
+                     {"from", server == nullptr ? 0 : server->layers.from},
+                     {"to", server == nullptr ? 0 : server->layers.to}});
   }
 
   void TakeWorkers(const std::vector<StoredObject>& objects,
@@ -234,9 +232,9 @@
   routing::ServerRecord RecordOf(const StoredObject& object) const {
     auto server = platform::DecodeWorker(object.name, object.spec);
     if (server.has_error()) {
-      this->log->Warning("worker.unreadable",
-                         {{"worker", object.name},
-                          {"reason", server.error().detail}});
+      this->log->Warning(
+          "worker.unreadable",
+          {{"worker", object.name}, {"reason", server.error().detail}});
       return {object.name, object.revision, std::nullopt};
     }
     return {object.name, object.revision, std::move(server).value()};
@@ -249,9 +247,8 @@
     }
     auto parts = platform::DecodeConfig(object.spec);
     if (parts.has_error()) {
-      this->log->Error("config.unreadable",
-                       {{"revision", object.revision},
-                        {"reason", parts.error().detail}});
+      this->log->Error("config.unreadable", {{"revision", object.revision},
+                                             {"reason", parts.error().detail}});
       this->metrics->Count("chervil_config_unreadable_total");
       return;
     }
@@ -283,12 +280,13 @@
         this->peers->Call(peer, request, this->settings.peer_timeout);
     this->pulling = false;
     if (answer.has_error() || answer.value().status != 200) {
-      this->log->Info("peer.pull_failed",
-                      {{"peer", peer.ToText()},
-                       {"detail", answer.has_error()
-                                      ? answer.error().detail
-                                      : "status " + std::to_string(
-                                            answer.value().status)}});
+      this->log->Info(
+          "peer.pull_failed",
+          {{"peer", peer.ToText()},
+           {"detail",
+            answer.has_error()
+                ? answer.error().detail
+                : "status " + std::to_string(answer.value().status)}});
       return;
     }
     this->metrics->Count("chervil_peer_pulls_total");
@@ -354,9 +352,9 @@
                                              StoreSyncEvents events) {
   io::HttpClientSettings http;
   http.connect_timeout = settings.peer_timeout;
-  auto state = std::make_shared<State>(
-      runtime, store, world, metrics, log, settings, std::move(events),
-      io::HttpClient::Create(runtime, http));
+  auto state = std::make_shared<State>(runtime, store, world, metrics, log,
+                                       settings, std::move(events),
+                                       io::HttpClient::Create(runtime, http));
   state->Start();
   return std::unique_ptr<StoreSync>(new StoreSync(std::move(state)));
 }
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -152,10 +152,9 @@
     }
     stream->socket().set_option(Tcp::no_delay(true), error);
     if (this->settings.unacknowledged_limit > Duration::zero()) {
-      stream->socket().set_option(
-          UserTimeout(static_cast<int>(
-              ToMilliseconds(this->settings.unacknowledged_limit))),
-          error);
+      stream->socket().set_option(UserTimeout(static_cast<int>(ToMilliseconds(
+                                      this->settings.unacknowledged_limit))),
+                                  error);
     }
     return stream;
   }
@@ -249,8 +248,7 @@
     if (read.error && read.error != http::error::need_buffer) {
       return call.ErrorOf(read.error);
     }
-    const std::size_t size =
-        call.piece.size() - call.parser->get().body().size;
+    const std::size_t size = call.piece.size() - call.parser->get().body().size;
     if (size > 0) {
       return std::string_view(call.piece.data(), size);
     }
@@ -328,8 +326,8 @@
   if (!reused) {
     BOOST_OUTCOME_TRY(stream, this->state->Connect(address, connect_timeout));
   }
-  auto call = std::make_unique<HttpCall::State>(
-      this->state.get(), address, std::move(stream), reused);
+  auto call = std::make_unique<HttpCall::State>(this->state.get(), address,
+                                                std::move(stream), reused);
   return std::unique_ptr<HttpCall>(new HttpCall(std::move(call)));
 }
 
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -155,8 +155,8 @@
   void WatchPeer(std::function<void()> on_gone) override {
     this->stream->socket().async_wait(
         Tcp::socket::wait_read,
-        [this, ended = this->watch_ended, on_gone = std::move(on_gone)](
-            const boost::system::error_code& error) {
+        [this, ended = this->watch_ended,
+         on_gone = std::move(on_gone)](const boost::system::error_code& error) {
           if (!*ended && !error && this->PeerGone()) {
             this->broken = true;
             on_gone();
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -94,10 +94,8 @@
     boost::asio::signal_set signals(this->state->context, SIGHUP);
     while (true) {
       const Completion received = Await([&signals](auto handler) {
-        signals.async_wait(
-            [handler](boost::system::error_code error, int) mutable {
-              handler(error, 0);
-            });
+        signals.async_wait([handler](boost::system::error_code error,
+                                     int) mutable { handler(error, 0); });
       });
       if (received.error) {
         return;
--- a/chervilpass/placement/load_book.cc
+++ b/chervilpass/placement/load_book.cc
@@ -48,8 +48,7 @@
                                std::uint32_t running,
                                Instant now) {
   const auto found = this->records.find(worker);
-  const double own =
-      found == this->records.end() ? 0 : found->second.as_first;
+  const double own = found == this->records.end() ? 0 : found->second.as_first;
   std::erase_if(this->stated, [now](const auto& entry) {
     return now - entry.second.at > kStatedLifetime;
   });
--- a/chervilpass/placement/model_profile.h
+++ b/chervilpass/placement/model_profile.h
@@ -48,9 +48,9 @@
   double prefill_tokens_per_second = 0;
   Duration load{0};  ///< of all layers from the weight store
   std::uint32_t loads_at_once = 1;
-  std::uint32_t batch_limit = 0;       ///< requests, as first of a path
-  double activation_bytes = 0;         ///< a token, between two workers
-  double data_centre_link_mbps = 0;    ///< between two data centres
+  std::uint32_t batch_limit = 0;     ///< requests, as first of a path
+  double activation_bytes = 0;       ///< a token, between two workers
+  double data_centre_link_mbps = 0;  ///< between two data centres
   std::uint32_t usual_prompt_tokens = 0;
   std::uint32_t usual_answer_tokens = 0;
   std::map<std::string, AcceleratorKind> kinds;
@@ -65,8 +65,8 @@
     if (this->layer_mb <= 0) {
       return 0;
     }
-    return std::min(this->layers,
-                    static_cast<std::uint32_t>(kind.memory_mb / this->layer_mb));
+    return std::min(this->layers, static_cast<std::uint32_t>(kind.memory_mb /
+                                                             this->layer_mb));
   }
 
   /// KV capacity of a worker that holds `held` layers, in token-layers.
--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -110,8 +110,7 @@
     if (first) {
       return ToSeconds(this->settings.remote_entry);
     }
-    const double tokens =
-        this->query.prompt_tokens + this->query.answer_tokens;
+    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
     const double link = this->model.data_centre_link_mbps <= 0
                             ? 0
                             : this->model.activation_bytes * 8 /
@@ -122,8 +121,7 @@
   }
 
   double PartCost(const PathCandidate& candidate, std::uint32_t layers) const {
-    const double tokens =
-        this->query.prompt_tokens + this->query.answer_tokens;
+    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
     const double room =
         this->model.KvTokenLayers(candidate.kind, candidate.layers.Size());
     const double fill =
@@ -134,17 +132,16 @@
     }
     const double share =
         static_cast<double>(layers) / std::max(1U, this->model.layers);
-    const double busy =
-        1 + kPassWait *
-                std::min(1.0, candidate.load.sequences / kBusySequences);
+    const double busy = 1 + kPassWait * std::min(1.0, candidate.load.sequences /
+                                                          kBusySequences);
     const double decode = this->query.answer_tokens * busy * share *
                           StepSeconds(this->model, candidate, 1, tokens);
-    const double prefill =
-        this->model.prefill_tokens_per_second <= 0
-            ? 0
-            : this->query.prompt_tokens * share * candidate.slowness *
-                  candidate.kind.prefill_factor /
-                  this->model.prefill_tokens_per_second;
+    const double prefill = this->model.prefill_tokens_per_second <= 0
+                               ? 0
+                               : this->query.prompt_tokens * share *
+                                     candidate.slowness *
+                                     candidate.kind.prefill_factor /
+                                     this->model.prefill_tokens_per_second;
     const double hops =
         this->query.answer_tokens * ToSeconds(this->settings.hop);
     const double crowding =
@@ -156,10 +153,10 @@
 
   std::optional<ChosenPath> Trace() const {
     const auto& ends = this->best.back();
-    const auto last = std::min_element(
-        ends.begin(), ends.end(), [](const auto& a, const auto& b) {
-          return a.second.cost < b.second.cost;
-        });
+    const auto last = std::min_element(ends.begin(), ends.end(),
+                                       [](const auto& a, const auto& b) {
+                                         return a.second.cost < b.second.cost;
+                                       });
     if (last == ends.end() || last->second.candidate == nullptr) {
       return std::nullopt;
     }
@@ -243,9 +240,9 @@
 Duration TokenTime(const ModelProfile& model,
                    const PathCandidate& candidate,
                    double layers) {
-  return duration_cast<Duration>(std::chrono::duration<double>(
-      StepSeconds(model, candidate, 0, 0) * layers /
-      std::max(1U, model.layers)));
+  return duration_cast<Duration>(
+      std::chrono::duration<double>(StepSeconds(model, candidate, 0, 0) *
+                                    layers / std::max(1U, model.layers)));
 }
 
 }  // namespace chervilpass::placement
--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -22,17 +22,17 @@
   std::string worker;
   io::Endpoint address;
   std::string data_centre;
-  LayerRange layers;     ///< held now
+  LayerRange layers;  ///< held now
   AcceleratorKind kind;
-  double slowness = 1;   ///< 1 if it is as fast as its kind
-  WorkerLoad load;       ///< estimate over all entries
+  double slowness = 1;  ///< 1 if it is as fast as its kind
+  WorkerLoad load;      ///< estimate over all entries
 
   bool operator==(const PathCandidate&) const = default;
 };
 
 /// What is asked for.
 struct PathQuery {
-  LayerRange layers;  ///< the whole model, or the part to replace
+  LayerRange layers;             ///< the whole model, or the part to replace
   std::string from_data_centre;  ///< of the entry, or of the part before
   double prompt_tokens = 0;
   double answer_tokens = 0;
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -57,9 +57,8 @@
       if (!worker.usable || worker.layers.Empty()) {
         continue;
       }
-      const double tokens =
-          this->model.KvTokenLayers(worker.kind, size) / size /
-          std::max(1.0, worker.slowness);
+      const double tokens = this->model.KvTokenLayers(worker.kind, size) /
+                            size / std::max(1.0, worker.slowness);
       for (std::uint32_t l = worker.layers.from;
            l < std::min(worker.layers.to, this->model.layers); ++l) {
         room[l] += tokens;
@@ -166,8 +165,7 @@
       if (std::any_of(begin, end, [](std::uint32_t c) { return c == 0; })) {
         continue;
       }
-      const std::uint32_t covered =
-          std::min(gap.Size(), this->SizeOf(worker));
+      const std::uint32_t covered = std::min(gap.Size(), this->SizeOf(worker));
       const double room = this->RoomLeftWithout(worker);
       if (covered > best_covered ||
           (covered == best_covered && room > best_room)) {
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -17,7 +17,7 @@
   std::string worker;
   std::string data_centre;
   AcceleratorKind kind;
-  LayerRange layers;  ///< held, or ordered and not yet confirmed
+  LayerRange layers;        ///< held, or ordered and not yet confirmed
   bool order_open = false;  ///< an order is on its way or in progress
   /// Neither leaving nor unreachable; what others hold does not count.
   bool usable = true;
--- a/chervilpass/routing/avoid_book.h
+++ b/chervilpass/routing/avoid_book.h
@@ -52,8 +52,8 @@
       }
       length = std::min(length, this->settings.unreachable_longest);
       record.times += news ? 1 : 0;
-      record.unreachable_until = std::max(record.unreachable_until,
-                                          now + length);
+      record.unreachable_until =
+          std::max(record.unreachable_until, now + length);
     } else if (reason == AvoidReason::kNotHolding) {
       length = this->settings.not_holding;
     }
--- a/chervilpass/routing/route_table.h
+++ b/chervilpass/routing/route_table.h
@@ -34,8 +34,8 @@
   std::string path_prefix;  ///< begins and ends with a slash
   RouteKind kind = RouteKind::kNonIdempotent;
   Duration timeout{0};
-  Duration objective{0};      ///< response, or first event of a stream
-  Duration gap_objective{0};  ///< between two events of a stream
+  Duration objective{0};       ///< response, or first event of a stream
+  Duration gap_objective{0};   ///< between two events of a stream
   std::uint32_t priority = 0;  ///< 0 is the highest
   std::vector<ServiceShare> shares;
   std::uint32_t attempts = 1;
--- a/chervilpass/serving/attempt_policy.h
+++ b/chervilpass/serving/attempt_policy.h
@@ -69,8 +69,7 @@
         this->may_have_run < this->attempts &&
         this->rejected < this->settings.most_rejected_sends;
     const bool repeatable = rejected_only || this->may_repeat;
-    if (repeatable && attempts_left &&
-        time_left >= this->settings.least_time &&
+    if (repeatable && attempts_left && time_left >= this->settings.least_time &&
         (outcome == SendOutcome::kNotSent || budget())) {
       return NextStep::kSendAgain;
     }
--- a/chervilpass/serving/call_relay.cc
+++ b/chervilpass/serving/call_relay.cc
@@ -127,8 +127,8 @@
     facts.organisation = this->context.organisation;
     facts.time_left = this->scope.TimeLeft();
     facts.last_event_id = this->context.facts.last_event_id;
-    const auto request = platform::ForwardedRequest(
-        this->context.exchange->Request(), facts);
+    const auto request =
+        platform::ForwardedRequest(this->context.exchange->Request(), facts);
     if (auto done = call->Send(request, facts.time_left); done.has_error()) {
       return {SendOutcome::kUnknown, {}, done.error().detail};
     }
@@ -139,9 +139,9 @@
     const AnswerFacts answer = platform::ReadAnswer(head.value());
     if (answer.load) {
       PlainLoad& load = this->parts.world->PlainLoads()[server.id];
-      load.others = answer.load->running + answer.load->waiting -
-                    std::min(load.own,
-                             answer.load->running + answer.load->waiting);
+      load.others =
+          answer.load->running + answer.load->waiting -
+          std::min(load.own, answer.load->running + answer.load->waiting);
       load.stated_at = this->parts.runtime->Now();
     }
     auto body = call->ReadBody(kLargestAnswer);
@@ -160,14 +160,16 @@
                 const io::HttpResponse& head,
                 std::string body) const {
     if (facts.not_executed) {
-      return {SendOutcome::kNotExecuted, {},
+      return {SendOutcome::kNotExecuted,
+              {},
               fmt::format("status {}, not executed", facts.status)};
     }
     if (facts.Successful() && (!facts.sealed || facts.encoded)) {
       return {SendOutcome::kUnknown, {}, "success without a valid signature"};
     }
     if (PromisesNotRun(facts.status)) {
-      return {SendOutcome::kUnknown, {},
+      return {SendOutcome::kUnknown,
+              {},
               fmt::format("status {} without a statement", facts.status)};
     }
     Sent sent{IsServerFailure(facts.status) ? SendOutcome::kFailed
@@ -248,9 +250,9 @@
   }
 
   RequestEnd Failed(RefusalCode code, std::string detail) {
-    RequestEnd end = Refuse(this->context, code, Executed::kUnknown,
-                            Duration::zero(), std::move(detail),
-                            this->policy.Sends());
+    RequestEnd end =
+        Refuse(this->context, code, Executed::kUnknown, Duration::zero(),
+               std::move(detail), this->policy.Sends());
     end.worker = this->last_server;
     return end;
   }
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -52,8 +52,8 @@
 
 /// How a request ended, for the log and the metrics.
 struct RequestEnd {
-  unsigned status = 0;   ///< 0: the connection was closed without an answer
-  std::string outcome;   ///< "served", "refused", "failed", "broken", "left"
+  unsigned status = 0;  ///< 0: the connection was closed without an answer
+  std::string outcome;  ///< "served", "refused", "failed", "broken", "left"
   std::string reason;
   std::string worker;
   std::uint32_t sends = 0;
--- a/chervilpass/serving/request_facts.h
+++ b/chervilpass/serving/request_facts.h
@@ -40,7 +40,7 @@
   std::string organisation;  ///< empty on open routes without a key
   Duration time_left{0};
   std::optional<std::uint64_t> last_event_id;
-  placement::Path path;  ///< empty for a plain service
+  placement::Path path;                  ///< empty for a plain service
   std::optional<std::uint32_t> urgency;  ///< 0 is the most urgent, 9 the least
 
   bool operator==(const ForwardFacts&) const = default;
@@ -61,7 +61,7 @@
   bool not_executed = false;  ///< states that the request did not run
   bool sealed = false;        ///< carries the backend server's signature
   bool encoded = false;       ///< a content coding that nobody asked for
-  std::optional<std::string> request_id;  ///< the request it answers
+  std::optional<std::string> request_id;      ///< the request it answers
   std::optional<io::Endpoint> faulty_worker;  ///< of the path, if named
   std::optional<std::string> instance;
   std::optional<StatedLoad> load;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -49,9 +49,8 @@
       return Refuse(*context, RefusalCode::kNotReady, Executed::kNo,
                     kNotReadyComeBack, "no configuration is known yet", 0);
     }
-    context->route =
-        context->table->Find(WithoutPort(context->facts.host),
-                             PathOf(exchange.Request().target));
+    context->route = context->table->Find(WithoutPort(context->facts.host),
+                                          PathOf(exchange.Request().target));
     if (context->route == nullptr) {
       return Refuse(*context, RefusalCode::kNotFound, Executed::kNo,
                     Duration::zero(), "no route for this host and path", 0);
@@ -117,8 +116,8 @@
   }
 
   Duration TimeFor(const RequestContext& context) const {
-    Duration time = context.facts.time_left.value_or(
-        this->settings.default_deadline);
+    Duration time =
+        context.facts.time_left.value_or(this->settings.default_deadline);
     if (context.route->timeout > Duration::zero()) {
       time = std::min(time, context.route->timeout);
     }
@@ -135,8 +134,7 @@
     if (served && this->served++ % this->settings.log_one_served_in != 0) {
       return;
     }
-    const std::uint64_t version =
-        context.table ? context.table->Version() : 0;
+    const std::uint64_t version = context.table ? context.table->Version() : 0;
     this->parts.log->Info(
         "request.ended",
         {{"request", context.facts.request_id},
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -75,10 +75,9 @@
   }
 
   void GiveUp(ActiveStream* stream, std::string_view reason) {
-    this->parts->log->Info("stream.stalled",
-                           {{"request", stream->request_id},
-                            {"path", WorkersOf(stream->path)},
-                            {"reason", reason}});
+    this->parts->log->Info("stream.stalled", {{"request", stream->request_id},
+                                              {"path", WorkersOf(stream->path)},
+                                              {"reason", reason}});
     this->parts->metrics->Count("chervil_streams_stalled_total");
     stream->scope->Stop(StopReason::kStalled);
   }
@@ -100,10 +99,10 @@
                                                 this->settings.report_timeout);
     this->examined.erase(first.worker);
     if (answer.has_error() || answer.value().status != 200) {
-      NoteUnreachable(*this->parts, 
-          first.worker,
-          answer.has_error() ? answer.error().detail
-                             : fmt::format("status {}", answer.value().status));
+      NoteUnreachable(*this->parts, first.worker,
+                      answer.has_error()
+                          ? answer.error().detail
+                          : fmt::format("status {}", answer.value().status));
       return;
     }
     const auto report = platform::DecodeReport(answer.value().body);
@@ -133,7 +132,8 @@
       }
       for (const PathPart& part : stream->path) {
         if (part.address == address) {
-          NoteUnreachable(*this->parts, part.worker, "gone, and requests stall there");
+          NoteUnreachable(*this->parts, part.worker,
+                          "gone, and requests stall there");
         }
       }
     }
@@ -141,10 +141,10 @@
 
   void StartMove(ActiveStream* stream) {
     stream->moving = true;
-    this->parts->runtime->Spawn([self = this->shared_from_this(), stream,
-                                 id = stream->request_id] {
-      self->Move(stream, id);
-    });
+    this->parts->runtime->Spawn(
+        [self = this->shared_from_this(), stream, id = stream->request_id] {
+          self->Move(stream, id);
+        });
   }
 
   // The path with unreachable parts replaced; empty if that cannot be done.
@@ -167,9 +167,8 @@
       placement::PathQuery query;
       query.layers = part.layers;
       const auto* before = world.Servers().Find(path.back().worker);
-      query.from_data_centre = before == nullptr
-                                   ? world.Settings().data_centre
-                                   : before->data_centre;
+      query.from_data_centre = before == nullptr ? world.Settings().data_centre
+                                                 : before->data_centre;
       query.prompt_tokens = stream.prompt_tokens;
       query.answer_tokens = stream.answer_tokens;
       query.excluded = used;
@@ -218,11 +217,11 @@
         break;
       }
       const auto outcome = platform::OrderOutcomeOf(answer.value().status);
-      this->parts->log->Info(
-          "stream.moved", {{"request", id},
-                           {"from", WorkersOf(stream->path)},
-                           {"to", WorkersOf(path)},
-                           {"status", answer.value().status}});
+      this->parts->log->Info("stream.moved",
+                             {{"request", id},
+                              {"from", WorkersOf(stream->path)},
+                              {"to", WorkersOf(path)},
+                              {"status", answer.value().status}});
       if (outcome == platform::OrderOutcome::kBegun ||
           outcome == platform::OrderOutcome::kHolds) {
         this->parts->metrics->Count("chervil_streams_moved_total");
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -36,21 +36,22 @@
   CallScope* scope = nullptr;
   bool resumable = false;
 
-  placement::Path path;   ///< empty while no run is in progress
-  double tokens = 0;      ///< reserved on the path
+  placement::Path path;  ///< empty while no run is in progress
+  double tokens = 0;     ///< reserved on the path
   double prompt_tokens = 0;
   double answer_tokens = 0;
   Instant last_progress{};
   bool first_event_seen = false;
-  bool moving = false;    ///< an order for another path is on its way
-  bool moved = false;     ///< since the last event
+  bool moving = false;  ///< an order for another path is on its way
+  bool moved = false;   ///< since the last event
 };
 
 /// Fiber thread only.
 class StreamRegistry {
  public:
-  static std::unique_ptr<StreamRegistry> Create(const RouterParts* parts,
-                                                StreamRegistrySettings settings);
+  static std::unique_ptr<StreamRegistry> Create(
+      const RouterParts* parts,
+      StreamRegistrySettings settings);
   ~StreamRegistry();
 
   /// Watches a stream from now on; it must be removed before it ends.
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -95,17 +95,16 @@
   // The caller's guess of the answer is right at the median only; the usual
   // length bounds what one wrong guess can do.
   void SizeRequest() {
-    const GenerationSize size =
-        this->context.facts.generation.value_or(GenerationSize{
-            this->model.usual_prompt_tokens,
-            2 * this->model.usual_answer_tokens, std::nullopt});
+    const GenerationSize size = this->context.facts.generation.value_or(
+        GenerationSize{this->model.usual_prompt_tokens,
+                       2 * this->model.usual_answer_tokens, std::nullopt});
     const double usual = this->model.usual_answer_tokens;
-    const double guess = size.answer_guess.value_or(
-        static_cast<std::uint32_t>(usual));
+    const double guess =
+        size.answer_guess.value_or(static_cast<std::uint32_t>(usual));
     this->stream.prompt_tokens = size.prompt_tokens;
-    this->stream.answer_tokens = std::max(
-        kLeastAnswerTokens,
-        std::min<double>(size.answer_limit, (guess + usual) / 2));
+    this->stream.answer_tokens =
+        std::max(kLeastAnswerTokens,
+                 std::min<double>(size.answer_limit, (guess + usual) / 2));
     this->stream.tokens =
         this->stream.prompt_tokens + this->stream.answer_tokens;
   }
@@ -162,8 +161,8 @@
     facts.time_left = this->scope.TimeLeft();
     facts.last_event_id = this->sequence.Last();
     facts.path = path;
-    const auto request = platform::ForwardedRequest(
-        this->context.exchange->Request(), facts);
+    const auto request =
+        platform::ForwardedRequest(this->context.exchange->Request(), facts);
     if (auto sent = call->Send(request, facts.time_left); sent.has_error()) {
       return this->Broken(path, sent.error().detail);
     }
@@ -187,7 +186,9 @@
       return this->FailedWhole(call, answer, head.value());
     }
     if (!answer.sealed || answer.encoded) {
-      return {SendOutcome::kUnknown, {}, "success without a valid signature",
+      return {SendOutcome::kUnknown,
+              {},
+              "success without a valid signature",
               false};
     }
     return this->RelayEvents(call, path, head.value());
@@ -220,19 +221,23 @@
                                  ? routing::AvoidReason::kNotHolding
                                  : routing::AvoidReason::kFull,
                              now);
-    return {SendOutcome::kNotExecuted, {},
-            fmt::format("status {} from {}", answer.status, culprit), false};
+    return {SendOutcome::kNotExecuted,
+            {},
+            fmt::format("status {} from {}", answer.status, culprit),
+            false};
   }
 
   Run FailedWhole(io::HttpCall* call,
                   const AnswerFacts& answer,
                   const io::HttpResponse& head) {
     auto body = call->ReadBody(kLargestFailure);
-    const bool promise = answer.status == 503 || answer.status == 429 ||
-                         answer.status == 408;
+    const bool promise =
+        answer.status == 503 || answer.status == 429 || answer.status == 408;
     if (body.has_error() || promise) {
-      return {SendOutcome::kUnknown, {},
-              fmt::format("status {}", answer.status), false};
+      return {SendOutcome::kUnknown,
+              {},
+              fmt::format("status {}", answer.status),
+              false};
     }
     call->Finish();
     Run run{SendOutcome::kFailed, platform::ForwardedAnswer(head),
@@ -392,12 +397,11 @@
 
   void LogRetry(const Run& run) const {
     this->parts.log->Info(
-        "request.retry",
-        {{"request", this->context.facts.request_id},
-         {"worker", this->last_first},
-         {"reason", run.detail},
-         {"sends", this->policy.Sends()},
-         {"resume_after", this->sequence.Last().value_or(0)}});
+        "request.retry", {{"request", this->context.facts.request_id},
+                          {"worker", this->last_first},
+                          {"reason", run.detail},
+                          {"sends", this->policy.Sends()},
+                          {"resume_after", this->sequence.Last().value_or(0)}});
   }
 
   const RouterParts& parts;
@@ -408,9 +412,9 @@
   AttemptPolicy policy;
   EventSequence sequence;
   ActiveStream stream;
-  std::string last_first;   ///< first worker of the last path
-  std::string fault;        ///< why the last run was of no use
-  bool begun = false;       ///< the answer's head has been sent
+  std::string last_first;  ///< first worker of the last path
+  std::string fault;       ///< why the last run was of no use
+  bool begun = false;      ///< the answer's head has been sent
   bool any_event = false;
 };
 
--- a/chervilpass/serving/world.cc
+++ b/chervilpass/serving/world.cc
@@ -92,8 +92,7 @@
     const placement::ModelProfile& model,
     const placement::PathQuery& query,
     Instant now) {
-  return placement::ChoosePath(model,
-                               this->PathCandidates(service, model, now),
+  return placement::ChoosePath(model, this->PathCandidates(service, model, now),
                                query, this->settings.paths, &this->random);
 }
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -109,8 +109,8 @@
   }
 
   void CreateClients() {
-    this->store = platform::StoreClient::Create(
-        &this->runtime, &this->metrics, {this->settings.store});
+    this->store = platform::StoreClient::Create(&this->runtime, &this->metrics,
+                                                {this->settings.store});
     io::HttpClientSettings http;
     http.idle_connections = kIdleConnections;
     http.unacknowledged_limit = kUnacknowledgedLimit;
@@ -133,10 +133,9 @@
     events.newer_config = [this](const membership::Member& holder) {
       this->OnPeerHasNewerConfig(holder);
     };
-    auto created = fleet::PeerGroup::Create(&this->runtime, this->store.get(),
-                                            &this->metrics, &this->log,
-                                            std::move(group),
-                                            std::move(events));
+    auto created = fleet::PeerGroup::Create(
+        &this->runtime, this->store.get(), &this->metrics, &this->log,
+        std::move(group), std::move(events));
     if (created.has_error()) {
       this->log.Error("router.cannot_listen",
                       {{"detail", created.error().detail}});
@@ -180,8 +179,9 @@
         this->settings.callers,
         [this](io::HttpExchange& exchange) { this->router->Handle(exchange); });
     const auto ask = [this](io::HttpExchange& exchange) {
-      std::visit([&](const auto& question) { this->Answer(exchange, question); },
-                 platform::ReadEntryQuestion(exchange.Request()));
+      std::visit(
+          [&](const auto& question) { this->Answer(exchange, question); },
+          platform::ReadEntryQuestion(exchange.Request()));
     };
     this->readiness = this->Listen(this->settings.readiness, ask);
     this->directory = this->Listen(this->settings.directory, ask);
@@ -203,9 +203,9 @@
         this->settings.descriptors > 2 * kReservedDescriptors
             ? (this->settings.descriptors - kReservedDescriptors) / 2
             : kReservedDescriptors;
-    auto created = io::HttpServer::Create(&this->runtime, server,
-                                          std::move(handler),
-                                          serving::Router::AnswerUnreadable);
+    auto created =
+        io::HttpServer::Create(&this->runtime, server, std::move(handler),
+                               serving::Router::AnswerUnreadable);
     if (created.has_error()) {
       this->log.Error("router.cannot_listen",
                       {{"detail", created.error().detail}});
@@ -290,8 +290,7 @@
 
   void OnPeerHasNewerConfig(const membership::Member& holder) {
     const auto table = this->world.Table();
-    const bool behind =
-        !table || table->Version() < holder.config_version;
+    const bool behind = !table || table->Version() < holder.config_version;
     // With the store in reach the own watch brings it as soon.
     if (behind && !this->sync->StoreUp()) {
       this->sync->PullFrom({holder.ip, holder.control_port});
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -25,8 +25,7 @@
   return ips;
 }
 
-std::uint16_t ReadPort(config::SettingsReader& reader,
-                       std::string_view field) {
+std::uint16_t ReadPort(config::SettingsReader& reader, std::string_view field) {
   return static_cast<std::uint16_t>(reader.Integer(field, {1, 65535}));
 }
 
@@ -61,8 +60,8 @@
       limits.Integer("memory_mb", {16, 1 << 20}, 256));
   settings.descriptors = static_cast<std::uint32_t>(
       limits.Integer("descriptors", {64, 1 << 24}, 4096));
-  settings.log = app::ReadLogSettings(reader, "chervil-router", settings.vm,
-                                      command_line);
+  settings.log =
+      app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
 }
 
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -15,11 +15,12 @@
   message.sequence = 77;
   message.from = "vm-1";
   message.target = "vm-2";
-  Member member{"vm-1", "dc", "r", "127.0.0.1",      1,    2,     3,
-                4,      9,    5,   Status::kLeaving, true, false, 12};
+  Member member{"vm-1",           "dc", "r",   "127.0.0.1", 1, 2, 3, 4, 9, 5,
+                Status::kLeaving, true, false, true,        12};
   message.members = {member, member};
   message.strikes = {{123, "worker", {456}}};
   message.leaving = {{"backend", {789}}};
+  message.unreachable = {{"worker", {1011}}};
   return message;
 }
 
--- /dev/null
+++ b/unit_tests/placement_test.cc
@@ -0,0 +1,403 @@
+// Tests of the choice of paths and of the placement planner.
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+
+#include "chervilpass/placement/path_chooser.h"
+#include "chervilpass/placement/planner.h"
+
+using namespace chervilpass;
+using namespace chervilpass::placement;
+
+namespace {
+
+ModelProfile Model() {
+  ModelProfile model;
+  model.layers = 80;
+  model.layer_mb = 1750;
+  model.kv_bytes_per_token = 426000;
+  model.step = microseconds(850);
+  model.step_per_sequence = microseconds(3);
+  model.step_per_1000_context_tokens = microseconds(4);
+  model.prefill_tokens_per_second = 272000;
+  model.load = seconds(14);
+  model.loads_at_once = 6;
+  model.batch_limit = 192;
+  model.activation_bytes = 21300;
+  model.data_centre_link_mbps = 9300;
+  model.usual_prompt_tokens = 772;
+  model.usual_answer_tokens = 145;
+  model.kinds["large"] = {36000, 3.1, 3.2};
+  model.kinds["middle"] = {21600, 16, 8.2};
+  model.kinds["small"] = {14400, 15, 15};
+  return model;
+}
+
+std::vector<PlannedWorker> Workers(const ModelProfile& model,
+                                   const std::string& data_centre,
+                                   const std::map<std::string, int>& counts) {
+  std::vector<PlannedWorker> workers;
+  for (const auto& [kind, count] : counts) {
+    for (int i = 0; i < count; ++i) {
+      PlannedWorker worker;
+      worker.worker = fmt::format("{}-{}-{}", data_centre, kind, i);
+      worker.data_centre = data_centre;
+      worker.kind = model.kinds.at(kind);
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
+// Carries orders out at once; returns how many there were.
+std::size_t Obey(const std::vector<PlaceOrder>& orders,
+                 std::vector<PlannedWorker>* workers) {
+  for (const PlaceOrder& order : orders) {
+    for (PlannedWorker& worker : *workers) {
+      if (worker.worker == order.worker) {
+        worker.layers = order.layers;
+      }
+    }
+  }
+  return orders.size();
+}
+
+void CheckWithinMemory(const ModelProfile& model,
+                       const std::vector<PlaceOrder>& orders,
+                       const std::vector<PlannedWorker>& workers) {
+  std::map<std::string, int> times;
+  for (const PlaceOrder& order : orders) {
+    cr_assert_eq(++times[order.worker], 1, "two orders for one worker");
+    cr_assert(!order.layers.Empty());
+    cr_assert_leq(order.layers.to, model.layers);
+    for (const PlannedWorker& worker : workers) {
+      if (worker.worker == order.worker) {
+        cr_assert_leq(order.layers.Size(), model.LargestRange(worker.kind));
+      }
+    }
+  }
+}
+
+PathCandidate Candidate(const ModelProfile& model,
+                        const std::string& worker,
+                        const std::string& data_centre,
+                        const std::string& kind,
+                        LayerRange layers) {
+  PathCandidate candidate;
+  candidate.worker = worker;
+  candidate.data_centre = data_centre;
+  candidate.layers = layers;
+  candidate.kind = model.kinds.at(kind);
+  return candidate;
+}
+
+PathQuery Query(const ModelProfile& model) {
+  PathQuery query;
+  query.layers = {0, model.layers};
+  query.from_data_centre = "a";
+  query.prompt_tokens = 800;
+  query.answer_tokens = 150;
+  return query;
+}
+
+PathChooserSettings WithoutJitter() {
+  PathChooserSettings settings;
+  settings.jitter = 0;
+  return settings;
+}
+
+}  // namespace
+
+Test(planner, an_empty_data_centre_gets_a_whole_replica_within_memory) {
+  const ModelProfile model = Model();
+  auto workers =
+      Workers(model, "a", {{"large", 2}, {"middle", 3}, {"small", 5}});
+  const auto orders = PlanPlacement(model, workers, {});
+  CheckWithinMemory(model, orders, workers);
+  cr_assert_eq(orders.size(), workers.size());
+  Obey(orders, &workers);
+  cr_assert(Gaps(model, workers).empty());
+  // Every range leaves room for usual requests, not only the average one.
+  for (const PlannedWorker& worker : workers) {
+    const double tokens =
+        model.KvTokenLayers(worker.kind, worker.layers.Size()) /
+        worker.layers.Size();
+    cr_assert_geq(tokens, 90000, "%s: %f", worker.worker.c_str(), tokens);
+  }
+}
+
+Test(planner, gives_no_orders_once_nothing_can_be_improved) {
+  const ModelProfile model = Model();
+  auto workers =
+      Workers(model, "a", {{"large", 2}, {"middle", 5}, {"small", 8}});
+  Obey(PlanPlacement(model, workers, {}), &workers);
+  cr_assert(PlanPlacement(model, workers, {}).empty());
+}
+
+Test(planner, a_lost_worker_is_replaced_by_a_spare_at_once) {
+  const ModelProfile model = Model();
+  auto workers =
+      Workers(model, "a", {{"large", 2}, {"middle", 5}, {"small", 8}});
+  Obey(PlanPlacement(model, workers, {}), &workers);
+  for (std::size_t lost = 0; lost < workers.size(); ++lost) {
+    auto left = workers;
+    left[lost].usable = false;
+    for (int round = 0; round < 4 && !Gaps(model, left).empty(); ++round) {
+      const auto orders = PlanPlacement(model, left, {});
+      CheckWithinMemory(model, orders, left);
+      for (const PlaceOrder& order : orders) {
+        cr_assert_neq(order.worker, left[lost].worker);
+      }
+      cr_assert(Obey(orders, &left) > 0);
+    }
+    cr_assert(Gaps(model, left).empty(), "after the loss of %s",
+              left[lost].worker.c_str());
+  }
+}
+
+Test(planner, an_order_on_its_way_is_not_given_twice) {
+  const ModelProfile model = Model();
+  auto workers = Workers(model, "a", {{"large", 5}, {"small", 8}});
+  const auto orders = PlanPlacement(model, workers, {});
+  Obey(orders, &workers);
+  for (PlannedWorker& worker : workers) {
+    worker.order_open = true;
+  }
+  cr_assert(PlanPlacement(model, workers, {}).empty());
+}
+
+Test(planner, data_centres_too_small_for_a_replica_share_one) {
+  const ModelProfile model = Model();
+  auto workers = Workers(model, "a", {{"middle", 4}});
+  const auto more = Workers(model, "b", {{"middle", 4}});
+  workers.insert(workers.end(), more.begin(), more.end());
+  Obey(PlanPlacement(model, workers, {}), &workers);
+  cr_assert(Gaps(model, workers).empty());
+}
+
+Test(planner, never_exceeds_memory_whatever_happened_before) {
+  const ModelProfile model = Model();
+  const char* kinds[] = {"large", "middle", "small"};
+  for (std::uint64_t seed = 0; seed < 400; ++seed) {
+    Random random(seed);
+    std::vector<PlannedWorker> workers;
+    const std::uint64_t count = 1 + random.Below(20);
+    for (std::uint64_t i = 0; i < count; ++i) {
+      PlannedWorker worker;
+      worker.worker = fmt::format("w{}", i);
+      worker.data_centre = random.Chance(0.5) ? "a" : "b";
+      worker.kind = model.kinds.at(kinds[random.Below(3)]);
+      worker.usable = random.Chance(0.8);
+      worker.order_open = random.Chance(0.1);
+      const auto from = static_cast<std::uint32_t>(random.Below(80));
+      const auto size = static_cast<std::uint32_t>(
+          random.Below(model.LargestRange(worker.kind) + 1));
+      worker.layers = {from, std::min(80U, from + size)};
+      workers.push_back(worker);
+    }
+    for (int round = 0; round < 6; ++round) {
+      const auto orders = PlanPlacement(model, workers, {});
+      CheckWithinMemory(model, orders, workers);
+      for (const PlaceOrder& order : orders) {
+        for (const PlannedWorker& worker : workers) {
+          cr_assert(worker.worker != order.worker ||
+                        (worker.usable && !worker.order_open),
+                    "seed %lu", seed);
+        }
+      }
+      Obey(orders, &workers);
+    }
+  }
+}
+
+Test(path_chooser, paths_are_whole_and_stay_in_the_data_centre) {
+  const ModelProfile model = Model();
+  std::vector<PathCandidate> candidates;
+  for (const char* dc : {"a", "b"}) {
+    for (std::uint32_t from = 0; from < 80; from += 10) {
+      candidates.push_back(Candidate(model, fmt::format("{}-{}", dc, from), dc,
+                                     "middle", {from, from + 10}));
+    }
+  }
+  Random random(1);
+  const auto chosen = ChoosePath(model, candidates, Query(model), {}, &random);
+  cr_assert(chosen.has_value());
+  cr_assert(IsWholePath(chosen.value().path, 80));
+  for (const PathPart& part : chosen.value().path) {
+    cr_assert_eq(part.worker[0], 'a');
+  }
+}
+
+Test(path_chooser, goes_around_a_missing_part_through_the_other_data_centre) {
+  const ModelProfile model = Model();
+  std::vector<PathCandidate> candidates;
+  for (const char* dc : {"a", "b"}) {
+    for (std::uint32_t from = 0; from < 80; from += 10) {
+      // Each data centre lacks another range.
+      if (from != (dc[0] == 'a' ? 20U : 50U)) {
+        candidates.push_back(Candidate(model, fmt::format("{}-{}", dc, from),
+                                       dc, "middle", {from, from + 10}));
+      }
+    }
+  }
+  Random random(1);
+  const auto chosen = ChoosePath(model, candidates, Query(model), {}, &random);
+  cr_assert(chosen.has_value());
+  cr_assert(IsWholePath(chosen.value().path, 80));
+  PathQuery without = Query(model);
+  without.excluded = {"a-0", "b-0"};
+  const auto none = ChoosePath(model, candidates, without, {}, &random);
+  cr_assert(none.has_error());
+  cr_assert(none.error() == NoPathReason::kNoCover);
+}
+
+Test(path_chooser, tells_want_of_room_from_want_of_workers) {
+  const ModelProfile model = Model();
+  std::vector<PathCandidate> candidates;
+  for (std::uint32_t from = 0; from < 80; from += 10) {
+    candidates.push_back(Candidate(model, fmt::format("w{}", from), "a",
+                                   "middle", {from, from + 10}));
+  }
+  candidates[3].load.kv_token_layers =
+      model.KvTokenLayers(candidates[3].kind, 10);
+  Random random(1);
+  const auto chosen = ChoosePath(model, candidates, Query(model), {}, &random);
+  cr_assert(chosen.has_error());
+  cr_assert(chosen.error() == NoPathReason::kNoRoom);
+}
+
+// Pattern: memory nearly full on one of two workers that hold a range.
+Test(path_chooser, a_crowded_worker_gives_way_to_one_with_room) {
+  const ModelProfile model = Model();
+  std::vector<PathCandidate> candidates;
+  for (std::uint32_t from = 0; from < 80; from += 10) {
+    for (int i = 0; i < 2; ++i) {
+      candidates.push_back(Candidate(model, fmt::format("w{}-{}", from, i), "a",
+                                     "middle", {from, from + 10}));
+      candidates.back().load.kv_token_layers =
+          i == 0 ? 0.93 * model.KvTokenLayers(candidates.back().kind, 10) : 0;
+    }
+  }
+  Random random(1);
+  const auto chosen =
+      ChoosePath(model, candidates, Query(model), WithoutJitter(), &random);
+  cr_assert(chosen.has_value());
+  for (const PathPart& part : chosen.value().path) {
+    cr_assert_eq(part.worker.back(), '1', "%s", part.worker.c_str());
+  }
+}
+
+namespace {
+
+// All ways to run layers [from, to) on workers used once each.
+void Enumerate(const std::vector<PathCandidate>& candidates,
+               std::uint32_t from,
+               std::uint32_t to,
+               Path* path,
+               const std::function<void(const Path&)>& visit) {
+  if (from == to) {
+    visit(*path);
+    return;
+  }
+  for (const PathCandidate& candidate : candidates) {
+    const bool used = std::any_of(
+        path->begin(), path->end(),
+        [&](const PathPart& part) { return part.worker == candidate.worker; });
+    if (used || !candidate.layers.Contains(from)) {
+      continue;
+    }
+    for (std::uint32_t end = from + 1; end <= candidate.layers.to; ++end) {
+      path->push_back({candidate.worker, {}, {from, end}});
+      Enumerate(candidates, end, to, path, visit);
+      path->pop_back();
+    }
+  }
+}
+
+// Predicted time of a path: the chooser's own, found by leaving only its parts.
+double CostOf(const ModelProfile& model,
+              const std::vector<PathCandidate>& candidates,
+              const Path& path) {
+  std::vector<PathCandidate> parts;
+  for (const PathPart& part : path) {
+    for (PathCandidate candidate : candidates) {
+      if (candidate.worker == part.worker) {
+        // KV room depends on what is held, so that the range is kept by load.
+        const double room =
+            model.KvTokenLayers(candidate.kind, candidate.layers.Size());
+        const double part_room =
+            model.KvTokenLayers(candidate.kind, part.layers.Size());
+        candidate.load.kv_token_layers += part_room - room;
+        candidate.layers = part.layers;
+        parts.push_back(candidate);
+      }
+    }
+  }
+  Random random(1);
+  PathQuery query = Query(model);
+  query.layers = {0, 8};
+  PathChooserSettings settings = WithoutJitter();
+  settings.crowded_fill = 10;  // room is compared by feasibility only
+  const auto chosen = ChoosePath(model, parts, query, settings, &random);
+  return chosen.has_value() ? ToSeconds(chosen.value().predicted) : INFINITY;
+}
+
+}  // namespace
+
+Test(path_chooser, finds_what_exhaustive_search_finds) {
+  ModelProfile model = Model();
+  model.layers = 8;
+  const char* kinds[] = {"large", "middle", "small"};
+  for (std::uint64_t seed = 0; seed < 60; ++seed) {
+    Random random(seed);
+    std::vector<PathCandidate> candidates;
+    for (int i = 0; i < 5; ++i) {
+      const auto from = static_cast<std::uint32_t>(random.Below(6));
+      const auto size = static_cast<std::uint32_t>(1 + random.Below(5));
+      candidates.push_back(Candidate(model, fmt::format("w{}", i), "a",
+                                     kinds[random.Below(3)],
+                                     {from, std::min(8U, from + size)}));
+      candidates.back().load.sequences = random.Below(60);
+    }
+    double best = INFINITY;
+    Path path;
+    Enumerate(candidates, 0, 8, &path, [&](const Path& whole) {
+      best = std::min(best, CostOf(model, candidates, whole));
+    });
+    PathQuery query = Query(model);
+    query.layers = {0, 8};
+    PathChooserSettings settings = WithoutJitter();
+    settings.crowded_fill = 10;
+    const auto chosen = ChoosePath(model, candidates, query, settings, &random);
+    if (!std::isfinite(best)) {
+      cr_assert(chosen.has_error(), "seed %lu", seed);
+      continue;
+    }
+    cr_assert(chosen.has_value(), "seed %lu", seed);
+    cr_assert(IsWholePath(chosen.value().path, 8));
+    cr_assert_float_eq(ToSeconds(chosen.value().predicted), best, 1e-6,
+                       "seed %lu: %f, best %f", seed,
+                       ToSeconds(chosen.value().predicted), best);
+  }
+}
+
+Test(load_book, counts_what_is_in_flight_and_what_others_state) {
+  LoadBook book;
+  const Instant now{};
+  const Path path = {{"a", {}, {0, 10}}, {"b", {}, {10, 30}}};
+  book.Add(path, 100);
+  book.Add(path, 50);
+  cr_assert_eq(book.Own("b").sequences, 2);
+  cr_assert_eq(book.Own("b").kv_token_layers, 3000);
+  book.OnStatedRunning("a", "dc", 7, now);
+  cr_assert_eq(book.OthersIn("dc", now), 5);
+  cr_assert_eq(book.OthersIn("dc", now + seconds(10)), 0);
+  book.Remove(path, 100);
+  book.Remove(path, 50);
+  cr_assert(book.Own("a") == WorkerLoad{});
+}
--- /dev/null
+++ b/unit_tests/platform_test.cc
@@ -0,0 +1,320 @@
+// Tests of the adapter to the users' platform: names, formats and bad input.
+#include <fmt/format.h>
+
+#include "chervilpass/core/random.h"
+#include "platform/config_decoder.h"
+#include "platform/entry_calls.h"
+#include "platform/request_codec.h"
+#include "platform/store_client.h"
+#include "platform/worker_decoder.h"
+
+// Last: its macros clash with headers of Boost.
+#include <criterion/criterion.h>
+
+using namespace chervilpass;
+using namespace platform;
+
+namespace {
+
+const std::string kConfig = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","pathPrefix":"/lohu/","kind":"stream",
+   "timeoutMs":20000,"sloMs":500,"priority":1,
+   "split":[{"service":"llm","weight":90},{"service":"app","weight":10}],
+   "attempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":200},
+  {"name":"r2","host":"h.example","pathPrefix":"/cufi/","kind":"non_idempotent",
+   "timeoutMs":800,"service":"app","public":true}],
+ "services":[{"name":"llm","healthPath":"/health","maxConns":988,
+   "engine":{"slots":192,"kvBytes":426000,"step_ms":0.85,"per_seq_ms":0.003,
+   "context_per_k":0.004,"read_per_s":272000.0,"loads_at_once":6,
+   "models":[{"name":"m","loadS":14.0}],"usual":{"prompt":772,"answer":145},
+   "layers":80,"layerMb":1750.0,"actBytes":21300,"pipeMbps":9300.0,
+   "kinds":[{"name":"t4","mb":14400.0,"pace":15.0,"readX":15.0}]}},
+  {"name":"app","healthPath":"/health","maxConns":48}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+   "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"hule","apiKeys":["k1","k2"],"priority":1}]})";
+
+const std::string kWorker = R"({"service":"llm","address":"10.0.0.9:8080",
+  "zone":"a","version":"v1","slots":192,"state":"ready","warmupLeftMs":0,
+  "stage":"colocated","models":[{"name":"m","version":1}],"kind":"t4",
+  "layers":{"from":10,"target":16,"version":1},"seq":4,"born":1700000000000})";
+
+const std::string kReport = R"({"stage":"colocated","busy":true,"seq":2,
+  "waiting":1,"running":12,"kvUsed":41000,"kvTotal":90000,"pace":1.5,
+  "layers":{"from":0,"target":6},
+  "stalled":[{"id":"r7","address":"10.0.0.9:8080"}]})";
+
+boost::json::value Json(const std::string& text) {
+  return *ParseJson(text);
+}
+
+io::HttpRequest CallerRequest() {
+  io::HttpRequest request;
+  request.method = "POST";
+  request.target = "/lohu/2f?x=1";
+  request.path = "/lohu/2f";
+  request.query = "x=1";
+  request.body = "body";
+  request.headers.Add("Host", "h.example");
+  request.headers.Add("Chervilpass-Request-Id", "r1");
+  request.headers.Add("Chervilpass-Deadline-Ms", "1500");
+  request.headers.Add("Chervilpass-Token-Counts", "1460,80");
+  request.headers.Add("Chervilpass-Prompt-Prefix", "5c1e:800,91bd:410");
+  request.headers.Add("Chervilpass-Tenant", "forged");
+  request.headers.Add("Chervilpass-Hop-Count", "forged");
+  request.headers.Add("Authorization", "Token k1");
+  request.headers.Add("Connection", "keep-alive, X-Own");
+  request.headers.Add("X-Own", "1");
+  request.headers.Add("X-End", "2");
+  return request;
+}
+
+// Changes a text at a few places: other bytes, cuts, copies.
+std::string Mutated(std::string text, Random* random) {
+  const std::uint64_t times = 1 + random->Below(4);
+  for (std::uint64_t i = 0; i < times && !text.empty(); ++i) {
+    const std::size_t at = random->Below(text.size());
+    switch (random->Below(4)) {
+      case 0:
+        text[at] = static_cast<char>(random->Below(256));
+        break;
+      case 1:
+        text.erase(at, 1 + random->Below(12));
+        break;
+      case 2:
+        text.insert(at,
+                    text.substr(random->Below(text.size()), random->Below(16)));
+        break;
+      default: {
+        const char* odd[] = {"null", "-1",   "1e99", "[]",
+                             "{}",   "\"\"", "true", "99999999999999999999"};
+        text.insert(at, odd[random->Below(8)]);
+      }
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+Test(config_decoder, reads_routes_services_keys_and_limits) {
+  const auto parts = DecodeConfig(Json(kConfig));
+  cr_assert(parts.has_value());
+  const auto& config = parts.value();
+  cr_assert_eq(config.version, 7);
+  cr_assert(config.keys_required);
+  cr_assert(config.routes[0].kind == routing::RouteKind::kStream);
+  cr_assert(config.routes[0].resumable && config.routes[0].MayRepeat());
+  cr_assert_eq(config.routes[0].shares.size(), 2);
+  cr_assert(config.routes[1].open);
+  cr_assert(!config.routes[1].MayRepeat());
+  cr_assert((config.routes[1].shares[0].service) == "app");
+  const auto& model = *config.services[0].model;
+  cr_assert_eq(model.layers, 80);
+  cr_assert_eq(model.LargestRange(model.kinds.at("t4")), 8);
+  cr_assert(model.step == microseconds(850));
+  cr_assert(!config.services[1].model);
+  cr_assert(config.limits.idle_time == seconds(15));
+}
+
+Test(config_decoder, a_kind_that_is_not_known_is_never_repeated) {
+  auto body = Json(kConfig);
+  body.as_object()["routes"].as_array()[0].as_object()["kind"] = "new_kind";
+  const auto parts = DecodeConfig(body);
+  cr_assert(parts.has_value());
+  cr_assert(!parts.value().routes[0].MayRepeat());
+}
+
+Test(config_decoder, faults_name_the_field) {
+  auto body = Json(kConfig);
+  body.as_object()["routes"].as_array()[1].as_object()["timeoutMs"] = "soon";
+  const auto parts = DecodeConfig(body);
+  cr_assert(parts.has_error());
+  cr_assert(
+      parts.error().detail.find("routes[1]: timeoutMs") != std::string::npos,
+      "%s", parts.error().detail.c_str());
+}
+
+Test(worker_decoder, reads_a_registration) {
+  const auto server = DecodeWorker("i-1", Json(kWorker));
+  cr_assert(server.has_value());
+  cr_assert(server.value().layers == (placement::LayerRange{10, 16}));
+  cr_assert((server.value().accelerator_kind) == "t4");
+  cr_assert_eq(server.value().started.milliseconds, 1700000000000);
+  cr_assert(!server.value().leaving);
+}
+
+Test(worker_decoder, an_entry_of_another_writer_names_no_server) {
+  for (const char* field :
+       {"service", "address", "zone", "version", "slots", "state", "seq"}) {
+    auto missing = Json(kWorker);
+    missing.as_object().erase(field);
+    cr_assert(DecodeWorker("i", missing).has_error(), "%s missing", field);
+    auto wrong = Json(kWorker);
+    wrong.as_object()[field] = boost::json::array();
+    cr_assert(DecodeWorker("i", wrong).has_error(), "%s wrong", field);
+  }
+  auto state = Json(kWorker);
+  state.as_object()["state"] = "resting";
+  cr_assert(DecodeWorker("i", state).has_error());
+  auto born = Json(kWorker);
+  born.as_object()["born"] = 1.5;
+  cr_assert(DecodeWorker("i", born).has_error());
+  cr_assert(DecodeWorker("i", Json("[1]")).has_error());
+}
+
+Test(worker_decoder, reads_reports_and_writes_orders) {
+  const auto report = DecodeReport(kReport);
+  cr_assert(report.has_value());
+  cr_assert(report.value().order_in_progress);
+  cr_assert_eq(report.value().orders_accepted, 2);
+  cr_assert_eq(report.value().stalled.size(), 1);
+  cr_assert(
+      (EncodePlaceOrder({20, 31}, 5)) ==
+      R"({"operation":"place","from":20,"target":31,"mode":"queue","expected":5})");
+  const placement::Path path = {{"x", {"10.1.64.9", 8080}, {0, 20}},
+                                {"y", {"10.2.64.3", 8080}, {20, 80}}};
+  cr_assert((EncodePath(path)) == "10.1.64.9:8080=0-20,10.2.64.3:8080=20-80");
+}
+
+Test(request_codec, reads_what_a_caller_says) {
+  const auto facts = ReadRequest(CallerRequest());
+  cr_assert(facts.has_value());
+  cr_assert((*facts.value().key) == "k1");
+  cr_assert(*facts.value().time_left == milliseconds(1500));
+  cr_assert_eq(facts.value().generation->prompt_tokens, 1460);
+  cr_assert_eq(facts.value().generation->answer_limit, 80);
+}
+
+Test(request_codec, unreadable_fields_are_named) {
+  io::HttpRequest request;
+  cr_assert(ReadRequest(request).has_error());
+  request = CallerRequest();
+  request.headers = {};
+  request.headers.Add("Chervilpass-Request-Id", "r");
+  request.headers.Add("Chervilpass-Deadline-Ms", "soon");
+  const auto facts = ReadRequest(request);
+  cr_assert(facts.has_error());
+  cr_assert(facts.error().detail.find("Deadline") != std::string::npos);
+}
+
+Test(request_codec, forwards_the_request_and_only_what_concerns_the_server) {
+  serving::ForwardFacts facts;
+  facts.instance = "i-7";
+  facts.organisation = "hule";
+  facts.time_left = milliseconds(900);
+  facts.last_event_id = 12;
+  const auto out = ForwardedRequest(CallerRequest(), facts);
+  cr_assert((out.method) == "POST");
+  cr_assert((out.target) == "/lohu/2f?x=1");
+  cr_assert((out.body) == "body");
+  cr_assert((*out.headers.Find("Chervilpass-Tenant")) == "hule");
+  cr_assert((*out.headers.Find("Chervilpass-Deadline-Ms")) == "900");
+  cr_assert((*out.headers.Find("Chervilpass-Expect-Instance")) == "i-7");
+  cr_assert((*out.headers.Find("Last-Event-Id")) == "12");
+  cr_assert((*out.headers.Find("Chervilpass-Prompt-Prefix")) ==
+            "5c1e:800,91bd:410");
+  cr_assert((*out.headers.Find("X-End")) == "2");
+  for (const char* gone :
+       {"Authorization", "Connection", "X-Own", "Chervilpass-Hop-Count"}) {
+    cr_assert(!out.headers.Find(gone), "%s", gone);
+  }
+}
+
+Test(request_codec, answers_are_judged_by_their_head) {
+  io::HttpResponse head;
+  head.status = 503;
+  head.headers.Add("Chervilpass-Not-Executed", "1");
+  head.headers.Add("At-Server", "10.2.64.3:8080");
+  head.headers.Add("Chervilpass-Server-Load", "3,1,8");
+  const auto facts = ReadAnswer(head);
+  cr_assert(facts.not_executed);
+  cr_assert(facts.faulty_worker->port == 8080);
+  cr_assert_eq(facts.load->slots, 8);
+  head.headers = {};
+  cr_assert(!ReadAnswer(head).not_executed);
+  head.status = 421;
+  cr_assert(ReadAnswer(head).not_executed);
+}
+
+Test(request_codec, a_refusal_promises_not_run_only_if_that_is_true) {
+  using admission::Executed;
+  using admission::RefusalCode;
+  for (int code = 1; code <= 18; ++code) {
+    const auto answer = RefusalAnswer(
+        {static_cast<RefusalCode>(code), Executed::kUnknown, seconds(1), "x"},
+        "r1");
+    cr_assert(answer.status != 429 && answer.status != 503 &&
+                  answer.status != 408 && answer.status != 421,
+              "code %d", code);
+  }
+  const auto refused = RefusalAnswer(
+      {RefusalCode::kNoBackend, Executed::kNo, milliseconds(900), "x"}, "r1");
+  cr_assert_eq(refused.status, 503);
+  cr_assert((*refused.headers.Find("Retry-After")) == "0.90");
+}
+
+Test(entry_calls, questions_and_answers) {
+  io::HttpRequest request;
+  request.path = "/v1/resolve";
+  request.query = "name=h.example&region=r&zone=hal-1";
+  const auto question = ReadEntryQuestion(request);
+  cr_assert(std::get<AddressQuestion>(question).data_centre == "hal-1");
+  request.method = "POST";
+  cr_assert(
+      std::holds_alternative<UnknownQuestion>(ReadEntryQuestion(request)));
+  cr_assert((AddressAnswer({"10.1.0.40:8227"}, seconds(2)).body) ==
+            R"({"addresses":["10.1.0.40:8227"],"ttlS":2E0})");
+  cr_assert_eq(ReadyAnswer(false).status, 503);
+}
+
+// Malformed input gives an error or a value that keeps its invariants, and
+// never ends the process.
+Test(fuzz, mutated_input_is_refused_or_read, .timeout = 60) {
+  int read = 0;
+  for (std::uint64_t seed = 0; seed < 12000; ++seed) {
+    Random random(seed);
+    if (const auto body = ParseJson(Mutated(kConfig, &random))) {
+      const auto parts = DecodeConfig(*body);
+      if (parts.has_value()) {
+        ++read;
+        const auto table = routing::RouteTable::Create(parts.value());
+        table->Find("h.example", "/lohu/x");
+        table->OrganisationOf("k1");
+        for (const auto& service : table->Parts().services) {
+          if (service.model) {
+            for (const auto& [name, kind] : service.model->kinds) {
+              cr_assert_leq(service.model->LargestRange(kind),
+                            service.model->layers);
+            }
+          }
+        }
+      }
+    }
+    if (const auto body = ParseJson(Mutated(kWorker, &random))) {
+      const auto server = DecodeWorker("i", *body);
+      if (server.has_value()) {
+        cr_assert_leq(server.value().layers.from, server.value().layers.to);
+        cr_assert_gt(server.value().address.port, 0);
+      }
+    }
+    (void)DecodeReport(Mutated(kReport, &random));
+    const std::string object =
+        R"({"metadata":{"name":"main","rev":4,"deleting":false},"spec":{}})";
+    if (const auto body = ParseJson(Mutated(object, &random))) {
+      (void)DecodeObject(*body);
+    }
+    const io::HttpRequest caller = CallerRequest();
+    io::HttpRequest request;
+    for (const io::HttpHeader& field : caller.headers.All()) {
+      request.headers.Add(field.name, Mutated(field.value, &random));
+    }
+    (void)ReadRequest(request);
+    io::HttpResponse head;
+    head.status = 200;
+    head.headers.Add("Chervilpass-Server-Load", Mutated("3,1,8", &random));
+    head.headers.Add("At-Server", Mutated("10.2.64.3:8080", &random));
+    (void)ReadAnswer(head);
+  }
+  cr_assert_gt(read, 100, "mutations are too strong: %d were read", read);
+}
