Entries tell each other their loads by datagram

Cause: after losses, entries of one data centre filled the KV memory of its weakest workers; requests waited for memory, were given up after 1.4 s and sent again, which kept it full. Each entry knew its own share and the running count of first workers only. Ruled out: unreachable workers (reports named none).

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -70,13 +70,17 @@
     this->runtime->Spawn([self] { self->ReceiveLoop(); });
     this->runtime->Spawn([self] { self->TickLoop(); });
     this->runtime->Spawn([self] { self->SeedLoop(); });
+    this->runtime->Spawn([self] { self->LoadLoop(); });
     this->runtime->Spawn([self] { self->RegisterAndList(); });
   }
 
   void ReceiveLoop() {
     while (!this->stopped) {
       const std::string datagram = this->socket->Receive();
-      if (const auto message = rpc::DecodeGossip(datagram)) {
+      const auto message = rpc::DecodeGossip(datagram);
+      if (message && message->kind == membership::MessageKind::kLoads) {
+        this->events.loads(message->from, message->loads);
+      } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
         this->metrics->Count("chervil_gossip_unreadable_total");
@@ -84,6 +88,38 @@
     }
   }
 
+  void LoadLoop() {
+    Duration period = this->settings.load_period;
+    while (!this->stopped) {
+      this->runtime->SleepFor(period);
+      membership::GossipMessage message;
+      message.kind = membership::MessageKind::kLoads;
+      message.from = this->settings.self.vm;
+      message.loads = this->events.own_loads();
+      const std::string datagram = rpc::EncodeGossip(message);
+      std::size_t bytes = 0;
+      for (const Member& peer : this->LoadPeers()) {
+        this->socket->Send({peer.ip, peer.gossip_port}, datagram);
+        bytes += datagram.size();
+      }
+      const std::chrono::duration<double> spacing(
+          static_cast<double>(bytes) / this->settings.load_bytes_per_second);
+      period = std::max(this->settings.load_period,
+                        duration_cast<Duration>(spacing));
+    }
+  }
+
+  std::vector<Member> LoadPeers() const {
+    std::vector<Member> members = this->detector.Members();
+    const bool small = members.size() <= this->settings.small_fleet;
+    std::erase_if(members, [&](const Member& member) {
+      return member.vm == this->settings.self.vm ||
+             member.status == Status::kDead ||
+             (!small && member.data_centre != this->settings.self.data_centre);
+    });
+    return members;
+  }
+
   void TickLoop() {
     const Duration interval = this->settings.detector.probe_timeout / 2;
     while (!this->stopped) {
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -24,6 +24,13 @@
   /// Peers not heard of are greeted, and the store's list is read, this often.
   Duration seed_period = seconds(1);
   Duration list_period = seconds(20);
+  /// Loads are told to peers this often, or more seldom where that would take
+  /// more than the bytes a second that are set aside for it.
+  Duration load_period = milliseconds(300);
+  double load_bytes_per_second = 6000;
+  /// Up to so many members, loads are told to all; in larger fleets to those of
+  /// the own data centre.
+  std::size_t small_fleet = 16;
 
   bool operator==(const PeerGroupSettings&) const = default;
 };
@@ -33,6 +40,11 @@
   std::function<void(const quarantine::Strike&)> strike;
   std::function<void(const std::string& backend)> unreachable;
   std::function<void(const membership::Member& holder)> newer_config;
+  std::function<void(const std::string& peer,
+                     const std::vector<membership::WorkerLoadNotice>&)>
+      loads;
+  /// This VM's own loads, to be told.
+  std::function<std::vector<membership::WorkerLoadNotice>()> own_loads;
 };
 
 /// Fiber thread only.
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -204,13 +204,17 @@
 
   void LogWorker(const ObjectChange& change) const {
     const auto* server = this->world->Servers().Find(change.object.name);
-    this->log->Info("worker.changed",
-                    {{"worker", change.object.name},
-                     {"revision", change.object.revision},
-                     {"deleted", change.deleted},
-                     {"leaving", server != nullptr && server->leaving},
-                     {"from", server == nullptr ? 0 : server->layers.from},
-                     {"to", server == nullptr ? 0 : server->layers.to}});
+    this->log->Info(
+        "worker.changed",
+        {{"worker", change.object.name},
+         {"revision", change.object.revision},
+         {"deleted", change.deleted},
+         {"leaving", server != nullptr && server->leaving},
+         {"service", server == nullptr ? "" : server->service},
+         {"data_centre", server == nullptr ? "" : server->data_centre},
+         {"kind", server == nullptr ? "" : server->accelerator_kind},
+         {"from", server == nullptr ? 0 : server->layers.from},
+         {"to", server == nullptr ? 0 : server->layers.to}});
   }
 
   void TakeWorkers(const std::vector<StoredObject>& objects,
--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -318,6 +318,8 @@
       this->relayed.erase(relay);
       break;
     }
+    case MessageKind::kLoads:
+      break;
   }
   return actions;
 }
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -36,7 +36,22 @@
   bool operator==(const DetectorSettings&) const = default;
 };
 
-enum class MessageKind : std::uint8_t { kPing, kAck, kPingRequest, kJoin };
+enum class MessageKind : std::uint8_t {
+  kPing,
+  kAck,
+  kPingRequest,
+  kJoin,
+  kLoads,  ///< Carries loads only; not for the detector.
+};
+
+/// What one VM has in flight on one worker.
+struct WorkerLoadNotice {
+  std::uint32_t worker = 0;  ///< hash of the worker's id
+  std::uint16_t sequences = 0;
+  std::uint32_t kv_kilo_token_layers = 0;  ///< reserved, in thousands
+
+  auto operator<=>(const WorkerLoadNotice&) const = default;
+};
 
 /// The VM list says that a backend server is leaving.
 struct LeavingNotice {
@@ -64,6 +79,7 @@
   std::vector<quarantine::Strike> strikes;
   std::vector<LeavingNotice> leaving;
   std::vector<UnreachableNotice> unreachable;
+  std::vector<WorkerLoadNotice> loads;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/chervilpass/placement/load_book.cc
+++ b/chervilpass/placement/load_book.cc
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 
+#include "chervilpass/core/hash.h"
+
 namespace chervilpass::placement {
 namespace {
 
 // Stated loads older than this say nothing: a stream lasts about as long.
 constexpr Duration kStatedLifetime = seconds(4);
 
+// An entry that has been silent for this long has ended, or is cut off.
+constexpr Duration kPeerLoadLifetime = seconds(3);
+
 void Change(WorkerLoad* load, double sign, double tokens, double layers) {
   load->sequences = std::max(0.0, load->sequences + sign);
   load->context_tokens = std::max(0.0, load->context_tokens + sign * tokens);
@@ -60,6 +65,48 @@
   return found == this->records.end() ? WorkerLoad{} : found->second.load;
 }
 
+std::uint32_t WorkerKey(const std::string& worker) {
+  return static_cast<std::uint32_t>(HashText(worker));
+}
+
+std::map<std::string, WorkerLoad> LoadBook::OwnLoads() const {
+  std::map<std::string, WorkerLoad> loads;
+  for (const auto& [worker, record] : this->records) {
+    loads[worker] = record.load;
+  }
+  return loads;
+}
+
+void LoadBook::OnPeerLoads(const std::string& peer,
+                           std::map<std::uint32_t, WorkerLoad> peer_loads,
+                           Instant now) {
+  std::erase_if(this->peers, [now](const auto& entry) {
+    return now - entry.second.at > kPeerLoadLifetime;
+  });
+  this->peers[peer] = {std::move(peer_loads), now};
+}
+
+WorkerLoad LoadBook::Peers(const std::string& worker, Instant now) const {
+  WorkerLoad sum;
+  const std::uint32_t key = WorkerKey(worker);
+  for (const auto& [peer, told] : this->peers) {
+    const auto found = told.loads.find(key);
+    if (found != told.loads.end() && now - told.at <= kPeerLoadLifetime) {
+      sum.sequences += found->second.sequences;
+      sum.context_tokens += found->second.context_tokens;
+      sum.kv_token_layers += found->second.kv_token_layers;
+    }
+  }
+  return sum;
+}
+
+bool LoadBook::HearsPeers(Instant now) const {
+  return std::any_of(this->peers.begin(), this->peers.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.at <= kPeerLoadLifetime;
+                     });
+}
+
 double LoadBook::OthersIn(const std::string& data_centre, Instant now) const {
   double others = 0;
   for (const auto& [worker, stated] : this->stated) {
--- a/chervilpass/placement/load_book.h
+++ b/chervilpass/placement/load_book.h
@@ -20,6 +20,9 @@
   bool operator==(const WorkerLoad&) const = default;
 };
 
+/// Key of a worker in what entries tell each other.
+std::uint32_t WorkerKey(const std::string& worker);
+
 /// Not thread-safe. Invariant: the counts are the sums over the paths added and
 /// not yet removed.
 class LoadBook {
@@ -40,6 +43,21 @@
   /// This entry's own load on a worker.
   WorkerLoad Own(const std::string& worker) const;
 
+  /// Own loads of all workers that have any, by id.
+  std::map<std::string, WorkerLoad> OwnLoads() const;
+
+  /// What another entry has in flight, by hash of the worker's id; replaces
+  /// what it has said before.
+  void OnPeerLoads(const std::string& peer,
+                   std::map<std::uint32_t, WorkerLoad> peer_loads,
+                   Instant now);
+
+  /// Load of the entries that have told theirs of late.
+  WorkerLoad Peers(const std::string& worker, Instant now) const;
+
+  /// True if any entry has told its load of late.
+  bool HearsPeers(Instant now) const;
+
   /// Requests of other entries that run in a data centre, as far as its workers
   /// have stated of late.
   double OthersIn(const std::string& data_centre, Instant now) const;
@@ -55,7 +73,13 @@
     Instant at;
   };
 
+  struct PeerLoads {
+    std::map<std::uint32_t, WorkerLoad> loads;
+    Instant at;
+  };
+
   std::map<std::string, Record> records;
+  std::map<std::string, PeerLoads> peers;
   std::map<std::string, Stated> stated;
 };
 
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -174,4 +174,11 @@
   strikes @5 :List(Strike);
   leaving @6 :List(LeavingNotice);
   unreachable @7 :List(LeavingNotice);
+  loads @8 :List(WorkerLoad);
+}
+
+struct WorkerLoad {
+  worker @0 :UInt32;            # hash of the id
+  sequences @1 :UInt16;
+  kvKiloTokenLayers @2 :UInt32;
 }
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -12,7 +12,7 @@
 
 constexpr std::uint64_t kLargestMessageWords = 16 * 1024;
 constexpr std::uint8_t kHighestKind =
-    static_cast<std::uint8_t>(membership::MessageKind::kJoin);
+    static_cast<std::uint8_t>(membership::MessageKind::kLoads);
 
 membership::GossipMessage ReadMessage(schema::Gossip::Reader from) {
   membership::GossipMessage message;
@@ -35,6 +35,10 @@
     message.unreachable.push_back(
         {notice.getBackend().cStr(), WallTime{notice.getWallMs()}});
   }
+  for (const auto load : from.getLoads()) {
+    message.loads.push_back(
+        {load.getWorker(), load.getSequences(), load.getKvKiloTokenLayers()});
+  }
   return message;
 }
 
@@ -67,6 +71,12 @@
   WriteNotices(message.leaving, root.initLeaving(message.leaving.size()));
   WriteNotices(message.unreachable,
                root.initUnreachable(message.unreachable.size()));
+  auto loads = root.initLoads(message.loads.size());
+  for (unsigned i = 0; i < message.loads.size(); ++i) {
+    loads[i].setWorker(message.loads[i].worker);
+    loads[i].setSequences(message.loads[i].sequences);
+    loads[i].setKvKiloTokenLayers(message.loads[i].kv_kilo_token_layers);
+  }
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, builder);
   const auto bytes = stream.getArray();
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -14,7 +14,8 @@
 using placement::Path;
 using placement::PathPart;
 
-constexpr int kMostMoves = 3;  // orders for one fault of one stream
+constexpr std::size_t kLoggedBody = 160;  // bytes of an answer
+constexpr int kMostMoves = 3;             // orders for one fault of one stream
 
 std::string WorkersOf(const Path& path) {
   std::string text;
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -105,8 +105,9 @@
     this->stream.answer_tokens =
         std::max(kLeastAnswerTokens,
                  std::min<double>(size.answer_limit, (guess + usual) / 2));
+    // Over its life a request holds half of its answer on average.
     this->stream.tokens =
-        this->stream.prompt_tokens + this->stream.answer_tokens;
+        this->stream.prompt_tokens + this->stream.answer_tokens / 2;
   }
 
   Result<placement::ChosenPath, NoPathReason> FindPath() {
--- a/chervilpass/serving/world.cc
+++ b/chervilpass/serving/world.cc
@@ -70,8 +70,17 @@
                           this->loads.Own(server->id)});
     layers_in[server->data_centre] += server->layers.Size();
   }
-  // Requests of other entries are taken to spread evenly over the workers that
-  // hold a layer.
+  if (this->loads.HearsPeers(now)) {
+    for (placement::PathCandidate& candidate : candidates) {
+      const auto peers = this->loads.Peers(candidate.worker, now);
+      candidate.load.sequences += peers.sequences;
+      candidate.load.context_tokens += peers.context_tokens;
+      candidate.load.kv_token_layers += peers.kv_token_layers;
+    }
+    return candidates;
+  }
+  // Without their word, requests of other entries are taken to spread evenly
+  // over the workers that hold a layer.
   const double usual_tokens =
       model.usual_prompt_tokens + model.usual_answer_tokens / 2.0;
   for (placement::PathCandidate& candidate : candidates) {
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -133,6 +133,10 @@
     events.newer_config = [this](const membership::Member& holder) {
       this->OnPeerHasNewerConfig(holder);
     };
+    events.loads = [this](const std::string& peer, const auto& notices) {
+      this->OnPeerLoads(peer, notices);
+    };
+    events.own_loads = [this] { return this->OwnLoads(); };
     auto created = fleet::PeerGroup::Create(
         &this->runtime, this->store.get(), &this->metrics, &this->log,
         std::move(group), std::move(events));
@@ -288,6 +292,30 @@
     this->placement->OnSuspect(worker);
   }
 
+  void OnPeerLoads(const std::string& peer,
+                   const std::vector<membership::WorkerLoadNotice>& notices) {
+    std::map<std::uint32_t, placement::WorkerLoad> loads;
+    for (const membership::WorkerLoadNotice& notice : notices) {
+      placement::WorkerLoad& load = loads[notice.worker];
+      load.sequences = notice.sequences;
+      load.kv_token_layers = 1000.0 * notice.kv_kilo_token_layers;
+    }
+    this->world.Loads().OnPeerLoads(peer, std::move(loads),
+                                    this->runtime.Now());
+  }
+
+  std::vector<membership::WorkerLoadNotice> OwnLoads() {
+    std::vector<membership::WorkerLoadNotice> notices;
+    for (const auto& [worker, load] : this->world.Loads().OwnLoads()) {
+      notices.push_back(
+          {placement::WorkerKey(worker),
+           static_cast<std::uint16_t>(std::min(load.sequences, 65535.0)),
+           static_cast<std::uint32_t>(
+               std::min(load.kv_token_layers / 1000 + 0.5, 4e9))});
+    }
+    return notices;
+  }
+
   void OnPeerHasNewerConfig(const membership::Member& holder) {
     const auto table = this->world.Table();
     const bool behind = !table || table->Version() < holder.config_version;
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -21,6 +21,7 @@
   message.strikes = {{123, "worker", {456}}};
   message.leaving = {{"backend", {789}}};
   message.unreachable = {{"worker", {1011}}};
+  message.loads = {{7, 3, 1200}};
   return message;
 }
 
