Planner: whole again after any losses that leave the memory

Gaps are now closed by shifting a chain of workers, and a data centre that no single move mends is laid out anew. A part that refuses a move is replaced too.

--- a/chervilpass/fleet/placement_keeper.cc
+++ b/chervilpass/fleet/placement_keeper.cc
@@ -14,7 +14,6 @@
 using placement::LayerRange;
 using placement::PlaceOrder;
 using placement::PlannedWorker;
-using platform::OrderOutcome;
 using platform::StoreErrorCode;
 using platform::StoreKind;
 
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -25,6 +25,8 @@
     this->CloseGaps();
     if (Gaps(this->model, this->workers).empty()) {
       this->TrimExtended();
+    } else if (this->NoOrderOpen()) {
+      this->Rebuild();
     }
     return std::move(this->orders);
   }
@@ -136,7 +138,8 @@
       const auto gaps = Gaps(this->model, this->workers);
       bool closed = false;
       for (const LayerRange& gap : gaps) {
-        closed = this->MoveSpare(gap) || this->ExtendNeighbour(gap);
+        closed = this->MoveSpare(gap) || this->ExtendNeighbour(gap) ||
+                 this->ShiftChain(gap);
         if (closed) {
           break;
         }
@@ -148,10 +151,12 @@
   }
 
   // A spare holds only layers that others hold as well. The one that covers
-  // most of the gap is taken, then the one whose layers have most room left.
+  // most of the gap is taken, then the smallest, since larger ones may close
+  // larger gaps, then the one whose layers have most room left.
   bool MoveSpare(const LayerRange& gap) {
     PlannedWorker* best = nullptr;
     std::uint32_t best_covered = 0;
+    std::uint32_t best_size = 0;
     double best_room = 0;
     for (PlannedWorker& worker : this->workers) {
       if (!worker.usable || worker.order_open || worker.layers.Empty() ||
@@ -166,11 +171,16 @@
         continue;
       }
       const std::uint32_t covered = std::min(gap.Size(), this->SizeOf(worker));
+      const std::uint32_t size = this->SizeOf(worker);
       const double room = this->RoomLeftWithout(worker);
-      if (covered > best_covered ||
-          (covered == best_covered && room > best_room)) {
+      const bool better =
+          covered > best_covered ||
+          (covered == best_covered && size < best_size) ||
+          (covered == best_covered && size == best_size && room > best_room);
+      if (better) {
         best = &worker;
         best_covered = covered;
+        best_size = size;
         best_room = room;
       }
     }
@@ -231,6 +241,150 @@
     return true;
   }
 
+  using Moves = std::vector<std::pair<PlannedWorker*, LayerRange>>;
+
+  // Workers next to the gap move over it one after the other, each as far as
+  // its memory allows, until one has memory to spare for what the last one gave
+  // up. The fewest moves that leave much room are taken.
+  bool ShiftChain(const LayerRange& gap) {
+    const double most = std::max(this->sizes.room, this->settings.least_room);
+    Moves best;
+    for (double room = most; room >= this->settings.least_room;
+         room -= this->settings.room_step) {
+      if (!best.empty() && room < most / 2) {
+        break;  // fewer moves are not worth less than half of the room
+      }
+      for (const bool from_above : {false, true}) {
+        Moves moves = this->Chain(gap, room, from_above);
+        if (!moves.empty() && (best.empty() || moves.size() < best.size())) {
+          best = std::move(moves);
+        }
+      }
+    }
+    for (const auto& [worker, range] : best) {
+      this->Order(worker, range, true);
+    }
+    return !best.empty();
+  }
+
+  // Moves that close the gap from one side with `room` left on each worker that
+  // moves; empty if there are none.
+  Moves Chain(const LayerRange& gap, double room, bool from_above) {
+    Moves moves;
+    LayerRange open = gap;
+    while (!open.Empty()) {
+      PlannedWorker* worker = this->ChainNeighbour(open, moves, from_above);
+      if (worker == nullptr) {
+        return {};
+      }
+      const std::uint32_t limit = this->model.RangeWithRoom(worker->kind, room);
+      const LayerRange held = worker->layers;
+      LayerRange range;
+      LayerRange given_up;
+      if (from_above) {
+        range = {open.from, std::min(held.to, open.from + limit)};
+        given_up = {std::max(range.to, held.from), held.to};
+      } else {
+        const std::uint32_t least = open.to > limit ? open.to - limit : 0;
+        range = {std::max(held.from, least), open.to};
+        given_up = {held.from, std::min(range.from, held.to)};
+      }
+      if (limit <= open.Size() || range.Empty()) {
+        return {};
+      }
+      moves.emplace_back(worker, range);
+      open = this->Uncovered(given_up, moves);
+    }
+    return moves;
+  }
+
+  // The largest worker that holds the layer beside the open range.
+  PlannedWorker* ChainNeighbour(const LayerRange& open,
+                                const Moves& moves,
+                                bool from_above) {
+    PlannedWorker* best = nullptr;
+    for (PlannedWorker& worker : this->workers) {
+      const bool beside =
+          from_above ? worker.layers.Contains(open.to)
+                     : open.from > 0 && worker.layers.Contains(open.from - 1);
+      const bool moved =
+          std::any_of(moves.begin(), moves.end(),
+                      [&](const auto& move) { return move.first == &worker; });
+      if (worker.usable && !worker.order_open && beside && !moved &&
+          (best == nullptr || this->SizeOf(worker) > this->SizeOf(*best))) {
+        best = &worker;
+      }
+    }
+    return best;
+  }
+
+  // The part of `range` that nobody holds once the moves are made.
+  LayerRange Uncovered(const LayerRange& range, const Moves& moves) const {
+    std::vector<PlannedWorker> after = this->workers;
+    for (const auto& [worker, moved] : moves) {
+      after[static_cast<std::size_t>(worker - this->workers.data())].layers =
+          moved;
+    }
+    LayerRange open{range.to, range.to};
+    for (const LayerRange& gap : Gaps(this->model, after)) {
+      const std::uint32_t from = std::max(gap.from, range.from);
+      const std::uint32_t to = std::min(gap.to, range.to);
+      if (from < to) {
+        open = open.Empty() ? LayerRange{from, to} : LayerRange{open.from, to};
+      }
+    }
+    return open;
+  }
+
+  bool NoOrderOpen() const {
+    return std::none_of(
+        this->workers.begin(), this->workers.end(),
+        [](const PlannedWorker& worker) { return worker.order_open; });
+  }
+
+  // Lays one replica anew where single moves close no gap: ranges follow each
+  // other from the first layer on, each on the worker that holds most of it
+  // already. Workers left over keep what they hold.
+  void Rebuild() {
+    std::vector<PlannedWorker*> left;
+    for (PlannedWorker& worker : this->workers) {
+      if (worker.usable && this->SizeOf(worker) > 0) {
+        left.push_back(&worker);
+      }
+    }
+    std::vector<std::pair<PlannedWorker*, LayerRange>> plan;
+    std::uint32_t from = 0;
+    while (from < this->model.layers && !left.empty()) {
+      const auto best = std::max_element(
+          left.begin(), left.end(),
+          [this, from](PlannedWorker* a, PlannedWorker* b) {
+            return this->HeldFrom(*a, from) < this->HeldFrom(*b, from);
+          });
+      const LayerRange range =
+          this->RangeFor({from, from}, this->SizeOf(**best));
+      plan.emplace_back(*best, range);
+      from = range.to;
+      left.erase(best);
+    }
+    if (from < this->model.layers) {
+      return;  // too few workers for a replica
+    }
+    for (const auto& [worker, range] : plan) {
+      if (!worker->layers.Covers(range)) {
+        this->Order(worker, range, true);
+      }
+    }
+  }
+
+  // Layers of the range that would begin at `from` which the worker holds.
+  std::uint32_t HeldFrom(const PlannedWorker& worker,
+                         std::uint32_t from) const {
+    const std::uint32_t to = from + this->SizeOf(worker);
+    const std::uint32_t first = std::max(from, worker.layers.from);
+    const std::uint32_t last = std::min(to, worker.layers.to);
+    return last > first ? last - first : 0;
+  }
+
   // Ranges that were extended over a gap shrink again, once others hold the
   // layers at their ends: their room for requests comes back.
   void TrimExtended() {
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -1,5 +1,7 @@
 #include "chervilpass/serving/request_context.h"
 
+#include <fmt/format.h>
+
 namespace chervilpass::serving {
 
 void NoteUnreachable(const RouterParts& parts,
@@ -13,4 +15,13 @@
   }
 }
 
+std::string DescribePath(const placement::Path& path) {
+  std::string text;
+  for (const placement::PathPart& part : path) {
+    text += fmt::format("{}{}:{}-{}", text.empty() ? "" : ",", part.worker,
+                        part.layers.from, part.layers.to);
+  }
+  return text;
+}
+
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -38,6 +38,9 @@
                      const std::string& worker,
                      std::string_view evidence);
 
+/// "worker:from-to" of each part, for the log.
+std::string DescribePath(const placement::Path& path);
+
 /// A request that has been authenticated and routed.
 struct RequestContext {
   io::HttpExchange* exchange = nullptr;
@@ -57,6 +60,11 @@
   std::string reason;
   std::string worker;
   std::uint32_t sends = 0;
+  /// For streams: the path of the last run, and the longest time without an
+  /// event before the first one and between two.
+  std::string path = {};
+  Duration first_event{0};
+  Duration longest_gap{0};
 };
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -130,7 +130,12 @@
         "chervil_requests_total",
         fmt::format("outcome=\"{}\",code=\"{}\"", end.outcome, end.status));
     this->parts.metrics->Observe("chervil_request_seconds", elapsed);
-    const bool served = end.outcome == "served";
+    const bool late = context.route != nullptr &&
+                      ((context.route->gap_objective > Duration::zero() &&
+                        end.longest_gap > context.route->gap_objective) ||
+                       (context.route->objective > Duration::zero() &&
+                        end.first_event > context.route->objective));
+    const bool served = end.outcome == "served" && !late;
     if (served && this->served++ % this->settings.log_one_served_in != 0) {
       return;
     }
@@ -145,6 +150,10 @@
          {"reason", end.reason},
          {"worker", end.worker},
          {"sends", end.sends},
+         {"late", late},
+         {"path", end.path},
+         {"first_event_ms", ToMilliseconds(end.first_event)},
+         {"longest_gap_ms", ToMilliseconds(end.longest_gap)},
          {"config_version", version},
          {"elapsed_ms", ToMilliseconds(elapsed)}});
   }
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -17,8 +17,8 @@
   Duration default_deadline = seconds(60);
   /// A leaving VM refuses streams that would not end before it does.
   Duration longest_stream_while_leaving = milliseconds(4500);
-  /// Served requests that get a line in the log: one in so many. Others get
-  /// one always.
+  /// Requests served in time that get a line in the log: one in so many. Others
+  /// get one always.
   std::uint32_t log_one_served_in = 20;
 
   bool operator==(const RouterSettings&) const = default;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -17,15 +17,6 @@
 constexpr std::size_t kLoggedBody = 160;  // bytes of an answer
 constexpr int kMostMoves = 3;             // orders for one fault of one stream
 
-std::string WorkersOf(const Path& path) {
-  std::string text;
-  for (const PathPart& part : path) {
-    text += fmt::format("{}{}:{}-{}", text.empty() ? "" : ",", part.worker,
-                        part.layers.from, part.layers.to);
-  }
-  return text;
-}
-
 }  // namespace
 
 struct StreamRegistry::State
@@ -76,9 +67,10 @@
   }
 
   void GiveUp(ActiveStream* stream, std::string_view reason) {
-    this->parts->log->Info("stream.stalled", {{"request", stream->request_id},
-                                              {"path", WorkersOf(stream->path)},
-                                              {"reason", reason}});
+    this->parts->log->Info("stream.stalled",
+                           {{"request", stream->request_id},
+                            {"path", DescribePath(stream->path)},
+                            {"reason", reason}});
     this->parts->metrics->Count("chervil_streams_stalled_total");
     stream->scope->Stop(StopReason::kStalled);
   }
@@ -148,17 +140,20 @@
         });
   }
 
-  // The path with unreachable parts replaced; empty if that cannot be done.
-  Path Replacement(const ActiveStream& stream) const {
+  // The path with unreachable and refusing parts replaced; empty if that cannot
+  // be done.
+  Path Replacement(const ActiveStream& stream,
+                   const std::set<std::string>& refusing) const {
     World& world = *this->parts->world;
     const Instant now = this->parts->runtime->Now();
     Path path;
-    std::set<std::string> used;
+    std::set<std::string> used = refusing;
     for (const PathPart& part : stream.path) {
       used.insert(part.worker);
     }
     for (const PathPart& part : stream.path) {
-      if (!world.IsUnreachable(part.worker, now)) {
+      if (!world.IsUnreachable(part.worker, now) &&
+          !refusing.contains(part.worker)) {
         path.push_back(part);
         continue;
       }
@@ -188,12 +183,13 @@
   }
 
   void Move(ActiveStream* stream, const std::string& id) {
+    std::set<std::string> refusing;
     for (int i = 0; i < kMostMoves; ++i) {
       if (!this->Alive(stream) || stream->request_id != id ||
           stream->path.empty()) {
         return;
       }
-      const Path path = this->Replacement(*stream);
+      const Path path = this->Replacement(*stream, refusing);
       if (path.empty()) {
         break;
       }
@@ -218,11 +214,13 @@
         break;
       }
       const auto outcome = platform::OrderOutcomeOf(answer.value().status);
-      this->parts->log->Info("stream.moved",
-                             {{"request", id},
-                              {"from", WorkersOf(stream->path)},
-                              {"to", WorkersOf(path)},
-                              {"status", answer.value().status}});
+      this->parts->log->Info(
+          "stream.moved",
+          {{"request", id},
+           {"from", DescribePath(stream->path)},
+           {"to", DescribePath(path)},
+           {"status", answer.value().status},
+           {"detail", answer.value().body.substr(0, kLoggedBody)}});
       if (outcome == platform::OrderOutcome::kBegun ||
           outcome == platform::OrderOutcome::kHolds) {
         this->parts->metrics->Count("chervil_streams_moved_total");
@@ -237,7 +235,9 @@
       if (outcome != platform::OrderOutcome::kConflict) {
         break;
       }
-      this->AvoidRefusingPart(path, answer.value());
+      // A part that was kept may refuse as well: it is leaving, or has given
+      // its layers up.
+      refusing.merge(this->RefusingParts(path, answer.value()));
     }
     if (!this->Alive(stream)) {
       return;
@@ -251,15 +251,19 @@
     }
   }
 
-  void AvoidRefusingPart(const Path& path, const io::HttpResponse& answer) {
-    const auto refusing = platform::ReadRefusingWorker(answer);
+  std::set<std::string> RefusingParts(const Path& path,
+                                      const io::HttpResponse& answer) {
+    std::set<std::string> refusing;
+    const auto named = platform::ReadRefusingWorker(answer);
     for (const PathPart& part : path) {
-      if (refusing && part.address == *refusing) {
+      if (named && part.address == *named) {
+        refusing.insert(part.worker);
         this->parts->world->Avoid(part.worker,
                                   routing::AvoidReason::kNotHolding,
                                   this->parts->runtime->Now());
       }
     }
+    return refusing;
   }
 
   const RouterParts* parts;
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -126,10 +126,11 @@
     this->stream.last_progress = this->parts.runtime->Now();
     this->stream.first_event_seen = false;
     this->stream.moved = false;
-    this->last_first = path.front().worker;
+    this->last_path = path;
     world.Loads().Add(this->stream.path, this->stream.tokens);
     Run run = this->Send(path);
     // The path may have been changed since.
+    this->last_path = this->stream.path;
     world.Loads().Remove(this->stream.path, this->stream.tokens);
     this->stream.path.clear();
     this->stream.moving = false;
@@ -311,9 +312,13 @@
     const Instant now = this->parts.runtime->Now();
     if (!this->any_event) {
       this->any_event = true;
+      this->first_event = now - this->context.received;
       this->parts.metrics->Observe("chervil_first_event_seconds",
-                                   now - this->context.received);
+                                   this->first_event);
+    } else {
+      this->longest_gap = std::max(this->longest_gap, now - this->last_event);
     }
+    this->last_event = now;
     this->stream.last_progress = now;
     this->stream.first_event_seen = true;
     this->stream.moved = false;
@@ -328,8 +333,13 @@
   }
 
   RequestEnd End(unsigned status, std::string outcome, std::string reason) {
-    return {status, std::move(outcome), std::move(reason), this->last_first,
-            this->policy.Sends()};
+    RequestEnd end{status, std::move(outcome), std::move(reason),
+                   this->last_path.empty() ? "" : this->last_path[0].worker,
+                   this->policy.Sends()};
+    end.path = DescribePath(this->last_path);
+    end.first_event = this->first_event;
+    end.longest_gap = this->longest_gap;
+    return end;
   }
 
   RequestEnd EndServed() {
@@ -399,7 +409,7 @@
   void LogRetry(const Run& run) const {
     this->parts.log->Info(
         "request.retry", {{"request", this->context.facts.request_id},
-                          {"worker", this->last_first},
+                          {"path", DescribePath(this->last_path)},
                           {"reason", run.detail},
                           {"sends", this->policy.Sends()},
                           {"resume_after", this->sequence.Last().value_or(0)}});
@@ -413,10 +423,13 @@
   AttemptPolicy policy;
   EventSequence sequence;
   ActiveStream stream;
-  std::string last_first;  ///< first worker of the last path
-  std::string fault;       ///< why the last run was of no use
-  bool begun = false;      ///< the answer's head has been sent
+  Path last_path;
+  std::string fault;   ///< why the last run was of no use
+  bool begun = false;  ///< the answer's head has been sent
   bool any_event = false;
+  Instant last_event{};
+  Duration first_event{0};
+  Duration longest_gap{0};
 };
 
 }  // namespace
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -160,6 +160,61 @@
   }
 }
 
+// Pattern: worker loss under load, several at once and one after the other. As
+// long as the memory that is left can hold the model, it does so in the end.
+Test(planner, becomes_whole_again_after_any_losses_that_leave_the_memory) {
+  const ModelProfile model = Model();
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    Random random(seed);
+    auto workers =
+        Workers(model, "a", {{"large", 2}, {"middle", 5}, {"small", 8}});
+    Obey(PlanPlacement(model, workers, {}), &workers);
+    for (int loss = 0; loss < 7; ++loss) {
+      PlannedWorker& lost = workers[random.Below(workers.size())];
+      if (random.Chance(0.4) && !lost.usable) {
+        lost.usable = true;  // back, and empty
+        lost.layers = {};
+      } else {
+        lost.usable = false;
+      }
+      for (int round = 0; round < 6; ++round) {
+        const auto orders = PlanPlacement(model, workers, {});
+        CheckWithinMemory(model, orders, workers);
+        Obey(orders, &workers);
+      }
+      double layers = 0;
+      for (const PlannedWorker& worker : workers) {
+        layers += worker.usable ? model.RangeWithRoom(
+                                      worker.kind, PlannerSettings{}.least_room)
+                                : 0;
+      }
+      if (layers >= model.layers) {
+        cr_assert(Gaps(model, workers).empty(), "seed %lu loss %d", seed, loss);
+      }
+      cr_assert(PlanPlacement(model, workers, {}).empty(),
+                "seed %lu loss %d: orders without end", seed, loss);
+    }
+  }
+}
+
+// A gap of one layer between two full workers: the chain shifts to one that has
+// memory to spare, and the rest of the data centre stays as it is.
+Test(planner, a_small_gap_moves_few_workers) {
+  const ModelProfile model = Model();
+  auto workers =
+      Workers(model, "a", {{"large", 2}, {"middle", 2}, {"small", 5}});
+  const LayerRange held[] = {{0, 15},  {15, 30}, {30, 39}, {39, 48}, {48, 55},
+                             {56, 63}, {63, 69}, {69, 75}, {74, 80}};
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    workers[i].layers = held[i];
+  }
+  const auto orders = PlanPlacement(model, workers, {});
+  CheckWithinMemory(model, orders, workers);
+  cr_assert_leq(orders.size(), 3, "%zu orders", orders.size());
+  Obey(orders, &workers);
+  cr_assert(Gaps(model, workers).empty());
+}
+
 Test(planner, an_order_on_its_way_is_not_given_twice) {
   const ModelProfile model = Model();
   auto workers = Workers(model, "a", {{"large", 5}, {"small", 8}});
