A few VMs watch the store and pass changes on

One VM a data centre watches; the others hold a question open at two relays and watch for themselves once they hear from none.

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -256,7 +256,9 @@
   }
 
   void Do(const membership::ConfigHeard& heard) {
-    this->events.newer_config(heard.member);
+    this->log->Debug("config.newer_elsewhere",
+                     {{"member", heard.member.vm},
+                      {"version", heard.member.config_version}});
   }
 
   template <class Change>
--- /dev/null
+++ b/chervilpass/fleet/peer_state.cc
@@ -0,0 +1,157 @@
+#include "chervilpass/fleet/peer_state.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "platform/json_fields.h"
+
+namespace chervilpass::fleet {
+namespace {
+
+namespace json = boost::json;
+using platform::ObjectChange;
+using platform::StoredObject;
+
+}  // namespace
+
+std::string EncodePeerState(const PeerState& state) {
+  json::object body;
+  if (state.config) {
+    body["config"] = platform::EncodeObject(*state.config);
+  }
+  json::array list;
+  for (const ObjectChange& change : state.workers) {
+    json::object item;
+    item["object"] = platform::EncodeObject(change.object);
+    item["deleted"] = change.deleted;
+    list.push_back(std::move(item));
+  }
+  body["workers"] = std::move(list);
+  body["workers_revision"] = state.workers_revision;
+  body["whole"] = state.whole;
+  body["lapse_grace_ms"] = ToMilliseconds(state.lapse_grace);
+  return json::serialize(body);
+}
+
+std::optional<PeerState> DecodePeerState(const std::string& text) {
+  const auto body = platform::ParseJson(text);
+  if (!body) {
+    return std::nullopt;
+  }
+  platform::JsonFields fields(*body, "state");
+  PeerState state;
+  state.workers_revision = fields.Whole("workers_revision");
+  state.whole = fields.FlagOr("whole", false);
+  state.lapse_grace = milliseconds(
+      std::min<std::uint64_t>(fields.Whole("lapse_grace_ms"), 60000));
+  if (const auto* config = fields.Find("config")) {
+    state.config = platform::DecodeObject(*config);
+  }
+  for (const json::value* item : fields.List("workers")) {
+    platform::JsonFields entry(*item, "workers");
+    const auto* value = entry.Find("object");
+    auto object =
+        value == nullptr ? std::nullopt : platform::DecodeObject(*value);
+    if (!object) {
+      fields.Fault("workers", "not an object of the store");
+      break;
+    }
+    state.workers.push_back(
+        {std::move(*object), entry.FlagOr("deleted", false)});
+  }
+  return fields.FirstFault() ? std::nullopt : std::optional<PeerState>(state);
+}
+
+bool StateLog::TakeConfig(const StoredObject& object) {
+  if (object.revision <= this->config.revision) {
+    return false;
+  }
+  this->config = object;
+  return true;
+}
+
+bool StateLog::TakeListing(const std::vector<StoredObject>& objects,
+                           std::uint64_t revision) {
+  if (revision < this->workers_revision) {
+    return false;
+  }
+  this->workers.clear();
+  for (const StoredObject& object : objects) {
+    this->workers[object.name] = object;
+  }
+  this->workers_revision = revision;
+  this->last_change = revision;
+  // What came between is not known one by one.
+  this->changes.clear();
+  this->complete_after = revision;
+  return true;
+}
+
+std::optional<std::vector<ObjectChange>> StateLog::TakeChanges(
+    const std::vector<ObjectChange>& given,
+    std::uint64_t since,
+    std::uint64_t revision) {
+  if (since > this->workers_revision) {
+    return std::nullopt;
+  }
+  std::vector<ObjectChange> news;
+  for (const ObjectChange& change : given) {
+    const auto known = this->workers.find(change.object.name);
+    const bool newer = known == this->workers.end()
+                           ? !change.deleted
+                           : change.object.revision >= known->second.revision &&
+                                 (change.deleted || change.object.revision >
+                                                        known->second.revision);
+    if (!newer || revision <= this->workers_revision) {
+      continue;
+    }
+    if (change.deleted) {
+      this->workers.erase(change.object.name);
+    } else {
+      this->workers[change.object.name] = change.object;
+    }
+    this->Log(revision, change);
+    news.push_back(change);
+  }
+  this->workers_revision = std::max(this->workers_revision, revision);
+  return news;
+}
+
+void StateLog::Log(std::uint64_t revision, const ObjectChange& change) {
+  this->changes.push_back({revision, change});
+  this->last_change = revision;
+  while (this->changes.size() > this->changes_kept) {
+    this->complete_after = this->changes.front().revision;
+    this->changes.pop_front();
+  }
+}
+
+bool StateLog::HasNews(std::uint64_t config_known,
+                       std::uint64_t workers_known) const {
+  return this->config.revision > config_known ||
+         this->last_change > workers_known;
+}
+
+PeerState StateLog::Since(std::uint64_t config_known,
+                          std::uint64_t workers_known) const {
+  PeerState state;
+  state.workers_revision = this->workers_revision;
+  if (this->config.revision > config_known) {
+    state.config = this->config;
+  }
+  if (workers_known < this->complete_after) {
+    state.whole = true;
+    for (const auto& [name, object] : this->workers) {
+      state.workers.push_back({object, false});
+    }
+    return state;
+  }
+  for (const Logged& logged : this->changes) {
+    if (logged.revision > workers_known) {
+      state.workers.push_back(logged.change);
+    }
+  }
+  return state;
+}
+
+}  // namespace chervilpass::fleet
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -3,17 +3,18 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <map>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <mutex>
 
 #include "chervilpass/core/backoff.h"
+#include "chervilpass/fleet/peer_state.h"
 #include "platform/config_decoder.h"
 #include "platform/worker_decoder.h"
 
 namespace chervilpass::fleet {
 namespace {
 
-namespace json = boost::json;
 using platform::Changes;
 using platform::Listing;
 using platform::ObjectChange;
@@ -23,11 +24,18 @@
 using platform::StoreKind;
 
 constexpr std::string_view kConfigName = "main";
+// A follower may ask a relay to wait no longer than this.
+constexpr std::uint64_t kLongestWaitMs = 10000;
 
 std::string_view NameOf(StoreKind kind) {
   return kind == StoreKind::kConfig ? "config" : "workers";
 }
 
+std::uint64_t NumberOf(const io::HttpRequest& request, std::string_view name) {
+  const std::string text = request.QueryParameter(name).value_or("0");
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
 }  // namespace
 
 std::string PeerStatePath() {
@@ -51,32 +59,74 @@
         settings(settings),
         events(std::move(events)),
         peers(std::move(peers)),
-        random(world->Dice().Next()) {}
-
-  io::Runtime* runtime;
-  platform::StoreClient* store;
-  serving::World* world;
-  MetricsRegistry* metrics;
-  const Logger* log;
-  StoreSyncSettings settings;
-  StoreSyncEvents events;
-  std::unique_ptr<io::HttpClient> peers;
-  Random random;
-
-  bool stopped = false;
-  bool up = false;
-  Instant last_answer{};
-  std::uint64_t config_revision = 0;
-  std::uint64_t workers_revision = 0;  ///< of the store, as listed or watched
-  StoredObject config;
-  std::map<std::string, StoredObject> workers;  ///< as stored, for peers
-  bool pulling = false;
+        random(world->Dice().Next()),
+        known(settings.changes_kept) {}
 
   void Start() {
+    const Instant now = this->runtime->Now();
+    this->last_relayed = now;
+    this->last_answer = now;
+    this->last_needed = now;
     const auto self = this->shared_from_this();
     this->runtime->Spawn([self] { self->Follow(StoreKind::kConfig); });
     this->runtime->Spawn([self] { self->Follow(StoreKind::kWorkers); });
-    this->runtime->Spawn([self] { self->WatchOverStore(); });
+    this->runtime->Spawn([self] { self->FollowRelay(0); });
+    this->runtime->Spawn([self] { self->FollowRelay(1); });
+    this->runtime->Spawn([self] { self->ChooseMode(); });
+  }
+
+  // ---- who watches ----
+
+  void ChooseMode() {
+    while (!this->stopped) {
+      this->runtime->SleepFor(this->settings.mode_period);
+      const Instant now = this->runtime->Now();
+      const bool deserted =
+          !this->watching &&
+          now - this->last_relayed > this->settings.relay_lost_after;
+      if (this->events.is_relay() || deserted) {
+        this->last_needed = now;
+      }
+      const bool watch = now - this->last_needed < this->settings.hand_over;
+      if (watch != this->watching) {
+        this->watching = watch;
+        this->last_answer = now;
+        this->last_relayed = now;
+        this->log->Info("store.watch", {{"watching", watch}});
+      }
+      this->LookAtStore(now);
+    }
+  }
+
+  void LookAtStore(Instant now) {
+    const bool lost =
+        now - this->last_answer > this->settings.lost_after || !this->watching;
+    if (!this->up || !lost) {
+      return;
+    }
+    this->up = false;
+    if (this->watching) {
+      this->lost_store = true;
+      this->log->Warning(
+          "store.lost",
+          {{"silent_ms", ToMilliseconds(now - this->last_answer)}});
+    }
+    this->events.store_changed(false);
+  }
+
+  void NoteAnswer() {
+    const Instant now = this->runtime->Now();
+    this->last_answer = now;
+    if (this->up || !this->watching) {
+      return;
+    }
+    this->up = true;
+    if (this->lost_store) {
+      this->lost_store = false;
+      this->world->Servers().OnStoreRegained(now);
+    }
+    this->log->Info("store.regained", {});
+    this->events.store_changed(true);
   }
 
   // ---- the store ----
@@ -85,6 +135,10 @@
   void Follow(StoreKind kind) {
     Backoff backoff(this->settings.retry_least, this->settings.retry_longest);
     while (!this->stopped) {
+      if (!this->watching) {
+        this->runtime->SleepFor(this->settings.mode_period);
+        continue;
+      }
       const auto listing = this->store->List(kind);
       if (listing.has_error()) {
         this->NoteFailure(kind, listing.error());
@@ -100,7 +154,7 @@
 
   void WatchFrom(StoreKind kind, std::uint64_t revision) {
     Backoff backoff(this->settings.retry_least, this->settings.retry_longest);
-    while (!this->stopped) {
+    while (!this->stopped && this->watching) {
       const auto changes =
           this->store->Watch(kind, revision, this->settings.watch_wait);
       if (changes.has_error()) {
@@ -114,7 +168,7 @@
       }
       backoff.Reset();
       this->NoteAnswer();
-      this->TakeChanges(kind, changes.value());
+      this->TakeChanges(kind, changes.value(), revision);
       revision = std::max(revision, changes.value().revision);
     }
   }
@@ -127,79 +181,74 @@
     }
   }
 
-  void NoteAnswer() {
-    const Instant now = this->runtime->Now();
-    this->last_answer = now;
-    if (!this->up) {
-      this->up = true;
-      this->world->Servers().OnStoreRegained(now);
-      this->log->Info("store.regained", {});
-      this->events.store_changed(true);
-    }
-  }
-
-  void WatchOverStore() {
-    while (!this->stopped) {
-      this->runtime->SleepFor(this->settings.peer_period);
-      const Instant now = this->runtime->Now();
-      if (this->up && now - this->last_answer > this->settings.lost_after) {
-        this->up = false;
-        this->log->Warning(
-            "store.lost",
-            {{"silent_ms", ToMilliseconds(now - this->last_answer)}});
-        this->events.store_changed(false);
-      }
-      if (!this->up) {
-        if (const auto peer = this->events.find_peer()) {
-          this->Pull(*peer);
-        }
-      }
+  void NoteUnreadable(StoreKind kind, std::size_t count) const {
+    if (count > 0) {
+      this->log->Warning("store.unreadable_objects",
+                         {{"what", NameOf(kind)}, {"count", count}});
     }
   }
 
-  // ---- what is taken in ----
-
   void TakeListing(StoreKind kind, const Listing& listing) {
-    if (listing.unreadable > 0) {
-      this->log->Warning(
-          "store.unreadable_objects",
-          {{"what", NameOf(kind)}, {"count", listing.unreadable}});
-    }
+    this->NoteUnreadable(kind, listing.unreadable);
     if (kind == StoreKind::kConfig) {
       for (const StoredObject& object : listing.objects) {
         this->TakeConfig(object, "store");
       }
       return;
     }
-    this->TakeWorkers(listing.objects, listing.revision);
+    this->TakeAllWorkers(listing.objects, listing.revision);
   }
 
-  void TakeChanges(StoreKind kind, const Changes& changes) {
-    if (changes.unreadable > 0) {
-      this->log->Warning(
-          "store.unreadable_objects",
-          {{"what", NameOf(kind)}, {"count", changes.unreadable}});
-    }
-    for (const ObjectChange& change : changes.changes) {
-      if (kind == StoreKind::kConfig) {
+  void TakeChanges(StoreKind kind,
+                   const Changes& changes,
+                   std::uint64_t since) {
+    this->NoteUnreadable(kind, changes.unreadable);
+    if (kind == StoreKind::kConfig) {
+      for (const ObjectChange& change : changes.changes) {
         if (!change.deleted) {
           this->TakeConfig(change.object, "store");
         }
-        continue;
-      }
-      if (change.deleted) {
-        this->workers.erase(change.object.name);
-      } else {
-        this->workers[change.object.name] = change.object;
       }
+      return;
+    }
+    this->TakeWorkerChanges(changes.changes, since, changes.revision);
+  }
+
+  // ---- what is taken in ----
+
+  void TakeAllWorkers(const std::vector<StoredObject>& objects,
+                      std::uint64_t revision) {
+    if (!this->known.TakeListing(objects, revision)) {
+      return;
+    }
+    std::vector<routing::ServerRecord> records;
+    for (const StoredObject& object : objects) {
+      records.push_back(this->RecordOf(object));
+    }
+    this->world->Servers().ApplyListing(records, revision,
+                                        this->runtime->Now());
+    this->log->Info("workers.listed",
+                    {{"count", records.size()}, {"revision", revision}});
+    this->TellFollowers();
+  }
+
+  // False if changes before these are missing.
+  bool TakeWorkerChanges(const std::vector<ObjectChange>& changes,
+                         std::uint64_t since,
+                         std::uint64_t revision) {
+    const auto news = this->known.TakeChanges(changes, since, revision);
+    if (!news) {
+      return false;
+    }
+    for (const ObjectChange& change : *news) {
       this->world->Servers().ApplyChange(this->RecordOf(change.object),
                                          change.deleted, this->runtime->Now());
       this->LogWorker(change);
     }
-    if (kind == StoreKind::kWorkers) {
-      this->workers_revision =
-          std::max(this->workers_revision, changes.revision);
+    if (!news->empty()) {
+      this->TellFollowers();
     }
+    return true;
   }
 
   void LogWorker(const ObjectChange& change) const {
@@ -217,22 +266,6 @@
          {"to", server == nullptr ? 0 : server->layers.to}});
   }
 
-  void TakeWorkers(const std::vector<StoredObject>& objects,
-                   std::uint64_t revision) {
-    if (revision < this->workers_revision) {
-      return;
-    }
-    std::vector<routing::ServerRecord> records;
-    this->workers.clear();
-    for (const StoredObject& object : objects) {
-      this->workers[object.name] = object;
-      records.push_back(this->RecordOf(object));
-    }
-    this->workers_revision = revision;
-    this->world->Servers().ApplyListing(records, revision,
-                                        this->runtime->Now());
-  }
-
   routing::ServerRecord RecordOf(const StoredObject& object) const {
     auto server = platform::DecodeWorker(object.name, object.spec);
     if (server.has_error()) {
@@ -246,7 +279,7 @@
 
   void TakeConfig(const StoredObject& object, std::string_view from) {
     if (object.name != kConfigName ||
-        object.revision <= this->config_revision) {
+        object.revision <= this->known.ConfigRevision()) {
       return;
     }
     auto parts = platform::DecodeConfig(object.spec);
@@ -256,8 +289,7 @@
       this->metrics->Count("chervil_config_unreadable_total");
       return;
     }
-    this->config_revision = object.revision;
-    this->config = object;
+    this->known.TakeConfig(object);
     const auto table = routing::RouteTable::Create(std::move(parts).value());
     if (this->world->Adopt(table)) {
       this->log->Info("config.in_force",
@@ -267,78 +299,122 @@
                        {"from", from}});
       this->events.config_changed();
     }
+    this->TellFollowers();
   }
 
-  // ---- peers ----
+  // ---- as a follower ----
 
-  void Pull(const io::Endpoint& peer) {
-    if (this->pulling) {
-      return;
+  // Each of two fibers keeps asking a relay of its own, so that one that dies
+  // in silence delays nothing.
+  void FollowRelay(std::size_t slot) {
+    Backoff backoff(this->settings.retry_least, this->settings.retry_longest);
+    while (!this->stopped) {
+      const auto relays = this->events.relays();
+      const bool follow =
+          slot < relays.size() && (!this->watching || !this->up);
+      if (!follow || !this->AskRelay(relays[slot])) {
+        this->runtime->SleepFor(follow ? backoff.Next(&this->random)
+                                       : this->settings.mode_period);
+        continue;
+      }
+      backoff.Reset();
     }
-    this->pulling = true;
+  }
+
+  bool AskRelay(const io::Endpoint& relay) {
     io::HttpRequest request;
     request.path = PeerStatePath();
-    request.query = fmt::format("config={}&workers={}", this->config_revision,
-                                this->workers_revision);
-    const auto answer =
-        this->peers->Call(peer, request, this->settings.peer_timeout);
-    this->pulling = false;
+    request.query =
+        fmt::format("config={}&workers={}&wait_ms={}",
+                    this->known.ConfigRevision(), this->known.WorkersRevision(),
+                    ToMilliseconds(this->settings.relay_wait));
+    const std::uint64_t asked_since = this->known.WorkersRevision();
+    const auto answer = this->peers->Call(
+        relay, request, this->settings.relay_wait + this->settings.relay_slack);
     if (answer.has_error() || answer.value().status != 200) {
-      this->log->Info(
-          "peer.pull_failed",
-          {{"peer", peer.ToText()},
-           {"detail",
-            answer.has_error()
-                ? answer.error().detail
-                : "status " + std::to_string(answer.value().status)}});
-      return;
+      this->metrics->Count("chervil_relay_failures_total");
+      return false;
     }
-    this->metrics->Count("chervil_peer_pulls_total");
-    const auto body = platform::ParseJson(answer.value().body);
-    if (!body || !body->is_object()) {
-      this->log->Warning("peer.unreadable", {{"peer", peer.ToText()}});
-      return;
+    const auto told = DecodePeerState(answer.value().body);
+    if (!told) {
+      this->log->Warning("relay.unreadable", {{"relay", relay.ToText()}});
+      return false;
     }
-    this->TakePeerState(body->get_object(), peer);
-  }
-
-  void TakePeerState(const json::object& body, const io::Endpoint& peer) {
-    if (const auto* value = body.if_contains("config")) {
-      if (const auto object = platform::DecodeObject(*value)) {
-        this->TakeConfig(*object, peer.ToText());
-      }
+    const Instant now = this->runtime->Now();
+    this->last_relayed = now;
+    if (told->lapse_grace > Duration::zero()) {
+      this->world->Servers().ExtendGrace(now + told->lapse_grace);
     }
-    const auto* list = body.if_contains("workers");
-    const auto* revision = body.if_contains("workers_revision");
-    if (list == nullptr || !list->is_array() || revision == nullptr ||
-        !revision->is_number()) {
-      return;
+    if (told->config) {
+      this->TakeConfig(*told->config, relay.ToText());
     }
-    std::vector<StoredObject> objects;
-    for (const json::value& value : list->get_array()) {
-      if (auto object = platform::DecodeObject(value)) {
-        objects.push_back(std::move(*object));
+    if (told->whole) {
+      std::vector<StoredObject> objects;
+      for (const ObjectChange& change : told->workers) {
+        objects.push_back(change.object);
       }
+      this->TakeAllWorkers(objects, told->workers_revision);
+      return true;
     }
-    this->TakeWorkers(objects, revision->to_number<std::uint64_t>());
+    return this->TakeWorkerChanges(told->workers, asked_since,
+                                   told->workers_revision);
   }
 
-  std::string StateSince(std::uint64_t config_known,
-                         std::uint64_t workers_known) const {
-    json::object body;
-    if (this->config_revision > config_known) {
-      body["config"] = platform::EncodeObject(this->config);
+  // ---- as a relay ----
+
+  void TellFollowers() { this->changed.notify_all(); }
+
+  io::HttpResponse AnswerFollower(const io::HttpRequest& request) {
+    io::HttpResponse answer;
+    if (!this->up) {
+      answer.status = 503;  // the follower asks someone else
+      return answer;
     }
-    if (this->workers_revision > workers_known) {
-      json::array list;
-      for (const auto& [name, object] : this->workers) {
-        list.push_back(platform::EncodeObject(object));
+    const std::uint64_t config_known = NumberOf(request, "config");
+    const std::uint64_t workers_known = NumberOf(request, "workers");
+    const Duration wait =
+        milliseconds(std::min(NumberOf(request, "wait_ms"), kLongestWaitMs));
+    if (!this->known.HasNews(config_known, workers_known)) {
+      std::unique_lock lock(this->mutex);
+      this->changed.wait_for(lock, wait, [&] {
+        return this->known.HasNews(config_known, workers_known);
+      });
+      lock.unlock();
+      if (this->known.HasNews(config_known, workers_known)) {
+        this->runtime->SleepFor(this->settings.coalesce);
       }
-      body["workers"] = std::move(list);
-      body["workers_revision"] = this->workers_revision;
     }
-    return json::serialize(body);
+    if (!this->up) {
+      answer.status = 503;
+      return answer;
+    }
+    PeerState state = this->known.Since(config_known, workers_known);
+    state.lapse_grace = this->world->Servers().GraceLeft(this->runtime->Now());
+    answer.headers.Add("Content-Type", "application/json");
+    answer.body = EncodePeerState(state);
+    return answer;
   }
+
+  io::Runtime* runtime;
+  platform::StoreClient* store;
+  serving::World* world;
+  MetricsRegistry* metrics;
+  const Logger* log;
+  StoreSyncSettings settings;
+  StoreSyncEvents events;
+  std::unique_ptr<io::HttpClient> peers;
+  Random random;
+  StateLog known;
+
+  bool stopped = false;
+  bool watching = true;  ///< this VM watches the store itself
+  bool up = false;       ///< it does, and the store answers
+  bool lost_store = false;
+  Instant last_answer{};
+  Instant last_relayed{};
+  Instant last_needed{};
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable changed;
 };
 
 StoreSync::StoreSync(std::shared_ptr<State> state) : state(std::move(state)) {}
@@ -355,7 +431,7 @@
                                              StoreSyncSettings settings,
                                              StoreSyncEvents events) {
   io::HttpClientSettings http;
-  http.connect_timeout = settings.peer_timeout;
+  http.connect_timeout = settings.relay_slack;
   auto state = std::make_shared<State>(runtime, store, world, metrics, log,
                                        settings, std::move(events),
                                        io::HttpClient::Create(runtime, http));
@@ -369,17 +445,11 @@
 
 bool StoreSync::Complete() const {
   return this->state->world->Table() != nullptr &&
-         this->state->workers_revision > 0;
-}
-
-void StoreSync::PullFrom(const io::Endpoint& peer) {
-  this->state->runtime->Spawn(
-      [state = this->state, peer] { state->Pull(peer); });
+         this->state->known.WorkersRevision() > 0;
 }
 
-std::string StoreSync::StateSince(std::uint64_t config_revision,
-                                  std::uint64_t workers_revision) const {
-  return this->state->StateSince(config_revision, workers_revision);
+io::HttpResponse StoreSync::AnswerFollower(const io::HttpRequest& request) {
+  return this->state->AnswerFollower(request);
 }
 
 }  // namespace chervilpass::fleet
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
@@ -24,22 +25,38 @@
   Duration retry_longest = milliseconds(1000);
   /// Without an answer for this long the store counts as out of reach.
   Duration lost_after = milliseconds(2600);
-  /// While it is, a peer is asked this often.
-  Duration peer_period = milliseconds(400);
-  Duration peer_timeout = milliseconds(400);
+  /// How often it is looked at whether this VM is to watch the store.
+  Duration mode_period = milliseconds(200);
+  /// A VM goes on watching for this long after others have taken over.
+  Duration hand_over = seconds(2);
+  /// A relay without a change answers after this time.
+  Duration relay_wait = milliseconds(1000);
+  /// A relay that has not answered this long after that is left.
+  Duration relay_slack = milliseconds(350);
+  /// Without word from any relay for this long a VM watches the store itself.
+  Duration relay_lost_after = milliseconds(1700);
+  /// A relay collects changes for this long before it tells them.
+  Duration coalesce = milliseconds(30);
+  /// Changes kept for followers; others get everything.
+  std::size_t changes_kept = 4096;
 
   bool operator==(const StoreSyncSettings&) const = default;
 };
 
-/// What StoreSync tells its owner. Called on the fiber thread; must not wait.
+/// What StoreSync asks and tells its owner. Called on the fiber thread; must
+/// not wait.
 struct StoreSyncEvents {
   std::function<void()> config_changed;
   std::function<void(bool up)> store_changed;
-  /// Address of a peer that has lately heard from the store, if one is known.
-  std::function<std::optional<io::Endpoint>()> find_peer;
+  /// True if this VM is one of those that watch the store for the others.
+  std::function<bool()> is_relay;
+  /// Up to two other VMs that watch the store, the nearest first.
+  std::function<std::vector<io::Endpoint>()> relays;
 };
 
-/// Fiber thread only.
+/// A few VMs watch the store and pass changes on to the others, so that the
+/// store's load does not grow with the fleet. Any VM watches for itself while
+/// it hears from no relay. Fiber thread only.
 class StoreSync {
  public:
   static std::unique_ptr<StoreSync> Create(io::Runtime* runtime,
@@ -51,19 +68,14 @@
                                            StoreSyncEvents events);
   ~StoreSync();
 
-  /// True if the store has answered of late.
+  /// True if the store has answered this VM of late.
   bool StoreUp() const;
 
   /// True once configuration and backend servers are known.
   bool Complete() const;
 
-  /// Asks a peer for what is newer there, at once.
-  void PullFrom(const io::Endpoint& peer);
-
-  /// What a peer is told that has these revisions; a text of the peers' own
-  /// protocol.
-  std::string StateSince(std::uint64_t config_revision,
-                         std::uint64_t workers_revision) const;
+  /// Answers a follower's question, waiting for a change if it asks for that.
+  io::HttpResponse AnswerFollower(const io::HttpRequest& request);
 
  private:
   struct State;
@@ -71,7 +83,7 @@
   std::shared_ptr<State> state;
 };
 
-/// Path of the peers' request for state.
+/// Path of the followers' question.
 std::string PeerStatePath();
 
 }  // namespace chervilpass::fleet
--- a/chervilpass/routing/server_book.cc
+++ b/chervilpass/routing/server_book.cc
@@ -18,7 +18,7 @@
   const auto known = this->entries.find(record.id);
   if (known != this->entries.end() &&
       record.revision <= known->second.revision) {
-    // Nothing new, but it is there: what peers have told stays.
+    // Nothing new, but it is there.
     if (record.revision == known->second.revision) {
       known->second.lapsed_since.reset();
     }
@@ -113,17 +113,17 @@
 }
 
 void ServerBook::OnStoreRegained(Instant now) {
-  this->grace_until = now + this->settings.lapse_grace;
+  this->ExtendGrace(now + this->settings.lapse_grace);
 }
 
-bool ServerBook::MarkLeaving(const std::string& id) {
-  const auto known = this->entries.find(id);
-  if (known == this->entries.end() || known->second.server.leaving) {
-    return false;
-  }
-  known->second.server.leaving = true;
-  ++this->generation;
-  return true;
+void ServerBook::ExtendGrace(Instant until) {
+  this->grace_until = std::max(this->grace_until.value_or(until), until);
+}
+
+Duration ServerBook::GraceLeft(Instant now) const {
+  return this->grace_until
+             ? std::max(Duration::zero(), *this->grace_until - now)
+             : Duration::zero();
 }
 
 void ServerBook::Expire(Instant now) {
--- a/chervilpass/routing/server_book.h
+++ b/chervilpass/routing/server_book.h
@@ -48,8 +48,11 @@
   /// The store could not be reached for a while and can be again.
   void OnStoreRegained(Instant now);
 
-  /// A peer says that the server is leaving; true if that is news.
-  bool MarkLeaving(const std::string& id);
+  /// Registrations that have lapsed may return until then.
+  void ExtendGrace(Instant until);
+
+  /// How long registrations that have lapsed may still return.
+  Duration GraceLeft(Instant now) const;
 
   /// Forgets registrations that have lapsed for good.
   void Expire(Instant now);
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -8,6 +8,7 @@
 #include "chervilpass/fleet/address_list.h"
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_keeper.h"
+#include "chervilpass/fleet/relays.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
@@ -130,9 +131,6 @@
     events.unreachable = [this](const std::string& worker) {
       this->OnPeerFoundUnreachable(worker);
     };
-    events.newer_config = [this](const membership::Member& holder) {
-      this->OnPeerHasNewerConfig(holder);
-    };
     events.loads = [this](const std::string& peer, const auto& notices) {
       this->OnPeerLoads(peer, notices);
     };
@@ -158,7 +156,10 @@
     fleet::StoreSyncEvents events;
     events.config_changed = [this] { this->OnConfigChanged(); };
     events.store_changed = [this](bool up) { this->peers->SetStoreUp(up); };
-    events.find_peer = [this] { return this->PeerWithStore(); };
+    events.is_relay = [this] {
+      return fleet::IsRelay(this->peers->Members(), this->settings.ip);
+    };
+    events.relays = [this] { return this->Relays(); };
     this->sync = fleet::StoreSync::Create(&this->runtime, this->store.get(),
                                           &this->world, &this->metrics,
                                           &this->log, {}, std::move(events));
@@ -244,14 +245,7 @@
       exchange.Respond(serving::Router::AnswerUnreadable(404, "no such call"));
       return;
     }
-    const auto number = [&request](std::string_view name) {
-      const std::string text = request.QueryParameter(name).value_or("0");
-      return std::strtoull(text.c_str(), nullptr, 10);
-    };
-    io::HttpResponse answer;
-    answer.headers.Add("Content-Type", "application/json");
-    answer.body = this->sync->StateSince(number("config"), number("workers"));
-    exchange.Respond(answer);
+    exchange.Respond(this->sync->AnswerFollower(request));
   }
 
   void AnswerMetrics(io::HttpExchange& exchange) {
@@ -316,27 +310,21 @@
     return notices;
   }
 
-  void OnPeerHasNewerConfig(const membership::Member& holder) {
-    const auto table = this->world.Table();
-    const bool behind = !table || table->Version() < holder.config_version;
-    // With the store in reach the own watch brings it as soon.
-    if (behind && !this->sync->StoreUp()) {
-      this->sync->PullFrom({holder.ip, holder.control_port});
-    }
-  }
-
-  std::optional<io::Endpoint> PeerWithStore() {
-    std::vector<io::Endpoint> able;
-    for (const membership::Member& member : this->peers->Members()) {
-      if (member.vm != this->settings.ip && member.store_up &&
-          member.status != membership::Status::kDead) {
-        able.push_back({member.ip, member.control_port});
-      }
+  // Two of the VMs that watch the store; which of those in other data centres
+  // follows from the address, to spread the work.
+  std::vector<io::Endpoint> Relays() {
+    const auto relays =
+        fleet::RelaysFor(this->peers->Members(), this->settings.ip);
+    std::vector<io::Endpoint> two;
+    if (!relays.empty()) {
+      two.push_back({relays[0].ip, relays[0].control_port});
     }
-    if (able.empty()) {
-      return std::nullopt;
+    if (relays.size() > 1) {
+      const std::size_t other =
+          1 + HashText(this->settings.ip) % (relays.size() - 1);
+      two.push_back({relays[other].ip, relays[other].control_port});
     }
-    return able[this->world.Dice().Below(able.size())];
+    return two;
   }
 
   // ---- upkeep ----
--- a/unit_tests/fleet_test.cc
+++ b/unit_tests/fleet_test.cc
@@ -1,6 +1,5 @@
-// Tests of address lists and of the claim to decide on placement.
-#include <criterion/criterion.h>
-
+// Tests of address lists, relays, what they tell followers, and of the claim to
+// decide on placement.
 #include <fmt/format.h>
 
 #include <map>
@@ -9,6 +8,11 @@
 #include "chervilpass/core/random.h"
 #include "chervilpass/fleet/address_list.h"
 #include "chervilpass/fleet/decider_claim.h"
+#include "chervilpass/fleet/peer_state.h"
+#include "chervilpass/fleet/relays.h"
+
+// Last: its macros clash with headers of Boost.
+#include <criterion/criterion.h>
 
 using namespace chervilpass;
 using namespace chervilpass::fleet;
@@ -31,8 +35,110 @@
 
 constexpr Instant kStart{};
 
+platform::StoredObject Object(const std::string& name, std::uint64_t revision) {
+  return {name, revision, false, boost::json::value(revision)};
+}
+
 }  // namespace
 
+Test(relays, one_vm_of_each_data_centre_watches_once_the_store_answers) {
+  std::vector<Member> members = {MemberOf("10.0.0.1", "a"),
+                                 MemberOf("10.0.0.2", "a"),
+                                 MemberOf("10.0.0.3", "b")};
+  cr_assert(IsRelay(members, "10.0.0.1"));
+  cr_assert(!IsRelay(members, "10.0.0.2"));
+  cr_assert(IsRelay(members, "10.0.0.3"));
+  // The next one takes over from one that is gone, suspected, or turned away.
+  for (int fault = 0; fault < 3; ++fault) {
+    auto changed = members;
+    changed[0].store_up = fault != 0;
+    changed[0].status = fault == 1   ? Status::kDead
+                        : fault == 2 ? Status::kSuspect
+                                     : Status::kAlive;
+    cr_assert(IsRelay(changed, "10.0.0.2"), "fault %d", fault);
+  }
+  const auto relays = RelaysFor(members, "10.0.0.2");
+  cr_assert_eq(relays.size(), 2);
+  cr_assert(relays[0].vm == "10.0.0.1");
+}
+
+// A follower that asks a relay after any number of changes, whole listings and
+// lost answers has what the relay has.
+Test(state_log, followers_end_up_with_what_the_relay_has) {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    Random random(seed);
+    StateLog relay(4);
+    StateLog follower(4);
+    std::map<std::string, std::uint64_t> truth;
+    std::uint64_t revision = 1;
+    relay.TakeListing({}, revision);
+    const auto ask = [&] {
+      const PeerState state =
+          relay.Since(follower.ConfigRevision(), follower.WorkersRevision());
+      const auto told = DecodePeerState(EncodePeerState(state));
+      cr_assert(told.has_value() && *told == state);
+      if (random.Chance(0.2)) {
+        return;  // the answer is lost
+      }
+      if (told->whole) {
+        std::vector<platform::StoredObject> objects;
+        for (const auto& change : told->workers) {
+          objects.push_back(change.object);
+        }
+        follower.TakeListing(objects, told->workers_revision);
+      } else {
+        cr_assert(follower
+                      .TakeChanges(told->workers, follower.WorkersRevision(),
+                                   told->workers_revision)
+                      .has_value());
+      }
+    };
+    for (int step = 0; step < 60; ++step) {
+      const std::string name = fmt::format("w{}", random.Below(5));
+      const std::uint64_t since = revision;
+      ++revision;
+      const bool gone = random.Chance(0.3) && truth.contains(name);
+      if (gone) {
+        truth.erase(name);
+      } else {
+        truth[name] = revision;
+      }
+      relay.TakeChanges({{Object(name, revision), gone}}, since, revision);
+      if (random.Chance(0.1)) {
+        std::vector<platform::StoredObject> objects;
+        for (const auto& [known, at] : truth) {
+          objects.push_back(Object(known, at));
+        }
+        relay.TakeListing(objects, revision);
+      }
+      if (random.Chance(0.3)) {
+        ask();
+      }
+    }
+    while (follower.WorkersRevision() < relay.WorkersRevision()) {
+      ask();
+    }
+    const PeerState all = follower.Since(0, 0);
+    std::map<std::string, std::uint64_t> held;
+    for (const auto& change : all.workers) {
+      if (change.deleted) {
+        held.erase(change.object.name);
+      } else {
+        held[change.object.name] = change.object.revision;
+      }
+    }
+    cr_assert(held == truth, "seed %lu", seed);
+  }
+}
+
+Test(state_log, a_gap_before_the_changes_is_noticed) {
+  StateLog log(4);
+  log.TakeListing({Object("w", 3)}, 5);
+  cr_assert(!log.TakeChanges({{Object("w", 9), false}}, 8, 9).has_value());
+  cr_assert(log.TakeChanges({{Object("w", 9), false}}, 5, 9).has_value());
+  cr_assert(!log.TakeConfig(Object("main", 0)));
+}
+
 Test(address_list, ready_entries_of_the_callers_data_centre) {
   Random random(1);
   std::vector<Member> members = {
