--- a/chervilpass/config/settings_reader.cc
+++ b/chervilpass/config/settings_reader.cc
@@ -174,6 +174,11 @@
       [](const std::string& value) { return !value.empty(); });
 }
 
+std::string SettingsReader::OptionalText(std::string_view field) {
+  return this->state->Scalar<std::string>(
+      field, "", "a text", [](const std::string&) { return true; });
+}
+
 std::string SettingsReader::Choice(std::string_view field,
                                    const std::vector<std::string>& allowed,
                                    std::optional<std::string> fallback) {
--- a/chervilpass/config/settings_reader.h
+++ b/chervilpass/config/settings_reader.h
@@ -60,6 +60,9 @@
   std::string Text(std::string_view field,
                    std::optional<std::string> fallback = std::nullopt);
 
+  /// A text that may be empty or missing.
+  std::string OptionalText(std::string_view field);
+
   /// One of `allowed`.
   std::string Choice(std::string_view field,
                      const std::vector<std::string>& allowed,
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -11,7 +11,7 @@
 // "IP:PORT,IP:PORT", possibly empty; only the IP addresses matter.
 std::vector<std::string> ReadSeeds(config::SettingsReader& reader) {
   std::vector<std::string> ips;
-  const std::string text = reader.Text("seeds", "");
+  const std::string text = reader.OptionalText("seeds");
   for (const std::string& part : SplitText(text, ',')) {
     if (part.empty()) {
       continue;
--- /dev/null
+++ b/scripts/platform_fleet.py
@@ -0,0 +1,239 @@
+"""A small fleet of chervil-router on loopback, before stand-ins of the users'
+platform: a store, model workers and plain backend servers. Everything started
+here is stopped by process id."""
+
+import http.client
+import json
+import os
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import fleet as fleets  # noqa: E402
+
+CALLERS, READY, DIRECTORY, STATE, GOSSIP, METRICS = 7000, 7001, 7002, 7003, 7004, 7005
+WORKER_PORT, STORE_PORT = 8000, 9000
+LAYERS = 8
+HOST = "app.example"
+
+
+class Router:
+    def __init__(self, name, data_centre, ip):
+        self.name, self.data_centre, self.ip = name, data_centre, ip
+        self.process = None
+
+
+class PlatformFleet:
+    """Routers, workers and the store. `subnet` is the third number of the
+    loopback addresses, so that fleets can run side by side."""
+
+    def __init__(self, folder, subnet, data_centres=("hal-1", "hal-2"), routers_each=2, workers_each=3):
+        self.folder, self.subnet = folder, subnet
+        os.makedirs(folder, exist_ok=True)
+        for name in os.listdir(folder):
+            os.unlink(os.path.join(folder, name))
+        self.version = 0
+        self.keys = ["key-skagen"]
+        self.plain_service = "register"
+        self.store = fleets.Process("store", "fake-store", "listen: '%s'\n" % self.store_address(), folder)
+        self.routers, self.workers, self.plain = [], [], []
+        for number, data_centre in enumerate(data_centres):
+            for index in range(routers_each):
+                self.add_router(data_centre, "127.0.%d.%d" % (subnet, 1 + number * routers_each + index))
+            for _ in range(workers_each):
+                self.add_worker(data_centre)
+            self.add_plain(data_centre, "register")
+
+    def store_address(self):
+        return "127.0.%d.200:%d" % (self.subnet, STORE_PORT)
+
+    # ---- description ----
+
+    def add_router(self, data_centre, ip):
+        router = Router("router-%d" % (len(self.routers) + 1), data_centre, ip)
+        seeds = ",".join("%s:%d" % (other.ip, STATE) for other in self.routers[:3])
+        router.process = fleets.Process(router.name, "chervil-router", """vm: %s
+ip: %s
+data_centre: %s
+region: dk-sjaelland
+listen: {callers: '%s:%d', readiness: '%s:%d', directory: '%s:%d', metrics_port: %d}
+peers: {gossip_port: %d, state_port: %d, seeds: '%s'}
+store: {address: '%s'}
+limits: {grace_seconds: 8, retry_share: 0.2, retry_reserve: 200}
+log: {format: json}
+""" % (router.name, ip, data_centre, ip, CALLERS, ip, READY, ip, DIRECTORY, METRICS, GOSSIP, STATE, seeds,
+            self.store_address()), self.folder)
+        self.routers.append(router)
+        return router
+
+    def add_process(self, name, extra, data_centre, service, group):
+        address = "127.0.%d.%d:%d" % (self.subnet, 100 + len(self.workers) + 50 * (group is self.plain) +
+                                      (len(self.plain) if group is self.plain else 0), WORKER_PORT)
+        process = fleets.Process(name, "fake-worker", "id: %s\nservice: %s\ndata_centre: %s\nlisten: '%s'\nstore: '%s'\n%s"
+                                 % (name, service, data_centre, address, self.store_address(), extra), self.folder)
+        process.address, process.data_centre = address, data_centre
+        group.append(process)
+        return process
+
+    def add_worker(self, data_centre):
+        return self.add_process("worker-%d" % (len(self.workers) + 1),
+                                "kind: small\nlargest_range: 5\nwork_ms: 30\nload_layer_ms: 10\n", data_centre, "llm",
+                                self.workers)
+
+    def add_plain(self, data_centre, service):
+        return self.add_process("plain-%d" % (len(self.plain) + 1), "work_ms: 5\nslots: 8\n", data_centre, service,
+                                self.plain)
+
+    def config(self):
+        def route(name, kind, service, **extra):
+            return dict({"name": name, "host": HOST, "pathPrefix": "/%s/" % name, "kind": kind, "timeoutMs": 3000,
+                         "sloMs": 500, "service": service, "attempts": 2 if kind != "non_idempotent" else 1}, **extra)
+        engine = {"slots": 64, "kvBytes": 8000, "step_ms": 1, "read_per_s": 100000, "loads_at_once": 4,
+                  "usual": {"prompt": 100, "answer": 20}, "layers": LAYERS, "layerMb": 100, "actBytes": 1000,
+                  "pipeMbps": 1000, "models": [{"name": "m", "loadS": 1}],
+                  "kinds": [{"name": "small", "mb": 590, "pace": 1, "readX": 1}]}
+        return {"version": self.version,
+                "routes": [route("draft", "stream", "llm", sticky=True, resumable=True, gapAimMs=500, timeoutMs=20000),
+                           route("file", "non_idempotent", self.plain_service),
+                           route("lookup", "idempotent", self.plain_service),
+                           route("open", "idempotent", self.plain_service, public=True)],
+                "services": [{"name": "llm", "healthPath": "/health", "maxConns": 100, "engine": engine},
+                             {"name": "register", "healthPath": "/health", "maxConns": 100},
+                             {"name": "register-2", "healthPath": "/health", "maxConns": 100}],
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000,
+                           "idleTimeoutMs": 15000},
+                "tenants": [{"name": "skagen", "apiKeys": self.keys}]}
+
+    # ---- life ----
+
+    def start(self):
+        self.store.start()
+        fleets.wait_until(lambda: self.put_config(), 10, "the store takes the configuration")
+        for process in self.workers + self.plain:
+            process.start()
+        for router in self.routers:
+            router.process.start()
+        self.wait_ready()
+
+    def wait_ready(self, seconds=15):
+        fleets.wait_until(lambda: all(self.ready(router) for router in self.routers), seconds, "all routers are ready")
+        fleets.wait_until(lambda: all(self.stream_whole(router, 3) for router in self.routers), seconds,
+                          "streams are served through all routers")
+        fleets.wait_until(lambda: all(len(self.resolve(router, "nowhere")) == len(self.routers)
+                                      for router in self.routers), seconds, "all routers know each other")
+
+    def all_processes(self):
+        return [self.store] + self.workers + self.plain + [router.process for router in self.routers]
+
+    def stop(self):
+        for process in self.all_processes():
+            if process.child:
+                process.kill()
+
+    # ---- the operator ----
+
+    def put_config(self):
+        self.version += 1
+        body = json.dumps({"metadata": {"name": "main"}, "spec": self.config()})
+        base = "http://%s/v1/objects/config" % self.store_address()
+        status = fleets.http("PUT", base + "/main", body)[0]
+        if status == 404:
+            status = fleets.http("POST", base, body)[0]
+        return status in (200, 201)
+
+    def put_object(self, kind, name, spec):
+        body = json.dumps({"metadata": {"name": name}, "spec": spec})
+        return fleets.http("POST", "http://%s/v1/objects/%s" % (self.store_address(), kind), body)[0]
+
+    def store_faults(self, **faults):
+        fleets.http("POST", "http://%s/admin/faults" % self.store_address(), json.dumps(faults))
+
+    def worker_faults(self, process, **faults):
+        fleets.http("POST", "http://%s/admin/faults" % process.address, json.dumps(faults))
+
+    def runs(self):
+        """Executions by request id, over all backend servers that answer."""
+        counts = {}
+        for process in self.workers + self.plain:
+            text = fleets.http("GET", "http://%s/admin/runs" % process.address, timeout=1)[1]
+            for request, count in json.loads(text or "{}").items():
+                counts[request] = counts.get(request, 0) + count
+        return counts
+
+    # ---- callers ----
+
+    def ready(self, router):
+        return fleets.http("GET", "http://%s:%d/v1/ready" % (router.ip, READY), timeout=1)[0] == 200
+
+    def resolve(self, router, data_centre):
+        text = fleets.http("GET", "http://%s:%d/v1/resolve?name=%s&zone=%s" % (router.ip, DIRECTORY, HOST, data_centre),
+                           timeout=1)[1]
+        return json.loads(text or "{}").get("addresses", [])
+
+    def ask(self, router, method, path, request, key="key-skagen", body=None, timeout=6.0, **extra):
+        """(status, body, headers); status 0 if the connection ended without a
+        whole answer. The bytes that came are returned all the same."""
+        connection = http.client.HTTPConnection(router.ip, CALLERS, timeout=timeout)
+        headers = {"Host": HOST, "Chervilpass-Request-Id": request, "Chervilpass-Deadline-Ms": str(int(timeout * 1000)),
+                   "Chervilpass-Token-Counts": "10,8"}
+        if key:
+            headers["Authorization"] = "Token " + key
+        headers.update({name.replace("_", "-"): value for name, value in extra.items()})
+        try:
+            connection.request(method, path, body=body, headers=headers)
+            response = connection.getresponse()
+            try:
+                return response.status, response.read().decode(), dict(response.getheaders())
+            except http.client.IncompleteRead as error:
+                return 0, error.partial.decode(), dict(response.getheaders())
+        except (OSError, http.client.HTTPException):
+            return 0, "", {}
+        finally:
+            connection.close()
+
+    def stream_fault(self, text, events):
+        """What is wrong with a whole stream of so many events; empty if
+        nothing."""
+        pieces = [piece for piece in text.split("\n\n") if piece]
+        if len(pieces) != events:
+            return "%d events of %d" % (len(pieces), events)
+        for number, piece in enumerate(pieces, 1):
+            lines = piece.split("\n")
+            if lines[0] != "id: %d" % number:
+                return "event %d is %r" % (number, lines[0])
+            edge = 0
+            for part in lines[1][len("data: "):].split(","):
+                first, last = part.split("-")
+                if int(first) != edge:
+                    return "event %d ran layers %s" % (number, lines[1])
+                edge = int(last)
+            if edge != LAYERS:
+                return "event %d ran layers %s" % (number, lines[1])
+        return ""
+
+    def stream_whole(self, router, events, request=None):
+        request = request or "probe-%d" % time.monotonic_ns()
+        status, text, _ = self.ask(router, "POST", "/draft/x", request,
+                                   Chervilpass_Token_Counts="10,%d" % events)
+        return status == 200 and not self.stream_fault(text, events)
+
+    def in_background(self, function, *words, **fields):
+        """Runs a call of a caller on a thread; `result()` waits for it."""
+        box = {}
+
+        def run():
+            box["result"] = function(*words, **fields)
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+
+        def result(seconds=30):
+            thread.join(seconds)
+            return box.get("result")
+        return result
+
+    def signal(self, process, number):
+        process.send(number)
+        if number == signal.SIGKILL:
+            process.child.wait()
--- /dev/null
+++ b/stand_ins/store/main.cc
@@ -0,0 +1,292 @@
+// fake-store: a stand-in for the users' store. Objects by kind and name with
+// revisions, conditional writes, watches over a bounded history, and faults
+// ordered through /admin/faults.
+#include <fmt/format.h>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/json.hpp>
+#include <deque>
+#include <map>
+#include <mutex>
+
+#include "chervilpass/app/program.h"
+#include "chervilpass/core/text.h"
+#include "chervilpass/io/http_server.h"
+#include "stand_ins/common/serve.h"
+
+namespace chervilpass::stand_ins {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kObjectsPath = "/v1/objects/";
+constexpr std::size_t kPageSize = 500;       // items of a listing
+constexpr std::size_t kHistoryKept = 10000;  // changes
+constexpr std::uint64_t kLongestWaitMs = 30000;
+constexpr Duration kSilence = seconds(60);  // longer than any caller waits
+
+struct StoreSettings {
+  io::Endpoint listen;
+  LogSettings log;
+};
+
+struct Change {
+  std::uint64_t revision = 0;
+  std::string kind;
+  json::object object;
+  bool deleted = false;
+};
+
+// What goes wrong, on order.
+struct Faults {
+  std::string outage;  // "", "busy", "silent" or "reset"
+  Duration slow{0};
+  int lose_answers = 0;  // writes that take effect without an answer
+};
+
+class Store {
+ public:
+  explicit Store(io::Runtime* runtime) : runtime(runtime) {}
+
+  void Handle(io::HttpExchange& exchange) {
+    const io::HttpRequest& request = exchange.Request();
+    if (request.path == "/admin/faults") {
+      return this->SetFaults(exchange);
+    }
+    ++this->calls;
+    if (request.path == "/admin/counts") {
+      return exchange.Respond(
+          {200, {}, json::serialize(json::object{{"calls", this->calls}})});
+    }
+    if (this->StruckByOutage(exchange)) {
+      return;
+    }
+    this->runtime->SleepFor(this->faults.slow);
+    if (!request.path.starts_with(kObjectsPath)) {
+      return exchange.Respond({404, {}, "{}"});
+    }
+    const auto parts = SplitText(request.path.substr(kObjectsPath.size()), '/');
+    const std::string name = parts.size() > 1 ? parts[1] : "";
+    if (request.method == "GET" && request.QueryParameter("watch")) {
+      return this->Watch(exchange, parts[0]);
+    }
+    if (request.method == "GET") {
+      return name.empty() ? this->List(exchange, parts[0])
+                          : this->Get(exchange, parts[0], name);
+    }
+    this->Write(exchange, parts[0], name);
+  }
+
+ private:
+  using Objects = std::map<std::string, json::object>;
+
+  static io::HttpResponse Json(unsigned status, const json::value& body) {
+    io::HttpResponse response;
+    response.status = status;
+    response.headers.Add("Content-Type", "application/json");
+    response.body = json::serialize(body);
+    return response;
+  }
+
+  bool StruckByOutage(io::HttpExchange& exchange) {
+    if (this->faults.outage == "busy") {
+      exchange.Respond({503, {}, "{}"});
+    } else if (this->faults.outage == "reset") {
+      exchange.Abort();
+    } else if (this->faults.outage == "silent") {
+      this->runtime->SleepFor(kSilence);
+      exchange.Abort();
+    }
+    return !this->faults.outage.empty();
+  }
+
+  void SetFaults(io::HttpExchange& exchange) {
+    boost::system::error_code error;
+    const json::value body = json::parse(exchange.Request().body, error);
+    if (error || !body.is_object()) {
+      return exchange.Respond({400, {}, "a JSON object is expected"});
+    }
+    const json::object& order = body.get_object();
+    if (const auto* outage = order.if_contains("outage")) {
+      this->faults.outage = std::string(outage->as_string());
+    }
+    if (const auto* slow = order.if_contains("slow_ms")) {
+      this->faults.slow = milliseconds(slow->to_number<int>());
+    }
+    if (const auto* lose = order.if_contains("lose_answers")) {
+      this->faults.lose_answers = lose->to_number<int>();
+    }
+    if (order.contains("forget_history")) {
+      this->history.clear();
+      this->oldest_watch = this->revision;
+      this->changed.notify_all();
+    }
+    exchange.Respond({200, {}, "{}"});
+  }
+
+  static std::uint64_t RevisionOf(const json::object& object) {
+    return object.at("metadata").at("rev").to_number<std::uint64_t>();
+  }
+
+  void List(io::HttpExchange& exchange, const std::string& kind) {
+    const std::string after =
+        exchange.Request().QueryParameter("after").value_or("");
+    json::array items;
+    bool more = false;
+    const Objects& objects = this->kinds[kind];
+    for (auto it = objects.upper_bound(after); it != objects.end(); ++it) {
+      if (items.size() == kPageSize) {
+        more = true;
+        break;
+      }
+      items.push_back(it->second);
+    }
+    exchange.Respond(
+        Json(200, json::object{{"items", std::move(items)},
+                               {"hasMore", more},
+                               {"storeRevision", this->revision}}));
+  }
+
+  void Get(io::HttpExchange& exchange,
+           const std::string& kind,
+           const std::string& name) {
+    const auto found = this->kinds[kind].find(name);
+    exchange.Respond(found == this->kinds[kind].end()
+                         ? Json(404, json::object{})
+                         : Json(200, found->second));
+  }
+
+  json::array ChangesAfter(const std::string& kind, std::uint64_t since) const {
+    json::array events;
+    for (const Change& change : this->history) {
+      if (change.revision > since && change.kind == kind) {
+        events.push_back(json::object{{"object", change.object},
+                                      {"deleted", change.deleted}});
+      }
+    }
+    return events;
+  }
+
+  void Watch(io::HttpExchange& exchange, const std::string& kind) {
+    const io::HttpRequest& request = exchange.Request();
+    const std::uint64_t since = std::stoull(*request.QueryParameter("watch"));
+    const std::uint64_t wait = std::min<std::uint64_t>(
+        std::stoull(request.QueryParameter("waitMs").value_or("0")),
+        kLongestWaitMs);
+    if (since < this->oldest_watch) {
+      return exchange.Respond(Json(410, json::object{}));
+    }
+    std::unique_lock lock(this->mutex);
+    this->changed.wait_for(lock, milliseconds(wait), [&] {
+      return !this->ChangesAfter(kind, since).empty() ||
+             since < this->oldest_watch || !this->faults.outage.empty();
+    });
+    lock.unlock();
+    if (this->StruckByOutage(exchange)) {
+      return;
+    }
+    if (since < this->oldest_watch) {
+      return exchange.Respond(Json(410, json::object{}));
+    }
+    exchange.Respond(
+        Json(200, json::object{{"events", this->ChangesAfter(kind, since)},
+                               {"storeRevision", this->revision}}));
+  }
+
+  void Write(io::HttpExchange& exchange,
+             const std::string& kind,
+             std::string name) {
+    const io::HttpRequest& request = exchange.Request();
+    boost::system::error_code error;
+    json::value body = json::parse(request.body, error);
+    const bool removal = request.method == "DELETE";
+    json::object given = body.is_object() ? body.get_object() : json::object{};
+    json::object metadata = given.contains("metadata")
+                                ? given["metadata"].as_object()
+                                : json::object{};
+    if (name.empty() && metadata.contains("name")) {
+      name = std::string(metadata["name"].as_string());
+    }
+    if (name.empty()) {
+      return exchange.Respond(Json(400, json::object{}));
+    }
+    Objects& objects = this->kinds[kind];
+    const auto found = objects.find(name);
+    const bool exists = found != objects.end();
+    std::optional<std::uint64_t> expected;
+    if (metadata.contains("rev")) {
+      expected = metadata["rev"].to_number<std::uint64_t>();
+    } else if (const auto query = request.QueryParameter("rev")) {
+      expected = std::stoull(*query);
+    }
+    if (exists && (request.method == "POST" ||
+                   (expected && *expected != RevisionOf(found->second)))) {
+      return exchange.Respond(Json(409, found->second));
+    }
+    if (!exists && request.method != "POST") {
+      return exchange.Respond(Json(404, json::object{}));
+    }
+    json::object object;
+    object["metadata"] = json::object{
+        {"name", name}, {"rev", ++this->revision}, {"deleting", false}};
+    object["spec"] = given.contains("spec") ? given["spec"] : json::value();
+    if (removal) {
+      object["spec"] = found->second["spec"];
+      objects.erase(found);
+    } else {
+      objects[name] = object;
+    }
+    this->history.push_back({this->revision, kind, object, removal});
+    if (this->history.size() > kHistoryKept) {
+      this->oldest_watch = this->history.front().revision;
+      this->history.pop_front();
+    }
+    this->changed.notify_all();
+    if (this->faults.lose_answers > 0) {
+      --this->faults.lose_answers;
+      return exchange.Abort();
+    }
+    exchange.Respond(Json(request.method == "POST" ? 201 : 200, object));
+  }
+
+  io::Runtime* runtime;
+  std::map<std::string, Objects> kinds;
+  std::uint64_t revision = 1;
+  std::uint64_t oldest_watch = 0;
+  std::deque<Change> history;
+  Faults faults;
+  std::uint64_t calls = 0;
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable changed;
+};
+
+int Main(int argc, char** argv) {
+  const app::CommandLine command_line =
+      app::ParseCommandLine(argc, argv, "Stand-in for the users' store");
+  const auto settings = app::LoadSettings<StoreSettings>(
+      command_line, [&](config::SettingsReader& reader) {
+        StoreSettings read;
+        read.listen = reader.Address("listen");
+        read.log = app::ReadLogSettings(reader, "fake-store", "platform",
+                                        command_line);
+        return read;
+      });
+  io::Runtime::Run([&](io::Runtime& runtime) {
+    Store store(&runtime);
+    io::HttpServerSettings server;
+    server.listen = settings.listen;
+    server.limits.body = 2 * 1024 * 1024;
+    ServeUntilStopped(
+        &runtime, settings.log, server, "store.ready",
+        [&store](io::HttpExchange& exchange) { store.Handle(exchange); });
+  });
+  return app::kExitOk;
+}
+
+}  // namespace
+}  // namespace chervilpass::stand_ins
+
+int main(int argc, char** argv) {
+  return chervilpass::stand_ins::Main(argc, argv);
+}
