--- a/chervilpass/fleet/placement_keeper.cc
+++ b/chervilpass/fleet/placement_keeper.cc
@@ -211,7 +211,7 @@
     }
     for (const PlaceOrder& order : orders) {
       if (!filling && !order.urgent &&
-          this->open.size() >= model.loads_at_once) {
+          this->open.size() >= model.concurrent_loads) {
         break;
       }
       this->Begin(order);
--- a/chervilpass/placement/model_profile.h
+++ b/chervilpass/placement/model_profile.h
@@ -47,7 +47,7 @@
   Duration step_per_1000_context_tokens{0};
   double prefill_tokens_per_second = 0;
   Duration load{0};  ///< of all layers from the weight store
-  std::uint32_t loads_at_once = 1;
+  std::uint32_t concurrent_loads = 1;
   std::uint32_t batch_limit = 0;     ///< requests, as first of a path
   double activation_bytes = 0;       ///< a token, between two workers
   double data_centre_link_mbps = 0;  ///< between two data centres
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -26,7 +26,7 @@
   model.step_per_1000_context_tokens = microseconds(4);
   model.prefill_tokens_per_second = 272000;
   model.load = seconds(14);
-  model.loads_at_once = 6;
+  model.concurrent_loads = 6;
   model.batch_limit = 192;
   model.activation_bytes = 21300;
   model.data_centre_link_mbps = 9300;
