A relay that the store turns away says so; newer configurations from anyone

A relay whose last call failed answers 503 at once, and a VM that hears by gossip of a newer configuration fetches it from whoever has it. Ruled out: the watch of the followers (none is open while they follow).

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -256,9 +256,7 @@
   }
 
   void Do(const membership::ConfigHeard& heard) {
-    this->log->Debug("config.newer_elsewhere",
-                     {{"member", heard.member.vm},
-                      {"version", heard.member.config_version}});
+    this->events.newer_config(heard.member);
   }
 
   template <class Change>
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -39,6 +39,7 @@
 struct PeerGroupEvents {
   std::function<void(const quarantine::Strike&)> strike;
   std::function<void(const std::string& backend)> unreachable;
+  std::function<void(const membership::Member& holder)> newer_config;
   std::function<void(const std::string& peer,
                      const std::vector<membership::WorkerLoadNotice>&)>
       loads;
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -116,6 +116,7 @@
 
   void NoteAnswer() {
     const Instant now = this->runtime->Now();
+    this->troubled = false;
     this->last_answer = now;
     if (this->up || !this->watching) {
       return;
@@ -174,6 +175,10 @@
   }
 
   void NoteFailure(StoreKind kind, const StoreError& error) {
+    if (!this->troubled) {
+      this->troubled = true;
+      this->changed.notify_all();
+    }
     this->metrics->Count("chervil_store_sync_failures_total");
     if (this->log->Enabled(LogLevel::kDebug)) {
       this->log->Debug("store.call_failed",
@@ -360,31 +365,63 @@
                                    told->workers_revision);
   }
 
+  void FetchConfig(const io::Endpoint& peer) {
+    if (this->fetching) {
+      return;
+    }
+    this->fetching = true;
+    io::HttpRequest request;
+    request.path = PeerStatePath();
+    request.query =
+        fmt::format("only=config&config={}", this->known.ConfigRevision());
+    const auto answer =
+        this->peers->Call(peer, request, this->settings.relay_slack);
+    this->fetching = false;
+    const auto told = answer.has_error() || answer.value().status != 200
+                          ? std::nullopt
+                          : DecodePeerState(answer.value().body);
+    if (told && told->config) {
+      this->TakeConfig(*told->config, peer.ToText());
+    }
+  }
+
   // ---- as a relay ----
 
+  // What this VM has heard may be behind while its calls to the store fail.
+  bool CanRelay() const { return this->up && !this->troubled; }
+
   void TellFollowers() { this->changed.notify_all(); }
 
   io::HttpResponse AnswerFollower(const io::HttpRequest& request) {
+    const std::uint64_t config_known = NumberOf(request, "config");
     io::HttpResponse answer;
-    if (!this->up) {
+    answer.headers.Add("Content-Type", "application/json");
+    if (request.QueryParameter("only") == "config") {
+      PeerState state = this->known.Since(config_known, UINT64_MAX);
+      state.workers.clear();
+      state.whole = false;
+      answer.body = EncodePeerState(state);
+      return answer;
+    }
+    if (!this->CanRelay()) {
       answer.status = 503;  // the follower asks someone else
       return answer;
     }
-    const std::uint64_t config_known = NumberOf(request, "config");
     const std::uint64_t workers_known = NumberOf(request, "workers");
     const Duration wait =
         milliseconds(std::min(NumberOf(request, "wait_ms"), kLongestWaitMs));
     if (!this->known.HasNews(config_known, workers_known)) {
       std::unique_lock lock(this->mutex);
       this->changed.wait_for(lock, wait, [&] {
-        return this->known.HasNews(config_known, workers_known);
+        return this->known.HasNews(config_known, workers_known) ||
+               !this->CanRelay();
       });
       lock.unlock();
       if (this->known.HasNews(config_known, workers_known)) {
         this->runtime->SleepFor(this->settings.coalesce);
       }
     }
-    if (!this->up) {
+    if (!this->CanRelay()) {
       answer.status = 503;
       return answer;
     }
@@ -410,6 +447,8 @@
   bool watching = true;  ///< this VM watches the store itself
   bool up = false;       ///< it does, and the store answers
   bool lost_store = false;
+  bool troubled = false;  ///< the last call to the store has failed
+  bool fetching = false;  ///< a configuration is asked for
   Instant last_answer{};
   Instant last_relayed{};
   Instant last_needed{};
@@ -448,6 +487,11 @@
          this->state->known.WorkersRevision() > 0;
 }
 
+void StoreSync::FetchConfig(const io::Endpoint& peer) {
+  this->state->runtime->Spawn(
+      [state = this->state, peer] { state->FetchConfig(peer); });
+}
+
 io::HttpResponse StoreSync::AnswerFollower(const io::HttpRequest& request) {
   return this->state->AnswerFollower(request);
 }
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -20,7 +20,7 @@
 struct StoreSyncSettings {
   /// A watch without a change returns after this time, so that a connection
   /// that has gone silent is noticed soon.
-  Duration watch_wait = milliseconds(1500);
+  Duration watch_wait = milliseconds(1000);
   Duration retry_least = milliseconds(50);
   Duration retry_longest = milliseconds(1000);
   /// Without an answer for this long the store counts as out of reach.
@@ -74,6 +74,10 @@
   /// True once configuration and backend servers are known.
   bool Complete() const;
 
+  /// A VM says that it has a newer configuration: it is asked for it at once,
+  /// whoever it is, since configurations never go back.
+  void FetchConfig(const io::Endpoint& peer);
+
   /// Answers a follower's question, waiting for a change if it asks for that.
   io::HttpResponse AnswerFollower(const io::HttpRequest& request);
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -131,6 +131,9 @@
     events.unreachable = [this](const std::string& worker) {
       this->OnPeerFoundUnreachable(worker);
     };
+    events.newer_config = [this](const membership::Member& holder) {
+      this->sync->FetchConfig({holder.ip, holder.control_port});
+    };
     events.loads = [this](const std::string& peer, const auto& notices) {
       this->OnPeerLoads(peer, notices);
     };
--- /dev/null
+++ b/unit_tests/store_sync_test.cc
@@ -0,0 +1,163 @@
+// Tests of what a VM knows of the store, with a scripted store and peers on
+// loopback.
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <functional>
+
+#include "chervilpass/fleet/peer_state.h"
+#include "chervilpass/fleet/store_sync.h"
+#include "chervilpass/io/http_server.h"
+
+// Last: its macros clash with headers of Boost.
+#include <criterion/criterion.h>
+
+using namespace chervilpass;
+using namespace chervilpass::fleet;
+
+namespace {
+
+constexpr const char* kIp = "127.0.202.1";
+
+std::unique_ptr<io::HttpServer> Serve(io::Runtime& runtime,
+                                      std::uint16_t port,
+                                      io::HttpHandler handler) {
+  io::HttpServerSettings settings;
+  settings.listen = {kIp, port};
+  auto server =
+      io::HttpServer::Create(&runtime, settings, std::move(handler),
+                             [](unsigned status, std::string_view) {
+                               return io::HttpResponse{status, {}, ""};
+                             });
+  cr_assert(server.has_value());
+  return std::move(server).value();
+}
+
+std::string Config(std::uint64_t version, std::uint64_t revision) {
+  return fmt::format(
+      R"({{"metadata":{{"name":"main","rev":{}}},"spec":{{"version":{}}}}})",
+      revision, version);
+}
+
+// Answers listings and watches with one configuration until it is made to
+// refuse.
+class ScriptedStore {
+ public:
+  ScriptedStore(io::Runtime& runtime, std::uint16_t port)
+      : runtime(runtime),
+        server(Serve(runtime, port, [this](io::HttpExchange& exchange) {
+          this->Handle(exchange);
+        })) {}
+
+  bool refusing = false;
+
+ private:
+  void Handle(io::HttpExchange& exchange) {
+    if (this->refusing) {
+      return exchange.Respond({503, {}, ""});
+    }
+    const io::HttpRequest& request = exchange.Request();
+    if (request.QueryParameter("watch")) {
+      this->runtime.SleepFor(milliseconds(50));
+      return exchange.Respond({this->refusing ? 503U : 200U,
+                               {},
+                               R"({"events":[],"storeRevision":9})"});
+    }
+    const bool config = request.path.find("config") != std::string::npos;
+    exchange.Respond({200,
+                      {},
+                      fmt::format(R"({{"items":[{}],"storeRevision":9}})",
+                                  config ? Config(3, 7) : "")});
+  }
+
+  io::Runtime& runtime;
+  std::unique_ptr<io::HttpServer> server;
+};
+
+// One VM under test.
+class Vm {
+ public:
+  Vm(io::Runtime& runtime, std::uint16_t store_port)
+      : log({"test", "vm", LogLevel::kError, LogFormat::kKeyValue}),
+        world({}, 1),
+        store(platform::StoreClient::Create(&runtime,
+                                            &this->metrics,
+                                            {{kIp, store_port}})) {
+    StoreSyncEvents events;
+    events.config_changed = [] {};
+    events.store_changed = [](bool) {};
+    events.is_relay = [] { return true; };
+    events.relays = [] { return std::vector<io::Endpoint>(); };
+    this->sync =
+        StoreSync::Create(&runtime, this->store.get(), &this->world,
+                          &this->metrics, &this->log, {}, std::move(events));
+  }
+
+  unsigned StatusForFollower(const std::string& query) {
+    io::HttpRequest request;
+    request.path = PeerStatePath();
+    request.query = query;
+    return this->sync->AnswerFollower(request).status;
+  }
+
+  Logger log;
+  MetricsRegistry metrics;
+  serving::World world;
+  std::unique_ptr<platform::StoreClient> store;
+  std::unique_ptr<StoreSync> sync;
+};
+
+void OnRuntime(const std::function<void(io::Runtime&)>& body) {
+  io::Runtime::Run([&body](io::Runtime& runtime) { body(runtime); });
+}
+
+}  // namespace
+
+// Hunt, first site, trouble-1 seed 889428110682: the relay of a data centre was
+// turned away by the store and told its followers nothing new for two seconds.
+Test(store_sync, a_relay_that_the_store_turns_away_says_so_at_once) {
+  OnRuntime([](io::Runtime& runtime) {
+    ScriptedStore store(runtime, 23000);
+    Vm vm(runtime, 23000);
+    runtime.SleepFor(milliseconds(400));
+    cr_assert(vm.sync->Complete());
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
+    // A follower that is waiting is told, and one that asks later as well.
+    store.refusing = true;
+    const Instant start = runtime.Now();
+    cr_assert_eq(vm.StatusForFollower("config=7&workers=9&wait_ms=3000"), 503);
+    cr_assert(runtime.Now() - start < milliseconds(500));
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 503);
+    // What it knows of the configuration it tells all the same.
+    cr_assert_eq(vm.StatusForFollower("only=config&config=0"), 200);
+    store.refusing = false;
+    runtime.SleepFor(milliseconds(1500));
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
+  });
+}
+
+Test(store_sync, a_newer_configuration_is_taken_from_any_vm_an_older_is_not) {
+  OnRuntime([](io::Runtime& runtime) {
+    ScriptedStore store(runtime, 23010);
+    std::uint64_t version = 5;
+    const auto peer =
+        Serve(runtime, 23011, [&version](io::HttpExchange& exchange) {
+          PeerState state;
+          state.config =
+              platform::StoredObject{"main", 2 * version, false,
+                                     boost::json::object{{"version", version}}};
+          exchange.Respond({200, {}, EncodePeerState(state)});
+        });
+    Vm vm(runtime, 23010);
+    runtime.SleepFor(milliseconds(300));
+    cr_assert_eq(vm.world.Table()->Version(), 3);
+    store.refusing = true;
+    vm.sync->FetchConfig({kIp, 23011});
+    runtime.SleepFor(milliseconds(100));
+    cr_assert_eq(vm.world.Table()->Version(), 5);
+    version = 4;
+    vm.sync->FetchConfig({kIp, 23011});
+    runtime.SleepFor(milliseconds(100));
+    cr_assert_eq(vm.world.Table()->Version(), 5);
+  });
+}
