Refusing workers are tried less and less, and not twice for one request

Cause (incident inc-6f28, second site): workers that were giving up layers refused for seconds; each request tried the same one up to four times, and 128 of them were refused for good within seven seconds. Time avoided doubles up to two seconds while a worker goes on refusing; a request leaves out who has refused it.

--- a/chervilpass/routing/avoid_book.h
+++ b/chervilpass/routing/avoid_book.h
@@ -24,8 +24,12 @@
   /// crashed is back after some seconds under a new registration.
   Duration unreachable = milliseconds(1500);
   Duration unreachable_longest = seconds(12);
-  /// Requests of a full worker end every few tens of milliseconds.
+  /// Requests of a full worker end every few tens of milliseconds; doubles
+  /// while it goes on refusing, as a worker does that gives its layers up.
   Duration full = milliseconds(250);
+  Duration full_longest = milliseconds(2000);
+  /// A refusal this soon after the last time was over is one more in a row.
+  Duration full_memory = milliseconds(1000);
   /// Until the registration of the worker has caught up.
   Duration not_holding = milliseconds(1200);
 
@@ -41,57 +45,87 @@
   /// True if that is news.
   bool Avoid(const std::string& incarnation, AvoidReason reason, Instant now) {
     Record& record = this->records[incarnation];
-    const bool news = record.until <= now;
-    Duration length = this->settings.full;
-    if (reason == AvoidReason::kUnreachable) {
-      length = this->settings.unreachable;
-      for (std::uint32_t i = 0;
-           i < record.times && length < this->settings.unreachable_longest;
-           ++i) {
-        length *= 2;
-      }
-      length = std::min(length, this->settings.unreachable_longest);
-      record.times += news ? 1 : 0;
-      record.unreachable_until =
-          std::max(record.unreachable_until, now + length);
-    } else if (reason == AvoidReason::kNotHolding) {
-      length = this->settings.not_holding;
+    switch (reason) {
+      case AvoidReason::kUnreachable:
+        return Extend(&record.unreachable, now, this->settings.unreachable,
+                      this->settings.unreachable_longest,
+                      this->settings.unreachable_longest);
+      case AvoidReason::kFull:
+        return Extend(&record.full, now, this->settings.full,
+                      this->settings.full_longest, this->settings.full_memory);
+      case AvoidReason::kNotHolding:
+        return Extend(&record.not_holding, now, this->settings.not_holding,
+                      this->settings.not_holding, Duration::zero());
     }
-    record.until = std::max(record.until, now + length);
-    return news;
+    return false;
   }
 
-  /// The worker has just carried a request to its end.
+  /// The worker has just carried a request to its end: it can be reached. That
+  /// request may have begun before the worker became full.
   void Clear(const std::string& incarnation) {
-    this->records.erase(incarnation);
+    const auto found = this->records.find(incarnation);
+    if (found != this->records.end()) {
+      found->second.unreachable = Span{};
+    }
   }
 
   bool IsAvoided(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
-    return found != this->records.end() && now < found->second.until;
+    return found != this->records.end() && now < found->second.Until();
   }
 
   /// True if it is avoided as unreachable.
   bool IsUnreachable(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
     return found != this->records.end() &&
-           now < found->second.unreachable_until;
+           now < found->second.unreachable.until;
   }
 
   /// Forgets records that have been over for long.
   void Expire(Instant now) {
     std::erase_if(this->records, [&](const auto& entry) {
-      return now > entry.second.until + this->settings.unreachable_longest;
+      return now > entry.second.Until() + this->settings.unreachable_longest;
     });
   }
 
  private:
-  struct Record {
+  /// A time of avoidance, and how many there were in a row.
+  struct Span {
     Instant until{};
-    Instant unreachable_until{};
-    std::uint32_t times = 0;  ///< unreachable, in a row
+    std::uint32_t times = 0;
+  };
+
+  struct Record {
+    Span unreachable;
+    Span full;
+    Span not_holding;
+
+    Instant Until() const {
+      return std::max(
+          {this->unreachable.until, this->full.until, this->not_holding.until});
+    }
   };
 
+  // Each span in a row is twice as long as the last one, up to `longest`. One
+  // that begins within `memory` after the end of the last is in a row with it.
+  static bool Extend(Span* span,
+                     Instant now,
+                     Duration first,
+                     Duration longest,
+                     Duration memory) {
+    if (now < span->until) {
+      return false;
+    }
+    const bool in_a_row = span->times > 0 && now < span->until + memory;
+    span->times = in_a_row ? span->times + 1 : 1;
+    Duration length = first;
+    for (std::uint32_t i = 1; i < span->times && length < longest; ++i) {
+      length *= 2;
+    }
+    span->until = now + std::min(length, longest);
+    return true;
+  }
+
   AvoidBookSettings settings;
   std::map<std::string, Record> records;
 };
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -116,6 +116,7 @@
     query.from_data_centre = this->parts.world->Settings().data_centre;
     query.prompt_tokens = this->stream.prompt_tokens;
     query.answer_tokens = this->stream.answer_tokens;
+    query.excluded = this->refusing;
     return this->parts.world->FindPath(this->context.service, this->model,
                                        query, this->parts.runtime->Now());
   }
@@ -218,6 +219,7 @@
         culprit = part.worker;
       }
     }
+    this->refusing.insert(culprit);
     this->parts.world->Avoid(culprit,
                              answer.status == 421
                                  ? routing::AvoidReason::kNotHolding
@@ -424,8 +426,9 @@
   EventSequence sequence;
   ActiveStream stream;
   Path last_path;
-  std::string fault;   ///< why the last run was of no use
-  bool begun = false;  ///< the answer's head has been sent
+  std::set<std::string> refusing;  ///< workers that did not run this request
+  std::string fault;               ///< why the last run was of no use
+  bool begun = false;              ///< the answer's head has been sent
   bool any_event = false;
   Instant last_event{};
   Duration first_event{0};
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -327,9 +327,10 @@
     }
   }
   // Every line begins with its time, so that they sort by it.
+  constexpr std::size_t kTimeWidth = 34;  // {"time":"YYYY-MM-DDTHH:MM:SS.mmmZ"
   std::stable_sort(lines.begin(), lines.end(),
                    [](const std::string& a, const std::string& b) {
-                     return a.substr(0, 29) < b.substr(0, 29);
+                     return a.substr(0, kTimeWidth) < b.substr(0, kTimeWidth);
                    });
   for (const std::string& line : lines) {
     fmt::print("{}\n", line);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -402,6 +402,34 @@
   });
 }
 
+// A worker that refuses its part is not offered the same request again.
+Test(router, a_refusing_worker_is_left_out_for_the_request) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22130);
+    int refusals = 0;
+    for (int i = 1; i <= 2; ++i) {
+      bench.AddServer(i, "llm", {0, 4},
+                      [&refusals](io::HttpExchange& exchange) {
+                        ++refusals;
+                        io::HttpResponse answer = Answer(exchange, 503, "");
+                        answer.headers.Add("Chervilpass-Not-Executed", "1");
+                        exchange.Respond(answer);
+                      });
+    }
+    bench.AddServer(3, "llm", {0, 4}, [](io::HttpExchange& exchange) {
+      exchange.BeginStream(Answer(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      exchange.EndStream();
+    });
+    for (int i = 0; i < 12; ++i) {
+      const auto body =
+          bench.Stream(bench.Request("/draft/x", fmt::format("r{}", i)));
+      cr_assert(body.has_value() && body.value() == Event(1));
+    }
+    cr_assert_leq(refusals, 4, "%d refusals", refusals);
+  });
+}
+
 // Pattern: no usable path. The refusal comes at once and says when to return.
 Test(router, a_stream_without_a_path_is_refused_at_once) {
   OnRuntime([](io::Runtime& runtime) {
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -243,6 +243,24 @@
   cr_assert(!book.IsAvoided("w", kStart + seconds(4)));
 }
 
+// Incident inc-6f28, second site: workers that were giving up layers refused
+// for seconds and were tried again every 250 ms.
+Test(avoid_book, a_worker_that_goes_on_refusing_is_tried_less_and_less) {
+  AvoidBook book{AvoidBookSettings{}};
+  int tries = 0;
+  for (Instant now = kStart; now < kStart + seconds(8);
+       now += milliseconds(10)) {
+    if (!book.IsAvoided("w", now)) {
+      ++tries;
+      book.Avoid("w", AvoidReason::kFull, now);
+      // Older requests still end well there.
+      book.Clear("w");
+    }
+  }
+  cr_assert_leq(tries, 8, "%d tries", tries);
+  cr_assert(!book.IsUnreachable("w", kStart + seconds(8)));
+}
+
 Test(world, a_configuration_is_never_replaced_by_an_older_one) {
   World world({}, 1);
   RouteTableParts parts;
