Workers that serve stay while a lost one may return

Only spares move, and neighbours take layers on, while a worker that does not answer is still registered; an order of the same plan may be extended.

--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -25,7 +25,7 @@
     this->CloseGaps();
     if (Gaps(this->model, this->workers).empty()) {
       this->TrimExtended();
-    } else if (this->NoOrderOpen()) {
+    } else if (this->MayRearrange() && this->NoOrderOpen()) {
       this->Rebuild();
     }
     return std::move(this->orders);
@@ -69,13 +69,29 @@
     return room;
   }
 
+  // Gives an order, or changes the one that this plan has given already.
   void Order(PlannedWorker* worker, const LayerRange& layers, bool urgent) {
     assert(layers.Size() <= this->model.LargestRange(worker->kind));
     worker->layers = layers;
     worker->order_open = true;
+    for (PlaceOrder& order : this->orders) {
+      if (order.worker == worker->worker) {
+        order = {worker->worker, layers, urgent || order.urgent};
+        return;
+      }
+    }
     this->orders.push_back({worker->worker, layers, urgent});
   }
 
+  // True if an order is open that this plan has not given itself.
+  bool Bound(const PlannedWorker& worker) const {
+    return worker.order_open &&
+           std::none_of(this->orders.begin(), this->orders.end(),
+                        [&worker](const PlaceOrder& order) {
+                          return order.worker == worker.worker;
+                        });
+  }
+
   // Range of `size` layers that starts in `gap`, within the model.
   LayerRange RangeFor(const LayerRange& gap, std::uint32_t size) const {
     const std::uint32_t to = std::min(gap.from + size, this->model.layers);
@@ -139,7 +155,7 @@
       bool closed = false;
       for (const LayerRange& gap : gaps) {
         closed = this->MoveSpare(gap) || this->ExtendNeighbour(gap) ||
-                 this->ShiftChain(gap);
+                 (this->MayRearrange() && this->ShiftChain(gap));
         if (closed) {
           break;
         }
@@ -210,7 +226,7 @@
     LayerRange best_range;
     std::uint32_t best_gain = 0;
     for (PlannedWorker& worker : this->workers) {
-      if (!worker.usable || worker.order_open || worker.layers.Empty()) {
+      if (!worker.usable || this->Bound(worker) || worker.layers.Empty()) {
         continue;
       }
       const std::uint32_t limit =
@@ -336,6 +352,15 @@
     return open;
   }
 
+  // Layers that are given up wait for the requests that pass through them, so
+  // moving workers which serve takes seconds. A worker that does not answer but
+  // is still registered is often back sooner.
+  bool MayRearrange() const {
+    return std::all_of(
+        this->workers.begin(), this->workers.end(),
+        [](const PlannedWorker& worker) { return worker.usable; });
+  }
+
   bool NoOrderOpen() const {
     return std::none_of(
         this->workers.begin(), this->workers.end(),
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -19,7 +19,8 @@
   AcceleratorKind kind;
   LayerRange layers;        ///< held, or ordered and not yet confirmed
   bool order_open = false;  ///< an order is on its way or in progress
-  /// Neither leaving nor unreachable; what others hold does not count.
+  /// False while it does not answer: what it holds does not count, but it may
+  /// be back soon. Workers that are leaving or gone are left out altogether.
   bool usable = true;
   double slowness = 1;
 
