Workers are asked before they are taken for dead

A request gets a strike only if the worker is gone. Ruled out: slow reports (crashed workers refuse the connection at once). The new tests name the pattern.

--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -50,7 +50,7 @@
         continue;
       }
       if (this->HasUnreachablePart(*stream, now)) {
-        this->StartMove(stream);
+        this->StartMove(stream, {});
       } else if (silent >= this->settings.give_up_gap && stream->resumable) {
         this->GiveUp(stream, "no event for too long");
       } else {
@@ -105,39 +105,102 @@
           {{"worker", first.worker}, {"reason", report.error().detail}});
       return;
     }
+    std::map<std::string, std::set<std::string>> waiting;  // ids by worker
     for (const platform::StalledRequest& stalled : report.value().stalled) {
-      const auto* server =
-          this->parts->world->Servers().FindByAddress(stalled.waits_for);
-      if (server != nullptr) {
-        NoteUnreachable(*this->parts, server->id, "requests stall there");
-      } else {
-        this->StopByAddress(stalled.request_id, stalled.waits_for);
+      if (const auto worker = this->PartAt(stalled)) {
+        waiting[*worker].insert(stalled.request_id);
       }
     }
+    for (const auto& [worker, ids] : waiting) {
+      this->StartVerifying(worker, ids);
+    }
   }
 
-  // The worker is not registered any more: its address still tells the part.
-  void StopByAddress(const std::string& request_id,
-                     const io::Endpoint& address) {
-    for (ActiveStream* stream : this->streams) {
-      if (stream->request_id != request_id) {
+  // The worker of one of our streams that the request waits for, also if it is
+  // not registered any more.
+  std::optional<std::string> PartAt(
+      const platform::StalledRequest& stalled) const {
+    for (const ActiveStream* stream : this->streams) {
+      if (stream->request_id != stalled.request_id) {
         continue;
       }
       for (const PathPart& part : stream->path) {
-        if (part.address == address) {
-          NoteUnreachable(*this->parts, part.worker,
-                          "gone, and requests stall there");
+        if (part.address == stalled.waits_for) {
+          return part.worker;
         }
       }
     }
+    return std::nullopt;
+  }
+
+  // A worker that requests wait for is gone, or merely has no room or is giving
+  // layers up. Only its own word tells which.
+  void StartVerifying(const std::string& worker,
+                      const std::set<std::string>& ids) {
+    if (!this->examined.insert(worker).second) {
+      return;
+    }
+    this->parts->runtime->Spawn([self = this->shared_from_this(), worker, ids] {
+      self->Verify(worker, ids);
+    });
+  }
+
+  void Verify(const std::string& worker, const std::set<std::string>& ids) {
+    const bool answers = this->Answers(worker);
+    this->examined.erase(worker);
+    if (!answers) {
+      NoteUnreachable(*this->parts, worker, "requests stall there");
+      return;
+    }
+    this->AvoidAsFull(worker);
+    for (ActiveStream* stream : this->streams) {
+      if (ids.contains(stream->request_id) && !stream->moving &&
+          !stream->path.empty()) {
+        this->StartMove(stream, {worker});
+      }
+    }
+  }
+
+  // True if the worker answers a question about itself.
+  bool Answers(const std::string& worker) const {
+    const auto* server = this->parts->world->Servers().Find(worker);
+    if (server == nullptr) {
+      return false;
+    }
+    io::HttpRequest request;
+    request.path = platform::ReportPath();
+    const auto answer = this->parts->http->Call(server->address, request,
+                                                this->settings.report_timeout,
+                                                io::ConnectionUse::kFresh);
+    return answer.has_value() && answer.value().status == 200;
+  }
+
+  void AvoidAsFull(const std::string& worker) {
+    this->parts->world->Avoid(worker, routing::AvoidReason::kFull,
+                              this->parts->runtime->Now());
+  }
+
+  void Suspect(const std::string& worker,
+               const std::string& evidence,
+               const std::function<void()>& on_dead) {
+    this->AvoidAsFull(worker);
+    if (this->Answers(worker)) {
+      return;
+    }
+    NoteUnreachable(*this->parts, worker, evidence);
+    if (!this->stopped) {
+      on_dead();
+    }
   }
 
-  void StartMove(ActiveStream* stream) {
+  // `waited_for` are workers that answer, but at which this stream waits.
+  void StartMove(ActiveStream* stream, std::set<std::string> waited_for) {
     stream->moving = true;
-    this->parts->runtime->Spawn(
-        [self = this->shared_from_this(), stream, id = stream->request_id] {
-          self->Move(stream, id);
-        });
+    this->parts->runtime->Spawn([self = this->shared_from_this(), stream,
+                                 id = stream->request_id,
+                                 waited_for = std::move(waited_for)] {
+      self->Move(stream, id, waited_for);
+    });
   }
 
   // The path with unreachable and refusing parts replaced; empty if that cannot
@@ -182,8 +245,10 @@
     return path;
   }
 
-  void Move(ActiveStream* stream, const std::string& id) {
-    std::set<std::string> refusing;
+  void Move(ActiveStream* stream,
+            const std::string& id,
+            const std::set<std::string>& waited_for) {
+    std::set<std::string> refusing = waited_for;
     for (int i = 0; i < kMostMoves; ++i) {
       if (!this->Alive(stream) || stream->request_id != id ||
           stream->path.empty()) {
@@ -243,6 +308,9 @@
       return;
     }
     stream->moving = false;
+    if (!waited_for.empty()) {
+      return;  // it may still go on where it is
+    }
     if (stream->resumable) {
       this->GiveUp(stream, "its path cannot be mended");
     } else {
@@ -296,6 +364,16 @@
   this->state->streams.erase(stream);
 }
 
+void StreamRegistry::Suspect(const std::string& worker,
+                             std::string evidence,
+                             std::function<void()> on_dead) {
+  this->state->parts->runtime->Spawn([state = this->state, worker,
+                                      evidence = std::move(evidence),
+                                      on_dead = std::move(on_dead)] {
+    state->Suspect(worker, evidence, on_dead);
+  });
+}
+
 std::size_t StreamRegistry::Count() const {
   return this->state->streams.size();
 }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -2,6 +2,7 @@
 // which streams stall and moves the streams to other paths.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -58,6 +59,13 @@
   void Add(ActiveStream* stream);
   void Remove(ActiveStream* stream);
 
+  /// A connection to a worker was refused or broke. It is asked before it is
+  /// taken for dead: a busy worker resets connections too. If it is,
+  /// `on_dead` is called; not after the registry has ended.
+  void Suspect(const std::string& worker,
+               std::string evidence,
+               std::function<void()> on_dead);
+
   std::size_t Count() const;
 
  private:
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -144,7 +144,8 @@
         first.address,
         std::min(this->parts.connect_timeout, this->scope.TimeLeft()));
     if (opened.has_error()) {
-      NoteUnreachable(this->parts, first.worker, opened.error().detail);
+      this->refusing.insert(first.worker);
+      this->registry->Suspect(first.worker, opened.error().detail, [] {});
       return {SendOutcome::kNotSent, {}, opened.error().detail, false};
     }
     const auto call = std::move(opened).value();
@@ -200,8 +201,7 @@
   // The connection broke or was given up: the run may have begun.
   Run Broken(const Path& path, const std::string& detail) {
     if (this->scope.Reason() == StopReason::kNone) {
-      NoteUnreachable(this->parts, path.front().worker, detail);
-      this->Strike(path.front().worker);
+      this->SuspectCrash(path.front().worker, detail);
     }
     return {SendOutcome::kUnknown, {}, detail, true};
   }
@@ -326,12 +326,17 @@
     this->stream.moved = false;
   }
 
-  void Strike(const std::string& worker) {
-    const WallTime wall = this->parts.runtime->WallNow();
-    const quarantine::Strike strike{this->context.fingerprint, worker, wall};
-    if (this->parts.world->Strikes().Add(strike, wall)) {
-      this->parts.report_strike(strike);
-    }
+  // The request gets a strike only if the worker is really gone.
+  void SuspectCrash(const std::string& worker, const std::string& detail) {
+    const RouterParts& shared = this->parts;
+    const std::uint64_t fingerprint = this->context.fingerprint;
+    this->registry->Suspect(worker, detail, [&shared, fingerprint, worker] {
+      const WallTime wall = shared.runtime->WallNow();
+      const quarantine::Strike strike{fingerprint, worker, wall};
+      if (shared.world->Strikes().Add(strike, wall)) {
+        shared.report_strike(strike);
+      }
+    });
   }
 
   RequestEnd End(unsigned status, std::string outcome, std::string reason) {
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -347,6 +347,9 @@
     Bench bench(runtime, 22080);
     int runs = 0;
     const auto worker = [&runs, &runtime](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Abort();  // it does not tell about itself
+      }
       const bool first = ++runs == 1;
       const int from = std::stoi(
           exchange.Request().headers.Find("Last-Event-Id").value_or("0"));
@@ -374,15 +377,43 @@
     }
     cr_assert((body.value()) == whole);
     cr_assert_eq(runs, 2);
+    runtime.SleepFor(milliseconds(400));
+    // Neither answers a question about itself; only the one that broke off is
+    // held against the request.
     cr_assert_eq(bench.strikes, 1);
   });
 }
 
+// Hunt, first site, trouble-2 seed 771663128626: a busy worker reset new
+// connections, was taken for dead, and it held the first layers.
+Test(router, a_worker_that_resets_connections_but_answers_is_not_dead) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22150);
+    int resets = 0;
+    bench.AddServer(1, "llm", {0, 4}, [&resets](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        exchange.Respond({200, {}, R"({"seq":1})"});
+        return;
+      }
+      ++resets;
+      exchange.Abort();
+    });
+    (void)bench.Stream(bench.Request("/draft/x", "r1"));
+    runtime.SleepFor(milliseconds(100));
+    cr_assert_geq(resets, 1);
+    cr_assert(!bench.world.IsUnreachable("s1", runtime.Now()));
+    cr_assert_eq(bench.strikes, 0);
+  });
+}
+
 // A resumed run that does not go on at the next event is not joined.
 Test(router, runs_that_do_not_fit_are_never_joined) {
   OnRuntime([](io::Runtime& runtime) {
     Bench bench(runtime, 22090);
     const auto worker = [&runtime](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Abort();
+      }
       const bool resumed =
           exchange.Request().headers.Find("Last-Event-Id").has_value();
       exchange.BeginStream(Answer(exchange, 200, ""));
@@ -480,6 +511,38 @@
   });
 }
 
+// Hunt, first site, trouble-2 seed 771663128626: workers at which requests
+// waited for memory were taken for dead, one after the other.
+Test(router, a_worker_that_answers_is_not_taken_for_dead) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22140);
+    const std::string second = fmt::format("{}:{}", kIp, 22142);
+    bench.AddServer(1, "llm", {0, 2}, [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        exchange.Respond({200,
+                          {},
+                          fmt::format(R"({{"seq":1,"stalled":[{{"id":"r1",)"
+                                      R"("address":"{}"}}]}})",
+                                      second)});
+        return;
+      }
+      exchange.BeginStream(Answer(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      runtime.SleepFor(milliseconds(900));
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+    });
+    bench.AddServer(2, "llm", {2, 4}, [](io::HttpExchange& exchange) {
+      exchange.Respond({200, {}, R"({"seq":1})"});
+    });
+    const auto body = bench.Stream(bench.Request("/draft/x", "r1"));
+    cr_assert(body.has_value());
+    cr_assert(body.value() == Event(1) + Event(2));
+    cr_assert(!bench.world.IsUnreachable("s2", runtime.Now()));
+    cr_assert(!bench.world.IsUnreachable("s1", runtime.Now()));
+  });
+}
+
 Test(router, a_leaving_vm_refuses_streams_that_would_not_end_in_time) {
   OnRuntime([](io::Runtime& runtime) {
     Bench bench(runtime, 22120);
