Moved streams are counted before their order is sent

Silence is looked into after 180 ms, not 280, and a suspected worker has 150 ms to answer, not 250. The new test names two targets where it named one before. Ruled out: refused orders, want of a path.

--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -262,6 +262,10 @@
         stream->moving = false;
         return;
       }
+      // Counted before the order is sent: other streams that are moved at the
+      // same time must not all choose the same workers.
+      const Path old = stream->path;
+      this->Reserve(stream, path);
       io::HttpRequest order;
       order.method = "POST";
       order.path = platform::OrderPath();
@@ -275,6 +279,7 @@
         return;
       }
       if (answer.has_error()) {
+        this->Reserve(stream, old);
         NoteUnreachable(*this->parts, first.worker, answer.error().detail);
         break;
       }
@@ -282,21 +287,19 @@
       this->parts->log->Info(
           "stream.moved",
           {{"request", id},
-           {"from", DescribePath(stream->path)},
+           {"from", DescribePath(old)},
            {"to", DescribePath(path)},
            {"status", answer.value().status},
            {"detail", answer.value().body.substr(0, kLoggedBody)}});
       if (outcome == platform::OrderOutcome::kBegun ||
           outcome == platform::OrderOutcome::kHolds) {
         this->parts->metrics->Count("chervil_streams_moved_total");
-        this->parts->world->Loads().Remove(stream->path, stream->tokens);
-        stream->path = path;
-        this->parts->world->Loads().Add(stream->path, stream->tokens);
         stream->last_progress = this->parts->runtime->Now();
         stream->moved = true;
         stream->moving = false;
         return;
       }
+      this->Reserve(stream, old);
       if (outcome != platform::OrderOutcome::kConflict) {
         break;
       }
@@ -319,6 +322,12 @@
     }
   }
 
+  void Reserve(ActiveStream* stream, const Path& path) {
+    this->parts->world->Loads().Remove(stream->path, stream->tokens);
+    stream->path = path;
+    this->parts->world->Loads().Add(stream->path, stream->tokens);
+  }
+
   std::set<std::string> RefusingParts(const Path& path,
                                       const io::HttpResponse& answer) {
     std::set<std::string> refusing;
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -17,7 +17,7 @@
   Duration tick = milliseconds(50);
   /// Silence of a running stream after which its path is examined. Events come
   /// every few tens of milliseconds.
-  Duration event_gap = milliseconds(280);
+  Duration event_gap = milliseconds(180);
   /// The same before the first event: prompts wait for their turn.
   Duration first_event_gap = milliseconds(700);
   /// After this silence the run is given up, if no fault was found and the
@@ -25,6 +25,9 @@
   Duration give_up_gap = milliseconds(1400);
   /// Time for a worker's report or the answer to an order.
   Duration report_timeout = milliseconds(250);
+  /// Time for a worker that is suspected to show that it is there; a report
+  /// takes a few milliseconds and no slot.
+  Duration verify_timeout = milliseconds(150);
 
   bool operator==(const StreamRegistrySettings&) const = default;
 };
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <functional>
+#include <set>
 
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
@@ -50,7 +51,8 @@
   void AddServer(int number,
                  const std::string& service,
                  placement::LayerRange layers,
-                 io::HttpHandler handler) {
+                 io::HttpHandler handler,
+                 const std::string& kind = "k") {
     routing::BackendServer server;
     server.id = fmt::format("s{}", number);
     server.service = service;
@@ -58,7 +60,7 @@
     server.data_centre = "a";
     server.slots = 4;
     server.layers = layers;
-    server.accelerator_kind = layers.Empty() ? "" : "k";
+    server.accelerator_kind = layers.Empty() ? "" : kind;
     this->world.Servers().ApplyChange(
         {server.id, static_cast<std::uint64_t>(number), server}, false,
         this->runtime.Now());
@@ -158,6 +160,8 @@
     llm.model->prefill_tokens_per_second = 100000;
     llm.model->usual_answer_tokens = 20;
     llm.model->kinds["k"] = {10000, 1, 1};
+    // Two layers and KV room for one request of 100 and 20 tokens.
+    llm.model->kinds["tiny"] = {200.3, 1, 1};
     routing::ServiceProfile app;
     app.name = "app";
     parts.services = {llm, app};
@@ -543,6 +547,60 @@
   });
 }
 
+// Incident inc-f419, first site: 69 streams that were moved at the same moment
+// all chose the same workers, which had room for a few.
+Test(router, streams_moved_together_do_not_crowd_one_worker) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22160);
+    std::set<std::string> targets;
+    const std::string lost = fmt::format("{}:{}", kIp, 22162);
+    bench.AddServer(1, "llm", {0, 2}, [&](io::HttpExchange& exchange) {
+      const io::HttpRequest& request = exchange.Request();
+      if (request.method == "GET") {
+        std::string stalled;
+        for (const char* id : {"r1", "r2"}) {
+          stalled += fmt::format(R"({}{{"id":"{}","address":"{}"}})",
+                                 stalled.empty() ? "" : ",", id, lost);
+        }
+        exchange.Respond(
+            {200, {}, fmt::format(R"({{"seq":1,"stalled":[{}]}})", stalled)});
+        return;
+      }
+      if (request.target == "/v1/order") {
+        const std::size_t second =
+            request.body.find(',', request.body.find("\"path\""));
+        targets.insert(request.body.substr(second));
+        exchange.Respond({200, {}, ""});
+        return;
+      }
+      exchange.BeginStream(Answer(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      runtime.SleepFor(milliseconds(1200));
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+    });
+    // Takes connections and says nothing.
+    bench.AddServer(2, "llm", {2, 4}, [&runtime](io::HttpExchange& exchange) {
+      runtime.SleepFor(seconds(5));
+      exchange.Abort();
+    });
+    int done = 0;
+    for (const char* id : {"r1", "r2"}) {
+      runtime.Spawn([&bench, &done, id] {
+        done += bench.Stream(bench.Request("/draft/x", id)).has_value() ? 1 : 0;
+      });
+    }
+    runtime.SleepFor(milliseconds(50));
+    for (int i = 3; i <= 4; ++i) {
+      bench.AddServer(
+          i, "llm", {2, 4}, [](io::HttpExchange&) {}, "tiny");
+    }
+    runtime.SleepFor(milliseconds(1600));
+    cr_assert_eq(done, 2);
+    cr_assert_eq(targets.size(), 2, "%zu targets", targets.size());
+  });
+}
+
 Test(router, a_leaving_vm_refuses_streams_that_would_not_end_in_time) {
   OnRuntime([](io::Runtime& runtime) {
     Bench bench(runtime, 22120);
