Calls take addresses by value

Every call copies its address now, so that no caller can make this mistake. The new test failed before.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -315,7 +315,7 @@
 }
 
 Result<std::unique_ptr<HttpCall>, HttpError> HttpClient::Open(
-    const Endpoint& address,
+    Endpoint address,
     Duration connect_timeout,
     ConnectionUse use) {
   StreamPtr stream;
@@ -335,7 +335,7 @@
   return this->state->connections_made;
 }
 
-Result<HttpResponse, HttpError> HttpClient::Call(const Endpoint& address,
+Result<HttpResponse, HttpError> HttpClient::Call(Endpoint address,
                                                  const HttpRequest& request,
                                                  Duration timeout,
                                                  ConnectionUse use) {
@@ -350,7 +350,7 @@
 }
 
 Result<HttpResponse, HttpError> HttpClient::Stream(
-    const Endpoint& address,
+    Endpoint address,
     const HttpRequest& request,
     Duration timeout,
     const std::function<bool(std::string_view)>& on_data) {
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -75,7 +75,8 @@
   std::unique_ptr<State> state;
 };
 
-/// Sends requests. Fiber thread only.
+/// Sends requests. Fiber thread only. Addresses are taken by value: what they
+/// were read from may be gone before a call has ended.
 class HttpClient {
  public:
   static std::unique_ptr<HttpClient> Create(Runtime* runtime,
@@ -84,7 +85,7 @@
 
   /// Opens a call on a kept or a new connection.
   Result<std::unique_ptr<HttpCall>, HttpError> Open(
-      const Endpoint& address,
+      Endpoint address,
       Duration connect_timeout,
       ConnectionUse use = ConnectionUse::kPooled);
 
@@ -93,7 +94,7 @@
 
   /// Sends `request` and waits for the whole response, `timeout` at most.
   Result<HttpResponse, HttpError> Call(
-      const Endpoint& address,
+      Endpoint address,
       const HttpRequest& request,
       Duration timeout,
       ConnectionUse use = ConnectionUse::kPooled);
@@ -102,7 +103,7 @@
   /// it arrives, until the body ends or `on_data` returns false. `timeout`
   /// bounds the wait for each piece. The returned response has no body.
   Result<HttpResponse, HttpError> Stream(
-      const Endpoint& address,
+      Endpoint address,
       const HttpRequest& request,
       Duration timeout,
       const std::function<bool(std::string_view)>& on_data);
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -493,3 +493,21 @@
     peer.join();
   });
 }
+
+// A worker was dropped from the book while it was being asked: the call went on
+// with the address of an entry that was gone.
+Test(http_client, an_address_may_change_while_a_call_uses_it) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint real = TestEndpoint(70);
+    const auto server = Serve(runtime, real, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    const auto client = HttpClient::Create(&runtime, {});
+    Endpoint shared = real;
+    runtime.Spawn([&shared] { shared = {"127.0.200.9", 9}; });
+    cr_assert(client->Call(shared, HttpRequest{}, seconds(1)).has_value());
+    // The connection is kept for the address that it was made to.
+    cr_assert(client->Call(real, HttpRequest{}, seconds(1)).has_value());
+    cr_assert_eq(client->ConnectionsMade(), 1);
+  });
+}
