Paths at marginal cost; what peers are told does not grow with the fleet

The cost of a path knew neither batch slots nor the time that prompts take from a worker, so the data centre with most of the fast accelerators looked fastest until its first worker shed (1,410 of 6,987 arrivals). Besides, VMs told loads to their own data centre only, by arithmetic once in some 2.7 s, and kept them for 3 s.

Ruled out: want of room (no memory was short), want of processor time (0.01 of a core), the store.

Change: a worker costs what a request adds, its own time and the delay of others, with the queueing of prompts from Little's law; the first part needs a free slot; a path that would use a worker twice is searched for again instead of being reported as no path. VMs tell the peers of their data centre their loads in turn and other data centres the sums, within 8 kB/s.

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -79,7 +79,11 @@
       const std::string datagram = this->socket->Receive();
       const auto message = rpc::DecodeGossip(datagram);
       if (message && message->kind == membership::MessageKind::kLoads) {
-        this->events.loads(message->from, message->loads);
+        this->events.loads(message->from,
+                           message->loads_of_data_centre
+                               ? LoadScope::kDataCentre
+                               : LoadScope::kOwn,
+                           message->loads);
       } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
@@ -89,35 +93,33 @@
   }
 
   void LoadLoop() {
-    Duration period = this->settings.load_period;
+    LoadAudience audience(this->settings.loads,
+                          HashText(this->settings.self.vm));
     while (!this->stopped) {
-      this->runtime->SleepFor(period);
-      membership::GossipMessage message;
-      message.kind = membership::MessageKind::kLoads;
-      message.from = this->settings.self.vm;
-      message.loads = this->events.own_loads();
-      const std::string datagram = rpc::EncodeGossip(message);
-      std::size_t bytes = 0;
-      for (const Member& peer : this->LoadPeers()) {
-        this->socket->Send({peer.ip, peer.gossip_port}, datagram);
-        bytes += datagram.size();
+      this->runtime->SleepFor(this->settings.loads.period);
+      const std::string own = this->EncodeLoads(LoadScope::kOwn);
+      const LoadTurn turn = audience.Next(this->detector.Members(),
+                                          this->settings.self, own.size());
+      for (const Member& peer : turn.local) {
+        this->socket->Send({peer.ip, peer.gossip_port}, own);
+      }
+      if (turn.remote.empty()) {
+        continue;
+      }
+      const std::string sums = this->EncodeLoads(LoadScope::kDataCentre);
+      for (const Member& peer : turn.remote) {
+        this->socket->Send({peer.ip, peer.gossip_port}, sums);
       }
-      const std::chrono::duration<double> spacing(
-          static_cast<double>(bytes) / this->settings.load_bytes_per_second);
-      period = std::max(this->settings.load_period,
-                        duration_cast<Duration>(spacing));
     }
   }
 
-  std::vector<Member> LoadPeers() const {
-    std::vector<Member> members = this->detector.Members();
-    const bool small = members.size() <= this->settings.small_fleet;
-    std::erase_if(members, [&](const Member& member) {
-      return member.vm == this->settings.self.vm ||
-             member.status == Status::kDead ||
-             (!small && member.data_centre != this->settings.self.data_centre);
-    });
-    return members;
+  std::string EncodeLoads(LoadScope scope) const {
+    membership::GossipMessage message;
+    message.kind = membership::MessageKind::kLoads;
+    message.from = this->settings.self.vm;
+    message.loads = this->events.loads_to_tell(scope);
+    message.loads_of_data_centre = scope == LoadScope::kDataCentre;
+    return rpc::EncodeGossip(message);
   }
 
   void TickLoop() {
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -9,6 +9,7 @@
 
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
+#include "chervilpass/fleet/load_audience.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/udp_socket.h"
 #include "chervilpass/membership/detector.h"
@@ -24,27 +25,26 @@
   /// Peers not heard of are greeted, and the store's list is read, this often.
   Duration seed_period = seconds(1);
   Duration list_period = seconds(20);
-  /// Loads are told to peers this often, or more seldom where that would take
-  /// more than the bytes a second that are set aside for it.
-  Duration load_period = milliseconds(300);
-  double load_bytes_per_second = 6000;
-  /// Up to so many members, loads are told to all; in larger fleets to those of
-  /// the own data centre.
-  std::size_t small_fleet = 16;
+  LoadAudienceSettings loads;
 
   bool operator==(const PeerGroupSettings&) const = default;
 };
 
+/// Whose loads are told: those of one VM, or their sums over a data centre.
+enum class LoadScope { kOwn, kDataCentre };
+
 /// News from other VMs. Called on the fiber thread; must not wait.
 struct PeerGroupEvents {
   std::function<void(const quarantine::Strike&)> strike;
   std::function<void(const std::string& backend)> unreachable;
   std::function<void(const membership::Member& holder)> newer_config;
   std::function<void(const std::string& peer,
+                     LoadScope scope,
                      const std::vector<membership::WorkerLoadNotice>&)>
       loads;
-  /// This VM's own loads, to be told.
-  std::function<std::vector<membership::WorkerLoadNotice>()> own_loads;
+  /// Loads of this VM, or as far as it knows of its data centre.
+  std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
+      loads_to_tell;
 };
 
 /// Fiber thread only.
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -44,7 +44,7 @@
   kLoads,  ///< Carries loads only; not for the detector.
 };
 
-/// What one VM has in flight on one worker.
+/// What one VM, or all of a data centre, have in flight on one worker.
 struct WorkerLoadNotice {
   std::uint32_t worker = 0;  ///< hash of the worker's id
   std::uint16_t sequences = 0;
@@ -80,6 +80,8 @@
   std::vector<LeavingNotice> leaving;
   std::vector<UnreachableNotice> unreachable;
   std::vector<WorkerLoadNotice> loads;
+  /// The loads are sums over the sender's data centre, not its own alone.
+  bool loads_of_data_centre = false;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/chervilpass/placement/load_book.cc
+++ b/chervilpass/placement/load_book.cc
@@ -20,6 +20,14 @@
       std::max(0.0, load->kv_token_layers + sign * tokens * layers);
 }
 
+void AddLoads(const LoadsByKey& loads, double scale, LoadsByKey* totals) {
+  for (const auto& [worker, load] : loads) {
+    WorkerLoad& sum = (*totals)[worker];
+    sum.sequences += scale * load.sequences;
+    sum.kv_token_layers += scale * load.kv_token_layers;
+  }
+}
+
 }  // namespace
 
 void LoadBook::Add(const Path& path, double tokens) {
@@ -69,16 +77,16 @@
   return static_cast<std::uint32_t>(HashText(worker));
 }
 
-std::map<std::string, WorkerLoad> LoadBook::OwnLoads() const {
-  std::map<std::string, WorkerLoad> loads;
+LoadsByKey LoadBook::OwnByKey() const {
+  LoadsByKey loads;
   for (const auto& [worker, record] : this->records) {
-    loads[worker] = record.load;
+    loads[WorkerKey(worker)] = record.load;
   }
   return loads;
 }
 
 void LoadBook::OnPeerLoads(const std::string& peer,
-                           std::map<std::uint32_t, WorkerLoad> peer_loads,
+                           LoadsByKey peer_loads,
                            Instant now) {
   std::erase_if(this->peers, [now](const auto& entry) {
     return now - entry.second.at > kPeerLoadLifetime;
@@ -86,25 +94,53 @@
   this->peers[peer] = {std::move(peer_loads), now};
 }
 
-WorkerLoad LoadBook::Peers(const std::string& worker, Instant now) const {
-  WorkerLoad sum;
-  const std::uint32_t key = WorkerKey(worker);
+void LoadBook::OnDataCentreLoads(const std::string& data_centre,
+                                 LoadsByKey loads,
+                                 Instant now) {
+  this->data_centres[data_centre] = {std::move(loads), now};
+}
+
+LoadsByKey LoadBook::LocalTotals(Instant now) const {
+  LoadsByKey totals = this->OwnByKey();
+  this->AddPeers(&totals, now);
+  return totals;
+}
+
+LoadsByKey LoadBook::OtherTotals(Instant now) const {
+  LoadsByKey totals;
+  this->AddPeers(&totals, now);
+  for (const auto& [data_centre, told] : this->data_centres) {
+    if (now - told.at <= kPeerLoadLifetime) {
+      AddLoads(told.loads, 1, &totals);
+    }
+  }
+  return totals;
+}
+
+void LoadBook::AddPeers(LoadsByKey* totals, Instant now) const {
+  const auto heard = std::count_if(
+      this->peers.begin(), this->peers.end(), [now](const auto& entry) {
+        return now - entry.second.at <= kPeerLoadLifetime;
+      });
+  if (heard == 0) {
+    return;
+  }
+  const double scale = std::max(
+      1.0, static_cast<double>(this->local_peers) / static_cast<double>(heard));
   for (const auto& [peer, told] : this->peers) {
-    const auto found = told.loads.find(key);
-    if (found != told.loads.end() && now - told.at <= kPeerLoadLifetime) {
-      sum.sequences += found->second.sequences;
-      sum.context_tokens += found->second.context_tokens;
-      sum.kv_token_layers += found->second.kv_token_layers;
+    if (now - told.at <= kPeerLoadLifetime) {
+      AddLoads(told.loads, scale, totals);
     }
   }
-  return sum;
 }
 
 bool LoadBook::HearsPeers(Instant now) const {
-  return std::any_of(this->peers.begin(), this->peers.end(),
-                     [now](const auto& entry) {
-                       return now - entry.second.at <= kPeerLoadLifetime;
-                     });
+  const auto fresh = [now](const auto& entry) {
+    return now - entry.second.at <= kPeerLoadLifetime;
+  };
+  return std::any_of(this->peers.begin(), this->peers.end(), fresh) ||
+         std::any_of(this->data_centres.begin(), this->data_centres.end(),
+                     fresh);
 }
 
 double LoadBook::OthersIn(const std::string& data_centre, Instant now) const {
--- a/chervilpass/placement/load_book.h
+++ b/chervilpass/placement/load_book.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 #include "chervilpass/core/time.h"
 #include "chervilpass/placement/path.h"
@@ -23,6 +24,8 @@
 /// Key of a worker in what entries tell each other.
 std::uint32_t WorkerKey(const std::string& worker);
 
+using LoadsByKey = std::unordered_map<std::uint32_t, WorkerLoad>;
+
 /// Not thread-safe. Invariant: the counts are the sums over the paths added and
 /// not yet removed.
 class LoadBook {
@@ -43,17 +46,27 @@
   /// This entry's own load on a worker.
   WorkerLoad Own(const std::string& worker) const;
 
-  /// Own loads of all workers that have any, by id.
-  std::map<std::string, WorkerLoad> OwnLoads() const;
+  /// Own loads of all workers that have any.
+  LoadsByKey OwnByKey() const;
+
+  /// What another entry of this data centre has in flight, by key of the
+  /// worker, without contexts; replaces what it has said before.
+  void OnPeerLoads(const std::string& peer, LoadsByKey peer_loads, Instant now);
+
+  /// The same of all entries of another data centre.
+  void OnDataCentreLoads(const std::string& data_centre,
+                         LoadsByKey loads,
+                         Instant now);
 
-  /// What another entry has in flight, by hash of the worker's id; replaces
-  /// what it has said before.
-  void OnPeerLoads(const std::string& peer,
-                   std::map<std::uint32_t, WorkerLoad> peer_loads,
-                   Instant now);
+  /// Other entries of this data centre that are alive.
+  void SetLocalPeers(std::size_t count) { this->local_peers = count; }
 
-  /// Load of the entries that have told theirs of late.
-  WorkerLoad Peers(const std::string& worker, Instant now) const;
+  /// Load of this data centre's entries, this one included. Those that have
+  /// told theirs of late stand for those that have not.
+  LoadsByKey LocalTotals(Instant now) const;
+
+  /// Load of all other entries, as far as it is known.
+  LoadsByKey OtherTotals(Instant now) const;
 
   /// True if any entry has told its load of late.
   bool HearsPeers(Instant now) const;
@@ -73,13 +86,17 @@
     Instant at;
   };
 
-  struct PeerLoads {
-    std::map<std::uint32_t, WorkerLoad> loads;
+  struct ToldLoads {
+    LoadsByKey loads;
     Instant at;
   };
 
+  void AddPeers(LoadsByKey* totals, Instant now) const;
+
   std::map<std::string, Record> records;
-  std::map<std::string, PeerLoads> peers;
+  std::map<std::string, ToldLoads> peers;         ///< of this data centre
+  std::map<std::string, ToldLoads> data_centres;  ///< the other ones
+  std::size_t local_peers = 0;
   std::map<std::string, Stated> stated;
 };
 
--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -13,45 +13,68 @@
 // average once a worker is busy.
 constexpr double kPassWait = 0.5;
 constexpr double kBusySequences = 8;  // from here on a pass is always running
-// Weight of KV fill beyond the crowded mark.
+constexpr double kLeastStreamSeconds = 0.1;
+// Weight of KV or slot fill beyond the crowded mark.
 constexpr double kCrowdingWeight = 6;
+// Utilization from which the queueing delay of prompts is continued by its
+// tangent: beyond saturation the cost still has to grow with the load.
+constexpr double kSteepUtilization = 0.85;
 
-double StepSeconds(const ModelProfile& model,
-                   const PathCandidate& candidate,
-                   double extra_sequences,
-                   double extra_tokens) {
-  const double sequences = candidate.load.sequences + extra_sequences;
-  const double tokens = candidate.load.context_tokens + extra_tokens;
-  return candidate.kind.step_factor * candidate.slowness *
-         (ToSeconds(model.step) +
-          ToSeconds(model.step_per_sequence) * sequences +
-          ToSeconds(model.step_per_1000_context_tokens) * tokens / 1000);
+// What one more request costs a worker that is busy to a share `utilization`
+// of its time with prompts, as a multiple of its service time. The delay of a
+// queue is 1 / (1 - u); with what the request adds to the delay of others it is
+// 1 / (1 - u)^2.
+double QueueingFactor(double utilization) {
+  const double u = std::min(utilization, kSteepUtilization);
+  const double idle = 1 - u;
+  const double slope = 2 / (idle * idle * idle);
+  return 1 / (idle * idle) + slope * (utilization - u);
 }
 
+// Time that a usual request takes through all layers, for the estimate of how
+// many begin in a second; workers of all kinds taken alike.
+double UsualStreamSeconds(const ModelProfile& model) {
+  double factors = 0;
+  for (const auto& [name, kind] : model.kinds) {
+    factors += kind.step_factor;
+  }
+  const double factor = model.kinds.empty()
+                            ? 1
+                            : factors / static_cast<double>(model.kinds.size());
+  return std::max(kLeastStreamSeconds, model.usual_answer_tokens * factor *
+                                           (1 + kPassWait) *
+                                           ToSeconds(model.step));
+}
+
+// A worker and the layers that a search may use of it.
+struct Usable {
+  const PathCandidate* candidate = nullptr;
+  LayerRange layers;
+  double jitter = 1;  // factor of its cost
+};
+
 // One search. Boundaries are the layers at which some part may end.
 class Search {
  public:
   Search(const ModelProfile& model,
          const PathQuery& query,
          const PathChooserSettings& settings,
-         std::vector<const PathCandidate*> usable,
-         const std::map<const PathCandidate*, double>& jitter,
+         double stream_seconds,
+         const std::vector<Usable>& usable,
          bool check_room)
       : model(model),
         query(query),
         settings(settings),
-        usable(std::move(usable)),
-        jitter(jitter),
+        stream_seconds(stream_seconds),
+        usable(usable),
         check_room(check_room) {
     std::set<std::uint32_t> marks = {query.layers.from, query.layers.to};
-    for (const PathCandidate* candidate : this->usable) {
-      for (const std::uint32_t mark :
-           {candidate->layers.from, candidate->layers.to}) {
+    for (const Usable& worker : this->usable) {
+      for (const std::uint32_t mark : {worker.layers.from, worker.layers.to}) {
         if (query.layers.from < mark && mark < query.layers.to) {
           marks.insert(mark);
         }
       }
-      this->data_centres.insert(candidate->data_centre);
     }
     this->boundaries.assign(marks.begin(), marks.end());
   }
@@ -80,25 +103,27 @@
   };
 
   void Extend(std::size_t at, const std::string& data_centre, double cost) {
-    for (const PathCandidate* candidate : this->usable) {
-      if (!candidate->layers.Contains(this->boundaries[at])) {
+    const bool first = at == 0 && this->query.first_part_included;
+    for (const Usable& worker : this->usable) {
+      if (!worker.layers.Contains(this->boundaries[at])) {
         continue;
       }
-      const bool first = at == 0 && this->query.first_part_included;
+      const PathCandidate& candidate = *worker.candidate;
       const double entry =
-          candidate->data_centre == data_centre ? 0 : this->Crossing(first);
-      for (std::size_t end = at + 1;
-           end < this->boundaries.size() &&
-           this->boundaries[end] <= candidate->layers.to;
+          candidate.data_centre == data_centre ? 0 : this->Crossing(first);
+      for (std::size_t end = at + 1; end < this->boundaries.size() &&
+                                     this->boundaries[end] <= worker.layers.to;
            ++end) {
-        const double part = this->PartCost(
-            *candidate, this->boundaries[end] - this->boundaries[at]);
+        const double part =
+            worker.jitter *
+            this->PartCost(candidate,
+                           this->boundaries[end] - this->boundaries[at], first);
         if (part == kNever) {
           break;  // more layers need more room
         }
-        Step& known = this->best[end][candidate->data_centre];
+        Step& known = this->best[end][candidate.data_centre];
         if (cost + entry + part < known.cost) {
-          known = {cost + entry + part, candidate, data_centre, at};
+          known = {cost + entry + part, &candidate, data_centre, at};
         }
       }
     }
@@ -120,35 +145,83 @@
                ToSeconds(this->settings.data_centre_delay);
   }
 
-  double PartCost(const PathCandidate& candidate, std::uint32_t layers) const {
-    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
-    const double room =
-        this->model.KvTokenLayers(candidate.kind, candidate.layers.Size());
-    const double fill =
-        room <= 0 ? kNever
-                  : (candidate.load.kv_token_layers + tokens * layers) / room;
+  double PartCost(const PathCandidate& candidate,
+                  std::uint32_t layers,
+                  bool first) const {
+    const double fill = std::max(this->RoomFill(candidate, layers),
+                                 first ? this->SlotFill(candidate) : 0);
     if (this->check_room && fill > this->settings.largest_fill) {
       return kNever;
     }
     const double share =
         static_cast<double>(layers) / std::max(1U, this->model.layers);
-    const double busy = 1 + kPassWait * std::min(1.0, candidate.load.sequences /
-                                                          kBusySequences);
-    const double decode = this->query.answer_tokens * busy * share *
-                          StepSeconds(this->model, candidate, 1, tokens);
-    const double prefill = this->model.prefill_tokens_per_second <= 0
-                               ? 0
-                               : this->query.prompt_tokens * share *
-                                     candidate.slowness *
-                                     candidate.kind.prefill_factor /
-                                     this->model.prefill_tokens_per_second;
-    const double hops =
-        this->query.answer_tokens * ToSeconds(this->settings.hop);
     const double crowding =
         std::max(0.0, std::min(fill, 2.0) - this->settings.crowded_fill);
-    return (decode + prefill + hops) *
-           (1 + kCrowdingWeight * crowding * crowding) *
-           this->jitter.at(&candidate);
+    const double hops =
+        this->query.answer_tokens * ToSeconds(this->settings.hop);
+    return (share * candidate.slowness * this->ServiceSeconds(candidate) *
+                QueueingFactor(this->PromptUtilization(candidate)) +
+            hops) *
+           (1 + kCrowdingWeight * crowding * crowding);
+  }
+
+  // KV room in use once the request is there.
+  double RoomFill(const PathCandidate& candidate, std::uint32_t layers) const {
+    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
+    const double room =
+        this->model.KvTokenLayers(candidate.kind, candidate.layers.Size());
+    return room <= 0
+               ? kNever
+               : (candidate.load.kv_token_layers + tokens * layers) / room;
+  }
+
+  // Batch slots in use once the request is there. A worker that holds the first
+  // layer is the first of nearly all paths through it.
+  double SlotFill(const PathCandidate& candidate) const {
+    return this->model.batch_limit == 0
+               ? 0
+               : (candidate.load.sequences + 1) / this->model.batch_limit;
+  }
+
+  // Time of the whole model's layers on the worker for this request, with the
+  // time that it adds to the steps of the requests in the same batch.
+  double ServiceSeconds(const PathCandidate& candidate) const {
+    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
+    const double sequences = candidate.load.sequences;
+    const double step =
+        ToSeconds(this->model.step) +
+        ToSeconds(this->model.step_per_sequence) * (1 + 2 * sequences) +
+        ToSeconds(this->model.step_per_1000_context_tokens) / 1000 *
+            (tokens * (1 + sequences) + candidate.load.context_tokens);
+    const double busy =
+        1 + kPassWait * std::min(1.0, sequences / kBusySequences);
+    const double decode =
+        this->query.answer_tokens * busy * candidate.kind.step_factor * step;
+    return decode + this->query.prompt_tokens * this->PromptSeconds(candidate);
+  }
+
+  // Time to read one prompt token through all layers.
+  double PromptSeconds(const PathCandidate& candidate) const {
+    return this->model.prefill_tokens_per_second <= 0
+               ? 0
+               : candidate.kind.prefill_factor /
+                     this->model.prefill_tokens_per_second;
+  }
+
+  // Share of its time that the worker spends on prompts: by Little's law its
+  // requests begin at the rate of their number over their duration. How many
+  // layers each runs there follows from the room that they reserve.
+  double PromptUtilization(const PathCandidate& candidate) const {
+    const double usual_tokens =
+        this->model.usual_prompt_tokens + this->model.usual_answer_tokens / 2.0;
+    if (usual_tokens <= 0 || this->model.layers == 0) {
+      return 0;
+    }
+    const double whole_models =
+        candidate.load.kv_token_layers / usual_tokens / this->model.layers;
+    return whole_models / this->stream_seconds *
+           this->model.usual_prompt_tokens * candidate.slowness *
+           this->PromptSeconds(candidate);
   }
 
   std::optional<ChosenPath> Trace() const {
@@ -161,7 +234,7 @@
       return std::nullopt;
     }
     ChosenPath chosen;
-    chosen.predicted = duration_cast<Duration>(
+    chosen.cost = duration_cast<Duration>(
         std::chrono::duration<double>(last->second.cost));
     const Step* step = &last->second;
     std::size_t end = this->boundaries.size() - 1;
@@ -180,21 +253,126 @@
   const ModelProfile& model;
   const PathQuery& query;
   const PathChooserSettings& settings;
-  std::vector<const PathCandidate*> usable;
-  const std::map<const PathCandidate*, double>& jitter;
+  double stream_seconds;
+  const std::vector<Usable>& usable;
   bool check_room;
   std::vector<std::uint32_t> boundaries;
-  std::set<std::string> data_centres;
   std::vector<std::map<std::string, Step>> best;  // by boundary
 };
 
-bool UsesWorkersOnce(const Path& path) {
-  std::set<std::string> workers;
-  return std::all_of(path.begin(), path.end(), [&](const PathPart& part) {
-    return workers.insert(part.worker).second;
-  });
+// Two parts of a path on the same worker.
+struct Repetition {
+  PathPart earlier;
+  PathPart later;
+};
+
+std::optional<Repetition> FindRepetition(const Path& path) {
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    for (std::size_t j = i + 1; j < path.size(); ++j) {
+      if (path[i].worker == path[j].worker) {
+        return Repetition{path[i], path[j]};
+      }
+    }
+  }
+  return std::nullopt;
 }
 
+// The cheapest path that uses each worker once. Where the shortest path comes
+// back to a worker, that worker takes what lies before its later part, or after
+// its earlier one, or all between the two, whichever is cheapest.
+class OncePerWorker {
+ public:
+  OncePerWorker(const ModelProfile& model,
+                const PathQuery& query,
+                const PathChooserSettings& settings,
+                bool check_room)
+      : model(model),
+        query(query),
+        settings(settings),
+        stream_seconds(UsualStreamSeconds(model)),
+        check_room(check_room) {}
+
+  std::optional<ChosenPath> Find(const std::vector<Usable>& usable) const {
+    return this->Find(usable, kMostRepetitions);
+  }
+
+ private:
+  // Each one triples the searches; more than a few are not met in practice.
+  static constexpr int kMostRepetitions = 4;
+
+  std::optional<ChosenPath> Find(const std::vector<Usable>& usable,
+                                 int repetitions_left) const {
+    auto chosen = Search(this->model, this->query, this->settings,
+                         this->stream_seconds, usable, this->check_room)
+                      .Run();
+    const auto repetition =
+        chosen ? FindRepetition(chosen->path) : std::nullopt;
+    if (!repetition) {
+      return chosen;
+    }
+    if (repetitions_left == 0) {
+      return std::nullopt;
+    }
+    const std::string& worker = repetition->earlier.worker;
+    const LayerRange between = {repetition->earlier.layers.to,
+                                repetition->later.layers.from};
+    std::optional<ChosenPath> best;
+    for (const std::vector<Usable>& narrower :
+         {Clipped(usable, worker, {0, between.to}),
+          Clipped(usable, worker, {between.from, this->model.layers}),
+          Reserved(usable, worker, between)}) {
+      auto found = this->Find(narrower, repetitions_left - 1);
+      if (found && (!best || found->cost < best->cost)) {
+        best = std::move(found);
+      }
+    }
+    return best;
+  }
+
+  static std::vector<Usable> Clipped(std::vector<Usable> usable,
+                                     const std::string& worker,
+                                     const LayerRange& within) {
+    for (Usable& other : usable) {
+      if (other.candidate->worker == worker) {
+        other.layers = {std::max(other.layers.from, within.from),
+                        std::min(other.layers.to, within.to)};
+      }
+    }
+    std::erase_if(usable,
+                  [](const Usable& other) { return other.layers.Empty(); });
+    return usable;
+  }
+
+  // Nobody but the worker may run the layers of `range`.
+  static std::vector<Usable> Reserved(const std::vector<Usable>& usable,
+                                      const std::string& worker,
+                                      const LayerRange& range) {
+    std::vector<Usable> kept;
+    for (const Usable& other : usable) {
+      if (other.candidate->worker == worker) {
+        kept.push_back(other);
+        continue;
+      }
+      const LayerRange below = {other.layers.from,
+                                std::min(other.layers.to, range.from)};
+      const LayerRange above = {std::max(other.layers.from, range.to),
+                                other.layers.to};
+      for (const LayerRange& part : {below, above}) {
+        if (!part.Empty()) {
+          kept.push_back({other.candidate, part, other.jitter});
+        }
+      }
+    }
+    return kept;
+  }
+
+  const ModelProfile& model;
+  const PathQuery& query;
+  const PathChooserSettings& settings;
+  double stream_seconds;
+  bool check_room;
+};
+
 }  // namespace
 
 Result<ChosenPath, NoPathReason> ChoosePath(
@@ -203,46 +381,34 @@
     const PathQuery& query,
     const PathChooserSettings& settings,
     Random* random) {
-  std::map<const PathCandidate*, double> jitter;
-  std::map<std::string, std::vector<const PathCandidate*>> by_data_centre;
-  std::vector<const PathCandidate*> usable;
+  std::map<std::string, std::vector<Usable>> by_data_centre;
+  std::vector<Usable> all;
   for (const PathCandidate& candidate : candidates) {
     if (candidate.layers.Empty() || query.excluded.contains(candidate.worker)) {
       continue;
     }
-    jitter[&candidate] = 1 + settings.jitter * random->Unit();
-    by_data_centre[candidate.data_centre].push_back(&candidate);
-    usable.push_back(&candidate);
+    all.push_back(
+        {&candidate, candidate.layers, 1 + settings.jitter * random->Unit()});
+    by_data_centre[candidate.data_centre].push_back(all.back());
   }
-  const auto run = [&](const std::vector<const PathCandidate*>& workers,
-                       bool check_room) {
-    auto chosen =
-        Search(model, query, settings, workers, jitter, check_room).Run();
-    return chosen && UsesWorkersOnce(chosen->path) ? chosen : std::nullopt;
-  };
   // Paths within one data centre first: links between them are scarce.
+  const OncePerWorker with_room(model, query, settings, true);
   std::optional<ChosenPath> best;
-  for (const auto& [data_centre, workers] : by_data_centre) {
-    const auto chosen = run(workers, true);
-    if (chosen && (!best || chosen->predicted < best->predicted)) {
+  for (const auto& [data_centre, usable] : by_data_centre) {
+    const auto chosen = with_room.Find(usable);
+    if (chosen && (!best || chosen->cost < best->cost)) {
       best = chosen;
     }
   }
   if (!best) {
-    best = run(usable, true);
+    best = with_room.Find(all);
   }
   if (best) {
     return *best;
   }
-  return run(usable, false) ? NoPathReason::kNoRoom : NoPathReason::kNoCover;
-}
-
-Duration TokenTime(const ModelProfile& model,
-                   const PathCandidate& candidate,
-                   double layers) {
-  return duration_cast<Duration>(
-      std::chrono::duration<double>(StepSeconds(model, candidate, 0, 0) *
-                                    layers / std::max(1U, model.layers)));
+  return OncePerWorker(model, query, settings, false).Find(all)
+             ? NoPathReason::kNoRoom
+             : NoPathReason::kNoCover;
 }
 
 }  // namespace chervilpass::placement
--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -1,7 +1,10 @@
 // Chooses the workers that run a request, each a part of the layers: the
-// shortest path over layer boundaries by predicted time, with KV room as a
-// limit. Mei et al., "Helix: Serving Large Language Models over Heterogeneous
-// GPUs and Network via Max-Flow", ASPLOS 2025, poses the problem as a flow.
+// shortest path over layer boundaries by marginal cost, with KV room and batch
+// slots as limits. Mei et al., "Helix: Serving Large Language Models over
+// Heterogeneous GPUs and Network via Max-Flow", ASPLOS 2025, poses the problem
+// as a flow; pricing each worker at its marginal cost makes the sum of such
+// choices approach the flow of least total delay (Pigou, 1920; Roughgarden and
+// Tardos, "How Bad Is Selfish Routing?", 2002).
 #pragma once
 
 #include <optional>
@@ -44,8 +47,8 @@
 
 /// Describes the choice.
 struct PathChooserSettings {
-  /// Share of a worker's KV room that estimates may fill: they miss what other
-  /// entries have sent since.
+  /// Share of a worker's KV room and batch slots that estimates may fill: they
+  /// miss what other entries have sent since.
   double largest_fill = 0.95;
   /// Fill from which a worker counts as slower, to spread load early.
   double crowded_fill = 0.6;
@@ -58,8 +61,9 @@
   /// Activations of all entries share the link between data centres; ours are
   /// charged this many times.
   double link_sharing = 3;
-  /// Preference for the entry's own data centre.
-  Duration remote_entry = milliseconds(60);
+  /// Cost of entering another data centre: its answer crosses the link between
+  /// them, event by event.
+  Duration remote_entry = milliseconds(400);
 
   bool operator==(const PathChooserSettings&) const = default;
 };
@@ -69,10 +73,11 @@
   kNoRoom,   ///< Every path lacks KV room for the request.
 };
 
-/// A path with its predicted time to the end of the answer.
+/// A path with its cost: the time that the request takes and the delay that it
+/// adds to the requests it shares workers with.
 struct ChosenPath {
   Path path;
-  Duration predicted{0};
+  Duration cost{0};
 
   bool operator==(const ChosenPath&) const = default;
 };
@@ -86,9 +91,4 @@
     const PathChooserSettings& settings,
     Random* random);
 
-/// Predicted time of one token through `layers` layers on a worker.
-Duration TokenTime(const ModelProfile& model,
-                   const PathCandidate& candidate,
-                   double layers);
-
 }  // namespace chervilpass::placement
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -175,6 +175,7 @@
   leaving @6 :List(LeavingNotice);
   unreachable @7 :List(LeavingNotice);
   loads @8 :List(WorkerLoad);
+  loadsOfDataCentre @9 :Bool;   # sums over the sender's data centre
 }
 
 struct WorkerLoad {
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -39,6 +39,7 @@
     message.loads.push_back(
         {load.getWorker(), load.getSequences(), load.getKvKiloTokenLayers()});
   }
+  message.loads_of_data_centre = from.getLoadsOfDataCentre();
   return message;
 }
 
@@ -77,6 +78,7 @@
     loads[i].setSequences(message.loads[i].sequences);
     loads[i].setKvKiloTokenLayers(message.loads[i].kv_kilo_token_layers);
   }
+  root.setLoadsOfDataCentre(message.loads_of_data_centre);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, builder);
   const auto bytes = stream.getArray();
--- a/chervilpass/serving/world.cc
+++ b/chervilpass/serving/world.cc
@@ -71,11 +71,18 @@
     layers_in[server->data_centre] += server->layers.Size();
   }
   if (this->loads.HearsPeers(now)) {
+    const auto totals = this->loads.OtherTotals(now);
     for (placement::PathCandidate& candidate : candidates) {
-      const auto peers = this->loads.Peers(candidate.worker, now);
-      candidate.load.sequences += peers.sequences;
-      candidate.load.context_tokens += peers.context_tokens;
-      candidate.load.kv_token_layers += peers.kv_token_layers;
+      const auto peers = totals.find(placement::WorkerKey(candidate.worker));
+      if (peers == totals.end()) {
+        continue;
+      }
+      candidate.load.sequences += peers->second.sequences;
+      candidate.load.kv_token_layers += peers->second.kv_token_layers;
+      // Entries tell each other no contexts; the room that they reserve says
+      // how long these are.
+      candidate.load.context_tokens +=
+          peers->second.kv_token_layers / candidate.layers.Size();
     }
     return candidates;
   }
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -134,10 +134,13 @@
     events.newer_config = [this](const membership::Member& holder) {
       this->sync->FetchConfig({holder.ip, holder.control_port});
     };
-    events.loads = [this](const std::string& peer, const auto& notices) {
-      this->OnPeerLoads(peer, notices);
+    events.loads = [this](const std::string& peer, fleet::LoadScope scope,
+                          const auto& notices) {
+      this->OnPeerLoads(peer, scope, notices);
+    };
+    events.loads_to_tell = [this](fleet::LoadScope scope) {
+      return this->LoadsToTell(scope);
     };
-    events.own_loads = [this] { return this->OwnLoads(); };
     auto created = fleet::PeerGroup::Create(
         &this->runtime, this->store.get(), &this->metrics, &this->log,
         std::move(group), std::move(events));
@@ -290,23 +293,55 @@
   }
 
   void OnPeerLoads(const std::string& peer,
+                   fleet::LoadScope scope,
                    const std::vector<membership::WorkerLoadNotice>& notices) {
-    std::map<std::uint32_t, placement::WorkerLoad> loads;
+    placement::LoadsByKey loads;
     for (const membership::WorkerLoadNotice& notice : notices) {
       placement::WorkerLoad& load = loads[notice.worker];
       load.sequences = notice.sequences;
       load.kv_token_layers = 1000.0 * notice.kv_kilo_token_layers;
     }
-    this->world.Loads().OnPeerLoads(peer, std::move(loads),
-                                    this->runtime.Now());
+    placement::LoadBook& book = this->world.Loads();
+    if (scope == fleet::LoadScope::kOwn) {
+      book.OnPeerLoads(peer, std::move(loads), this->runtime.Now());
+    } else if (const auto data_centre = this->DataCentreOf(peer)) {
+      book.OnDataCentreLoads(*data_centre, std::move(loads),
+                             this->runtime.Now());
+    }
+  }
+
+  std::optional<std::string> DataCentreOf(const std::string& vm) const {
+    for (const membership::Member& member : this->peers->Members()) {
+      if (member.vm == vm) {
+        return member.data_centre;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::size_t LocalPeers() const {
+    std::size_t count = 0;
+    for (const membership::Member& member : this->peers->Members()) {
+      count += member.vm != this->settings.ip &&
+                       member.data_centre == this->settings.data_centre &&
+                       member.status != membership::Status::kDead
+                   ? 1
+                   : 0;
+    }
+    return count;
   }
 
-  std::vector<membership::WorkerLoadNotice> OwnLoads() {
+  std::vector<membership::WorkerLoadNotice> LoadsToTell(
+      fleet::LoadScope scope) {
+    const placement::LoadBook& book = this->world.Loads();
+    const placement::LoadsByKey loads =
+        scope == fleet::LoadScope::kOwn ? book.OwnByKey()
+                                        : book.LocalTotals(this->runtime.Now());
     std::vector<membership::WorkerLoadNotice> notices;
-    for (const auto& [worker, load] : this->world.Loads().OwnLoads()) {
+    for (const auto& [worker, load] : loads) {
       notices.push_back(
-          {placement::WorkerKey(worker),
-           static_cast<std::uint16_t>(std::min(load.sequences, 65535.0)),
+          {worker,
+           static_cast<std::uint16_t>(std::min(load.sequences + 0.5, 65535.0)),
            static_cast<std::uint32_t>(
                std::min(load.kv_token_layers / 1000 + 0.5, 4e9))});
     }
@@ -337,6 +372,7 @@
     while (true) {
       this->runtime.SleepFor(kHousekeepingPeriod);
       this->world.Expire(this->runtime.Now(), this->runtime.WallNow());
+      this->world.Loads().SetLocalPeers(this->LocalPeers());
       this->world.Retries().SetReserve(
           this->ReserveFor(this->peers->MostAlive()));
       if (this->Ready() != was_ready) {
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -22,6 +22,7 @@
   message.leaving = {{"backend", {789}}};
   message.unreachable = {{"worker", {1011}}};
   message.loads = {{7, 3, 1200}};
+  message.loads_of_data_centre = true;
   return message;
 }
 
--- a/unit_tests/fleet_test.cc
+++ b/unit_tests/fleet_test.cc
@@ -8,6 +8,7 @@
 #include "chervilpass/core/random.h"
 #include "chervilpass/fleet/address_list.h"
 #include "chervilpass/fleet/decider_claim.h"
+#include "chervilpass/fleet/load_audience.h"
 #include "chervilpass/fleet/peer_state.h"
 #include "chervilpass/fleet/relays.h"
 
@@ -302,3 +303,57 @@
     }
   }
 }
+
+// Pattern: a fleet many times larger than what a VM can tell in a turn.
+Test(load_audience, all_peers_are_told_equally_often_within_the_bytes) {
+  std::vector<Member> members;
+  for (int i = 0; i < 60; ++i) {
+    members.push_back(
+        MemberOf(fmt::format("10.0.0.{:03}", i), i < 30 ? "a" : "b"));
+  }
+  members[5].status = Status::kDead;
+  const LoadAudienceSettings settings;
+  LoadAudience audience(settings, 12345);
+  constexpr std::size_t kDatagramBytes = 440;
+  constexpr int kTurns = 600;
+  std::map<std::string, int> told;
+  std::size_t datagrams = 0;
+  for (int turn = 0; turn < kTurns; ++turn) {
+    const LoadTurn next = audience.Next(members, members[0], kDatagramBytes);
+    datagrams += next.local.size() + next.remote.size();
+    for (const Member& peer : next.local) {
+      cr_assert_str_eq(peer.data_centre.c_str(), "a");
+      ++told[peer.vm];
+    }
+    for (const Member& peer : next.remote) {
+      cr_assert_str_eq(peer.data_centre.c_str(), "b");
+      ++told[peer.vm];
+    }
+  }
+  cr_assert_eq(told.count(members[0].vm), 0);
+  cr_assert_eq(told.count(members[5].vm), 0);
+  for (int i = 1; i < 60; ++i) {
+    if (i != 5) {
+      // Five datagrams fit into a turn; each second turn one leaves.
+      const int fair = i < 30 ? kTurns * 9 / 2 / 28 : kTurns / 2 / 30;
+      cr_assert_leq(std::abs(told[members[i].vm] - fair), 1, "%d", i);
+    }
+  }
+  const double bytes_per_second = static_cast<double>(datagrams) *
+                                  kDatagramBytes /
+                                  (kTurns * ToSeconds(settings.period));
+  cr_assert_leq(bytes_per_second, 8000);
+}
+
+Test(load_audience, a_small_fleet_is_told_in_every_turn) {
+  std::vector<Member> members;
+  for (int i = 0; i < 6; ++i) {
+    members.push_back(MemberOf(fmt::format("10.0.0.{}", i), i < 3 ? "a" : "b"));
+  }
+  LoadAudience audience({}, 7);
+  for (int turn = 0; turn < 10; ++turn) {
+    const LoadTurn next = audience.Next(members, members[0], 300);
+    cr_assert_eq(next.local.size(), 2);
+    cr_assert_eq(next.remote.size(), 3);
+  }
+}
