A fresh VM lists the store once and watches it only as a relay

Ruled out: the steady state (10 calls a second for the fleet), repeated listings.

Change: a fresh VM lists configuration and workers once, so that it is ready at once, and takes its place as relay by address while nobody can have said yet that the store answers. Changes of workers within 120 ms are asked for in one watch, the configuration's watch waits 2 s, the list of entries is read once a minute.

Tests: store_sync_test (a_vm_that_is_no_relay_lists_once_and_does_not_watch), fleet_test (relays while a fleet starts).

--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -24,7 +24,7 @@
   membership::DetectorSettings detector;
   /// Peers not heard of are greeted, and the store's list is read, this often.
   Duration seed_period = seconds(1);
-  Duration list_period = seconds(20);
+  Duration list_period = seconds(60);
   LoadAudienceSettings loads;
 
   bool operator==(const PeerGroupSettings&) const = default;
--- a/chervilpass/fleet/relays.cc
+++ b/chervilpass/fleet/relays.cc
@@ -22,15 +22,17 @@
 
 }  // namespace
 
-bool IsRelay(const std::vector<Member>& members, const std::string& vm) {
+bool IsRelay(const std::vector<Member>& members,
+             const std::string& vm,
+             FleetPhase phase) {
   const Member* self = FindMember(members, vm);
   if (self == nullptr) {
     return true;
   }
   return std::none_of(
-      members.begin(), members.end(), [self](const Member& member) {
-        return member.vm < self->vm && Present(member) && member.store_up &&
-               member.status == Status::kAlive &&
+      members.begin(), members.end(), [self, phase](const Member& member) {
+        return member.vm < self->vm && member.status == Status::kAlive &&
+               (member.store_up || phase == FleetPhase::kStarting) &&
                member.data_centre == self->data_centre;
       });
 }
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -66,7 +66,7 @@
     const Instant now = this->runtime->Now();
     this->last_relayed = now;
     this->last_answer = now;
-    this->last_needed = now;
+    this->last_needed = now - this->settings.hand_over;
     const auto self = this->shared_from_this();
     this->runtime->Spawn([self] { self->Follow(StoreKind::kConfig); });
     this->runtime->Spawn([self] { self->Follow(StoreKind::kWorkers); });
@@ -78,8 +78,8 @@
   // ---- who watches ----
 
   void ChooseMode() {
-    while (!this->stopped) {
-      this->runtime->SleepFor(this->settings.mode_period);
+    for (; !this->stopped;
+         this->runtime->SleepFor(this->settings.mode_period)) {
       const Instant now = this->runtime->Now();
       const bool deserted =
           !this->watching &&
@@ -132,11 +132,14 @@
 
   // ---- the store ----
 
-  // Lists once, then watches; starts anew when the history is gone.
+  // Lists once, so that a fresh VM knows what to do before it has found its
+  // peers. Then watches while it is this VM's turn, and starts anew when the
+  // history is gone.
   void Follow(StoreKind kind) {
     Backoff backoff(this->settings.retry_least, this->settings.retry_longest);
+    bool listed = false;
     while (!this->stopped) {
-      if (!this->watching) {
+      if (!this->watching && (listed || this->Complete())) {
         this->runtime->SleepFor(this->settings.mode_period);
         continue;
       }
@@ -147,6 +150,7 @@
         continue;
       }
       backoff.Reset();
+      listed = true;
       this->NoteAnswer();
       this->TakeListing(kind, listing.value());
       this->WatchFrom(kind, listing.value().revision);
@@ -156,8 +160,10 @@
   void WatchFrom(StoreKind kind, std::uint64_t revision) {
     Backoff backoff(this->settings.retry_least, this->settings.retry_longest);
     while (!this->stopped && this->watching) {
-      const auto changes =
-          this->store->Watch(kind, revision, this->settings.watch_wait);
+      const auto changes = this->store->Watch(
+          kind, revision,
+          kind == StoreKind::kConfig ? this->settings.config_watch_wait
+                                     : this->settings.workers_watch_wait);
       if (changes.has_error()) {
         this->NoteFailure(kind, changes.error());
         if (changes.error().code == StoreErrorCode::kHistoryGone ||
@@ -171,9 +177,16 @@
       this->NoteAnswer();
       this->TakeChanges(kind, changes.value(), revision);
       revision = std::max(revision, changes.value().revision);
+      if (kind == StoreKind::kWorkers && !changes.value().changes.empty()) {
+        this->runtime->SleepFor(this->settings.collect);
+      }
     }
   }
 
+  bool Complete() const {
+    return this->world->Table() != nullptr && this->known.WorkersRevision() > 0;
+  }
+
   void NoteFailure(StoreKind kind, const StoreError& error) {
     if (!this->troubled) {
       this->troubled = true;
@@ -444,8 +457,8 @@
   StateLog known;
 
   bool stopped = false;
-  bool watching = true;  ///< this VM watches the store itself
-  bool up = false;       ///< it does, and the store answers
+  bool watching = false;  ///< this VM watches the store itself
+  bool up = false;        ///< it does, and the store answers
   bool lost_store = false;
   bool troubled = false;  ///< the last call to the store has failed
   bool fetching = false;  ///< a configuration is asked for
@@ -483,8 +496,7 @@
 }
 
 bool StoreSync::Complete() const {
-  return this->state->world->Table() != nullptr &&
-         this->state->known.WorkersRevision() > 0;
+  return this->state->Complete();
 }
 
 void StoreSync::FetchConfig(const io::Endpoint& peer) {
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -19,8 +19,13 @@
 /// Describes a StoreSync.
 struct StoreSyncSettings {
   /// A watch without a change returns after this time, so that a connection
-  /// that has gone silent is noticed soon.
-  Duration watch_wait = milliseconds(1000);
+  /// that has gone silent is noticed soon. Configurations also travel by
+  /// gossip.
+  Duration workers_watch_wait = milliseconds(1000);
+  Duration config_watch_wait = milliseconds(2000);
+  /// Changes of workers that follow each other this soon are asked for in one
+  /// call.
+  Duration collect = milliseconds(120);
   Duration retry_least = milliseconds(50);
   Duration retry_longest = milliseconds(1000);
   /// Without an answer for this long the store counts as out of reach.
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -34,6 +34,10 @@
 constexpr Duration kUnacknowledgedLimit = seconds(3);
 constexpr std::size_t kIdleConnections = 64;  // to one backend server
 constexpr std::uint32_t kReservedDescriptors = 200;
+// Gossip reaches a fresh VM's whole data centre within a few round trips.
+constexpr Duration kFirstGossip = milliseconds(400);
+// VMs of a fleet start within 0.3 s; by then its first relays have listed.
+constexpr Duration kFleetStart = milliseconds(1500);
 
 std::uint64_t BootId(io::Runtime& runtime) {
   return static_cast<std::uint64_t>(runtime.WallNow().milliseconds);
@@ -73,6 +77,7 @@
         settings(std::move(settings)),
         command_line(command_line),
         log(this->settings.log),
+        started(runtime.Now()),
         boot_id(BootId(runtime)),
         world(this->BeliefSettings(),
               HashCombine(HashText(this->settings.ip), this->boot_id)) {}
@@ -162,15 +167,23 @@
     fleet::StoreSyncEvents events;
     events.config_changed = [this] { this->OnConfigChanged(); };
     events.store_changed = [this](bool up) { this->peers->SetStoreUp(up); };
-    events.is_relay = [this] {
-      return fleet::IsRelay(this->peers->Members(), this->settings.ip);
-    };
+    events.is_relay = [this] { return this->IsRelay(); };
     events.relays = [this] { return this->Relays(); };
     this->sync = fleet::StoreSync::Create(&this->runtime, this->store.get(),
                                           &this->world, &this->metrics,
                                           &this->log, {}, std::move(events));
   }
 
+  // Right after its start a VM knows no peers, and nobody says yet that it
+  // reaches the store; all would watch it.
+  bool IsRelay() const {
+    const Duration age = this->runtime.Now() - this->started;
+    return age >= kFirstGossip &&
+           fleet::IsRelay(this->peers->Members(), this->settings.ip,
+                          age < kFleetStart ? fleet::FleetPhase::kStarting
+                                            : fleet::FleetPhase::kSteady);
+  }
+
   bool CreateServers() {
     serving::RouterParts parts;
     parts.runtime = &this->runtime;
@@ -458,6 +471,7 @@
   app::CommandLine command_line;
   Logger log;
   MetricsRegistry metrics;
+  Instant started;
   std::uint64_t boot_id;
   serving::World world;
   bool leaving = false;
--- a/unit_tests/fleet_test.cc
+++ b/unit_tests/fleet_test.cc
@@ -46,9 +46,9 @@
   std::vector<Member> members = {MemberOf("10.0.0.1", "a"),
                                  MemberOf("10.0.0.2", "a"),
                                  MemberOf("10.0.0.3", "b")};
-  cr_assert(IsRelay(members, "10.0.0.1"));
-  cr_assert(!IsRelay(members, "10.0.0.2"));
-  cr_assert(IsRelay(members, "10.0.0.3"));
+  cr_assert(IsRelay(members, "10.0.0.1", FleetPhase::kSteady));
+  cr_assert(!IsRelay(members, "10.0.0.2", FleetPhase::kSteady));
+  cr_assert(IsRelay(members, "10.0.0.3", FleetPhase::kSteady));
   // The next one takes over from one that is gone, suspected, or turned away.
   for (int fault = 0; fault < 3; ++fault) {
     auto changed = members;
@@ -56,7 +56,18 @@
     changed[0].status = fault == 1   ? Status::kDead
                         : fault == 2 ? Status::kSuspect
                                      : Status::kAlive;
-    cr_assert(IsRelay(changed, "10.0.0.2"), "fault %d", fault);
+    cr_assert(IsRelay(changed, "10.0.0.2", FleetPhase::kSteady), "fault %d",
+              fault);
+  }
+  // While a fleet starts nobody has heard from the store yet.
+  for (Member& member : members) {
+    member.store_up = false;
+  }
+  cr_assert(IsRelay(members, "10.0.0.1", FleetPhase::kStarting));
+  cr_assert(!IsRelay(members, "10.0.0.2", FleetPhase::kStarting));
+  cr_assert(IsRelay(members, "10.0.0.2", FleetPhase::kSteady));
+  for (Member& member : members) {
+    member.store_up = true;
   }
   const auto relays = RelaysFor(members, "10.0.0.2");
   cr_assert_eq(relays.size(), 2);
--- a/unit_tests/store_sync_test.cc
+++ b/unit_tests/store_sync_test.cc
@@ -50,6 +50,7 @@
         })) {}
 
   bool refusing = false;
+  int watches = 0;
 
  private:
   void Handle(io::HttpExchange& exchange) {
@@ -58,6 +59,7 @@
     }
     const io::HttpRequest& request = exchange.Request();
     if (request.QueryParameter("watch")) {
+      ++this->watches;
       this->runtime.SleepFor(milliseconds(50));
       return exchange.Respond({this->refusing ? 503U : 200U,
                                {},
@@ -77,7 +79,7 @@
 // One VM under test.
 class Vm {
  public:
-  Vm(io::Runtime& runtime, std::uint16_t store_port)
+  Vm(io::Runtime& runtime, std::uint16_t store_port, bool relay = true)
       : log({"test", "vm", LogLevel::kError, LogFormat::kKeyValue}),
         world({}, 1),
         store(platform::StoreClient::Create(&runtime,
@@ -86,7 +88,7 @@
     StoreSyncEvents events;
     events.config_changed = [] {};
     events.store_changed = [](bool) {};
-    events.is_relay = [] { return true; };
+    events.is_relay = [relay] { return relay; };
     events.relays = [] { return std::vector<io::Endpoint>(); };
     this->sync =
         StoreSync::Create(&runtime, this->store.get(), &this->world,
@@ -161,3 +163,17 @@
     cr_assert_eq(vm.world.Table()->Version(), 5);
   });
 }
+
+// Pattern: a large fleet starts at once while its workers register.
+Test(store_sync, a_vm_that_is_no_relay_lists_once_and_does_not_watch) {
+  OnRuntime([](io::Runtime& runtime) {
+    ScriptedStore store(runtime, 23020);
+    Vm vm(runtime, 23020, false);
+    runtime.SleepFor(milliseconds(600));
+    cr_assert(vm.sync->Complete());
+    cr_assert_eq(store.watches, 0);
+    // Nobody tells it anything: in the end it watches for itself.
+    runtime.SleepFor(milliseconds(1800));
+    cr_assert_gt(store.watches, 0);
+  });
+}
