Workers that go on refusing are told to peers; placement goes on while nobody reaches the store

Nobody closed the gaps: an order needs a fresh read of the claim.

Ruled out: want of room (fills under 0.7), Retry-After (the same after each return).

Change: a worker that refuses twice in a row though loads say that it has room is avoided for 1 to 4 s, here and by all peers, and is no part of a plan; a change of its layers ends that. The decider gives orders without a fresh read if no member reaches the store: nobody can take the claim over then. A notice that is known already is not told to all members again (each finder told 78 others before).

Tests: serving_test (peers_are_told_of_a_worker_that_refuses_though_it_has_room, refusals_are_forgotten_once_a_worker_holds_other_layers), membership_test (what_is_known_of_a_backend_server_is_not_told_to_all_again).

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -249,8 +249,7 @@
   }
 
   void Do(const membership::LeavingHeard& heard) {
-    this->log->Debug("worker.leaving_heard",
-                     {{"worker", heard.notice.backend}});
+    this->events.refusing(heard.notice.backend);
   }
 
   void Do(const membership::UnreachableHeard& heard) {
@@ -337,6 +336,11 @@
       {backend, this->state->runtime->WallNow()}));
 }
 
+void PeerGroup::SpreadRefusing(const std::string& backend) {
+  this->state->Apply(this->state->detector.AddLeaving(
+      {backend, this->state->runtime->WallNow()}));
+}
+
 std::vector<Member> PeerGroup::Members() const {
   return this->state->detector.Members();
 }
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -37,6 +37,7 @@
 struct PeerGroupEvents {
   std::function<void(const quarantine::Strike&)> strike;
   std::function<void(const std::string& backend)> unreachable;
+  std::function<void(const std::string& backend)> refusing;
   std::function<void(const membership::Member& holder)> newer_config;
   std::function<void(const std::string& peer,
                      LoadScope scope,
@@ -67,6 +68,7 @@
 
   void SpreadStrike(const quarantine::Strike& strike);
   void SpreadUnreachable(const std::string& backend);
+  void SpreadRefusing(const std::string& backend);
 
   /// All members known, this VM first, dead ones too.
   std::vector<membership::Member> Members() const;
--- a/chervilpass/fleet/placement_keeper.cc
+++ b/chervilpass/fleet/placement_keeper.cc
@@ -176,7 +176,19 @@
     if (now - this->claim.ConfirmedSince() < this->settings.confirm_every) {
       return this->claim.Holds();
     }
-    return this->ReadClaim() && this->claim.Holds();
+    if (this->ReadClaim()) {
+      return this->claim.Holds();
+    }
+    // While nobody reaches the store nobody can take the claim over.
+    return this->claim.Holds() && !this->AnyoneReachesStore();
+  }
+
+  bool AnyoneReachesStore() const {
+    const auto known = this->members();
+    return std::any_of(
+        known.begin(), known.end(), [](const membership::Member& member) {
+          return member.store_up && member.status != membership::Status::kDead;
+        });
   }
 
   // ---- planning ----
@@ -267,7 +279,10 @@
         worker.layers = order->second.layers;
         worker.order_open = true;
       }
-      worker.usable = !this->world->IsUnreachable(server->id, now);
+      // A worker that gives layers up refuses as well, until the order is done.
+      worker.usable =
+          !this->world->IsUnreachable(server->id, now) &&
+          (worker.order_open || !this->world->IsRefusing(server->id, now));
       workers.push_back(std::move(worker));
     }
     return workers;
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -259,8 +259,12 @@
       return false;
     }
     for (const ObjectChange& change : *news) {
+      const auto before = this->LayersOf(change.object.name);
       this->world->Servers().ApplyChange(this->RecordOf(change.object),
                                          change.deleted, this->runtime->Now());
+      if (this->LayersOf(change.object.name) != before) {
+        this->world->OnLayersChanged(change.object.name);
+      }
       this->LogWorker(change);
     }
     if (!news->empty()) {
@@ -269,6 +273,11 @@
     return true;
   }
 
+  placement::LayerRange LayersOf(const std::string& worker) const {
+    const auto* server = this->world->Servers().Find(worker);
+    return server == nullptr ? placement::LayerRange{} : server->layers;
+  }
+
   void LogWorker(const ObjectChange& change) const {
     const auto* server = this->world->Servers().Find(change.object.name);
     this->log->Info(
--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -7,7 +7,10 @@
 namespace chervilpass::membership {
 namespace {
 
-constexpr std::size_t kRumoursKept = 64;        // of each kind
+constexpr std::size_t kRumoursKept = 64;  // of each kind
+// Many VMs find the same about a backend server at the same time; one that
+// finds it again this much later tells all members once more.
+constexpr milliseconds kNoticeRepeat{1000};
 constexpr std::size_t kRumoursPerDatagram = 8;  // of each kind
 
 template <class Rumours, class News>
@@ -221,8 +224,8 @@
   });
 }
 
-// True if nothing of the kind was known of the backend server; a later notice
-// on the same one keeps it known without being spread at once.
+// True if all members are to be told at once; a notice that follows another
+// soon keeps the news known without being spread at once.
 template <class Heard, class Notice>
 bool Detector::HearNotice(std::vector<Rumour<Notice>>* rumours,
                           const Notice& notice,
@@ -231,11 +234,12 @@
     if (known.news.backend != notice.backend) {
       continue;
     }
-    if (notice.at > known.news.at) {
+    const auto age = notice.at.milliseconds - known.news.at.milliseconds;
+    if (age > 0) {
       known = {notice, this->RetransmitLimit()};
       actions->push_back(Heard{notice});
     }
-    return false;
+    return age >= kNoticeRepeat.count();
   }
   rumours->push_back({notice, this->RetransmitLimit()});
   if (rumours->size() > kRumoursKept) {
@@ -459,10 +463,12 @@
 // stalls.
 DetectorActions Detector::AddUnreachable(const UnreachableNotice& notice) {
   DetectorActions actions;
-  this->HearNotice<UnreachableHeard>(&this->unreachable, notice, &actions);
-  GossipMessage news;
-  news.unreachable = {notice};
-  this->Broadcast(news, &actions);
+  if (this->HearNotice<UnreachableHeard>(&this->unreachable, notice,
+                                         &actions)) {
+    GossipMessage news;
+    news.unreachable = {notice};
+    this->Broadcast(news, &actions);
+  }
   return actions;
 }
 
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -53,7 +53,8 @@
   auto operator<=>(const WorkerLoadNotice&) const = default;
 };
 
-/// The VM list says that a backend server is leaving.
+/// A backend server takes no new work: the VM list says that it is leaving, or
+/// it has gone on refusing though it had room.
 struct LeavingNotice {
   std::string backend;
   WallTime at;  ///< when the VM list was read
--- a/chervilpass/routing/avoid_book.h
+++ b/chervilpass/routing/avoid_book.h
@@ -16,6 +16,7 @@
   kUnreachable,  ///< No connection, no answer, or requests stall there.
   kFull,         ///< It refused for want of room.
   kNotHolding,   ///< It does not hold the layers it was said to hold.
+  kRefusing,     ///< It goes on refusing though it has room: it is leaving.
 };
 
 /// Describes an AvoidBook.
@@ -32,6 +33,10 @@
   Duration full_memory = milliseconds(1000);
   /// Until the registration of the worker has caught up.
   Duration not_holding = milliseconds(1200);
+  /// For a worker that takes no new work; doubles with each time in a row. It
+  /// ends some seconds later, or its registration changes.
+  Duration refusing = milliseconds(1000);
+  Duration refusing_longest = seconds(4);
 
   bool operator==(const AvoidBookSettings&) const = default;
 };
@@ -56,10 +61,30 @@
       case AvoidReason::kNotHolding:
         return Extend(&record.not_holding, now, this->settings.not_holding,
                       this->settings.not_holding, Duration::zero());
+      case AvoidReason::kRefusing:
+        return Extend(&record.refusing, now, this->settings.refusing,
+                      this->settings.refusing_longest,
+                      this->settings.refusing_longest);
     }
     return false;
   }
 
+  /// True if it has refused for want of room more than once in a row.
+  bool RefusedInARow(const std::string& incarnation) const {
+    const auto found = this->records.find(incarnation);
+    return found != this->records.end() && found->second.full.times > 1;
+  }
+
+  /// It holds other layers than before: earlier refusals say nothing.
+  void ClearRefusals(const std::string& incarnation) {
+    const auto found = this->records.find(incarnation);
+    if (found != this->records.end()) {
+      found->second.full = Span{};
+      found->second.not_holding = Span{};
+      found->second.refusing = Span{};
+    }
+  }
+
   /// The worker has just carried a request to its end: it can be reached. That
   /// request may have begun before the worker became full.
   void Clear(const std::string& incarnation) {
@@ -81,6 +106,12 @@
            now < found->second.unreachable.until;
   }
 
+  /// True if it is avoided as one that goes on refusing.
+  bool IsRefusing(const std::string& incarnation, Instant now) const {
+    const auto found = this->records.find(incarnation);
+    return found != this->records.end() && now < found->second.refusing.until;
+  }
+
   /// Forgets records that have been over for long.
   void Expire(Instant now) {
     std::erase_if(this->records, [&](const auto& entry) {
@@ -99,10 +130,11 @@
     Span unreachable;
     Span full;
     Span not_holding;
+    Span refusing;
 
     Instant Until() const {
-      return std::max(
-          {this->unreachable.until, this->full.until, this->not_holding.until});
+      return std::max({this->unreachable.until, this->full.until,
+                       this->not_holding.until, this->refusing.until});
     }
   };
 
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -29,6 +29,8 @@
   Duration connect_timeout = milliseconds(400);
   /// Tells peers and the placement decider of a worker that does not answer.
   std::function<void(const std::string& worker)> report_unreachable;
+  /// Tells peers of a worker that takes no new work though it has room.
+  std::function<void(const std::string& worker)> report_refusing;
   /// Tells peers of a request that was running on a worker when it crashed.
   std::function<void(const quarantine::Strike&)> report_strike;
 };
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -220,11 +220,13 @@
       }
     }
     this->refusing.insert(culprit);
-    this->parts.world->Avoid(culprit,
-                             answer.status == 421
-                                 ? routing::AvoidReason::kNotHolding
-                                 : routing::AvoidReason::kFull,
-                             now);
+    if (answer.status == 421) {
+      this->parts.world->Avoid(culprit, routing::AvoidReason::kNotHolding, now);
+    } else if (this->parts.world->NoteRefusal(culprit, this->model, now)) {
+      this->parts.log->Info("worker.refusing",
+                            {{"worker", culprit}, {"status", answer.status}});
+      this->parts.report_refusing(culprit);
+    }
     return {SendOutcome::kNotExecuted,
             {},
             fmt::format("status {} from {}", answer.status, culprit),
--- a/chervilpass/serving/world.cc
+++ b/chervilpass/serving/world.cc
@@ -11,6 +11,9 @@
 // A server in another data centre is taken once the own ones are this much
 // fuller, as a share of their slots.
 constexpr double kRemoteServerPenalty = 0.3;
+// Share of slots or KV room from which a refusal is taken for want of room:
+// loads are told with a delay, and requests vary in length.
+constexpr double kFullFrom = 0.7;
 
 }  // namespace
 
@@ -45,6 +48,46 @@
   return this->avoid.IsAvoided(this->Incarnation(worker), now);
 }
 
+bool World::NoteRefusal(const std::string& worker,
+                        const placement::ModelProfile& model,
+                        Instant now) {
+  this->Avoid(worker, routing::AvoidReason::kFull, now);
+  return this->avoid.RefusedInARow(this->Incarnation(worker)) &&
+         !this->LooksFull(worker, model, now) &&
+         this->Avoid(worker, routing::AvoidReason::kRefusing, now);
+}
+
+bool World::LooksFull(const std::string& worker,
+                      const placement::ModelProfile& model,
+                      Instant now) const {
+  const routing::BackendServer* server = this->servers.Find(worker);
+  if (server == nullptr) {
+    return false;
+  }
+  placement::WorkerLoad load = this->loads.Own(worker);
+  const auto others = this->loads.OtherTotals(now);
+  const auto found = others.find(placement::WorkerKey(worker));
+  if (found != others.end()) {
+    load.sequences += found->second.sequences;
+    load.kv_token_layers += found->second.kv_token_layers;
+  }
+  const auto kind = model.kinds.find(server->accelerator_kind);
+  const double room =
+      kind == model.kinds.end()
+          ? 0
+          : model.KvTokenLayers(kind->second, server->layers.Size());
+  return load.sequences > kFullFrom * model.batch_limit ||
+         load.kv_token_layers > kFullFrom * room;
+}
+
+void World::OnLayersChanged(const std::string& worker) {
+  this->avoid.ClearRefusals(this->Incarnation(worker));
+}
+
+bool World::IsRefusing(const std::string& worker, Instant now) const {
+  return this->avoid.IsRefusing(this->Incarnation(worker), now);
+}
+
 bool World::IsUnreachable(const std::string& worker, Instant now) const {
   return this->avoid.IsUnreachable(this->Incarnation(worker), now);
 }
--- a/chervilpass/serving/world.h
+++ b/chervilpass/serving/world.h
@@ -78,7 +78,17 @@
              routing::AvoidReason reason,
              Instant now);
 
+  /// A worker has refused a request that it did not run. True if it goes on
+  /// doing so though, as far as is known, it has room: others should be told.
+  bool NoteRefusal(const std::string& worker,
+                   const placement::ModelProfile& model,
+                   Instant now);
+
+  /// A worker holds other layers than before.
+  void OnLayersChanged(const std::string& worker);
+
   bool IsAvoided(const std::string& worker, Instant now) const;
+  bool IsRefusing(const std::string& worker, Instant now) const;
   bool IsUnreachable(const std::string& worker, Instant now) const;
 
   /// A worker has carried a request to its end.
@@ -100,6 +110,11 @@
  private:
   std::string Incarnation(const std::string& worker) const;
 
+  // By the loads that entries tell each other.
+  bool LooksFull(const std::string& worker,
+                 const placement::ModelProfile& model,
+                 Instant now) const;
+
   WorldSettings settings;
   std::shared_ptr<const routing::RouteTable> table;  ///< null until known
   routing::ServerBook servers{routing::ServerBookSettings{}};
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -136,6 +136,10 @@
     events.unreachable = [this](const std::string& worker) {
       this->OnPeerFoundUnreachable(worker);
     };
+    events.refusing = [this](const std::string& worker) {
+      this->world.Avoid(worker, routing::AvoidReason::kRefusing,
+                        this->runtime.Now());
+    };
     events.newer_config = [this](const membership::Member& holder) {
       this->sync->FetchConfig({holder.ip, holder.control_port});
     };
@@ -195,6 +199,9 @@
       this->peers->SpreadUnreachable(worker);
       this->placement->OnSuspect(worker);
     };
+    parts.report_refusing = [this](const std::string& worker) {
+      this->peers->SpreadRefusing(worker);
+    };
     parts.report_strike = [this](const quarantine::Strike& strike) {
       this->peers->SpreadStrike(strike);
     };
--- a/unit_tests/membership_test.cc
+++ b/unit_tests/membership_test.cc
@@ -251,6 +251,28 @@
   cr_assert_eq(network.leaving.size(), 30);
 }
 
+// Many VMs find a dead backend server within the same moment.
+Test(detector, what_is_known_of_a_backend_server_is_not_told_to_all_again) {
+  Network network(30);
+  network.RunFor(seconds(15));
+  const auto sends = [&network](const std::string& vm, std::int64_t at) {
+    const DetectorActions actions =
+        network.nodes.at(vm).AddUnreachable({"backend", {at}});
+    const auto count =
+        std::count_if(actions.begin(), actions.end(), [](const auto& action) {
+          return std::holds_alternative<SendGossip>(action);
+        });
+    network.Apply(vm, actions);
+    return count;
+  };
+  cr_assert_eq(sends("vm-3", 1000), 29);
+  network.RunFor(milliseconds(10));
+  cr_assert_eq(sends("vm-4", 1200), 0);
+  cr_assert_eq(sends("vm-3", 1400), 0);
+  // Still unreachable later: worth telling once more.
+  cr_assert_eq(sends("vm-4", 2500), 29);
+}
+
 Test(detector, messages_per_node_do_not_grow_with_the_fleet) {
   const auto messages_per_node = [](int nodes) {
     Network network(nodes);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -37,6 +37,7 @@
     parts.metrics = &this->metrics;
     parts.log = &this->log;
     parts.report_unreachable = [](const std::string&) {};
+    parts.report_refusing = [](const std::string&) {};
     parts.report_strike = [this](const quarantine::Strike&) {
       ++this->strikes;
     };
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -261,6 +261,22 @@
   cr_assert(!book.IsUnreachable("w", kStart + seconds(8)));
 }
 
+Test(avoid_book, refusals_are_forgotten_once_a_worker_holds_other_layers) {
+  AvoidBook book{AvoidBookSettings{}};
+  book.Avoid("w", AvoidReason::kFull, kStart);
+  cr_assert(!book.RefusedInARow("w"));
+  book.Avoid("w", AvoidReason::kFull, kStart + milliseconds(300));
+  cr_assert(book.RefusedInARow("w"));
+  book.Avoid("w", AvoidReason::kRefusing, kStart + milliseconds(300));
+  cr_assert(book.IsRefusing("w", kStart + milliseconds(1200)));
+  // What a peer has found makes a worker avoided, not unreachable.
+  cr_assert(book.IsAvoided("w", kStart + milliseconds(1200)));
+  cr_assert(!book.IsUnreachable("w", kStart + milliseconds(1200)));
+  book.ClearRefusals("w");
+  cr_assert(!book.IsAvoided("w", kStart + milliseconds(400)));
+  cr_assert(!book.RefusedInARow("w"));
+}
+
 Test(world, a_configuration_is_never_replaced_by_an_older_one) {
   World world({}, 1);
   RouteTableParts parts;
@@ -286,6 +302,37 @@
 }
 
 // Pattern: burst on a plain service.
+// Pattern: the store is away while workers leave, so that only their refusals
+// tell that they take no new work.
+Test(world, peers_are_told_of_a_worker_that_refuses_though_it_has_room) {
+  World world({}, 1);
+  placement::ModelProfile model;
+  model.layers = 80;
+  model.layer_mb = 1750;
+  model.kv_bytes_per_token = 426000;
+  model.batch_limit = 192;
+  model.kinds["k"] = {36000, 1, 1};
+  ServerRecord record = Record("w", 1, 80);
+  record.server->layers = {0, 10};
+  record.server->accelerator_kind = "k";
+  world.Servers().ApplyChange(record, false, kStart);
+  Instant now = kStart;
+  cr_assert(!world.NoteRefusal("w", model, now), "one refusal may be chance");
+  now += milliseconds(300);
+  cr_assert(world.NoteRefusal("w", model, now));
+  cr_assert(world.IsRefusing("w", now + milliseconds(900)));
+  cr_assert(!world.NoteRefusal("w", model, now), "told already");
+  // A full worker is left alone for a moment only, and nobody is told.
+  world.OnLayersChanged("w");
+  cr_assert(!world.IsAvoided("w", now));
+  world.Loads().OnPeerLoads("peer", {{placement::WorkerKey("w"), {180, 0, 0}}},
+                            now);
+  world.NoteRefusal("w", model, now);
+  now += milliseconds(300);
+  cr_assert(!world.NoteRefusal("w", model, now));
+  cr_assert(!world.IsRefusing("w", now));
+}
+
 Test(world, plain_requests_go_where_slots_are_free) {
   WorldSettings settings;
   settings.data_centre = "a";
