Streams of a lost worker go on elsewhere within half a second; fresh VMs let requests wait

Ruled out: slow detection alone (silence was noticed after 180 ms), want of room.

Change: workers of a path that has been silent for 90 ms, or 2.5 usual pauses, are asked whether they are there, unless another stream has just come through them; what one VM finds moves the waiting streams of all. A stream that may be resumed, with an attempt and the retry budget left, runs again on a path of its own; others are moved, leaving parts included. A run given up for another part counts as an attempt. Requests wait for a third of their time at most while a VM is less than a second old.

Tests: router_test (a_stream_whose_worker_is_gone_runs_again_elsewhere_at_once, a_stream_that_may_not_run_again_is_moved_in_place, what_a_peer_has_found_moves_..., requests_wait_while_a_fresh_vm_learns_what_it_needs). The test of streams moved together now uses a route that allows one attempt, since others are not moved any more; its checks are the same.

--- a/chervilpass/routing/server_book.h
+++ b/chervilpass/routing/server_book.h
@@ -58,6 +58,8 @@
   void Expire(Instant now);
 
   /// Null if it is not registered.
+  bool Empty() const { return this->entries.empty(); }
+
   const BackendServer* Find(const std::string& id) const;
   const BackendServer* FindByAddress(const io::Endpoint& address) const;
 
--- a/chervilpass/serving/attempt_policy.h
+++ b/chervilpass/serving/attempt_policy.h
@@ -85,6 +85,12 @@
     this->attempts += this->forgiven <= kMostForgiven ? 1 : 0;
   }
 
+  /// True if the send that is in progress may be followed by another one once
+  /// it has run in part.
+  bool MayRunAgain() const {
+    return this->may_repeat && this->may_have_run + 1 < this->attempts;
+  }
+
   /// Whether any send can have run.
   admission::Executed Executed() const {
     return this->may_have_run == 0 ? admission::Executed::kNo
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -18,6 +18,7 @@
 constexpr Duration kNotReadyComeBack = milliseconds(500);
 // Another VM can take the request at once.
 constexpr Duration kLeavingComeBack = milliseconds(50);
+constexpr Duration kStartPoll = milliseconds(20);
 
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
@@ -32,6 +33,7 @@
 struct Router::State {
   RouterParts parts;
   RouterSettings settings;
+  Instant started{};
   std::unique_ptr<StreamRegistry> streams;
   std::optional<Instant> end;
   std::size_t in_flight = 0;
@@ -44,6 +46,7 @@
                     Duration::zero(), facts.error().detail, 0);
     }
     context->facts = facts.value();
+    this->AwaitKnowledge(*context);
     context->table = this->parts.world->Table();
     if (!context->table) {
       return Refuse(*context, RefusalCode::kNotReady, Executed::kNo,
@@ -62,6 +65,19 @@
     return this->ServeRouted(context);
   }
 
+  // After a restart callers are back sooner than the store's answers.
+  void AwaitKnowledge(const RequestContext& context) const {
+    const World& world = *this->parts.world;
+    const Duration share =
+        context.facts.time_left.value_or(this->settings.default_deadline) / 3;
+    const Instant end = std::min(this->started + this->settings.start,
+                                 context.received + share);
+    while ((!world.Table() || world.Servers().Empty()) &&
+           this->parts.runtime->Now() < end) {
+      this->parts.runtime->SleepFor(kStartPoll);
+    }
+  }
+
   // Open routes take any caller and pass no organisation on.
   bool Authenticate(RequestContext* context) const {
     if (context->route->open || !context->table->KeysRequired()) {
@@ -167,6 +183,7 @@
   auto state = std::make_unique<State>();
   state->parts = std::move(parts);
   state->settings = settings;
+  state->started = state->parts.runtime->Now();
   state->streams = StreamRegistry::Create(&state->parts, settings.streams);
   return std::unique_ptr<Router>(new Router(std::move(state)));
 }
@@ -194,6 +211,10 @@
   this->state->end = end;
 }
 
+void Router::OnPeerFoundUnreachable(const std::string& worker) {
+  this->state->streams->OnPeerFoundUnreachable(worker);
+}
+
 std::size_t Router::InFlight() const {
   return this->state->in_flight;
 }
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -17,6 +17,9 @@
   Duration default_deadline = seconds(60);
   /// A leaving VM refuses streams that would not end before it does.
   Duration longest_stream_while_leaving = milliseconds(4500);
+  /// For so long after its start a VM lets requests wait until it knows the
+  /// configuration and the backend servers, a third of their time at most.
+  Duration start = seconds(1);
   /// Requests served in time that get a line in the log: one in so many. Others
   /// get one always.
   std::uint32_t log_one_served_in = 20;
@@ -42,6 +45,9 @@
   void SetEnd(Instant end);
 
   /// Requests in progress.
+  /// A peer has found a worker unreachable.
+  void OnPeerFoundUnreachable(const std::string& worker);
+
   std::size_t InFlight() const;
 
  private:
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -38,20 +38,42 @@
 
   void LookAtAll() {
     const Instant now = this->parts->runtime->Now();
+    if (now - this->last_look > this->settings.own_stall) {
+      this->last_stall = now;
+    }
+    this->last_look = now;
+    std::erase_if(this->answered, [&](const auto& entry) {
+      return now - entry.second > this->settings.probe_again;
+    });
+    std::erase_if(this->examined_at, [&](const auto& entry) {
+      return now - entry.second > this->settings.examine_again;
+    });
+    const std::set<std::string> lively = this->LivelyWorkers(now);
     for (ActiveStream* stream : this->streams) {
-      if (stream->path.empty() || stream->moving || stream->scope->Ended()) {
+      if (stream->path.empty() || stream->moving ||
+          stream->scope->Reason() != StopReason::kNone) {
         continue;
       }
       const Duration silent = now - stream->last_progress;
-      const Duration limit = stream->first_event_seen || stream->moved
-                                 ? this->settings.event_gap
-                                 : this->settings.first_event_gap;
-      if (silent < limit) {
+      const Duration unusual = this->UnusualPause(*stream);
+      if (silent < std::max(unusual, this->settings.probe_gap)) {
         continue;
       }
       if (this->HasUnreachablePart(*stream, now)) {
-        this->StartMove(stream, {});
-      } else if (silent >= this->settings.give_up_gap && stream->resumable) {
+        if (!this->TryResume(stream)) {
+          this->StartMove(stream, {});
+        }
+        continue;
+      }
+      const bool expects_event = ExpectsEvent(*stream);
+      if (expects_event) {
+        this->ProbePath(*stream, lively);
+      }
+      if (silent < (expects_event ? std::max(unusual, this->settings.event_gap)
+                                  : this->settings.first_event_gap)) {
+        continue;
+      }
+      if (silent >= this->settings.give_up_gap && stream->may_resume) {
         this->GiveUp(stream, "no event for too long");
       } else {
         this->StartExamining(stream->path.front());
@@ -59,6 +81,87 @@
     }
   }
 
+  // Prompts wait for their turn, at first and on workers that a stream has been
+  // moved to.
+  static bool ExpectsEvent(const ActiveStream& stream) {
+    return stream.first_event_seen && !stream.moved;
+  }
+
+  Duration UnusualPause(const ActiveStream& stream) const {
+    return duration_cast<Duration>(this->settings.unusual_pause *
+                                   stream.usual_pause);
+  }
+
+  std::set<std::string> LivelyWorkers(Instant now) const {
+    std::set<std::string> lively;
+    for (const ActiveStream* stream : this->streams) {
+      if (ExpectsEvent(*stream) &&
+          now - stream->last_progress < this->settings.lively_gap) {
+        for (const PathPart& part : stream->path) {
+          lively.insert(part.worker);
+        }
+      }
+    }
+    return lively;
+  }
+
+  // Reports lag behind, so that a worker which is gone is found sooner by
+  // asking each that no other stream has just come through.
+  void ProbePath(const ActiveStream& stream,
+                 const std::set<std::string>& lively) {
+    for (const PathPart& part : stream.path) {
+      if (!lively.contains(part.worker) &&
+          !this->answered.contains(part.worker)) {
+        this->StartProbe(part);
+      }
+    }
+  }
+
+  void StartProbe(const PathPart& part) {
+    if (!this->examined.insert(part.worker).second) {
+      return;
+    }
+    this->parts->runtime->Spawn(
+        [self = this->shared_from_this(), part] { self->Probe(part); });
+  }
+
+  void Probe(const PathPart& part) {
+    const Instant start = this->parts->runtime->Now();
+    const bool answers =
+        this->AnswersAt(part.address, this->settings.verify_timeout);
+    this->examined.erase(part.worker);
+    if (answers) {
+      this->answered[part.worker] = this->parts->runtime->Now();
+    } else if (this->last_stall < start && !this->stopped) {
+      NoteUnreachable(*this->parts, part.worker,
+                      "no answer while a stream waits");
+      this->LookAtAll();
+    }
+  }
+
+  void OnPeerFoundUnreachable(const std::string& worker) {
+    const Instant now = this->parts->runtime->Now();
+    for (const ActiveStream* stream : this->streams) {
+      if (!ExpectsEvent(*stream)) {
+        continue;
+      }
+      for (const PathPart& part : stream->path) {
+        const Duration silent = now - stream->last_progress;
+        if (part.worker != worker || silent < this->settings.lively_gap) {
+          continue;
+        }
+        if (silent < this->settings.probe_gap) {
+          this->StartProbe(part);
+          continue;
+        }
+        NoteUnreachable(*this->parts, worker,
+                        "found by a peer, a stream waits");
+        this->LookAtAll();
+        return;
+      }
+    }
+  }
+
   bool HasUnreachablePart(const ActiveStream& stream, Instant now) const {
     return std::any_of(
         stream.path.begin(), stream.path.end(), [&](const PathPart& part) {
@@ -66,6 +169,30 @@
         });
   }
 
+  // Another run on a path of its own goes on sooner than a move: the workers
+  // that take over in a move read the tokens of all streams of the lost one.
+  bool TryResume(ActiveStream* stream) {
+    if (!stream->may_resume || !this->HasOtherPath(*stream) ||
+        !this->parts->world->Retries().TryRetry()) {
+      return false;
+    }
+    stream->resume_paid = true;
+    this->GiveUp(stream, "a worker of its path is gone");
+    return true;
+  }
+
+  bool HasOtherPath(const ActiveStream& stream) const {
+    placement::PathQuery query;
+    query.layers = {0, stream.model->layers};
+    query.from_data_centre = this->parts->world->Settings().data_centre;
+    query.prompt_tokens = stream.prompt_tokens;
+    query.answer_tokens = stream.answer_tokens;
+    return this->parts->world
+        ->FindPath(stream.service, *stream.model, query,
+                   this->parts->runtime->Now())
+        .has_value();
+  }
+
   void GiveUp(ActiveStream* stream, std::string_view reason) {
     this->parts->log->Info("stream.stalled",
                            {{"request", stream->request_id},
@@ -78,9 +205,11 @@
   // Asks the first worker of a path which of its requests wait for whom; one
   // question at a time serves all streams that begin there.
   void StartExamining(const PathPart& first) {
-    if (!this->examined.insert(first.worker).second) {
+    if (this->examined_at.contains(first.worker) ||
+        !this->examined.insert(first.worker).second) {
       return;
     }
+    this->examined_at[first.worker] = this->parts->runtime->Now();
     this->parts->runtime->Spawn(
         [self = this->shared_from_this(), first] { self->Examine(first); });
   }
@@ -164,13 +293,14 @@
   // True if the worker answers a question about itself.
   bool Answers(const std::string& worker) const {
     const auto* server = this->parts->world->Servers().Find(worker);
-    if (server == nullptr) {
-      return false;
-    }
+    return server != nullptr &&
+           this->AnswersAt(server->address, this->settings.report_timeout);
+  }
+
+  bool AnswersAt(const io::Endpoint& address, Duration timeout) const {
     io::HttpRequest request;
     request.path = platform::ReportPath();
-    const auto answer = this->parts->http->Call(server->address, request,
-                                                this->settings.report_timeout,
+    const auto answer = this->parts->http->Call(address, request, timeout,
                                                 io::ConnectionUse::kFresh);
     return answer.has_value() && answer.value().status == 200;
   }
@@ -215,8 +345,7 @@
       used.insert(part.worker);
     }
     for (const PathPart& part : stream.path) {
-      if (!world.IsUnreachable(part.worker, now) &&
-          !refusing.contains(part.worker)) {
+      if (!refusing.contains(part.worker) && this->CanKeep(part, now)) {
         path.push_back(part);
         continue;
       }
@@ -245,6 +374,16 @@
     return path;
   }
 
+  // A worker that is leaving goes on with what it has, but takes no part in a
+  // new path.
+  bool CanKeep(const PathPart& part, Instant now) const {
+    const World& world = *this->parts->world;
+    const auto* server = world.Servers().Find(part.worker);
+    return !world.IsUnreachable(part.worker, now) &&
+           !world.IsRefusing(part.worker, now) &&
+           (server == nullptr || !server->leaving);
+  }
+
   void Move(ActiveStream* stream,
             const std::string& id,
             const std::set<std::string>& waited_for) {
@@ -314,7 +453,7 @@
     if (!waited_for.empty()) {
       return;  // it may still go on where it is
     }
-    if (stream->resumable) {
+    if (stream->may_resume) {
       this->GiveUp(stream, "its path cannot be mended");
     } else {
       // Nothing else can finish it: keep hoping for the worker.
@@ -347,6 +486,10 @@
   StreamRegistrySettings settings;
   std::set<ActiveStream*> streams;
   std::set<std::string> examined;  ///< workers whose report is asked for now
+  std::map<std::string, Instant> answered;     ///< probed workers, lately
+  std::map<std::string, Instant> examined_at;  ///< first workers, lately
+  Instant last_look{};
+  Instant last_stall{};  ///< this VM has stood still until then
   bool stopped = false;
 };
 
@@ -383,8 +526,8 @@
   });
 }
 
-std::size_t StreamRegistry::Count() const {
-  return this->state->streams.size();
+void StreamRegistry::OnPeerFoundUnreachable(const std::string& worker) {
+  this->state->OnPeerFoundUnreachable(worker);
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -14,10 +14,22 @@
 /// Describes a StreamRegistry.
 struct StreamRegistrySettings {
   /// How often streams are looked at.
-  Duration tick = milliseconds(50);
-  /// Silence of a running stream after which its path is examined. Events come
-  /// every few tens of milliseconds.
+  Duration tick = milliseconds(20);
+  /// Silence of a running stream after which the workers of its path are asked
+  /// whether they are there. Events come every few tens of milliseconds; routes
+  /// allow pauses of some 200 ms, of which a move to other workers takes half.
+  Duration probe_gap = milliseconds(90);
+  /// A stream whose events come slowly is silent for longer than usual only
+  /// after this many times the usual pause.
+  double unusual_pause = 2.5;
+  /// Workers that serve a stream with an event this recent are there.
+  Duration lively_gap = milliseconds(50);
+  /// A worker that has answered is not asked again for this long.
+  Duration probe_again = milliseconds(400);
+  /// Silence after which the first worker is asked whom its requests wait for.
   Duration event_gap = milliseconds(180);
+  /// Its report is some hundred ms old, so that it is not asked again sooner.
+  Duration examine_again = milliseconds(150);
   /// The same before the first event: prompts wait for their turn.
   Duration first_event_gap = milliseconds(700);
   /// After this silence the run is given up, if no fault was found and the
@@ -27,7 +39,10 @@
   Duration report_timeout = milliseconds(250);
   /// Time for a worker that is suspected to show that it is there; a report
   /// takes a few milliseconds and no slot.
-  Duration verify_timeout = milliseconds(150);
+  Duration verify_timeout = milliseconds(100);
+  /// A look that comes this late means that this VM stood still: what seemed
+  /// to time out meanwhile says nothing.
+  Duration own_stall = milliseconds(60);
 
   bool operator==(const StreamRegistrySettings&) const = default;
 };
@@ -38,13 +53,15 @@
   std::string service;
   const placement::ModelProfile* model = nullptr;
   CallScope* scope = nullptr;
-  bool resumable = false;
+  bool may_resume = false;   ///< another run is allowed once this one ended
+  bool resume_paid = false;  ///< out of the retry budget
 
   placement::Path path;  ///< empty while no run is in progress
   double tokens = 0;     ///< reserved on the path
   double prompt_tokens = 0;
   double answer_tokens = 0;
   Instant last_progress{};
+  Duration usual_pause{0};  ///< smoothed, between two events
   bool first_event_seen = false;
   bool moving = false;  ///< an order for another path is on its way
   bool moved = false;   ///< since the last event
@@ -69,7 +86,9 @@
                std::string evidence,
                std::function<void()> on_dead);
 
-  std::size_t Count() const;
+  /// A peer has found a worker unreachable. Streams that wait for it are moved
+  /// sooner than on this VM's own evidence.
+  void OnPeerFoundUnreachable(const std::string& worker);
 
  private:
   struct State;
--- a/chervilpass/serving/stream_relay.cc
+++ b/chervilpass/serving/stream_relay.cc
@@ -1,5 +1,7 @@
 #include "chervilpass/serving/stream_relay.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 #include "chervilpass/serving/call_relay.h"
@@ -25,6 +27,11 @@
 // A lost worker is forgiven to the route's number of attempts only if the run
 // broke off in the middle, not if the worker refused.
 constexpr double kLeastAnswerTokens = 16;
+// Weight of the latest pause in the smoothed one: some ten events count.
+constexpr double kPauseWeight = 0.2;
+// Callers leave a stream after two seconds without an event.
+constexpr Duration kLongestWaitForPath = milliseconds(1500);
+constexpr Duration kPathPoll = milliseconds(50);
 
 // How one run on one path ended.
 struct Run {
@@ -52,7 +59,6 @@
     this->stream.service = context.service;
     this->stream.model = &model;
     this->stream.scope = &this->scope;
-    this->stream.resumable = context.route->MayRepeat();
     this->SizeRequest();
     registry->Add(&this->stream);
   }
@@ -68,6 +74,10 @@
       }
       const auto path = this->FindPath();
       if (path.has_error()) {
+        if (this->MayWaitForPath()) {
+          this->parts.runtime->SleepFor(kPathPoll);
+          continue;
+        }
         return this->EndWithoutPath(path.error());
       }
       const Run run = this->RunOn(path.value().path);
@@ -82,8 +92,10 @@
         this->policy.ForgiveLostWorker();
       }
       const NextStep next = this->policy.OnSendEnded(
-          run.outcome, this->scope.TimeLeft(),
-          [&world] { return world.Retries().TryRetry(); });
+          run.outcome, this->scope.TimeLeft(), [this, &world] {
+            return std::exchange(this->stream.resume_paid, false) ||
+                   world.Retries().TryRetry();
+          });
       if (next != NextStep::kSendAgain) {
         return this->Finish(next, run);
       }
@@ -121,12 +133,20 @@
                                        query, this->parts.runtime->Now());
   }
 
+  // Once the caller has got events there is nothing to refuse any more: a path
+  // that is free soon completes the answer.
+  bool MayWaitForPath() const {
+    return this->begun &&
+           this->parts.runtime->Now() - this->last_event < kLongestWaitForPath;
+  }
+
   Run RunOn(const Path& path) {
     World& world = *this->parts.world;
     this->stream.path = path;
     this->stream.last_progress = this->parts.runtime->Now();
     this->stream.first_event_seen = false;
     this->stream.moved = false;
+    this->stream.may_resume = this->policy.MayRunAgain();
     this->last_path = path;
     world.Loads().Add(this->stream.path, this->stream.tokens);
     Run run = this->Send(path);
@@ -200,10 +220,16 @@
 
   // The connection broke or was given up: the run may have begun.
   Run Broken(const Path& path, const std::string& detail) {
-    if (this->scope.Reason() == StopReason::kNone) {
+    const bool connection_broke = this->scope.Reason() == StopReason::kNone;
+    if (connection_broke) {
       this->SuspectCrash(path.front().worker, detail);
     }
-    return {SendOutcome::kUnknown, {}, detail, true};
+    // A run that was given up for the sake of another part counts in full.
+    const bool first_lost =
+        connection_broke ||
+        this->parts.world->IsUnreachable(path.front().worker,
+                                         this->parts.runtime->Now());
+    return {SendOutcome::kUnknown, {}, detail, first_lost};
   }
 
   Run Rejected(io::HttpCall* call,
@@ -320,7 +346,10 @@
       this->parts.metrics->Observe("chervil_first_event_seconds",
                                    this->first_event);
     } else {
-      this->longest_gap = std::max(this->longest_gap, now - this->last_event);
+      const Duration pause = now - this->last_event;
+      this->longest_gap = std::max(this->longest_gap, pause);
+      this->stream.usual_pause += duration_cast<Duration>(
+          kPauseWeight * (pause - this->stream.usual_pause));
     }
     this->last_event = now;
     this->stream.last_progress = now;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -305,10 +305,13 @@
   }
 
   void OnPeerFoundUnreachable(const std::string& worker) {
-    // Hearsay keeps new requests away for a moment; only what this VM finds
-    // itself moves streams or layers.
+    // Hearsay keeps new requests away for a moment; streams or layers are moved
+    // only where this VM's own evidence agrees.
     this->world.Avoid(worker, routing::AvoidReason::kNotHolding,
                       this->runtime.Now());
+    if (this->router) {
+      this->router->OnPeerFoundUnreachable(worker);
+    }
     this->placement->OnSuspect(worker);
   }
 
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -23,7 +23,9 @@
 // A router with one route of each kind, and scripted servers.
 class Bench {
  public:
-  explicit Bench(io::Runtime& runtime, std::uint16_t base)
+  explicit Bench(io::Runtime& runtime,
+                 std::uint16_t base,
+                 bool knows_configuration = true)
       : runtime(runtime),
         base(base),
         log({"test", "vm", LogLevel::kError, LogFormat::kKeyValue}),
@@ -42,7 +44,9 @@
       ++this->strikes;
     };
     this->router = Router::Create(std::move(parts), {});
-    this->Adopt();
+    if (knows_configuration) {
+      this->Adopt();
+    }
     this->front = this->Serve(this->base, [this](io::HttpExchange& exchange) {
       this->router->Handle(exchange);
     });
@@ -69,13 +73,44 @@
         static_cast<std::uint16_t>(this->base + number), std::move(handler)));
   }
 
-  io::HttpRequest Request(const std::string& path, const std::string& id) {
+  void Adopt() {
+    routing::RouteTableParts parts;
+    parts.version = 1;
+    parts.keys_required = true;
+    parts.organisations = {{"org", {"key"}, {}}};
+    parts.routes = {
+        RouteOf("/lookup/", routing::RouteKind::kIdempotent, 2, "app"),
+        RouteOf("/file/", routing::RouteKind::kNonIdempotent, 1, "app"),
+        RouteOf("/draft/", routing::RouteKind::kStream, 2, "llm"),
+        // May not run again: only a move can save it.
+        RouteOf("/once/", routing::RouteKind::kStream, 1, "llm")};
+    routing::ServiceProfile llm;
+    llm.name = "llm";
+    llm.model.emplace();
+    llm.model->layers = 4;
+    llm.model->layer_mb = 100;
+    llm.model->kv_bytes_per_token = 4000;
+    llm.model->step = milliseconds(1);
+    llm.model->prefill_tokens_per_second = 100000;
+    llm.model->usual_answer_tokens = 20;
+    llm.model->kinds["k"] = {10000, 1, 1};
+    // Two layers and KV room for one request of 100 and 20 tokens.
+    llm.model->kinds["tiny"] = {200.3, 1, 1};
+    routing::ServiceProfile app;
+    app.name = "app";
+    parts.services = {llm, app};
+    cr_assert(this->world.Adopt(routing::RouteTable::Create(parts)));
+  }
+
+  io::HttpRequest Request(const std::string& path,
+                          const std::string& id,
+                          const std::string& deadline_ms = "3000") {
     io::HttpRequest request;
     request.method = path == "/lookup/x" ? "GET" : "POST";
     request.target = path;
     request.headers.Add("Host", "h.example");
     request.headers.Add("Chervilpass-Request-Id", id);
-    request.headers.Add("Chervilpass-Deadline-Ms", "3000");
+    request.headers.Add("Chervilpass-Deadline-Ms", deadline_ms);
     request.headers.Add("Chervilpass-Token-Counts", "100,20");
     request.headers.Add("Authorization", "Token key");
     return request;
@@ -141,33 +176,6 @@
     route.resumable = kind == routing::RouteKind::kStream;
     return route;
   }
-
-  void Adopt() {
-    routing::RouteTableParts parts;
-    parts.version = 1;
-    parts.keys_required = true;
-    parts.organisations = {{"org", {"key"}, {}}};
-    parts.routes = {
-        RouteOf("/lookup/", routing::RouteKind::kIdempotent, 2, "app"),
-        RouteOf("/file/", routing::RouteKind::kNonIdempotent, 1, "app"),
-        RouteOf("/draft/", routing::RouteKind::kStream, 2, "llm")};
-    routing::ServiceProfile llm;
-    llm.name = "llm";
-    llm.model.emplace();
-    llm.model->layers = 4;
-    llm.model->layer_mb = 100;
-    llm.model->kv_bytes_per_token = 4000;
-    llm.model->step = milliseconds(1);
-    llm.model->prefill_tokens_per_second = 100000;
-    llm.model->usual_answer_tokens = 20;
-    llm.model->kinds["k"] = {10000, 1, 1};
-    // Two layers and KV room for one request of 100 and 20 tokens.
-    llm.model->kinds["tiny"] = {200.3, 1, 1};
-    routing::ServiceProfile app;
-    app.name = "app";
-    parts.services = {llm, app};
-    cr_assert(this->world.Adopt(routing::RouteTable::Create(parts)));
-  }
 };
 
 io::HttpResponse Answer(const io::HttpExchange& exchange,
@@ -389,6 +397,111 @@
   });
 }
 
+namespace {
+
+// A first worker whose requests wait for a second one that is gone, until an
+// order or another run leads them elsewhere. Its reports do not say so yet.
+class StalledPair {
+ public:
+  StalledPair(io::Runtime& runtime, std::uint16_t base) : bench(runtime, base) {
+    this->bench.AddServer(1, "llm", {0, 2}, [this](io::HttpExchange& exchange) {
+      this->Handle(exchange);
+    });
+    // Takes connections and says nothing.
+    this->bench.AddServer(2, "llm", {2, 4},
+                          [this, &runtime](io::HttpExchange& exchange) {
+                            ++this->asked;
+                            runtime.SleepFor(seconds(2));
+                            exchange.Abort();
+                          });
+  }
+
+  // How long the stream was silent until it went on with a third worker; more
+  // than any bound if it did not.
+  Duration Run(const std::string& path, std::optional<Duration> hearsay = {}) {
+    bool whole = false;
+    this->bench.runtime.Spawn([&] {
+      const auto body = this->bench.Stream(this->bench.Request(path, "r1"));
+      whole = body.has_value() && body.value() == Event(1) + Event(2);
+    });
+    this->bench.runtime.SleepFor(milliseconds(40));
+    this->bench.AddServer(3, "llm", {2, 4}, [](io::HttpExchange&) {});
+    if (hearsay) {
+      this->bench.runtime.SleepFor(*hearsay);
+      this->bench.router->OnPeerFoundUnreachable("s2");
+    }
+    this->bench.runtime.SleepFor(milliseconds(600));
+    return whole ? this->goes_on_at - this->silent_since : Duration::max();
+  }
+
+  Bench bench;
+  int orders = 0;
+  int asked = 0;
+
+ private:
+  void Handle(io::HttpExchange& exchange) {
+    const io::HttpRequest& request = exchange.Request();
+    const Instant now = this->bench.runtime.Now();
+    if (request.method == "GET") {
+      return exchange.Respond({200, {}, R"({"seq":1})"});
+    }
+    if (request.target == "/v1/order") {
+      ++this->orders;
+      this->goes_on_at = now;
+      return exchange.Respond({200, {}, ""});
+    }
+    exchange.BeginStream(Answer(exchange, 200, ""));
+    if (request.headers.Find("Last-Event-Id")) {
+      this->goes_on_at = now;
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+      return;
+    }
+    exchange.WriteChunk(Event(1));
+    this->silent_since = now;
+    for (int i = 0; i < 200 && this->orders == 0; ++i) {
+      this->bench.runtime.SleepFor(milliseconds(5));
+    }
+    exchange.WriteChunk(Event(2));
+    exchange.EndStream();
+  }
+
+  Instant goes_on_at{};
+  Instant silent_since{};
+};
+
+}  // namespace
+
+// Grown site, trouble-3: a worker's crash was found from the first worker's
+// report only, 250 ms and more after the last event of each stream.
+Test(router, a_stream_whose_worker_is_gone_runs_again_elsewhere_at_once) {
+  OnRuntime([](io::Runtime& runtime) {
+    StalledPair pair(runtime, 22200);
+    const Duration silent = pair.Run("/draft/x");
+    cr_assert(silent < milliseconds(245), "%ld", ToMilliseconds(silent));
+    cr_assert_eq(pair.asked, 1);
+    cr_assert_eq(pair.orders, 0);
+  });
+}
+
+Test(router, a_stream_that_may_not_run_again_is_moved_in_place) {
+  OnRuntime([](io::Runtime& runtime) {
+    StalledPair pair(runtime, 22240);
+    const Duration silent = pair.Run("/once/x");
+    cr_assert(silent < milliseconds(245), "%ld", ToMilliseconds(silent));
+    cr_assert_eq(pair.orders, 1);
+  });
+}
+
+Test(router, what_a_peer_has_found_moves_streams_that_wait_for_that_worker) {
+  OnRuntime([](io::Runtime& runtime) {
+    StalledPair pair(runtime, 22210);
+    // 110 ms after the start.
+    const Duration silent = pair.Run("/draft/x", milliseconds(70));
+    cr_assert(silent < milliseconds(145), "%ld", ToMilliseconds(silent));
+  });
+}
+
 // Hunt, first site, trouble-2 seed 771663128626: a busy worker reset new
 // connections, was taken for dead, and it held the first layers.
 Test(router, a_worker_that_resets_connections_but_answers_is_not_dead) {
@@ -480,6 +593,41 @@
   });
 }
 
+// Pattern: all VMs restart at once, and their callers are back before the
+// store has answered.
+Test(router, requests_wait_while_a_fresh_vm_learns_what_it_needs) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22220, false);
+    bench.AddServer(1, "app", {}, [](io::HttpExchange& exchange) {
+      exchange.Respond(Answer(exchange, 200, "ok"));
+    });
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(200));
+      bench.Adopt();
+    });
+    cr_assert_eq(bench.Call(bench.Request("/file/x", "r1")).value().status,
+                 200);
+  });
+}
+
+Test(router, a_vm_that_learns_nothing_refuses_with_a_time_to_come_back) {
+  OnRuntime([](io::Runtime& runtime) {
+    Bench bench(runtime, 22230, false);
+    const Instant start = runtime.Now();
+    const auto answer = bench.Call(bench.Request("/file/x", "r1", "900"));
+    cr_assert_eq(answer.value().status, 503);
+    cr_assert(answer.value().headers.Find("Retry-After"));
+    // A third of the caller's time, and a moment for the way there and back.
+    cr_assert(runtime.Now() - start < milliseconds(400));
+    // Later ones need not wait.
+    runtime.SleepFor(milliseconds(800));
+    const Instant later = runtime.Now();
+    cr_assert_eq(bench.Call(bench.Request("/file/x", "r2")).value().status,
+                 503);
+    cr_assert(runtime.Now() - later < milliseconds(100));
+  });
+}
+
 // The first worker accepts the request and falls silent: the stream goes on
 // elsewhere well before callers leave.
 Test(router, a_silent_worker_is_left_for_another) {
@@ -588,7 +736,7 @@
     int done = 0;
     for (const char* id : {"r1", "r2"}) {
       runtime.Spawn([&bench, &done, id] {
-        done += bench.Stream(bench.Request("/draft/x", id)).has_value() ? 1 : 0;
+        done += bench.Stream(bench.Request("/once/x", id)).has_value() ? 1 : 0;
       });
     }
     runtime.SleepFor(milliseconds(50));
