The cost of a part of a path has a file of its own

path_chooser.cc had grown to 430 lines: what a part costs and how paths are searched for are two jobs. No change of behaviour; the same tests pass.

--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -1,51 +1,13 @@
 #include "chervilpass/placement/path_chooser.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <map>
 
+#include "chervilpass/placement/part_cost.h"
+
 namespace chervilpass::placement {
 namespace {
 
-constexpr double kNever = std::numeric_limits<double>::infinity();
-// Work that arrives during a pass waits for the next one: half a pass on
-// average once a worker is busy.
-constexpr double kPassWait = 0.5;
-constexpr double kBusySequences = 8;  // from here on a pass is always running
-constexpr double kLeastStreamSeconds = 0.1;
-// Weight of KV or slot fill beyond the crowded mark.
-constexpr double kCrowdingWeight = 6;
-// Utilization from which the queueing delay of prompts is continued by its
-// tangent: beyond saturation the cost still has to grow with the load.
-constexpr double kSteepUtilization = 0.85;
-
-// What one more request costs a worker that is busy to a share `utilization`
-// of its time with prompts, as a multiple of its service time. The delay of a
-// queue is 1 / (1 - u); with what the request adds to the delay of others it is
-// 1 / (1 - u)^2.
-double QueueingFactor(double utilization) {
-  const double u = std::min(utilization, kSteepUtilization);
-  const double idle = 1 - u;
-  const double slope = 2 / (idle * idle * idle);
-  return 1 / (idle * idle) + slope * (utilization - u);
-}
-
-// Time that a usual request takes through all layers, for the estimate of how
-// many begin in a second; workers of all kinds taken alike.
-double UsualStreamSeconds(const ModelProfile& model) {
-  double factors = 0;
-  for (const auto& [name, kind] : model.kinds) {
-    factors += kind.step_factor;
-  }
-  const double factor = model.kinds.empty()
-                            ? 1
-                            : factors / static_cast<double>(model.kinds.size());
-  return std::max(kLeastStreamSeconds, model.usual_answer_tokens * factor *
-                                           (1 + kPassWait) *
-                                           ToSeconds(model.step));
-}
-
 // A worker and the layers that a search may use of it.
 struct Usable {
   const PathCandidate* candidate = nullptr;
@@ -59,15 +21,13 @@
   Search(const ModelProfile& model,
          const PathQuery& query,
          const PathChooserSettings& settings,
-         double stream_seconds,
          const std::vector<Usable>& usable,
          bool check_room)
       : model(model),
         query(query),
         settings(settings),
-        stream_seconds(stream_seconds),
         usable(usable),
-        check_room(check_room) {
+        cost(model, query, settings, check_room) {
     std::set<std::uint32_t> marks = {query.layers.from, query.layers.to};
     for (const Usable& worker : this->usable) {
       for (const std::uint32_t mark : {worker.layers.from, worker.layers.to}) {
@@ -96,7 +56,7 @@
  private:
   // The cheapest way to a boundary with the last part in one data centre.
   struct Step {
-    double cost = kNever;
+    double cost = kNoRoomCost;
     const PathCandidate* candidate = nullptr;
     std::string from_data_centre;
     std::size_t from_boundary = 0;
@@ -116,9 +76,9 @@
            ++end) {
         const double part =
             worker.jitter *
-            this->PartCost(candidate,
-                           this->boundaries[end] - this->boundaries[at], first);
-        if (part == kNever) {
+            this->cost.Seconds(
+                candidate, this->boundaries[end] - this->boundaries[at], first);
+        if (part == kNoRoomCost) {
           break;  // more layers need more room
         }
         Step& known = this->best[end][candidate.data_centre];
@@ -145,85 +105,6 @@
                ToSeconds(this->settings.data_centre_delay);
   }
 
-  double PartCost(const PathCandidate& candidate,
-                  std::uint32_t layers,
-                  bool first) const {
-    const double fill = std::max(this->RoomFill(candidate, layers),
-                                 first ? this->SlotFill(candidate) : 0);
-    if (this->check_room && fill > this->settings.largest_fill) {
-      return kNever;
-    }
-    const double share =
-        static_cast<double>(layers) / std::max(1U, this->model.layers);
-    const double crowding =
-        std::max(0.0, std::min(fill, 2.0) - this->settings.crowded_fill);
-    const double hops =
-        this->query.answer_tokens * ToSeconds(this->settings.hop);
-    return (share * candidate.slowness * this->ServiceSeconds(candidate) *
-                QueueingFactor(this->PromptUtilization(candidate)) +
-            hops) *
-           (1 + kCrowdingWeight * crowding * crowding);
-  }
-
-  // KV room in use once the request is there.
-  double RoomFill(const PathCandidate& candidate, std::uint32_t layers) const {
-    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
-    const double room =
-        this->model.KvTokenLayers(candidate.kind, candidate.layers.Size());
-    return room <= 0
-               ? kNever
-               : (candidate.load.kv_token_layers + tokens * layers) / room;
-  }
-
-  // Batch slots in use once the request is there. A worker that holds the first
-  // layer is the first of nearly all paths through it.
-  double SlotFill(const PathCandidate& candidate) const {
-    return this->model.batch_limit == 0
-               ? 0
-               : (candidate.load.sequences + 1) / this->model.batch_limit;
-  }
-
-  // Time of the whole model's layers on the worker for this request, with the
-  // time that it adds to the steps of the requests in the same batch.
-  double ServiceSeconds(const PathCandidate& candidate) const {
-    const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
-    const double sequences = candidate.load.sequences;
-    const double step =
-        ToSeconds(this->model.step) +
-        ToSeconds(this->model.step_per_sequence) * (1 + 2 * sequences) +
-        ToSeconds(this->model.step_per_1000_context_tokens) / 1000 *
-            (tokens * (1 + sequences) + candidate.load.context_tokens);
-    const double busy =
-        1 + kPassWait * std::min(1.0, sequences / kBusySequences);
-    const double decode =
-        this->query.answer_tokens * busy * candidate.kind.step_factor * step;
-    return decode + this->query.prompt_tokens * this->PromptSeconds(candidate);
-  }
-
-  // Time to read one prompt token through all layers.
-  double PromptSeconds(const PathCandidate& candidate) const {
-    return this->model.prefill_tokens_per_second <= 0
-               ? 0
-               : candidate.kind.prefill_factor /
-                     this->model.prefill_tokens_per_second;
-  }
-
-  // Share of its time that the worker spends on prompts: by Little's law its
-  // requests begin at the rate of their number over their duration. How many
-  // layers each runs there follows from the room that they reserve.
-  double PromptUtilization(const PathCandidate& candidate) const {
-    const double usual_tokens =
-        this->model.usual_prompt_tokens + this->model.usual_answer_tokens / 2.0;
-    if (usual_tokens <= 0 || this->model.layers == 0) {
-      return 0;
-    }
-    const double whole_models =
-        candidate.load.kv_token_layers / usual_tokens / this->model.layers;
-    return whole_models / this->stream_seconds *
-           this->model.usual_prompt_tokens * candidate.slowness *
-           this->PromptSeconds(candidate);
-  }
-
   std::optional<ChosenPath> Trace() const {
     const auto& ends = this->best.back();
     const auto last = std::min_element(ends.begin(), ends.end(),
@@ -253,9 +134,8 @@
   const ModelProfile& model;
   const PathQuery& query;
   const PathChooserSettings& settings;
-  double stream_seconds;
   const std::vector<Usable>& usable;
-  bool check_room;
+  PartCost cost;
   std::vector<std::uint32_t> boundaries;
   std::vector<std::map<std::string, Step>> best;  // by boundary
 };
@@ -289,7 +169,6 @@
       : model(model),
         query(query),
         settings(settings),
-        stream_seconds(UsualStreamSeconds(model)),
         check_room(check_room) {}
 
   std::optional<ChosenPath> Find(const std::vector<Usable>& usable) const {
@@ -302,8 +181,8 @@
 
   std::optional<ChosenPath> Find(const std::vector<Usable>& usable,
                                  int repetitions_left) const {
-    auto chosen = Search(this->model, this->query, this->settings,
-                         this->stream_seconds, usable, this->check_room)
+    auto chosen = Search(this->model, this->query, this->settings, usable,
+                         this->check_room)
                       .Run();
     const auto repetition =
         chosen ? FindRepetition(chosen->path) : std::nullopt;
@@ -369,7 +248,6 @@
   const ModelProfile& model;
   const PathQuery& query;
   const PathChooserSettings& settings;
-  double stream_seconds;
   bool check_room;
 };
 
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -398,7 +398,7 @@
     }
   }
   Random random(1);
-  std::map<std::string, int> in_data_centre;
+  std::map<std::string, std::uint32_t> in_data_centre;
   for (int i = 0; i < 330; ++i) {
     PathQuery query = Query(model);
     query.from_data_centre = std::string(1, "abc"[i % 3]);
@@ -419,8 +419,8 @@
     cr_assert_lt(requests, model.batch_limit, "%s", data_centre.c_str());
   }
   cr_assert_gt(in_data_centre["c"], in_data_centre["a"]);
-  cr_assert_gt(in_data_centre["a"], 40);
-  cr_assert_gt(in_data_centre["b"], 40);
+  cr_assert_gt(in_data_centre["a"], 40U);
+  cr_assert_gt(in_data_centre["b"], 40U);
 }
 
 Test(path_chooser, a_first_worker_without_free_slots_is_not_chosen) {
