Reproduction: requests that end the backend servers which run them

Nothing of ours could show that: no stand-in of the platform's servers ended under a request.

stand_ins/worker ends under a request whose body holds the crash word, on a plain route, on the first or on the last stage of a path. fault_tests/crashing_request.py sends one through all routers in turn, starts ended servers again and counts arrivals and ends at the servers, beside harmless callers.

--- /dev/null
+++ b/fault_tests/crashing_request.py
@@ -0,0 +1,290 @@
+"""Sends requests that end each backend server which runs them, and counts at the
+servers what reaches them. Real processes on loopback.
+
+    crashing_request.py [--cell NAME]... [--all] [--seed N]
+
+Without arguments the cells of a CI run are played; --all plays every cell. A
+cell fails if, more than CONTACT_S after the third end, the request reaches
+servers more than MAX_LATE_RETRIES times, counted over all VMs; or if a harmless
+request is refused because servers ended beside it."""
+
+import argparse
+import datetime
+import os
+import random
+import re
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+import fleet as fleets  # noqa: E402
+import platform_fleet  # noqa: E402
+
+CONTACT_S = 3.0        # required bound: a VM in touch has heard of every end by then
+MAX_LATE_RETRIES = 3   # required bound on retries after that
+ENDS_BEFORE_BOUND = 3  # ends after which the bound applies
+QUARANTINE_TEXT = "has crashed backend servers"
+SENDS, SEND_INTERVAL_S = 24, 0.4
+CRASHED = re.compile(r"time=(\S+) .*event=worker\.crashed body=(\S+)")
+ARRIVED = re.compile(r"time=(\S+) .*event=request\.marked request=(\S+) body=(\S+)")
+FAILED = []
+
+
+def check(what, condition, seen=""):
+    print("%s: %s %s" % ("ok" if condition else "FAILED", what, seen), flush=True)
+    if not condition:
+        FAILED.append(what)
+
+
+class ServerKeeper:
+    """Starts each backend server that has ended again after `back_after` seconds,
+    under its id or, with `new_ids`, under another one."""
+
+    def __init__(self, fleet, back_after, new_ids=False):
+        self.fleet, self.back_after, self.new_ids = fleet, back_after, new_ids
+        self.stopped = False
+        self.starts = 0
+        self.threads = [threading.Thread(target=self.keep, args=(process,), daemon=True)
+                        for process in fleet.workers + fleet.plain]
+        for thread in self.threads:
+            thread.start()
+
+    def keep(self, process):
+        while not self.stopped:
+            if process.running():
+                time.sleep(0.005)
+                continue
+            time.sleep(self.back_after)
+            if self.stopped:
+                return
+            self.starts += 1
+            if self.new_ids:
+                with open(process.config) as file:
+                    text = file.read()
+                with open(process.config, "w") as file:
+                    file.write(re.sub(r"id: \S+", "id: %s-%d" % (process.name, self.starts), text, count=1))
+            process.start()
+
+    def stop(self):
+        self.stopped = True
+        for thread in self.threads:
+            thread.join()
+
+
+class HarmlessLoad:
+    """Callers beside the crashing request: calls with one body for all (as of a
+    popular page), calls with a body each, and streams."""
+
+    def __init__(self, fleet, seed, streams=True):
+        self.fleet, self.streams = fleet, streams
+        self.lock, self.stopped = threading.Lock(), False
+        self.random = random.Random(seed)
+        self.outcomes = {}
+        self.quarantined = []
+        self.threads = [threading.Thread(target=self.run, args=(number,), daemon=True)
+                        for number in range(2 * len(fleet.routers))]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, caller):
+        number = 0
+        while not self.stopped:
+            number += 1
+            with self.lock:
+                router = self.random.choice(self.fleet.routers)
+            name = "harmless-%d-%d" % (caller, number)
+            kinds = [("POST", "/lookup/x", "popular"), ("POST", "/lookup/x", name), ("POST", "/file/x", name)]
+            if self.streams:
+                kinds += [("POST", "/draft/x", "popular"), ("POST", "/draft/x", name)]
+            method, path, body = kinds[number % len(kinds)]
+            status, text, _ = self.fleet.ask(router, method, path, name, body=body, timeout=4.0)
+            with self.lock:
+                key = (path, status)
+                self.outcomes[key] = self.outcomes.get(key, 0) + 1
+                if QUARANTINE_TEXT in text:
+                    self.quarantined.append((name, path, body, status))
+            time.sleep(0.02)
+
+    def stop(self):
+        self.stopped = True
+        for thread in self.threads:
+            thread.join()
+
+    def sent(self):
+        return sum(self.outcomes.values())
+
+    def served(self):
+        return sum(count for (_, status), count in self.outcomes.items() if status == 200)
+
+    def report(self):
+        return "sent %d, served %d, refused by quarantine %d" % (self.sent(), self.served(), len(self.quarantined))
+
+
+def seconds_of(text):
+    return datetime.datetime.fromisoformat(text.replace("Z", "+00:00")).timestamp()
+
+
+def events_of(fleet, pattern, body):
+    """Times of the log lines of all backend servers about this body."""
+    times = []
+    for process in fleet.workers + fleet.plain:
+        with open(process.log) as log:
+            for line in log:
+                found = pattern.search(line)
+                if found and found.group(found.lastindex).strip('"') == body:
+                    times.append(seconds_of(found.group(1)))
+    return sorted(times)
+
+
+def new_fleet(subnet, plain_servers=3):
+    fleet = platform_fleet.PlatformFleet(os.path.join(fleets.ROOT, "run", "crashing_request"), subnet)
+    for number in range(plain_servers - len(fleet.plain)):
+        fleet.add_plain_server("hal-%d" % (1 + number % 2), "register")
+    fleet.start()
+    return fleet
+
+
+def kill_and_start(fleet, routers):
+    for router in routers:
+        fleet.signal(router.process, signal.SIGKILL)
+    for router in routers:
+        router.process.start()
+    fleets.wait_until(lambda: all(fleet.ready(router) for router in routers), 10, "the routers are ready again")
+
+
+class Disruption:
+    """Disrupts the routers after `after_ends` ends of backend servers."""
+
+    def __init__(self, how, after_ends):
+        self.how, self.after_ends, self.done = how, after_ends, False
+
+    def apply(self, fleet, ends):
+        if self.done or self.how is None or ends < self.after_ends:
+            return
+        self.done = True
+        if self.how == "kill one":
+            kill_and_start(fleet, fleet.routers[:1])
+        elif self.how == "kill all":
+            kill_and_start(fleet, fleet.routers)
+        elif self.how == "join":
+            router = fleet.add_router("hal-1", "127.0.%d.9" % fleet.subnet)
+            router.process.start()
+            fleets.wait_until(lambda: fleet.ready(router), 10, "the new router is ready")
+        elif self.how == "freeze one":
+            fleet.signal(fleet.routers[0].process, signal.SIGSTOP)
+            threading.Timer(2.0, lambda: fleet.signal(fleet.routers[0].process, signal.SIGCONT)).start()
+        elif self.how == "store down":
+            fleet.store_faults(outage="silent")
+
+
+# Per cell: path, mark, seconds until a server is back, new ids, disruption.
+CELLS = {
+    "lookup": ("/lookup/x", "poison-pill", 0.1, False, Disruption(None, 0)),
+    "lookup-slow-return": ("/lookup/x", "poison-pill", 2.0, False, Disruption(None, 0)),
+    "lookup-new-ids": ("/lookup/x", "poison-pill", 0.1, True, Disruption(None, 0)),
+    "lookup-kill-all": ("/lookup/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
+    "lookup-kill-one": ("/lookup/x", "poison-pill", 0.1, False, Disruption("kill one", 2)),
+    "lookup-store-down": ("/lookup/x", "poison-pill", 0.1, False, Disruption("store down", 1)),
+    "file": ("/file/x", "poison-pill", 0.1, False, Disruption(None, 0)),
+    "file-slow-return": ("/file/x", "poison-pill", 2.0, False, Disruption(None, 0)),
+    "file-new-ids": ("/file/x", "poison-pill", 0.1, True, Disruption(None, 0)),
+    "file-kill-all": ("/file/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
+    "file-join": ("/file/x", "poison-pill", 0.1, False, Disruption("join", 2)),
+    "file-freeze-one": ("/file/x", "poison-pill", 0.1, False, Disruption("freeze one", 1)),
+    "stream": ("/draft/x", "poison-pill", 0.1, False, Disruption(None, 0)),
+    "stream-quick-return": ("/draft/x", "poison-pill", 0.01, False, Disruption(None, 0)),
+    "stream-slow-return": ("/draft/x", "poison-pill", 2.0, False, Disruption(None, 0)),
+    "stream-kill-all": ("/draft/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
+    "stream-kill-one": ("/draft/x", "poison-pill", 0.1, False, Disruption("kill one", 2)),
+    "stream-join": ("/draft/x", "poison-pill", 0.1, False, Disruption("join", 3)),
+    "stream-last-stage": ("/draft/x", "poison-pill-last", 0.1, False, Disruption(None, 0)),
+    "stream-last-stage-slow-return": ("/draft/x", "poison-pill-last", 2.0, False, Disruption(None, 0)),
+    "stream-once": ("/once/x", "poison-pill", 0.1, False, Disruption(None, 0)),
+    "stream-once-kill-all": ("/once/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
+}
+CI_CELLS = ["lookup", "file-kill-all", "stream-kill-all", "stream-last-stage", "stream-once"]
+
+
+def play(name, subnet, seed):
+    """Sends the request through all routers in turn and checks what reached the
+    backend servers."""
+    path, body, back_after, new_ids, disruption = CELLS[name]
+    fleet = new_fleet(subnet)
+    keeper = ServerKeeper(fleet, back_after, new_ids)
+    load = HarmlessLoad(fleet, seed)
+    answers = []
+    try:
+        for number in range(SENDS):
+            started = time.monotonic()
+            router = fleet.routers[number % len(fleet.routers)]
+            status, text, headers = fleet.ask(router, "POST", path, "%s-%d" % (name, number), body=body, timeout=3.0)
+            answers.append((status, headers.get("Retry-After", "-"), QUARANTINE_TEXT in text))
+            disruption.apply(fleet, len(events_of(fleet, CRASHED, body)))
+            time.sleep(max(0.0, SEND_INTERVAL_S - (time.monotonic() - started)))
+        load.stop()
+        # With the crashing request kept out, harmless ones are served.
+        fleet.store_faults(outage="")
+        time.sleep(2.5)
+        after = HarmlessLoad(fleet, seed + 1)
+        time.sleep(2)
+        after.stop()
+    finally:
+        keeper.stop()
+        fleet.stop()
+    ends, arrivals = events_of(fleet, CRASHED, body), events_of(fleet, ARRIVED, body)
+    late = []
+    if len(ends) >= ENDS_BEFORE_BOUND:
+        late = [moment for moment in arrivals if moment > ends[ENDS_BEFORE_BOUND - 1] + CONTACT_S]
+    print("%s: answers %s" % (name, " ".join("%d%s" % (status, "q" if held else "") for status, _, held in answers)))
+    check("%s: the request is sent on at most %d times, %.0f s after it ended three servers" %
+          (name, MAX_LATE_RETRIES, CONTACT_S), len(late) <= MAX_LATE_RETRIES and len(ends) >= ENDS_BEFORE_BOUND,
+          "ends %d, arrivals %d, late %d" % (len(ends), len(arrivals), len(late)))
+    check("%s: no harmless request is refused as a crashing one" % name, not load.quarantined and not after.quarantined,
+          "%s; afterwards %s %s" % (load.report(), after.report(), load.quarantined[:3] + after.quarantined[:3]))
+    check("%s: harmless requests are served once the crashing one is kept out" % name,
+          after.sent() and after.served() == after.sent(), str(after.outcomes))
+
+
+def play_server_losses(subnet, seed, rounds):
+    """Ends half of the servers at once, again and again, under harmless requests
+    only: none of them may be taken for a crashing one."""
+    fleet = new_fleet(subnet)
+    draw = random.Random(seed)
+    keeper = ServerKeeper(fleet, 0.2)
+    load = HarmlessLoad(fleet, seed)
+    try:
+        for _ in range(rounds):
+            time.sleep(1.0)
+            for group in (fleet.workers, fleet.plain):
+                for process in draw.sample(group, (len(group) + 1) // 2):
+                    fleet.signal(process, signal.SIGKILL)
+        load.stop()
+    finally:
+        keeper.stop()
+        fleet.stop()
+    check("server losses: no harmless request is refused as a crashing one", not load.quarantined,
+          "%s %s %s" % (load.report(), load.outcomes, load.quarantined[:3]))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--cell", action="append", choices=sorted(CELLS) + ["server-losses"])
+    parser.add_argument("--all", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--subnet", type=int, default=61)
+    parser.add_argument("--rounds", type=int, default=5, help="of server losses")
+    arguments = parser.parse_args()
+    cells = list(CELLS) + ["server-losses"] if arguments.all else arguments.cell or CI_CELLS + ["server-losses"]
+    for name in cells:
+        if name == "server-losses":
+            play_server_losses(arguments.subnet, arguments.seed, arguments.rounds)
+        else:
+            play(name, arguments.subnet, arguments.seed)
+    print("crashing_request: %d failed" % len(FAILED))
+    return 1 if FAILED else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -97,6 +97,7 @@
                   "kinds": [{"name": "small", "mb": 590, "pace": 1, "readX": 1}]}
         return {"version": self.version,
                 "routes": [route("draft", "stream", "llm", sticky=True, resumable=True, gapAimMs=500, timeoutMs=20000),
+                           route("once", "stream", "llm", sticky=True, gapAimMs=500, timeoutMs=20000, attempts=1),
                            route("file", "non_idempotent", self.plain_service),
                            route("lookup", "idempotent", self.plain_service),
                            route("open", "idempotent", self.plain_service, public=True)],
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -25,6 +25,8 @@
 constexpr Duration kHopTimeout = milliseconds(200);
 constexpr Duration kStallRetryInterval = milliseconds(50);
 constexpr Duration kStoreTimeout = milliseconds(500);
+// Exit code after a request that contains the crash word.
+constexpr int kExitCrashed = 70;
 
 struct WorkerSettings {
   std::string id;
@@ -39,6 +41,10 @@
   Duration stall_timeout{0};     // then a stalled stream is aborted
   Duration heartbeat_interval{0};
   Duration layer_load_time{0};
+  // A request whose body contains the word ends the process that runs it. If
+  // "-last" follows the word, it ends the process of the path's last stage.
+  std::string crash_word;
+  Duration crash_delay{0};  // from the start of the run to the end
   LogSettings log;
 };
 
@@ -72,6 +78,7 @@
   Worker(io::Runtime* runtime, WorkerSettings settings)
       : runtime(runtime),
         settings(std::move(settings)),
+        log(this->settings.log),
         started_at_ms(runtime->WallNow().milliseconds),
         client(io::HttpClient::Create(runtime, {})) {}
 
@@ -93,7 +100,10 @@
       return this->HandleStage(exchange);
     }
     if (request.path == "/health") {
-      return exchange.Respond({this->draining ? 503U : 200U, {}, ""});
+      io::HttpResponse response;
+      response.status = this->draining ? 503 : 200;
+      response.headers.Add("Chervilpass-Instance-Id", this->settings.id);
+      return exchange.Respond(response);
     }
     this->Serve(exchange);
   }
@@ -163,7 +173,8 @@
     for (const auto& [id, address] : this->stalled) {
       stalled.push_back(json::object{{"id", id}, {"address", address}});
     }
-    return {{"busy", this->loading},
+    return {{"born", this->started_at_ms},
+            {"busy", this->loading},
             {"seq", this->order_sequence},
             {"running", this->running},
             {"waiting", 0},
@@ -291,6 +302,7 @@
       return this->Reject(exchange, 503, id, this->settings.listen.ToText());
     }
     ++this->running;
+    this->CrashIfMarked(request, id);
     if (this->IsModelWorker()) {
       this->Generate(exchange, id);
     } else {
@@ -299,6 +311,29 @@
     --this->running;
   }
 
+  bool IsMarked(const io::HttpRequest& request, std::string_view suffix) const {
+    return request.body.find(this->settings.crash_word + std::string(suffix)) !=
+           std::string::npos;
+  }
+
+  // Logs the arrival of a marked request and ends the process after the delay,
+  // unless it is the last stage that is to crash.
+  void CrashIfMarked(const io::HttpRequest& request, const std::string& id) {
+    if (!this->IsMarked(request, "")) {
+      return;
+    }
+    this->log.Info("request.marked", {{"request", id}, {"body", request.body}});
+    if (!this->IsMarked(request, "-last")) {
+      this->Crash(request.body);
+    }
+  }
+
+  void Crash(const std::string& body) {
+    this->runtime->SleepFor(this->settings.crash_delay);
+    this->log.Error("worker.crashed", {{"body", body}});
+    app::ExitNow(kExitCrashed);
+  }
+
   // Counted at the start: an aborted call has been executed, too.
   void Execute(io::HttpExchange& exchange, const std::string& id) {
     ++this->runs[id];
@@ -317,13 +352,15 @@
 
   // Runs a stage and returns the range of its layers: nullopt if another worker
   // fails or refuses, empty if this worker does not hold the layers.
-  std::optional<std::string> RunStage(const Stage& stage) {
+  std::optional<std::string> RunStage(const Stage& stage,
+                                      const std::string& crash_body = "") {
     if (stage.address == this->settings.listen) {
       return this->LayerRange(stage.from, stage.to);
     }
     io::HttpRequest request;
     request.path = "/part";
     request.query = fmt::format("from={}&to={}", stage.from, stage.to);
+    request.body = crash_body;
     const auto response =
         this->client->Call(stage.address, request, kHopTimeout);
     if (response.has_error() || response.value().status != 200) {
@@ -346,15 +383,21 @@
             std::stoul(request.QueryParameter("from").value_or("1"))),
         static_cast<std::uint32_t>(
             std::stoul(request.QueryParameter("to").value_or("0"))));
+    if (!layer_range.empty() && this->IsMarked(request, "")) {
+      this->Crash(request.body);
+    }
     exchange.Respond({layer_range.empty() ? 421U : 200U, {}, layer_range});
   }
 
   // Runs the path for one token. Returns the layer ranges of its stages in
   // order, separated by commas; empty if a stage is unavailable.
-  std::string RunPath(const std::string& id) {
+  std::string RunPath(const std::string& id, const std::string& crash_body) {
     std::string layer_ranges;
-    for (const Stage& stage : this->paths[id]) {
-      const auto layer_range = this->RunStage(stage);
+    const std::vector<Stage> path = this->paths[id];
+    for (std::size_t i = 0; i < path.size(); ++i) {
+      const Stage& stage = path[i];
+      const auto layer_range =
+          this->RunStage(stage, i + 1 == path.size() ? crash_body : "");
       if (!layer_range || layer_range->empty()) {
         this->stalled[id] = stage.address.ToText();
         return {};
@@ -385,10 +428,12 @@
     const std::uint64_t events = std::stoull(counts.back());
     std::uint64_t event =
         std::stoull(request.headers.Find("Last-Event-Id").value_or("0"));
+    const std::string crash_body =
+        this->IsMarked(request, "-last") ? request.body : "";
     bool complete = exchange.BeginStream(this->ResponseHead(200, id));
     int sent_events = 0;
     while (complete && event < events) {
-      complete = this->SendEvent(exchange, id, ++event);
+      complete = this->SendEvent(exchange, id, ++event, crash_body);
       if (this->break_after_events > 0 &&
           ++sent_events >= this->break_after_events) {
         this->break_after_events = 0;
@@ -407,16 +452,17 @@
 
   bool SendEvent(io::HttpExchange& exchange,
                  const std::string& id,
-                 std::uint64_t event) {
+                 std::uint64_t event,
+                 const std::string& crash_body) {
     this->runtime->SleepFor(this->settings.work_time);
-    std::string layer_ranges = this->RunPath(id);
+    std::string layer_ranges = this->RunPath(id, crash_body);
     for (Duration waited{0}; layer_ranges.empty();
          waited += kStallRetryInterval) {
       if (waited > this->settings.stall_timeout || exchange.PeerClosed()) {
         return false;
       }
       this->runtime->SleepFor(kStallRetryInterval);
-      layer_ranges = this->RunPath(id);
+      layer_ranges = this->RunPath(id, crash_body);
     }
     return exchange.WriteChunk(
         fmt::format("id: {}\ndata: {}\n\n", event, layer_ranges));
@@ -424,6 +470,7 @@
 
   io::Runtime* runtime;
   WorkerSettings settings;
+  Logger log;
   std::int64_t started_at_ms;
   std::unique_ptr<io::HttpClient> client;
   std::uint32_t from = 0;  // first layer held
@@ -464,6 +511,8 @@
     read.heartbeat_interval =
         reader.Milliseconds("heartbeat_ms", {10, 60000}, 600);
     read.layer_load_time = reader.Milliseconds("load_layer_ms", {0, 60000}, 20);
+    read.crash_word = reader.Text("crash_word", "poison-pill");
+    read.crash_delay = reader.Milliseconds("crash_delay_ms", {0, 60000}, 20);
     read.log =
         app::ReadLogSettings(reader, "fake-worker", read.id, command_line);
     return read;
