Router: keep the requests that crash servers in the store

A request with two or more strikes has an object in the store, written at once by the VM that adds a strike and by the relays that hear of it, removed when it completes or expires. VMs list these objects before they serve their first request; relays watch them. A single strike is not stored: the loss of a busy worker gives one to every request there.

--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -12,6 +12,7 @@
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
 #include "chervilpass/fleet/store_sync.h"
+#include "chervilpass/fleet/suspect_sync.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
 #include "programs/router/settings.h"
@@ -111,6 +112,7 @@
     routing.data_centre = this->settings.data_centre;
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
+    routing.strikes_are_stored = true;
     return routing;
   }
 
@@ -186,6 +188,9 @@
     this->sync = fleet::StoreSync::Create(&this->runtime, this->store.get(),
                                           &this->routing_state, &this->metrics,
                                           &this->log, {}, std::move(events));
+    this->suspects = fleet::SuspectSync::Create(
+        &this->runtime, this->store.get(), &this->routing_state, &this->log, {},
+        [this] { return this->IsRelay(); });
   }
 
   // Right after its start a VM knows no peers, and no VM has reported yet that
@@ -216,10 +221,14 @@
     dependencies.report_strikes =
         [this](const std::vector<quarantine::Strike>& strikes) {
           this->peers->BroadcastStrikes(strikes);
+          for (const quarantine::Strike& strike : strikes) {
+            this->suspects->OnStrike(strike.fingerprint);
+          }
         };
     dependencies.report_clearance =
         [this](const quarantine::Clearance& clearance) {
           this->peers->BroadcastClearance(clearance);
+          this->suspects->OnCleared(clearance.fingerprint);
         };
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
@@ -342,6 +351,10 @@
            {"age_ms", now.milliseconds - strike.at.milliseconds},
            {"prior", strike.prior},
            {"strikes", tracker.Count(strike.fingerprint, now)}});
+      // The VM that added the strike may not know the earlier ones.
+      if (this->IsRelay()) {
+        this->suspects->OnStrike(strike.fingerprint);
+      }
     }
   }
 
@@ -534,6 +547,7 @@
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<fleet::PeerGroup> peers;
   std::unique_ptr<fleet::StoreSync> sync;
+  std::unique_ptr<fleet::SuspectSync> suspects;
   std::unique_ptr<fleet::PlacementController> placement;
   std::unique_ptr<serving::Router> router;
   std::unique_ptr<io::HttpServer> caller_server;
