Dispatch: quarantine service calls that crash plain servers

The same class of fault behind the product's own interface: a call to a plain service was sent on however many servers ended under it.

ServiceRunner gives a call a strike if nothing listens at its server after the connection broke, spreads it with those of completions, and refuses the call after two independent ones. An engine that has started again under its id can give a second strike: strikes name the engine's process.

--- a/chervilpass/dispatch/service_runner.cc
+++ b/chervilpass/dispatch/service_runner.cc
@@ -22,6 +22,14 @@
   return HashText(request.call.body, digest);
 }
 
+// Identifies calls that are the same apart from their key.
+std::uint64_t FingerprintOf(const rpc::ServiceRequest& request) {
+  return HashCombine(HashText(request.organisation), DigestOf(request));
+}
+
+// For the connection attempt that tells a crash from a lost connection.
+constexpr Duration kProbeTimeout = milliseconds(300);
+
 }  // namespace
 
 struct ServiceRunner::State {
@@ -39,8 +47,46 @@
         settings(settings),
         http(io::HttpClient::Create(runtime, io::HttpClientSettings{})),
         health(settings.health),
+        strikes(settings.strikes),
         budget(routing::RetryBudgetSettings{}) {}
 
+  void ApplyStrikes(const membership::FleetView& view) {
+    const WallTime now = this->runtime->WallNow();
+    for (const quarantine::Strike& strike : view.strikes) {
+      this->strikes.Add(strike, now);
+    }
+    this->strikes.Expire(now);
+  }
+
+  // A call was lost. If nothing listens at its backend server, the call gets a
+  // strike for the crash; calls that are lost together share one crash.
+  void OnCallLost(std::uint64_t fingerprint,
+                  const config::Backend& backend,
+                  WallTime lost_at,
+                  std::uint32_t prior) {
+    const auto opened = this->http->Open(backend.address, kProbeTimeout,
+                                         io::ConnectionUse::kFresh);
+    if (opened.has_value()) {
+      return;
+    }
+    WallTime& crashed_at = this->last_crashes[backend.id];
+    if (lost_at.milliseconds - crashed_at.milliseconds >=
+        ToMilliseconds(this->settings.strikes.incident_window)) {
+      crashed_at = lost_at;
+    }
+    const quarantine::Strike strike{
+        fingerprint, backend.id + "@" + std::to_string(crashed_at.milliseconds),
+        lost_at, prior};
+    if (!this->strikes.Add(strike, this->runtime->WallNow())) {
+      return;
+    }
+    this->metrics->Increment("chervil_service_crashes_total");
+    this->log.Warning("service.crashed", {{"backend", backend.id},
+                                          {"fingerprint", fingerprint},
+                                          {"prior", prior}});
+    this->view_subscriber->ReportStrike(strike);
+  }
+
   // Chooses the backend server with the fewest calls in flight among the usable
   // ones of the service that are not in `failed`; empty if there is none.
   std::optional<config::Backend> ChooseBackend(
@@ -77,6 +123,8 @@
   ServiceRunnerSettings settings;
   std::unique_ptr<io::HttpClient> http;
   routing::WorkerHealth health;
+  quarantine::StrikeTracker strikes;
+  std::map<std::string, WallTime> last_crashes;  // by backend server
   routing::RetryBudget budget;
   std::map<std::string, std::uint32_t> calls_in_flight;  // by backend server
   std::size_t in_flight = 0;  // running calls, also those not yet sent
@@ -123,6 +171,14 @@
   }
 
   ledger::ServiceActions Do(const ledger::SendCall&) {
+    const WallTime wall = this->state->runtime->WallNow();
+    const std::uint64_t fingerprint = FingerprintOf(this->request);
+    if (this->state->strikes.StateOf(fingerprint, wall) ==
+        quarantine::QuarantineState::kQuarantined) {
+      return this->flow.OnQuarantined(
+          this->state->strikes.RetryAfter(fingerprint, wall));
+    }
+    const std::uint32_t prior = this->state->strikes.Count(fingerprint, wall);
     const auto backend =
         this->state->ChooseBackend(this->request.service, this->failed);
     if (!backend) {
@@ -146,6 +202,8 @@
     if (response.has_value()) {
       // The same time for all servers, so that none is left out as slow.
       this->state->health.OnSuccess(backend->id, Duration(1), this->Now());
+      this->state->strikes.OnCompleted(fingerprint,
+                                       this->state->runtime->WallNow());
       return this->flow.OnResponse(response.value(), this->Now());
     }
     this->failed.insert(backend->id);
@@ -154,6 +212,8 @@
       this->state->health.OnRefusedConnection(backend->id, this->Now());
     } else {
       this->state->health.OnFailure(backend->id, this->Now());
+      this->state->OnCallLost(fingerprint, *backend,
+                              this->state->runtime->WallNow(), prior);
     }
     this->state->log.Warning("service.failed",
                              {{"request", this->request.request_id},
@@ -198,10 +258,14 @@
     std::shared_ptr<control::ViewSubscriber> view_subscriber,
     std::shared_ptr<LedgerService> ledger,
     ServiceRunnerSettings settings) {
-  return std::shared_ptr<ServiceRunner>(
-      new ServiceRunner(std::make_shared<State>(
-          runtime, metrics, std::move(log), std::move(view_subscriber),
-          std::move(ledger), settings)));
+  auto state =
+      std::make_shared<State>(runtime, metrics, std::move(log), view_subscriber,
+                              std::move(ledger), settings);
+  view_subscriber->OnChange(
+      [raw = state.get()](const membership::FleetView& view) {
+        raw->ApplyStrikes(view);
+      });
+  return std::shared_ptr<ServiceRunner>(new ServiceRunner(std::move(state)));
 }
 
 rpc::ServiceOutcome ServiceRunner::Run(const rpc::ServiceRequest& request) {
--- a/chervilpass/dispatch/service_runner.h
+++ b/chervilpass/dispatch/service_runner.h
@@ -8,6 +8,7 @@
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/dispatch/ledger_service.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/quarantine/strike_tracker.h"
 #include "chervilpass/routing/worker_health.h"
 #include "chervilpass/rpc/messages.h"
 
@@ -18,6 +19,10 @@
   std::uint32_t max_sends = 3;  ///< backend servers tried for one call
   Duration default_deadline = seconds(30);
   routing::WorkerHealthSettings health;
+  /// Plain servers run one call at a time on a connection, and callers may send
+  /// the same call at the same time.
+  quarantine::StrikeTrackerSettings strikes{2, std::chrono::minutes(10),
+                                            seconds(1), seconds(2)};
 
   bool operator==(const ServiceRunnerSettings&) const = default;
 };
--- a/chervilpass/dispatch/worker_pool.cc
+++ b/chervilpass/dispatch/worker_pool.cc
@@ -35,6 +35,12 @@
   std::string boot_id;  // of the engine process; empty until known
 };
 
+// Identifies the engine process: one that starts again can crash again.
+std::string ProcessOf(const Worker& worker) {
+  return worker.boot_id.empty() ? worker.backend.id
+                                : worker.backend.id + "@" + worker.boot_id;
+}
+
 std::uint32_t SessionLimit(const config::Backend& backend) {
   const auto* stage = std::get_if<config::StageRole>(&backend.role);
   return stage == nullptr ? 0 : stage->session_limit;
@@ -143,6 +149,7 @@
     worker->diagnosing_loss = true;
     const std::vector<quarantine::RunningRequest> running(
         worker->running.begin(), worker->running.end());
+    const std::string process = ProcessOf(*worker);
     const auto load =
         this->client.ReadLoad(worker->backend.address, kProbeTimeout);
     worker->diagnosing_loss = false;
@@ -159,6 +166,7 @@
       return;
     }
     if (unreachable) {
+      worker->boot_id.clear();
       this->health.OnRefusedConnection(worker->backend.id, now);
     }
     const auto blamed = quarantine::BlameForCrash(running);
@@ -166,7 +174,7 @@
     this->log.Warning("worker.crashed", {{"worker", worker->backend.id},
                                          {"running", running.size()},
                                          {"blamed", blamed.size()}});
-    this->on_crash(worker->backend.id, blamed);
+    this->on_crash(process, blamed);
   }
 
   // Reads the boot id of the worker's process, to detect a later restart.
--- a/chervilpass/ledger/service_flow.cc
+++ b/chervilpass/ledger/service_flow.cc
@@ -137,6 +137,14 @@
                        "no backend server of this service can take it now"});
 }
 
+ServiceActions ServiceFlow::OnQuarantined(Duration retry_after) {
+  if (this->ended) {
+    return {};
+  }
+  return this->GiveUp({RefusalCode::kQuarantined, Executed::kNo, retry_after,
+                       "the call has crashed the backend servers that ran it"});
+}
+
 ServiceActions ServiceFlow::OnRecorded(bool durable) {
   (void)durable;  // If not durable, it is written once the store answers.
   if (this->ended || this->after_record.empty()) {
--- a/chervilpass/ledger/service_flow.h
+++ b/chervilpass/ledger/service_flow.h
@@ -84,6 +84,8 @@
   ServiceActions OnSendFailed(SendFailure failure, Instant now);
   /// No other backend server can be tried.
   ServiceActions OnNoBackend(Instant now);
+  /// The call has crashed backend servers and must not be sent again.
+  ServiceActions OnQuarantined(Duration retry_after);
   /// The requested record is durable; if `durable` is false, it will be written
   /// later.
   ServiceActions OnRecorded(bool durable);
--- a/fault_tests/crashing_request.py
+++ b/fault_tests/crashing_request.py
@@ -42,12 +42,12 @@
     """Starts each backend server that has ended again after `back_after` seconds,
     under its id or, with `new_ids`, under another one."""
 
-    def __init__(self, fleet, back_after, new_ids=False):
-        self.fleet, self.back_after, self.new_ids = fleet, back_after, new_ids
+    def __init__(self, processes, back_after, new_ids=False):
+        self.back_after, self.new_ids = back_after, new_ids
         self.stopped = False
         self.starts = 0
         self.threads = [threading.Thread(target=self.keep, args=(process,), daemon=True)
-                        for process in fleet.workers + fleet.plain]
+                        for process in processes]
         for thread in self.threads:
             thread.start()
 
@@ -126,20 +126,27 @@
     return datetime.datetime.fromisoformat(text.replace("Z", "+00:00")).timestamp()
 
 
-def events_of(fleet, pattern, body):
-    """Times of the log lines of all backend servers about this body."""
+def times_of(processes, pattern, body=None):
+    """Times of the log lines of backend servers that match, about this body."""
     times = []
-    for process in fleet.workers + fleet.plain:
+    for process in processes:
         with open(process.log) as log:
             for line in log:
                 found = pattern.search(line)
-                if found and found.group(found.lastindex).strip('"') == body:
+                if found and body in (None, found.group(found.lastindex).strip('"')):
                     times.append(seconds_of(found.group(1)))
     return sorted(times)
 
 
+def late_arrivals(ends, arrivals):
+    """Arrivals after the bound applies."""
+    if len(ends) < ENDS_BEFORE_BOUND:
+        return []
+    return [moment for moment in arrivals if moment > ends[ENDS_BEFORE_BOUND - 1] + CONTACT_S]
+
+
 def new_fleet(subnet, plain_servers=3):
-    fleet = platform_fleet.PlatformFleet(os.path.join(fleets.ROOT, "run", "crashing_request"), subnet)
+    fleet = platform_fleet.PlatformFleet(os.path.join(fleets.ROOT, "run", "crashing_request-%d" % subnet), subnet)
     for number in range(plain_servers - len(fleet.plain)):
         fleet.add_plain_server("hal-%d" % (1 + number % 2), "register")
     fleet.start()
@@ -204,7 +211,7 @@
     "stream-once": ("/once/x", "poison-pill", 0.1, False, Disruption(None, 0)),
     "stream-once-kill-all": ("/once/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
 }
-CI_CELLS = ["lookup", "file-kill-all", "stream-kill-all", "stream-last-stage", "stream-once"]
+CI_CELLS = ["lookup", "file-kill-all", "stream-kill-all", "stream-last-stage", "stream-once", "daemons-lookup"]
 
 
 def play(name, subnet, seed):
@@ -212,7 +219,8 @@
     backend servers."""
     path, body, back_after, new_ids, disruption = CELLS[name]
     fleet = new_fleet(subnet)
-    keeper = ServerKeeper(fleet, back_after, new_ids)
+    servers = fleet.workers + fleet.plain
+    keeper = ServerKeeper(servers, back_after, new_ids)
     load = HarmlessLoad(fleet, seed)
     answers = []
     try:
@@ -221,7 +229,7 @@
             router = fleet.routers[number % len(fleet.routers)]
             status, text, headers = fleet.ask(router, "POST", path, "%s-%d" % (name, number), body=body, timeout=3.0)
             answers.append((status, headers.get("Retry-After", "-"), QUARANTINE_TEXT in text))
-            disruption.apply(fleet, len(events_of(fleet, CRASHED, body)))
+            disruption.apply(fleet, len(times_of(servers, CRASHED, body)))
             time.sleep(max(0.0, SEND_INTERVAL_S - (time.monotonic() - started)))
         load.stop()
         # With the crashing request kept out, harmless ones are served.
@@ -233,10 +241,8 @@
     finally:
         keeper.stop()
         fleet.stop()
-    ends, arrivals = events_of(fleet, CRASHED, body), events_of(fleet, ARRIVED, body)
-    late = []
-    if len(ends) >= ENDS_BEFORE_BOUND:
-        late = [moment for moment in arrivals if moment > ends[ENDS_BEFORE_BOUND - 1] + CONTACT_S]
+    ends, arrivals = times_of(servers, CRASHED, body), times_of(servers, ARRIVED, body)
+    late = late_arrivals(ends, arrivals)
     print("%s: answers %s" % (name, " ".join("%d%s" % (status, "q" if held else "") for status, _, held in answers)))
     check("%s: the request is sent on at most %d times, %.0f s after it ended three servers" %
           (name, MAX_LATE_RETRIES, CONTACT_S), len(late) <= MAX_LATE_RETRIES and len(ends) >= ENDS_BEFORE_BOUND,
@@ -247,12 +253,50 @@
           after.sent() and after.served() == after.sent(), str(after.outcomes))
 
 
+# Per cell of the three daemons: method, path, body.
+DAEMON_CELLS = {
+    "daemons-completion": ("POST", "/v1/completions",
+                           '{"model": "sprogmodel", "prompt": "a poison-pill in the prompt", "max_tokens": 4}'),
+    "daemons-lookup": ("GET", "/v1/services/register/x", "poison-pill"),
+    "daemons-filing": ("POST", "/v1/services/register/x", "poison-pill"),
+}
+DAEMON_CRASHED = re.compile(r"time=(\S+) .*event=(?:engine|service)\.crash ")
+
+
+def play_daemons(name, subnet):
+    """The same through the product's own interface: each engine or plain server
+    that ends starts again under its id."""
+    method, path, body = DAEMON_CELLS[name]
+    fleet = fleets.small_fleet(os.path.join(fleets.ROOT, "run", "crashing_request-%d" % subnet), subnet)
+    servers = fleet.engines + fleet.services
+    answers = []
+    try:
+        fleet.start()
+        keeper = ServerKeeper(servers, 0.1)
+        for number in range(SENDS):
+            vm = fleet.vms[number % len(fleet.vms)]
+            headers = {"Authorization": "Bearer key-skagen", "Idempotency-Key": "%s-%d" % (name, number)}
+            answers.append(fleets.http(method, "http://%s:%d%s" % (vm.ip, fleets.HTTP_PORT, path), body, timeout=20,
+                                       headers=headers)[0])
+            time.sleep(SEND_INTERVAL_S)
+        keeper.stop()
+    finally:
+        fleet.stop()
+    # Each arrival ends its server.
+    ends = times_of(servers, DAEMON_CRASHED)
+    late = late_arrivals(ends, ends)
+    print("%s: answers %s" % (name, " ".join(map(str, answers))))
+    check("%s: the request is sent on at most %d times, %.0f s after it ended three servers" %
+          (name, MAX_LATE_RETRIES, CONTACT_S), ends and len(late) <= MAX_LATE_RETRIES,
+          "ends %d, late %d" % (len(ends), len(late)))
+
+
 def play_server_losses(subnet, seed, rounds):
     """Ends half of the servers at once, again and again, under harmless requests
     only: none of them may be taken for a crashing one."""
     fleet = new_fleet(subnet)
     draw = random.Random(seed)
-    keeper = ServerKeeper(fleet, 0.2)
+    keeper = ServerKeeper(fleet.workers + fleet.plain, 0.2)
     load = HarmlessLoad(fleet, seed)
     try:
         for _ in range(rounds):
@@ -270,16 +314,18 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--cell", action="append", choices=sorted(CELLS) + ["server-losses"])
+    parser.add_argument("--cell", action="append", choices=sorted(CELLS) + sorted(DAEMON_CELLS) + ["server-losses"])
     parser.add_argument("--all", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--subnet", type=int, default=61)
     parser.add_argument("--rounds", type=int, default=5, help="of server losses")
     arguments = parser.parse_args()
-    cells = list(CELLS) + ["server-losses"] if arguments.all else arguments.cell or CI_CELLS + ["server-losses"]
+    cells = list(CELLS) + list(DAEMON_CELLS) + ["server-losses"] if arguments.all else arguments.cell or CI_CELLS + ["server-losses"]
     for name in cells:
         if name == "server-losses":
             play_server_losses(arguments.subnet, arguments.seed, arguments.rounds)
+        elif name in DAEMON_CELLS:
+            play_daemons(name, arguments.subnet)
         else:
             play(name, arguments.subnet, arguments.seed)
     print("crashing_request: %d failed" % len(FAILED))
--- a/stand_ins/service/main.cc
+++ b/stand_ins/service/main.cc
@@ -16,13 +16,16 @@
   std::string id;
   io::Endpoint listen;
   Duration service_time{0};
+  std::string crash_word;  // a body that contains it ends the process
   LogSettings log;
 };
 
 class Service {
  public:
   Service(io::Runtime* runtime, ServiceSettings settings)
-      : runtime(runtime), settings(std::move(settings)) {}
+      : runtime(runtime),
+        settings(std::move(settings)),
+        log(this->settings.log) {}
 
   void Handle(io::HttpExchange& exchange) {
     const io::HttpRequest& request = exchange.Request();
@@ -55,6 +58,10 @@
     const io::HttpRequest& request = exchange.Request();
     const std::string key =
         request.headers.Find("Idempotency-Key").value_or("");
+    if (request.body.find(this->settings.crash_word) != std::string::npos) {
+      this->log.Error("service.crash", {{"body", request.body}});
+      app::ExitNow(app::kExitFailure);
+    }
     // Counted at the start: an aborted call has been executed, too.
     const int count = key.empty() ? 0 : ++this->executions[key];
     this->runtime->SleepFor(this->settings.service_time);
@@ -75,6 +82,7 @@
 
   io::Runtime* runtime;
   ServiceSettings settings;
+  Logger log;
   std::map<std::string, int> executions;  // by idempotency key
   int responses_to_drop = 0;  // next calls to execute without a response
 };
@@ -88,6 +96,7 @@
     read.id = reader.Text("id");
     read.listen = reader.Address("listen");
     read.service_time = reader.Milliseconds("service_time_ms", {0, 60000}, 5);
+    read.crash_word = reader.Text("crash_word", "poison-pill");
     read.log =
         app::ReadLogSettings(reader, "fake-service", read.id, command_line);
     return read;
