Router: blame one request for a crash, allow for a harmless one beside it

A later start now proves nothing for a server whose end is known. Besides, a request that has more strikes than the others that run on a server takes the blame alone, runs that were lost more than a second before an end is seen are no evidence, and a request is refused after four strikes, one more than the three ends after which three retries are allowed.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -124,12 +124,14 @@
     CrashMonitor& crashes = *this->dependencies.crashes;
     const ServerStart server_start =
         crashes.StartOf(server.id, server.address, false);
-    const LostRun run{this->context.fingerprint,
-                      this->context.metadata.request_id,
-                      crashes.StrikesOf(this->context.fingerprint)};
+    const TrackedRun run{this->context.fingerprint,
+                         this->context.metadata.request_id,
+                         crashes.StrikesOf(this->context.fingerprint)};
+    crashes.OnRunStarted(run, server_start);
     this->scope.SetCall(call.get());
     const SendResult result = this->Exchange(call.get(), server);
     this->scope.SetCall(nullptr);
+    crashes.OnRunEnded(run, server_start);
     this->RecordSendOutcome(server, result, start);
     if (result.run_lost) {
       const bool stopped = this->scope.Stopped();
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -17,12 +17,24 @@
 // stalled.
 constexpr int kLocalStallFactor = 2;
 
+// How it is known that a server ended.
+enum class EndEvidence {
+  kProbe,       // it does not answer any more
+  kLaterStart,  // it has started again
+};
+
 std::string_view ResultName(ProbeResult result) {
   constexpr std::string_view kNames[] = {"answers", "restarted", "refused",
                                          "silent",  "broken",    "unknown"};
   return kNames[static_cast<std::size_t>(result)];
 }
 
+// After a known end, a later start than the registered one proves no other end.
+bool IsLaterStart(WallTime started, const ServerStart& server) {
+  return server.started.milliseconds != 0 && server.known_ends == 0 &&
+         started > server.started;
+}
+
 }  // namespace
 
 std::string ServerStart::Key() const {
@@ -35,11 +47,17 @@
 }
 
 struct CrashMonitor::State : std::enable_shared_from_this<CrashMonitor::State> {
+  struct WatchedRun {
+    TrackedRun run;
+    Instant lost{};
+    WallTime lost_at;
+  };
+
   // A start of a server under which runs were lost, until it is known whether
   // the server ended.
   struct Watched {
     ServerStart server;
-    std::vector<LostRun> runs;
+    std::vector<WatchedRun> runs;
     Instant last_loss{};
     bool connection_broke = false;
     bool silent = false;  // a probe had no answer
@@ -54,7 +72,7 @@
     return *this->dependencies->routing_state;
   }
 
-  void OnRunLost(const LostRun& run,
+  void OnRunLost(const TrackedRun& run,
                  const ServerStart& server,
                  LossEvidence evidence) {
     if (this->watched_runs >= this->settings.max_watched_runs) {
@@ -69,10 +87,10 @@
     }
     Watched& watched = this->watched[server.Key()];
     watched.server = server;
-    watched.runs.push_back(run);
-    watched.runs.back().lost_at = this->dependencies->runtime->WallNow();
-    ++this->watched_runs;
     watched.last_loss = this->dependencies->runtime->Now();
+    watched.runs.push_back(
+        {run, watched.last_loss, this->dependencies->runtime->WallNow()});
+    ++this->watched_runs;
     switch (evidence) {
       case LossEvidence::kConnectionBroke:
         watched.connection_broke = true;
@@ -89,7 +107,7 @@
         watched.silent = true;
         return;
       case LossEvidence::kEnded:
-        this->OnServerEnded(server.Key(), "probe");
+        this->OnServerEnded(server.Key(), EndEvidence::kProbe, "probe");
         return;
       case LossEvidence::kAbandoned:
         return;
@@ -121,7 +139,11 @@
       Watched& watched = found->second;
       this->MarkServer(watched, result);
       if (this->ProvesEnd(watched, result)) {
-        this->OnServerEnded(key, ResultName(result));
+        this->OnServerEnded(key,
+                            result == ProbeResult::kRestarted
+                                ? EndEvidence::kLaterStart
+                                : EndEvidence::kProbe,
+                            ResultName(result));
         return;
       }
       watched.silent |=
@@ -211,8 +233,7 @@
     }
     const auto report = platform::DecodeReport(response.body);
     const bool restarted = report.has_value() && report.value().started &&
-                           server.started.milliseconds != 0 &&
-                           *report.value().started > server.started;
+                           IsLaterStart(*report.value().started, server);
     return restarted ? ProbeResult::kRestarted : ProbeResult::kAnswers;
   }
 
@@ -242,7 +263,7 @@
       ++it;
     }
     for (const std::string& key : ended) {
-      this->OnServerEnded(key, "registration");
+      this->OnServerEnded(key, EndEvidence::kLaterStart, "registration");
     }
   }
 
@@ -251,8 +272,7 @@
     const routing::BackendServer* current =
         this->Routing().Servers().Find(server.id);
     if (current != nullptr) {
-      return server.started.milliseconds != 0 &&
-             current->started > server.started;
+      return IsLaterStart(current->started, server);
     }
     // A server that left in an orderly way is removed, too.
     if (!watched.silent && !watched.connection_broke) {
@@ -264,21 +284,30 @@
 
   // ---- strikes ----
 
-  void OnServerEnded(const std::string& key, std::string_view evidence) {
+  void OnServerEnded(const std::string& key,
+                     EndEvidence evidence,
+                     std::string_view detail) {
     const auto found = this->watched.find(key);
-    const std::vector<LostRun> runs = std::move(found->second.runs);
+    std::vector<WatchedRun> runs = std::move(found->second.runs);
     this->watched_runs -= runs.size();
     this->watched.erase(found);
+    if (evidence == EndEvidence::kProbe) {
+      const Instant oldest = this->dependencies->runtime->Now() -
+                             this->settings.max_detection_time;
+      std::erase_if(runs, [oldest](const WatchedRun& lost) {
+        return lost.lost < oldest;
+      });
+    }
     this->dependencies->routing_state->OnServerEnded(key);
     quarantine::StrikeTracker& tracker =
         this->dependencies->routing_state->Strikes();
     const WallTime now = this->dependencies->runtime->WallNow();
     std::vector<quarantine::Strike> added;
-    for (const LostRun& run : runs) {
-      // Strikes that were cleared during the run do not count any more.
-      const std::uint32_t prior =
-          std::min(run.prior_strikes, tracker.Count(run.fingerprint, now));
-      const quarantine::Strike strike{run.fingerprint, key, run.lost_at, prior};
+    for (const WatchedRun& lost : this->BlamedRuns(runs, key, now)) {
+      const TrackedRun& run = lost.run;
+      const std::uint32_t prior = this->PriorStrikes(run, now);
+      const quarantine::Strike strike{run.fingerprint, key, lost.lost_at,
+                                      prior};
       if (!tracker.Add(strike, now)) {
         continue;
       }
@@ -289,7 +318,7 @@
           {{"request", run.request_id},
            {"fingerprint", fmt::format("{:016x}", run.fingerprint)},
            {"worker", key},
-           {"evidence", evidence},
+           {"evidence", detail},
            {"prior", prior},
            {"strikes", tracker.Count(run.fingerprint, now)}});
     }
@@ -298,11 +327,44 @@
     }
   }
 
+  // Strikes that were cleared during the run do not count any more.
+  std::uint32_t PriorStrikes(const TrackedRun& run, WallTime now) const {
+    return std::min(run.prior_strikes,
+                    this->dependencies->routing_state->Strikes().Count(
+                        run.fingerprint, now));
+  }
+
+  // The requests with the most strikes take the blame alone, also if their own
+  // loss has not been noticed yet.
+  std::vector<WatchedRun> BlamedRuns(const std::vector<WatchedRun>& runs,
+                                     const std::string& key,
+                                     WallTime now) const {
+    std::uint32_t most = 0;
+    if (const auto found = this->running.find(key);
+        found != this->running.end()) {
+      for (const auto& [request, run] : found->second) {
+        most = std::max(most, this->PriorStrikes(run, now));
+      }
+    }
+    for (const WatchedRun& lost : runs) {
+      most = std::max(most, this->PriorStrikes(lost.run, now));
+    }
+    std::vector<WatchedRun> blamed;
+    for (const WatchedRun& lost : runs) {
+      if (this->PriorStrikes(lost.run, now) == most) {
+        blamed.push_back(lost);
+      }
+    }
+    return blamed;
+  }
+
   const RouterDependencies* dependencies;
   CrashMonitorSettings settings;
   std::map<std::string, Watched> watched;  // by ServerStart::Key
-  std::size_t watched_runs = 0;            // sum over `watched`
-  bool dropping = false;  // `watched` is full, which has been logged
+  // Runs in progress, by ServerStart::Key, then request id.
+  std::map<std::string, std::map<std::string, TrackedRun>> running;
+  std::size_t watched_runs = 0;  // sum over `watched`
+  bool dropping = false;         // `watched` is full, which has been logged
   bool stopped = false;
 };
 
@@ -348,7 +410,24 @@
   return this->state->Probe(server, timeout);
 }
 
-void CrashMonitor::OnRunLost(const LostRun& run,
+void CrashMonitor::OnRunStarted(const TrackedRun& run,
+                                const ServerStart& server) {
+  this->state->running[server.Key()].insert_or_assign(run.request_id, run);
+}
+
+void CrashMonitor::OnRunEnded(const TrackedRun& run,
+                              const ServerStart& server) {
+  const auto found = this->state->running.find(server.Key());
+  if (found == this->state->running.end()) {
+    return;
+  }
+  found->second.erase(run.request_id);
+  if (found->second.empty()) {
+    this->state->running.erase(found);
+  }
+}
+
+void CrashMonitor::OnRunLost(const TrackedRun& run,
                              const ServerStart& server,
                              LossEvidence evidence) {
   this->state->OnRunLost(run, server, evidence);
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -24,7 +24,10 @@
   Duration check_interval = milliseconds(100);  ///< of registrations
   /// How long the registration of a server is watched after a lost run: a
   /// server that crashed is registered again, or removed, within seconds.
-  Duration watch_time = seconds(8);
+  Duration watch_time = seconds(5);
+  /// A server that turns out to have ended just now has ended under the runs
+  /// that were lost within this time.
+  Duration max_detection_time = seconds(1);
   std::size_t max_watched_runs = 4096;  ///< over all servers
 
   bool operator==(const CrashMonitorSettings&) const = default;
@@ -46,14 +49,13 @@
   auto operator<=>(const ServerStart&) const = default;
 };
 
-/// A run that ended without a complete response.
-struct LostRun {
+/// A run of a request on one or several servers, as far as crashes matter.
+struct TrackedRun {
   std::uint64_t fingerprint = 0;
   std::string request_id;
   std::uint32_t prior_strikes = 0;  ///< when the run began
-  WallTime lost_at{};               ///< set by the monitor
 
-  auto operator<=>(const LostRun&) const = default;
+  auto operator<=>(const TrackedRun&) const = default;
 };
 
 /// What is known about the server of a lost run.
@@ -97,8 +99,13 @@
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
 
+  /// A run on this server begins; `OnRunEnded` must follow. Both are
+  /// identified by the request.
+  void OnRunStarted(const TrackedRun& run, const ServerStart& server);
+  void OnRunEnded(const TrackedRun& run, const ServerStart& server);
+
   /// A run on this server was lost.
-  void OnRunLost(const LostRun& run,
+  void OnRunLost(const TrackedRun& run,
                  const ServerStart& server,
                  LossEvidence evidence);
 
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -28,7 +28,9 @@
   std::string data_centre;
   routing::RetryBudgetSettings retries;
   placement::PathChooserSettings paths;
-  quarantine::StrikeTrackerSettings strikes{3, std::chrono::minutes(10),
+  /// One more than the three ends after which retries are limited: a harmless
+  /// request may be beside three ends in a row, and a few retries are allowed.
+  quarantine::StrikeTrackerSettings strikes{4, std::chrono::minutes(10),
                                             seconds(1), seconds(2)};
   /// True if strikes are restored from the store after the start.
   bool strikes_are_stored = false;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -156,11 +156,11 @@
     this->stream.first_event_seen = false;
     this->stream.moved = false;
     this->stream.may_resume = this->policy.MayRunAgain();
-    this->stream.workers.clear();
     RecordWorkers(this->dependencies, &this->stream);
     this->last_path = path;
     routing_state.Loads().Add(this->stream.path, this->stream.tokens);
     RunResult result = this->Send(path);
+    ForgetWorkers(this->dependencies, &this->stream);
     // A move may have changed the path.
     this->last_path = this->stream.path;
     routing_state.Loads().Remove(this->stream.path, this->stream.tokens);
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -23,14 +23,23 @@
 
 void RecordWorkers(const RouterDependencies& dependencies,
                    ActiveStream* stream) {
-  const CrashMonitor& crashes = *dependencies.crashes;
+  CrashMonitor& crashes = *dependencies.crashes;
   stream->run.prior_strikes = crashes.StrikesOf(stream->run.fingerprint);
   for (const PathStage& stage : stream->path) {
-    stream->workers.try_emplace(
+    const auto [worker, added] = stream->workers.try_emplace(
         stage.worker, crashes.StartOf(stage.worker, stage.address, true));
+    crashes.OnRunStarted(stream->run, worker->second);
   }
 }
 
+void ForgetWorkers(const RouterDependencies& dependencies,
+                   ActiveStream* stream) {
+  for (const auto& [worker, start] : stream->workers) {
+    dependencies.crashes->OnRunEnded(stream->run, start);
+  }
+  stream->workers.clear();
+}
+
 struct StreamRegistry::State
     : std::enable_shared_from_this<StreamRegistry::State> {
   State(const RouterDependencies* dependencies, StreamRegistrySettings settings)
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -60,7 +60,7 @@
   bool retry_budget_charged = false;  ///< in advance, for the next run
 
   placement::Path path;  ///< empty while no run is in progress
-  LostRun run;           ///< reported if the run in progress is lost
+  TrackedRun run;        ///< reported if the run in progress is lost
   /// The starts of all workers that were on the path since the run began.
   std::map<std::string, ServerStart> workers;
   double tokens = 0;  ///< KV tokens reserved on the path
@@ -78,6 +78,10 @@
 void RecordWorkers(const RouterDependencies& dependencies,
                    ActiveStream* stream);
 
+/// Forgets the workers of a run that has ended.
+void ForgetWorkers(const RouterDependencies& dependencies,
+                   ActiveStream* stream);
+
 /// Watches the streams in progress. Fiber thread only.
 class StreamRegistry {
  public:
--- a/fault_tests/crashing_request.py
+++ b/fault_tests/crashing_request.py
@@ -1,10 +1,10 @@
 """Sends requests that end each backend server which runs them, and counts at the
 servers what reaches them. Real processes on loopback.
 
-    crashing_request.py [--cell NAME]... [--all] [--seed N]
+    crashing_request.py [--cell NAME]... [--all] [--random COUNT] [--seed N]
 
-Without arguments the cells of a CI run are played; --all plays every cell. A
-cell fails if, more than CONTACT_S after the third end, the request reaches
+Without arguments the cells of a CI run are played; --all plays every cell,
+--random COUNT random scenarios, of the seed and those after it. A cell fails if, more than CONTACT_S after the third end, the request reaches
 servers more than MAX_LATE_RETRIES times, counted over all VMs; or if a harmless
 request is refused because servers ended beside it."""
 
@@ -168,7 +168,7 @@
         self.how, self.after_ends, self.done = how, after_ends, False
 
     def apply(self, fleet, ends):
-        if self.done or self.how is None or ends < self.after_ends:
+        if self.done or ends < self.after_ends:
             return
         self.done = True
         if self.how == "kill one":
@@ -176,7 +176,7 @@
         elif self.how == "kill all":
             kill_and_start(fleet, fleet.routers)
         elif self.how == "join":
-            router = fleet.add_router("hal-1", "127.0.%d.9" % fleet.subnet)
+            router = fleet.add_router("hal-1", "127.0.%d.%d" % (fleet.subnet, 9 + len(fleet.routers)))
             router.process.start()
             fleets.wait_until(lambda: fleet.ready(router), 10, "the new router is ready")
         elif self.how == "freeze one":
@@ -186,50 +186,77 @@
             fleet.store_faults(outage="silent")
 
 
-# Per cell: path, mark, seconds until a server is back, new ids, disruption.
+class Scenario:
+    """A request that ends servers, how they return, and disruptions beside it."""
+
+    def __init__(self, path, body, back_after, new_ids=False, disruptions=()):
+        self.path, self.body, self.back_after, self.new_ids = path, body, back_after, new_ids
+        self.disruptions = [Disruption(how, after_ends) for how, after_ends in disruptions]
+
+    @staticmethod
+    def draw(seed):
+        """A random scenario; its disruptions may overlap."""
+        draw = random.Random(seed)
+        path = draw.choice(["/lookup/x", "/file/x", "/draft/x", "/once/x"])
+        last_stage = path == "/draft/x" and draw.random() < 0.5
+        disruptions = [(draw.choice(DISRUPTIONS), draw.randrange(4)) for _ in range(draw.randrange(4))]
+        return Scenario(path, "poison-pill-last" if last_stage else "poison-pill", draw.choice([0.01, 0.1, 0.5, 2.0]),
+                        draw.random() < 0.5, disruptions)
+
+    def describe(self):
+        return "%s %s, servers back after %.2f s%s%s" % (
+            self.path, self.body, self.back_after, " under new ids" if self.new_ids else "",
+            "".join("; %s after %d ends" % (item.how, item.after_ends) for item in self.disruptions))
+
+
+DISRUPTIONS = ["kill one", "kill all", "join", "freeze one", "store down"]
 CELLS = {
-    "lookup": ("/lookup/x", "poison-pill", 0.1, False, Disruption(None, 0)),
-    "lookup-slow-return": ("/lookup/x", "poison-pill", 2.0, False, Disruption(None, 0)),
-    "lookup-new-ids": ("/lookup/x", "poison-pill", 0.1, True, Disruption(None, 0)),
-    "lookup-kill-all": ("/lookup/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
-    "lookup-kill-one": ("/lookup/x", "poison-pill", 0.1, False, Disruption("kill one", 2)),
-    "lookup-store-down": ("/lookup/x", "poison-pill", 0.1, False, Disruption("store down", 1)),
-    "file": ("/file/x", "poison-pill", 0.1, False, Disruption(None, 0)),
-    "file-slow-return": ("/file/x", "poison-pill", 2.0, False, Disruption(None, 0)),
-    "file-new-ids": ("/file/x", "poison-pill", 0.1, True, Disruption(None, 0)),
-    "file-kill-all": ("/file/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
-    "file-join": ("/file/x", "poison-pill", 0.1, False, Disruption("join", 2)),
-    "file-freeze-one": ("/file/x", "poison-pill", 0.1, False, Disruption("freeze one", 1)),
-    "stream": ("/draft/x", "poison-pill", 0.1, False, Disruption(None, 0)),
-    "stream-quick-return": ("/draft/x", "poison-pill", 0.01, False, Disruption(None, 0)),
-    "stream-slow-return": ("/draft/x", "poison-pill", 2.0, False, Disruption(None, 0)),
-    "stream-kill-all": ("/draft/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
-    "stream-kill-one": ("/draft/x", "poison-pill", 0.1, False, Disruption("kill one", 2)),
-    "stream-join": ("/draft/x", "poison-pill", 0.1, False, Disruption("join", 3)),
-    "stream-last-stage": ("/draft/x", "poison-pill-last", 0.1, False, Disruption(None, 0)),
-    "stream-last-stage-slow-return": ("/draft/x", "poison-pill-last", 2.0, False, Disruption(None, 0)),
-    "stream-once": ("/once/x", "poison-pill", 0.1, False, Disruption(None, 0)),
-    "stream-once-kill-all": ("/once/x", "poison-pill", 0.1, False, Disruption("kill all", 3)),
+    "lookup": Scenario("/lookup/x", "poison-pill", 0.1),
+    "lookup-slow-return": Scenario("/lookup/x", "poison-pill", 2.0),
+    "lookup-new-ids": Scenario("/lookup/x", "poison-pill", 0.1, True),
+    "lookup-kill-all": Scenario("/lookup/x", "poison-pill", 0.1, False, [("kill all", 3)]),
+    "lookup-kill-one": Scenario("/lookup/x", "poison-pill", 0.1, False, [("kill one", 2)]),
+    "lookup-store-down": Scenario("/lookup/x", "poison-pill", 0.1, False, [("store down", 1)]),
+    "file": Scenario("/file/x", "poison-pill", 0.1),
+    "file-slow-return": Scenario("/file/x", "poison-pill", 2.0),
+    "file-new-ids": Scenario("/file/x", "poison-pill", 0.1, True),
+    "file-kill-all": Scenario("/file/x", "poison-pill", 0.1, False, [("kill all", 3)]),
+    "file-join": Scenario("/file/x", "poison-pill", 0.1, False, [("join", 2)]),
+    "file-freeze-one": Scenario("/file/x", "poison-pill", 0.1, False, [("freeze one", 1)]),
+    "stream": Scenario("/draft/x", "poison-pill", 0.1),
+    "stream-quick-return": Scenario("/draft/x", "poison-pill", 0.01),
+    "stream-slow-return": Scenario("/draft/x", "poison-pill", 2.0),
+    "stream-kill-all": Scenario("/draft/x", "poison-pill", 0.1, False, [("kill all", 3)]),
+    "stream-kill-one": Scenario("/draft/x", "poison-pill", 0.1, False, [("kill one", 2)]),
+    "stream-join": Scenario("/draft/x", "poison-pill", 0.1, False, [("join", 3)]),
+    "stream-last-stage": Scenario("/draft/x", "poison-pill-last", 0.1),
+    "stream-last-stage-slow-return": Scenario("/draft/x", "poison-pill-last", 2.0),
+    "stream-once": Scenario("/once/x", "poison-pill", 0.1),
+    "stream-once-kill-all": Scenario("/once/x", "poison-pill", 0.1, False, [("kill all", 3)]),
 }
-CI_CELLS = ["lookup", "file-kill-all", "stream-kill-all", "stream-last-stage", "stream-once", "daemons-lookup"]
+CI_CELLS = ["lookup", "file-kill-all", "stream-kill-all", "stream-last-stage", "stream-once", "daemons-lookup",
+            "server-losses"]
 
 
-def play(name, subnet, seed):
+def play(name, scenario, subnet, seed):
     """Sends the request through all routers in turn and checks what reached the
     backend servers."""
-    path, body, back_after, new_ids, disruption = CELLS[name]
+    body = scenario.body
+    print("%s: %s" % (name, scenario.describe()), flush=True)
     fleet = new_fleet(subnet)
     servers = fleet.workers + fleet.plain
-    keeper = ServerKeeper(servers, back_after, new_ids)
+    keeper = ServerKeeper(servers, scenario.back_after, scenario.new_ids)
     load = HarmlessLoad(fleet, seed)
     answers = []
     try:
         for number in range(SENDS):
             started = time.monotonic()
             router = fleet.routers[number % len(fleet.routers)]
-            status, text, headers = fleet.ask(router, "POST", path, "%s-%d" % (name, number), body=body, timeout=3.0)
+            status, text, headers = fleet.ask(router, "POST", scenario.path, "%s-%d" % (name, number), body=body,
+                                              timeout=3.0)
             answers.append((status, headers.get("Retry-After", "-"), QUARANTINE_TEXT in text))
-            disruption.apply(fleet, len(times_of(servers, CRASHED, body)))
+            for disruption in scenario.disruptions:
+                disruption.apply(fleet, len(times_of(servers, CRASHED, body)))
             time.sleep(max(0.0, SEND_INTERVAL_S - (time.monotonic() - started)))
         load.stop()
         # With the crashing request kept out, harmless ones are served.
@@ -316,18 +343,23 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--cell", action="append", choices=sorted(CELLS) + sorted(DAEMON_CELLS) + ["server-losses"])
     parser.add_argument("--all", action="store_true")
+    parser.add_argument("--random", type=int, default=0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--subnet", type=int, default=61)
     parser.add_argument("--rounds", type=int, default=5, help="of server losses")
     arguments = parser.parse_args()
-    cells = list(CELLS) + list(DAEMON_CELLS) + ["server-losses"] if arguments.all else arguments.cell or CI_CELLS + ["server-losses"]
+    cells = arguments.cell or ([] if arguments.random else CI_CELLS)
+    if arguments.all:
+        cells = list(CELLS) + list(DAEMON_CELLS) + ["server-losses"]
     for name in cells:
         if name == "server-losses":
             play_server_losses(arguments.subnet, arguments.seed, arguments.rounds)
         elif name in DAEMON_CELLS:
             play_daemons(name, arguments.subnet)
         else:
-            play(name, arguments.subnet, arguments.seed)
+            play(name, CELLS[name], arguments.subnet, arguments.seed)
+    for seed in range(arguments.seed, arguments.seed + arguments.random):
+        play("seed-%d" % seed, Scenario.draw(seed), arguments.subnet, seed)
     print("crashing_request: %d failed" % len(FAILED))
     return 1 if FAILED else 0
 
