--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -77,7 +77,8 @@
   kUnknown,    ///< This VM was stalled.
 };
 
-/// Fiber thread only.
+/// Gives strikes to the requests whose runs were lost when a server ended, and
+/// tells which requests may still be sent. Fiber thread only.
 class CrashMonitor {
  public:
   static std::unique_ptr<CrashMonitor> Create(
@@ -99,8 +100,8 @@
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
 
-  /// A run on this server begins; `OnRunEnded` must follow. Both are
-  /// identified by the request.
+  /// Bracket a run on a server; the request id identifies the run. A request
+  /// with several strikes takes the blame for the end of a server it runs on.
   void OnRunStarted(const TrackedRun& run, const ServerStart& server);
   void OnRunEnded(const TrackedRun& run, const ServerStart& server);
 
