Router: log what the exit cuts, and the size of generations

A request that was cut by the end of the process left no trace in the logs, and the duration of a stream could not be compared with its size: needed to tell the hypotheses about requests that are cut after SIGTERM apart. request.cut names each request in progress at the exit (at most 50); request.ended shows the events forwarded, the prompt tokens, the limit of the answer and the caller's estimate.

--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -75,6 +75,7 @@
   std::string path = {};
   Duration first_event{0};
   Duration max_event_interval{0};
+  std::uint64_t events = 0;  ///< of a stream, forwarded to the caller
 };
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <set>
+
 #include "chervilpass/core/hash.h"
 #include "chervilpass/serving/call_proxy.h"
 #include "chervilpass/serving/stream_proxy.h"
@@ -19,6 +21,8 @@
 // Another VM can take the request at once.
 constexpr Duration kLeavingRetryAfter = milliseconds(50);
 constexpr Duration kStartupPollInterval = milliseconds(20);
+// Log lines about requests that are in progress when the process ends.
+constexpr std::size_t kMaxUnfinishedLogged = 50;
 
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
@@ -37,7 +41,7 @@
   std::unique_ptr<CrashMonitor> crashes;
   std::unique_ptr<StreamRegistry> streams;
   std::optional<Instant> shutdown_deadline;
-  std::size_t in_flight = 0;
+  std::set<const RequestContext*> in_flight;
   std::uint64_t served_count = 0;
 
   RequestResult Serve(io::HttpExchange& exchange, RequestContext* context) {
@@ -164,6 +168,8 @@
       return;
     }
     const std::uint64_t version = context.table ? context.table->Version() : 0;
+    const GenerationSize size = context.metadata.generation.value_or(
+        GenerationSize{0, 0, std::nullopt});
     this->dependencies.log->Info(
         "request.ended",
         {{"request", context.metadata.request_id},
@@ -178,6 +184,10 @@
          {"path", result.path},
          {"first_event_ms", ToMilliseconds(result.first_event)},
          {"longest_gap_ms", ToMilliseconds(result.max_event_interval)},
+         {"events", result.events},
+         {"prompt_tokens", size.prompt_tokens},
+         {"max_answer_tokens", size.max_answer_tokens},
+         {"expected_answer_tokens", size.expected_answer_tokens.value_or(0)},
          {"config_version", version},
          {"elapsed_ms", ToMilliseconds(elapsed)}});
   }
@@ -203,9 +213,9 @@
   RequestContext context;
   context.exchange = &exchange;
   context.received = this->state->dependencies.runtime->Now();
-  ++this->state->in_flight;
+  this->state->in_flight.insert(&context);
   const RequestResult result = this->state->Serve(exchange, &context);
-  --this->state->in_flight;
+  this->state->in_flight.erase(&context);
   this->state->RecordResult(context, result);
 }
 
@@ -227,7 +237,24 @@
 }
 
 std::size_t Router::InFlight() const {
-  return this->state->in_flight;
+  return this->state->in_flight.size();
+}
+
+void Router::LogUnfinished() const {
+  const Instant now = this->state->dependencies.runtime->Now();
+  std::size_t logged = 0;
+  for (const RequestContext* context : this->state->in_flight) {
+    if (++logged > kMaxUnfinishedLogged) {
+      return;
+    }
+    this->state->dependencies.log->Warning(
+        "request.cut",
+        {{"request", context->metadata.request_id},
+         {"route", context->route == nullptr ? "" : context->route->name},
+         {"service", context->service},
+         {"reason", "the process ends"},
+         {"age_ms", ToMilliseconds(now - context->received)}});
+  }
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -55,6 +55,9 @@
   /// Requests in progress.
   std::size_t InFlight() const;
 
+  /// Logs the requests in progress, which end with the process.
+  void LogUnfinished() const;
+
  private:
   struct State;
   explicit Router(std::unique_ptr<State> state);
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -340,6 +340,7 @@
       }
       if (order != EventOrder::kRepeated) {
         out += event->bytes;
+        ++this->events;
       }
     }
     if (out.empty()) {
@@ -404,6 +405,7 @@
     result.path = DescribePath(this->last_path);
     result.first_event = this->first_event;
     result.max_event_interval = this->max_event_interval;
+    result.events = this->events;
     return result;
   }
 
@@ -508,6 +510,7 @@
   Instant last_event{};
   Duration first_event{0};
   Duration max_event_interval{0};
+  std::uint64_t events = 0;  ///< forwarded to the caller
 };
 
 }  // namespace
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -531,6 +531,7 @@
         break;
       }
     }
+    this->router->LogUnfinished();
     this->log.Info("router.stopped", {{"in_flight", this->router->InFlight()}});
   }
 
