--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -37,6 +37,8 @@
         self.version = 0
         self.keys = ["key-skagen"]
         self.plain_service = "register"
+        self.slow_routes = []  # names of idempotent routes with a long timeout
+        self.idle_timeout_ms = 15000
         self.store = fleets.Process("store", "fake-store", "listen: '%s'\n" % self.store_address(), folder)
         self.routers, self.workers, self.plain = [], [], []
         for number, data_centre in enumerate(data_centres):
@@ -100,12 +102,13 @@
                            route("once", "stream", "llm", sticky=True, gapAimMs=500, timeoutMs=20000, attempts=1),
                            route("file", "non_idempotent", self.plain_service),
                            route("lookup", "idempotent", self.plain_service),
-                           route("open", "idempotent", self.plain_service, public=True)],
+                           route("open", "idempotent", self.plain_service, public=True)] +
+                [route(name, "idempotent", self.plain_service, timeoutMs=20000) for name in self.slow_routes],
                 "services": [{"name": "llm", "healthPath": "/health", "maxConns": 100, "engine": engine},
                              {"name": "register", "healthPath": "/health", "maxConns": 100},
                              {"name": "register-2", "healthPath": "/health", "maxConns": 100}],
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000,
-                           "idleTimeoutMs": 15000},
+                           "idleTimeoutMs": self.idle_timeout_ms},
                 "tenants": [{"name": "skagen", "apiKeys": self.keys}]}
 
     # ---- start and stop ----
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -334,10 +334,13 @@
     app::ExitNow(kExitCrashed);
   }
 
-  // Counted at the start: an aborted call has been executed, too.
+  // Counted at the start: an aborted call has been executed, too. `work_ms` in
+  // the query replaces the usual time of work.
   void Execute(io::HttpExchange& exchange, const std::string& id) {
     ++this->runs[id];
-    this->runtime->SleepFor(this->settings.work_time);
+    const auto work_ms = exchange.Request().QueryParameter("work_ms");
+    this->runtime->SleepFor(work_ms ? milliseconds(std::stoi(*work_ms))
+                                    : this->settings.work_time);
     if (this->responses_to_drop > 0) {
       --this->responses_to_drop;
       return exchange.Abort();
