Router: a leaving VM accepts what it expects to finish

Callers saw streams cut in the middle that were taken 3.1 s after SIGTERM, short streams refused with 4 s left, and calls cut without an answer by the exit.

Cause: one constant of 4.5 s stood for the duration of every stream, calls were not checked, and the check was made once, on arrival.

Now the expected time of a request (the pace and first events of recent streams, its limit and hint as far as hints were right; recent calls of its route) is compared with the time left, before each send. While callers' addresses are still valid a stream may be at its limit of time; afterwards the bound is three standard deviations and the slowest twentieth of recent paces. Without recent runs streams are refused. A request without a response gets one 250 ms before the exit (502, it may have run). A refusal names the time at which callers will find a ready VM. The grace time of a changed settings file counts at once.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -66,7 +66,10 @@
             Duration time_left)
       : dependencies(dependencies),
         context(context),
-        scope(dependencies.runtime, context.exchange, time_left),
+        scope(dependencies.runtime,
+              context.exchange,
+              time_left,
+              dependencies.scopes),
         policy(dependencies.retry_policy, *context.route) {}
 
   RequestResult Run() {
@@ -80,6 +83,13 @@
               this->context.fingerprint)) {
         return this->EndQuarantined();
       }
+      if (const auto objection = this->dependencies.shutdown->ObjectionToCall(
+              this->context.route->name, this->scope.TimeLeft(),
+              this->dependencies.runtime->Now())) {
+        return RefuseLeaving(this->dependencies, this->context,
+                             this->policy.Executed(), *objection,
+                             this->policy.Sends());
+      }
       const auto server = routing_state.PickServer(
           this->context.service, tried, this->dependencies.runtime->Now());
       if (!server) {
@@ -262,7 +272,14 @@
       return {0, "left", "the caller has gone", this->last_server,
               this->policy.Sends()};
     }
-    if (this->policy.Sends() == 0 && this->last_server.empty()) {
+    const bool not_sent =
+        this->policy.Sends() == 0 && this->last_server.empty();
+    if (this->scope.Reason() == StopReason::kShutdown) {
+      return RefuseLeaving(this->dependencies, this->context,
+                           not_sent ? Executed::kNo : Executed::kUnknown,
+                           "this VM is leaving", this->policy.Sends());
+    }
+    if (not_sent) {
       return this->Refused(RefusalCode::kDeadlinePassed, "no time left");
     }
     return this->Failed(RefusalCode::kTimedOut,
@@ -353,6 +370,20 @@
           "", sends};
 }
 
+RequestResult RefuseLeaving(const RouterDependencies& dependencies,
+                            const RequestContext& context,
+                            Executed executed,
+                            std::string detail,
+                            std::uint32_t sends) {
+  const bool not_run = executed == Executed::kNo;
+  return Refuse(
+      context, RefusalCode::kLeaving, executed,
+      not_run ? dependencies.shutdown->RetryAfter(dependencies.ready_share(),
+                                                  dependencies.runtime->Now())
+              : Duration::zero(),
+      std::move(detail), sends);
+}
+
 RequestResult RefuseQuarantined(const RouterDependencies& dependencies,
                                 const RequestContext& context,
                                 Executed executed,
--- a/chervilpass/serving/call_proxy.h
+++ b/chervilpass/serving/call_proxy.h
@@ -6,6 +6,13 @@
 
 namespace chervilpass::serving {
 
+/// Refuses a request because this VM is leaving.
+RequestResult RefuseLeaving(const RouterDependencies& dependencies,
+                            const RequestContext& context,
+                            admission::Executed executed,
+                            std::string detail,
+                            std::uint32_t sends);
+
 /// Ends a request that has crashed too many backend servers to be sent on.
 RequestResult RefuseQuarantined(const RouterDependencies& dependencies,
                                 const RequestContext& context,
--- a/chervilpass/serving/call_scope.h
+++ b/chervilpass/serving/call_scope.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 
 #include "chervilpass/core/time.h"
 #include "chervilpass/io/alarm.h"
@@ -18,35 +19,52 @@
   kCallerGone,  ///< The caller has closed its connection.
   kTimedOut,    ///< The caller's deadline or the route's timeout has passed.
   kStalled,     ///< The backend server makes no progress; another one may.
+  kShutdown,    ///< The process ends before a response could begin.
 };
 
+class CallScope;
+
+/// The scopes of the requests that are being served.
+using CallScopes = std::set<CallScope*>;
+
 /// Watches the caller's connection and the deadline while a request is served.
 /// Fiber thread only; owned by the fiber that serves the request.
 class CallScope {
  public:
-  /// The final response is due within `time_left`.
+  /// The final response is due within `time_left`. The scope is in `scopes`
+  /// during its lifetime.
   CallScope(io::Runtime* runtime,
             io::HttpExchange* exchange,
-            Duration time_left)
+            Duration time_left,
+            CallScopes* scopes)
       : runtime(runtime),
+        scopes(scopes),
         deadline(runtime->Now() + time_left),
         alarm(runtime,
               time_left,
               [this] { this->Stop(StopReason::kTimedOut); }),
         self(std::make_shared<CallScope*>(this)) {
+    scopes->insert(this);
     exchange->WatchPeer([self = this->self] {
       if (*self != nullptr) {
         (*self)->Stop(StopReason::kCallerGone);
       }
     });
   }
-  ~CallScope() { *this->self = nullptr; }
+  ~CallScope() {
+    *this->self = nullptr;
+    this->scopes->erase(this);
+  }
   CallScope(const CallScope&) = delete;
   CallScope& operator=(const CallScope&) = delete;
 
   /// Sets the call that `Stop` cancels; null for none.
   void SetCall(io::HttpCall* current) { this->call = current; }
 
+  /// The head of the response has been sent: no other response can follow.
+  void SetResponseBegun() { this->response_begun = true; }
+  bool ResponseBegun() const { return this->response_begun; }
+
   /// Cancels the call. The first reason is kept, except that a later reason
   /// replaces kStalled.
   void Stop(StopReason new_reason) {
@@ -68,10 +86,11 @@
 
   StopReason Reason() const { return this->reason; }
 
-  /// True once the caller has disconnected or the deadline has passed.
+  /// True once the caller has disconnected, the deadline has passed or the
+  /// process ends.
   bool Stopped() const {
-    return this->reason == StopReason::kCallerGone ||
-           this->reason == StopReason::kTimedOut;
+    return this->reason != StopReason::kNone &&
+           this->reason != StopReason::kStalled;
   }
 
   Duration TimeLeft() const {
@@ -80,6 +99,8 @@
 
  private:
   io::Runtime* runtime;
+  CallScopes* scopes;
+  bool response_begun = false;
   Instant deadline;
   StopReason reason = StopReason::kNone;
   io::HttpCall* call = nullptr;
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -13,9 +13,11 @@
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/request_metadata.h"
 #include "chervilpass/serving/retry_policy.h"
 #include "chervilpass/serving/routing_state.h"
+#include "chervilpass/serving/shutdown_gate.h"
 
 namespace chervilpass::serving {
 
@@ -39,7 +41,12 @@
   std::function<void(const std::vector<quarantine::Strike>&)> report_strikes;
   /// Reports to peers that a request with strikes has completed.
   std::function<void(const quarantine::Clearance&)> report_clearance;
-  CrashMonitor* crashes = nullptr;  ///< set by the router
+  /// Share of the other VMs that are ready for requests.
+  std::function<double()> ready_share;
+  /// Set by the router.
+  CrashMonitor* crashes = nullptr;
+  ShutdownGate* shutdown = nullptr;
+  CallScopes* scopes = nullptr;
 };
 
 /// Starts the cooldown of a worker that does not respond. If it was not in that
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -18,8 +18,6 @@
 
 // A VM learns the configuration within a second of its start.
 constexpr Duration kNotReadyRetryAfter = milliseconds(500);
-// Another VM can take the request at once.
-constexpr Duration kLeavingRetryAfter = milliseconds(50);
 constexpr Duration kStartupPollInterval = milliseconds(20);
 // Log lines about requests that are in progress when the process ends.
 constexpr std::size_t kMaxUnfinishedLogged = 50;
@@ -40,7 +38,8 @@
   Instant started{};
   std::unique_ptr<CrashMonitor> crashes;
   std::unique_ptr<StreamRegistry> streams;
-  std::optional<Instant> shutdown_deadline;
+  std::unique_ptr<ShutdownGate> shutdown;
+  CallScopes scopes;
   std::set<const RequestContext*> in_flight;
   std::uint64_t served_count = 0;
 
@@ -127,12 +126,6 @@
     if (!service->model) {
       return ProxyCall(this->dependencies, *context, time_left);
     }
-    if (this->shutdown_deadline &&
-        *this->shutdown_deadline - this->dependencies.runtime->Now() <
-            this->settings.max_stream_time_while_leaving) {
-      return Refuse(*context, RefusalCode::kLeaving, Executed::kNo,
-                    kLeavingRetryAfter, "this VM is leaving", 0);
-    }
     return ProxyStream(this->dependencies, this->streams.get(), *context,
                        *service->model, time_left);
   }
@@ -146,10 +139,28 @@
     return time - (this->dependencies.runtime->Now() - context.received);
   }
 
+  // Retries are left out: runs seldom need one.
+  void RecordRunTime(const RequestContext& context,
+                     const RequestResult& result,
+                     Duration elapsed) {
+    if (result.outcome != "served" || result.sends > 0) {
+      return;
+    }
+    RunTimeEstimator& run_times = this->shutdown->RunTimes();
+    if (result.events == 0) {
+      run_times.OnCallEnded(context.route->name, elapsed);
+    } else if (context.metadata.generation && !context.metadata.last_event_id) {
+      run_times.OnStreamEnded(context.service,
+                              {result.first_event, elapsed, result.events,
+                               *context.metadata.generation});
+    }
+  }
+
   void RecordResult(const RequestContext& context,
                     const RequestResult& result) {
     const Duration elapsed =
         this->dependencies.runtime->Now() - context.received;
+    this->RecordRunTime(context, result, elapsed);
     this->dependencies.metrics->Increment(
         "chervil_requests_total", fmt::format("outcome=\"{}\",code=\"{}\"",
                                               result.outcome, result.status));
@@ -204,6 +215,9 @@
   state->started = state->dependencies.runtime->Now();
   state->crashes = CrashMonitor::Create(&state->dependencies, settings.crashes);
   state->dependencies.crashes = state->crashes.get();
+  state->shutdown = std::make_unique<ShutdownGate>(settings.shutdown);
+  state->dependencies.shutdown = state->shutdown.get();
+  state->dependencies.scopes = &state->scopes;
   state->streams =
       StreamRegistry::Create(&state->dependencies, settings.streams);
   return std::unique_ptr<Router>(new Router(std::move(state)));
@@ -228,8 +242,23 @@
   return response;
 }
 
-void Router::SetShutdownDeadline(Instant deadline) {
-  this->state->shutdown_deadline = deadline;
+void Router::SetShutdown(Instant start,
+                         Instant end,
+                         Duration address_lifetime) {
+  this->state->shutdown->SetEnd(start, end, address_lifetime);
+}
+
+void Router::RespondBeforeShutdown() {
+  if (!this->state->shutdown->MustRespond(
+          this->state->dependencies.runtime->Now())) {
+    return;
+  }
+  const CallScopes scopes = this->state->scopes;
+  for (CallScope* scope : scopes) {
+    if (!scope->ResponseBegun()) {
+      scope->Stop(StopReason::kShutdown);
+    }
+  }
 }
 
 void Router::OnPeerFoundUnreachable(const std::string& worker) {
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -7,6 +7,7 @@
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "chervilpass/serving/request_context.h"
+#include "chervilpass/serving/shutdown_gate.h"
 #include "chervilpass/serving/stream_registry.h"
 
 namespace chervilpass::serving {
@@ -17,9 +18,7 @@
   CrashMonitorSettings crashes;
   /// For requests without a deadline; a shorter timeout of the route applies.
   Duration default_deadline = seconds(60);
-  /// A leaving VM refuses new streams if its process ends sooner than this: the
-  /// streams might not end before the process does.
-  Duration max_stream_time_while_leaving = milliseconds(4500);
+  ShutdownGateSettings shutdown;
   /// During this time after its start a VM delays requests until it knows the
   /// configuration and the backend servers, each request by at most a third of
   /// the time that its caller waits.
@@ -45,9 +44,13 @@
   static io::HttpResponse UnreadableResponse(unsigned status,
                                              std::string_view detail);
 
-  /// Sets the time at which the process ends: new streams that might not end by
-  /// then are refused.
-  void SetShutdownDeadline(Instant deadline);
+  /// This VM leaves since `start`, and its process ends at `end`: requests that
+  /// are not expected to end by then are refused. Callers keep addresses for
+  /// `address_lifetime`.
+  void SetShutdown(Instant start, Instant end, Duration address_lifetime);
+
+  /// Gives requests without a response one if the process is about to end.
+  void RespondBeforeShutdown();
 
   /// A peer has found a worker unreachable.
   void OnPeerFoundUnreachable(const std::string& worker);
--- /dev/null
+++ b/chervilpass/serving/run_time_estimator.cc
@@ -0,0 +1,136 @@
+#include "chervilpass/serving/run_time_estimator.h"
+
+#include <algorithm>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/variance.hpp>
+#include <cmath>
+#include <vector>
+
+namespace chervilpass::serving {
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+constexpr std::size_t kMaxNames = 4096;  // routes, or services
+
+void Append(std::deque<double>* samples, double value, std::size_t limit) {
+  samples->push_back(value);
+  if (samples->size() > limit) {
+    samples->pop_front();
+  }
+}
+
+Duration FromSeconds(double time) {
+  return duration_cast<Duration>(std::chrono::duration<double>(time));
+}
+
+// Upper estimate from recent times, in seconds.
+double UpperTime(const std::deque<double>& times,
+                 const EstimateCaution& caution) {
+  std::vector<double> sorted(times.begin(), times.end());
+  std::sort(sorted.begin(), sorted.end());
+  const auto rank = static_cast<std::size_t>(
+      caution.time_quantile * static_cast<double>(sorted.size() - 1) + 0.5);
+  return sorted[rank] * caution.time_margin;
+}
+
+// Names of the configuration come and go.
+template <class Map>
+typename Map::mapped_type& EntryOf(Map* map, const std::string& name) {
+  if (map->size() >= kMaxNames && !map->contains(name)) {
+    map->clear();
+  }
+  return (*map)[name];
+}
+
+}  // namespace
+
+void RunTimeEstimator::OnCallEnded(const std::string& route, Duration elapsed) {
+  Append(&EntryOf(&this->calls, route), ToSeconds(elapsed),
+         this->settings.timed_runs);
+}
+
+void RunTimeEstimator::OnStreamEnded(const std::string& service,
+                                     const StreamRun& run) {
+  if (run.events == 0) {
+    return;
+  }
+  Streams& known = EntryOf(&this->streams, service);
+  const auto events = static_cast<double>(run.events);
+  Append(&known.first_event_seconds, ToSeconds(run.first_event),
+         this->settings.timed_runs);
+  Append(&known.seconds_per_event,
+         ToSeconds(run.elapsed - run.first_event) / events,
+         this->settings.timed_runs);
+  const double limit = run.size.max_answer_tokens;
+  if (limit <= 0) {
+    return;
+  }
+  Append(&known.events_per_limit, events / limit, this->settings.sized_runs);
+  if (run.size.expected_answer_tokens.value_or(0) > 0) {
+    Append(&known.log_events_per_hint,
+           std::log(events / *run.size.expected_answer_tokens),
+           this->settings.sized_runs);
+  }
+}
+
+std::optional<Duration> RunTimeEstimator::CallTime(
+    const std::string& route,
+    const EstimateCaution& caution) const {
+  const auto found = this->calls.find(route);
+  if (found == this->calls.end() ||
+      found->second.size() < this->settings.min_timed_runs) {
+    return std::nullopt;
+  }
+  return FromSeconds(UpperTime(found->second, caution));
+}
+
+std::optional<Duration> RunTimeEstimator::StreamTime(
+    const std::string& service,
+    const GenerationSize& size,
+    const EstimateCaution& caution) const {
+  const auto found = this->streams.find(service);
+  if (found == this->streams.end() ||
+      found->second.seconds_per_event.size() < this->settings.min_timed_runs) {
+    return std::nullopt;
+  }
+  const Streams& known = found->second;
+  return FromSeconds(UpperTime(known.first_event_seconds, caution) +
+                     UpperTime(known.seconds_per_event, caution) *
+                         this->MaxEvents(known, size, caution));
+}
+
+// An event holds at least one token, so that an answer has at most as many
+// events as its limit; after some runs it is known how many at most.
+double RunTimeEstimator::MaxEvents(const Streams& known,
+                                   const GenerationSize& size,
+                                   const EstimateCaution& caution) const {
+  double most = size.max_answer_tokens;
+  if (known.events_per_limit.size() >= this->settings.min_sized_runs) {
+    const double longest = *std::max_element(known.events_per_limit.begin(),
+                                             known.events_per_limit.end());
+    most *= std::min(1.0, longest);
+  }
+  const Samples& ratios = known.log_events_per_hint;
+  if (size.expected_answer_tokens.value_or(0) > 0 &&
+      ratios.size() >= this->settings.min_sized_runs) {
+    accumulators::accumulator_set<
+        double, accumulators::stats<accumulators::tag::mean,
+                                    accumulators::tag::variance>>
+        statistics;
+    for (const double ratio : ratios) {
+      statistics(ratio);
+    }
+    const double mean = accumulators::mean(statistics);
+    const double deviation = std::sqrt(accumulators::variance(statistics));
+    const double by_hint =
+        *size.expected_answer_tokens *
+        std::exp(mean + caution.length_deviations * deviation);
+    most = std::min(most, by_hint);
+  }
+  return most;
+}
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -0,0 +1,73 @@
+#include "chervilpass/serving/shutdown_gate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace chervilpass::serving {
+namespace {
+
+std::string TooLong(Duration expected, Duration left) {
+  return fmt::format("this VM is leaving: {} ms expected, {} ms left",
+                     ToMilliseconds(expected), ToMilliseconds(left));
+}
+
+}  // namespace
+
+bool ShutdownGate::MustRespond(Instant now) const {
+  return this->end && now >= *this->end - this->settings.final_response_time;
+}
+
+const EstimateCaution& ShutdownGate::CautionAt(Instant now) const {
+  return now < this->addresses_expire ? this->settings.at_first
+                                      : this->settings.later;
+}
+
+Duration ShutdownGate::RetryAfter(double ready_share, Instant now) const {
+  if (!this->end || ready_share >= this->settings.min_ready_share) {
+    return this->settings.retry_delay;
+  }
+  if (ready_share > 0) {
+    return this->address_lifetime;
+  }
+  return std::max(Duration::zero(), *this->end - now) +
+         this->settings.restart_time;
+}
+
+std::optional<std::string> ShutdownGate::ObjectionToCall(
+    const std::string& route,
+    Duration time_left,
+    Instant now) const {
+  if (!this->end) {
+    return std::nullopt;
+  }
+  const Duration left = *this->end - this->settings.final_response_time - now;
+  if (left <= Duration::zero()) {
+    return "this VM is leaving";
+  }
+  const auto usual = this->run_times.CallTime(route, this->settings.later);
+  if (!usual || std::min(*usual, time_left) <= left) {
+    return std::nullopt;
+  }
+  return TooLong(*usual, left);
+}
+
+std::optional<std::string> ShutdownGate::ObjectionToStream(
+    const std::string& service,
+    const std::optional<GenerationSize>& size,
+    Instant now) const {
+  if (!this->end) {
+    return std::nullopt;
+  }
+  const auto expected =
+      size ? this->run_times.StreamTime(service, *size, this->CautionAt(now))
+           : std::nullopt;
+  if (!expected) {
+    return "this VM is leaving, and the stream's duration is not known";
+  }
+  const Duration left = *this->end - now;
+  return *expected > left ? std::optional<std::string>(TooLong(*expected, left))
+                          : std::nullopt;
+}
+
+}  // namespace chervilpass::serving
--- /dev/null
+++ b/chervilpass/serving/shutdown_gate.h
@@ -0,0 +1,84 @@
+// Decides which requests a leaving VM still sends to backend servers.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "chervilpass/core/time.h"
+#include "chervilpass/serving/request_metadata.h"
+#include "chervilpass/serving/run_time_estimator.h"
+
+namespace chervilpass::serving {
+
+/// Settings of a ShutdownGate.
+struct ShutdownGateSettings {
+  RunTimeEstimatorSettings run_times;
+  /// While callers cannot know that this VM leaves, a refusal costs them a
+  /// retry, so that a few streams may be cut.
+  EstimateCaution at_first{0.5, 1.05, 1.3};
+  /// Afterwards hardly any may be.
+  EstimateCaution later{0.95, 1.1, 3};
+  /// Before the end of the process, requests without a response get one.
+  Duration final_response_time = milliseconds(250);
+  /// Callers are told to retry at once if at least this share of the other VMs
+  /// is ready.
+  double min_ready_share = 0.5;
+  Duration retry_delay = milliseconds(50);
+  Duration restart_time = seconds(1);  ///< from the end until ready again
+
+  bool operator==(const ShutdownGateSettings&) const = default;
+};
+
+/// Compares the expected time of requests with the time until the process ends.
+/// A VM that does not leave accepts all. Not thread-safe.
+class ShutdownGate {
+ public:
+  explicit ShutdownGate(ShutdownGateSettings settings)
+      : settings(settings), run_times(settings.run_times) {}
+
+  /// The process ends at `end`; callers keep addresses for `address_lifetime`,
+  /// also those that they were given before this VM began to leave, at `start`.
+  void SetEnd(Instant start, Instant end, Duration address_lifetime) {
+    this->end = end;
+    this->address_lifetime = address_lifetime;
+    this->addresses_expire = start + address_lifetime;
+  }
+
+  bool Leaving() const { return this->end.has_value(); }
+
+  /// True once requests without a response must get one.
+  bool MustRespond(Instant now) const;
+
+  /// Why a call should not be sent; empty if it should. A call always gets a
+  /// response before the end; one that is expected to end later is better sent
+  /// through another VM.
+  std::optional<std::string> ObjectionToCall(const std::string& route,
+                                             Duration time_left,
+                                             Instant now) const;
+
+  /// Why a stream should not be sent; empty if it should. A stream that has
+  /// begun and outlasts the process is lost, so that one of which nothing is
+  /// known is not sent.
+  std::optional<std::string> ObjectionToStream(
+      const std::string& service,
+      const std::optional<GenerationSize>& size,
+      Instant now) const;
+
+  /// When the caller of a refused request should retry: at once if it will find
+  /// a ready VM; otherwise after its addresses have expired or, if no VM is
+  /// ready, once this one is back.
+  Duration RetryAfter(double ready_share, Instant now) const;
+
+  RunTimeEstimator& RunTimes() { return this->run_times; }
+
+ private:
+  const EstimateCaution& CautionAt(Instant now) const;
+
+  ShutdownGateSettings settings;
+  RunTimeEstimator run_times;
+  std::optional<Instant> end;
+  Duration address_lifetime{0};
+  Instant addresses_expire{};
+};
+
+}  // namespace chervilpass::serving
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -53,7 +53,10 @@
         registry(registry),
         context(context),
         model(model),
-        scope(dependencies.runtime, context.exchange, time_left),
+        scope(dependencies.runtime,
+              context.exchange,
+              time_left,
+              dependencies.scopes),
         policy(dependencies.retry_policy, *context.route),
         sequence(context.metadata.last_event_id) {
     this->stream.request_id = context.metadata.request_id;
@@ -78,6 +81,11 @@
               this->context.fingerprint)) {
         return this->EndQuarantined();
       }
+      if (const auto objection = this->ObjectionToSend()) {
+        return RefuseLeaving(this->dependencies, this->context,
+                             this->policy.Executed(), *objection,
+                             this->policy.Sends());
+      }
       const auto path = this->FindPath();
       if (path.has_error()) {
         if (this->MayWaitForPath()) {
@@ -141,6 +149,15 @@
         this->dependencies.runtime->Now());
   }
 
+  // A stream that has begun goes on: nothing else could complete it.
+  std::optional<std::string> ObjectionToSend() const {
+    return this->stream_begun
+               ? std::nullopt
+               : this->dependencies.shutdown->ObjectionToStream(
+                     this->context.service, this->context.metadata.generation,
+                     this->dependencies.runtime->Now());
+  }
+
   // Once the response has begun the request cannot be refused any more, but a
   // path that becomes free soon can complete it.
   bool MayWaitForPath() const {
@@ -299,6 +316,7 @@
                           const io::HttpResponse& head) {
     if (!this->stream_begun) {
       this->stream_begun = true;
+      this->scope.SetResponseBegun();
       if (!this->context.exchange->BeginStream(
               platform::ForwardedResponse(head))) {
         this->scope.Stop(StopReason::kCallerGone);
@@ -426,6 +444,12 @@
       this->context.exchange->Abort();
       return this->MakeResult(0, "broken", "timed out");
     }
+    if (this->scope.Reason() == StopReason::kShutdown) {
+      return RefuseLeaving(
+          this->dependencies, this->context,
+          this->last_path.empty() ? Executed::kNo : Executed::kUnknown,
+          "this VM is leaving", this->policy.Sends());
+    }
     return Refuse(this->context, RefusalCode::kTimedOut, Executed::kUnknown,
                   Duration::zero(), "no answer in time", this->policy.Sends());
   }
--- a/fault_tests/planned_work.py
+++ b/fault_tests/planned_work.py
@@ -29,6 +29,7 @@
 GRACE_S = 8.0              # from SIGTERM until the platform ends the process
 LOSS_SLACK_S = 0.2         # a connection that ends this soon after its request may not have been read
 REFUSAL_S = 0.25           # a request that cannot be served is refused within this time
+CLEAR_EXCESS_S = 0.5       # work that takes so much longer than the time left cannot end in time
 SHORT_SHARE = 0.6          # work that takes at most this share of the time left is served
 EVENT_S = 0.03             # pace of the stand-in's streams
 SILENCE_S = 1.0            # a sound server may be silent for so long
@@ -128,9 +129,11 @@
                     for item in short[:5]))
     refused = [outcome for outcome in outcomes if outcome.kind == "refused"]
     slow = [outcome for outcome in refused if outcome.elapsed_s > REFUSAL_S or not outcome.retry_after]
+    slow += [outcome for outcome in outcomes if outcome.kind == "failed" and
+             outcome.expected_s > ended_s - outcome.sent_at + CLEAR_EXCESS_S]
     check("%s: what would not end in time is refused at once" % name, refused and not slow,
-          "%d refused; %s" % (len(refused), ["%s %.2f s, Retry-After %s" % (item.name, item.elapsed_s, item.retry_after)
-                                             for item in slow[:5]]))
+          "%d refused; %s" % (len(refused), ["%s %s %.2f s, Retry-After %s" % (
+              item.name, item.kind, item.elapsed_s, item.retry_after) for item in slow[:5]]))
 
 
 def stream_request(events):
@@ -147,7 +150,7 @@
     """The router sees each kind of request before it is stopped."""
     threads = [threading.Thread(target=ask, args=(router.ip, method, path, "warm-%s-%d" % (name, copy), 0.0, seconds,
                                                   timeout, headers))
-               for copy in range(3) for name, method, path, seconds, timeout, headers in requests]
+               for copy in range(8) for name, method, path, seconds, timeout, headers in requests]
     for thread in threads:
         thread.start()
     for thread in threads:
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -230,6 +230,7 @@
           this->peers->BroadcastClearance(clearance);
           this->suspects->OnCleared(clearance.fingerprint);
         };
+    dependencies.ready_share = [this] { return this->ReadyShare(); };
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
         this->settings.callers,
@@ -426,6 +427,21 @@
     return notices;
   }
 
+  // The share of the other VMs of the fleet to which callers can go.
+  double ReadyShare() const {
+    const auto members = this->peers->Members();
+    const auto ready = std::count_if(
+        members.begin(), members.end(),
+        [this](const membership::Member& member) {
+          return member.vm != this->settings.ip && member.entry_up &&
+                 member.status == membership::Status::kAlive;
+        });
+    const std::size_t others = this->peers->MaxAlive() - 1;
+    return others == 0
+               ? 0
+               : static_cast<double>(ready) / static_cast<double>(others);
+  }
+
   // Up to two of the VMs that watch the store. The second one is chosen by a
   // hash of this VM's address, to spread the load.
   std::vector<io::Endpoint> Relays() {
@@ -510,7 +526,10 @@
   // period.
   void Leave() {
     const Instant start = this->runtime.Now();
-    const Instant end = start + this->settings.shutdown_grace - kExitMargin;
+    // The settings may change until then.
+    const auto end = [this, start] {
+      return start + this->settings.shutdown_grace - kExitMargin;
+    };
     this->leaving = true;
     this->log.Info(
         "router.leaving",
@@ -518,13 +537,14 @@
          {"grace_ms", ToMilliseconds(this->settings.shutdown_grace)}});
     this->peers->SetLeaving();
     this->caller_server->DisableKeepAlive();
-    this->router->SetShutdownDeadline(end);
     const Instant addresses_expired =
         start + kAddressLifetimeFactor * this->settings.address_ttl;
-    while (this->runtime.Now() < end) {
+    while (this->runtime.Now() < end()) {
+      this->router->SetShutdown(start, end(), this->settings.address_ttl);
+      this->router->RespondBeforeShutdown();
       this->runtime.SleepFor(kDrainPollInterval);
       const Instant now = this->runtime.Now();
-      if (now > end - kCloseIdleMargin || now > addresses_expired) {
+      if (now > end() - kCloseIdleMargin || now > addresses_expired) {
         this->caller_server->CloseIdle();
       }
       if (now > addresses_expired && this->router->InFlight() == 0) {
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -45,6 +45,7 @@
         [this](const std::vector<quarantine::Strike>& added) {
           this->strikes += static_cast<int>(added.size());
         };
+    dependencies.ready_share = [] { return 1.0; };
     dependencies.report_clearance = [](const quarantine::Clearance&) {};
     this->router = Router::Create(std::move(dependencies), {});
     if (has_configuration) {
@@ -940,7 +941,8 @@
     fixture.AddServer(2, "app", {}, [](io::HttpExchange& exchange) {
       exchange.Respond(MakeResponse(exchange, 200, "ok"));
     });
-    fixture.router->SetShutdownDeadline(runtime.Now() + seconds(3));
+    fixture.router->SetShutdown(runtime.Now(), runtime.Now() + seconds(3),
+                                Duration::zero());
     const auto refused = fixture.Call(fixture.Request("/draft/x", "r1"));
     cr_assert_eq(refused.value().status, 503);
     cr_assert(refused.value().headers.Find("Retry-After"));
@@ -949,3 +951,63 @@
                  200);
   });
 }
+
+// Guards against calls that the exit of a leaving VM cuts without an answer.
+Test(router, a_call_in_flight_gets_an_answer_before_the_process_ends) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22800);
+    fixture.AddServer(1, "app", {}, [&runtime](io::HttpExchange& exchange) {
+      runtime.SleepFor(seconds(1));
+      exchange.Respond(MakeResponse(exchange, 200, "late"));
+    });
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      const auto response = fixture.Call(fixture.Request("/file/x", "r1"));
+      status = response.has_value() ? response.value().status : 0;
+    });
+    runtime.SleepFor(milliseconds(50));
+    fixture.router->SetShutdown(
+        runtime.Now(), runtime.Now() + milliseconds(300), Duration::zero());
+    fixture.router->RespondBeforeShutdown();
+    runtime.SleepFor(milliseconds(20));
+    cr_assert_eq(status, 0);
+    runtime.SleepFor(milliseconds(50));
+    fixture.router->RespondBeforeShutdown();
+    runtime.SleepFor(milliseconds(50));
+    // It may have run: no promise.
+    cr_assert_eq(status, 502);
+    const auto refused = fixture.Call(fixture.Request("/file/x", "r2"));
+    cr_assert_eq(refused.value().status, 503);
+  });
+}
+
+// Guards against streams that are accepted before a VM leaves and sent late.
+Test(router, a_stream_is_checked_before_each_send_while_the_vm_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22820);
+    int sends = 0;
+    for (int number = 1; number <= 2; ++number) {
+      fixture.AddServer(number, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+        if (exchange.Request().method == "GET") {
+          return exchange.Respond({200, {}, R"({"seq":1})"});
+        }
+        ++sends;
+        runtime.SleepFor(milliseconds(100));
+        io::HttpResponse full = MakeResponse(exchange, 503, "");
+        full.headers.Add("Chervilpass-Not-Executed", "1");
+        exchange.Respond(full);
+      });
+    }
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      const auto response = fixture.Call(fixture.Request("/draft/x", "r1"));
+      status = response.has_value() ? response.value().status : 0;
+    });
+    runtime.SleepFor(milliseconds(30));
+    fixture.router->SetShutdown(runtime.Now(), runtime.Now() + seconds(1),
+                                Duration::zero());
+    runtime.SleepFor(milliseconds(200));
+    cr_assert_eq(sends, 1);
+    cr_assert_eq(status, 503);
+  });
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -11,6 +11,8 @@
 #include "chervilpass/serving/event_stream.h"
 #include "chervilpass/serving/retry_policy.h"
 #include "chervilpass/serving/routing_state.h"
+#include "chervilpass/serving/run_time_estimator.h"
+#include "chervilpass/serving/shutdown_gate.h"
 
 using namespace chervilpass;
 using namespace chervilpass::routing;
@@ -358,3 +360,129 @@
   cr_assert((routing_state.PickServer("orders", {"s1"}, kStart)->id) == "s2");
   cr_assert(!routing_state.PickServer("orders", {"s0", "s1", "s2"}, kStart));
 }
+
+namespace {
+
+constexpr EstimateCaution kCautious{0.95, 1.1, 3};
+
+// Streams with 30 ms an event and 100 ms before the first one. Each has as many
+// events as tokens; the estimates of the callers are off by up to a factor of
+// two.
+void ServeStreams(RunTimeEstimator* run_times, int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::uint32_t events = 20 + 10 * (i % 8);
+    const std::uint32_t hint = i % 2 == 0 ? events / 2 : events * 2;
+    run_times->OnStreamEnded(
+        "llm", {milliseconds(100), milliseconds(100 + 30 * events), events,
+                GenerationSize{100, 200, hint}});
+  }
+}
+
+}  // namespace
+
+Test(run_time_estimator, without_runs_there_is_no_estimate) {
+  RunTimeEstimator run_times({});
+  cr_assert(!run_times.StreamTime("llm", {100, 50, std::nullopt}, kCautious));
+  cr_assert(!run_times.CallTime("lookup", kCautious));
+  ServeStreams(&run_times, 7);
+  cr_assert(!run_times.StreamTime("llm", {100, 50, std::nullopt}, kCautious));
+  ServeStreams(&run_times, 1);
+  cr_assert(run_times.StreamTime("llm", {100, 50, std::nullopt}, kCautious));
+  cr_assert(!run_times.StreamTime("other", {100, 50, std::nullopt}, kCautious));
+}
+
+Test(run_time_estimator, a_stream_takes_its_limit_at_the_pace_of_others) {
+  RunTimeEstimator run_times({});
+  ServeStreams(&run_times, 8);
+  const Duration time =
+      *run_times.StreamTime("llm", {100, 50, std::nullopt}, kCautious);
+  cr_assert(time >= milliseconds(100 + 30 * 50));
+  cr_assert(time <= milliseconds(1800));
+}
+
+Test(run_time_estimator, hints_count_as_far_as_they_were_right) {
+  RunTimeEstimator run_times({});
+  ServeStreams(&run_times, 64);
+  // Hints of half the length occur: the bound is several times the hint.
+  const Duration hinted =
+      *run_times.StreamTime("llm", {100, 200, 10}, kCautious);
+  cr_assert(hinted >= milliseconds(100 + 30 * 20));
+  cr_assert(hinted <
+            *run_times.StreamTime("llm", {100, 200, std::nullopt}, kCautious));
+  // No answer had more than 90 events.
+  cr_assert(*run_times.StreamTime("llm", {100, 200, 190}, kCautious) <
+            milliseconds(100 + 30 * 130));
+}
+
+Test(run_time_estimator, recent_runs_replace_earlier_ones) {
+  RunTimeEstimator run_times({});
+  for (const int milliseconds_each : {2000, 20}) {
+    for (int i = 0; i < 64; ++i) {
+      run_times.OnCallEnded("lookup", milliseconds(milliseconds_each));
+    }
+  }
+  cr_assert(*run_times.CallTime("lookup", kCautious) < milliseconds(30));
+  cr_assert(!run_times.CallTime("file", kCautious));
+}
+
+// Guards against requests that a leaving VM accepts and then cuts, and against
+// short ones that it refuses although they would end.
+Test(shutdown_gate, requests_are_accepted_if_they_end_before_the_process) {
+  ShutdownGate gate({});
+  const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
+  cr_assert(!gate.ObjectionToStream("llm", size, kStart));
+  cr_assert(!gate.ObjectionToCall("lookup", seconds(60), kStart));
+  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
+  cr_assert(gate.ObjectionToStream("llm", size, kStart), "nothing is known");
+  cr_assert(!gate.ObjectionToCall("lookup", seconds(60), kStart));
+  ServeStreams(&gate.RunTimes(), 8);
+  for (int i = 0; i < 8; ++i) {
+    gate.RunTimes().OnCallEnded("lookup", milliseconds(1000));
+  }
+  for (Duration at{0}; at <= seconds(8); at += milliseconds(10)) {
+    const bool stream_fits = at <= seconds(8) - milliseconds(1800);
+    const bool stream_cut = at > seconds(8) - milliseconds(1600);
+    const bool stream_sent = !gate.ObjectionToStream("llm", size, kStart + at);
+    cr_assert(!stream_fits || stream_sent);
+    cr_assert(!stream_cut || !stream_sent);
+    const bool call_fits = at <= seconds(8) - milliseconds(1400);
+    const bool call_cut = at > seconds(7);
+    const bool call_sent =
+        !gate.ObjectionToCall("lookup", seconds(60), kStart + at);
+    cr_assert(!call_fits || call_sent);
+    cr_assert(!call_cut || !call_sent);
+  }
+  cr_assert(gate.ObjectionToStream("llm", std::nullopt, kStart), "no size");
+}
+
+// A refusal costs a caller that could not know of the shutdown a retry.
+Test(shutdown_gate, more_streams_are_accepted_while_addresses_are_valid) {
+  ShutdownGate gate({});
+  ServeStreams(&gate.RunTimes(), 64);
+  gate.SetEnd(kStart, kStart + seconds(3), milliseconds(500));
+  const GenerationSize size{100, 200, 50};
+  cr_assert(!gate.ObjectionToStream("llm", size, kStart));
+  cr_assert(gate.ObjectionToStream("llm", size, kStart + milliseconds(500)));
+}
+
+Test(shutdown_gate, a_call_with_a_short_deadline_ends_in_time) {
+  ShutdownGate gate({});
+  for (int i = 0; i < 8; ++i) {
+    gate.RunTimes().OnCallEnded("lookup", seconds(5));
+  }
+  gate.SetEnd(kStart, kStart + seconds(2), Duration::zero());
+  cr_assert(gate.ObjectionToCall("lookup", seconds(60), kStart));
+  cr_assert(!gate.ObjectionToCall("lookup", seconds(1), kStart));
+  cr_assert(!gate.MustRespond(kStart + milliseconds(1700)));
+  cr_assert(gate.MustRespond(kStart + milliseconds(1800)));
+}
+
+// Guards against callers that are sent from one leaving VM to the next.
+Test(shutdown_gate, retries_wait_until_a_vm_is_ready) {
+  ShutdownGate gate({});
+  gate.SetEnd(kStart, kStart + seconds(8), seconds(2));
+  const Instant now = kStart + seconds(3);
+  cr_assert(gate.RetryAfter(0.9, now) == milliseconds(50));
+  cr_assert(gate.RetryAfter(0.2, now) == seconds(2));
+  cr_assert(gate.RetryAfter(0, now) == seconds(6));
+}
