Stand-in for workers: a part of the prompt that ends the process

Setting crash_part (a list of part IDs) and the admin faults crash_part and crash_delay_ms: a worker ends shortly after the head of its response to a request that names such a part at any place but the last. It logs arrival and end with the request and the part, so that a test can count both by part.

--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -5,6 +5,7 @@
 // in the store.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 #include <map>
@@ -44,6 +45,9 @@
   // A request whose body contains the word ends the process that runs it. If
   // "-last" follows the word, it ends the process of the path's last stage.
   std::string crash_word;
+  // A streamed request with one of these parts in its prompt, other than as the
+  // last part, ends the process that runs it after the head of its response.
+  std::vector<std::string> crash_parts;
   Duration crash_delay{0};  // from the start of the run to the end
   LogSettings log;
 };
@@ -209,6 +213,13 @@
     if (const auto* events = fields.if_contains("break_streams_after")) {
       this->break_after_events = events->to_number<int>();
     }
+    if (const auto* parts = fields.if_contains("crash_part")) {
+      this->settings.crash_parts =
+          SplitText(std::string(parts->as_string()), ',');
+    }
+    if (const auto* delay = fields.if_contains("crash_delay_ms")) {
+      this->settings.crash_delay = milliseconds(delay->to_number<int>());
+    }
     exchange.Respond({200, {}, "{}"});
   }
 
@@ -334,6 +345,34 @@
     app::ExitNow(kExitCrashed);
   }
 
+  // The first part of the prompt that ends the process; empty if there is none.
+  std::string FindCrashPart(const io::HttpRequest& request) const {
+    auto parts = SplitText(
+        request.headers.Find("Chervilpass-Prompt-Prefix").value_or(""), ',');
+    if (!parts.empty()) {
+      parts.pop_back();  // belongs to the request alone
+    }
+    const std::vector<std::string>& crash_parts = this->settings.crash_parts;
+    for (const std::string& part : parts) {
+      const std::string part_id = part.substr(0, part.find(':'));
+      if (!part_id.empty() && std::find(crash_parts.begin(), crash_parts.end(),
+                                        part_id) != crash_parts.end()) {
+        return part_id;
+      }
+    }
+    return {};
+  }
+
+  // Ends the process after the delay, beside the request that goes on.
+  void CrashBeside(const std::string& id, const std::string& crash_part) {
+    this->runtime->Spawn([this, id, crash_part] {
+      this->runtime->SleepFor(this->settings.crash_delay);
+      this->log.Error("worker.crashed",
+                      {{"request", id}, {"part", crash_part}});
+      app::ExitNow(kExitCrashed);
+    });
+  }
+
   // Counted at the start: an aborted call has been executed, too.
   void Execute(io::HttpExchange& exchange, const std::string& id) {
     ++this->runs[id];
@@ -410,6 +449,10 @@
 
   void Generate(io::HttpExchange& exchange, const std::string& id) {
     const io::HttpRequest& request = exchange.Request();
+    const std::string crash_part = this->FindCrashPart(request);
+    if (!crash_part.empty()) {
+      this->log.Info("request.marked", {{"request", id}, {"part", crash_part}});
+    }
     this->paths[id] =
         ReadPath(request.headers.Find("Chervilpass-Hop-Count").value_or(""));
     // A copy: a repath order may replace the path while the stages are checked.
@@ -431,6 +474,9 @@
     const std::string crash_body =
         this->IsMarked(request, "-last") ? request.body : "";
     bool complete = exchange.BeginStream(this->ResponseHead(200, id));
+    if (complete && !crash_part.empty()) {
+      this->CrashBeside(id, crash_part);
+    }
     int sent_events = 0;
     while (complete && event < events) {
       complete = this->SendEvent(exchange, id, ++event, crash_body);
@@ -512,6 +558,7 @@
         reader.Milliseconds("heartbeat_ms", {10, 60000}, 600);
     read.layer_load_time = reader.Milliseconds("load_layer_ms", {0, 60000}, 20);
     read.crash_word = reader.Text("crash_word", "poison-pill");
+    read.crash_parts = SplitText(reader.Text("crash_part", ""), ',');
     read.crash_delay = reader.Milliseconds("crash_delay_ms", {0, 60000}, 20);
     read.log =
         app::ReadLogSettings(reader, "fake-worker", read.id, command_line);
