--- a/fault_tests/crashing_request.py
+++ b/fault_tests/crashing_request.py
@@ -138,11 +138,11 @@
     return sorted(times)
 
 
-def late_arrivals(ends, arrivals):
+def late_arrivals(ends, arrivals, ends_before_bound=ENDS_BEFORE_BOUND):
     """Arrivals after the bound applies."""
-    if len(ends) < ENDS_BEFORE_BOUND:
+    if len(ends) < ends_before_bound:
         return []
-    return [moment for moment in arrivals if moment > ends[ENDS_BEFORE_BOUND - 1] + CONTACT_S]
+    return [moment for moment in arrivals if moment > ends[ends_before_bound - 1] + CONTACT_S]
 
 
 def new_fleet(subnet, plain_servers=3):
