Streams: give a run up only for another one

Callers saw resumable streams cut after all workers had been silent for a second, though the workers went on; streams that may not resume were not cut.

Cause: a run was given up after 1.4 s of silence, or when its path could not be mended, before it was known whether another run could follow. With no other path, or no retry left in the budget, the answer was then broken off.

Now each of these ways asks for a path and takes a retry first, as the loss of a worker already did; without them the run goes on, and is looked at again.

--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -98,7 +98,7 @@
       }
       if (this->HasUnreachableStage(*stream, now)) {
         this->ReportUnreachableStages(*stream, now);
-        if (!this->TryResume(stream)) {
+        if (!this->TryResume(stream, "a worker of its path is gone")) {
           this->StartMove(stream, {});
         }
         continue;
@@ -112,9 +112,8 @@
                          : this->settings.first_event_stall_threshold)) {
         continue;
       }
-      if (silence >= this->settings.stall_timeout && stream->may_resume) {
-        this->GiveUp(stream, "no event for too long");
-      } else {
+      if (silence < this->settings.stall_timeout ||
+          !this->TryResume(stream, "no event for too long")) {
         this->StartExamining(stream->path.front());
       }
     }
@@ -232,15 +231,17 @@
                                                : finding->second.evidence);
   }
 
-  // A new run on another path resumes sooner than a move: the workers that take
-  // over in a move must process the tokens of all streams of the lost worker.
-  bool TryResume(ActiveStream* stream) {
+  // Gives a run up for one on another path. That resumes sooner than a move:
+  // the workers that take over in a move must process the tokens of all streams
+  // of the lost worker. False, and the run goes on, if no other run could
+  // follow: a worker that is only silent will go on.
+  bool TryResume(ActiveStream* stream, std::string_view reason) {
     if (!stream->may_resume || !this->HasOtherPath(*stream) ||
         !this->dependencies->routing_state->Retries().TryRetry()) {
       return false;
     }
     stream->retry_budget_charged = true;
-    this->GiveUp(stream, "a worker of its path is gone");
+    this->GiveUp(stream, reason);
     return true;
   }
 
@@ -543,10 +544,8 @@
     if (!blocking.empty()) {
       return;  // it may still resume on its current path
     }
-    if (stream->may_resume) {
-      this->GiveUp(stream, "its path cannot be mended");
-    } else {
-      // Nothing else can complete it: wait for the worker.
+    if (!this->TryResume(stream, "its path cannot be mended")) {
+      // Nothing else can complete it now: wait for the worker.
       stream->last_progress = this->dependencies->runtime->Now();
     }
   }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -36,8 +36,9 @@
   /// The stall threshold before the first event, and after a move until the
   /// next event, since prompts may be queued.
   Duration first_event_stall_threshold = milliseconds(700);
-  /// Silence after which the run is given up if no unreachable worker was found
-  /// and the stream may be resumed. Callers disconnect after two seconds.
+  /// Silence after which the run is given up, if no unreachable worker was
+  /// found and the stream can be resumed at once. Callers disconnect after two
+  /// seconds.
   Duration stall_timeout = milliseconds(1400);
   /// Timeout for a worker's report or its response to an order.
   Duration report_timeout = milliseconds(250);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1011,3 +1011,29 @@
     cr_assert_eq(status, 503);
   });
 }
+
+// Guards against streams that are given up because their worker is silent,
+// though no other worker could complete them.
+Test(router, a_stream_waits_for_its_silent_worker_if_there_is_no_other) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22840);
+    Instant silent_until{};
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        while (runtime.Now() < silent_until) {
+          runtime.SleepFor(milliseconds(10));
+        }
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      silent_until = runtime.Now() + milliseconds(1700);
+      runtime.SleepFor(milliseconds(1700));
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+    });
+    const auto body = fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert(body.has_value());
+    cr_assert_eq(body.value().size(), 2 * Event(1).size());
+  });
+}
