Parts of prompts as evidence: requests that share a crashing part are refused

What callers saw: with one part in their prompts, requests that were never alike ended one worker after the other.

Cause: a strike named organisation, target and body, so each of these requests had one strike or two, and none was ever refused. The router did not read the parts at all, and repeated each lost run.

Now strikes go to parts as well, with fingerprints in the tracker, gossip and store records that exist (no new format; builds may be mixed). A lost run that was not proven speaks against its parts that were not proven lately. With two strikes the router repeats and moves such a run no more, with four it refuses requests with the part (six at a VM that has known it as sound). Only proofs after a strike clear it, so a part that was sound until a new version is refused too. Proofs are not sent; clearances are, from two strikes on.

The unit tests fail as they should with parts not blamed (three of router_test), with suspect runs repeated (one), and with proofs that clear nothing (one).

--- a/chervilpass/quarantine/strike.h
+++ b/chervilpass/quarantine/strike.h
@@ -12,7 +12,8 @@
 
 /// Evidence that a request crashes backend servers. Requests are identified by
 /// a fingerprint: a hash of organisation, pipeline and prompt, or in the router
-/// of organisation, request target and body.
+/// of organisation, request target and body. In the router the fingerprint may
+/// also be that of one part of the prompts of many requests.
 struct Strike {
   std::uint64_t fingerprint = 0;
   /// The backend server that crashed, with its start if that is known: a server
--- a/chervilpass/quarantine/strike_tracker.cc
+++ b/chervilpass/quarantine/strike_tracker.cc
@@ -79,14 +79,20 @@
 
 Duration StrikeTracker::RetryAfter(std::uint64_t fingerprint,
                                    WallTime now) const {
-  const std::uint32_t limit = this->settings.strikes_to_quarantine;
-  if (this->Count(fingerprint, now) < limit) {
+  return this->TimeUntilFewerThan(this->settings.strikes_to_quarantine,
+                                  fingerprint, now);
+}
+
+Duration StrikeTracker::TimeUntilFewerThan(std::uint32_t count,
+                                           std::uint64_t fingerprint,
+                                           WallTime now) const {
+  if (count == 0 || this->Count(fingerprint, now) < count) {
     return Duration(0);
   }
-  // The quarantine ends with the latest but `limit - 1` of the strikes.
+  // That ends with the latest but `count - 1` of the strikes.
   std::vector<WallTime> times = this->records.at(fingerprint).independent;
   std::sort(times.begin(), times.end());
-  const WallTime decisive = times[times.size() - limit];
+  const WallTime decisive = times[times.size() - count];
   return milliseconds(decisive.milliseconds - now.milliseconds) +
          this->settings.strike_lifetime;
 }
--- a/chervilpass/quarantine/strike_tracker.h
+++ b/chervilpass/quarantine/strike_tracker.h
@@ -63,6 +63,11 @@
   /// a request that is not quarantined.
   Duration RetryAfter(std::uint64_t fingerprint, WallTime now) const;
 
+  /// Time until fewer than `count` strikes are left; zero if there are.
+  Duration TimeUntilFewerThan(std::uint32_t count,
+                              std::uint64_t fingerprint,
+                              WallTime now) const;
+
   /// Clears the strikes of a request that has completed. Their crashes stay
   /// known, so that late duplicates do not count. False if there were none.
   bool Clear(std::uint64_t fingerprint);
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "platform/request_codec.h"
@@ -353,18 +355,48 @@
           "", sends};
 }
 
+namespace {
+
+void LogRefusedPart(const RouterDependencies& dependencies,
+                    const RequestContext& context,
+                    std::uint64_t part) {
+  const auto found =
+      std::find(context.prompt_parts.begin(), context.prompt_parts.end(), part);
+  const auto index =
+      static_cast<std::size_t>(found - context.prompt_parts.begin());
+  dependencies.log->Info("prompt_part.refused",
+                         {{"request", context.metadata.request_id},
+                          {"part", context.metadata.prompt_parts[index]},
+                          {"fingerprint", fmt::format("{:016x}", part)},
+                          {"strikes", dependencies.crashes->StrikesOf(part)}});
+}
+
+}  // namespace
+
 RequestResult RefuseQuarantined(const RouterDependencies& dependencies,
                                 const RequestContext& context,
                                 Executed executed,
                                 std::uint32_t sends) {
-  const Duration retry_after = dependencies.routing_state->Strikes().RetryAfter(
-      context.fingerprint, dependencies.runtime->WallNow());
+  RoutingState& routing_state = *dependencies.routing_state;
+  const WallTime now = dependencies.runtime->WallNow();
+  Duration retry_after =
+      routing_state.Strikes().RetryAfter(context.fingerprint, now);
+  const auto part = dependencies.crashes->QuarantinedPart(context.prompt_parts);
+  if (part) {
+    retry_after =
+        std::max(retry_after, routing_state.PromptParts().RetryAfter(
+                                  *part, routing_state.Strikes(), now));
+    dependencies.metrics->Increment("chervil_prompt_part_refusals_total");
+    LogRefusedPart(dependencies, context, *part);
+  }
   const bool may_have_run = executed != Executed::kNo;
   return Refuse(
       context,
       may_have_run ? RefusalCode::kBackendFailed : RefusalCode::kOverloaded,
       executed, may_have_run ? Duration::zero() : retry_after,
-      "this request has crashed backend servers", sends);
+      part ? "requests with a part of this prompt have crashed backend servers"
+           : "this request has crashed backend servers",
+      sends);
 }
 
 RequestResult ProxyCall(const RouterDependencies& dependencies,
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 #include "platform/worker_decoder.h"
@@ -307,35 +308,82 @@
         this->dependencies->routing_state->Strikes();
     const WallTime now = this->dependencies->runtime->WallNow();
     std::vector<quarantine::Strike> added;
-    for (const WatchedRun& lost : this->BlamedRuns(runs, key, now)) {
-      const TrackedRun& run = lost.run;
-      const std::uint32_t prior = this->PriorStrikes(run, now);
-      const quarantine::Strike strike{run.fingerprint, key, lost.lost_at,
-                                      prior};
+    const auto add = [&](const WatchedRun& lost, std::uint64_t fingerprint,
+                         std::uint32_t prior, std::string_view subject) {
+      const quarantine::Strike strike{fingerprint, key, lost.lost_at, prior};
       if (!tracker.Add(strike, now)) {
-        continue;
+        return;
       }
       added.push_back(strike);
       this->dependencies->metrics->Increment("chervil_strikes_total");
       this->dependencies->log->Info(
           "strike.added",
-          {{"request", run.request_id},
-           {"fingerprint", fmt::format("{:016x}", run.fingerprint)},
+          {{"request", lost.run.request_id},
+           {"subject", subject},
+           {"fingerprint", fmt::format("{:016x}", fingerprint)},
            {"worker", key},
            {"evidence", detail},
+           {"events", lost.run.events},
+           {"written_ms",
+            lost.run.events == 0
+                ? 0
+                : ToMilliseconds(lost.lost - lost.run.first_event)},
+           {"proven", lost.run.proven},
            {"prior", prior},
-           {"strikes", tracker.Count(run.fingerprint, now)}});
+           {"strikes", tracker.Count(fingerprint, now)}});
+    };
+    for (const WatchedRun& lost : this->BlamedRuns(runs, key, now)) {
+      add(lost, lost.run.fingerprint, this->PriorStrikes(lost.run, now),
+          "request");
+      for (const TrackedPart& part : this->BlamedParts(lost.run, now)) {
+        add(lost, part.fingerprint, this->PriorStrikes(part, now),
+            "part of the prompt");
+      }
     }
     if (!added.empty()) {
       this->dependencies->report_strikes(added);
     }
   }
 
+  std::vector<TrackedPart> BlamedParts(const TrackedRun& run,
+                                       WallTime now) const {
+    if (run.proven || run.parts.empty()) {
+      return {};
+    }
+    std::vector<std::uint64_t> parts;
+    for (const TrackedPart& part : run.parts) {
+      parts.push_back(part.fingerprint);
+    }
+    RoutingState& routing_state = *this->dependencies->routing_state;
+    const auto blamed =
+        routing_state.PromptParts().Blamed(parts, routing_state.Strikes(), now);
+    std::vector<TrackedPart> tracked;
+    std::copy_if(run.parts.begin(), run.parts.end(),
+                 std::back_inserter(tracked), [&](const TrackedPart& part) {
+                   return std::find(blamed.begin(), blamed.end(),
+                                    part.fingerprint) != blamed.end();
+                 });
+    return tracked;
+  }
+
   // Strikes that were cleared during the run do not count any more.
-  std::uint32_t PriorStrikes(const TrackedRun& run, WallTime now) const {
-    return std::min(run.prior_strikes,
+  template <class Tracked>
+  std::uint32_t PriorStrikes(const Tracked& tracked, WallTime now) const {
+    return std::min(tracked.prior_strikes,
                     this->dependencies->routing_state->Strikes().Count(
-                        run.fingerprint, now));
+                        tracked.fingerprint, now));
+  }
+
+  // True if a part that the run has not proven has at least `count` strikes.
+  bool HasPartWithStrikes(const TrackedRun& run, std::uint32_t count) const {
+    const quarantine::StrikeTracker& tracker =
+        this->dependencies->routing_state->Strikes();
+    const WallTime now = this->dependencies->runtime->WallNow();
+    return !run.proven &&
+           std::any_of(run.parts.begin(), run.parts.end(),
+                       [&](const TrackedPart& part) {
+                         return tracker.Count(part.fingerprint, now) >= count;
+                       });
   }
 
   // If requests with several strikes ran on the server, they take the blame
@@ -344,7 +392,13 @@
                                      const std::string& key,
                                      WallTime now) const {
     const auto is_strong_suspect = [&](const TrackedRun& run) {
-      return this->PriorStrikes(run, now) >= kStrongSuspicion;
+      return this->PriorStrikes(run, now) >= kStrongSuspicion ||
+             (!run.proven && std::any_of(run.parts.begin(), run.parts.end(),
+                                         [&](const TrackedPart& part) {
+                                           return this->PriorStrikes(part,
+                                                                     now) >=
+                                                  kStrongSuspicion;
+                                         }));
     };
     bool has_strong_suspect = std::any_of(
         runs.begin(), runs.end(),
@@ -410,6 +464,48 @@
          quarantine::QuarantineState::kQuarantined;
 }
 
+bool CrashMonitor::IsQuarantined(const TrackedRun& run) const {
+  if (this->IsQuarantined(run.fingerprint)) {
+    return true;
+  }
+  std::vector<std::uint64_t> unproven;
+  if (!run.proven) {
+    for (const TrackedPart& part : run.parts) {
+      unproven.push_back(part.fingerprint);
+    }
+  }
+  return this->QuarantinedPart(unproven).has_value();
+}
+
+std::optional<std::uint64_t> CrashMonitor::QuarantinedPart(
+    const std::vector<std::uint64_t>& parts) const {
+  RoutingState& routing_state = *this->state->dependencies->routing_state;
+  const WallTime now = this->state->dependencies->runtime->WallNow();
+  const auto found =
+      std::find_if(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        return routing_state.PromptParts().IsQuarantined(
+            part, routing_state.Strikes(), now);
+      });
+  return found == parts.end() ? std::nullopt
+                              : std::optional<std::uint64_t>(*found);
+}
+
+bool CrashMonitor::HasStrikes(const TrackedRun& run) const {
+  return this->StrikesOf(run.fingerprint) > 0 ||
+         this->state->HasPartWithStrikes(run, 1);
+}
+
+bool CrashMonitor::MustNotRepeat(const TrackedRun& run) const {
+  return this->state->HasPartWithStrikes(run, kStrongSuspicion);
+}
+
+void CrashMonitor::RecordPriorStrikes(TrackedRun* run) const {
+  run->prior_strikes = this->StrikesOf(run->fingerprint);
+  for (TrackedPart& part : run->parts) {
+    part.prior_strikes = this->StrikesOf(part.fingerprint);
+  }
+}
+
 ProbeResult CrashMonitor::Probe(const ServerStart& server,
                                 Duration timeout) const {
   return this->state->Probe(server, timeout);
@@ -467,6 +563,32 @@
       });
 }
 
+void CrashMonitor::OnPartsProven(const TrackedRun& run) {
+  const RouterDependencies& dependencies = *this->state->dependencies;
+  RoutingState& routing_state = *dependencies.routing_state;
+  const WallTime now = dependencies.runtime->WallNow();
+  for (const TrackedPart& part : run.parts) {
+    const std::uint32_t strikes =
+        routing_state.Strikes().Count(part.fingerprint, now);
+    routing_state.PromptParts().OnProven(part.fingerprint, now);
+    if (strikes == 0) {
+      continue;
+    }
+    routing_state.Strikes().Clear(part.fingerprint);
+    dependencies.log->Info(
+        "strike.cleared",
+        {{"request", run.request_id},
+         {"fingerprint", fmt::format("{:016x}", part.fingerprint)},
+         {"strikes", strikes},
+         {"events", run.events},
+         {"reason", "a run with this part of the prompt got on"}});
+    // A part with one strike is treated like one with none.
+    if (strikes >= kStrongSuspicion) {
+      dependencies.report_clearance({part.fingerprint, now});
+    }
+  }
+}
+
 void CrashMonitor::OnRunCompleted(std::uint64_t fingerprint) {
   const RouterDependencies& dependencies = *this->state->dependencies;
   const WallTime now = dependencies.runtime->WallNow();
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -7,7 +7,9 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "chervilpass/io/http.h"
 #include "chervilpass/placement/path.h"
@@ -49,11 +51,24 @@
   auto operator<=>(const ServerStart&) const = default;
 };
 
+/// A part of the prompt of a run.
+struct TrackedPart {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t prior_strikes = 0;  ///< when the run began
+
+  auto operator<=>(const TrackedPart&) const = default;
+};
+
 /// A run of a request on one or several servers, as far as crashes matter.
 struct TrackedRun {
   std::uint64_t fingerprint = 0;
   std::string request_id;
   std::uint32_t prior_strikes = 0;  ///< when the run began
+  std::vector<TrackedPart> parts = {};
+  std::uint32_t events = 0;  ///< that it has written
+  Instant first_event{};
+  /// This run or an earlier one of the request has proven the parts sound.
+  bool proven = false;
 
   auto operator<=>(const TrackedRun&) const = default;
 };
@@ -97,6 +112,24 @@
   /// True if the request has crashed too many servers to be sent on.
   bool IsQuarantined(std::uint64_t fingerprint) const;
 
+  /// True if the run may not go on elsewhere: the request has crashed too many
+  /// servers, or requests with one of its parts have, which it has not proven.
+  bool IsQuarantined(const TrackedRun& run) const;
+
+  /// The first of these parts of a prompt that is quarantined.
+  std::optional<std::uint64_t> QuarantinedPart(
+      const std::vector<std::uint64_t>& parts) const;
+
+  /// True if the run, or a part that it has not proven, has any strikes.
+  bool HasStrikes(const TrackedRun& run) const;
+
+  /// True if a run that was lost may not be repeated by the router: a part that
+  /// it has not proven has several strikes.
+  bool MustNotRepeat(const TrackedRun& run) const;
+
+  /// Sets the prior strikes of a run that begins now.
+  void RecordPriorStrikes(TrackedRun* run) const;
+
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
 
@@ -119,6 +152,10 @@
   /// unreachable.
   void VerifyWorker(const ServerStart& server, std::string evidence);
 
+  /// A run got beyond its begin: clears the strikes of its parts, those of
+  /// parts with several strikes on all VMs.
+  void OnPartsProven(const TrackedRun& run);
+
   /// A server has completed the request: clears its strikes on all VMs.
   void OnRunCompleted(std::uint64_t fingerprint);
 
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -60,6 +60,8 @@
   std::string organisation;
   std::string service;
   std::uint64_t fingerprint = 0;
+  /// Fingerprints of the parts of the prompt; none on plain services.
+  std::vector<std::uint64_t> prompt_parts;
   Instant received{};
 };
 
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -30,6 +30,8 @@
   std::optional<Duration> time_left;  ///< how long the caller will wait
   std::optional<std::uint64_t> last_event_id;
   std::optional<GenerationSize> generation;
+  /// Ids of the parts of the prompt that other requests may share, each once.
+  std::vector<std::string> prompt_parts;
 
   bool operator==(const RequestMetadata&) const = default;
 };
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -123,6 +123,13 @@
     if (!service->model) {
       return ProxyCall(this->dependencies, *context, time_left);
     }
+    for (const std::string& part : context->metadata.prompt_parts) {
+      context->prompt_parts.push_back(
+          quarantine::PromptPartEvidence::FingerprintOf(part));
+    }
+    if (this->crashes->QuarantinedPart(context->prompt_parts)) {
+      return RefuseQuarantined(this->dependencies, *context, Executed::kNo, 0);
+    }
     if (this->shutdown_deadline &&
         *this->shutdown_deadline - this->dependencies.runtime->Now() <
             this->settings.max_stream_time_while_leaving) {
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -24,6 +24,7 @@
     : settings(std::move(settings)),
       retries(this->settings.retries),
       strikes(this->settings.strikes),
+      prompt_parts(this->settings.prompt_parts),
       strikes_loaded(!this->settings.strikes_are_stored),
       random(seed) {}
 
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -13,6 +13,7 @@
 #include "chervilpass/core/random.h"
 #include "chervilpass/placement/load_tracker.h"
 #include "chervilpass/placement/path_chooser.h"
+#include "chervilpass/quarantine/prompt_part_evidence.h"
 #include "chervilpass/quarantine/strike_tracker.h"
 #include "chervilpass/routing/cooldown_tracker.h"
 #include "chervilpass/routing/retry_budget.h"
@@ -32,6 +33,7 @@
   /// request may be beside three ends in a row, and a few retries are allowed.
   quarantine::StrikeTrackerSettings strikes{4, std::chrono::minutes(10),
                                             seconds(1), seconds(2)};
+  quarantine::PromptPartEvidenceSettings prompt_parts;
   /// True if strikes are restored from the store after the start.
   bool strikes_are_stored = false;
 
@@ -111,6 +113,7 @@
   routing::WorkerHealth& ServerHealth() { return this->server_health; }
   routing::RetryBudget& Retries() { return this->retries; }
   quarantine::StrikeTracker& Strikes() { return this->strikes; }
+  quarantine::PromptPartEvidence& PromptParts() { return this->prompt_parts; }
   /// Records the end of a backend server, named "START" or "START#N" after its
   /// start and the N ends of that start that were known before.
   void OnServerEnded(const std::string& start);
@@ -146,6 +149,7 @@
   routing::WorkerHealth server_health{routing::WorkerHealthSettings{}};
   routing::RetryBudget retries;
   quarantine::StrikeTracker strikes;
+  quarantine::PromptPartEvidence prompt_parts;
   bool strikes_loaded = false;
   std::map<std::string, std::uint32_t> server_ends;  ///< by start
   Random random;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -28,6 +28,9 @@
 // Weight of the latest event interval in the smoothed one: effectively an
 // average over some ten events.
 constexpr double kIntervalWeight = 0.2;
+// A request that crashes its worker does so within some event intervals after
+// the begin of its answer: one that has written for this long does not.
+constexpr Duration kMinProvenTime = milliseconds(500);
 // Callers disconnect after two seconds without an event.
 constexpr Duration kMaxWaitForPath = milliseconds(1500);
 constexpr Duration kPathPollInterval = milliseconds(50);
@@ -40,6 +43,7 @@
   /// The run broke off in the middle because its first worker was lost. Such a
   /// run grants an extra attempt; one that the worker refused does not.
   bool worker_lost = false;
+  bool run_lost = false;  ///< it was sent, and no complete response arrived
 };
 
 class StreamProxy {
@@ -61,6 +65,9 @@
     this->stream.model = &model;
     this->stream.scope = &this->scope;
     this->stream.run = {context.fingerprint, context.metadata.request_id, 0};
+    for (const std::uint64_t part : context.prompt_parts) {
+      this->stream.run.parts.push_back({part, 0});
+    }
     this->EstimateSize();
     registry->Add(&this->stream);
   }
@@ -74,8 +81,7 @@
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
-      if (this->dependencies.crashes->IsQuarantined(
-              this->context.fingerprint)) {
+      if (this->dependencies.crashes->IsQuarantined(this->stream.run)) {
         return this->EndQuarantined();
       }
       const auto path = this->FindPath();
@@ -94,6 +100,10 @@
         return this->EndStopped();
       }
       this->scope.ResumeAfterStall();
+      if (result.run_lost &&
+          this->dependencies.crashes->MustNotRepeat(this->stream.run)) {
+        return this->EndSuspect();
+      }
       if (result.worker_lost) {
         this->policy.GrantExtraAttempt();
       }
@@ -154,6 +164,7 @@
     this->stream.path = path;
     this->stream.last_progress = this->dependencies.runtime->Now();
     this->stream.first_event_seen = false;
+    this->stream.run.events = 0;
     this->stream.moved = false;
     this->stream.may_resume = this->policy.MayRunAgain();
     RecordWorkers(this->dependencies, &this->stream, {});
@@ -241,7 +252,7 @@
         connection_broke ||
         this->dependencies.routing_state->IsUnreachable(
             path.front().worker, this->dependencies.runtime->Now());
-    return {SendOutcome::kUnknown, {}, detail, worker_lost};
+    return {SendOutcome::kUnknown, {}, detail, worker_lost, true};
   }
 
   RunResult Rejected(io::HttpCall* call,
@@ -368,11 +379,31 @@
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
     this->last_event = now;
+    this->RecordRunProgress(now);
     this->stream.last_progress = now;
     this->stream.first_event_seen = true;
     this->stream.moved = false;
   }
 
+  void RecordRunProgress(Instant now) {
+    TrackedRun& run = this->stream.run;
+    if (run.events++ == 0) {
+      run.first_event = now;
+    }
+    if (!run.proven && now - run.first_event >= kMinProvenTime) {
+      this->RecordProof();
+    }
+  }
+
+  void RecordProof() {
+    CrashMonitor& crashes = *this->dependencies.crashes;
+    this->stream.run.proven = true;
+    crashes.OnPartsProven(this->stream.run);
+    for (const auto& [worker, start] : this->stream.workers) {
+      crashes.OnRunStarted(this->stream.run, start);
+    }
+  }
+
   // Any worker of the path may have crashed. Waits for the probes if their
   // results are due soon or decide whether the request may run again.
   void ReportLoss(const std::string& first_worker, bool connection_broke) {
@@ -386,8 +417,8 @@
         crashes.OnRunLost(this->stream.run, start, LossEvidence::kAbandoned);
       }
     }
-    const bool suspect = crashes.StrikesOf(this->context.fingerprint) > 0;
-    if (!this->scope.Stopped() && (connection_broke || suspect)) {
+    if (!this->scope.Stopped() &&
+        (connection_broke || crashes.HasStrikes(this->stream.run))) {
       for (const auto& [worker, start] : this->stream.workers) {
         crashes.AwaitVerdict(start);
       }
@@ -412,6 +443,9 @@
       return this->MakeResult(0, "left", "the caller has gone");
     }
     this->dependencies.crashes->OnRunCompleted(this->context.fingerprint);
+    if (!this->stream.run.proven) {
+      this->RecordProof();
+    }
     return this->MakeResult(200, "served", "");
   }
 
@@ -437,6 +471,20 @@
                              this->policy.Executed(), this->policy.Sends());
   }
 
+  RequestResult EndSuspect() {
+    const std::string detail =
+        "the run was lost, and requests with a part of this prompt have "
+        "crashed "
+        "backend servers";
+    if (this->stream_begun) {
+      this->context.exchange->Abort();
+      return this->MakeResult(0, "broken", detail);
+    }
+    return Refuse(this->context, RefusalCode::kBackendFailed,
+                  Executed::kUnknown, Duration::zero(), detail,
+                  this->policy.Sends() + 1);
+  }
+
   RequestResult EndWithoutPath(NoPathReason reason) {
     const bool no_capacity = reason == NoPathReason::kNoCapacity;
     const std::string detail =
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -26,7 +26,7 @@
                    ActiveStream* stream,
                    const placement::Path& kept) {
   CrashMonitor& crashes = *dependencies.crashes;
-  stream->run.prior_strikes = crashes.StrikesOf(stream->run.fingerprint);
+  crashes.RecordPriorStrikes(&stream->run);
   for (const PathStage& stage : stream->path) {
     const bool is_kept = std::any_of(kept.begin(), kept.end(),
                                      [&stage](const PathStage& kept_stage) {
@@ -460,9 +460,8 @@
   std::map<std::string, ServerStart> SuspectWorkersOf(
       const ActiveStream* stream,
       const std::string& id) const {
-    const bool suspect =
-        this->InProgress(stream) && stream->request_id == id &&
-        this->dependencies->crashes->StrikesOf(stream->run.fingerprint) > 0;
+    const bool suspect = this->InProgress(stream) && stream->request_id == id &&
+                         this->dependencies->crashes->HasStrikes(stream->run);
     return suspect ? stream->workers : std::map<std::string, ServerStart>{};
   }
 
@@ -478,7 +477,10 @@
           stream->path.empty()) {
         return;
       }
-      if (this->dependencies->crashes->IsQuarantined(stream->run.fingerprint)) {
+      // A move after the loss of a worker runs the request again.
+      const CrashMonitor& crashes = *this->dependencies->crashes;
+      if (crashes.IsQuarantined(stream->run) ||
+          (blocking.empty() && crashes.MustNotRepeat(stream->run))) {
         this->GiveUp(stream, "it has crashed backend servers");
         return;
       }
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -335,8 +335,11 @@
     const WallTime now = this->runtime.WallNow();
     quarantine::StrikeTracker& tracker = this->routing_state.Strikes();
     this->routing_state.OnServerEnded(strike.worker);
-    if (tracker.CompletedRecently(strike.fingerprint, now)) {
-      // The VM that added the strike does not know that the request completes.
+    if (tracker.CompletedRecently(strike.fingerprint, now) ||
+        this->routing_state.PromptParts().ProvenSince(strike.fingerprint,
+                                                      strike.at)) {
+      // The VM that added the strike does not know that the request completes,
+      // or a later run of one with the same part of the prompt.
       // One strike alone has no effect.
       if (strike.prior > 0) {
         this->peers->BroadcastClearance({strike.fingerprint, now});
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -188,6 +188,51 @@
   cr_assert_eq(metadata.value().generation->max_answer_tokens, 80);
 }
 
+namespace {
+
+std::vector<std::string> PromptPartsOf(
+    const std::vector<std::string>& prefixes) {
+  io::HttpRequest request;
+  request.headers.Add("Chervilpass-Request-Id", "r1");
+  for (const std::string& prefix : prefixes) {
+    request.headers.Add("chervilpass-prompt-prefix", prefix);
+  }
+  const auto metadata = ReadRequest(request);
+  cr_assert(metadata.has_value(), "a request is never refused for its parts");
+  return metadata.value().prompt_parts;
+}
+
+}  // namespace
+
+Test(request_codec, reads_the_parts_of_a_prompt_without_the_last) {
+  using Ids = std::vector<std::string>;
+  cr_assert(PromptPartsOf({"5c1e:800,91bd:410,e44:25"}) ==
+            (Ids{"5c1e", "91bd"}));
+  cr_assert(PromptPartsOf({"5c1e:800"}).empty());
+  cr_assert(PromptPartsOf({""}).empty());
+  cr_assert(PromptPartsOf({}).empty());
+  cr_assert(PromptPartsOf({"5C1E:800, 005c1e:7 ,a:1"}) == Ids{"5c1e"},
+            "the same id in another spelling");
+  cr_assert(PromptPartsOf({"a:1,,b:2, ,c:3,"}) == (Ids{"a", "b"}),
+            "empty items are skipped");
+  cr_assert(PromptPartsOf({"a:1,b:2", "c:3"}) == (Ids{"a", "b"}),
+            "several fields are one list");
+  cr_assert(PromptPartsOf({"0:1,b:2"}) == Ids{"0"});
+  for (const std::string malformed :
+       {"a:1,b", "a:1,:2,c:3", "a:1,xyz:2,c:3", "a:1,b:x,c:3", "a:1,b:-1,c:3",
+        "a:1;b:2", "a b:1,c:2", "0xa:1,b:2"}) {
+    cr_assert(PromptPartsOf({malformed}).empty(), "%s", malformed.c_str());
+  }
+  cr_assert(PromptPartsOf({std::string(65, 'a') + ":1,b:2"}).empty());
+  std::string many;
+  for (int i = 1; i <= 1000; ++i) {
+    many += fmt::format("{:x}:1,", i);
+  }
+  const auto first = PromptPartsOf({many});
+  cr_assert_eq(first.size(), 64);
+  cr_assert((first.back()) == "40");
+}
+
 Test(request_codec, errors_name_the_header_field) {
   io::HttpRequest request;
   cr_assert(ReadRequest(request).has_error());
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -949,3 +949,136 @@
                  200);
   });
 }
+
+namespace {
+
+constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
+
+// Workers that end as they begin to write if the prompt has one given part.
+class PartCrashingWorkers {
+ public:
+  explicit PartCrashingWorkers(RouterFixture* fixture) : fixture(fixture) {
+    for (int number = 1; number <= 16; ++number) {
+      fixture->AddServer(number, "llm", {0, 4},
+                         [this, number](io::HttpExchange& exchange) {
+                           this->Handle(exchange, number);
+                         });
+    }
+  }
+
+  int arrivals = 0;  // of requests with the part
+
+ private:
+  void Handle(io::HttpExchange& exchange, int number) {
+    const io::HttpRequest& request = exchange.Request();
+    if (request.target == "/v1/report") {
+      return exchange.Respond({200, {}, R"({"seq":1})"});
+    }
+    exchange.BeginStream(MakeResponse(exchange, 200, ""));
+    exchange.WriteChunk(Event(1));
+    const std::string parts = request.headers.Find(kPromptPrefix).value_or("");
+    if (parts.find("bad:") == std::string::npos) {
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+      return;
+    }
+    ++this->arrivals;
+    this->fixture->servers[static_cast<std::size_t>(number - 1)]
+        ->StopAccepting();
+    exchange.Abort();
+  }
+
+  RouterFixture* fixture;
+};
+
+// Requests with a part that ends workers, no two alike, beside sound ones with
+// the same other parts.
+void CheckCrashingPart(const std::string& path,
+                       const std::string& parts,
+                       std::uint16_t port) {
+  OnRuntime([&](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, port);
+    PartCrashingWorkers workers(&fixture);
+    unsigned status = 0;
+    for (int i = 0; i < 12; ++i) {
+      auto sound = fixture.Request(path, fmt::format("s{}", i));
+      sound.body = fmt::format("sound {}", i);
+      sound.headers.Add(kPromptPrefix, fmt::format("a:100,b:10,{:x}:5", i));
+      cr_assert(fixture.Stream(sound).has_value());
+      auto request = fixture.Request(path, fmt::format("r{}", i));
+      request.body = fmt::format("crashing {}", i);
+      request.headers.Add(kPromptPrefix, fmt::format("{},{:x}:5", parts, i));
+      const auto response = fixture.Call(request);
+      status = response.has_value() ? response.value().status : 0;
+      if (status == 429) {
+        cr_assert(response.value().headers.Find("Retry-After"));
+        cr_assert(response.value().body.find("a part of this prompt") !=
+                  std::string::npos);
+      }
+      runtime.SleepFor(milliseconds(100));
+    }
+    cr_assert_eq(workers.arrivals, 4, "%d arrivals", workers.arrivals);
+    cr_assert_eq(status, 429);
+  });
+}
+
+}  // namespace
+
+// Guard against requests that are sent on although each of them ends a worker:
+// they share one part of their prompts.
+Test(router,
+     a_part_that_ends_workers_of_resumable_streams_is_refused,
+     .timeout = 30) {
+  CheckCrashingPart("/draft/x", "a:100,bad:10", 22700);
+}
+
+Test(router,
+     a_part_that_ends_workers_of_other_streams_is_refused,
+     .timeout = 30) {
+  CheckCrashingPart("/once/x", "a:100,b:10,bad:10", 22730);
+}
+
+Test(router, a_first_part_that_ends_workers_is_refused, .timeout = 30) {
+  CheckCrashingPart("/draft/x", "bad:100,b:10", 22760);
+}
+
+// Guards against repeats that end one more worker each.
+Test(router, a_run_with_a_suspect_part_is_not_repeated, .timeout = 30) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22790);
+    PartCrashingWorkers workers(&fixture);
+    const WallTime now = runtime.WallNow();
+    fixture.routing_state.Strikes().Restore(
+        quarantine::PromptPartEvidence::FingerprintOf("bad"), 2, now, now);
+    auto request = fixture.Request("/draft/x", "r1");
+    request.headers.Add(kPromptPrefix, "bad:100,1:5");
+    (void)fixture.Call(request);
+    cr_assert_eq(workers.arrivals, 1, "%d arrivals", workers.arrivals);
+  });
+}
+
+// Guards against the refusal of sound requests: a run that got beyond its begin
+// says nothing against its parts when its worker ends, but much for them.
+Test(router, a_run_that_wrote_for_a_while_clears_its_parts, .timeout = 30) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22810);
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      for (int event = 1; event <= 12; ++event) {
+        exchange.WriteChunk(Event(event));
+        runtime.SleepFor(milliseconds(60));
+      }
+      fixture.servers[0]->StopAccepting();
+      exchange.Abort();
+    });
+    const std::uint64_t part =
+        quarantine::PromptPartEvidence::FingerprintOf("a");
+    const WallTime now = runtime.WallNow();
+    fixture.routing_state.Strikes().Restore(part, 3, now, now);
+    auto request = fixture.Request("/once/x", "r1");
+    request.headers.Add(kPromptPrefix, "a:100,1:5");
+    (void)fixture.Call(request);
+    cr_assert_eq(fixture.routing_state.Strikes().Count(part, now), 0);
+    cr_assert_gt(fixture.strikes, 0, "the request itself has one");
+  });
+}
