--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -126,6 +126,13 @@
     if (!service->model) {
       return ProxyCall(this->dependencies, *context, time_left);
     }
+    for (const std::string& part : context->metadata.prompt_parts) {
+      context->prompt_parts.push_back(
+          quarantine::PromptPartEvidence::FingerprintOf(part));
+    }
+    if (this->crashes->QuarantinedPart(context->prompt_parts)) {
+      return RefuseQuarantined(this->dependencies, *context, Executed::kNo, 0);
+    }
     return ProxyStream(this->dependencies, this->streams.get(), *context,
                        *service->model, time_left);
   }
