Gossip: send news to all members without their answers

A lost worker gives a strike to each of its requests and a clearance once these have completed. Each was sent to all members as a ping, and 78 acknowledgements came back, each with up to six members and the updates that spread by gossip.

Such news are now sent as acknowledgements without a probe (sequence 0, which no probe has): they have no answer. The answers also carried clearances that came within a second of another; such ones go to all members at once now. What strikes mean, and when they are sent, stays.

--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -13,6 +13,8 @@
 // newer.
 constexpr milliseconds kNoticeRepeatInterval{1000};
 constexpr std::size_t kMaxUpdatesPerDatagram = 8;  // of each kind
+// Of acknowledgements without a probe; probes have higher ones.
+constexpr std::uint64_t kUnaskedSequence = 0;
 
 template <class Updates, class Payload>
 void AppendUpdates(Updates* updates, std::vector<Payload>* payloads) {
@@ -479,10 +481,12 @@
   return actions;
 }
 
+// Sent to all members at once, even soon after another: it undoes the strikes
+// since that one.
 DetectorActions Detector::AddClearance(const quarantine::Clearance& clearance) {
   DetectorActions actions;
-  if (this->MergeNotice<ClearanceReceived>(&this->clearances, clearance,
-                                           &actions)) {
+  this->MergeNotice<ClearanceReceived>(&this->clearances, clearance, &actions);
+  if (!actions.empty()) {
     GossipMessage message;
     message.clearances = {clearance};
     this->Broadcast(message, &actions);
@@ -531,13 +535,15 @@
   }
 }
 
+// Sent as an acknowledgement, which has no answer: answers of all members would
+// cost several times as many bytes as the news.
 void Detector::Broadcast(const GossipMessage& contents,
                          DetectorActions* actions) {
   for (const auto& [vm, entry] : this->peers) {
     if (entry.member.status != Status::kDead) {
       GossipMessage message = contents;
-      message.kind = MessageKind::kPing;
-      message.sequence = ++this->next_sequence;
+      message.kind = MessageKind::kAck;
+      message.sequence = kUnaskedSequence;
       message.from = this->self.vm;
       message.members = {this->self};
       this->Send(entry.member, std::move(message), actions);
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -187,8 +187,8 @@
   /// Sends the strikes that are new to all members.
   DetectorActions AddStrikes(const std::vector<quarantine::Strike>& strikes);
 
-  /// Sends a clearance to all members if it is the first one or at least a
-  /// second newer than the known one.
+  /// Sends a clearance to all members if it is the first one or newer than the
+  /// known one.
   DetectorActions AddClearance(const quarantine::Clearance& clearance);
 
   /// Sends a leaving notice to all members if it is the first one or at least a
--- a/unit_tests/membership_test.cc
+++ b/unit_tests/membership_test.cc
@@ -279,6 +279,40 @@
   cr_assert_eq(network.clearances.size(), 30);
 }
 
+// Answers of all members would cost several times as many bytes as the news.
+Test(detector, news_to_all_members_have_no_answers) {
+  Network network(30);
+  network.RunFor(seconds(15));
+  const DetectorActions actions =
+      network.nodes.at("vm-3").AddStrikes({{42, "w", {}}});
+  std::size_t sent = 0;
+  for (const DetectorAction& action : actions) {
+    const auto* send = std::get_if<SendGossip>(&action);
+    if (send == nullptr) {
+      continue;
+    }
+    ++sent;
+    const DetectorActions answers =
+        network.nodes.at(send->to.vm).OnMessage(send->message, network.now);
+    cr_assert_eq(answers.size(), 1);
+    cr_assert(std::holds_alternative<StrikeReceived>(answers.front()));
+  }
+  cr_assert_eq(sent, 29);
+}
+
+// A request may get strikes and complete several times a second.
+Test(detector, a_clearance_soon_after_another_reaches_all_nodes_at_once) {
+  Network network(30);
+  network.RunFor(seconds(15));
+  network.Apply("vm-4", network.nodes.at("vm-4").AddClearance({7, {1}}));
+  network.RunFor(milliseconds(10));
+  cr_assert_eq(network.clearances.size(), 30);
+  network.clearances.clear();
+  network.Apply("vm-5", network.nodes.at("vm-5").AddClearance({7, {2}}));
+  network.RunFor(milliseconds(10));
+  cr_assert_eq(network.clearances.size(), 30);
+}
+
 // Guards against a VM that does not know of crashes before it joined.
 Test(detector, a_node_that_joins_later_receives_the_strikes) {
   Network network(5);
