HTTP server: end the timer of reading with the read

Cause: the timer for reading a request lived until its response had been sent. When it fired it cancelled whatever the connection waited for: a pending write, after which the caller was taken to have left, or the watch for the caller's leaving, which was then not noticed any more.

Now it ends with the read.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -282,15 +282,7 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(this->settings.limits.header_bytes);
     parser.body_limit(this->settings.limits.body_bytes);
-    stream->expires_never();
-    const ReadTimer timer(this->runtime, stream,
-                          this->settings.limits.read_timeout);
-    Completion read = Await([&](auto handler) {
-      http::async_read(*stream, *buffer, parser, std::move(handler));
-    });
-    if (timer.Expired()) {
-      read.error = beast::error::timeout;
-    }
+    const Completion read = this->ReadRequest(stream, buffer, &parser);
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
@@ -312,6 +304,23 @@
     return exchange.Reusable();
   }
 
+  // The timer ends with the read: later it would cancel writes of the response.
+  template <class Parser>
+  Completion ReadRequest(beast::tcp_stream* stream,
+                         beast::flat_buffer* buffer,
+                         Parser* parser) {
+    stream->expires_never();
+    const ReadTimer timer(this->runtime, stream,
+                          this->settings.limits.read_timeout);
+    Completion read = Await([&](auto handler) {
+      http::async_read(*stream, *buffer, *parser, std::move(handler));
+    });
+    if (timer.Expired()) {
+      read.error = beast::error::timeout;
+    }
+    return read;
+  }
+
   bool WaitForNextRequest(beast::tcp_stream* stream) {
     const Instant start = this->runtime->Now();
     this->idle.insert(stream);
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -243,6 +243,56 @@
   });
 }
 
+// Guards against responses that the timeout for reading a request cuts: it lies
+// behind when the response waits for a slow caller.
+Test(http, a_response_may_take_longer_than_reading_its_request) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(20);
+    constexpr std::size_t kBodySize = 16 * 1024 * 1024;
+    std::atomic<bool> left = false;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      if (exchange.Request().path == "/left") {
+        exchange.WatchPeer([&left] { left = true; });
+        runtime.SleepFor(milliseconds(1200));
+        return;
+      }
+      exchange.Respond({200, {}, std::string(kBodySize, 'x')});
+    });
+    std::atomic<bool> finished = false;
+    std::size_t received = 0;
+    std::thread peer([&] {
+      boost::asio::io_context context;
+      const boost::asio::ip::tcp::endpoint address(
+          boost::asio::ip::make_address(listen.ip), listen.port);
+      const auto send = [&](const std::string& path) {
+        auto socket = std::make_unique<boost::asio::ip::tcp::socket>(context);
+        socket->connect(address);
+        boost::asio::write(*socket,
+                           boost::asio::buffer("GET " + path +
+                                               " HTTP/1.1\r\nConnection: close"
+                                               "\r\n\r\n"));
+        std::this_thread::sleep_for(milliseconds(800));
+        return socket;
+      };
+      const auto socket = send("/");
+      std::vector<char> piece(64 * 1024);
+      boost::system::error_code error;
+      while (!error) {
+        received += socket->read_some(boost::asio::buffer(piece), error);
+      }
+      send("/left")->close();
+      std::this_thread::sleep_for(milliseconds(200));
+      finished = true;
+    });
+    while (!finished) {
+      runtime.SleepFor(milliseconds(5));
+    }
+    peer.join();
+    cr_assert_geq(received, kBodySize, "%zu bytes received", received);
+    cr_assert(left, "the caller's leaving was not noticed");
+  });
+}
+
 Test(endpoint, parses_ip_and_port_only) {
   cr_assert(Endpoint::Parse("127.0.0.1:80").has_value());
   for (const char* bad : {"", "127.0.0.1", "host:80", "127.0.0.1:0",
