Router: answer before the exit also late connects and a shortened grace period

A call that waited for its connection to a backend server, up to 400 ms, could not be stopped 250 ms before the exit, and was cut: the final answers are given 500 ms before it now. A grace period that was shortened by SIGHUP to less than had passed ended the process without any final answer. Streams were accepted in the time of the final answers.

--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -66,8 +66,9 @@
     return "this VM is leaving, and the stream's duration is not known";
   }
   const Duration left = *this->end - now;
-  return *expected > left ? std::optional<std::string>(TooLong(*expected, left))
-                          : std::nullopt;
+  return *expected > left || this->MustRespond(now)
+             ? std::optional<std::string>(TooLong(*expected, left))
+             : std::nullopt;
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -18,8 +18,9 @@
   EstimateCaution at_first{0.5, 1.05, 1.3};
   /// Afterwards hardly any may be.
   EstimateCaution later{0.95, 1.1, 3};
-  /// Before the end of the process, requests without a response get one.
-  Duration final_response_time = milliseconds(250);
+  /// Before the end of the process, requests without a response get one. Longer
+  /// than a connection to a backend server may take, which cannot be cancelled.
+  Duration final_response_time = milliseconds(500);
   /// Callers are told to retry at once if at least this share of the other VMs
   /// is ready.
   double min_ready_share = 0.5;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -31,6 +31,8 @@
 constexpr Duration kDrainPollInterval = milliseconds(50);
 // Idle connections are closed at the latest this long before the exit.
 constexpr Duration kCloseIdleMargin = milliseconds(900);
+// For the responses that are given at the end.
+constexpr Duration kFinalWriteTime = milliseconds(20);
 // The process exits at least this long before the end of the grace period.
 constexpr Duration kExitMargin = milliseconds(350);
 // Callers may keep using addresses for three times their stated lifetime.
@@ -554,6 +556,9 @@
         break;
       }
     }
+    // The grace period may have been shortened to less than has passed.
+    this->router->RespondBeforeShutdown();
+    this->runtime.SleepFor(kFinalWriteTime);
     this->router->LogUnfinished();
     this->log.Info("router.stopped", {{"in_flight", this->router->InFlight()}});
   }
