Streams: a run is given up only if its request may be sent again

A run was given up although its request would not be sent again, being suspected of crashing workers or refused because the VM leaves. And where the other path was lost in the same moment, its workers being silent too, the answer was broken off after 1.5 s without one.

--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -31,8 +31,6 @@
 // A request that crashes its worker does so within some event intervals after
 // the begin of its answer: one that has written for this long does not.
 constexpr Duration kMinProvenTime = milliseconds(500);
-// Callers disconnect after two seconds without an event.
-constexpr Duration kMaxWaitForPath = milliseconds(1500);
 constexpr Duration kPathPollInterval = milliseconds(50);
 
 // Result of one run on one path.
@@ -169,12 +167,9 @@
   }
 
   // Once the response has begun the request cannot be refused any more, but a
-  // path that becomes free soon can complete it.
-  bool MayWaitForPath() const {
-    return this->stream_begun &&
-           this->dependencies.runtime->Now() - this->last_event <
-               kMaxWaitForPath;
-  }
+  // path that becomes free can complete it. The caller leaves if that takes too
+  // long.
+  bool MayWaitForPath() const { return this->stream_begun; }
 
   RunResult RunOn(const Path& path) {
     RoutingState& routing_state = *this->dependencies.routing_state;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -236,7 +236,7 @@
   // of the lost worker. False, and the run goes on, if no other run could
   // follow: a worker that is only silent will go on.
   bool TryResume(ActiveStream* stream, std::string_view reason) {
-    if (!stream->may_resume || !this->HasOtherPath(*stream) ||
+    if (!this->MayRunAgain(*stream) || !this->HasOtherPath(*stream) ||
         !this->dependencies->routing_state->Retries().TryRetry()) {
       return false;
     }
@@ -245,6 +245,17 @@
     return true;
   }
 
+  // False as well for a request that would not be sent again: it is suspected
+  // of crashing its workers, or would be refused because this VM leaves.
+  bool MayRunAgain(const ActiveStream& stream) const {
+    const CrashMonitor& crashes = *this->dependencies->crashes;
+    const bool refused_by_shutdown = this->dependencies->shutdown->Leaving() &&
+                                     !stream.scope->ResponseBegun();
+    return stream.may_resume && !refused_by_shutdown &&
+           !crashes.IsQuarantined(stream.run) &&
+           !crashes.MustNotRepeat(stream.run);
+  }
+
   bool HasOtherPath(const ActiveStream& stream) const {
     placement::PathQuery query;
     query.layers = {0, stream.model->layers};
