Parts of prompts: proofs begin anew on new workers, and clear on all VMs

A stream that was moved after its first event counted the time of the move as writing, so that a part could be taken for sound before its new worker had written anything. A move because of a worker that had restarted ran a suspected request once more. And a proof of a part with one strike was kept to the VM: others, which see the part seldom, could add up such strikes to a refusal of sound requests.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -582,10 +582,8 @@
          {"strikes", strikes},
          {"events", run.events},
          {"reason", "a run with this part of the prompt got on"}});
-    // A part with one strike is treated like one with none.
-    if (strikes >= kStrongSuspicion) {
-      dependencies.report_clearance({part.fingerprint, now});
-    }
+    // VMs that seldom see the part would add up strikes which others clear.
+    dependencies.report_clearance({part.fingerprint, now});
   }
 }
 
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -152,8 +152,7 @@
   /// unreachable.
   void VerifyWorker(const ServerStart& server, std::string evidence);
 
-  /// A run got beyond its begin: clears the strikes of its parts, those of
-  /// parts with several strikes on all VMs.
+  /// A run got beyond its begin: clears the strikes of its parts on all VMs.
   void OnPartsProven(const TrackedRun& run);
 
   /// A server has completed the request: clears its strikes on all VMs.
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -27,6 +27,8 @@
                    const placement::Path& kept) {
   CrashMonitor& crashes = *dependencies.crashes;
   crashes.RecordPriorStrikes(&stream->run);
+  // New workers have to begin to write before they prove anything.
+  stream->run.events = 0;
   for (const PathStage& stage : stream->path) {
     const bool is_kept = std::any_of(kept.begin(), kept.end(),
                                      [&stage](const PathStage& kept_stage) {
@@ -489,13 +491,15 @@
           stream->path.empty()) {
         return;
       }
-      // A move after the loss of a worker runs the request again.
       const CrashMonitor& crashes = *this->dependencies->crashes;
-      if (crashes.IsQuarantined(stream->run) ||
-          (blocking.empty() && crashes.MustNotRepeat(stream->run))) {
+      if (crashes.IsQuarantined(stream->run)) {
         this->GiveUp(stream, "it has crashed backend servers");
         return;
       }
+      // New workers would run the request again.
+      if (crashes.MustNotRepeat(stream->run)) {
+        break;
+      }
       const Path path = this->ReplacementPath(*stream, refusing);
       if (path.empty()) {
         break;
