--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -15,11 +15,13 @@
   RunTimeEstimatorSettings run_times;
   /// While callers cannot know that this VM leaves, a refusal costs them a
   /// retry, so that a few streams may be cut.
-  EstimateCaution at_first{
-      .time_quantile = 0.5, .time_margin = 1.05, .length_deviations = 1.3};
+  EstimateCaution at_first{.time_quantile = 0.5,
+                           .time_margin = 1.05,
+                           .length_deviations = 1.3};
   /// Afterwards hardly any may be.
-  EstimateCaution later{
-      .time_quantile = 0.95, .time_margin = 1.1, .length_deviations = 3};
+  EstimateCaution later{.time_quantile = 0.95,
+                        .time_margin = 1.1,
+                        .length_deviations = 3};
   /// Before the end of the process, requests without a response get one. Longer
   /// than a connection to a backend server may take, which cannot be cancelled.
   Duration final_response_time = milliseconds(500);
