--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -481,8 +481,8 @@
   return actions;
 }
 
-// Sent to all members at once, even soon after another: it undoes the strikes
-// since that one.
+// Sent to all members at once, even soon after another one: strikes may have
+// come between them.
 DetectorActions Detector::AddClearance(const quarantine::Clearance& clearance) {
   DetectorActions actions;
   this->MergeNotice<ClearanceReceived>(&this->clearances, clearance, &actions);
--- a/chervilpass/quarantine/prompt_part_evidence.h
+++ b/chervilpass/quarantine/prompt_part_evidence.h
@@ -74,8 +74,8 @@
   std::uint32_t LimitOf(std::uint64_t part, WallTime now) const;
 
   PromptPartEvidenceSettings settings;
-  /// The latest proofs; when they are half of `max_proofs` they become the
-  /// older ones, which are forgotten.
+  /// The latest proofs. When they are half of `max_proofs` they replace the
+  /// older ones.
   Proofs latest;
   Proofs older;
 };
--- a/chervilpass/quarantine/strike_tracker.h
+++ b/chervilpass/quarantine/strike_tracker.h
@@ -63,7 +63,8 @@
   /// a request that is not quarantined.
   Duration RetryAfter(std::uint64_t fingerprint, WallTime now) const;
 
-  /// Time until fewer than `count` strikes are left; zero if there are.
+  /// Time until fewer than `count` strikes are left; zero if there are
+  /// fewer already.
   Duration TimeUntilFewerThan(std::uint32_t count,
                               std::uint64_t fingerprint,
                               WallTime now) const;
--- a/chervilpass/serving/call_scope.h
+++ b/chervilpass/serving/call_scope.h
@@ -1,5 +1,5 @@
-// Stops the work for a request when its caller disconnects or its deadline
-// passes.
+// Stops the work for a request when its caller disconnects, its deadline passes
+// or the process ends.
 #pragma once
 
 #include <algorithm>
@@ -61,7 +61,7 @@
   /// Sets the call that `Stop` cancels; null for none.
   void SetCall(io::HttpCall* current) { this->call = current; }
 
-  /// The head of the response has been sent: no other response can follow.
+  /// The head of a streamed response is sent: no other response can follow.
   void SetResponseBegun() { this->response_begun = true; }
   bool ResponseBegun() const { return this->response_begun; }
 
--- a/chervilpass/serving/run_time_estimator.h
+++ b/chervilpass/serving/run_time_estimator.h
@@ -44,9 +44,9 @@
   bool operator==(const StreamRun&) const = default;
 };
 
-/// Upper estimates of run times. Streams of one
-/// service share their pace, calls are kept apart by route. Not thread-safe.
-/// Invariant: the number of runs and of names that are kept is bounded.
+/// Upper estimates of run times. Streams of one service share their pace, calls
+/// are kept apart by route. Not thread-safe. Invariant: the number of runs and
+/// of names that are kept is bounded.
 class RunTimeEstimator {
  public:
   explicit RunTimeEstimator(RunTimeEstimatorSettings settings)
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -28,8 +28,8 @@
 // Weight of the latest event interval in the smoothed one: effectively an
 // average over some ten events.
 constexpr double kIntervalWeight = 0.2;
-// A request that crashes its worker does so within some event intervals after
-// the begin of its answer: one that has written for this long does not.
+// A request that crashes its worker is expected to do so within some event
+// intervals after the begin of its answer.
 constexpr Duration kMinProvenTime = milliseconds(500);
 constexpr Duration kPathPollInterval = milliseconds(50);
 
