Router: read, log and count the rate limits that servers name

Cause: nothing read the field, so neither log nor metrics showed which servers name a limit, to whom and until when. Change: the codec reads one non-negative decimal number (anything else is unreadable and says nothing), a tracker keeps the latest statement of each start of a server, changes are logged, responses with a limit and unreadable fields are counted. Nothing depends on it yet.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -177,6 +177,7 @@
       return LostSend(head.error());
     }
     const ResponseMetadata metadata = platform::ReadResponse(head.value());
+    RecordRateLimit(this->dependencies, server.id, metadata.rate_limit);
     if (metadata.load) {
       ServerLoad& load =
           this->dependencies.routing_state->ServerLoads()[server.id];
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -16,6 +16,27 @@
   }
 }
 
+void RecordRateLimit(const RouterDependencies& dependencies,
+                     const std::string& server,
+                     const RateLimitField& field) {
+  if (field.unreadable) {
+    dependencies.metrics->Increment("chervil_unreadable_rate_limits_total");
+    dependencies.log->Warning("rate_limit.unreadable", {{"worker", server}});
+    return;
+  }
+  if (field.limit) {
+    dependencies.metrics->Increment("chervil_rate_limited_responses_total");
+  }
+  if (dependencies.routing_state->RecordRateLimit(
+          server, {field.limit, dependencies.runtime->Now()})) {
+    dependencies.log->Info(
+        "rate_limit.changed",
+        {{"worker", server},
+         {"limited", field.limit.has_value()},
+         {"per_second", fmt::format("{:.3f}", field.limit.value_or(0))}});
+  }
+}
+
 std::string DescribePath(const placement::Path& path) {
   std::string text;
   for (const placement::PathStage& stage : path) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -55,6 +55,11 @@
                      const std::string& worker,
                      std::string_view evidence);
 
+/// Records the rate limit that a server's response names, or its end.
+void RecordRateLimit(const RouterDependencies& dependencies,
+                     const std::string& server,
+                     const RateLimitField& field);
+
 /// "worker:from-to" of each stage, separated by commas, for the log.
 std::string DescribePath(const placement::Path& path);
 
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -57,6 +57,18 @@
   auto operator<=>(const ReportedLoad&) const = default;
 };
 
+/// What a response says about the rate limit of its backend server.
+struct RateLimitField {
+  /// Requests per second that the server takes from all VMs together; none if
+  /// the response names no limit.
+  std::optional<double> limit;
+  /// The field is there, but it is not one non-negative decimal number: the
+  /// response says nothing about the limit.
+  bool unreadable = false;
+
+  auto operator<=>(const RateLimitField&) const = default;
+};
+
 /// Metadata from the status and the header of a response.
 struct ResponseMetadata {
   unsigned status = 0;
@@ -67,6 +79,7 @@
   std::optional<io::Endpoint> faulty_worker;  ///< of the path, if named
   std::optional<std::string> instance;
   std::optional<ReportedLoad> load;
+  RateLimitField rate_limit;
 
   bool Successful() const { return this->status >= 200 && this->status < 300; }
 
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -102,6 +102,16 @@
   this->cooldowns.ClearUnreachable(this->Incarnation(worker));
 }
 
+bool RoutingState::RecordRateLimit(const std::string& server,
+                                   const routing::RateLimit& limit) {
+  return this->rate_limits.Record(this->Incarnation(server), limit);
+}
+
+std::optional<double> RoutingState::RateLimitOf(
+    const std::string& server) const {
+  return this->rate_limits.LimitOf(this->Incarnation(server));
+}
+
 std::vector<placement::PathCandidate> RoutingState::PathCandidates(
     const std::string& service,
     const placement::ModelProfile& model,
@@ -218,6 +228,13 @@
 void RoutingState::Expire(Instant now, WallTime wall) {
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
+  std::set<std::string> registered;
+  for (const routing::BackendServer* server : this->servers.All()) {
+    registered.insert(this->Incarnation(server->id));
+  }
+  this->rate_limits.Expire(now, [&registered](const std::string& incarnation) {
+    return registered.contains(incarnation);
+  });
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
     return entry.second.local == 0 &&
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -16,6 +16,7 @@
 #include "chervilpass/quarantine/prompt_part_evidence.h"
 #include "chervilpass/quarantine/strike_tracker.h"
 #include "chervilpass/routing/cooldown_tracker.h"
+#include "chervilpass/routing/rate_limit_tracker.h"
 #include "chervilpass/routing/retry_budget.h"
 #include "chervilpass/routing/route_table.h"
 #include "chervilpass/routing/server_registry.h"
@@ -104,6 +105,13 @@
   /// A worker has completed a request: ends its unreachable cooldown.
   void OnServed(const std::string& worker);
 
+  /// Records what is known of a server's rate limit; true if it has changed.
+  bool RecordRateLimit(const std::string& server,
+                       const routing::RateLimit& limit);
+
+  /// The rate limit of a server; none if it takes any number of requests.
+  std::optional<double> RateLimitOf(const std::string& server) const;
+
   routing::ServerRegistry& Servers() { return this->servers; }
   const routing::ServerRegistry& Servers() const { return this->servers; }
   placement::LoadTracker& Loads() { return this->loads; }
@@ -144,6 +152,7 @@
   std::shared_ptr<const routing::RouteTable> table;  ///< null until known
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
+  routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
   placement::LoadTracker loads;
   std::map<std::string, ServerLoad> server_loads;
   routing::WorkerHealth server_health{routing::WorkerHealthSettings{}};
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -231,6 +231,8 @@
       return this->Broken(path, head.error().detail);
     }
     const ResponseMetadata metadata = platform::ReadResponse(head.value());
+    RecordRateLimit(this->dependencies, path.front().worker,
+                    metadata.rate_limit);
     if (metadata.load) {
       if (const auto* server = this->dependencies.routing_state->Servers().Find(
               path.front().worker)) {
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -284,6 +284,26 @@
   cr_assert(ReadResponse(head).not_executed);
 }
 
+Test(request_codec, reads_a_rate_limit_only_if_it_is_one_number) {
+  const auto read = [](std::initializer_list<const char*> fields) {
+    io::HttpResponse head;
+    for (const char* field : fields) {
+      head.headers.Add("Server-Limit", field);
+    }
+    return ReadResponse(head).rate_limit;
+  };
+  cr_assert(!read({}).limit && !read({}).unreadable);
+  cr_assert(read({"11.1"}).limit == 11.1);
+  cr_assert(read({" 0.5 "}).limit == 0.5);
+  cr_assert(read({"0"}).limit == 0.0);
+  cr_assert(read({"1e9"}).limit == 1e9);
+  for (const char* text : {"-1", "-0", "nan", "inf", "1e999", "", "1,2", "1;",
+                           "a", "0x10", "1 2", "+1"}) {
+    cr_assert(read({text}).unreadable && !read({text}).limit, "%s", text);
+  }
+  cr_assert(read({"1", "2"}).unreadable);
+}
+
 Test(request_codec, only_a_refusal_before_execution_has_a_not_executed_status) {
   using admission::Executed;
   using admission::RefusalCode;
