--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -91,6 +91,9 @@
     if (request.path == "/admin/runs") {
       return exchange.Respond({200, {}, json::serialize(this->RunCounts())});
     }
+    if (request.path == "/admin/arrivals") {
+      return exchange.Respond({200, {}, json::serialize(this->arrivals)});
+    }
     if (request.path == "/admin/faults") {
       return this->SetFaults(exchange);
     }
@@ -213,6 +216,12 @@
     if (const auto* events = fields.if_contains("break_streams_after")) {
       this->break_after_events = events->to_number<int>();
     }
+    if (const auto* limits = fields.if_contains("rate_limit")) {
+      this->rate_limit_fields.clear();
+      for (const json::value& field : limits->as_array()) {
+        this->rate_limit_fields.emplace_back(field.as_string());
+      }
+    }
     if (const auto* parts = fields.if_contains("crash_part")) {
       this->settings.crash_parts =
           SplitText(std::string(parts->as_string()), ',');
@@ -284,6 +293,9 @@
     head.headers.Add(
         "Chervilpass-Server-Load",
         fmt::format("{},0,{}", this->running, this->settings.slots));
+    for (const std::string& field : this->rate_limit_fields) {
+      head.headers.Add("Server-Limit", field);
+    }
     if (status != 503 && status != 421) {
       head.headers.Add("Chervilpass-Server-Seal", "seal-" + this->settings.id);
     }
@@ -304,6 +316,8 @@
     const io::HttpRequest& request = exchange.Request();
     const std::string id =
         request.headers.Find("Chervilpass-Request-Id").value_or("");
+    this->arrivals.emplace_back(
+        ToMilliseconds(this->runtime->Now().time_since_epoch()));
     const std::string expected_instance =
         request.headers.Find("Chervilpass-Expect-Instance").value_or("");
     if (expected_instance != this->settings.id) {
@@ -534,6 +548,8 @@
   int responses_to_drop = 0;        // next calls to execute without a response
   int break_after_events = 0;       // 0: no stream is broken
   std::map<std::string, int> runs;  // by request id
+  json::array arrivals;             // of requests, ms of the steady clock
+  std::vector<std::string> rate_limit_fields;       // of each response
   std::map<std::string, std::vector<Stage>> paths;  // by request id
   // Address of the unavailable worker, by request id.
   std::map<std::string, std::string> stalled;
