HTTP server: keep response fields that share their name

Callers lost all but the last of several response fields with one name, such as Set-Cookie: CopyHeaders replaced fields instead of adding them. Found while a stand-in should name two rate limits in one response. The new test fails with the old line (one field of two) and passes now; io_test passes.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -44,7 +44,7 @@
 template <class Message>
 void CopyHeaders(const HttpHeaders& headers, Message* message) {
   for (const HttpHeader& field : headers.All()) {
-    message->set(field.name, field.value);
+    message->insert(field.name, field.value);
   }
 }
 
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -160,6 +160,28 @@
   });
 }
 
+// Guards against response fields that are lost because another one has the same
+// name, such as Set-Cookie.
+Test(http, repeated_response_fields_arrive_in_order) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(41);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      HttpResponse response;
+      response.headers.Add("Set-Cookie", "a=1");
+      response.headers.Add("Set-Cookie", "b=2");
+      exchange.Respond(response);
+    });
+    const auto client = HttpClient::Create(&runtime, {});
+    const auto response = client->Call(listen, {}, seconds(1));
+    cr_assert(response.has_value());
+    std::string values;
+    for (const HttpHeader& field : response.value().headers.All()) {
+      values += field.name == "Set-Cookie" ? field.value + ";" : "";
+    }
+    cr_assert(values == "a=1;b=2;", "%s", values.c_str());
+  });
+}
+
 Test(http, a_stream_arrives_piece_by_piece) {
   OnRuntime([](Runtime& runtime) {
     const Endpoint listen = TestEndpoint(2);
