Router: one VM schedules the requests to each server that names a rate limit

Callers saw nothing; servers in need got up to five times what they allowed. Cause: the field was not read, and a limit for all VMs together cannot be kept by VMs that each see their own requests only. Change: of the VMs that are alive, rendezvous hashing assigns one to each limited server; the others ask it for a permit by one datagram each way, for limited servers only. It schedules by the generic cell rate algorithm; a request may reserve a time ahead, for longer with higher priority. Without a reply a VM uses an even share of the limit. Paths and servers whose next permit is too far ahead are not chosen (later stages do not count); what fits nowhere is refused at once, with a Retry-After spread over the time in which the refused callers can be served. Statements travel with their age in load gossip and permits; the latest one counts, also that a limit ended.

--- a/chervilpass/io/udp_socket.cc
+++ b/chervilpass/io/udp_socket.cc
@@ -60,15 +60,18 @@
   ++this->state->datagrams_sent;
 }
 
-std::string UdpSocket::Receive() {
-  Udp::endpoint from;
+std::string UdpSocket::Receive(Endpoint* from) {
+  Udp::endpoint sender;
   const Completion received = Await([&](auto handler) {
     this->state->socket.async_receive_from(asio::buffer(this->state->buffer),
-                                           from, std::move(handler));
+                                           sender, std::move(handler));
   });
   if (received.error) {
     return "";
   }
+  if (from != nullptr) {
+    *from = {sender.address().to_string(), sender.port()};
+  }
   return {this->state->buffer.data(), received.bytes};
 }
 
--- a/chervilpass/io/udp_socket.h
+++ b/chervilpass/io/udp_socket.h
@@ -25,7 +25,8 @@
   void Send(const Endpoint& to, std::string_view datagram);
 
   /// Suspends the fiber until a datagram arrives; empty on a socket error.
-  std::string Receive();
+  /// Sets `from`, unless it is null, to the address of the sender.
+  std::string Receive(Endpoint* from = nullptr);
 
   /// Payload bytes and datagrams sent since the start, including those dropped
   /// by Send().
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -50,6 +50,10 @@
   std::uint32_t worker = 0;  ///< hash of the worker's id
   std::uint16_t sequences = 0;
   std::uint32_t kv_kilo_token_layers = 0;  ///< reserved, in thousands
+  /// 0: no statement about a rate limit; 1: the server takes any number of
+  /// requests; else 2 more than its limit in thousandths of requests a second.
+  std::uint32_t rate_limit = 0;
+  std::uint16_t rate_limit_age = 0;  ///< of the statement, 1/100 s
 
   auto operator<=>(const WorkerLoadNotice&) const = default;
 };
--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -28,6 +28,7 @@
         query(query),
         settings(settings),
         usable(usable),
+        check_capacity(check_capacity),
         cost(model, query, settings, check_capacity) {
     std::set<std::uint32_t> layer_boundaries = {query.layers.from,
                                                 query.layers.to};
@@ -74,6 +75,12 @@
         continue;
       }
       const PathCandidate& candidate = *worker.candidate;
+      // A rate limit counts requests that are sent to the worker, not the
+      // stages that other workers pass on to it.
+      if (first && this->check_capacity &&
+          candidate.send_wait > this->query.max_send_wait) {
+        continue;
+      }
       const double entry_cost = candidate.data_centre == data_centre
                                     ? 0
                                     : this->DataCentreCrossingCost(first);
@@ -82,10 +89,11 @@
            this->boundaries[end] <= worker.layers.to;
            ++end) {
         const double stage_cost =
-            worker.jitter *
-            this->cost.Seconds(candidate,
-                               this->boundaries[end] - this->boundaries[start],
-                               first);
+            worker.jitter * this->cost.Seconds(
+                                candidate,
+                                this->boundaries[end] - this->boundaries[start],
+                                first) +
+            (first ? ToSeconds(candidate.send_wait) : 0);
         if (stage_cost == kNoCapacityCost) {
           break;  // more layers need more capacity
         }
@@ -146,6 +154,7 @@
   const PathQuery& query;
   const PathChooserSettings& settings;
   const std::vector<UsableWorker>& usable;
+  bool check_capacity;
   StageCost cost;
   std::vector<std::uint32_t> boundaries;
   // By boundary, then by data centre of the last stage.
--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -30,6 +30,8 @@
   /// Factor of its times; 1 is the speed of its kind.
   double slowdown_factor = 1;
   WorkerLoad load;  ///< estimate over all entries
+  /// Time for which its rate limit delays a request that is sent to it.
+  Duration send_wait{0};
 
   bool operator==(const PathCandidate&) const = default;
 };
@@ -42,6 +44,8 @@
   double answer_tokens = 0;
   std::set<std::string> excluded;    ///< ids of workers not to use
   bool includes_first_stage = true;  ///< that stage needs a batch slot
+  /// Longest useful delay of the request by the rate limit of its first worker.
+  Duration max_send_wait{0};
 
   bool operator==(const PathQuery&) const = default;
 };
--- a/chervilpass/routing/rate_limit_tracker.cc
+++ b/chervilpass/routing/rate_limit_tracker.cc
@@ -40,6 +40,17 @@
              : std::optional<RateLimit>(found->second.limit);
 }
 
+std::vector<std::pair<std::string, RateLimit>> RateLimitTracker::Since(
+    Instant since) const {
+  std::vector<std::pair<std::string, RateLimit>> recent;
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (entry.limit.said_at >= since) {
+      recent.emplace_back(incarnation, entry.limit);
+    }
+  }
+  return recent;
+}
+
 void RateLimitTracker::SetNextSend(const std::string& incarnation,
                                    Instant next) {
   const auto found = this->entries.find(incarnation);
--- a/chervilpass/routing/rate_limit_tracker.h
+++ b/chervilpass/routing/rate_limit_tracker.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "chervilpass/core/time.h"
 
@@ -47,6 +49,11 @@
   /// The latest statement; none if nothing is known.
   std::optional<RateLimit> Latest(const std::string& incarnation) const;
 
+  /// Statements made at `since` or later, by incarnation.
+  std::vector<std::pair<std::string, RateLimit>> Since(Instant since) const;
+
+  bool Empty() const { return this->entries.empty(); }
+
   /// Records that no request can be sent to the server before `next`.
   void SetNextSend(const std::string& incarnation, Instant next);
 
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -190,4 +190,19 @@
   worker @0 :UInt32;            # hash of the worker's id
   sequences @1 :UInt16;
   kvKiloTokenLayers @2 :UInt32;
+  rateLimit @3 :UInt32;         # membership::WorkerLoadNotice
+  rateLimitAge @4 :UInt16;      # hundredths of a second
+}
+
+# A request for a permit to send to a backend server with a rate limit, or the
+# reply to one.
+struct Permit {
+  sequence @0 :UInt64;
+  server @1 :Text;              # empty in replies
+  waitUs @2 :UInt32;
+  perSecond @3 :Float32;
+  ageMs @4 :UInt32;             # of the statement about the limit
+  limited @5 :Bool;             # false: the server names no limit
+  reply @6 :Bool;
+  granted @7 :Bool;
 }
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -40,8 +40,9 @@
         {notice.getBackend().cStr(), WallTime{notice.getWallMs()}});
   }
   for (const auto load : from.getLoads()) {
-    message.loads.push_back(
-        {load.getWorker(), load.getSequences(), load.getKvKiloTokenLayers()});
+    message.loads.push_back({load.getWorker(), load.getSequences(),
+                             load.getKvKiloTokenLayers(), load.getRateLimit(),
+                             load.getRateLimitAge()});
   }
   message.loads_of_data_centre = from.getLoadsOfDataCentre();
   return message;
@@ -86,6 +87,8 @@
     loads[i].setWorker(message.loads[i].worker);
     loads[i].setSequences(message.loads[i].sequences);
     loads[i].setKvKiloTokenLayers(message.loads[i].kv_kilo_token_layers);
+    loads[i].setRateLimit(message.loads[i].rate_limit);
+    loads[i].setRateLimitAge(message.loads[i].rate_limit_age);
   }
   root.setLoadsOfDataCentre(message.loads_of_data_centre);
   kj::VectorOutputStream stream;
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -92,11 +92,21 @@
                              this->policy.Executed(), *objection,
                              this->policy.Sends());
       }
+      const Duration max_send_wait =
+          MaxSendWait(this->context, this->scope.TimeLeft());
       const auto server = routing_state.PickServer(
-          this->context.service, tried, this->dependencies.runtime->Now());
+          this->context.service, tried, this->dependencies.runtime->Now(),
+          max_send_wait);
       if (!server) {
         return this->EndWithoutServer(tried.empty());
       }
+      if (!AwaitPermit(this->dependencies, this->context, server->id,
+                       max_send_wait)) {
+        continue;
+      }
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
       tried.insert(server->id);
       this->last_server = server->id;
       const SendResult result = this->Send(*server);
@@ -299,6 +309,14 @@
 
   RequestResult EndWithoutServer(bool none_known) {
     if (this->policy.Executed() == Executed::kNo) {
+      const Duration retry_after =
+          this->dependencies.routing_state->OnRefusedByRateLimit(
+              this->context.service, this->dependencies.runtime->Now());
+      if (retry_after > Duration::zero()) {
+        return Refuse(this->context, RefusalCode::kOverloaded, Executed::kNo,
+                      retry_after, "the rate limits of its servers are reached",
+                      this->policy.Sends());
+      }
       return this->Refused(RefusalCode::kNoBackend,
                            none_known ? "no usable backend server"
                                       : "no backend server takes it");
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -3,6 +3,16 @@
 #include <fmt/format.h>
 
 namespace chervilpass::serving {
+namespace {
+
+// Shares of a route's response objective and of the time left that a request
+// may wait for a rate limit.
+constexpr double kSendWaitObjectiveShare = 0.5;
+constexpr double kSendWaitDeadlineShare = 0.125;
+// For routes without a response objective.
+constexpr Duration kDefaultSendWait = milliseconds(250);
+
+}  // namespace
 
 void MarkUnreachable(const RouterDependencies& dependencies,
                      const std::string& worker,
@@ -37,6 +47,36 @@
   }
 }
 
+Duration MaxSendWait(const RequestContext& context, Duration time_left) {
+  const Duration objective = context.route->response_objective;
+  const Duration useful =
+      objective > Duration::zero()
+          ? duration_cast<Duration>(kSendWaitObjectiveShare * objective)
+          : kDefaultSendWait;
+  return std::min(useful / (1 + context.priority),
+                  duration_cast<Duration>(kSendWaitDeadlineShare * time_left));
+}
+
+bool AwaitPermit(const RouterDependencies& dependencies,
+                 const RequestContext& context,
+                 const std::string& server,
+                 Duration max_wait) {
+  const routing::Reservation reservation =
+      dependencies.acquire_permit(server, max_wait);
+  if (reservation.wait > Duration::zero()) {
+    dependencies.log->Info("request.rate_limited",
+                           {{"request", context.metadata.request_id},
+                            {"worker", server},
+                            {"granted", reservation.granted},
+                            {"wait_ms", ToMilliseconds(reservation.wait)},
+                            {"max_wait_ms", ToMilliseconds(max_wait)}});
+  }
+  if (reservation.granted && reservation.wait > Duration::zero()) {
+    dependencies.runtime->SleepFor(reservation.wait);
+  }
+  return reservation.granted;
+}
+
 std::string DescribePath(const placement::Path& path) {
   std::string text;
   for (const placement::PathStage& stage : path) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -13,6 +13,7 @@
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/routing/rate_scheduler.h"
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/request_metadata.h"
 #include "chervilpass/serving/retry_policy.h"
@@ -22,6 +23,7 @@
 namespace chervilpass::serving {
 
 class CrashMonitor;
+struct RequestContext;
 
 /// Dependencies that the router's classes share. All members outlive every
 /// request.
@@ -41,6 +43,11 @@
   std::function<void(const std::vector<quarantine::Strike>&)> report_strikes;
   /// Reports to peers that a request with strikes has completed.
   std::function<void(const quarantine::Clearance&)> report_clearance;
+  /// Reserves a time, at most `max_wait` ahead, to send a request to a server
+  /// with a rate limit.
+  std::function<routing::Reservation(const std::string& server,
+                                     Duration max_wait)>
+      acquire_permit;
   /// Share of the other VMs that are ready for requests.
   std::function<double()> ready_share;
   /// Set by the router.
@@ -60,6 +67,18 @@
                      const std::string& server,
                      const RateLimitField& field);
 
+/// The longest time for which the request waits for a server's rate limit: it
+/// can still be answered in time afterwards. Requests of higher priority wait
+/// longer, so that they are sent first while rates are scarce.
+Duration MaxSendWait(const RequestContext& context, Duration time_left);
+
+/// Reserves a time to send a request to `server` and waits until then. False if
+/// the server's rate limit does not allow it soon enough.
+bool AwaitPermit(const RouterDependencies& dependencies,
+                 const RequestContext& context,
+                 const std::string& server,
+                 Duration max_wait);
+
 /// "worker:from-to" of each stage, separated by commas, for the log.
 std::string DescribePath(const placement::Path& path);
 
@@ -70,6 +89,7 @@
   std::shared_ptr<const routing::RouteTable> table;  ///< keeps `route` alive
   const routing::Route* route = nullptr;
   std::string organisation;
+  std::uint32_t priority = 0;  ///< of the organisation or the route; 0 is first
   std::string service;
   std::uint64_t fingerprint = 0;
   /// Fingerprints of the parts of the prompt; none on plain services.
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -87,6 +87,7 @@
 
   // Open routes accept any caller and forward no organisation.
   bool Authenticate(RequestContext* context) const {
+    context->priority = context->route->priority;
     if (context->route->open || !context->table->KeysRequired()) {
       return true;
     }
@@ -99,6 +100,8 @@
       return false;
     }
     context->organisation = organisation->name;
+    context->priority =
+        organisation->priority.value_or(context->route->priority);
     return true;
   }
 
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -12,10 +12,18 @@
 // A server in another data centre is chosen once the utilisation of the servers
 // in this data centre is higher by this share of their slots.
 constexpr double kRemoteServerPenalty = 0.3;
+// Cost of a second of waiting for a server's rate limit, in shares of its
+// slots.
+constexpr double kSendWaitWeight = 10;
 // Utilisation of slots or KV capacity from which a refusal is attributed to a
 // lack of capacity: loads are reported with a delay, and requests vary in
 // length.
 constexpr double kFullUtilisation = 0.7;
+// Refusals because of rate limits that count towards the time to retry.
+constexpr Duration kRateLimitRefusalWindow = seconds(2);
+constexpr Duration kMinRateLimitRetrySpread = milliseconds(300);
+constexpr Duration kMaxRateLimitRetryAfter = seconds(10);
+constexpr double kMinRetryRate = 0.1;         // requests per second
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
 }  // namespace
@@ -112,6 +120,62 @@
   return this->rate_limits.LimitOf(this->Incarnation(server));
 }
 
+std::optional<routing::RateLimit> RoutingState::RateLimitRecord(
+    const std::string& server) const {
+  return this->rate_limits.Latest(this->Incarnation(server));
+}
+
+std::vector<std::pair<std::string, routing::RateLimit>>
+RoutingState::RateLimitsSince(Instant since) const {
+  auto recent = this->rate_limits.Since(since);
+  for (auto& [server, limit] : recent) {
+    server = server.substr(0, server.rfind('@'));
+  }
+  return recent;
+}
+
+Duration RoutingState::SendWait(const std::string& server, Instant now) const {
+  return this->rate_limits.Empty()
+             ? Duration::zero()
+             : this->rate_limits.WaitFor(this->Incarnation(server), now);
+}
+
+void RoutingState::SetNextSend(const std::string& server, Instant next) {
+  this->rate_limits.SetNextSend(this->Incarnation(server), next);
+}
+
+Duration RoutingState::OnRefusedByRateLimit(const std::string& service,
+                                            Instant now) {
+  double per_second = 0;
+  Duration min_wait = kMaxRateLimitRetryAfter;
+  for (const routing::BackendServer* server : this->servers.Usable(service)) {
+    const std::string incarnation = this->Incarnation(server->id);
+    if (const auto limit = this->rate_limits.LimitOf(incarnation)) {
+      per_second += *limit;
+      min_wait =
+          std::min(min_wait, this->rate_limits.WaitFor(incarnation, now));
+    }
+  }
+  if (min_wait == kMaxRateLimitRetryAfter && per_second == 0) {
+    return Duration::zero();
+  }
+  std::deque<Instant>& refusals = this->rate_limit_refusals[service];
+  refusals.push_back(now);
+  while (now - refusals.front() > kRateLimitRefusalWindow) {
+    refusals.pop_front();
+  }
+  // Callers choose VMs at random, so the others have as many refusals.
+  const double backlog_seconds = static_cast<double>(refusals.size()) *
+                                 static_cast<double>(this->fleet_size) /
+                                 std::max(per_second, kMinRetryRate);
+  const auto spread = std::clamp(
+      duration_cast<Duration>(std::chrono::duration<double>(backlog_seconds)),
+      kMinRateLimitRetrySpread, kMaxRateLimitRetryAfter);
+  return std::min(
+      min_wait + duration_cast<Duration>(this->random.Unit() * spread),
+      kMaxRateLimitRetryAfter);
+}
+
 std::vector<placement::PathCandidate> RoutingState::PathCandidates(
     const std::string& service,
     const placement::ModelProfile& model,
@@ -126,7 +190,8 @@
     }
     candidates.push_back({server->id, server->address, server->data_centre,
                           server->layers, kind->second, 1,
-                          this->loads.LocalLoad(server->id)});
+                          this->loads.LocalLoad(server->id),
+                          this->SendWait(server->id, now)});
     layers_in[server->data_centre] += server->layers.Size();
   }
   if (this->loads.HasRecentPeerLoads(now)) {
@@ -175,10 +240,12 @@
 std::optional<routing::BackendServer> RoutingState::PickServer(
     const std::string& service,
     const std::set<std::string>& excluded,
-    Instant now) {
+    Instant now,
+    Duration max_send_wait) {
   std::vector<std::string> ids;
   for (const routing::BackendServer* server : this->servers.Usable(service)) {
-    if (!excluded.contains(server->id)) {
+    if (!excluded.contains(server->id) &&
+        this->SendWait(server->id, now) <= max_send_wait) {
       ids.push_back(server->id);
     }
   }
@@ -197,7 +264,9 @@
             : kRemoteServerPenalty;
     const double cooldown_penalty = this->InCooldown(id, now) ? 10 : 0;
     const double cost = running / std::max(1U, server->slots) + remote_penalty +
-                        cooldown_penalty + 0.01 * this->random.Unit();
+                        cooldown_penalty +
+                        kSendWaitWeight * ToSeconds(this->SendWait(id, now)) +
+                        0.01 * this->random.Unit();
     if (cost < best_cost) {
       best = server;
       best_cost = cost;
@@ -228,6 +297,14 @@
 void RoutingState::Expire(Instant now, WallTime wall) {
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
+  this->strikes.Expire(wall);
+  std::erase_if(this->server_loads, [&](const auto& entry) {
+    return entry.second.local == 0 &&
+           now - entry.second.reported_at > kReportedLoadLifetime;
+  });
+  if (this->rate_limits.Empty()) {
+    return;
+  }
   std::set<std::string> registered;
   for (const routing::BackendServer* server : this->servers.All()) {
     registered.insert(this->Incarnation(server->id));
@@ -235,11 +312,6 @@
   this->rate_limits.Expire(now, [&registered](const std::string& incarnation) {
     return registered.contains(incarnation);
   });
-  this->strikes.Expire(wall);
-  std::erase_if(this->server_loads, [&](const auto& entry) {
-    return entry.second.local == 0 &&
-           now - entry.second.reported_at > kReportedLoadLifetime;
-  });
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -2,6 +2,7 @@
 // cooldowns. Shared by all requests of a process; fiber thread only.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -70,17 +71,21 @@
       const placement::PathQuery& query,
       Instant now);
 
-  /// Usable workers for the stages of paths, with their estimated load.
+  /// Usable workers for the stages of paths, with their estimated load and the
+  /// wait that their rate limits require.
   std::vector<placement::PathCandidate> PathCandidates(
       const std::string& service,
       const placement::ModelProfile& model,
       Instant now) const;
 
-  /// Chooses a server of a plain service; empty if none is usable.
+  /// Chooses a server of a plain service; empty if none is usable. A request
+  /// may wait for `max_send_wait` until the server's rate limit lets it be
+  /// sent.
   std::optional<routing::BackendServer> PickServer(
       const std::string& service,
       const std::set<std::string>& excluded,
-      Instant now);
+      Instant now,
+      Duration max_send_wait = Duration::zero());
 
   /// Starts a cooldown of a worker; false if one for this reason is in
   /// progress.
@@ -112,6 +117,26 @@
   /// The rate limit of a server; none if it takes any number of requests.
   std::optional<double> RateLimitOf(const std::string& server) const;
 
+  /// The latest statement about a server's rate limit, if there is one.
+  std::optional<routing::RateLimit> RateLimitRecord(
+      const std::string& server) const;
+
+  /// Statements about rate limits made at `since` or later, by server.
+  std::vector<std::pair<std::string, routing::RateLimit>> RateLimitsSince(
+      Instant since) const;
+
+  /// Records that no request may be sent to a server before `next`.
+  void SetNextSend(const std::string& server, Instant next);
+
+  /// Records that a request was refused because of rate limits. Returns when
+  /// its caller should retry: the callers that are refused by all VMs are
+  /// spread over the time in which they can be served. Zero if no server of
+  /// the service has a limit.
+  Duration OnRefusedByRateLimit(const std::string& service, Instant now);
+
+  /// Number of VMs of the fleet that are alive.
+  void SetFleetSize(std::size_t vms) { this->fleet_size = vms; }
+
   routing::ServerRegistry& Servers() { return this->servers; }
   const routing::ServerRegistry& Servers() const { return this->servers; }
   placement::LoadTracker& Loads() { return this->loads; }
@@ -142,6 +167,9 @@
   // Id and start time of the worker: a restarted worker has no cooldowns.
   std::string Incarnation(const std::string& worker) const;
 
+  // Time until the server's rate limit lets a request be sent to it.
+  Duration SendWait(const std::string& server, Instant now) const;
+
   // True if the worker is nearly full by the loads of this VM and those that
   // other entry VMs report.
   bool LooksFull(const std::string& worker,
@@ -154,6 +182,9 @@
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
   placement::LoadTracker loads;
+  /// Times of recent refusals because of rate limits, by service.
+  std::map<std::string, std::deque<Instant>> rate_limit_refusals;
+  std::size_t fleet_size = 1;
   std::map<std::string, ServerLoad> server_loads;
   routing::WorkerHealth server_health{routing::WorkerHealthSettings{}};
   routing::RetryBudget retries;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -98,6 +98,14 @@
         }
         return this->EndWithoutPath(path.error());
       }
+      if (!AwaitPermit(this->dependencies, this->context,
+                       path.value().path.front().worker,
+                       this->MaxWaitToSend())) {
+        continue;
+      }
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
       const RunResult result = this->RunOn(path.value().path);
       if (result.outcome == SendOutcome::kResponse) {
         return this->EndServed();
@@ -152,11 +160,16 @@
     query.prompt_tokens = this->stream.prompt_tokens;
     query.answer_tokens = this->stream.answer_tokens;
     query.excluded = this->refusing_workers;
+    query.max_send_wait = this->MaxWaitToSend();
     return this->dependencies.routing_state->FindPath(
         this->context.service, this->model, query,
         this->dependencies.runtime->Now());
   }
 
+  Duration MaxWaitToSend() const {
+    return MaxSendWait(this->context, this->scope.TimeLeft());
+  }
+
   // A stream that has begun goes on: nothing else could complete it.
   std::optional<std::string> ObjectionToSend() const {
     return this->stream_begun
@@ -521,6 +534,15 @@
                     Executed::kUnknown, Duration::zero(), detail,
                     this->policy.Sends());
     }
+    const Duration retry_after =
+        no_capacity
+            ? this->dependencies.routing_state->OnRefusedByRateLimit(
+                  this->context.service, this->dependencies.runtime->Now())
+            : Duration::zero();
+    if (retry_after > Duration::zero()) {
+      return Refuse(this->context, RefusalCode::kOverloaded, Executed::kNo,
+                    retry_after, detail, this->policy.Sends());
+    }
     return this->Refused(
         no_capacity ? RefusalCode::kOverloaded : RefusalCode::kNoBackend,
         no_capacity ? kRetryAfterNoCapacity : kRetryAfterRepair, detail);
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -11,6 +11,7 @@
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
+#include "chervilpass/fleet/send_permits.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
 #include "chervilpass/serving/router.h"
@@ -45,6 +46,16 @@
 // The VMs of a fleet start within 0.3 s; after kFleetStartTime the first
 // relays have listed the store.
 constexpr Duration kFleetStartTime = milliseconds(1500);
+// Rate limits in load gossip: see membership::WorkerLoadNotice.
+constexpr std::uint32_t kNoRateLimitStatement = 0;
+constexpr std::uint32_t kUnlimited = 1;
+constexpr std::uint32_t kZeroRateLimit = 2;
+constexpr double kRateLimitUnits = 1000;  // per request a second
+constexpr Duration kRateLimitAgeUnit = milliseconds(10);
+// Statements that are older are not passed on. Each VM hears again of a server
+// that it sends to.
+constexpr Duration kRateLimitGossipTime = seconds(2);
+constexpr std::size_t kMaxGossipedRateLimits = 64;  // in one datagram
 
 std::uint64_t BootId(io::Runtime& runtime) {
   return static_cast<std::uint64_t>(runtime.WallNow().milliseconds);
@@ -172,6 +183,17 @@
       return false;
     }
     this->peers = std::move(created).value();
+    fleet::SendPermitsSettings permit_settings;
+    permit_settings.listen = this->settings.peers;
+    auto created_permits = fleet::SendPermits::Create(
+        &this->runtime, &this->routing_state, &this->metrics, &this->log,
+        std::move(permit_settings), [this] { return this->peers->Members(); });
+    if (created_permits.has_error()) {
+      this->log.Error("router.cannot_listen",
+                      {{"detail", created_permits.error().detail}});
+      return false;
+    }
+    this->permits = std::move(created_permits).value();
     this->CreateSync();
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
@@ -232,6 +254,10 @@
           this->peers->BroadcastClearance(clearance);
           this->suspects->OnCleared(clearance.fingerprint);
         };
+    dependencies.acquire_permit = [this](const std::string& server,
+                                         Duration max_wait) {
+      return this->permits->Acquire(server, max_wait);
+    };
     dependencies.ready_share = [this] { return this->ReadyShare(); };
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
@@ -378,6 +404,7 @@
   void OnPeerLoads(const std::string& peer,
                    fleet::LoadScope scope,
                    const std::vector<membership::WorkerLoadNotice>& notices) {
+    this->RecordRateLimits(notices);
     placement::LoadsByKey loads;
     for (const membership::WorkerLoadNotice& notice : notices) {
       placement::WorkerLoad& load = loads[notice.worker];
@@ -393,6 +420,66 @@
     }
   }
 
+  void RecordRateLimits(
+      const std::vector<membership::WorkerLoadNotice>& notices) {
+    std::map<std::uint32_t, const membership::WorkerLoadNotice*> by_worker;
+    for (const membership::WorkerLoadNotice& notice : notices) {
+      if (notice.rate_limit != kNoRateLimitStatement) {
+        by_worker[notice.worker] = &notice;
+      }
+    }
+    if (by_worker.empty()) {
+      return;
+    }
+    const Instant now = this->runtime.Now();
+    for (const routing::BackendServer* server :
+         this->routing_state.Servers().All()) {
+      const auto found = by_worker.find(placement::WorkerKey(server->id));
+      if (found == by_worker.end()) {
+        continue;
+      }
+      routing::RateLimit limit;
+      limit.said_at =
+          now - kRateLimitAgeUnit * int{found->second->rate_limit_age};
+      if (found->second->rate_limit >= kZeroRateLimit) {
+        limit.per_second =
+            (found->second->rate_limit - kZeroRateLimit) / kRateLimitUnits;
+      }
+      this->routing_state.RecordRateLimit(server->id, limit);
+    }
+  }
+
+  // Adds the latest statements about rate limits that this VM knows.
+  void AddRateLimits(std::vector<membership::WorkerLoadNotice>* notices) const {
+    const Instant now = this->runtime.Now();
+    auto recent =
+        this->routing_state.RateLimitsSince(now - kRateLimitGossipTime);
+    std::sort(recent.begin(), recent.end(), [](const auto& a, const auto& b) {
+      return a.second.said_at > b.second.said_at;
+    });
+    recent.resize(std::min(recent.size(), kMaxGossipedRateLimits));
+    for (const auto& [server, limit] : recent) {
+      const std::uint32_t key = placement::WorkerKey(server);
+      auto notice =
+          std::find_if(notices->begin(), notices->end(),
+                       [key](const membership::WorkerLoadNotice& candidate) {
+                         return candidate.worker == key;
+                       });
+      if (notice == notices->end()) {
+        notices->push_back({key, 0, 0});
+        notice = std::prev(notices->end());
+      }
+      notice->rate_limit = kUnlimited;
+      if (limit.per_second) {
+        notice->rate_limit =
+            kZeroRateLimit + static_cast<std::uint32_t>(std::min(
+                                 *limit.per_second * kRateLimitUnits, 4e9));
+      }
+      notice->rate_limit_age =
+          static_cast<std::uint16_t>((now - limit.said_at) / kRateLimitAgeUnit);
+    }
+  }
+
   std::optional<std::string> DataCentreOf(const std::string& vm) const {
     for (const membership::Member& member : this->peers->Members()) {
       if (member.vm == vm) {
@@ -429,9 +516,18 @@
            static_cast<std::uint32_t>(
                std::min(load.kv_token_layers / 1000 + 0.5, 4e9))});
     }
+    this->AddRateLimits(&notices);
     return notices;
   }
 
+  std::size_t AliveCount() const {
+    const auto members = this->peers->Members();
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const membership::Member& member) {
+          return member.status != membership::Status::kDead;
+        }));
+  }
+
   // The share of the other VMs of the fleet to which callers can go.
   double ReadyShare() const {
     const auto members = this->peers->Members();
@@ -473,6 +569,7 @@
       this->routing_state.Expire(this->runtime.Now(), this->runtime.WallNow());
       this->routing_state.Loads().SetDataCentrePeerCount(
           this->DataCentrePeerCount());
+      this->routing_state.SetFleetSize(this->AliveCount());
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       if (this->Ready() != was_ready) {
@@ -575,6 +672,7 @@
   std::unique_ptr<platform::StoreClient> store;
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<fleet::PeerGroup> peers;
+  std::unique_ptr<fleet::SendPermits> permits;
   std::unique_ptr<fleet::StoreSync> sync;
   std::unique_ptr<fleet::SuspectSync> suspects;
   std::unique_ptr<fleet::PlacementController> placement;
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -3,6 +3,7 @@
 
 #include "chervilpass/core/random.h"
 #include "chervilpass/rpc/gossip_codec.h"
+#include "chervilpass/rpc/permit_codec.h"
 
 using namespace chervilpass;
 using namespace chervilpass::membership;
@@ -22,7 +23,7 @@
   message.clearances = {{124, {457}}};
   message.leaving = {{"backend", {789}}};
   message.unreachable = {{"worker", {1011}}};
-  message.loads = {{7, 3, 1200}};
+  message.loads = {{7, 3, 1200, 11102, 250}};
   message.loads_of_data_centre = true;
   return message;
 }
@@ -53,3 +54,18 @@
     rpc::DecodeGossip(bytes);
   }
 }
+
+Test(permit_codec, messages_survive_a_round_trip_and_other_bytes_are_refused) {
+  using namespace chervilpass;
+  const rpc::PermitMessage messages[] = {
+      rpc::PermitRequest{7, "i-1", {11.5, milliseconds(20)}, milliseconds(250)},
+      rpc::PermitReply{7, true, milliseconds(30), {std::nullopt, seconds(1)}}};
+  for (const rpc::PermitMessage& message : messages) {
+    const std::string bytes = rpc::EncodePermitMessage(message);
+    cr_assert(rpc::DecodePermitMessage(bytes) == message);
+    for (std::size_t size = 0; size < bytes.size() / 2; ++size) {
+      rpc::DecodePermitMessage(std::string_view(bytes).substr(0, size));
+    }
+  }
+  cr_assert(!rpc::DecodePermitMessage("not a message"));
+}
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -45,6 +45,9 @@
         [this](const std::vector<quarantine::Strike>& added) {
           this->strikes += static_cast<int>(added.size());
         };
+    dependencies.acquire_permit = [](const std::string&, Duration) {
+      return routing::Reservation{true, Duration::zero()};
+    };
     dependencies.ready_share = [] { return 1.0; };
     dependencies.report_clearance = [](const quarantine::Clearance&) {};
     this->router = Router::Create(std::move(dependencies), {});
--- a/unit_tests/routing_test.cc
+++ b/unit_tests/routing_test.cc
@@ -10,6 +10,8 @@
 #include "chervilpass/routing/cell_chooser.h"
 #include "chervilpass/routing/cells.h"
 #include "chervilpass/routing/completion_flow.h"
+#include "chervilpass/routing/rate_limit_tracker.h"
+#include "chervilpass/routing/rate_scheduler.h"
 #include "chervilpass/routing/retry_budget.h"
 #include "chervilpass/routing/worker_health.h"
 
@@ -300,3 +302,73 @@
   const auto actions = flow.OnNoCellLeft(2, Instant{});
   cr_assert(Find<RefuseAnswer>(actions)->refusal == overloaded);
 }
+
+// Whatever the requests ask, no more are granted than the rate allows, and
+// nearly all of it is used while there is demand.
+Test(rate_scheduler, grants_the_rate_and_no_more) {
+  for (const double rate : {0.3, 1.0, 11.0, 200.0}) {
+    RateScheduler scheduler({});
+    Random random(7);
+    Instant now{};
+    std::vector<Instant> sends;
+    while (now < Instant{} + seconds(40)) {
+      now += duration_cast<Duration>(
+          std::chrono::duration<double>(random.Unit() / rate / 2));
+      const Duration max_wait = milliseconds(random.Below(250));
+      const Reservation reservation =
+          scheduler.Reserve("s", rate, max_wait, now);
+      if (reservation.granted) {
+        cr_assert(reservation.wait <= max_wait);
+        sends.push_back(now + reservation.wait);
+      } else {
+        cr_assert(reservation.wait > max_wait);
+      }
+    }
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+      std::size_t count = 0;
+      for (std::size_t j = i;
+           j < sends.size() && sends[j] < sends[i] + seconds(4); ++j) {
+        ++count;
+      }
+      cr_assert(static_cast<double>(count) <= 4.5 * rate + 1.01,
+                "%zu in 4 s at %.1f a second", count, rate);
+    }
+    cr_assert(static_cast<double>(sends.size()) >= 0.85 * 40 * rate,
+              "%zu sent at %.1f a second", sends.size(), rate);
+  }
+}
+
+// A limit of zero must not keep a server unused for ever.
+Test(rate_scheduler, a_limit_of_zero_lets_a_request_through_now_and_then) {
+  RateScheduler scheduler({});
+  int granted = 0;
+  for (Instant now{}; now < Instant{} + seconds(60); now += milliseconds(100)) {
+    granted += scheduler.Reserve("s", 0, milliseconds(50), now).granted ? 1 : 0;
+  }
+  cr_assert(granted >= 5 && granted <= 8, "%d granted", granted);
+}
+
+Test(rate_limit_tracker, the_latest_statement_counts) {
+  RateLimitTracker tracker({});
+  const Instant start{};
+  cr_assert(!tracker.Record("s", {std::nullopt, start}));
+  cr_assert(tracker.Empty());
+  cr_assert(tracker.Record("s", {5.0, start + seconds(2)}));
+  cr_assert(!tracker.Record("s", {3.0, start + seconds(1)}));
+  cr_assert(tracker.LimitOf("s") == 5.0);
+  tracker.SetNextSend("s", start + seconds(4));
+  cr_assert(tracker.WaitFor("s", start + seconds(3)) == seconds(1));
+  cr_assert(tracker.Record("s", {std::nullopt, start + seconds(3)}));
+  cr_assert(!tracker.LimitOf("s"));
+  cr_assert(tracker.WaitFor("s", start + seconds(3)) == Duration::zero());
+  // An older statement of another VM does not restore the limit.
+  cr_assert(!tracker.Record("s", {5.0, start + seconds(2)}));
+  cr_assert(!tracker.LimitOf("s"));
+  tracker.Expire(start + seconds(14), [](const std::string&) { return true; });
+  cr_assert(tracker.Empty());
+  tracker.Record("t", {1.0, start});
+  tracker.Expire(start + hours(1), [](const std::string&) { return true; });
+  cr_assert(tracker.LimitOf("t") == 1.0);
+  tracker.Expire(start, [](const std::string&) { return false; });
+  cr_assert(tracker.Empty());
+}
