Router: failures count against servers only if this VM reaches others

Cause: what one VM sees of its own links was taken for the state of the servers: unreachable reports and strikes for all VMs, the decider's plans, and cooldowns that doubled up to 12 s. Change: a failed connection or probe counts if another server has answered since; if none has, a sample of servers is connected to, and if that fails too the VM is cut off. Then it reports nothing, gives no strikes, starts no cooldowns, does not decide on placement (gossip tells the others, which take over) and checks a few servers every 200 ms; at the end what it held against servers is forgotten. A VM that a worker answered within 500 ms does not avoid it because of a peer's report.

--- a/chervilpass/fleet/decider_claim.cc
+++ b/chervilpass/fleet/decider_claim.cc
@@ -9,7 +9,7 @@
 using membership::Status;
 
 bool CanDecide(const Member& member) {
-  return member.store_up &&
+  return member.store_up && !member.cut_off &&
          (member.status == Status::kAlive || member.status == Status::kSuspect);
 }
 
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -143,6 +143,7 @@
         seed.boot_id = 0;
         seed.entry_up = false;
         seed.store_up = false;
+        seed.cut_off = false;
         this->PingIfUnknown(seed);
       }
       for (const Member& seed : this->listed_members) {
@@ -238,7 +239,8 @@
                      {"status", static_cast<int>(member.status)},
                      {"incarnation", member.incarnation},
                      {"entry_up", member.entry_up},
-                     {"store_up", member.store_up}});
+                     {"store_up", member.store_up},
+                     {"cut_off", member.cut_off}});
     std::size_t alive = 0;
     for (const Member& known : this->detector.Members()) {
       alive += known.status != Status::kDead ? 1 : 0;
@@ -321,6 +323,10 @@
   this->state->ChangeSelf([up](Member* self) { self->store_up = up; });
 }
 
+void PeerGroup::SetCutOff(bool cut_off) {
+  this->state->ChangeSelf([cut_off](Member* self) { self->cut_off = cut_off; });
+}
+
 void PeerGroup::SetConfigVersion(std::uint64_t version) {
   this->state->detector.SetConfigVersion(version);
   this->state->Apply(this->state->detector.Announce(kAnnounceFanout));
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -66,6 +66,7 @@
   void SetReady(bool ready);
   void SetStoreUp(bool up);
   void SetConfigVersion(std::uint64_t version);
+  void SetCutOff(bool cut_off);
   void SetLeaving();
 
   /// Disseminate events to all VMs.
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -63,6 +63,7 @@
         const Logger* log,
         PlacementControllerSettings settings,
         std::function<std::vector<membership::Member>()> members,
+        std::function<bool()> cut_off,
         DeciderClaim claim)
       : runtime(runtime),
         store(store),
@@ -72,6 +73,7 @@
         log(log),
         settings(settings),
         members(std::move(members)),
+        cut_off(std::move(cut_off)),
         claim(std::move(claim)) {}
 
   io::Runtime* runtime;
@@ -82,6 +84,7 @@
   const Logger* log;
   PlacementControllerSettings settings;
   std::function<std::vector<membership::Member>()> members;
+  std::function<bool()> cut_off;
   DeciderClaim claim;
 
   std::uint64_t claim_revision = 0;
@@ -105,7 +108,7 @@
             {{"decides", this->is_decider},
              {"term", this->claim.Record() ? this->claim.Record()->term : 0}});
       }
-      if (this->is_decider) {
+      if (this->is_decider && !this->cut_off()) {
         this->PlanAll();
       }
     }
@@ -406,7 +409,7 @@
       }
       const routing::BackendServer backend = *server;
       const auto report = this->FetchReport(backend);
-      if (report) {
+      if (report || this->cut_off()) {
         break;
       }
       this->routing_state->StartCooldown(
@@ -433,10 +436,11 @@
     const Logger* log,
     PlacementControllerSettings settings,
     membership::Member self,
-    std::function<std::vector<membership::Member>()> members) {
+    std::function<std::vector<membership::Member>()> members,
+    std::function<bool()> cut_off) {
   auto state =
       std::make_shared<State>(runtime, store, http, routing_state, metrics, log,
-                              settings, std::move(members),
+                              settings, std::move(members), std::move(cut_off),
                               DeciderClaim(DeciderClaimSettings{}, self.vm,
                                            self.boot_id, runtime->Now()));
   runtime->Spawn([state] { state->Loop(); });
--- a/chervilpass/fleet/placement_controller.h
+++ b/chervilpass/fleet/placement_controller.h
@@ -44,6 +44,8 @@
 /// Plans and sends orders while this VM is the decider. Fiber thread only.
 class PlacementController {
  public:
+  /// `cut_off` tells whether this VM reaches no worker; it decides nothing
+  /// then.
   static std::unique_ptr<PlacementController> Create(
       io::Runtime* runtime,
       platform::StoreClient* store,
@@ -53,7 +55,8 @@
       const Logger* log,
       PlacementControllerSettings settings,
       membership::Member self,
-      std::function<std::vector<membership::Member>()> members);
+      std::function<std::vector<membership::Member>()> members,
+      std::function<bool()> cut_off);
   ~PlacementController();
 
   /// Checks a worker that is reported not to respond. Only if it does not
--- a/chervilpass/membership/member.h
+++ b/chervilpass/membership/member.h
@@ -28,6 +28,7 @@
   bool dispatch_up = false;
   bool store_up = false;  ///< the VM recently reached the platform's store
   std::uint64_t config_version = 0;
+  bool cut_off = false;  ///< the VM reaches no backend server
 
   auto operator<=>(const Member&) const = default;
 };
--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -106,6 +106,13 @@
     }
   }
 
+  /// Ends all cooldowns as unreachable.
+  void ClearAllUnreachable() {
+    for (auto& [incarnation, record] : this->records) {
+      record.unreachable = Cooldown{};
+    }
+  }
+
   bool InCooldown(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
     return found != this->records.end() && now < found->second.Until();
--- a/chervilpass/routing/worker_health.cc
+++ b/chervilpass/routing/worker_health.cc
@@ -36,6 +36,17 @@
   this->Eject(&record, now);
 }
 
+void WorkerHealth::ClearRefusedConnections() {
+  for (auto& [worker, record] : this->records) {
+    if (record.unreachable) {
+      record.unreachable = false;
+      record.failures = 0;
+      record.ejections = 0;
+      record.ejected_until = Instant{};
+    }
+  }
+}
+
 // Each consecutive ejection lasts twice as long as the one before.
 void WorkerHealth::Eject(Record* record, Instant now) {
   if (record->ejected_until > now) {
--- a/chervilpass/routing/worker_health.h
+++ b/chervilpass/routing/worker_health.h
@@ -40,6 +40,9 @@
   /// The worker refused the connection: nothing runs there now.
   void OnRefusedConnection(const std::string& worker, Instant now);
 
+  /// Ends the ejections of workers that refused connections.
+  void ClearRefusedConnections();
+
   /// Smoothed time from sending a step to its answer; 0 if unknown.
   Duration StepTime(const std::string& worker) const;
 
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -113,6 +113,8 @@
   dispatchUp @12 :Bool;
   configVersion @13 :UInt64;
   storeUp @14 :Bool;
+  forwardPort @15 :UInt16;
+  cutOff @16 :Bool;
 }
 
 struct Strike {
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -6,6 +6,7 @@
 
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
+#include "chervilpass/serving/link_monitor.h"
 #include "platform/request_codec.h"
 
 namespace chervilpass::serving {
@@ -135,7 +136,9 @@
         server.address,
         std::min(this->dependencies.connect_timeout, this->scope.TimeLeft()));
     if (opened.has_error()) {
-      routing_state.ServerHealth().OnRefusedConnection(server.id, start);
+      if (this->dependencies.links->ConfirmFailure(server.id, start)) {
+        routing_state.ServerHealth().OnRefusedConnection(server.id, start);
+      }
       return {SendOutcome::kNotSent, {}, opened.error().detail};
     }
     const auto call = std::move(opened).value();
@@ -186,6 +189,7 @@
     if (head.has_error()) {
       return LostSend(head.error());
     }
+    this->dependencies.links->OnReached(server.id);
     const ResponseMetadata metadata = platform::ReadResponse(head.value());
     RecordRateLimit(this->dependencies, server.id, metadata.rate_limit);
     if (metadata.load) {
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <map>
 
+#include "chervilpass/serving/link_monitor.h"
 #include "platform/worker_decoder.h"
 
 namespace chervilpass::serving {
@@ -217,12 +218,16 @@
       }
     }
     if (!error) {
+      this->dependencies->links->OnReached(server.id);
       return answer;
     }
     const Duration elapsed = runtime.Now() - start;
     if (elapsed > kLocalStallFactor * timeout) {
       return ProbeResult::kUnknown;
     }
+    if (!this->dependencies->links->ConfirmFailure(server.id, start)) {
+      return ProbeResult::kUnknown;
+    }
     const bool early =
         elapsed < duration_cast<Duration>(kRefusedWithin * timeout);
     if (error->code == io::HttpErrorCode::kConnect) {
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -89,7 +89,7 @@
   kRefused,    ///< Nothing listens there.
   kSilent,     ///< No answer in time.
   kBroken,     ///< Accepts connections, but does not answer.
-  kUnknown,    ///< This VM was stalled.
+  kUnknown,    ///< This VM was stalled or cut off.
 };
 
 /// Gives strikes to the requests whose runs were lost when a server ended, and
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "chervilpass/serving/link_monitor.h"
+
 namespace chervilpass::serving {
 namespace {
 
@@ -17,6 +19,10 @@
 void MarkUnreachable(const RouterDependencies& dependencies,
                      const std::string& worker,
                      std::string_view evidence) {
+  // Links that are all lost say nothing about the worker.
+  if (dependencies.links->CutOff()) {
+    return;
+  }
   const Instant now = dependencies.runtime->Now();
   if (dependencies.routing_state->StartCooldown(
           worker, routing::CooldownReason::kUnreachable, now)) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -23,6 +23,7 @@
 namespace chervilpass::serving {
 
 class CrashMonitor;
+class LinkMonitor;
 struct RequestContext;
 
 /// Dependencies that the router's classes share. All members outlive every
@@ -50,6 +51,7 @@
       acquire_permit;
   /// Share of the other VMs that are ready for requests.
   std::function<double()> ready_share;
+  LinkMonitor* links = nullptr;
   /// Set by the router.
   CrashMonitor* crashes = nullptr;
   ShutdownGate* shutdown = nullptr;
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -106,6 +106,11 @@
   return this->cooldowns.IsUnreachable(this->Incarnation(worker), now);
 }
 
+void RoutingState::ClearUnreachable() {
+  this->cooldowns.ClearAllUnreachable();
+  this->server_health.ClearRefusedConnections();
+}
+
 void RoutingState::OnServed(const std::string& worker) {
   this->cooldowns.ClearUnreachable(this->Incarnation(worker));
 }
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -107,6 +107,9 @@
   bool IsRefusing(const std::string& worker, Instant now) const;
   bool IsUnreachable(const std::string& worker, Instant now) const;
 
+  /// Forgets which servers could not be reached.
+  void ClearUnreachable();
+
   /// A worker has completed a request: ends its unreachable cooldown.
   void OnServed(const std::string& worker);
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -6,6 +6,7 @@
 
 #include "chervilpass/serving/call_proxy.h"
 #include "chervilpass/serving/event_stream.h"
+#include "chervilpass/serving/link_monitor.h"
 #include "platform/request_codec.h"
 
 namespace chervilpass::serving {
@@ -243,6 +244,7 @@
     if (head.has_error()) {
       return this->Broken(path, head.error().detail);
     }
+    this->dependencies.links->OnReached(path.front().worker);
     const ResponseMetadata metadata = platform::ReadResponse(head.value());
     RecordRateLimit(this->dependencies, path.front().worker,
                     metadata.rate_limit);
@@ -408,6 +410,10 @@
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
     this->last_event = now;
+    // An event has passed through all workers of the path.
+    for (const PathStage& stage : this->stream.path) {
+      this->dependencies.links->OnReached(stage.worker);
+    }
     this->RecordRunProgress(now);
     this->stream.last_progress = now;
     this->stream.first_event_seen = true;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -14,6 +14,7 @@
 #include "chervilpass/fleet/send_permits.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
+#include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
 #include "programs/router/settings.h"
@@ -46,6 +47,9 @@
 // The VMs of a fleet start within 0.3 s; after kFleetStartTime the first
 // relays have listed the store.
 constexpr Duration kFleetStartTime = milliseconds(1500);
+// A worker that has answered this VM so recently is not avoided because of a
+// peer's report.
+constexpr Duration kReachedEvidenceTime = milliseconds(500);
 // Rate limits in load gossip: see membership::WorkerLoadNotice.
 constexpr std::uint32_t kNoRateLimitStatement = 0;
 constexpr std::uint32_t kUnlimited = 1;
@@ -194,12 +198,17 @@
       return false;
     }
     this->permits = std::move(created_permits).value();
+    this->links = serving::LinkMonitor::Create(
+        &this->runtime, &this->routing_state, this->http.get(), &this->metrics,
+        &this->log, {},
+        [this](bool cut_off) { this->peers->SetCutOff(cut_off); });
     this->CreateSync();
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
         &this->routing_state, &this->metrics, &this->log, {},
         SelfOf(this->settings, this->boot_id),
-        [this] { return this->peers->Members(); });
+        [this] { return this->peers->Members(); },
+        [this] { return this->links->CutOff(); });
     return true;
   }
 
@@ -254,6 +263,7 @@
           this->peers->BroadcastClearance(clearance);
           this->suspects->OnCleared(clearance.fingerprint);
         };
+    dependencies.links = this->links.get();
     dependencies.acquire_permit = [this](const std::string& server,
                                          Duration max_wait) {
       return this->permits->Acquire(server, max_wait);
@@ -391,6 +401,11 @@
   }
 
   void OnPeerFoundUnreachable(const std::string& worker) {
+    // The links of the peer may be at fault.
+    if (this->links->CutOff() ||
+        this->links->ReachedWithin(worker, kReachedEvidenceTime)) {
+      return;
+    }
     // A peer's report only starts a cooldown for new requests. Streams and
     // layers are moved only if this VM's own observations confirm the report.
     this->routing_state.StartCooldown(
@@ -676,6 +691,7 @@
   std::unique_ptr<fleet::StoreSync> sync;
   std::unique_ptr<fleet::SuspectSync> suspects;
   std::unique_ptr<fleet::PlacementController> placement;
+  std::unique_ptr<serving::LinkMonitor> links;
   std::unique_ptr<serving::Router> router;
   std::unique_ptr<io::HttpServer> caller_server;
   std::unique_ptr<io::HttpServer> readiness_server;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -9,6 +9,7 @@
 #include "chervilpass/core/hash.h"
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
+#include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/router.h"
 
 // Last: its macros clash with headers of Boost.
@@ -48,6 +49,10 @@
     dependencies.acquire_permit = [](const std::string&, Duration) {
       return routing::Reservation{true, Duration::zero()};
     };
+    this->links =
+        LinkMonitor::Create(&runtime, &this->routing_state, this->http.get(),
+                            &this->metrics, &this->log, {}, [](bool) {});
+    dependencies.links = this->links.get();
     dependencies.ready_share = [] { return 1.0; };
     dependencies.report_clearance = [](const quarantine::Clearance&) {};
     this->router = Router::Create(std::move(dependencies), {});
@@ -151,6 +156,7 @@
   RoutingState routing_state;
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<io::HttpClient> caller;
+  std::unique_ptr<LinkMonitor> links;
   std::unique_ptr<Router> router;
   std::unique_ptr<io::HttpServer> router_server;
   std::vector<std::unique_ptr<io::HttpServer>> servers;
