Router: a request that no server in reach can take goes through another VM

Change: a VM that is cut off, or that could not connect to any server for a request, sends it to another VM, which serves it like one of its own callers' and never sends it on. A request goes to three VMs at most; after one that may have run it, only if it may be repeated. Streams go on at their last event, also those that were running when the links were lost; calls that may be repeated are made again. A VM takes 256 forwarded requests at once. If no VM reaches a server, the request is refused at once. Quiet times cost no message.

--- a/chervilpass/membership/member.h
+++ b/chervilpass/membership/member.h
@@ -28,6 +28,8 @@
   bool dispatch_up = false;
   bool store_up = false;  ///< the VM recently reached the platform's store
   std::uint64_t config_version = 0;
+  /// Serves requests that other VMs forward; 0: it takes none.
+  std::uint16_t forward_port = 0;
   bool cut_off = false;  ///< the VM reaches no backend server
 
   auto operator<=>(const Member&) const = default;
--- a/chervilpass/rpc/codec.cc
+++ b/chervilpass/rpc/codec.cc
@@ -254,6 +254,7 @@
   to.setDispatchUp(value.dispatch_up);
   to.setStoreUp(value.store_up);
   to.setConfigVersion(value.config_version);
+  to.setForwardPort(value.forward_port);
   to.setCutOff(value.cut_off);
 }
 
@@ -275,6 +276,7 @@
   value.dispatch_up = from.getDispatchUp();
   value.store_up = from.getStoreUp();
   value.config_version = from.getConfigVersion();
+  value.forward_port = from.getForwardPort();
   value.cut_off = from.getCutOff();
   return value;
 }
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -7,6 +7,7 @@
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "chervilpass/serving/link_monitor.h"
+#include "chervilpass/serving/peer_forwarder.h"
 #include "platform/request_codec.h"
 
 namespace chervilpass::serving {
@@ -32,6 +33,11 @@
   bool run_lost = false;  ///< sent, and no complete response arrived
 };
 
+// Callers of a VM that is cut off, with no other VM in reach, should retry at
+// another VM once the links may be back.
+constexpr Duration kRetryAfterCutOff = seconds(1);
+constexpr Duration kRetryAfterCutOffSpread = seconds(1);
+
 // Counts a request as in flight on a server during its lifetime.
 class InFlight {
  public:
@@ -73,7 +79,8 @@
               context.exchange,
               time_left,
               dependencies.scopes),
-        policy(dependencies.retry_policy, *context.route) {}
+        policy(dependencies.retry_policy, *context.route),
+        forwarder(dependencies, context) {}
 
   RequestResult Run() {
     RoutingState& routing_state = *this->dependencies.routing_state;
@@ -93,6 +100,9 @@
                              this->policy.Executed(), *objection,
                              this->policy.Sends());
       }
+      if (this->dependencies.links->CutOff()) {
+        return this->ServeCutOff();
+      }
       const Duration max_send_wait =
           MaxSendWait(this->context, this->scope.TimeLeft());
       const auto server = routing_state.PickServer(
@@ -114,6 +124,7 @@
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
+      this->scope.ResumeAfterStall();
       const RetryDecision decision = this->policy.OnSendEnded(
           result.outcome, this->scope.TimeLeft(),
           [&routing_state] { return routing_state.Retries().TryRetry(); });
@@ -154,7 +165,9 @@
                          crashes.StrikesOf(this->context.fingerprint)};
     crashes.OnRunStarted(run, server_start);
     this->scope.SetCall(call.get());
+    this->scope.SetRestartable(this->policy.MayRunAgain());
     const SendResult result = this->Exchange(call.get(), server);
+    this->scope.SetRestartable(false);
     this->scope.SetCall(nullptr);
     crashes.OnRunEnded(run, server_start);
     this->RecordSendOutcome(server, result, start);
@@ -270,6 +283,70 @@
     }
   }
 
+  RequestResult ServeCutOff() {
+    if (auto served = this->ServeThroughPeer()) {
+      return std::move(*served);
+    }
+    return RefuseCutOff(this->dependencies, this->context,
+                        this->policy.Executed(), this->policy.Sends());
+  }
+
+  // Serves the request through another VM; none if no other VM can, and the
+  // request may still be sent.
+  std::optional<RequestResult> ServeThroughPeer() {
+    std::optional<io::HttpResponse> refusal;
+    while (this->forwarder.Possible()) {
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
+      ForwardedCall forwarded =
+          this->forwarder.Send(&this->scope, std::nullopt);
+      if (forwarded.outcome == SendOutcome::kNotSent) {
+        continue;
+      }
+      this->last_server = this->forwarder.LastPeer();
+      io::HttpResponse response = platform::ResponseOfPeer(forwarded.head);
+      if (forwarded.outcome == SendOutcome::kResponse) {
+        auto body = forwarded.call->ReadBody(kMaxAnswerBytes);
+        if (body.has_value()) {
+          response.body = std::move(body).value();
+          forwarded.call->ReturnToPool();
+        } else {
+          forwarded.outcome = SendOutcome::kUnknown;
+          forwarded.detail = body.error().detail;
+        }
+      }
+      this->scope.SetCall(nullptr);
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
+      if (forwarded.outcome == SendOutcome::kUnknown) {
+        const RetryDecision decision = this->policy.OnSendEnded(
+            forwarded.outcome, this->scope.TimeLeft(), [] { return true; });
+        if (decision != RetryDecision::kRetry) {
+          return this->Failed(RefusalCode::kBackendFailed, forwarded.detail);
+        }
+        continue;
+      }
+      const auto outcome = platform::OutcomeOfPeer(response);
+      if (outcome == platform::PeerOutcome::kRefused) {
+        refusal = std::move(response);
+      } else if (outcome == platform::PeerOutcome::kAnswered) {
+        this->context.exchange->Respond(response);
+        return RequestResult{
+            response.status,
+            IsServerFailure(response.status) ? "failed" : "served",
+            "through another VM", this->last_server, this->policy.Sends()};
+      }
+    }
+    if (!refusal || this->policy.Executed() != Executed::kNo) {
+      return std::nullopt;
+    }
+    this->context.exchange->Respond(*refusal);
+    return RequestResult{refusal->status, "refused", "refused by another VM",
+                         this->last_server, this->policy.Sends()};
+  }
+
   RequestResult Finish(RetryDecision decision, const SendResult& result) {
     if (decision == RetryDecision::kForward) {
       this->context.exchange->Respond(result.response);
@@ -278,6 +355,11 @@
               result.detail, this->last_server, this->policy.Sends()};
     }
     if (decision == RetryDecision::kRefuse) {
+      if (result.outcome == SendOutcome::kNotSent) {
+        if (auto served = this->ServeThroughPeer()) {
+          return std::move(*served);
+        }
+      }
       return this->Refused(RefusalCode::kNoBackend, result.detail);
     }
     return this->Failed(RefusalCode::kBackendFailed, result.detail);
@@ -356,7 +438,8 @@
   const RequestContext& context;
   CallScope scope;
   RetryPolicy policy;
-  std::string last_server;
+  PeerForwarder forwarder;
+  std::string last_server;  ///< or the VM that the request was forwarded to
 };
 
 }  // namespace
@@ -395,6 +478,19 @@
           "", sends};
 }
 
+RequestResult RefuseCutOff(const RouterDependencies& dependencies,
+                           const RequestContext& context,
+                           Executed executed,
+                           std::uint32_t sends) {
+  const bool not_run = executed == Executed::kNo;
+  const Duration spread = duration_cast<Duration>(
+      dependencies.routing_state->Rng().Unit() * kRetryAfterCutOffSpread);
+  return Refuse(
+      context, not_run ? RefusalCode::kNoBackend : RefusalCode::kBackendFailed,
+      executed, not_run ? kRetryAfterCutOff + spread : Duration::zero(),
+      "no backend server is in reach", sends);
+}
+
 RequestResult RefuseLeaving(const RouterDependencies& dependencies,
                             const RequestContext& context,
                             Executed executed,
--- a/chervilpass/serving/call_proxy.h
+++ b/chervilpass/serving/call_proxy.h
@@ -13,6 +13,13 @@
                             std::string detail,
                             std::uint32_t sends);
 
+/// Refuses a request because this VM reaches no backend server, and no other VM
+/// takes the request.
+RequestResult RefuseCutOff(const RouterDependencies& dependencies,
+                           const RequestContext& context,
+                           admission::Executed executed,
+                           std::uint32_t sends);
+
 /// Ends a request that has crashed too many backend servers to be sent on.
 RequestResult RefuseQuarantined(const RouterDependencies& dependencies,
                                 const RequestContext& context,
--- a/chervilpass/serving/call_scope.h
+++ b/chervilpass/serving/call_scope.h
@@ -84,6 +84,12 @@
     }
   }
 
+  /// The call in progress may be stopped and made again elsewhere.
+  void SetRestartable(bool new_restartable) {
+    this->restartable = new_restartable;
+  }
+  bool Restartable() const { return this->restartable; }
+
   StopReason Reason() const { return this->reason; }
 
   /// True once the caller has disconnected, the deadline has passed or the
@@ -101,6 +107,7 @@
   io::Runtime* runtime;
   CallScopes* scopes;
   bool response_begun = false;
+  bool restartable = false;
   Instant deadline;
   StopReason reason = StopReason::kNone;
   io::HttpCall* call = nullptr;
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -51,6 +51,9 @@
       acquire_permit;
   /// Share of the other VMs that are ready for requests.
   std::function<double()> ready_share;
+  /// Addresses at which other VMs, which are not cut off, take forwarded
+  /// requests.
+  std::function<std::vector<io::Endpoint>()> forward_targets;
   LinkMonitor* links = nullptr;
   /// Set by the router.
   CrashMonitor* crashes = nullptr;
@@ -90,6 +93,7 @@
   RequestMetadata metadata;
   std::shared_ptr<const routing::RouteTable> table;  ///< keeps `route` alive
   const routing::Route* route = nullptr;
+  bool forwarded = false;  ///< by another VM; not to be forwarded again
   std::string organisation;
   std::uint32_t priority = 0;  ///< of the organisation or the route; 0 is first
   std::string service;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -41,8 +41,18 @@
   std::unique_ptr<ShutdownGate> shutdown;
   CallScopes scopes;
   std::set<const RequestContext*> in_flight;
+  std::size_t forwarded_in_flight = 0;
   std::uint64_t served_count = 0;
 
+  void Handle(io::HttpExchange& exchange, RequestContext* context) {
+    context->exchange = &exchange;
+    context->received = this->dependencies.runtime->Now();
+    this->in_flight.insert(context);
+    const RequestResult result = this->Serve(exchange, context);
+    this->in_flight.erase(context);
+    this->RecordResult(*context, result);
+  }
+
   RequestResult Serve(io::HttpExchange& exchange, RequestContext* context) {
     const auto metadata = platform::ReadRequest(exchange.Request());
     if (metadata.has_error()) {
@@ -50,6 +60,11 @@
                     Duration::zero(), metadata.error().detail, 0);
     }
     context->metadata = metadata.value();
+    if (context->forwarded &&
+        this->forwarded_in_flight > this->settings.max_forwarded) {
+      return Refuse(*context, RefusalCode::kOverloaded, Executed::kNo,
+                    kNotReadyRetryAfter, "too many forwarded requests", 0);
+    }
     this->AwaitRoutingState(*context);
     context->table = this->dependencies.routing_state->Table();
     if (!context->table) {
@@ -196,6 +211,7 @@
         {{"request", context.metadata.request_id},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
+         {"forwarded", context.forwarded},
          {"outcome", result.outcome},
          {"status", result.status},
          {"reason", result.reason},
@@ -235,12 +251,15 @@
 
 void Router::Handle(io::HttpExchange& exchange) {
   RequestContext context;
-  context.exchange = &exchange;
-  context.received = this->state->dependencies.runtime->Now();
-  this->state->in_flight.insert(&context);
-  const RequestResult result = this->state->Serve(exchange, &context);
-  this->state->in_flight.erase(&context);
-  this->state->RecordResult(context, result);
+  this->state->Handle(exchange, &context);
+}
+
+void Router::HandleForwarded(io::HttpExchange& exchange) {
+  RequestContext context;
+  context.forwarded = true;
+  ++this->state->forwarded_in_flight;
+  this->state->Handle(exchange, &context);
+  --this->state->forwarded_in_flight;
 }
 
 io::HttpResponse Router::UnreadableResponse(unsigned status,
@@ -275,6 +294,15 @@
   this->state->streams->OnPeerFoundUnreachable(worker);
 }
 
+void Router::OnLinksLost() {
+  const CallScopes scopes = this->state->scopes;
+  for (CallScope* scope : scopes) {
+    if (scope->Restartable()) {
+      scope->Stop(StopReason::kStalled);
+    }
+  }
+}
+
 std::size_t Router::InFlight() const {
   return this->state->in_flight.size();
 }
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -23,6 +23,9 @@
   /// configuration and the backend servers, each request by at most a third of
   /// the time that its caller waits.
   Duration startup_grace = seconds(1);
+  /// Forwarded requests in progress from which on further ones are refused, so
+  /// that they do not displace this VM's own callers.
+  std::size_t max_forwarded = 256;
   /// One of this many requests that were served in time is logged; all others
   /// are always logged.
   std::uint32_t served_requests_per_log_line = 20;
@@ -40,6 +43,9 @@
   /// Serves one request of a caller.
   void Handle(io::HttpExchange& exchange);
 
+  /// Serves a request that another VM forwards. It is not forwarded again.
+  void HandleForwarded(io::HttpExchange& exchange);
+
   /// The response to a request that could not be read.
   static io::HttpResponse UnreadableResponse(unsigned status,
                                              std::string_view detail);
@@ -55,6 +61,10 @@
   /// A peer has found a worker unreachable.
   void OnPeerFoundUnreachable(const std::string& worker);
 
+  /// This VM is cut off from all backend servers: calls to them that may be
+  /// made again are made through other VMs.
+  void OnLinksLost();
+
   /// Requests in progress.
   std::size_t InFlight() const;
 
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -106,6 +106,15 @@
   return this->cooldowns.IsUnreachable(this->Incarnation(worker), now);
 }
 
+bool RoutingState::HasUnreachable(const std::string& service,
+                                  Instant now) const {
+  const auto usable = this->servers.Usable(service);
+  return std::any_of(usable.begin(), usable.end(),
+                     [&](const routing::BackendServer* server) {
+                       return this->IsUnreachable(server->id, now);
+                     });
+}
+
 void RoutingState::ClearUnreachable() {
   this->cooldowns.ClearAllUnreachable();
   this->server_health.ClearRefusedConnections();
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -107,6 +107,9 @@
   bool IsRefusing(const std::string& worker, Instant now) const;
   bool IsUnreachable(const std::string& worker, Instant now) const;
 
+  /// True if this VM cannot reach some worker of the service.
+  bool HasUnreachable(const std::string& service, Instant now) const;
+
   /// Forgets which servers could not be reached.
   void ClearUnreachable();
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -7,6 +7,7 @@
 #include "chervilpass/serving/call_proxy.h"
 #include "chervilpass/serving/event_stream.h"
 #include "chervilpass/serving/link_monitor.h"
+#include "chervilpass/serving/peer_forwarder.h"
 #include "platform/request_codec.h"
 
 namespace chervilpass::serving {
@@ -61,6 +62,7 @@
               time_left,
               dependencies.scopes),
         policy(dependencies.retry_policy, *context.route),
+        forwarder(dependencies, context),
         sequence(context.metadata.last_event_id) {
     this->stream.request_id = context.metadata.request_id;
     this->stream.service = context.service;
@@ -91,8 +93,27 @@
                              this->policy.Executed(), *objection,
                              this->policy.Sends());
       }
+      if (this->dependencies.links->CutOff()) {
+        if (auto served = this->ServeThroughPeer()) {
+          return std::move(*served);
+        }
+        if (!this->MayWaitForPath()) {
+          return RefuseCutOff(this->dependencies, this->context,
+                              this->policy.Executed(), this->policy.Sends());
+        }
+        this->dependencies.runtime->SleepFor(kPathPollInterval);
+        continue;
+      }
       const auto path = this->FindPath();
       if (path.has_error()) {
+        if (path.error() == NoPathReason::kNoCover &&
+            this->dependencies.routing_state->HasUnreachable(
+                this->context.service, this->dependencies.runtime->Now())) {
+          // Other VMs may reach the workers that this VM does not.
+          if (auto served = this->ServeThroughPeer()) {
+            return std::move(*served);
+          }
+        }
         if (this->MayWaitForPath()) {
           this->dependencies.runtime->SleepFor(kPathPollInterval);
           continue;
@@ -127,6 +148,12 @@
             return std::exchange(this->stream.retry_budget_charged, false) ||
                    routing_state.Retries().TryRetry();
           });
+      if (decision == RetryDecision::kRefuse &&
+          result.outcome == SendOutcome::kNotSent) {
+        if (auto served = this->ServeThroughPeer()) {
+          return std::move(*served);
+        }
+      }
       if (decision != RetryDecision::kRetry) {
         return this->Finish(decision, result);
       }
@@ -135,6 +162,78 @@
   }
 
  private:
+  // Serves the request through another VM; none if no other VM can, and the
+  // request may still be sent. A stream that has begun goes on there.
+  std::optional<RequestResult> ServeThroughPeer() {
+    std::optional<io::HttpResponse> refusal;
+    while (this->forwarder.Possible()) {
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
+      ForwardedCall forwarded =
+          this->forwarder.Send(&this->scope, this->sequence.Last());
+      if (forwarded.outcome == SendOutcome::kNotSent) {
+        continue;
+      }
+      this->sent_to_peer = true;
+      const RunResult result =
+          forwarded.outcome == SendOutcome::kResponse
+              ? this->ReadFromPeer(forwarded.call.get(), forwarded.head)
+              : RunResult{SendOutcome::kUnknown, {}, forwarded.detail};
+      this->scope.SetCall(nullptr);
+      if (result.outcome == SendOutcome::kResponse) {
+        return this->context.exchange->EndStream()
+                   ? this->MakeResult(200, "served", "through another VM")
+                   : this->MakeResult(0, "left", "the caller has gone");
+      }
+      if (this->scope.Stopped()) {
+        return this->EndStopped();
+      }
+      if (result.outcome == SendOutcome::kNotExecuted) {
+        if (platform::OutcomeOfPeer(result.response) ==
+            platform::PeerOutcome::kRefused) {
+          refusal = result.response;
+        }
+        continue;
+      }
+      if (result.outcome == SendOutcome::kFailed) {
+        return this->Finish(RetryDecision::kForward, result);
+      }
+      this->policy.GrantExtraAttempt();
+      const RetryDecision decision = this->policy.OnSendEnded(
+          result.outcome, this->scope.TimeLeft(), [] { return true; });
+      if (decision != RetryDecision::kRetry) {
+        return this->Finish(decision, result);
+      }
+    }
+    if (!refusal || this->stream_begun ||
+        this->policy.Executed() != Executed::kNo) {
+      return std::nullopt;
+    }
+    this->context.exchange->Respond(*refusal);
+    return this->MakeResult(refusal->status, "refused",
+                            "refused by another VM");
+  }
+
+  // kNotExecuted: the other VM has refused the request.
+  RunResult ReadFromPeer(io::HttpCall* call, const io::HttpResponse& head) {
+    if (head.status == 200) {
+      return this->ForwardEvents(call, {}, head);
+    }
+    RunResult result{SendOutcome::kFailed, platform::ResponseOfPeer(head),
+                     fmt::format("status {} of another VM", head.status)};
+    auto body = call->ReadBody(kMaxFailureBytes);
+    if (body.has_error()) {
+      return {SendOutcome::kUnknown, {}, body.error().detail};
+    }
+    call->ReturnToPool();
+    result.response.body = std::move(body).value();
+    if (platform::OutcomeOfPeer(head) != platform::PeerOutcome::kAnswered) {
+      result.outcome = SendOutcome::kNotExecuted;
+    }
+    return result;
+  }
+
   // The caller's estimate of the answer is right only at the median; averaging
   // it with the typical length limits the effect of a wrong one.
   void EstimateSize() {
@@ -208,10 +307,14 @@
 
   RunResult Send(const Path& path) {
     const PathStage& first = path.front();
+    const Instant begun = this->dependencies.runtime->Now();
     auto opened = this->dependencies.http->Open(
         first.address,
         std::min(this->dependencies.connect_timeout, this->scope.TimeLeft()));
     if (opened.has_error()) {
+      if (!this->dependencies.links->ConfirmFailure(first.worker, begun)) {
+        return {SendOutcome::kNotSent, {}, opened.error().detail, false};
+      }
       this->refusing_workers.insert(first.worker);
       this->dependencies.crashes->VerifyWorker(
           this->stream.workers.at(first.worker), opened.error().detail);
@@ -222,7 +325,9 @@
       return {SendOutcome::kNotSent, {}, "stopped before it was sent", false};
     }
     this->scope.SetCall(call.get());
+    this->scope.SetRestartable(this->policy.MayRunAgain());
     RunResult result = this->Exchange(call.get(), path);
+    this->scope.SetRestartable(false);
     this->scope.SetCall(nullptr);
     return result;
   }
@@ -274,6 +379,9 @@
   // The connection broke or the run was given up: the request may have
   // begun to run.
   RunResult Broken(const Path& path, const std::string& detail) {
+    if (path.empty()) {  // the run was another VM's
+      return {SendOutcome::kUnknown, {}, detail};
+    }
     const bool connection_broke = this->scope.Reason() == StopReason::kNone;
     this->ReportLoss(path.front().worker, connection_broke);
     // A run that was given up because of another stage counts as an attempt.
@@ -495,10 +603,11 @@
       return this->MakeResult(0, "broken", "timed out");
     }
     if (this->scope.Reason() == StopReason::kShutdown) {
-      return RefuseLeaving(
-          this->dependencies, this->context,
-          this->last_path.empty() ? Executed::kNo : Executed::kUnknown,
-          "this VM is leaving", this->policy.Sends());
+      return RefuseLeaving(this->dependencies, this->context,
+                           this->last_path.empty() && !this->sent_to_peer
+                               ? Executed::kNo
+                               : Executed::kUnknown,
+                           "this VM is leaving", this->policy.Sends());
     }
     return Refuse(this->context, RefusalCode::kTimedOut, Executed::kUnknown,
                   Duration::zero(), "no answer in time", this->policy.Sends());
@@ -596,12 +705,14 @@
   const placement::ModelProfile& model;
   CallScope scope;
   RetryPolicy policy;
+  PeerForwarder forwarder;
   EventSequence sequence;
   ActiveStream stream;
   Path last_path;
   /// Workers that refused this request or could not be connected to.
   std::set<std::string> refusing_workers;
   std::string run_error;      ///< why the last run could not be used
+  bool sent_to_peer = false;  ///< the request may have run at another VM
   bool stream_begun = false;  ///< the response head has been sent
   bool event_seen = false;
   Instant last_event{};
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "chervilpass/serving/link_monitor.h"
 #include "platform/worker_decoder.h"
 
 namespace chervilpass::serving {
@@ -238,7 +239,11 @@
   // of the lost worker. False, and the run goes on, if no other run could
   // follow: a worker that is only silent will go on.
   bool TryResume(ActiveStream* stream, std::string_view reason) {
-    if (!this->MayRunAgain(*stream) || !this->HasOtherPath(*stream) ||
+    const bool may_go_elsewhere =
+        this->dependencies->links->CutOff()
+            ? !this->dependencies->forward_targets().empty()
+            : this->HasOtherPath(*stream);
+    if (!this->MayRunAgain(*stream) || !may_go_elsewhere ||
         !this->dependencies->routing_state->Retries().TryRetry()) {
       return false;
     }
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -75,6 +75,7 @@
   self.http_port = settings.callers.port;
   self.control_port = settings.peers.port;
   self.gossip_port = settings.gossip_port;
+  self.forward_port = settings.forwarded.port;
   self.boot_id = boot_id;
   return self;
 }
@@ -201,7 +202,7 @@
     this->links = serving::LinkMonitor::Create(
         &this->runtime, &this->routing_state, this->http.get(), &this->metrics,
         &this->log, {},
-        [this](bool cut_off) { this->peers->SetCutOff(cut_off); });
+        [this](bool cut_off) { this->OnLinksChanged(cut_off); });
     this->CreateSync();
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
@@ -212,6 +213,26 @@
     return true;
   }
 
+  void OnLinksChanged(bool cut_off) {
+    this->peers->SetCutOff(cut_off);
+    if (cut_off) {
+      this->router->OnLinksLost();
+    }
+  }
+
+  // The VMs that take requests which this VM cannot serve.
+  std::vector<io::Endpoint> ForwardTargets() const {
+    std::vector<io::Endpoint> targets;
+    for (const membership::Member& member : this->peers->Members()) {
+      if (member.vm != this->settings.ip && member.entry_up &&
+          !member.cut_off && member.forward_port != 0 &&
+          member.status == membership::Status::kAlive) {
+        targets.push_back({member.ip, member.forward_port});
+      }
+    }
+    return targets;
+  }
+
   void CreateSync() {
     fleet::StoreSyncEvents events;
     events.config_changed = [this] { this->OnConfigChanged(); };
@@ -264,6 +285,7 @@
           this->suspects->OnCleared(clearance.fingerprint);
         };
     dependencies.links = this->links.get();
+    dependencies.forward_targets = [this] { return this->ForwardTargets(); };
     dependencies.acquire_permit = [this](const std::string& server,
                                          Duration max_wait) {
       return this->permits->Acquire(server, max_wait);
@@ -277,6 +299,9 @@
       std::visit([&](const auto& request) { this->Answer(exchange, request); },
                  platform::ReadEntryRequest(exchange.Request()));
     };
+    this->forwarded_server = this->Listen(
+        this->settings.forwarded,
+        [this](auto& exchange) { this->router->HandleForwarded(exchange); });
     this->readiness_server =
         this->Listen(this->settings.readiness, handle_entry_request);
     this->directory_server =
@@ -287,8 +312,9 @@
     this->metrics_server = this->Listen(
         this->settings.metrics,
         [this](io::HttpExchange& exchange) { this->AnswerMetrics(exchange); });
-    return this->caller_server && this->readiness_server &&
-           this->directory_server && this->peer_server && this->metrics_server;
+    return this->caller_server && this->forwarded_server &&
+           this->readiness_server && this->directory_server &&
+           this->peer_server && this->metrics_server;
   }
 
   std::unique_ptr<io::HttpServer> Listen(const io::Endpoint& address,
@@ -694,6 +720,7 @@
   std::unique_ptr<serving::LinkMonitor> links;
   std::unique_ptr<serving::Router> router;
   std::unique_ptr<io::HttpServer> caller_server;
+  std::unique_ptr<io::HttpServer> forwarded_server;
   std::unique_ptr<io::HttpServer> readiness_server;
   std::unique_ptr<io::HttpServer> directory_server;
   std::unique_ptr<io::HttpServer> peer_server;
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -45,6 +45,9 @@
   config::SettingsReader peers = reader.Section("peers");
   settings.gossip_port = ReadPort(peers, "gossip_port");
   settings.peers = {settings.ip, ReadPort(peers, "state_port")};
+  settings.forwarded = {
+      settings.ip, static_cast<std::uint16_t>(peers.Integer(
+                       "forward_port", {1, 65535}, settings.peers.port + 1))};
   settings.metrics = {settings.ip, ReadPort(listen, "metrics_port")};
   settings.seed_ips = ReadSeeds(peers);
   config::SettingsReader store = reader.Section("store");
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -21,6 +21,7 @@
   io::Endpoint directory;  ///< serves the list of entry addresses
   io::Endpoint peers;      ///< serves peers' state requests
   std::uint16_t gossip_port = 0;
+  io::Endpoint forwarded;  ///< serves requests that peers forward
   io::Endpoint metrics;
   std::vector<std::string> seed_ips;
   io::Endpoint store;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -53,6 +53,7 @@
         LinkMonitor::Create(&runtime, &this->routing_state, this->http.get(),
                             &this->metrics, &this->log, {}, [](bool) {});
     dependencies.links = this->links.get();
+    dependencies.forward_targets = [this] { return this->forward_targets; };
     dependencies.ready_share = [] { return 1.0; };
     dependencies.report_clearance = [](const quarantine::Clearance&) {};
     this->router = Router::Create(std::move(dependencies), {});
@@ -149,6 +150,17 @@
     return body;
   }
 
+  std::unique_ptr<io::HttpServer> Serve(std::uint16_t port,
+                                        io::HttpHandler handler) {
+    io::HttpServerSettings settings;
+    settings.listen = {kIp, port};
+    auto server =
+        io::HttpServer::Create(&this->runtime, settings, std::move(handler),
+                               Router::UnreadableResponse);
+    cr_assert(server.has_value());
+    return std::move(server).value();
+  }
+
   io::Runtime& runtime;
   std::uint16_t base_port;
   Logger log;
@@ -157,6 +169,7 @@
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<io::HttpClient> caller;
   std::unique_ptr<LinkMonitor> links;
+  std::vector<io::Endpoint> forward_targets;
   std::unique_ptr<Router> router;
   std::unique_ptr<io::HttpServer> router_server;
   std::vector<std::unique_ptr<io::HttpServer>> servers;
@@ -169,17 +182,6 @@
     return settings;
   }
 
-  std::unique_ptr<io::HttpServer> Serve(std::uint16_t port,
-                                        io::HttpHandler handler) {
-    io::HttpServerSettings settings;
-    settings.listen = {kIp, port};
-    auto server =
-        io::HttpServer::Create(&this->runtime, settings, std::move(handler),
-                               Router::UnreadableResponse);
-    cr_assert(server.has_value());
-    return std::move(server).value();
-  }
-
   static routing::Route RouteOf(const std::string& prefix,
                                 routing::RouteKind kind,
                                 std::uint32_t attempts,
@@ -1179,3 +1181,135 @@
     cr_assert_gt(fixture.strikes, 0, "the request itself has one");
   });
 }
+
+namespace {
+
+// A router that reaches no server, and two other VMs. Returns the status of one
+// request; the handlers are those of the other VMs.
+unsigned StatusThroughPeers(io::Runtime& runtime,
+                            std::uint16_t port,
+                            const std::string& path,
+                            io::HttpHandler first,
+                            io::HttpHandler second,
+                            bool forwarded = false) {
+  RouterFixture fixture(runtime, port);
+  // Registered servers at ports without a listener.
+  for (int number = 1; number <= 3; ++number) {
+    fixture.AddServer(number, "app", {}, [](io::HttpExchange&) {});
+    fixture.AddServer(number + 3, "llm", {0, 4}, [](io::HttpExchange&) {});
+  }
+  fixture.servers.clear();
+  runtime.SleepFor(milliseconds(5));
+  for (const std::uint16_t offset : {10, 11}) {
+    fixture.forward_targets.push_back(
+        {kIp, static_cast<std::uint16_t>(port + offset)});
+  }
+  const auto one =
+      fixture.Serve(static_cast<std::uint16_t>(port + 10), std::move(first));
+  const auto two =
+      fixture.Serve(static_cast<std::uint16_t>(port + 11), std::move(second));
+  const auto entry = fixture.Serve(
+      static_cast<std::uint16_t>(port + 12), [&](io::HttpExchange& exchange) {
+        if (forwarded) {
+          fixture.router->HandleForwarded(exchange);
+        } else {
+          fixture.router->Handle(exchange);
+        }
+      });
+  const auto response = fixture.caller->Call(
+      {kIp, static_cast<std::uint16_t>(port + 12)}, fixture.Request(path, "r1"),
+      seconds(5), io::ConnectionUse::kFresh);
+  cr_assert(fixture.links->CutOff());
+  return response.has_value() ? response.value().status : 0;
+}
+
+io::HttpHandler Refusing(int* arrivals) {
+  return [arrivals](io::HttpExchange& exchange) {
+    ++*arrivals;
+    io::HttpResponse response;
+    response.status = 503;
+    response.headers.Add("Chervilpass-Request-Id", "r1");
+    exchange.Respond(response);
+  };
+}
+
+io::HttpHandler Breaking(int* arrivals) {
+  return [arrivals](io::HttpExchange& exchange) {
+    ++*arrivals;
+    exchange.Abort();
+  };
+}
+
+}  // namespace
+
+// Guards against refusals by a VM that is cut off from all servers although its
+// neighbours could serve the request.
+Test(router, a_vm_that_reaches_no_server_forwards_requests) {
+  OnRuntime([](io::Runtime& runtime) {
+    int refused = 0;
+    std::string seen;
+    const auto serve = [&seen](io::HttpExchange& exchange) {
+      const io::HttpHeaders& headers = exchange.Request().headers;
+      seen = headers.Find("Authorization").value_or("") + " " +
+             headers.Find("Host").value_or("");
+      const int left =
+          std::stoi(headers.Find("Chervilpass-Deadline-Ms").value_or("0"));
+      cr_assert(left > 0 && left < 3000);
+      const bool is_stream = exchange.Request().target == "/draft/x" ||
+                             exchange.Request().target == "/once/x";
+      if (!is_stream) {
+        return exchange.Respond(MakeResponse(exchange, 200, "found"));
+      }
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      exchange.EndStream();
+    };
+    for (const char* path : {"/lookup/x", "/file/x", "/draft/x", "/once/x"}) {
+      const std::uint16_t port = path[1] == 'l'   ? 24000
+                                 : path[1] == 'f' ? 24020
+                                 : path[1] == 'd' ? 24040
+                                                  : 24060;
+      cr_assert_eq(
+          StatusThroughPeers(runtime, port, path, Refusing(&refused), serve),
+          200, "%s", path);
+      cr_assert(seen == "Token key h.example", "%s", seen.c_str());
+    }
+  });
+}
+
+// A request that another VM forwarded must not travel on between VMs that are
+// all cut off.
+Test(router, a_forwarded_request_is_not_forwarded_again) {
+  OnRuntime([](io::Runtime& runtime) {
+    int arrivals = 0;
+    for (const char* path : {"/lookup/x", "/draft/x"}) {
+      const std::uint16_t port = path[1] == 'l' ? 24100 : 24120;
+      cr_assert_eq(StatusThroughPeers(runtime, port, path, Refusing(&arrivals),
+                                      Refusing(&arrivals), true),
+                   503);
+    }
+    cr_assert_eq(arrivals, 0);
+  });
+}
+
+// A request that may run once is sent to one VM only, unless that VM states
+// that it has not run.
+Test(router, what_may_have_run_at_another_vm_is_not_repeated) {
+  OnRuntime([](io::Runtime& runtime) {
+    int arrivals = 0;
+    cr_assert_eq(StatusThroughPeers(runtime, 24200, "/file/x",
+                                    Breaking(&arrivals), Breaking(&arrivals)),
+                 502);
+    cr_assert_eq(arrivals, 1);
+    arrivals = 0;
+    cr_assert_eq(StatusThroughPeers(runtime, 24220, "/file/x",
+                                    Refusing(&arrivals), Refusing(&arrivals)),
+                 503);
+    cr_assert_eq(arrivals, 2);
+    arrivals = 0;
+    cr_assert_eq(StatusThroughPeers(runtime, 24240, "/lookup/x",
+                                    Breaking(&arrivals), Breaking(&arrivals)),
+                 502);
+    cr_assert_eq(arrivals, 2);
+  });
+}
