Tests: the soak of partitioned routers waits for planned restarts

A router that got SIGTERM was started again by a background thread, in an early seed after the fleet had been stopped: the same router of later seeds could not listen (seed 7: router.cannot_listen, streams not served within 15 s). The soak waits for the restarts now, and does not kill a router that is stopping.

--- a/fault_tests/partitioned_routers.py
+++ b/fault_tests/partitioned_routers.py
@@ -167,7 +167,7 @@
     draw = random.Random(seed)
     fleet.fleet.start()
     fleet.start_load()
-    until = time.monotonic() + 12
+    until, restarts, stopping = time.monotonic() + 12, [], set()
     while time.monotonic() < until:
         router = draw.choice(fleet.fleet.routers)
         action = draw.random()
@@ -175,15 +175,21 @@
             fleet.cut(router, draw.choice(list(KINDS)))
         elif action < 0.8:
             fleet.restore(router)
+        elif router in stopping:
+            continue
         elif action < 0.9:
             router.process.kill()
             router.process.start()
         else:
+            stopping.add(router)  # until the end: its restart follows its exit
             fleet.fleet.signal(router.process, signal.SIGTERM)
-            fleet.fleet.in_background(lambda router=router: (router.process.child.wait(), router.process.start()))
+            restarts.append(fleet.fleet.in_background(
+                lambda router=router: (router.process.child.wait(), router.process.start())))
         time.sleep(draw.random())
     for router in fleet.fleet.routers:
         fleet.restore(router)
+    for restarted in restarts:
+        restarted()
     time.sleep(2)
     fleet.stop_load()
     fleet.check_once("seed-%d" % seed)
