--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -202,7 +202,7 @@
   sequence @0 :UInt64;
   server @1 :Text;              # empty in replies
   waitUs @2 :UInt32;
-  perSecond @3 :Float32;
+  perSecond @3 :Float64;
   ageMs @4 :UInt32;             # of the statement about the limit
   limited @5 :Bool;             # false: the server names no limit
   reply @6 :Bool;
--- a/chervilpass/rpc/permit_codec.cc
+++ b/chervilpass/rpc/permit_codec.cc
@@ -24,7 +24,7 @@
 
 void WriteLimit(const AgedRateLimit& limit, schema::Permit::Builder to) {
   to.setLimited(limit.per_second.has_value());
-  to.setPerSecond(static_cast<float>(limit.per_second.value_or(0)));
+  to.setPerSecond(limit.per_second.value_or(0));
   to.setAgeMs(static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(ToMilliseconds(limit.age), 0, UINT32_MAX)));
 }
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
+
 #include "chervilpass/serving/link_monitor.h"
 
 namespace chervilpass::serving {
@@ -11,6 +14,10 @@
 // may wait for a rate limit.
 constexpr double kSendWaitObjectiveShare = 0.5;
 constexpr double kSendWaitDeadlineShare = 0.125;
+// Limits are kept in thousandths, as gossip carries them: VMs would take two
+// roundings of one limit for a change.
+constexpr double kRateLimitUnits = 1000;  // per request a second
+constexpr double kMaxRateLimit = 1e6;     // requests per second
 // For routes without a response objective.
 constexpr Duration kDefaultSendWait = milliseconds(250);
 
@@ -43,13 +50,18 @@
   if (field.limit) {
     dependencies.metrics->Increment("chervil_rate_limited_responses_total");
   }
+  std::optional<double> limit = field.limit;
+  if (limit) {
+    limit = std::round(std::min(*limit, kMaxRateLimit) * kRateLimitUnits) /
+            kRateLimitUnits;
+  }
   if (dependencies.routing_state->RecordRateLimit(
-          server, {field.limit, dependencies.runtime->Now()})) {
+          server, {limit, dependencies.runtime->Now()})) {
     dependencies.log->Info(
         "rate_limit.changed",
         {{"worker", server},
-         {"limited", field.limit.has_value()},
-         {"per_second", fmt::format("{:.3f}", field.limit.value_or(0))}});
+         {"limited", limit.has_value()},
+         {"per_second", fmt::format("{:.3f}", limit.value_or(0))}});
   }
 }
 
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -58,7 +58,7 @@
 Test(permit_codec, messages_survive_a_round_trip_and_other_bytes_are_refused) {
   using namespace chervilpass;
   const rpc::PermitMessage messages[] = {
-      rpc::PermitRequest{7, "i-1", {11.5, milliseconds(20)}, milliseconds(250)},
+      rpc::PermitRequest{7, "i-1", {37.1, milliseconds(20)}, milliseconds(250)},
       rpc::PermitReply{7, true, milliseconds(30), {std::nullopt, seconds(1)}}};
   for (const rpc::PermitMessage& message : messages) {
     const std::string bytes = rpc::EncodePermitMessage(message);
