Router: a repeat after the loss of another VM is paid from the retry budget

Cause: when a VM that served a forwarded request was lost, the repeat through another one was not charged, although the servers get the request again.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -322,7 +322,9 @@
       }
       if (forwarded.outcome == SendOutcome::kUnknown) {
         const RetryDecision decision = this->policy.OnSendEnded(
-            forwarded.outcome, this->scope.TimeLeft(), [] { return true; });
+            forwarded.outcome, this->scope.TimeLeft(), [this] {
+              return this->dependencies.routing_state->Retries().TryRetry();
+            });
         if (decision != RetryDecision::kRetry) {
           return this->Failed(RefusalCode::kBackendFailed, forwarded.detail);
         }
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -201,7 +201,9 @@
       }
       this->policy.GrantExtraAttempt();
       const RetryDecision decision = this->policy.OnSendEnded(
-          result.outcome, this->scope.TimeLeft(), [] { return true; });
+          result.outcome, this->scope.TimeLeft(), [this] {
+            return this->dependencies.routing_state->Retries().TryRetry();
+          });
       if (decision != RetryDecision::kRetry) {
         return this->Finish(decision, result);
       }
