Stand-in for workers: layers that are given up serve the runs that use them

The users' pages say that such layers accept nothing new and wait for what is passing through them, and that a move to a part that is not there gets 409 with its address. The stand-in does both now; a request may also have two runs at a time.

--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -1,8 +1,9 @@
 // fake-worker: a stand-in for a backend server on the users' platform. A plain
 // server counts executions; a model worker holds a range of layers, runs each
 // token through the stages of the request's path with HTTP calls to other
-// workers and stalls while one of them is unavailable. Both register themselves
-// in the store.
+// workers and stalls while one of them is unavailable. Layers that it is
+// ordered to give up serve the runs that use them already until those end. Both
+// register themselves in the store.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -24,8 +25,13 @@
 namespace json = boost::json;
 
 constexpr Duration kHopTimeout = milliseconds(200);
+// A stage that does not answer is taken for one that holds its layers.
+constexpr Duration kRepathCheckTimeout = milliseconds(40);
 constexpr Duration kStallRetryInterval = milliseconds(50);
 constexpr Duration kStoreTimeout = milliseconds(500);
+// A run that has not used a stage for so long has left it.
+constexpr Duration kStageUseLifetime = seconds(4);
+constexpr Duration kGiveUpPollInterval = milliseconds(20);
 // Exit code after a request that contains the crash word.
 constexpr int kExitCrashed = 70;
 
@@ -59,6 +65,14 @@
   std::uint32_t to = 0;
 };
 
+// A run of a request on this worker as the first one. A request may have
+// several runs at a time; each has a number of its own.
+struct Run {
+  std::string request_id;
+  std::string key;  // request id and number, as other workers see it
+  std::vector<Stage> path;
+};
+
 // Parses "IP:PORT=FROM-TO,..."; empty if an item has another form. Throws if
 // FROM or TO does not begin with a number.
 std::vector<Stage> ReadPath(const std::string& text) {
@@ -177,8 +191,9 @@
 
   json::object Report() const {
     json::array stalled;
-    for (const auto& [id, address] : this->stalled) {
-      stalled.push_back(json::object{{"id", id}, {"address", address}});
+    for (const auto& [key, stall] : this->stalled) {
+      stalled.push_back(
+          json::object{{"id", stall.request_id}, {"address", stall.address}});
     }
     return {{"born", this->started_at_ms},
             {"busy", this->loading},
@@ -262,7 +277,12 @@
     }
     ++this->order_sequence;
     this->loading = true;
+    this->next_from = from;
+    this->next_to = target;
     this->runtime->Spawn([this, from, target] {
+      while (this->GivenUpLayersInUse()) {
+        this->runtime->SleepFor(kGiveUpPollInterval);
+      }
       this->runtime->SleepFor(this->settings.layer_load_time * (target - from));
       this->from = from;
       this->to = target;
@@ -272,13 +292,33 @@
     exchange.Respond({202, {}, "{}"});
   }
 
+  // The latest run of a request is moved.
   void HandleRepath(io::HttpExchange& exchange, const json::object& order) {
     const std::string id(order.at("id").as_string());
-    const auto found = this->paths.find(id);
-    if (found == this->paths.end()) {
+    const auto find = [&] {
+      return std::find_if(
+          this->active_runs.rbegin(), this->active_runs.rend(),
+          [&id](const auto& run) { return run->request_id == id; });
+    };
+    if (find() == this->active_runs.rend()) {
       return exchange.Respond({404, {}, "{}"});
     }
-    found->second = ReadPath(std::string(order.at("path").as_string()));
+    const auto path = ReadPath(std::string(order.at("path").as_string()));
+    const std::string key = (*find())->key;
+    for (const Stage& stage : path) {
+      const auto layer_range =
+          this->RunStage(stage, key, "", kRepathCheckTimeout);
+      if (layer_range && layer_range->empty()) {
+        json::object conflict;
+        conflict["address"] = stage.address.ToText();
+        return exchange.Respond({409, {}, json::serialize(conflict)});
+      }
+    }
+    const auto run = find();
+    if (run == this->active_runs.rend()) {
+      return exchange.Respond({404, {}, "{}"});
+    }
+    (*run)->path = path;
     exchange.Respond({200, {}, "{}"});
   }
 
@@ -406,35 +446,68 @@
     exchange.Respond(response);
   }
 
-  // Runs a stage and returns the range of its layers: nullopt if another worker
-  // fails or refuses, empty if this worker does not hold the layers.
+  // Runs a stage for a run and returns the range of its layers: nullopt if
+  // another worker fails or does not answer, empty if the stage's worker does
+  // not hold the layers or is giving them up.
   std::optional<std::string> RunStage(const Stage& stage,
-                                      const std::string& crash_body = "") {
+                                      const std::string& run,
+                                      const std::string& crash_body,
+                                      Duration timeout = kHopTimeout) {
     if (stage.address == this->settings.listen) {
-      return this->LayerRange(stage.from, stage.to);
+      return this->UseLayers(run, stage.from, stage.to);
     }
     io::HttpRequest request;
     request.path = "/part";
-    request.query = fmt::format("from={}&to={}", stage.from, stage.to);
+    request.query =
+        fmt::format("from={}&to={}&run={}", stage.from, stage.to, run);
     request.body = crash_body;
-    const auto response =
-        this->client->Call(stage.address, request, kHopTimeout);
-    if (response.has_error() || response.value().status != 200) {
+    const auto response = this->client->Call(stage.address, request, timeout);
+    if (response.has_error() ||
+        (response.value().status != 200 && response.value().status != 421)) {
       return std::nullopt;
     }
     return response.value().body;
   }
 
-  // "BEGIN-END" if this worker holds the layers from `begin` (inclusive) to
-  // `end` (exclusive), else empty.
-  std::string LayerRange(std::uint32_t begin, std::uint32_t end) const {
-    const bool holds = this->from <= begin && end <= this->to;
-    return holds ? fmt::format("{}-{}", begin, end) : "";
+  // "BEGIN-END" if the run may use the layers from `begin` (inclusive) to `end`
+  // (exclusive), else empty. Layers that are being given up take no new runs.
+  std::string UseLayers(const std::string& run,
+                        std::uint32_t begin,
+                        std::uint32_t end) {
+    if (begin < this->from || end > this->to) {
+      return "";
+    }
+    const bool kept =
+        !this->loading || (this->next_from <= begin && end <= this->next_to);
+    if (!kept && !this->stage_uses.contains(run)) {
+      return "";
+    }
+    this->stage_uses[run] = {begin, end, this->runtime->Now()};
+    return fmt::format("{}-{}", begin, end);
+  }
+
+  // True while runs use layers that the order in progress takes away.
+  bool GivenUpLayersInUse() {
+    const Instant now = this->runtime->Now();
+    std::erase_if(this->stage_uses, [now](const auto& use) {
+      return now - use.second.at > kStageUseLifetime;
+    });
+    return std::any_of(this->stage_uses.begin(), this->stage_uses.end(),
+                       [this](const auto& use) {
+                         return use.second.from < this->next_from ||
+                                use.second.to > this->next_to;
+                       });
   }
 
   void HandleStage(io::HttpExchange& exchange) {
     const io::HttpRequest& request = exchange.Request();
-    const std::string layer_range = this->LayerRange(
+    const std::string run = request.QueryParameter("run").value_or("");
+    if (request.QueryParameter("ended")) {
+      this->stage_uses.erase(run);
+      return exchange.Respond({200, {}, ""});
+    }
+    const std::string layer_range = this->UseLayers(
+        run,
         static_cast<std::uint32_t>(
             std::stoul(request.QueryParameter("from").value_or("1"))),
         static_cast<std::uint32_t>(
@@ -445,22 +518,39 @@
     exchange.Respond({layer_range.empty() ? 421U : 200U, {}, layer_range});
   }
 
+  // Tells the workers of a path that a run has left it.
+  void LeaveStages(const std::vector<Stage>& path, const std::string& run) {
+    this->stage_uses.erase(run);
+    for (const Stage& stage : path) {
+      if (stage.address == this->settings.listen) {
+        continue;
+      }
+      this->runtime->Spawn([this, address = stage.address, run] {
+        io::HttpRequest request;
+        request.path = "/part";
+        request.query = fmt::format("run={}&ended=1", run);
+        // A worker that does not answer forgets the run by itself.
+        (void)this->client->Call(address, request, kHopTimeout);
+      });
+    }
+  }
+
   // Runs the path for one token. Returns the layer ranges of its stages in
   // order, separated by commas; empty if a stage is unavailable.
-  std::string RunPath(const std::string& id, const std::string& crash_body) {
+  std::string RunPath(const Run& run, const std::string& crash_body) {
     std::string layer_ranges;
-    const std::vector<Stage> path = this->paths[id];
+    const std::vector<Stage> path = run.path;  // an order may replace it
     for (std::size_t i = 0; i < path.size(); ++i) {
       const Stage& stage = path[i];
-      const auto layer_range =
-          this->RunStage(stage, i + 1 == path.size() ? crash_body : "");
+      const auto layer_range = this->RunStage(
+          stage, run.key, i + 1 == path.size() ? crash_body : "");
       if (!layer_range || layer_range->empty()) {
-        this->stalled[id] = stage.address.ToText();
+        this->stalled[run.key] = {run.request_id, stage.address.ToText()};
         return {};
       }
       layer_ranges += (layer_ranges.empty() ? "" : ",") + *layer_range;
     }
-    this->stalled.erase(id);
+    this->stalled.erase(run.key);
     return layer_ranges;
   }
 
@@ -470,18 +560,22 @@
     if (!crash_part.empty()) {
       this->log.Info("request.marked", {{"request", id}, {"part", crash_part}});
     }
-    this->paths[id] =
+    const auto run = std::make_shared<Run>();
+    run->request_id = id;
+    run->key = fmt::format("{}-{}-{}", this->settings.id, id, ++this->last_run);
+    run->path =
         ReadPath(request.headers.Find("Chervilpass-Hop-Count").value_or(""));
     // A copy: a repath order may replace the path while the stages are checked.
-    const std::vector<Stage> path = this->paths[id];
+    const std::vector<Stage> path = run->path;
     for (const Stage& stage : path) {
-      const auto layer_range = this->RunStage(stage);
+      const auto layer_range = this->RunStage(stage, run->key, "");
       if (!layer_range || layer_range->empty()) {
-        this->paths.erase(id);
+        this->LeaveStages(path, run->key);
         return this->Reject(exchange, layer_range ? 421 : 503, id,
                             stage.address.ToText());
       }
     }
+    this->active_runs.push_back(run);
     ++this->runs[id];
     const auto counts = SplitText(
         request.headers.Find("Chervilpass-Token-Counts").value_or("1,8"), ',');
@@ -496,7 +590,7 @@
     }
     int sent_events = 0;
     while (complete && event < events) {
-      complete = this->SendEvent(exchange, id, ++event, crash_body);
+      complete = this->SendEvent(exchange, *run, ++event, crash_body);
       if (this->break_after_events > 0 &&
           ++sent_events >= this->break_after_events) {
         this->break_after_events = 0;
@@ -504,8 +598,9 @@
         complete = false;
       }
     }
-    this->paths.erase(id);
-    this->stalled.erase(id);
+    std::erase(this->active_runs, run);
+    this->stalled.erase(run->key);
+    this->LeaveStages(run->path, run->key);
     if (complete) {
       exchange.EndStream();
     } else {
@@ -514,23 +609,33 @@
   }
 
   bool SendEvent(io::HttpExchange& exchange,
-                 const std::string& id,
+                 const Run& run,
                  std::uint64_t event,
                  const std::string& crash_body) {
     this->runtime->SleepFor(this->settings.work_time);
-    std::string layer_ranges = this->RunPath(id, crash_body);
+    std::string layer_ranges = this->RunPath(run, crash_body);
     for (Duration waited{0}; layer_ranges.empty();
          waited += kStallRetryInterval) {
       if (waited > this->settings.stall_timeout || exchange.PeerClosed()) {
         return false;
       }
       this->runtime->SleepFor(kStallRetryInterval);
-      layer_ranges = this->RunPath(id, crash_body);
+      layer_ranges = this->RunPath(run, crash_body);
     }
     return exchange.WriteChunk(
         fmt::format("id: {}\ndata: {}\n\n", event, layer_ranges));
   }
 
+  struct StageUse {
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    Instant at{};  // last use
+  };
+  struct Stall {
+    std::string request_id;
+    std::string address;  // of the unavailable worker
+  };
+
   io::Runtime* runtime;
   WorkerSettings settings;
   Logger log;
@@ -549,10 +654,14 @@
   int break_after_events = 0;       // 0: no stream is broken
   std::map<std::string, int> runs;  // by request id
   json::array arrivals;             // of requests, ms of the steady clock
-  std::vector<std::string> rate_limit_fields;       // of each response
-  std::map<std::string, std::vector<Stage>> paths;  // by request id
-  // Address of the unavailable worker, by request id.
-  std::map<std::string, std::string> stalled;
+  std::vector<std::string> rate_limit_fields;     // of each response
+  std::vector<std::shared_ptr<Run>> active_runs;  // oldest first
+  std::uint64_t last_run = 0;                     // number of the latest run
+  std::map<std::string, StageUse> stage_uses;     // by key of the run
+  std::map<std::string, Stall> stalled;           // by key of the run
+  // Layers after the order in progress.
+  std::uint32_t next_from = 0;
+  std::uint32_t next_to = 0;
 };
 
 int Main(int argc, char** argv) {
