--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -39,11 +39,14 @@
         self.plain_service = "register"
         self.slow_routes = []  # names of idempotent routes with a long timeout
         self.idle_timeout_ms = 15000
+        self.call_timeout_ms = 3000
+        self.stream_timeout_ms = 20000
+        self.retry_share, self.retry_reserve = 0.2, 200
         self.store = fleets.Process("store", "fake-store", "listen: '%s'\n" % self.store_address(), folder)
         self.routers, self.workers, self.plain = [], [], []
-        for number, data_centre in enumerate(data_centres):
-            for index in range(routers_each):
-                self.add_router(data_centre, "127.0.%d.%d" % (subnet, 1 + number * routers_each + index))
+        self.data_centres, self.routers_each = data_centres, routers_each
+        self.build_routers()
+        for data_centre in data_centres:
             for _ in range(workers_each):
                 self.add_worker(data_centre)
             self.add_plain_server(data_centre, "register")
@@ -53,6 +56,14 @@
 
     # ---- description ----
 
+    def build_routers(self):
+        """Describes the routers anew, by the current settings; before the start."""
+        self.routers = []
+        for number, data_centre in enumerate(self.data_centres):
+            for index in range(self.routers_each):
+                self.add_router(data_centre,
+                                "127.0.%d.%d" % (self.subnet, 1 + number * self.routers_each + index))
+
     def add_router(self, data_centre, ip):
         router = Router("router-%d" % (len(self.routers) + 1), data_centre, ip)
         seeds = ",".join("%s:%d" % (other.ip, STATE_PORT) for other in self.routers[:3])
@@ -63,10 +74,10 @@
 listen: {callers: '%s:%d', readiness: '%s:%d', directory: '%s:%d', metrics_port: %d}
 peers: {gossip_port: %d, state_port: %d, seeds: '%s'}
 store: {address: '%s'}
-limits: {grace_seconds: 8, retry_share: 0.2, retry_reserve: 200}
+limits: {grace_seconds: 8, retry_share: %s, retry_reserve: %s}
 log: {format: json}
 """ % (router.name, ip, data_centre, ip, CALLER_PORT, ip, READINESS_PORT, ip, DIRECTORY_PORT, METRICS, GOSSIP_PORT,
-            STATE_PORT, seeds, self.store_address()), self.folder)
+            STATE_PORT, seeds, self.store_address(), self.retry_share, self.retry_reserve), self.folder)
         self.routers.append(router)
         return router
 
@@ -91,15 +102,18 @@
 
     def config(self):
         def route(name, kind, service, **extra):
-            return dict({"name": name, "host": HOST, "pathPrefix": "/%s/" % name, "kind": kind, "timeoutMs": 3000,
-                         "sloMs": 500, "service": service, "attempts": 2 if kind != "non_idempotent" else 1}, **extra)
+            return dict({"name": name, "host": HOST, "pathPrefix": "/%s/" % name, "kind": kind,
+                         "timeoutMs": self.call_timeout_ms, "sloMs": 500, "service": service,
+                         "attempts": 2 if kind != "non_idempotent" else 1}, **extra)
         engine = {"slots": 64, "kvBytes": 8000, "step_ms": 1, "read_per_s": 100000, "loads_at_once": 4,
                   "usual": {"prompt": 100, "answer": 20}, "layers": LAYERS, "layerMb": 100, "actBytes": 1000,
                   "pipeMbps": 1000, "models": [{"name": "m", "loadS": 1}],
                   "kinds": [{"name": "small", "mb": 590, "pace": 1, "readX": 1}]}
         return {"version": self.version,
-                "routes": [route("draft", "stream", "llm", sticky=True, resumable=True, gapAimMs=500, timeoutMs=20000),
-                           route("once", "stream", "llm", sticky=True, gapAimMs=500, timeoutMs=20000, attempts=1),
+                "routes": [route("draft", "stream", "llm", sticky=True, resumable=True, gapAimMs=500,
+                                 timeoutMs=self.stream_timeout_ms),
+                           route("once", "stream", "llm", sticky=True, gapAimMs=500, timeoutMs=self.stream_timeout_ms,
+                                attempts=1),
                            route("file", "non_idempotent", self.plain_service),
                            route("lookup", "idempotent", self.plain_service),
                            route("open", "idempotent", self.plain_service, public=True)] +
