Streams: log why no other run follows

A request that ended after a lost run named the refusal of its last worker and not the limit that kept the router from another run. The line has attempts, retry budget and time left.

--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -155,6 +155,7 @@
         }
       }
       if (decision != RetryDecision::kRetry) {
+        this->LogNoRetry(result);
         return this->Finish(decision, result);
       }
       this->LogRetry(result);
@@ -692,6 +693,23 @@
                   this->policy.Sends());
   }
 
+  // Tells which limit forbids another run.
+  void LogNoRetry(const RunResult& result) const {
+    this->dependencies.log->Info(
+        "request.not_repeated",
+        {{"request", this->context.metadata.request_id},
+         {"path", DescribePath(this->last_path)},
+         {"reason", result.detail},
+         {"begun", this->stream_begun},
+         {"sends", this->policy.Sends()},
+         {"may_repeat", this->context.route->MayRepeat()},
+         {"attempts", this->context.route->attempts},
+         {"retry_budget",
+          fmt::format("{:.2f}",
+                      this->dependencies.routing_state->Retries().Balance())},
+         {"time_left_ms", ToMilliseconds(this->scope.TimeLeft())}});
+  }
+
   void LogRetry(const RunResult& result) const {
     this->dependencies.log->Info(
         "request.retry", {{"request", this->context.metadata.request_id},
