Streams: a silent run goes on until another one has written

Callers saw answers cut, or 502, while a sound worker was silent for up to two seconds. Cause: the router cancelled the silent run after it had looked at path, attempts, strikes and budget, and decided anew what followed. The next worker refused (503 or 421), the further retry found the budget empty, and the answer ended with 18 s left (request.not_repeated). Class: giving up what works, though badly, for something that may not come about.

Now nothing is cancelled for a silence. A standby run starts beside the first one, paid in advance, and takes over once it has written the next event; if the first one writes before, the standby ends; if the standby fails, the first one goes on. A VM that is cut off starts its standby runs through other VMs, and only for streams that get no events. An answer that has begun waits for the retry budget, and another VM's failure does not end it. Also, from a review by one who had not seen the work: a standby that is ready is not thrown away for a last event of the first run; moves that wait do not touch the run that follows; standby runs that are refused do not use up attempts.

Why it works: the only things left that end an answer are its caller, its deadline and its server.

--- a/chervilpass/routing/retry_budget.h
+++ b/chervilpass/routing/retry_budget.h
@@ -36,6 +36,11 @@
     return true;
   }
 
+  /// Returns a retry that was not sent.
+  void Return() {
+    this->balance = std::min(this->settings.reserve, this->balance + 1);
+  }
+
   /// Changes the maximum balance.
   void SetReserve(double reserve) {
     this->settings.reserve = reserve;
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -299,8 +299,15 @@
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
-      ForwardedCall forwarded =
-          this->forwarder.Send(&this->scope, std::nullopt);
+      ForwardedCall forwarded = this->forwarder.Send(
+          this->context.exchange->Request(), this->scope.TimeLeft(),
+          std::nullopt, [this](io::HttpCall* call) {
+            if (this->scope.Stopped()) {
+              return false;
+            }
+            this->scope.SetCall(call);
+            return true;
+          });
       if (forwarded.outcome == SendOutcome::kNotSent) {
         continue;
       }
--- a/chervilpass/serving/peer_forwarder.cc
+++ b/chervilpass/serving/peer_forwarder.cc
@@ -20,8 +20,11 @@
          !this->Targets().empty();
 }
 
-ForwardedCall PeerForwarder::Send(CallScope* scope,
-                                  std::optional<std::uint64_t> last_event_id) {
+ForwardedCall PeerForwarder::Send(
+    const io::HttpRequest& request,
+    Duration time_left,
+    std::optional<std::uint64_t> last_event_id,
+    const std::function<bool(io::HttpCall*)>& set_call) {
   const std::vector<io::Endpoint> targets = this->Targets();
   const io::Endpoint target =
       targets[this->dependencies.routing_state->Rng().Below(targets.size())];
@@ -31,24 +34,23 @@
                                {{"request", this->context.metadata.request_id},
                                 {"vm", target.ip},
                                 {"attempt", this->tried.size()}});
+  const Instant deadline = this->dependencies.runtime->Now() + time_left;
   ForwardedCall forwarded;
   auto opened = this->dependencies.http->Open(
-      target, std::min(this->dependencies.connect_timeout, scope->TimeLeft()));
+      target, std::min(this->dependencies.connect_timeout, time_left));
   if (opened.has_error()) {
     forwarded.detail = opened.error().detail;
     return forwarded;
   }
-  if (scope->Stopped()) {
+  if (!set_call(opened.value().get())) {
     return forwarded;
   }
   this->last_peer = target.ip;
   forwarded.call = std::move(opened).value();
   forwarded.outcome = SendOutcome::kUnknown;
-  scope->SetCall(forwarded.call.get());
+  const Duration left = deadline - this->dependencies.runtime->Now();
   const auto sent = forwarded.call->Send(
-      platform::RequestForPeer(this->context.exchange->Request(),
-                               scope->TimeLeft(), last_event_id),
-      scope->TimeLeft());
+      platform::RequestForPeer(request, left, last_event_id), left);
   if (sent.has_error()) {
     forwarded.detail = sent.error().detail;
     return forwarded;
--- a/chervilpass/serving/peer_forwarder.h
+++ b/chervilpass/serving/peer_forwarder.h
@@ -2,6 +2,7 @@
 // for it. The other VM serves it like a request of its own callers.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -24,18 +25,31 @@
 /// Forwards one request. Invariant: it is sent to each VM once at most.
 class PeerForwarder {
  public:
+  /// `tried` are VMs that the request is not sent to.
   PeerForwarder(const RouterDependencies& dependencies,
-                const RequestContext& context)
-      : dependencies(dependencies), context(context) {}
+                const RequestContext& context,
+                std::set<io::Endpoint> tried = {})
+      : dependencies(dependencies), context(context), tried(std::move(tried)) {}
 
   /// True if a VM is left to which the request can be sent. A request that
   /// another VM has forwarded is not sent on.
   bool Possible() const;
 
-  /// Sends the request to a VM. `scope` cancels the call until its SetCall() is
-  /// called again. A stream goes on after `last_event_id`.
-  ForwardedCall Send(CallScope* scope,
-                     std::optional<std::uint64_t> last_event_id);
+  /// Sends the request to a VM. `set_call` is called with the call before the
+  /// request is sent, so that it can be cancelled; false if the request is not
+  /// to be sent any more. A stream goes on after `last_event_id`.
+  ForwardedCall Send(const io::HttpRequest& request,
+                     Duration time_left,
+                     std::optional<std::uint64_t> last_event_id,
+                     const std::function<bool(io::HttpCall*)>& set_call);
+
+  /// Does not send the request to these VMs, in addition to earlier ones.
+  void Exclude(const std::set<io::Endpoint>& vms) {
+    this->tried.insert(vms.begin(), vms.end());
+  }
+
+  /// VMs that the request was sent to.
+  const std::set<io::Endpoint>& Tried() const { return this->tried; }
 
   /// The VM of the last call.
   const std::string& LastPeer() const { return this->last_peer; }
--- a/chervilpass/serving/retry_policy.h
+++ b/chervilpass/serving/retry_policy.h
@@ -71,7 +71,8 @@
     const bool rejected_only = this->may_have_run == 0;
     const bool attempts_left =
         this->may_have_run < this->attempts &&
-        this->rejected_sends < this->settings.max_rejected_sends;
+        (this->response_begun ||
+         this->rejected_sends < this->settings.max_rejected_sends);
     const bool repeatable = rejected_only || this->may_repeat;
     if (repeatable && attempts_left &&
         time_left >= this->settings.min_time_left &&
@@ -91,6 +92,10 @@
     this->attempts += this->lost_workers <= kMaxExtraAttempts ? 1 : 0;
   }
 
+  /// The response has begun, so the request cannot be refused any more: sends
+  /// that do not run are not limited from now on.
+  void OnResponseBegun() { this->response_begun = true; }
+
   /// True if a retry may follow the send in progress even if that send has run
   /// in part.
   bool MayRunAgain() const {
@@ -116,6 +121,7 @@
   std::uint32_t rejected_sends = 0;
   std::uint32_t may_have_run = 0;
   std::uint32_t lost_workers = 0;
+  bool response_begun = false;
 };
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -1,5 +1,6 @@
 #include "chervilpass/serving/stream_proxy.h"
 
+#include <cassert>
 #include <utility>
 
 #include <fmt/format.h>
@@ -8,6 +9,7 @@
 #include "chervilpass/serving/event_stream.h"
 #include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/peer_forwarder.h"
+#include "chervilpass/serving/standby_run.h"
 #include "platform/request_codec.h"
 
 namespace chervilpass::serving {
@@ -34,6 +36,10 @@
 // intervals after the begin of its answer.
 constexpr Duration kMinProvenTime = milliseconds(500);
 constexpr Duration kPathPollInterval = milliseconds(50);
+constexpr Duration kStandbyPollInterval = milliseconds(2);
+// Longest wait for the first event of a standby run once the first run has
+// ended. Callers leave after two seconds without an event.
+constexpr Duration kMaxStandbyWait = milliseconds(1400);
 
 // Result of one run on one path.
 struct RunResult {
@@ -44,6 +50,7 @@
   /// run grants an extra attempt; one that the worker refused does not.
   bool worker_lost = false;
   bool run_lost = false;  ///< it was sent, and no complete response arrived
+  bool through_peer = false;
 };
 
 class StreamProxy {
@@ -73,10 +80,16 @@
       this->stream.run.parts.push_back({part, 0});
     }
     this->EstimateSize();
+    this->stream.start_standby = [this](const std::set<std::string>& excluded) {
+      this->StartStandby(excluded);
+    };
     registry->Add(&this->stream);
   }
 
-  ~StreamProxy() { this->registry->Remove(&this->stream); }
+  ~StreamProxy() {
+    this->registry->Remove(&this->stream);
+    this->CancelStandby();
+  }
 
   RequestResult Serve() {
     RoutingState& routing_state = *this->dependencies.routing_state;
@@ -85,6 +98,13 @@
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
+      if (this->standby && this->standby->Ready()) {
+        const RunResult result = this->TakeOver();
+        if (auto ended = this->EndAfter(result)) {
+          return std::move(*ended);
+        }
+        continue;
+      }
       if (this->dependencies.crashes->IsQuarantined(this->stream.run)) {
         return this->EndQuarantined();
       }
@@ -129,40 +149,173 @@
         return this->EndStopped();
       }
       const RunResult result = this->RunOn(path.value().path);
-      if (result.outcome == SendOutcome::kResponse) {
-        return this->EndServed();
+      if (auto ended = this->EndAfter(result)) {
+        return std::move(*ended);
       }
-      if (this->scope.Stopped()) {
-        return this->EndStopped();
+    }
+  }
+
+ private:
+  // The result of the request after this run; none if another run follows.
+  std::optional<RequestResult> EndAfter(const RunResult& result) {
+    if (result.outcome == SendOutcome::kResponse) {
+      return this->EndServed(result.through_peer);
+    }
+    if (this->scope.Stopped()) {
+      return this->EndStopped();
+    }
+    this->AwaitStandby();
+    if (this->scope.Stopped()) {
+      return this->EndStopped();
+    }
+    const bool standby_ready = this->standby && this->standby->Ready();
+    if (result.run_lost && !standby_ready &&
+        this->dependencies.crashes->MustNotRepeat(this->stream.run)) {
+      return this->EndSuspect();
+    }
+    if (result.worker_lost) {
+      this->policy.GrantExtraAttempt();
+    }
+    const RetryDecision decision = this->policy.OnSendEnded(
+        result.outcome, this->scope.TimeLeft(),
+        [this, standby_ready] { return standby_ready || this->TakeRetry(); });
+    if (this->scope.Stopped()) {
+      return this->EndStopped();
+    }
+    if (decision == RetryDecision::kRefuse && !standby_ready &&
+        result.outcome == SendOutcome::kNotSent) {
+      if (auto served = this->ServeThroughPeer()) {
+        return served;
       }
-      this->scope.ResumeAfterStall();
-      if (result.run_lost &&
-          this->dependencies.crashes->MustNotRepeat(this->stream.run)) {
-        return this->EndSuspect();
+    }
+    if (decision != RetryDecision::kRetry && !standby_ready) {
+      this->LogNoRetry(result);
+      return this->Finish(decision, result);
+    }
+    this->LogRetry(result);
+    return std::nullopt;
+  }
+
+  // Takes a retry from the budget. An answer that has begun cannot be refused
+  // any more, so it waits for the budget.
+  bool TakeRetry() {
+    routing::RetryBudget& budget = this->dependencies.routing_state->Retries();
+    while (!budget.TryRetry()) {
+      if (!this->stream_begun || this->scope.Stopped()) {
+        return false;
       }
-      if (result.worker_lost) {
+      this->dependencies.runtime->SleepFor(kPathPollInterval);
+    }
+    return true;
+  }
+
+  // ---- standby runs ----
+
+  // `excluded` are workers that it is not to use.
+  void StartStandby(const std::set<std::string>& excluded) {
+    assert(!this->standby);
+    StandbyRunRequest request;
+    request.context = this->context;
+    request.context.exchange = nullptr;
+    request.request = this->context.exchange->Request();
+    request.model = &this->model;
+    request.query = this->Query();
+    request.query.excluded.insert(excluded.begin(), excluded.end());
+    request.sequence = this->sequence;
+    request.tokens = this->stream.tokens;
+    request.deadline =
+        this->dependencies.runtime->Now() + this->scope.TimeLeft();
+    request.run = this->stream.run;
+    request.workers = this->stream.workers;
+    request.tried_peers = this->forwarder.Tried();
+    // Cancelled before this object is destroyed: then it is not called.
+    this->standby = StandbyRun::Start(&this->dependencies, std::move(request),
+                                      [this] { this->OnStandbyDone(); });
+    this->UpdateOptions();
+  }
+
+  void OnStandbyDone() {
+    this->forwarder.Exclude(this->standby->TriedPeers());
+    if (this->standby->Ready()) {
+      // Ends the first run, if it has not ended.
+      this->scope.Stop(StopReason::kStalled);
+      return;
+    }
+    const BegunStreamRun& failed = this->standby->Result();
+    this->dependencies.log->Info(
+        "stream.standby_failed",
+        {{"request", this->context.metadata.request_id},
+         {"path", DescribePath(failed.path)},
+         {"reason", failed.detail}});
+    if (failed.lost) {
+      this->policy.GrantExtraAttempt();
+    }
+    this->EndStandby(failed.outcome);
+  }
+
+  // Counts the run, which ends without taking over.
+  void EndStandby(SendOutcome outcome) {
+    if (outcome == SendOutcome::kNotSent) {
+      this->dependencies.routing_state->Retries().Return();
+    } else if (outcome != SendOutcome::kNotExecuted) {
+      this->policy.OnSendEnded(outcome, this->scope.TimeLeft(),
+                               [] { return true; });
+    }
+    this->standby.reset();
+    ++this->stream.failed_standbys;
+    this->stream.last_standby_end = this->dependencies.runtime->Now();
+    this->UpdateOptions();
+  }
+
+  // Tells the registry what may follow the run in progress.
+  void UpdateOptions() {
+    this->stream.standby_in_progress = this->standby != nullptr;
+    this->stream.may_resume = this->policy.MayRunAgain();
+    this->stream.may_forward = this->forwarder.Possible();
+  }
+
+  void CancelStandby() {
+    if (this->standby) {
+      this->forwarder.Exclude(this->standby->TriedPeers());
+      this->standby->Cancel();
+      this->EndStandby(this->standby->MayHaveRun() ? SendOutcome::kUnknown
+                                                   : SendOutcome::kNotSent);
+    }
+  }
+
+  // Waits until a standby run, if one is in progress, is ready or has ended.
+  // One that does not write soon ends: nothing watches its workers.
+  void AwaitStandby() {
+    this->scope.ResumeAfterStall();
+    const Instant until = this->dependencies.runtime->Now() + kMaxStandbyWait;
+    while (this->standby && !this->standby->Ready() && !this->scope.Stopped()) {
+      if (this->dependencies.runtime->Now() >= until) {
         this->policy.GrantExtraAttempt();
+        this->CancelStandby();
+        break;
       }
-      const RetryDecision decision = this->policy.OnSendEnded(
-          result.outcome, this->scope.TimeLeft(), [this, &routing_state] {
-            return std::exchange(this->stream.retry_budget_charged, false) ||
-                   routing_state.Retries().TryRetry();
-          });
-      if (decision == RetryDecision::kRefuse &&
-          result.outcome == SendOutcome::kNotSent) {
-        if (auto served = this->ServeThroughPeer()) {
-          return std::move(*served);
-        }
-      }
-      if (decision != RetryDecision::kRetry) {
-        this->LogNoRetry(result);
-        return this->Finish(decision, result);
-      }
-      this->LogRetry(result);
+      this->dependencies.runtime->SleepFor(kStandbyPollInterval);
     }
+    this->scope.ResumeAfterStall();
+  }
+
+  // Continues with the standby run.
+  RunResult TakeOver() {
+    BegunStreamRun run = std::exchange(this->standby, nullptr)->Take();
+    this->stream.last_standby_end = this->dependencies.runtime->Now();
+    this->StartRun(run.path);
+    this->scope.SetCall(run.call.get());
+    const bool through_peer = run.path.empty();
+    this->sent_to_peer |= through_peer;
+    RunResult result = this->ForwardEvents(run.call.get(), run.path,
+                                           run.response, run.first_piece);
+    result.through_peer = through_peer;
+    result.worker_lost |= through_peer;
+    this->scope.SetCall(nullptr);
+    this->EndRun();
+    return result;
   }
 
- private:
   // Serves the request through another VM; none if no other VM can, and the
   // request may still be sent. A stream that has begun goes on there.
   std::optional<RequestResult> ServeThroughPeer() {
@@ -171,8 +324,10 @@
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
-      ForwardedCall forwarded =
-          this->forwarder.Send(&this->scope, this->sequence.Last());
+      ForwardedCall forwarded = this->forwarder.Send(
+          this->context.exchange->Request(), this->scope.TimeLeft(),
+          this->sequence.Last(),
+          [this](io::HttpCall* call) { return this->SetCall(call); });
       if (forwarded.outcome == SendOutcome::kNotSent) {
         continue;
       }
@@ -183,9 +338,7 @@
               : RunResult{SendOutcome::kUnknown, {}, forwarded.detail};
       this->scope.SetCall(nullptr);
       if (result.outcome == SendOutcome::kResponse) {
-        return this->context.exchange->EndStream()
-                   ? this->MakeResult(200, "served", "through another VM")
-                   : this->MakeResult(0, "left", "the caller has gone");
+        return this->EndServed(true);
       }
       if (this->scope.Stopped()) {
         return this->EndStopped();
@@ -197,14 +350,13 @@
         }
         continue;
       }
-      if (result.outcome == SendOutcome::kFailed) {
+      if (result.outcome == SendOutcome::kFailed && !this->stream_begun) {
         return this->Finish(RetryDecision::kForward, result);
       }
       this->policy.GrantExtraAttempt();
-      const RetryDecision decision = this->policy.OnSendEnded(
-          result.outcome, this->scope.TimeLeft(), [this] {
-            return this->dependencies.routing_state->Retries().TryRetry();
-          });
+      const RetryDecision decision =
+          this->policy.OnSendEnded(result.outcome, this->scope.TimeLeft(),
+                                   [this] { return this->TakeRetry(); });
       if (decision != RetryDecision::kRetry) {
         return this->Finish(decision, result);
       }
@@ -221,7 +373,7 @@
   // kNotExecuted: the other VM has refused the request.
   RunResult ReadFromPeer(io::HttpCall* call, const io::HttpResponse& head) {
     if (head.status == 200) {
-      return this->ForwardEvents(call, {}, head);
+      return this->ForwardEvents(call, {}, head, "");
     }
     RunResult result{SendOutcome::kFailed, platform::ResponseOfPeer(head),
                      fmt::format("status {} of another VM", head.status)};
@@ -255,7 +407,7 @@
         this->stream.prompt_tokens + this->stream.answer_tokens / 2;
   }
 
-  Result<placement::ChosenPath, NoPathReason> FindPath() {
+  placement::PathQuery Query() const {
     placement::PathQuery query;
     query.layers = {0, this->model.layers};
     query.from_data_centre =
@@ -264,8 +416,12 @@
     query.answer_tokens = this->stream.answer_tokens;
     query.excluded = this->refusing_workers;
     query.max_send_wait = this->MaxWaitToSend();
+    return query;
+  }
+
+  Result<placement::ChosenPath, NoPathReason> FindPath() {
     return this->dependencies.routing_state->FindPath(
-        this->context.service, this->model, query,
+        this->context.service, this->model, this->Query(),
         this->dependencies.runtime->Now());
   }
 
@@ -287,96 +443,71 @@
   // long.
   bool MayWaitForPath() const { return this->stream_begun; }
 
-  RunResult RunOn(const Path& path) {
-    RoutingState& routing_state = *this->dependencies.routing_state;
+  void StartRun(const Path& path) {
     this->stream.path = path;
+    ++this->stream.run_number;
+    this->stream.failed_standbys = 0;
     this->stream.last_progress = this->dependencies.runtime->Now();
     this->stream.first_event_seen = false;
     this->stream.run.events = 0;
     this->stream.moved = false;
-    this->stream.may_resume = this->policy.MayRunAgain();
+    this->UpdateOptions();
     RecordWorkers(this->dependencies, &this->stream, {});
     this->last_path = path;
-    routing_state.Loads().Add(this->stream.path, this->stream.tokens);
-    RunResult result = this->Send(path);
+    this->dependencies.routing_state->Loads().Add(path, this->stream.tokens);
+  }
+
+  void EndRun() {
     ForgetWorkers(this->dependencies, &this->stream);
     // A move may have changed the path.
     this->last_path = this->stream.path;
-    routing_state.Loads().Remove(this->stream.path, this->stream.tokens);
+    this->dependencies.routing_state->Loads().Remove(this->stream.path,
+                                                     this->stream.tokens);
     this->stream.path.clear();
     this->stream.moving = false;
+  }
+
+  RunResult RunOn(const Path& path) {
+    this->StartRun(path);
+    RunResult result = this->Send(path);
+    this->EndRun();
     return result;
   }
 
-  RunResult Send(const Path& path) {
-    const PathStage& first = path.front();
-    const Instant begun = this->dependencies.runtime->Now();
-    auto opened = this->dependencies.http->Open(
-        first.address,
-        std::min(this->dependencies.connect_timeout, this->scope.TimeLeft()));
-    if (opened.has_error()) {
-      if (!this->dependencies.links->ConfirmFailure(first.worker, begun)) {
-        return {SendOutcome::kNotSent, {}, opened.error().detail, false};
-      }
-      this->refusing_workers.insert(first.worker);
-      this->dependencies.crashes->VerifyWorker(
-          this->stream.workers.at(first.worker), opened.error().detail);
-      return {SendOutcome::kNotSent, {}, opened.error().detail, false};
-    }
-    const auto call = std::move(opened).value();
+  bool SetCall(io::HttpCall* call) {
     if (this->scope.Reason() != StopReason::kNone) {
-      return {SendOutcome::kNotSent, {}, "stopped before it was sent", false};
+      return false;
     }
-    this->scope.SetCall(call.get());
-    this->scope.SetRestartable(this->policy.MayRunAgain());
-    RunResult result = this->Exchange(call.get(), path);
-    this->scope.SetRestartable(false);
-    this->scope.SetCall(nullptr);
-    return result;
+    this->scope.SetCall(call);
+    return true;
   }
 
-  RunResult Exchange(io::HttpCall* call, const Path& path) {
-    ForwardMetadata forward_metadata;
-    forward_metadata.instance = path.front().worker;
-    forward_metadata.organisation = this->context.organisation;
-    forward_metadata.time_left = this->scope.TimeLeft();
-    forward_metadata.last_event_id = this->sequence.Last();
-    forward_metadata.path = path;
-    const auto request = platform::ForwardedRequest(
-        this->context.exchange->Request(), forward_metadata);
-    if (auto sent = call->Send(request, forward_metadata.time_left);
-        sent.has_error()) {
-      return this->Broken(path, sent.error().detail);
-    }
-    auto head = ReadMatchingHead(call, this->context.metadata.request_id);
-    if (head.has_error()) {
-      return this->Broken(path, head.error().detail);
-    }
-    this->dependencies.links->OnReached(path.front().worker);
-    const ResponseMetadata metadata = platform::ReadResponse(head.value());
-    RecordRateLimit(this->dependencies, path.front().worker,
-                    metadata.rate_limit);
-    if (metadata.load) {
-      if (const auto* server = this->dependencies.routing_state->Servers().Find(
-              path.front().worker)) {
-        this->dependencies.routing_state->Loads().OnReportedRunning(
-            server->id, server->data_centre, metadata.load->running,
-            this->dependencies.runtime->Now());
-      }
-    }
-    if (metadata.not_executed) {
-      return this->Rejected(call, path, metadata);
-    }
-    if (!metadata.Successful()) {
-      return this->Failed(call, metadata, head.value());
+  RunResult Send(const Path& path) {
+    StreamRunRequest request;
+    request.request = &this->context.exchange->Request();
+    request.context = &this->context;
+    request.model = &this->model;
+    request.path = path;
+    request.time_left = this->scope.TimeLeft();
+    request.last_event_id = this->sequence.Last();
+    request.set_call = [this](io::HttpCall* call) {
+      return this->SetCall(call);
+    };
+    BegunStreamRun run = BeginStreamRun(this->dependencies, request);
+    RunResult result;
+    if (run.outcome == SendOutcome::kResponse) {
+      result = this->ForwardEvents(run.call.get(), path, run.response, "");
+    } else if (run.lost) {
+      this->scope.SetCall(nullptr);
+      result = this->Broken(path, run.detail);
+    } else {
+      result = {run.outcome, std::move(run.response), std::move(run.detail)};
     }
-    if (!metadata.sealed || metadata.encoded) {
-      return {SendOutcome::kUnknown,
-              {},
-              "success without a valid signature",
-              false};
+    this->scope.SetCall(nullptr);
+    if (run.refusing_worker) {
+      this->refusing_workers.insert(*run.refusing_worker);
     }
-    return this->ForwardEvents(call, path, head.value());
+    return result;
   }
 
   // The connection broke or the run was given up: the request may have
@@ -395,61 +526,14 @@
     return {SendOutcome::kUnknown, {}, detail, worker_lost, true};
   }
 
-  RunResult Rejected(io::HttpCall* call,
-                     const Path& path,
-                     const ResponseMetadata& metadata) {
-    if (call->ReadBody(kMaxFailureBytes).has_value()) {
-      call->ReturnToPool();
-    }
-    const Instant now = this->dependencies.runtime->Now();
-    std::string refusing_worker = path.front().worker;
-    for (const PathStage& stage : path) {
-      if (metadata.faulty_worker && stage.address == *metadata.faulty_worker) {
-        refusing_worker = stage.worker;
-      }
-    }
-    this->refusing_workers.insert(refusing_worker);
-    if (metadata.status == 421) {
-      this->dependencies.routing_state->StartCooldown(
-          refusing_worker, routing::CooldownReason::kNotHolding, now);
-    } else if (this->dependencies.routing_state->RecordRefusal(
-                   refusing_worker, this->model, now)) {
-      this->dependencies.log->Info(
-          "worker.refusing",
-          {{"worker", refusing_worker}, {"status", metadata.status}});
-      this->dependencies.report_refusing(refusing_worker);
-    }
-    return {SendOutcome::kNotExecuted,
-            {},
-            fmt::format("status {} from {}", metadata.status, refusing_worker),
-            false};
-  }
-
-  RunResult Failed(io::HttpCall* call,
-                   const ResponseMetadata& metadata,
-                   const io::HttpResponse& head) {
-    auto body = call->ReadBody(kMaxFailureBytes);
-    const bool implies_not_executed = metadata.status == 503 ||
-                                      metadata.status == 429 ||
-                                      metadata.status == 408;
-    if (body.has_error() || implies_not_executed) {
-      return {SendOutcome::kUnknown,
-              {},
-              fmt::format("status {}", metadata.status),
-              false};
-    }
-    call->ReturnToPool();
-    RunResult result{SendOutcome::kFailed, platform::ForwardedResponse(head),
-                     fmt::format("status {}", metadata.status), false};
-    result.response.body = std::move(body).value();
-    return result;
-  }
-
+  // `first_piece` of the body has been read already.
   RunResult ForwardEvents(io::HttpCall* call,
                           const Path& path,
-                          const io::HttpResponse& head) {
+                          const io::HttpResponse& head,
+                          std::string_view first_piece) {
     if (!this->stream_begun) {
       this->stream_begun = true;
+      this->policy.OnResponseBegun();
       this->scope.SetResponseBegun();
       if (!this->context.exchange->BeginStream(
               platform::ForwardedResponse(head))) {
@@ -458,6 +542,10 @@
       }
     }
     EventSplitter splitter;
+    splitter.Feed(first_piece);
+    if (!this->ForwardComplete(&splitter)) {
+      return {SendOutcome::kUnknown, {}, this->run_error, false};
+    }
     while (true) {
       auto piece = call->ReadPiece();
       if (piece.has_error()) {
@@ -483,6 +571,11 @@
 
   // Forwards all complete events; false if the run cannot be used any more.
   bool ForwardComplete(EventSplitter* splitter) {
+    // The standby run repeats whatever this run has written since.
+    if (this->standby && this->standby->Ready()) {
+      this->run_error = "another run takes over";
+      return false;
+    }
     std::string out;
     while (const auto event = splitter->Next()) {
       const EventOrder order = this->sequence.Accept(event->id);
@@ -521,6 +614,7 @@
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
     this->last_event = now;
+    this->CancelStandby();
     // An event has passed through all workers of the path.
     for (const PathStage& stage : this->stream.path) {
       this->dependencies.links->OnReached(stage.worker);
@@ -563,7 +657,8 @@
         crashes.OnRunLost(this->stream.run, start, LossEvidence::kAbandoned);
       }
     }
-    if (!this->scope.Stopped() &&
+    const bool taken_over = this->standby && this->standby->Ready();
+    if (!this->scope.Stopped() && !taken_over &&
         (connection_broke || crashes.HasStrikes(this->stream.run))) {
       for (const auto& [worker, start] : this->stream.workers) {
         crashes.AwaitVerdict(start);
@@ -585,10 +680,13 @@
     return result;
   }
 
-  RequestResult EndServed() {
+  RequestResult EndServed(bool through_peer) {
     if (!this->context.exchange->EndStream()) {
       return this->MakeResult(0, "left", "the caller has gone");
     }
+    if (through_peer) {
+      return this->MakeResult(200, "served", "through another VM");
+    }
     this->dependencies.crashes->OnRunCompleted(this->context.fingerprint);
     if (!this->stream.run.proven) {
       this->RecordProof();
@@ -728,6 +826,7 @@
   PeerForwarder forwarder;
   EventSequence sequence;
   ActiveStream stream;
+  std::shared_ptr<StandbyRun> standby;  ///< null if none is in progress
   Path last_path;
   /// Workers that refused this request or could not be connected to.
   std::set<std::string> refusing_workers;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kMaxLoggedBodyBytes = 160;  // of a response to an order
 constexpr int kMaxMoveOrders = 3;  // orders for one move of one stream
+// Doublings of the interval between standby runs that fail.
+constexpr std::uint32_t kMaxIntervalDoublings = 4;
 // How long the result of a probe is used as evidence for lost runs.
 constexpr Duration kFindingLifetime = seconds(2);
 
@@ -91,6 +93,7 @@
     const std::set<std::string> active = this->RecentlyActiveWorkers(now);
     for (ActiveStream* stream : this->streams) {
       if (stream->path.empty() || stream->moving ||
+          stream->standby_in_progress ||
           stream->scope->Reason() != StopReason::kNone) {
         continue;
       }
@@ -99,9 +102,13 @@
       if (silence < std::max(min_stall, this->settings.probe_threshold)) {
         continue;
       }
+      if (this->dependencies->links->CutOff()) {
+        this->TryResume(stream, "this VM is cut off", {});
+        continue;
+      }
       if (this->HasUnreachableStage(*stream, now)) {
         this->ReportUnreachableStages(*stream, now);
-        if (!this->TryResume(stream, "a worker of its path is gone")) {
+        if (!this->TryResume(stream, "a worker of its path is gone", {})) {
           this->StartMove(stream, {});
         }
         continue;
@@ -116,7 +123,8 @@
         continue;
       }
       if (silence < this->settings.stall_timeout ||
-          !this->TryResume(stream, "no event for too long")) {
+          !this->TryResume(stream, "no event for too long",
+                           {stream->path.front().worker})) {
         this->StartExamining(stream->path.front());
       }
     }
@@ -234,21 +242,32 @@
                                                : finding->second.evidence);
   }
 
-  // Gives a run up for one on another path. That resumes sooner than a move:
-  // the workers that take over in a move must process the tokens of all streams
-  // of the lost worker. False, and the run goes on, if no other run could
-  // follow: a worker that is only silent will go on.
-  bool TryResume(ActiveStream* stream, std::string_view reason) {
-    const bool may_go_elsewhere =
-        this->dependencies->links->CutOff()
-            ? !this->dependencies->forward_targets().empty()
-            : this->HasOtherPath(*stream);
-    if (!this->MayRunAgain(*stream) || !may_go_elsewhere ||
+  // Starts a standby run on another path. That resumes sooner than a move: the
+  // workers that take over in a move must process the tokens of all streams of
+  // the lost worker. False if no other run could follow. `excluded` are workers
+  // that it is not to use.
+  bool TryResume(ActiveStream* stream,
+                 std::string_view reason,
+                 const std::set<std::string>& excluded) {
+    const Instant now = this->dependencies->runtime->Now();
+    const bool may_go_elsewhere = this->dependencies->links->CutOff()
+                                      ? stream->may_forward
+                                      : this->HasOtherPath(*stream, excluded);
+    const Duration interval =
+        this->settings.standby_interval *
+        (1U << std::min(stream->failed_standbys, kMaxIntervalDoublings));
+    if (stream->standby_in_progress ||
+        now - stream->last_standby_end < interval ||
+        !this->MayRunAgain(*stream) || !may_go_elsewhere ||
         !this->dependencies->routing_state->Retries().TryRetry()) {
       return false;
     }
-    stream->retry_budget_charged = true;
-    this->GiveUp(stream, reason);
+    this->dependencies->log->Info("stream.stalled",
+                                  {{"request", stream->request_id},
+                                   {"path", DescribePath(stream->path)},
+                                   {"reason", reason}});
+    this->dependencies->metrics->Increment("chervil_streams_stalled_total");
+    stream->start_standby(excluded);
     return true;
   }
 
@@ -263,28 +282,21 @@
            !crashes.MustNotRepeat(stream.run);
   }
 
-  bool HasOtherPath(const ActiveStream& stream) const {
+  bool HasOtherPath(const ActiveStream& stream,
+                    const std::set<std::string>& excluded) const {
     placement::PathQuery query;
     query.layers = {0, stream.model->layers};
     query.from_data_centre =
         this->dependencies->routing_state->Settings().data_centre;
     query.prompt_tokens = stream.prompt_tokens;
     query.answer_tokens = stream.answer_tokens;
+    query.excluded = excluded;
     return this->dependencies->routing_state
         ->FindPath(stream.service, *stream.model, query,
                    this->dependencies->runtime->Now())
         .has_value();
   }
 
-  void GiveUp(ActiveStream* stream, std::string_view reason) {
-    this->dependencies->log->Info("stream.stalled",
-                                  {{"request", stream->request_id},
-                                   {"path", DescribePath(stream->path)},
-                                   {"reason", reason}});
-    this->dependencies->metrics->Increment("chervil_streams_stalled_total");
-    stream->scope->Stop(StopReason::kStalled);
-  }
-
   // Asks the first worker of a path which of its requests wait for which
   // workers; one report at a time serves all streams that begin there.
   void StartExamining(const PathStage& first) {
@@ -366,7 +378,7 @@
     this->StartFullCooldown(worker);
     for (ActiveStream* stream : this->streams) {
       if (ids.contains(stream->request_id) && !stream->moving &&
-          !stream->path.empty()) {
+          !stream->standby_in_progress && !stream->path.empty()) {
         // It may have crashed and started again.
         this->ReportLoss(*stream, worker);
         this->StartMove(stream, {worker});
@@ -419,8 +431,11 @@
   void StartMove(ActiveStream* stream, std::set<std::string> blocking) {
     stream->moving = true;
     this->dependencies->runtime->Spawn(
-        [self = this->shared_from_this(), stream, id = stream->request_id,
-         blocking = std::move(blocking)] { self->Move(stream, id, blocking); });
+        [self = this->shared_from_this(), stream,
+         run = StreamRun{stream->request_id, stream->run_number},
+         blocking = std::move(blocking)] {
+          self->Move(stream, run, blocking);
+        });
   }
 
   // The path with unreachable and refusing workers replaced; empty if that is
@@ -474,35 +489,43 @@
            (server == nullptr || !server->leaving);
   }
 
+  // Identifies a run while fibers wait: another one may follow it, or another
+  // stream at the same address.
+  struct StreamRun {
+    std::string request_id;
+    std::uint32_t number = 0;
+  };
+
+  bool InProgress(const ActiveStream* stream, const StreamRun& run) const {
+    return this->InProgress(stream) && stream->request_id == run.request_id &&
+           stream->run_number == run.number && !stream->path.empty();
+  }
+
   // The workers whose probes decide whether a stream with strikes may move;
   // none if it has no strikes or has ended.
   std::map<std::string, ServerStart> SuspectWorkersOf(
       const ActiveStream* stream,
-      const std::string& id) const {
-    const bool suspect = this->InProgress(stream) && stream->request_id == id &&
+      const StreamRun& run) const {
+    const bool suspect = this->InProgress(stream, run) &&
                          this->dependencies->crashes->HasStrikes(stream->run);
     return suspect ? stream->workers : std::map<std::string, ServerStart>{};
   }
 
   void Move(ActiveStream* stream,
-            const std::string& id,
+            const StreamRun& run,
             const std::set<std::string>& blocking) {
     std::set<std::string> refusing = blocking;
-    for (const auto& [worker, start] : this->SuspectWorkersOf(stream, id)) {
+    for (const auto& [worker, start] : this->SuspectWorkersOf(stream, run)) {
       this->dependencies->crashes->AwaitVerdict(start);
     }
     for (int i = 0; i < kMaxMoveOrders; ++i) {
-      if (!this->InProgress(stream) || stream->request_id != id ||
-          stream->path.empty()) {
+      if (!this->InProgress(stream, run)) {
         return;
       }
       const CrashMonitor& crashes = *this->dependencies->crashes;
-      if (crashes.IsQuarantined(stream->run)) {
-        this->GiveUp(stream, "it has crashed backend servers");
-        return;
-      }
       // New workers would run the request again.
-      if (crashes.MustNotRepeat(stream->run)) {
+      if (crashes.IsQuarantined(stream->run) ||
+          crashes.MustNotRepeat(stream->run)) {
         break;
       }
       const Path path = this->ReplacementPath(*stream, refusing);
@@ -521,12 +544,11 @@
       order.method = "POST";
       order.path = platform::OrderPath();
       order.headers.Add("Content-Type", "application/json");
-      order.body = platform::EncodeRepathOrder(id, path);
+      order.body = platform::EncodeRepathOrder(run.request_id, path);
       const PathStage first = path.front();
       const auto response = this->dependencies->http->Call(
           first.address, order, this->settings.report_timeout);
-      if (!this->InProgress(stream) || stream->request_id != id ||
-          stream->path.empty()) {
+      if (!this->InProgress(stream, run)) {
         return;
       }
       if (response.has_error()) {
@@ -538,7 +560,7 @@
       const auto outcome = platform::OrderOutcomeOf(response.value().status);
       this->dependencies->log->Info(
           "stream.moved",
-          {{"request", id},
+          {{"request", run.request_id},
            {"from", DescribePath(previous)},
            {"to", DescribePath(path)},
            {"status", response.value().status},
@@ -559,14 +581,14 @@
       // has given up its layers.
       refusing.merge(this->RefusingWorkers(path, response.value()));
     }
-    if (!this->InProgress(stream)) {
+    if (!this->InProgress(stream, run)) {
       return;
     }
     stream->moving = false;
     if (!blocking.empty()) {
       return;  // it may still resume on its current path
     }
-    if (!this->TryResume(stream, "its path cannot be mended")) {
+    if (!this->TryResume(stream, "its path cannot be mended", {})) {
       // Nothing else can complete it now: wait for the worker.
       stream->last_progress = this->dependencies->runtime->Now();
     }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -1,9 +1,10 @@
-// Watches the streams in progress: finds workers at which streams stall and
-// moves the streams to other paths.
+// Watches the streams in progress: finds workers at which streams stall, and
+// starts standby runs for the streams or moves them to other paths.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "chervilpass/serving/call_scope.h"
@@ -36,10 +37,12 @@
   /// The stall threshold before the first event, and after a move until the
   /// next event, since prompts may be queued.
   Duration first_event_stall_threshold = milliseconds(700);
-  /// Silence after which the run is given up, if no unreachable worker was
-  /// found and the stream can be resumed at once. Callers disconnect after two
-  /// seconds.
+  /// Silence after which a standby run is started although no unreachable
+  /// worker was found. Callers disconnect after two seconds.
   Duration stall_timeout = milliseconds(1400);
+  /// Shortest time from the end of one standby run to the start of the next;
+  /// doubles with each one that fails during the same run.
+  Duration standby_interval = milliseconds(100);
   /// Timeout for a worker's report or its response to an order.
   Duration report_timeout = milliseconds(250);
   /// Timeout for a probe; a report takes a few milliseconds and no slot.
@@ -57,11 +60,18 @@
   std::string service;
   const placement::ModelProfile* model = nullptr;
   CallScope* scope = nullptr;
-  bool may_resume = false;            ///< another run may follow this one
-  bool retry_budget_charged = false;  ///< in advance, for the next run
+  bool may_resume = false;   ///< another run may follow this one
+  bool may_forward = false;  ///< another run may go through another VM
+  /// Starts a run that takes over once it has written; it is paid from the
+  /// retry budget already.
+  std::function<void(const std::set<std::string>& excluded)> start_standby;
+  bool standby_in_progress = false;
+  std::uint32_t failed_standbys = 0;  ///< during the run in progress
+  Instant last_standby_end{};
 
-  placement::Path path;  ///< empty while no run is in progress
-  TrackedRun run;        ///< reported if the run in progress is lost
+  placement::Path path;          ///< empty while no run is in progress
+  std::uint32_t run_number = 0;  ///< of the run in progress or the last one
+  TrackedRun run;                ///< reported if the run in progress is lost
   /// The starts of the workers that were on the path since the run began; of a
   /// worker that was on it twice, the latest.
   std::map<std::string, ServerStart> workers;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1051,6 +1051,168 @@
 
 namespace {
 
+// A worker that writes one event of a stream, is silent, and then goes on;
+// another one that the test scripts.
+class SilentPair {
+ public:
+  SilentPair(io::Runtime& runtime,
+             std::uint16_t base_port,
+             Duration silence,
+             io::HttpHandler other)
+      : fixture(runtime, base_port) {
+    this->fixture.AddServer(
+        1, "llm", {0, 4},
+        [this, &runtime, silence](io::HttpExchange& exchange) {
+          if (exchange.Request().method == "GET") {
+            while (runtime.Now() < this->silent_until) {
+              runtime.SleepFor(milliseconds(10));
+            }
+            return exchange.Respond({200, {}, R"({"seq":1})"});
+          }
+          ++this->runs;
+          exchange.BeginStream(MakeResponse(exchange, 200, ""));
+          exchange.WriteChunk(Event(1));
+          this->silent_until = runtime.Now() + silence;
+          runtime.SleepFor(silence);
+          exchange.WriteChunk(Event(2));
+          exchange.EndStream();
+        });
+    runtime.Spawn([this, &runtime, other = std::move(other)] {
+      runtime.SleepFor(milliseconds(40));  // the stream has begun by then
+      this->fixture.AddServer(2, "llm", {0, 4}, other);
+    });
+  }
+
+  // True if the stream is served as a whole.
+  bool Serves(const std::string& path = "/draft/x") {
+    const auto body = this->fixture.Stream(this->fixture.Request(path, "r1"));
+    return body.has_value() && body.value() == Event(1) + Event(2);
+  }
+
+  RouterFixture fixture;
+  int runs = 0;  // at the silent worker
+
+ private:
+  Instant silent_until{};
+};
+
+}  // namespace
+
+// Guards against streams that end because the run at a silent worker was given
+// up and the next worker refused, while the retry budget had nothing left.
+Test(router, a_stream_goes_on_at_its_silent_worker_if_another_one_refuses) {
+  OnRuntime([](io::Runtime& runtime) {
+    int refusals = 0;
+    SilentPair pair(runtime, 22880, milliseconds(600),
+                    [&refusals](io::HttpExchange& exchange) {
+                      if (exchange.Request().method == "GET") {
+                        return exchange.Respond({200, {}, R"({"seq":1})"});
+                      }
+                      ++refusals;
+                      auto response = MakeResponse(exchange, 503, "");
+                      response.headers.Add("Chervilpass-Not-Executed", "1");
+                      exchange.Respond(response);
+                    });
+    pair.fixture.routing_state.Retries().SetReserve(1);
+    cr_assert(pair.Serves());
+    cr_assert_eq(pair.runs, 1);
+    cr_assert_eq(refusals, 1);
+  });
+}
+
+// Guards against the same if the next worker takes the request and ends.
+Test(router, a_stream_goes_on_at_its_silent_worker_if_another_one_breaks_off) {
+  OnRuntime([](io::Runtime& runtime) {
+    SilentPair pair(runtime, 22885, milliseconds(600),
+                    [](io::HttpExchange& exchange) {
+                      if (exchange.Request().method == "GET") {
+                        return exchange.Respond({200, {}, R"({"seq":1})"});
+                      }
+                      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+                      exchange.Abort();
+                    });
+    cr_assert(pair.Serves());
+    cr_assert_eq(pair.runs, 1);
+  });
+}
+
+// Guards against a run that is given up for one that is silent as well: the
+// head of a response does not show that events will follow.
+Test(router, a_stream_is_taken_over_only_by_a_run_that_writes) {
+  OnRuntime([](io::Runtime& runtime) {
+    bool cancelled = false;
+    SilentPair pair(runtime, 22890, milliseconds(500),
+                    [&](io::HttpExchange& exchange) {
+                      if (exchange.Request().method == "GET") {
+                        return exchange.Respond({200, {}, R"({"seq":1})"});
+                      }
+                      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+                      runtime.SleepFor(milliseconds(700));
+                      cancelled = exchange.PeerClosed();
+                      exchange.Abort();
+                    });
+    cr_assert(pair.Serves());
+    runtime.SleepFor(milliseconds(800));
+    cr_assert(cancelled);
+  });
+}
+
+// The caller leaves while two runs are in progress: both are cancelled.
+Test(router, both_runs_of_a_stream_are_cancelled_when_its_caller_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    bool cancelled = false;
+    SilentPair pair(runtime, 22895, milliseconds(900),
+                    [&](io::HttpExchange& exchange) {
+                      if (exchange.Request().method == "GET") {
+                        return exchange.Respond({200, {}, R"({"seq":1})"});
+                      }
+                      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+                      runtime.SleepFor(milliseconds(500));
+                      cancelled = exchange.PeerClosed();
+                      exchange.Abort();
+                    });
+    auto call = pair.fixture.caller->Open({kIp, 22895}, seconds(1),
+                                          io::ConnectionUse::kFresh);
+    cr_assert(call.has_value());
+    cr_assert(call.value()
+                  ->Send(pair.fixture.Request("/draft/x", "r1"), seconds(1))
+                  .has_value());
+    runtime.SleepFor(milliseconds(400));
+    call.value()->Cancel();
+    runtime.SleepFor(milliseconds(600));
+    cr_assert(cancelled);
+    cr_assert_eq(pair.fixture.router->InFlight(), 0);
+  });
+}
+
+// Guards against streams that end because their VM found itself cut off: a run
+// on a connection that still works goes on there.
+Test(router, a_stream_that_gets_events_goes_on_when_its_vm_is_cut_off) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22900);
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      for (int id = 1; id <= 5; ++id) {
+        exchange.WriteChunk(Event(id));
+        runtime.SleepFor(milliseconds(40));
+      }
+      exchange.EndStream();
+    });
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(70));
+      fixture.router->OnLinksLost();
+    });
+    const auto body = fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert(body.has_value());
+    cr_assert_eq(body.value().size(), 5 * Event(1).size());
+  });
+}
+
+namespace {
+
 constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
 
 // Workers that end as they begin to write if the prompt has one given part.
