Crash monitor: a silent worker whose registration lapses gives no strikes

Sound requests could be refused, or a run of theirs not repeated, after a worker had only been silent: its probe had no answer, its registration lapsed after some heartbeats, and that was taken for the end of the server under each request that ran there. Class: absence of evidence taken for evidence of an end.

An absent registration counts now only after 3 s without answer and registration, or if another server registers at the address; a probe that is answered takes the silence back; a run that waits is recorded once and not at each check.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -66,7 +66,8 @@
     std::vector<WatchedRun> runs;
     Instant last_loss{};
     bool connection_broke = false;
-    bool silent = false;  // a probe had no answer
+    bool silent = false;                  // the latest probe had no answer
+    std::optional<Instant> absent_since;  // its registration
     bool probing = false;
     bool probe_again = false;
   };
@@ -94,9 +95,7 @@
     Watched& watched = this->watched[server.Key()];
     watched.server = server;
     watched.last_loss = this->dependencies->runtime->Now();
-    watched.runs.push_back(
-        {run, watched.last_loss, this->dependencies->runtime->WallNow()});
-    ++this->watched_runs;
+    this->AddRun(&watched, run);
     switch (evidence) {
       case LossEvidence::kConnectionBroke:
         watched.connection_broke = true;
@@ -120,6 +119,22 @@
     }
   }
 
+  // A run that waits for a silent server is reported again and again.
+  void AddRun(Watched* watched, const TrackedRun& run) {
+    const WallTime now = this->dependencies->runtime->WallNow();
+    const auto known =
+        std::find_if(watched->runs.begin(), watched->runs.end(),
+                     [&run](const WatchedRun& other) {
+                       return other.run.request_id == run.request_id;
+                     });
+    if (known != watched->runs.end()) {
+      *known = {run, watched->last_loss, now};
+      return;
+    }
+    watched->runs.push_back({run, watched->last_loss, now});
+    ++this->watched_runs;
+  }
+
   // One probe serves all runs that are lost while it is in flight; a second one
   // follows for those that were lost after its start.
   void StartProbe(const ServerStart& server) {
@@ -152,6 +167,9 @@
                             ResultName(result));
         return;
       }
+      if (result == ProbeResult::kAnswers) {
+        watched.silent = false;
+      }
       watched.silent |=
           result == ProbeResult::kSilent || result == ProbeResult::kBroken;
       if (!std::exchange(watched.probe_again, false)) {
@@ -261,7 +279,12 @@
     this->dropping &= this->watched_runs >= this->settings.max_watched_runs;
     std::vector<std::string> ended;
     for (auto it = this->watched.begin(); it != this->watched.end();) {
-      const Watched& watched = it->second;
+      Watched& watched = it->second;
+      if (this->Routing().Servers().Find(watched.server.id) != nullptr) {
+        watched.absent_since.reset();
+      } else if (!watched.absent_since) {
+        watched.absent_since = now;
+      }
       if (this->RegistrationShowsEnd(watched)) {
         ended.push_back(it->first);
       } else if (!watched.probing &&
@@ -288,7 +311,11 @@
     if (!watched.silent && !watched.connection_broke) {
       return false;
     }
-    return watched.silent ||
+    const bool absent_for_long =
+        watched.absent_since &&
+        this->dependencies->runtime->Now() - *watched.absent_since >
+            this->settings.max_absence;
+    return (watched.silent && absent_for_long) ||
            this->Routing().Servers().FindByAddress(server.address) != nullptr;
   }
 
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -26,7 +26,11 @@
   Duration check_interval = milliseconds(100);  ///< of registrations
   /// How long the registration of a server is watched after a lost run: a
   /// server that crashed is registered again, or removed, within seconds.
-  Duration watch_time = seconds(5);
+  Duration watch_time = seconds(8);
+  /// A server that does not answer and whose registration is missing for so
+  /// long has ended. One that was only silent registers again at its next
+  /// heartbeat.
+  Duration max_absence = seconds(3);
   /// A server that turns out to have ended just now has ended under the runs
   /// that were lost within this time.
   Duration max_detection_time = seconds(1);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1211,6 +1211,28 @@
   });
 }
 
+// Guards against sound requests that are taken for crashing ones: the silence
+// of their worker outlasted its registration.
+Test(router, a_silent_worker_whose_registration_returns_gives_no_strike) {
+  OnRuntime([](io::Runtime& runtime) {
+    SilentPair pair(runtime, 22905, milliseconds(900),
+                    [](io::HttpExchange& exchange) { exchange.Abort(); });
+    RoutingState& routing_state = pair.fixture.routing_state;
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(400));
+      const routing::BackendServer worker = *routing_state.Servers().Find("s1");
+      routing_state.Servers().ApplyChange({"s1", 10, worker}, true,
+                                          runtime.Now());
+      runtime.SleepFor(milliseconds(400));
+      routing_state.Servers().ApplyChange({"s1", 11, worker}, false,
+                                          runtime.Now());
+    });
+    cr_assert(pair.Serves("/once/x"));
+    runtime.SleepFor(milliseconds(300));
+    cr_assert_eq(pair.fixture.strikes, 0);
+  });
+}
+
 namespace {
 
 constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
