Router: calls go on while their VM is cut off if nothing else can repeat them

A VM that found no server in reach cancelled all calls that may be repeated, and then looked for a retry and for another VM: with none of either the caller got 502, although the call ran on a connection that still worked. The retry is taken and another VM looked for before the call is cancelled; a call that this VM has cancelled itself is no evidence against its server.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -126,8 +126,10 @@
       }
       this->scope.ResumeAfterStall();
       const RetryDecision decision = this->policy.OnSendEnded(
-          result.outcome, this->scope.TimeLeft(),
-          [&routing_state] { return routing_state.Retries().TryRetry(); });
+          result.outcome, this->scope.TimeLeft(), [this, &routing_state] {
+            return this->scope.TakePaidRetry() ||
+                   routing_state.Retries().TryRetry();
+          });
       if (decision == RetryDecision::kRetry) {
         this->LogRetry(result);
         continue;
@@ -172,7 +174,7 @@
     crashes.OnRunEnded(run, server_start);
     this->RecordSendOutcome(server, result, start);
     if (result.run_lost) {
-      const bool stopped = this->scope.Stopped();
+      const bool stopped = this->scope.Reason() != StopReason::kNone;
       crashes.OnRunLost(
           run, server_start,
           stopped ? LossEvidence::kAbandoned : LossEvidence::kConnectionBroke);
@@ -262,7 +264,9 @@
                          Instant start) {
     RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
-    const bool caller_gone = this->scope.Reason() == StopReason::kCallerGone;
+    // The call was cancelled here, which says nothing about the server.
+    const bool cancelled = this->scope.Reason() == StopReason::kCallerGone ||
+                           this->scope.Reason() == StopReason::kStalled;
     switch (result.outcome) {
       case SendOutcome::kResponse:
         routing_state.ServerHealth().OnSuccess(server.id, now - start, now);
@@ -274,7 +278,7 @@
         return;
       case SendOutcome::kFailed:
       case SendOutcome::kUnknown:
-        if (!caller_gone) {
+        if (!cancelled) {
           routing_state.ServerHealth().OnFailure(server.id, now);
         }
         return;
--- a/chervilpass/serving/call_scope.h
+++ b/chervilpass/serving/call_scope.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <utility>
 
 #include "chervilpass/core/time.h"
 #include "chervilpass/io/alarm.h"
@@ -90,6 +91,12 @@
   }
   bool Restartable() const { return this->restartable; }
 
+  /// A retry of the call has been taken from the retry budget in advance.
+  void SetRetryPaid() { this->retry_paid = true; }
+
+  /// True if the next retry has been paid for; once.
+  bool TakePaidRetry() { return std::exchange(this->retry_paid, false); }
+
   StopReason Reason() const { return this->reason; }
 
   /// True once the caller has disconnected, the deadline has passed or the
@@ -108,6 +115,7 @@
   CallScopes* scopes;
   bool response_begun = false;
   bool restartable = false;
+  bool retry_paid = false;
   Instant deadline;
   StopReason reason = StopReason::kNone;
   io::HttpCall* call = nullptr;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -296,8 +296,12 @@
 
 void Router::OnLinksLost() {
   const CallScopes scopes = this->state->scopes;
+  const RouterDependencies& dependencies = this->state->dependencies;
   for (CallScope* scope : scopes) {
-    if (scope->Restartable()) {
+    // Without another VM or a retry the call in progress is the only chance.
+    if (scope->Restartable() && !dependencies.forward_targets().empty() &&
+        dependencies.routing_state->Retries().TryRetry()) {
+      scope->SetRetryPaid();
       scope->Stop(StopReason::kStalled);
     }
   }
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1233,6 +1233,34 @@
   });
 }
 
+// Guards against calls that end because their VM found itself cut off: they
+// were cancelled, and then there was no retry or no other VM for them.
+Test(router, a_call_goes_on_if_no_other_vm_can_repeat_it) {
+  OnRuntime([](io::Runtime& runtime) {
+    for (const bool has_peer : {false, true}) {
+      RouterFixture fixture(runtime, has_peer ? 22915 : 22910);
+      int runs = 0;
+      fixture.AddServer(1, "app", {}, [&](io::HttpExchange& exchange) {
+        ++runs;
+        runtime.SleepFor(milliseconds(200));
+        exchange.Respond(MakeResponse(exchange, 200, "done"));
+      });
+      if (has_peer) {
+        fixture.forward_targets = {{kIp, 22919}};
+        fixture.routing_state.Retries().SetReserve(0);
+      }
+      runtime.Spawn([&] {
+        runtime.SleepFor(milliseconds(80));
+        fixture.router->OnLinksLost();
+      });
+      const auto response = fixture.Call(fixture.Request("/lookup/x", "r1"));
+      cr_assert(response.has_value());
+      cr_assert_eq(response.value().status, 200);
+      cr_assert_eq(runs, 1);
+    }
+  });
+}
+
 namespace {
 
 constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
