Streams: events that arrive with one after a gap are forwarded

Callers missed events: when the bytes of a run held the next events and then one after a gap, the run was given up, the next one asked to go on after the events that had been read, and those were never written. The new unit test fails on the code before (router_test 47 of 47 with it).

--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -577,27 +577,30 @@
       return false;
     }
     std::string out;
+    bool gap = false;
     while (const auto event = splitter->Next()) {
       const EventOrder order = this->sequence.Accept(event->id);
       if (order == EventOrder::kGap) {
-        this->run_error = "an event is missing";
-        return false;
+        gap = true;
+        break;
       }
       if (order != EventOrder::kRepeated) {
         out += event->bytes;
         ++this->events;
       }
     }
-    if (out.empty()) {
-      return true;
+    if (!out.empty()) {
+      this->RecordProgress();
+      if (!this->context.exchange->WriteChunk(out)) {
+        this->scope.Stop(StopReason::kCallerGone);
+        this->run_error = "the caller has gone";
+        return false;
+      }
     }
-    this->RecordProgress();
-    if (!this->context.exchange->WriteChunk(out)) {
-      this->scope.Stop(StopReason::kCallerGone);
-      this->run_error = "the caller has gone";
-      return false;
+    if (gap) {
+      this->run_error = "an event is missing";
     }
-    return true;
+    return !gap;
   }
 
   void RecordProgress() {
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1261,6 +1261,32 @@
   });
 }
 
+// Guards against streams without the events that arrived together with one
+// after a gap: the next run goes on after them.
+Test(router, events_before_a_gap_are_forwarded) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22920);
+    int runs = 0;
+    const auto worker = [&runs](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      const bool first = ++runs == 1;
+      const int from = std::stoi(
+          exchange.Request().headers.Find("Last-Event-Id").value_or("0"));
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      exchange.WriteChunk(first ? Event(1) + Event(2) + Event(4)
+                                : Event(from + 1));
+      exchange.EndStream();
+    };
+    fixture.AddServer(1, "llm", {0, 4}, worker);
+    fixture.AddServer(2, "llm", {0, 4}, worker);
+    const auto body = fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert(body.has_value());
+    cr_assert(body.value() == Event(1) + Event(2) + Event(3));
+  });
+}
+
 namespace {
 
 constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
