Router, logs only: rests and departures that servers state are read

Servers may answer 503 with Retry-After, and may say in any answer that they leave (Server-Leaving: 1). Nothing read either field. The codec reads both now; each is logged (rest.began, rest.unreadable, worker.leaving) and counted (chervil_rests_total, chervil_unreadable_rests_total, chervil_leaving_responses_total). No decision changes.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -206,7 +206,8 @@
     }
     this->dependencies.links->OnReached(server.id);
     const ResponseMetadata metadata = platform::ReadResponse(head.value());
-    RecordRateLimit(this->dependencies, server.id, metadata.rate_limit);
+    RecordServerStatements(this->dependencies, this->context, server.id,
+                           server.started, metadata);
     if (metadata.load) {
       ServerLoad& load =
           this->dependencies.routing_state->ServerLoads()[server.id];
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -21,24 +21,6 @@
 // For routes without a response objective.
 constexpr Duration kDefaultSendWait = milliseconds(250);
 
-}  // namespace
-
-void MarkUnreachable(const RouterDependencies& dependencies,
-                     const std::string& worker,
-                     std::string_view evidence) {
-  // Links that are all lost say nothing about the worker.
-  if (dependencies.links->CutOff()) {
-    return;
-  }
-  const Instant now = dependencies.runtime->Now();
-  if (dependencies.routing_state->StartCooldown(
-          worker, routing::CooldownReason::kUnreachable, now)) {
-    dependencies.log->Warning("worker.unreachable",
-                              {{"worker", worker}, {"evidence", evidence}});
-    dependencies.report_unreachable(worker);
-  }
-}
-
 void RecordRateLimit(const RouterDependencies& dependencies,
                      const std::string& server,
                      const RateLimitField& field) {
@@ -65,6 +47,67 @@
   }
 }
 
+void RecordRest(const RouterDependencies& dependencies,
+                const RequestContext& context,
+                const std::string& server,
+                const RestField& field) {
+  if (field.unreadable) {
+    dependencies.metrics->Increment("chervil_unreadable_rests_total");
+    dependencies.log->Warning(
+        "rest.unreadable",
+        {{"request", context.metadata.request_id}, {"worker", server}});
+  }
+  if (!field.rest) {
+    return;
+  }
+  dependencies.metrics->Increment("chervil_rests_total");
+  dependencies.log->Info("rest.began",
+                         {{"request", context.metadata.request_id},
+                          {"worker", server},
+                          {"rest_ms", ToMilliseconds(*field.rest)}});
+}
+
+void RecordLeaving(const RouterDependencies& dependencies,
+                   const RequestContext& context,
+                   const std::string& server,
+                   WallTime started) {
+  dependencies.metrics->Increment("chervil_leaving_responses_total");
+  dependencies.log->Info("worker.leaving",
+                         {{"request", context.metadata.request_id},
+                          {"worker", server},
+                          {"started", started.milliseconds}});
+}
+
+}  // namespace
+
+void MarkUnreachable(const RouterDependencies& dependencies,
+                     const std::string& worker,
+                     std::string_view evidence) {
+  // Links that are all lost say nothing about the worker.
+  if (dependencies.links->CutOff()) {
+    return;
+  }
+  const Instant now = dependencies.runtime->Now();
+  if (dependencies.routing_state->StartCooldown(
+          worker, routing::CooldownReason::kUnreachable, now)) {
+    dependencies.log->Warning("worker.unreachable",
+                              {{"worker", worker}, {"evidence", evidence}});
+    dependencies.report_unreachable(worker);
+  }
+}
+
+void RecordServerStatements(const RouterDependencies& dependencies,
+                            const RequestContext& context,
+                            const std::string& server,
+                            WallTime started,
+                            const ResponseMetadata& response) {
+  RecordRateLimit(dependencies, server, response.rate_limit);
+  RecordRest(dependencies, context, server, response.rest);
+  if (response.leaving) {
+    RecordLeaving(dependencies, context, server, started);
+  }
+}
+
 Duration MaxSendWait(const RequestContext& context, Duration time_left) {
   const Duration objective = context.route->response_objective;
   const Duration useful =
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -67,10 +67,14 @@
                      const std::string& worker,
                      std::string_view evidence);
 
-/// Records the rate limit that a server's response names, or its end.
-void RecordRateLimit(const RouterDependencies& dependencies,
-                     const std::string& server,
-                     const RateLimitField& field);
+/// Records what a server's response states about requests to the server: its
+/// rate limit, a rest, and that it is leaving. `started` is the start of the
+/// server when the request was sent.
+void RecordServerStatements(const RouterDependencies& dependencies,
+                            const RequestContext& context,
+                            const std::string& server,
+                            WallTime started,
+                            const ResponseMetadata& response);
 
 /// The longest time for which the request waits for a server's rate limit: it
 /// can still be answered in time afterwards. Requests of higher priority wait
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -69,6 +69,18 @@
   auto operator<=>(const RateLimitField&) const = default;
 };
 
+/// How long a backend server that has refused a request wants none from this
+/// VM, according to its response.
+struct RestField {
+  /// None if the response asks for no rest. Positive and bounded.
+  std::optional<Duration> rest;
+  /// A field is there that is not one non-negative decimal number of seconds;
+  /// it counts for nothing.
+  bool unreadable = false;
+
+  auto operator<=>(const RestField&) const = default;
+};
+
 /// Metadata from the status and the header of a response.
 struct ResponseMetadata {
   unsigned status = 0;
@@ -80,6 +92,8 @@
   std::optional<std::string> instance;
   std::optional<ReportedLoad> load;
   RateLimitField rate_limit;
+  RestField rest;
+  bool leaving = false;  ///< states that its backend server is leaving
 
   bool Successful() const { return this->status >= 200 && this->status < 300; }
 
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -124,6 +124,11 @@
   this->cooldowns.ClearUnreachable(this->Incarnation(worker));
 }
 
+WallTime RoutingState::StartedOf(const std::string& server) const {
+  const routing::BackendServer* known = this->servers.Find(server);
+  return known == nullptr ? WallTime{} : known->started;
+}
+
 bool RoutingState::RecordRateLimit(const std::string& server,
                                    const routing::RateLimit& limit) {
   return this->rate_limits.Record(this->Incarnation(server), limit);
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -116,6 +116,9 @@
   /// A worker has completed a request: ends its unreachable cooldown.
   void OnServed(const std::string& worker);
 
+  /// The start of a server; zero if it is unknown.
+  WallTime StartedOf(const std::string& server) const;
+
   /// Records what is known of a server's rate limit; true if it has changed.
   bool RecordRateLimit(const std::string& server,
                        const routing::RateLimit& limit);
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -89,6 +89,7 @@
   metadata.time_left = request.time_left;
   metadata.last_event_id = request.last_event_id;
   metadata.path = request.path;
+  const WallTime started = dependencies.routing_state->StartedOf(first);
   if (auto sent =
           call->Send(platform::ForwardedRequest(*request.request, metadata),
                      request.time_left);
@@ -102,7 +103,8 @@
   }
   dependencies.links->OnReached(first);
   const ResponseMetadata response = platform::ReadResponse(head.value());
-  RecordRateLimit(dependencies, first, response.rate_limit);
+  RecordServerStatements(dependencies, *request.context, first, started,
+                         response);
   RecordLoad(dependencies, first, response.load);
   if (response.not_executed) {
     if (call->ReadBody(kMaxFailureBytes).has_value()) {
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -304,6 +304,57 @@
   cr_assert(read({"1", "2"}).unreadable);
 }
 
+// Guards against a rest that is not read, or read from a field that states
+// none.
+Test(request_codec, reads_a_rest_of_a_refusal_in_seconds) {
+  const auto read = [](std::initializer_list<std::string> fields,
+                       unsigned status = 503) {
+    io::HttpResponse head;
+    head.status = status;
+    for (const std::string& field : fields) {
+      head.headers.Add("retry-after", field);
+    }
+    return ReadResponse(head).rest;
+  };
+  cr_assert(!read({}).rest && !read({}).unreadable);
+  cr_assert(read({"3"}).rest == seconds(3));
+  cr_assert(read({" 0.5\t"}).rest == milliseconds(500));
+  cr_assert(read({"3600"}).rest == hours(1));
+  cr_assert(read({"7200"}).rest == hours(1));
+  cr_assert(read({"99999999999999999999"}).rest == hours(1));
+  cr_assert(!read({"3"}, 429).rest && !read({"x"}, 200).unreadable);
+  for (const char* text : {"0", "0.0"}) {
+    cr_assert(!read({text}).rest && !read({text}).unreadable, "%s", text);
+  }
+  for (const std::string& text :
+       {std::string("-1"), std::string("-0"), std::string("nan"),
+        std::string("inf"), std::string("1e999"), std::string("1e2"),
+        std::string(""), std::string("3 s"), std::string("3,5"),
+        std::string("+1"), std::string("0x10"), std::string("soon"),
+        std::string("Fri, 04 Dec 2026 15:00:00 GMT"), std::string(500, '1')}) {
+    cr_assert(read({text}).unreadable && !read({text}).rest, "%s",
+              text.c_str());
+  }
+  cr_assert(read({"2", "5", "3"}).rest == seconds(5));
+  cr_assert(read({"x", "5"}).rest == seconds(5) && read({"x", "5"}).unreadable);
+}
+
+// Guards against a leaving server that is not recognised, or one that is taken
+// for leaving because of another value.
+Test(request_codec, reads_that_a_server_is_leaving) {
+  const auto read = [](const char* value, unsigned status) {
+    io::HttpResponse head;
+    head.status = status;
+    head.headers.Add("server-leaving", value);
+    return ReadResponse(head).leaving;
+  };
+  cr_assert(read("1", 200) && read(" 1 ", 503) && read("1", 421));
+  for (const char* value : {"", "0", "true", "11", "1,1", "-1"}) {
+    cr_assert(!read(value, 200), "%s", value);
+  }
+  cr_assert(!ReadResponse({}).leaving);
+}
+
 Test(request_codec, only_a_refusal_before_execution_has_a_not_executed_status) {
   using admission::Executed;
   using admission::RefusalCode;
@@ -377,10 +428,13 @@
     }
     (void)ReadRequest(request);
     io::HttpResponse head;
-    head.status = 200;
     head.headers.Add("Chervilpass-Server-Load", Mutated("3,1,8", &random));
     head.headers.Add("At-Server", Mutated("10.2.64.3:8080", &random));
-    (void)ReadResponse(head);
+    head.headers.Add("Server-Leaving", Mutated("1", &random));
+    head.headers.Add("Retry-After", Mutated("1.5", &random));
+    head.status = 503;
+    const auto rest = ReadResponse(head).rest.rest;
+    cr_assert(!rest || (*rest > Duration::zero() && *rest <= hours(1)));
   }
   cr_assert_gt(read, 100, "mutations are too strong: %d were read", read);
 }
