Stand-in for workers: rest, leaving, and a log of what reaches them

/admin/faults takes `rest` (values of Retry-After; "left" stands for the time until the end of `rest_for_ms`), `rest_every`, `leaving` and `leaving_value`; a worker that says so does it in answers to requests, reports, orders and health checks, and the store learns nothing of it. /admin/arrival_log names time, request and sender of what arrives, and the answers that ask for rest or say that the worker leaves; /admin/arrivals is as before.

The sender is the peer's address, which HttpExchange tells now. On loopback all routers connect from 127.0.0.1, so cut_links.c takes the address of $SOURCE_IP for connections to workers.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -78,6 +78,13 @@
 
   const HttpRequest& Request() const override { return this->request; }
 
+  Endpoint Peer() const override {
+    boost::system::error_code error;
+    const Tcp::endpoint peer = this->stream->socket().remote_endpoint(error);
+    return error ? Endpoint{}
+                 : Endpoint{peer.address().to_string(), peer.port()};
+  }
+
   void Respond(const HttpResponse& response) override {
     if (this->responded) {
       return;
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -41,6 +41,9 @@
 
   virtual const HttpRequest& Request() const = 0;
 
+  /// Address of the peer; empty if the connection is broken.
+  virtual Endpoint Peer() const = 0;
+
   /// Sends a complete response. At most one of Respond and BeginStream may be
   /// called.
   virtual void Respond(const HttpResponse& response) = 0;
--- a/fault_tests/cut_links.c
+++ b/fault_tests/cut_links.c
@@ -1,7 +1,8 @@
-// Linked into chervil-router-with-cuts, the router of partitioned_routers.py; its
-// functions stand before those of the C library. While the file $CUT_FILE exists,
-// connections of the process to port $CUT_PORT are cut. The first letter of the
-// file tells how:
+// Linked into chervil-router-with-cuts, the router of partitioned_routers.py and
+// resting_servers.py; its functions stand before those of the C library.
+// Connections of the process to port $CUT_PORT come from the address $SOURCE_IP,
+// if it is set; on loopback they would all come from 127.0.0.1. While the file
+// $CUT_FILE exists, they are cut. The first letter of the file tells how:
 //   h  new connections never complete; bytes on open ones vanish both ways
 //   r  new connections are refused, open ones are reset
 //   n  new connections are refused, open ones live on
@@ -10,6 +11,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -21,6 +23,7 @@
 static atomic_char cut_kind;  // 0: not cut
 static atomic_char to_server[kMaxDescriptors];
 static int server_port;
+static struct sockaddr_in source_address;  // port 0: any
 static struct sockaddr_in silent_address;  // never accepts a connection
 
 #define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
@@ -54,10 +57,17 @@
 }
 
 __attribute__((constructor)) static void start(void) {
-  if (!getenv("CUT_FILE") || !getenv("CUT_PORT")) {
+  if (!getenv("CUT_PORT")) {
     return;
   }
   server_port = atoi(getenv("CUT_PORT"));
+  if (getenv("SOURCE_IP") &&
+      inet_pton(AF_INET, getenv("SOURCE_IP"), &source_address.sin_addr) == 1) {
+    source_address.sin_family = AF_INET;
+  }
+  if (!getenv("CUT_FILE")) {
+    return;
+  }
   silent_address.sin_family = AF_INET;
   silent_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof silent_address;
@@ -85,6 +95,12 @@
       errno = ECONNREFUSED;
       return -1;
     }
+    if (source_address.sin_family == AF_INET) {
+      // The port is chosen at the connect, so that ports can be shared.
+      const int on = 1;
+      setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+      bind(fd, (const struct sockaddr*)&source_address, sizeof source_address);
+    }
     if (cut_kind == 'h') {
       return REAL(connect)(fd, (struct sockaddr*)&silent_address,
                            sizeof silent_address);
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -3,7 +3,9 @@
 // token through the stages of the request's path with HTTP calls to other
 // workers and stalls while one of them is unavailable. Layers that it is
 // ordered to give up serve the runs that use them already until those end. Both
-// register themselves in the store.
+// register themselves in the store, log the requests that reach them and, if
+// asked through /admin/faults, turn requests away for a while (`rest`) or say
+// that they leave (`leaving`).
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -91,6 +93,31 @@
   return stages;
 }
 
+// A request that has reached this worker.
+struct Arrival {
+  std::int64_t at_ms = 0;  // steady clock
+  std::string request_id;
+  std::string peer;  // IP address of the sender
+};
+
+// An answer that asks for rest or says that this worker leaves.
+struct MarkedAnswer {
+  std::int64_t at_ms = 0;  // steady clock
+  std::string request_id;  // empty: to a health check, a report or an order
+  std::string peer;        // IP address of the receiver
+  unsigned status = 0;
+  std::vector<std::string> rest;  // the fields' values
+  std::string leaving;            // the field's value
+};
+
+// Requests that are turned away with a time of rest.
+struct Rest {
+  std::vector<std::string> fields;  // empty: none are
+  int every = 1;                    // just each request with such a number
+  int count = 0;                    // requests since the begin
+  Instant until = Instant::max();
+};
+
 class Worker {
  public:
   Worker(io::Runtime* runtime, WorkerSettings settings)
@@ -106,13 +133,17 @@
       return exchange.Respond({200, {}, json::serialize(this->RunCounts())});
     }
     if (request.path == "/admin/arrivals") {
-      return exchange.Respond({200, {}, json::serialize(this->arrivals)});
+      return exchange.Respond({200, {}, json::serialize(this->ArrivalTimes())});
+    }
+    if (request.path == "/admin/arrival_log") {
+      return exchange.Respond({200, {}, json::serialize(this->ArrivalLog())});
     }
     if (request.path == "/admin/faults") {
       return this->SetFaults(exchange);
     }
     if (request.path == "/v1/report") {
-      return exchange.Respond({200, {}, json::serialize(this->Report())});
+      return this->Respond(exchange,
+                           {200, {}, json::serialize(this->Report())});
     }
     if (request.path == "/v1/order") {
       return this->HandleOrder(exchange);
@@ -124,7 +155,7 @@
       io::HttpResponse response;
       response.status = this->draining ? 503 : 200;
       response.headers.Add("Chervilpass-Instance-Id", this->settings.id);
-      return exchange.Respond(response);
+      return this->Respond(exchange, response);
     }
     this->Serve(exchange);
   }
@@ -214,6 +245,51 @@
     return counts;
   }
 
+  // Times of all arrivals, in milliseconds of the steady clock.
+  json::array ArrivalTimes() const {
+    json::array times;
+    for (const Arrival& arrival : this->arrivals) {
+      times.emplace_back(arrival.at_ms);
+    }
+    return times;
+  }
+
+  json::object ArrivalLog() const {
+    json::array arrivals;
+    for (const Arrival& arrival : this->arrivals) {
+      arrivals.push_back(json::object{{"at", arrival.at_ms},
+                                      {"id", arrival.request_id},
+                                      {"vm", arrival.peer}});
+    }
+    json::array answers;
+    for (const MarkedAnswer& answer : this->marked_answers) {
+      answers.push_back(json::object{
+          {"at", answer.at_ms},
+          {"id", answer.request_id},
+          {"vm", answer.peer},
+          {"status", answer.status},
+          {"rest", json::array(answer.rest.begin(), answer.rest.end())},
+          {"leaving", answer.leaving}});
+    }
+    return {{"arrivals", std::move(arrivals)}, {"answers", std::move(answers)}};
+  }
+
+  // `rest` holds the values of Retry-After, where "left" stands for the seconds
+  // until the end of the rest; `rest_every` and `rest_for_ms` bound it.
+  void SetRest(const json::object& fields) {
+    this->rest = {};
+    for (const json::value& field : fields.at("rest").as_array()) {
+      this->rest.fields.emplace_back(field.as_string());
+    }
+    if (const auto* every = fields.if_contains("rest_every")) {
+      this->rest.every = every->to_number<int>();
+    }
+    if (const auto* time = fields.if_contains("rest_for_ms")) {
+      this->rest.until =
+          this->runtime->Now() + milliseconds(time->to_number<int>());
+    }
+  }
+
   void SetFaults(io::HttpExchange& exchange) {
     boost::system::error_code error;
     const json::value body = json::parse(exchange.Request().body, error);
@@ -237,6 +313,15 @@
         this->rate_limit_fields.emplace_back(field.as_string());
       }
     }
+    if (fields.contains("rest")) {
+      this->SetRest(fields);
+    }
+    if (const auto* value = fields.if_contains("leaving_value")) {
+      this->leaving_value = std::string(value->as_string());
+    }
+    if (const auto* leaving = fields.if_contains("leaving")) {
+      this->leaving = leaving->as_bool();
+    }
     if (const auto* parts = fields.if_contains("crash_part")) {
       this->settings.crash_parts =
           SplitText(std::string(parts->as_string()), ',');
@@ -247,6 +332,59 @@
     exchange.Respond({200, {}, "{}"});
   }
 
+  // ---- answers ----
+
+  // Logs an answer that asks for rest or says that this worker leaves.
+  void LogIfMarked(const io::HttpExchange& exchange,
+                   unsigned status,
+                   std::vector<std::string> rest_fields) {
+    if (!this->leaving && rest_fields.empty()) {
+      return;
+    }
+    this->marked_answers.push_back(
+        {ToMilliseconds(this->runtime->Now().time_since_epoch()),
+         exchange.Request().headers.Find("Chervilpass-Request-Id").value_or(""),
+         exchange.Peer().ip, status, std::move(rest_fields),
+         this->leaving ? this->leaving_value : std::string()});
+  }
+
+  void AddLeaving(io::HttpResponse* response) const {
+    if (this->leaving) {
+      response->headers.Add("Server-Leaving", this->leaving_value);
+    }
+  }
+
+  void Respond(io::HttpExchange& exchange, io::HttpResponse response) {
+    this->AddLeaving(&response);
+    this->LogIfMarked(exchange, response.status, {});
+    exchange.Respond(response);
+  }
+
+  // True if the next request is to be turned away for a rest.
+  bool TakeRest() {
+    if (this->rest.fields.empty() || this->runtime->Now() >= this->rest.until) {
+      return false;
+    }
+    return ++this->rest.count % this->rest.every == 0;
+  }
+
+  void RejectForRest(io::HttpExchange& exchange, const std::string& id) {
+    io::HttpResponse response = this->ResponseHead(503, id);
+    response.headers.Add("Chervilpass-Not-Executed", "1");
+    response.headers.Add("At-Server", this->settings.listen.ToText());
+    std::vector<std::string> fields = this->rest.fields;
+    for (std::string& field : fields) {
+      if (field == "left") {
+        field = fmt::format("{:.3f}",
+                            ToSeconds(this->rest.until - this->runtime->Now()));
+      }
+      response.headers.Add("Retry-After", field);
+    }
+    this->AddLeaving(&response);
+    this->LogIfMarked(exchange, response.status, std::move(fields));
+    exchange.Respond(response);
+  }
+
   // ---- orders ----
 
   void HandleOrder(io::HttpExchange& exchange) {
@@ -256,7 +394,7 @@
     const auto* operation =
         order == nullptr ? nullptr : order->if_contains("operation");
     if (operation == nullptr || !operation->is_string()) {
-      return exchange.Respond({400, {}, "{}"});
+      return this->Respond(exchange, {400, {}, "{}"});
     }
     if (operation->get_string() == "repath") {
       return this->HandleRepath(exchange, *order);
@@ -265,7 +403,7 @@
     if (operation->get_string() != "place" || this->loading ||
         (expected != nullptr &&
          expected->to_number<std::uint64_t>() != this->order_sequence)) {
-      return exchange.Respond({409, {}, "{}"});
+      return this->Respond(exchange, {409, {}, "{}"});
     }
     const auto from = order->at("from").to_number<std::uint32_t>();
     const auto target = order->at("target").to_number<std::uint32_t>();
@@ -273,7 +411,7 @@
       app::ExitNow(app::kExitFailure);  // simulates running out of memory
     }
     if (from == this->from && target == this->to) {
-      return exchange.Respond({200, {}, "{}"});
+      return this->Respond(exchange, {200, {}, "{}"});
     }
     ++this->order_sequence;
     this->loading = true;
@@ -289,7 +427,7 @@
       this->loading = false;
       ++this->change_count;
     });
-    exchange.Respond({202, {}, "{}"});
+    this->Respond(exchange, {202, {}, "{}"});
   }
 
   // The latest run of a request is moved.
@@ -301,7 +439,7 @@
           [&id](const auto& run) { return run->request_id == id; });
     };
     if (find() == this->active_runs.rend()) {
-      return exchange.Respond({404, {}, "{}"});
+      return this->Respond(exchange, {404, {}, "{}"});
     }
     const auto path = ReadPath(std::string(order.at("path").as_string()));
     const std::string key = (*find())->key;
@@ -311,15 +449,15 @@
       if (layer_range && layer_range->empty()) {
         json::object conflict;
         conflict["address"] = stage.address.ToText();
-        return exchange.Respond({409, {}, json::serialize(conflict)});
+        return this->Respond(exchange, {409, {}, json::serialize(conflict)});
       }
     }
     const auto run = find();
     if (run == this->active_runs.rend()) {
-      return exchange.Respond({404, {}, "{}"});
+      return this->Respond(exchange, {404, {}, "{}"});
     }
     (*run)->path = path;
-    exchange.Respond({200, {}, "{}"});
+    this->Respond(exchange, {200, {}, "{}"});
   }
 
   // ---- requests ----
@@ -349,20 +487,24 @@
     io::HttpResponse response = this->ResponseHead(status, id);
     response.headers.Add("Chervilpass-Not-Executed", "1");
     response.headers.Add("At-Server", failed_server);
-    exchange.Respond(response);
+    this->Respond(exchange, response);
   }
 
   void Serve(io::HttpExchange& exchange) {
     const io::HttpRequest& request = exchange.Request();
     const std::string id =
         request.headers.Find("Chervilpass-Request-Id").value_or("");
-    this->arrivals.emplace_back(
-        ToMilliseconds(this->runtime->Now().time_since_epoch()));
+    this->arrivals.push_back(
+        {ToMilliseconds(this->runtime->Now().time_since_epoch()), id,
+         exchange.Peer().ip});
     const std::string expected_instance =
         request.headers.Find("Chervilpass-Expect-Instance").value_or("");
     if (expected_instance != this->settings.id) {
       return this->Reject(exchange, 421, id, this->settings.listen.ToText());
     }
+    if (this->TakeRest()) {
+      return this->RejectForRest(exchange, id);
+    }
     if (this->running >= this->settings.slots) {
       return this->Reject(exchange, 503, id, this->settings.listen.ToText());
     }
@@ -443,7 +585,7 @@
         "{} {} {}", exchange.Request().target,
         exchange.Request().headers.Find("Chervilpass-Tenant").value_or("-"),
         exchange.Request().body);
-    exchange.Respond(response);
+    this->Respond(exchange, response);
   }
 
   // Runs a stage for a run and returns the range of its layers: nullopt if
@@ -584,7 +726,10 @@
         std::stoull(request.headers.Find("Last-Event-Id").value_or("0"));
     const std::string crash_body =
         this->IsMarked(request, "-last") ? request.body : "";
-    bool complete = exchange.BeginStream(this->ResponseHead(200, id));
+    io::HttpResponse head = this->ResponseHead(200, id);
+    this->AddLeaving(&head);
+    this->LogIfMarked(exchange, head.status, {});
+    bool complete = exchange.BeginStream(head);
     if (complete && !crash_part.empty()) {
       this->CrashBeside(id, crash_part);
     }
@@ -653,7 +798,11 @@
   int responses_to_drop = 0;        // next calls to execute without a response
   int break_after_events = 0;       // 0: no stream is broken
   std::map<std::string, int> runs;  // by request id
-  json::array arrivals;             // of requests, ms of the steady clock
+  std::vector<Arrival> arrivals;    // oldest first
+  std::vector<MarkedAnswer> marked_answers;  // oldest first
+  Rest rest;
+  bool leaving = false;  // says so in all answers
+  std::string leaving_value = "1";
   std::vector<std::string> rate_limit_fields;     // of each response
   std::vector<std::shared_ptr<Run>> active_runs;  // oldest first
   std::uint64_t last_run = 0;                     // number of the latest run
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -142,6 +142,7 @@
     const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
       HttpResponse response;
       response.headers.Add("X-Path", exchange.Request().path);
+      response.headers.Add("X-Peer", exchange.Peer().ip);
       response.body = exchange.Request().body + exchange.Request().query;
       exchange.Respond(response);
     });
@@ -156,6 +157,7 @@
       cr_assert(response.has_value());
       cr_assert(response.value().body == "body q=1");
       cr_assert(response.value().headers.Find("x-path") == "/a/b");
+      cr_assert(response.value().headers.Find("x-peer") == "127.0.0.1");
     }
   });
 }
