Router: a server that asks for rest gets no requests in that time

Seen: a server that had answered a VM 503 and asked for 3 s of rest got 3 requests from it in that time, each refused with 503 and served elsewhere; callers saw nothing. With all servers of a service at rest, callers were told to come back after 0.15 to 0.3 s (calls), whatever time the servers had named.

Cause: the time was not kept. A 503 starts a cooldown of 250 ms; for calls that only makes a server the last choice, and for streams it ends by itself.

Change: rests are kept by start of the server, in RoutingState, and count towards the wait before a send, as rate limits do: a request takes another server, or waits if the rest ends within its longest wait, and looks again after each wait, also after one for a permit. If all servers that take requests rest, requests are refused at once with the time until the first one is back and a spread. A worker at rest still runs later stages of paths. Rests are per VM and are not spread.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -417,18 +417,28 @@
                       retry_after, "the rate limits of its servers are reached",
                       this->policy.Sends());
       }
+      const bool all_rest =
+          this->dependencies.routing_state->RetryAfterRests(
+              this->context.service, this->dependencies.runtime->Now()) >
+          Duration::zero();
       return this->Refused(RefusalCode::kNoBackend,
-                           none_known ? "no usable backend server"
-                                      : "no backend server takes it");
+                           all_rest     ? "its servers rest"
+                           : none_known ? "no usable backend server"
+                                        : "no backend server takes it");
     }
     return this->Failed(RefusalCode::kBackendFailed,
                         "no other backend server is left");
   }
 
   RequestResult Refused(RefusalCode code, std::string detail) {
-    const Duration spread = duration_cast<Duration>(
-        this->dependencies.routing_state->Rng().Unit() * kRetryAfterSpread);
-    return Refuse(this->context, code, Executed::kNo, kRetryAfter + spread,
+    RoutingState& routing_state = *this->dependencies.routing_state;
+    const Duration spread =
+        duration_cast<Duration>(routing_state.Rng().Unit() * kRetryAfterSpread);
+    const Duration retry_after =
+        std::max(kRetryAfter + spread,
+                 routing_state.RetryAfterRests(
+                     this->context.service, this->dependencies.runtime->Now()));
+    return Refuse(this->context, code, Executed::kNo, retry_after,
                   std::move(detail), this->policy.Sends());
   }
 
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Shares of a route's response objective and of the time left that a request
-// may wait for a rate limit.
+// may wait for a rate limit or a rest.
 constexpr double kSendWaitObjectiveShare = 0.5;
 constexpr double kSendWaitDeadlineShare = 0.125;
 // Limits are kept in thousandths, as gossip carries them: VMs would take two
@@ -50,6 +50,7 @@
 void RecordRest(const RouterDependencies& dependencies,
                 const RequestContext& context,
                 const std::string& server,
+                WallTime started,
                 const RestField& field) {
   if (field.unreadable) {
     dependencies.metrics->Increment("chervil_unreadable_rests_total");
@@ -61,10 +62,39 @@
     return;
   }
   dependencies.metrics->Increment("chervil_rests_total");
-  dependencies.log->Info("rest.began",
-                         {{"request", context.metadata.request_id},
-                          {"worker", server},
-                          {"rest_ms", ToMilliseconds(*field.rest)}});
+  if (dependencies.routing_state->RecordRest(server, started, *field.rest,
+                                             dependencies.runtime->Now())) {
+    dependencies.log->Info("rest.began",
+                           {{"request", context.metadata.request_id},
+                            {"worker", server},
+                            {"rest_ms", ToMilliseconds(*field.rest)}});
+  }
+}
+
+// Waits until the server does not rest; false if that would be after `latest`.
+bool AwaitRest(const RouterDependencies& dependencies,
+               const RequestContext& context,
+               const std::string& server,
+               Instant latest) {
+  while (true) {
+    const Instant now = dependencies.runtime->Now();
+    const Duration left = dependencies.routing_state->RestLeft(server, now);
+    if (left == Duration::zero()) {
+      return true;
+    }
+    const bool in_time = now + left <= latest;
+    dependencies.metrics->Increment("chervil_rested_requests_total");
+    dependencies.log->Info("request.rested",
+                           {{"request", context.metadata.request_id},
+                            {"worker", server},
+                            {"waits", in_time},
+                            {"rest_ms", ToMilliseconds(left)},
+                            {"max_wait_ms", ToMilliseconds(latest - now)}});
+    if (!in_time) {
+      return false;
+    }
+    dependencies.runtime->SleepFor(left);
+  }
 }
 
 void RecordLeaving(const RouterDependencies& dependencies,
@@ -102,7 +132,7 @@
                             WallTime started,
                             const ResponseMetadata& response) {
   RecordRateLimit(dependencies, server, response.rate_limit);
-  RecordRest(dependencies, context, server, response.rest);
+  RecordRest(dependencies, context, server, started, response.rest);
   if (response.leaving) {
     RecordLeaving(dependencies, context, server, started);
   }
@@ -122,20 +152,33 @@
                  const RequestContext& context,
                  const std::string& server,
                  Duration max_wait) {
-  const routing::Reservation reservation =
-      dependencies.acquire_permit(server, max_wait);
-  if (reservation.wait > Duration::zero()) {
-    dependencies.log->Info("request.rate_limited",
-                           {{"request", context.metadata.request_id},
-                            {"worker", server},
-                            {"granted", reservation.granted},
-                            {"wait_ms", ToMilliseconds(reservation.wait)},
-                            {"max_wait_ms", ToMilliseconds(max_wait)}});
-  }
-  if (reservation.granted && reservation.wait > Duration::zero()) {
-    dependencies.runtime->SleepFor(reservation.wait);
+  const Instant latest = dependencies.runtime->Now() + max_wait;
+  // A rest may begin while the request waits for its permit.
+  while (AwaitRest(dependencies, context, server, latest)) {
+    const Duration wait_left =
+        std::max(Duration::zero(), latest - dependencies.runtime->Now());
+    const routing::Reservation reservation =
+        dependencies.acquire_permit(server, wait_left);
+    if (reservation.wait > Duration::zero()) {
+      dependencies.log->Info("request.rate_limited",
+                             {{"request", context.metadata.request_id},
+                              {"worker", server},
+                              {"granted", reservation.granted},
+                              {"wait_ms", ToMilliseconds(reservation.wait)},
+                              {"max_wait_ms", ToMilliseconds(wait_left)}});
+    }
+    if (!reservation.granted) {
+      return false;
+    }
+    if (reservation.wait > Duration::zero()) {
+      dependencies.runtime->SleepFor(reservation.wait);
+    }
+    if (dependencies.routing_state->RestLeft(
+            server, dependencies.runtime->Now()) == Duration::zero()) {
+      return true;
+    }
   }
-  return reservation.granted;
+  return false;
 }
 
 std::string DescribePath(const placement::Path& path) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -76,13 +76,14 @@
                             WallTime started,
                             const ResponseMetadata& response);
 
-/// The longest time for which the request waits for a server's rate limit: it
-/// can still be answered in time afterwards. Requests of higher priority wait
-/// longer, so that they are sent first while rates are scarce.
+/// The longest time for which the request waits for a server's rate limit or
+/// rest: it can still be answered in time afterwards. Requests of higher
+/// priority wait longer, so that they are sent first while rates are scarce.
 Duration MaxSendWait(const RequestContext& context, Duration time_left);
 
-/// Reserves a time to send a request to `server` and waits until then. False if
-/// the server's rate limit does not allow it soon enough.
+/// Waits until the rest of `server` has ended, reserves a time to send a
+/// request to it and waits until then. False if its rest or rate limit does not
+/// allow it soon enough.
 bool AwaitPermit(const RouterDependencies& dependencies,
                  const RequestContext& context,
                  const std::string& server,
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -23,9 +23,25 @@
 constexpr Duration kRateLimitRefusalWindow = seconds(2);
 constexpr Duration kMinRateLimitRetrySpread = milliseconds(300);
 constexpr Duration kMaxRateLimitRetryAfter = seconds(10);
-constexpr double kMinRetryRate = 0.1;         // requests per second
+constexpr double kMinRetryRate = 0.1;  // requests per second
+// Callers that are refused during a rest come back over this share of the rest
+// that is left.
+constexpr double kRestRetrySpreadShare = 0.5;
+constexpr Duration kMinRestRetrySpread = milliseconds(300);
+constexpr Duration kMaxRestRetryAfter = seconds(10);  // without the spread
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
+std::string IncarnationOf(const std::string& server, WallTime started) {
+  return server + "@" + std::to_string(started.milliseconds);
+}
+
+// True if requests are sent to the server itself. Workers without the first
+// layer get theirs from other workers only.
+bool TakesRequests(const routing::BackendServer& server) {
+  const bool plain = server.model.empty() && server.accelerator_kind.empty();
+  return plain || (!server.layers.Empty() && server.layers.from == 0);
+}
+
 }  // namespace
 
 RoutingState::RoutingState(RoutingStateSettings settings, std::uint64_t seed)
@@ -47,9 +63,7 @@
 
 std::string RoutingState::Incarnation(const std::string& worker) const {
   const routing::BackendServer* server = this->servers.Find(worker);
-  return server == nullptr
-             ? worker
-             : worker + "@" + std::to_string(server->started.milliseconds);
+  return server == nullptr ? worker : IncarnationOf(worker, server->started);
 }
 
 bool RoutingState::StartCooldown(const std::string& worker,
@@ -154,9 +168,47 @@
 }
 
 Duration RoutingState::SendWait(const std::string& server, Instant now) const {
-  return this->rate_limits.Empty()
-             ? Duration::zero()
-             : this->rate_limits.WaitFor(this->Incarnation(server), now);
+  if (this->rate_limits.Empty() && this->rests.Empty()) {
+    return Duration::zero();
+  }
+  const std::string incarnation = this->Incarnation(server);
+  return std::max(this->rate_limits.WaitFor(incarnation, now),
+                  this->rests.Left(incarnation, now));
+}
+
+bool RoutingState::RecordRest(const std::string& server,
+                              WallTime started,
+                              Duration rest,
+                              Instant now) {
+  return this->rests.Record(IncarnationOf(server, started), rest, now);
+}
+
+Duration RoutingState::RestLeft(const std::string& server, Instant now) const {
+  return this->rests.Empty() ? Duration::zero()
+                             : this->rests.Left(this->Incarnation(server), now);
+}
+
+Duration RoutingState::RetryAfterRests(const std::string& service,
+                                       Instant now) {
+  std::optional<Duration> first_back;
+  for (const routing::BackendServer* server : this->servers.Usable(service)) {
+    if (!TakesRequests(*server)) {
+      continue;
+    }
+    const Duration left = this->RestLeft(server->id, now);
+    if (left == Duration::zero()) {
+      return Duration::zero();
+    }
+    first_back = std::min(first_back.value_or(left), left);
+  }
+  if (!first_back) {
+    return Duration::zero();
+  }
+  const Duration wait = std::min(*first_back, kMaxRestRetryAfter);
+  const Duration spread =
+      std::max(kMinRestRetrySpread,
+               duration_cast<Duration>(kRestRetrySpreadShare * wait));
+  return wait + duration_cast<Duration>(this->random.Unit() * spread);
 }
 
 void RoutingState::SetNextSend(const std::string& server, Instant next) {
@@ -171,8 +223,7 @@
     const std::string incarnation = this->Incarnation(server->id);
     if (const auto limit = this->rate_limits.LimitOf(incarnation)) {
       per_second += *limit;
-      min_wait =
-          std::min(min_wait, this->rate_limits.WaitFor(incarnation, now));
+      min_wait = std::min(min_wait, this->SendWait(server->id, now));
     }
   }
   if (min_wait == kMaxRateLimitRetryAfter && per_second == 0) {
@@ -316,6 +367,7 @@
 void RoutingState::Expire(Instant now, WallTime wall) {
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
+  this->rests.Expire(now);
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
     return entry.second.local == 0 &&
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -18,6 +18,7 @@
 #include "chervilpass/quarantine/strike_tracker.h"
 #include "chervilpass/routing/cooldown_tracker.h"
 #include "chervilpass/routing/rate_limit_tracker.h"
+#include "chervilpass/routing/rest_tracker.h"
 #include "chervilpass/routing/retry_budget.h"
 #include "chervilpass/routing/route_table.h"
 #include "chervilpass/routing/server_registry.h"
@@ -72,15 +73,15 @@
       Instant now);
 
   /// Usable workers for the stages of paths, with their estimated load and the
-  /// wait that their rate limits require.
+  /// wait that their rate limits and rests require.
   std::vector<placement::PathCandidate> PathCandidates(
       const std::string& service,
       const placement::ModelProfile& model,
       Instant now) const;
 
   /// Chooses a server of a plain service; empty if none is usable. A request
-  /// may wait for `max_send_wait` until the server's rate limit lets it be
-  /// sent.
+  /// may wait for `max_send_wait` until the server's rate limit and rest let it
+  /// be sent.
   std::optional<routing::BackendServer> PickServer(
       const std::string& service,
       const std::set<std::string>& excluded,
@@ -143,6 +144,24 @@
   /// the service has a limit.
   Duration OnRefusedByRateLimit(const std::string& service, Instant now);
 
+  /// Records that `server`, started at `started`, wants no requests from this
+  /// VM for `rest`. Returns true if it was not resting.
+  bool RecordRest(const std::string& server,
+                  WallTime started,
+                  Duration rest,
+                  Instant now);
+
+  /// Time until the rest of a server ends; zero if it does not rest.
+  Duration RestLeft(const std::string& server, Instant now) const;
+
+  /// Time until a server's rate limit and rest let a request be sent to it.
+  Duration SendWait(const std::string& server, Instant now) const;
+
+  /// When callers should retry a request to a service whose servers all rest:
+  /// spread over some time after the first one is back. Zero if any server that
+  /// takes requests from VMs does not rest.
+  Duration RetryAfterRests(const std::string& service, Instant now);
+
   /// Number of VMs of the fleet that are alive.
   void SetFleetSize(std::size_t vms) { this->fleet_size = vms; }
 
@@ -176,9 +195,6 @@
   // Id and start time of the worker: a restarted worker has no cooldowns.
   std::string Incarnation(const std::string& worker) const;
 
-  // Time until the server's rate limit lets a request be sent to it.
-  Duration SendWait(const std::string& server, Instant now) const;
-
   // True if the worker is nearly full by the loads of this VM and those that
   // other entry VMs report.
   bool LooksFull(const std::string& worker,
@@ -190,6 +206,7 @@
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
+  routing::RestTracker rests;
   placement::LoadTracker loads;
   /// Times of recent refusals because of rate limits, by service.
   std::map<std::string, std::deque<Instant>> rate_limit_refusals;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -770,9 +770,14 @@
   RequestResult Refused(RefusalCode code,
                         Duration min_retry_after,
                         std::string detail) {
-    const Duration spread = duration_cast<Duration>(
-        this->dependencies.routing_state->Rng().Unit() * kRetryAfterSpread);
-    return Refuse(this->context, code, Executed::kNo, min_retry_after + spread,
+    RoutingState& routing_state = *this->dependencies.routing_state;
+    const Duration spread =
+        duration_cast<Duration>(routing_state.Rng().Unit() * kRetryAfterSpread);
+    const Duration retry_after =
+        std::max(min_retry_after + spread,
+                 routing_state.RetryAfterRests(
+                     this->context.service, this->dependencies.runtime->Now()));
+    return Refuse(this->context, code, Executed::kNo, retry_after,
                   std::move(detail), this->policy.Sends());
   }
 
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1551,3 +1551,188 @@
     cr_assert_eq(arrivals, 2);
   });
 }
+
+namespace {
+
+// Refuses a request without running it and asks for rest.
+io::HttpResponse RestingResponse(const io::HttpExchange& exchange,
+                                 const std::string& rest) {
+  io::HttpResponse response = MakeResponse(exchange, 503, "");
+  response.headers.Add("Chervilpass-Not-Executed", "1");
+  response.headers.Add("Retry-After", rest);
+  return response;
+}
+
+void RespondWithStream(io::HttpExchange& exchange) {
+  exchange.BeginStream(MakeResponse(exchange, 200, ""));
+  exchange.WriteChunk(Event(1));
+  exchange.EndStream();
+}
+
+// Sends requests one after the other to one server that asks for a second of
+// rest and one that serves them. Returns the number of those that the first
+// server gets within the rest.
+int ArrivalsInRest(io::Runtime& runtime,
+                   std::uint16_t base_port,
+                   const std::string& path) {
+  RouterFixture fixture(runtime, base_port);
+  const bool is_stream = path == "/draft/x";
+  const std::string service = is_stream ? "llm" : "app";
+  const placement::LayerRange layers = {0, is_stream ? 4U : 0U};
+  int arrivals = 0;
+  std::optional<Instant> rests_from;
+  fixture.AddServer(1, service, layers, [&](io::HttpExchange& exchange) {
+    ++arrivals;
+    rests_from = rests_from.value_or(runtime.Now());
+    exchange.Respond(RestingResponse(exchange, "1"));
+  });
+  fixture.AddServer(2, service, layers, [&](io::HttpExchange& exchange) {
+    if (is_stream) {
+      RespondWithStream(exchange);
+    } else {
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    }
+  });
+  const Instant begin = runtime.Now();
+  for (int i = 0; runtime.Now() <
+                  rests_from.value_or(begin + seconds(3)) + milliseconds(950);
+       ++i) {
+    const auto response =
+        fixture.Call(fixture.Request(path, fmt::format("r{}", i)));
+    cr_assert_eq(response.value().status, 200);
+    runtime.SleepFor(milliseconds(10));
+  }
+  cr_assert(rests_from.has_value());
+  return arrivals - 1;
+}
+
+// Starts two servers that ask for five seconds of rest and sends two requests.
+void CheckAllRest(io::Runtime& runtime,
+                  std::uint16_t base_port,
+                  const std::string& path) {
+  RouterFixture fixture(runtime, base_port);
+  const bool is_stream = path == "/draft/x";
+  int arrivals = 0;
+  for (int i = 1; i <= 2; ++i) {
+    fixture.AddServer(i, is_stream ? "llm" : "app", {0, is_stream ? 4U : 0U},
+                      [&](auto& exchange) {
+                        ++arrivals;
+                        exchange.Respond(RestingResponse(exchange, "5"));
+                      });
+  }
+  for (int i = 0; i < 2; ++i) {
+    const Instant begin = runtime.Now();
+    const auto response =
+        fixture.Call(fixture.Request(path, fmt::format("r{}", i)));
+    cr_assert(runtime.Now() - begin < milliseconds(200));
+    const unsigned status = response.value().status;
+    cr_assert(status == 503 || status == 429, "%u", status);
+    const double retry_after =
+        std::stod(response.value().headers.Find("Retry-After").value_or("0"));
+    cr_assert(retry_after > 4 && retry_after < 8, "%f", retry_after);
+    cr_assert_eq(arrivals, 2);
+    runtime.SleepFor(milliseconds(700));
+  }
+}
+
+}  // namespace
+
+// Guards against calls to a server that has asked for rest.
+Test(router, calls_go_elsewhere_while_a_server_rests) {
+  OnRuntime([](io::Runtime& runtime) {
+    cr_assert_eq(ArrivalsInRest(runtime, 25000, "/lookup/x"), 0);
+  });
+}
+
+// Guards against streams to a worker that has asked for rest.
+Test(router, streams_go_elsewhere_while_a_worker_rests) {
+  OnRuntime([](io::Runtime& runtime) {
+    cr_assert_eq(ArrivalsInRest(runtime, 25010, "/draft/x"), 0);
+  });
+}
+
+// Guards against calls that are sent, wait or are told to come back too early
+// while all servers of their service rest.
+Test(router, calls_are_refused_at_once_while_all_servers_rest) {
+  OnRuntime(
+      [](io::Runtime& runtime) { CheckAllRest(runtime, 25020, "/lookup/x"); });
+}
+
+// Guards against streams that are sent, wait or are told to come back too early
+// while all workers with the first layer rest.
+Test(router, streams_are_refused_at_once_while_all_workers_rest) {
+  OnRuntime(
+      [](io::Runtime& runtime) { CheckAllRest(runtime, 25030, "/draft/x"); });
+}
+
+// Guards against a refusal where the rest ends soon, and against a send before
+// its end.
+Test(router, a_call_waits_for_a_rest_that_ends_soon) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25040);
+    std::vector<Instant> arrivals;
+    fixture.AddServer(1, "app", {}, [&](io::HttpExchange& exchange) {
+      arrivals.push_back(runtime.Now());
+      exchange.Respond(arrivals.size() == 1
+                           ? RestingResponse(exchange, "0.15")
+                           : MakeResponse(exchange, 200, "ok"));
+    });
+    cr_assert_eq(
+        fixture.Call(fixture.Request("/lookup/x", "r1")).value().status, 503);
+    cr_assert_eq(
+        fixture.Call(fixture.Request("/lookup/x", "r2")).value().status, 200);
+    cr_assert_eq(arrivals.size(), 2);
+    cr_assert(arrivals[1] - arrivals[0] >= milliseconds(150));
+  });
+}
+
+// Guards against a send after a wait during which another rest has begun.
+Test(router, a_rest_that_begins_during_a_wait_is_kept) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25050);
+    int arrivals = 0;
+    fixture.AddServer(1, "app", {}, [&arrivals](io::HttpExchange& exchange) {
+      ++arrivals;
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    });
+    fixture.routing_state.RecordRest("s1", {}, milliseconds(150),
+                                     runtime.Now());
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      status = fixture.Call(fixture.Request("/lookup/x", "r1")).value().status;
+    });
+    runtime.SleepFor(milliseconds(75));
+    fixture.routing_state.RecordRest("s1", {}, seconds(5), runtime.Now());
+    runtime.SleepFor(milliseconds(300));
+    cr_assert_eq(status, 503);
+    cr_assert_eq(arrivals, 0);
+  });
+}
+
+// Guards against an answer that is lost because its field cannot be read.
+Test(router, no_request_fails_because_of_an_unreadable_rest) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25060);
+    std::string field;
+    fixture.AddServer(1, "app", {}, [&field](io::HttpExchange& exchange) {
+      exchange.Respond(RestingResponse(exchange, field));
+    });
+    fixture.AddServer(2, "app", {}, [&field](io::HttpExchange& exchange) {
+      io::HttpResponse response = MakeResponse(exchange, 200, "ok");
+      response.headers.Add("Retry-After", field);
+      exchange.Respond(response);
+    });
+    for (const char* text : {"-1", "nan", "", "1e999", "soon", "0",
+                             "Fri, 04 Dec 2026 15:00:00 GMT"}) {
+      field = text;
+      for (int i = 0; i < 6; ++i) {
+        const auto response = fixture.Call(
+            fixture.Request("/lookup/x", fmt::format("{}{}", text, i)));
+        cr_assert_eq(response.value().status, 200, "%s", text);
+        cr_assert((*response.value().headers.Find("Retry-After")) == text);
+      }
+    }
+    cr_assert(fixture.routing_state.RestLeft("s1", runtime.Now()) ==
+              Duration::zero());
+  });
+}
--- a/unit_tests/routing_test.cc
+++ b/unit_tests/routing_test.cc
@@ -12,6 +12,7 @@
 #include "chervilpass/routing/completion_flow.h"
 #include "chervilpass/routing/rate_limit_tracker.h"
 #include "chervilpass/routing/rate_scheduler.h"
+#include "chervilpass/routing/rest_tracker.h"
 #include "chervilpass/routing/retry_budget.h"
 #include "chervilpass/routing/worker_health.h"
 
@@ -372,3 +373,34 @@
   tracker.Expire(start, [](const std::string&) { return false; });
   cr_assert(tracker.Empty());
 }
+
+// Guards against a rest that a later, shorter one cuts off.
+Test(rest_tracker, the_rest_that_ends_last_counts) {
+  RestTracker tracker;
+  const Instant start{};
+  cr_assert(tracker.Empty());
+  cr_assert(!tracker.Record("s", Duration::zero(), start));
+  cr_assert(tracker.Empty());
+  cr_assert(tracker.Record("s", seconds(3), start));
+  cr_assert(!tracker.Record("s", seconds(1), start + seconds(1)));
+  cr_assert(tracker.Left("s", start + seconds(1)) == seconds(2));
+  cr_assert(!tracker.Record("s", seconds(3), start + seconds(1)));
+  cr_assert(tracker.Left("s", start + seconds(3)) == seconds(1));
+  cr_assert(tracker.Left("t", start) == Duration::zero());
+}
+
+// Guards against rests that never end and records that are kept for ever.
+Test(rest_tracker, a_rest_ends_at_its_time) {
+  RestTracker tracker;
+  const Instant start{};
+  tracker.Record("s", seconds(3), start);
+  tracker.Record("t", seconds(5), start);
+  cr_assert(tracker.Left("s", start + milliseconds(2999)) == milliseconds(1));
+  cr_assert(tracker.Left("s", start + seconds(3)) == Duration::zero());
+  cr_assert(tracker.Left("s", start + seconds(4)) == Duration::zero());
+  tracker.Expire(start + seconds(3));
+  cr_assert(tracker.Left("t", start + seconds(3)) == seconds(2));
+  cr_assert(tracker.Record("s", seconds(1), start + seconds(4)));
+  tracker.Expire(start + seconds(5));
+  cr_assert(tracker.Empty());
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -310,6 +310,120 @@
   cr_assert(!routing_state.InCooldown("w", kStart));
 }
 
+// Guards against requests to a resting server, and against a rest that a
+// restarted server or another one on its address inherits.
+Test(routing_state, a_rest_holds_for_one_start_of_a_server) {
+  RoutingState routing_state({}, 1);
+  ServerRecord record = Record("s", 1, 80);
+  record.server->started = {1000};
+  routing_state.Servers().ApplyChange(record, false, kStart);
+  cr_assert(routing_state.SendWait("s", kStart) == Duration::zero());
+  cr_assert(routing_state.RecordRest("s", {1000}, seconds(3), kStart));
+  cr_assert(!routing_state.RecordRest("s", {1000}, seconds(2), kStart));
+  const Instant later = kStart + seconds(1);
+  cr_assert(routing_state.RestLeft("s", later) == seconds(2));
+  cr_assert(routing_state.SendWait("s", later) == seconds(2));
+  cr_assert(!routing_state.PickServer("orders", {}, later, seconds(1)));
+  cr_assert(routing_state.PickServer("orders", {}, later, seconds(2)));
+  // A change of the same start's record does not end the rest.
+  record.revision = 2;
+  record.server->slots = 9;
+  routing_state.Servers().ApplyChange(record, false, later);
+  cr_assert(routing_state.RestLeft("s", later) == seconds(2));
+  ServerRecord other = Record("t", 3, 80);
+  other.server->started = {1000};
+  routing_state.Servers().ApplyChange(other, false, later);
+  cr_assert(routing_state.RestLeft("t", later) == Duration::zero());
+  record.revision = 4;
+  record.server->started = {2000};
+  routing_state.Servers().ApplyChange(record, false, later);
+  cr_assert(routing_state.RestLeft("s", later) == Duration::zero());
+  // A late response of the earlier start says nothing about this one.
+  routing_state.RecordRest("s", {1000}, seconds(3), later);
+  cr_assert(routing_state.RestLeft("s", later) == Duration::zero());
+  routing_state.Expire(kStart + seconds(9), {});
+  cr_assert(routing_state.RecordRest("s", {1000}, seconds(3), later));
+}
+
+// Guards against a rest that ends with a rate limit's wait, or the other way
+// round.
+Test(routing_state, the_longer_of_rest_and_rate_limit_counts) {
+  RoutingState routing_state({}, 1);
+  routing_state.Servers().ApplyChange(Record("s", 1, 80), false, kStart);
+  routing_state.RecordRateLimit("s", {1.0, kStart});
+  routing_state.SetNextSend("s", kStart + seconds(2));
+  routing_state.RecordRest("s", {}, seconds(1), kStart);
+  cr_assert(routing_state.SendWait("s", kStart) == seconds(2));
+  routing_state.RecordRest("s", {}, seconds(3), kStart);
+  cr_assert(routing_state.SendWait("s", kStart) == seconds(3));
+}
+
+// Guards against callers that come back before a server does, or all at once.
+Test(routing_state, refused_callers_return_when_the_first_server_is_back) {
+  RoutingState routing_state({}, 1);
+  for (int i = 0; i < 3; ++i) {
+    routing_state.Servers().ApplyChange(
+        Record(fmt::format("s{}", i), 1, static_cast<std::uint16_t>(80 + i)),
+        false, kStart);
+  }
+  cr_assert(routing_state.RetryAfterRests("orders", kStart) ==
+            Duration::zero());
+  routing_state.RecordRest("s0", {}, seconds(6), kStart);
+  routing_state.RecordRest("s1", {}, seconds(4), kStart);
+  cr_assert(routing_state.RetryAfterRests("orders", kStart) ==
+            Duration::zero());
+  routing_state.RecordRest("s2", {}, hours(1), kStart);
+  std::set<Duration> times;
+  for (int i = 0; i < 100; ++i) {
+    const Duration time = routing_state.RetryAfterRests("orders", kStart);
+    cr_assert(time >= seconds(4) && time <= seconds(6));
+    times.insert(time);
+  }
+  cr_assert(*times.rbegin() - *times.begin() > seconds(1));
+  cr_assert(routing_state.RetryAfterRests("orders", kStart + seconds(4)) ==
+            Duration::zero());
+  routing_state.RecordRest("s0", {}, hours(1), kStart);
+  routing_state.RecordRest("s1", {}, hours(1), kStart);
+  cr_assert(routing_state.RetryAfterRests("orders", kStart) <= seconds(15));
+  cr_assert(routing_state.RetryAfterRests("none", kStart) == Duration::zero());
+}
+
+// Guards against a resting first worker that counts as available because
+// workers of later layers do not rest.
+Test(routing_state, only_workers_with_the_first_layer_rest) {
+  RoutingState routing_state({}, 1);
+  placement::ModelProfile model;
+  model.layers = 8;
+  model.layer_mb = 10;
+  model.kv_bytes_per_token = 1000;
+  model.batch_limit = 8;
+  model.typical_answer_tokens = 20;
+  model.accelerator_kinds["k"] = {36000, 1, 1};
+  const auto add = [&](const std::string& id, std::uint16_t port,
+                       placement::LayerRange layers) {
+    ServerRecord record = Record(id, port, port);
+    record.server->model = layers.Empty() ? "" : "m";
+    record.server->layers = layers;
+    record.server->accelerator_kind = "k";
+    routing_state.Servers().ApplyChange(record, false, kStart);
+  };
+  add("first", 80, {0, 4});
+  add("second", 81, {4, 8});
+  add("spare", 82, {});
+  placement::PathQuery query;
+  query.layers = {0, 8};
+  query.max_send_wait = milliseconds(250);
+  const auto find = [&] {
+    return routing_state.FindPath("orders", model, query, kStart).has_value();
+  };
+  cr_assert(find());
+  routing_state.RecordRest("second", {}, seconds(3), kStart);
+  cr_assert(find(), "a resting worker still runs later stages");
+  routing_state.RecordRest("first", {}, seconds(3), kStart);
+  cr_assert(!find());
+  cr_assert(routing_state.RetryAfterRests("orders", kStart) >= seconds(3));
+}
+
 // The store is unavailable while workers leave, so that only their refusals
 // show that they accept no new work.
 Test(routing_state, a_worker_that_refuses_despite_capacity_is_reported) {
