Router: a server that says it leaves gets no new requests

Seen (tests): a server whose answers say that it leaves got requests for as long as the store called it ready, of all kinds and from all VMs.

Cause: only the state of its registration was read, which may say ready until the server ends.

Change: from such an answer on, this start of the server counts as leaving in the registry, whatever its record says then or later; a record with another start ends that. So requests, moves and the planner avoid it as they avoid one that is registered as leaving; what is in progress goes on. The start is the one that was registered when the request was sent. A request that waited for the server is sent elsewhere. The field is not passed on to callers.

The five tests in router_test of calls, streams and refusals of a leaving server and of a stream in progress fail before this commit. With it: router_test 52 of 52, serving_test 32 of 32, platform_test 18 of 18, membership_test 20 of 20, codec_test 4 of 4.

--- a/chervilpass/control/control_node.cc
+++ b/chervilpass/control/control_node.cc
@@ -176,6 +176,11 @@
                     {{"backend", received.notice.backend}});
   }
 
+  void Do(const membership::DepartureReceived& received) {
+    this->log.Debug("backend.departure",
+                    {{"backend", received.notice.backend}});
+  }
+
   void Do(const membership::NewerConfigReceived& received) {
     if (this->pulling || received.member.config_version <=
                              this->config_manager.History().Version()) {
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -264,6 +264,10 @@
     this->events.unreachable(received.notice.backend);
   }
 
+  void Do(const membership::DepartureReceived& received) {
+    this->events.departure(received.notice.backend, received.notice.started);
+  }
+
   void Do(const membership::NewerConfigReceived& received) {
     this->events.newer_config(received.member);
   }
@@ -358,6 +362,12 @@
       {backend, this->state->runtime->WallNow()}));
 }
 
+void PeerGroup::BroadcastDeparture(const std::string& backend,
+                                   WallTime started) {
+  this->state->Apply(this->state->detector.AddDeparture(
+      {backend, started, this->state->runtime->WallNow()}));
+}
+
 std::vector<Member> PeerGroup::Members() const {
   return this->state->detector.Members();
 }
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -39,6 +39,8 @@
   std::function<void(const quarantine::Clearance&)> clearance;
   std::function<void(const std::string& backend)> unreachable;
   std::function<void(const std::string& backend)> refusing;
+  /// A start of a backend server has said that it leaves.
+  std::function<void(const std::string& backend, WallTime started)> departure;
   std::function<void(const membership::Member& holder)> newer_config;
   std::function<void(const std::string& peer,
                      LoadScope scope,
@@ -74,6 +76,7 @@
   void BroadcastClearance(const quarantine::Clearance& clearance);
   void BroadcastUnreachable(const std::string& backend);
   void BroadcastRefusing(const std::string& backend);
+  void BroadcastDeparture(const std::string& backend, WallTime started);
 
   /// Returns all known members, this VM first, dead ones included.
   std::vector<membership::Member> Members() const;
--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -37,6 +37,10 @@
   return a.fingerprint == b.fingerprint;
 }
 
+bool SameSubject(const DepartureNotice& a, const DepartureNotice& b) {
+  return a.backend == b.backend && a.started == b.started;
+}
+
 bool CanBeProbed(const Member& member) {
   return member.status != Status::kDead;
 }
@@ -287,6 +291,9 @@
     this->MergeNotice<UnreachableReceived>(&this->unreachable, notice,
                                            &actions);
   }
+  for (const DepartureNotice& notice : message.departures) {
+    this->MergeNotice<DepartureReceived>(&this->departures, notice, &actions);
+  }
   const auto sender = this->peers.find(message.from);
   if (sender == this->peers.end()) {
     return actions;
@@ -518,6 +525,18 @@
   return actions;
 }
 
+// Sent to all members at once: the backend server may end within seconds.
+DetectorActions Detector::AddDeparture(const DepartureNotice& notice) {
+  DetectorActions actions;
+  if (this->MergeNotice<DepartureReceived>(&this->departures, notice,
+                                           &actions)) {
+    GossipMessage message;
+    message.departures = {notice};
+    this->Broadcast(message, &actions);
+  }
+  return actions;
+}
+
 void Detector::SendAllStrikes(const Member& to,
                               const GossipMessage& ack,
                               DetectorActions* actions) const {
@@ -607,6 +626,7 @@
   AppendUpdates(&this->clearances, &message.clearances);
   AppendUpdates(&this->leaving, &message.leaving);
   AppendUpdates(&this->unreachable, &message.unreachable);
+  AppendUpdates(&this->departures, &message.departures);
   return message;
 }
 
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -75,6 +75,15 @@
   auto operator<=>(const UnreachableNotice&) const = default;
 };
 
+/// Reports that a start of a backend server has said that it leaves.
+struct DepartureNotice {
+  std::string backend;
+  WallTime started;
+  WallTime at;  ///< time of the statement, by the clock of the reporting VM
+
+  auto operator<=>(const DepartureNotice&) const = default;
+};
+
 /// Contents of one datagram. The first member is the sender itself, with two
 /// exceptions: messages of kind kLoads have no members, and the list of members
 /// sent in answer to a join request continues in further datagrams.
@@ -88,6 +97,7 @@
   std::vector<quarantine::Clearance> clearances;
   std::vector<LeavingNotice> leaving;
   std::vector<UnreachableNotice> unreachable;
+  std::vector<DepartureNotice> departures;
   std::vector<WorkerLoadNotice> loads;
   /// True if the loads are totals of the sender's data centre, not of the
   /// sender alone.
@@ -139,6 +149,14 @@
   bool operator==(const UnreachableReceived&) const = default;
 };
 
+/// A first or a newer departure notice about a start of a backend server was
+/// received.
+struct DepartureReceived {
+  DepartureNotice notice;
+
+  bool operator==(const DepartureReceived&) const = default;
+};
+
 /// A member has a newer configuration than this node.
 struct NewerConfigReceived {
   Member member;
@@ -152,6 +170,7 @@
                                     ClearanceReceived,
                                     LeavingReceived,
                                     UnreachableReceived,
+                                    DepartureReceived,
                                     NewerConfigReceived>;
 using DetectorActions = std::vector<DetectorAction>;
 
@@ -203,6 +222,10 @@
   /// least a second newer than the known one.
   DetectorActions AddUnreachable(const UnreachableNotice& notice);
 
+  /// Sends a departure notice to all members if it is the first one about this
+  /// start or at least a second newer than the known one.
+  DetectorActions AddDeparture(const DepartureNotice& notice);
+
   /// Marks another member as leaving, according to the VM list.
   DetectorActions MarkLeaving(const std::string& vm, Instant now);
 
@@ -276,6 +299,7 @@
   std::vector<GossipUpdate<quarantine::Clearance>> clearances;
   std::vector<GossipUpdate<LeavingNotice>> leaving;
   std::vector<GossipUpdate<UnreachableNotice>> unreachable;
+  std::vector<GossipUpdate<DepartureNotice>> departures;
   std::uint32_t self_sends_left = 0;
   std::uint64_t next_sequence = 0;
   std::uint64_t periods = 0;
--- a/chervilpass/routing/server_registry.cc
+++ b/chervilpass/routing/server_registry.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace chervilpass::routing {
 namespace {
 
 constexpr std::size_t kMaxRemovedIds = 4096;  // bounds memory
+constexpr std::size_t kMaxLeavingIds = 4096;  // bounds memory
 
 }  // namespace
 
@@ -33,10 +35,19 @@
     }
     return;
   }
+  BackendServer server = *record.server;
+  const auto said = this->said_leaving.find(record.id);
+  if (said != this->said_leaving.end()) {
+    if (said->second == server.started) {
+      server.leaving = true;
+    } else {
+      this->said_leaving.erase(said);
+    }
+  }
   if (existing != this->entries.end()) {
     existing->second.expired_since.reset();
     existing->second.revision = record.revision;
-    if (existing->second.server == *record.server) {
+    if (existing->second.server == server) {
       return;
     }
     const auto old_address =
@@ -47,7 +58,7 @@
     }
   }
   // A reused address belongs to the newer registration.
-  const auto address_owner = this->by_address.find(record.server->address);
+  const auto address_owner = this->by_address.find(server.address);
   if (address_owner != this->by_address.end() &&
       address_owner->second != record.id) {
     const auto owner = this->entries.find(address_owner->second);
@@ -58,8 +69,8 @@
       this->entries.erase(owner);
     }
   }
-  this->entries[record.id] = {*record.server, record.revision, std::nullopt};
-  this->by_address[record.server->address] = record.id;
+  this->by_address[server.address] = record.id;
+  this->entries[record.id] = {std::move(server), record.revision, std::nullopt};
   ++this->generation;
 }
 
@@ -115,6 +126,25 @@
   }
 }
 
+bool ServerRegistry::MarkLeaving(const std::string& id, WallTime started) {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end() || found->second.server.started != started) {
+    return false;
+  }
+  if (this->said_leaving.size() >= kMaxLeavingIds) {
+    std::erase_if(this->said_leaving, [this](const auto& entry) {
+      return !this->entries.contains(entry.first);
+    });
+  }
+  this->said_leaving[id] = started;
+  if (found->second.server.leaving) {
+    return false;
+  }
+  found->second.server.leaving = true;
+  ++this->generation;
+  return true;
+}
+
 void ServerRegistry::OnStoreRegained(Instant now) {
   this->ExtendGrace(now + this->settings.expiry_grace);
 }
--- a/chervilpass/routing/server_registry.h
+++ b/chervilpass/routing/server_registry.h
@@ -32,7 +32,8 @@
 };
 
 /// Not thread-safe. Invariants: the record of an id is the one with the highest
-/// revision received; no address belongs to two servers.
+/// revision received; no address belongs to two servers; a start of a server
+/// that has said that it leaves is leaving in every record of it.
 class ServerRegistry {
  public:
   explicit ServerRegistry(ServerRegistrySettings settings)
@@ -46,6 +47,11 @@
   /// Applies a change or removal of one record.
   void ApplyChange(const ServerRecord& record, bool removed, Instant now);
 
+  /// A server has said itself that this start of it leaves, which counts more
+  /// than its records. Ignored unless that start is registered. Returns true if
+  /// it was not known to leave.
+  bool MarkLeaving(const std::string& id, WallTime started);
+
   /// The store is reachable again after an outage; starts the grace period.
   void OnStoreRegained(Instant now);
 
@@ -88,6 +94,9 @@
   std::map<io::Endpoint, std::string> by_address;
   /// Revision of each removal, by id; older records do not restore the server.
   std::map<std::string, std::uint64_t> removed;
+  /// Starts of servers that have said that they leave, by id. Kept when the
+  /// entry is removed: the same start may be registered again.
+  std::map<std::string, WallTime> said_leaving;
   std::optional<Instant> grace_until;
   std::uint64_t generation = 0;
 };
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -186,6 +186,14 @@
   loads @8 :List(WorkerLoad);
   loadsOfDataCentre @9 :Bool;   # `loads` are sums over the sender's data centre
   clearances @10 :List(Clearance);
+  departures @11 :List(Departure);
+}
+
+# States that a start of a backend server has said that it leaves.
+struct Departure {
+  server @0 :Text;
+  startedMs @1 :Int64;
+  wallMs @2 :Int64;
 }
 
 struct WorkerLoad {
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -39,6 +39,11 @@
     message.unreachable.push_back(
         {notice.getBackend().cStr(), WallTime{notice.getWallMs()}});
   }
+  for (const auto departure : from.getDepartures()) {
+    message.departures.push_back({departure.getServer().cStr(),
+                                  WallTime{departure.getStartedMs()},
+                                  WallTime{departure.getWallMs()}});
+  }
   for (const auto load : from.getLoads()) {
     message.loads.push_back({load.getWorker(), load.getSequences(),
                              load.getKvKiloTokenLayers(), load.getRateLimit(),
@@ -82,6 +87,12 @@
   WriteNotices(message.leaving, root.initLeaving(message.leaving.size()));
   WriteNotices(message.unreachable,
                root.initUnreachable(message.unreachable.size()));
+  auto departures = root.initDepartures(message.departures.size());
+  for (unsigned i = 0; i < message.departures.size(); ++i) {
+    departures[i].setServer(message.departures[i].backend);
+    departures[i].setStartedMs(message.departures[i].started.milliseconds);
+    departures[i].setWallMs(message.departures[i].at.milliseconds);
+  }
   auto loads = root.initLoads(message.loads.size());
   for (unsigned i = 0; i < message.loads.size(); ++i) {
     loads[i].setWorker(message.loads[i].worker);
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -71,6 +71,13 @@
   }
 }
 
+bool IsLeaving(const RouterDependencies& dependencies,
+               const std::string& server) {
+  const routing::BackendServer* known =
+      dependencies.routing_state->Servers().Find(server);
+  return known != nullptr && known->leaving;
+}
+
 // Waits until the server does not rest; false if that would be after `latest`.
 bool AwaitRest(const RouterDependencies& dependencies,
                const RequestContext& context,
@@ -102,6 +109,10 @@
                    const std::string& server,
                    WallTime started) {
   dependencies.metrics->Increment("chervil_leaving_responses_total");
+  if (!dependencies.routing_state->Servers().MarkLeaving(server, started)) {
+    return;
+  }
+  dependencies.report_departure(server, started);
   dependencies.log->Info("worker.leaving",
                          {{"request", context.metadata.request_id},
                           {"worker", server},
@@ -153,8 +164,10 @@
                  const std::string& server,
                  Duration max_wait) {
   const Instant latest = dependencies.runtime->Now() + max_wait;
-  // A rest may begin while the request waits for its permit.
-  while (AwaitRest(dependencies, context, server, latest)) {
+  // A rest may begin while the request waits for its permit, and the server may
+  // begin to leave.
+  while (AwaitRest(dependencies, context, server, latest) &&
+         !IsLeaving(dependencies, server)) {
     const Duration wait_left =
         std::max(Duration::zero(), latest - dependencies.runtime->Now());
     const routing::Reservation reservation =
@@ -175,7 +188,7 @@
     }
     if (dependencies.routing_state->RestLeft(
             server, dependencies.runtime->Now()) == Duration::zero()) {
-      return true;
+      return !IsLeaving(dependencies, server);
     }
   }
   return false;
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -40,6 +40,9 @@
   std::function<void(const std::string& worker)> report_unreachable;
   /// Reports to peers a worker that refuses new work although it has capacity.
   std::function<void(const std::string& worker)> report_refusing;
+  /// Reports to peers that a start of a worker has said that it leaves.
+  std::function<void(const std::string& worker, WallTime started)>
+      report_departure;
   /// Reports to peers the requests that ran on a worker when it crashed.
   std::function<void(const std::vector<quarantine::Strike>&)> report_strikes;
   /// Reports to peers that a request with strikes has completed.
@@ -83,7 +86,7 @@
 
 /// Waits until the rest of `server` has ended, reserves a time to send a
 /// request to it and waits until then. False if its rest or rate limit does not
-/// allow it soon enough.
+/// allow it soon enough, or if the server leaves.
 bool AwaitPermit(const RouterDependencies& dependencies,
                  const RequestContext& context,
                  const std::string& server,
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -169,6 +169,12 @@
       this->routing_state.StartCooldown(
           worker, routing::CooldownReason::kRefusing, this->runtime.Now());
     };
+    events.departure = [this](const std::string& worker, WallTime started) {
+      if (this->routing_state.Servers().MarkLeaving(worker, started)) {
+        this->log.Info("worker.departure_learned",
+                       {{"worker", worker}, {"started", started.milliseconds}});
+      }
+    };
     events.newer_config = [this](const membership::Member& holder) {
       this->sync->FetchConfig({holder.ip, holder.control_port});
     };
@@ -272,6 +278,10 @@
     dependencies.report_refusing = [this](const std::string& worker) {
       this->peers->BroadcastRefusing(worker);
     };
+    dependencies.report_departure = [this](const std::string& worker,
+                                           WallTime started) {
+      this->peers->BroadcastDeparture(worker, started);
+    };
     dependencies.report_strikes =
         [this](const std::vector<quarantine::Strike>& strikes) {
           this->peers->BroadcastStrikes(strikes);
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -23,6 +23,7 @@
   message.clearances = {{124, {457}}};
   message.leaving = {{"backend", {789}}};
   message.unreachable = {{"worker", {1011}}};
+  message.departures = {{"worker", {1012}, {1013}}};
   message.loads = {{7, 3, 1200, 11102, 250}};
   message.loads_of_data_centre = true;
   return message;
--- a/unit_tests/membership_test.cc
+++ b/unit_tests/membership_test.cc
@@ -76,6 +76,9 @@
         this->clearances[from].insert(cleared->clearance.fingerprint);
       } else if (const auto* notice = std::get_if<LeavingReceived>(&action)) {
         this->leaving[from].insert(notice->notice.backend);
+      } else if (const auto* departure =
+                     std::get_if<DepartureReceived>(&action)) {
+        this->departures[from].insert(departure->notice.started.milliseconds);
       }
     }
   }
@@ -112,6 +115,7 @@
   std::map<std::string, std::set<std::uint64_t>> strikes;
   std::map<std::string, std::set<std::uint64_t>> clearances;
   std::map<std::string, std::set<std::string>> leaving;
+  std::map<std::string, std::set<std::int64_t>> departures;  ///< by start
   std::uint64_t datagrams_sent = 0;
 
  private:
@@ -258,6 +262,29 @@
   cr_assert_eq(network.leaving.size(), 30);
 }
 
+// Guards against VMs that hear of the departure of a server's start late, not
+// at all, or not because an earlier start has left too.
+Test(detector, departures_of_each_start_reach_all_nodes_at_once) {
+  Network network(30);
+  network.RunFor(seconds(15));
+  const auto add = [&network](const char* vm, std::int64_t started) {
+    network.Apply(
+        vm, network.nodes.at(vm).AddDeparture({"backend", {started}, {1}}));
+  };
+  add("vm-3", 1000);
+  network.RunFor(milliseconds(10));
+  cr_assert_eq(network.departures.size(), 30);
+  add("vm-4", 2000);
+  network.RunFor(milliseconds(10));
+  for (const auto& [vm, starts] : network.departures) {
+    cr_assert(starts == std::set<std::int64_t>({1000, 2000}), "%s", vm.c_str());
+  }
+  // A VM that knows already sends nothing to all members again.
+  const auto sent = network.datagrams_sent;
+  add("vm-5", 2000);
+  cr_assert_eq(network.datagrams_sent, sent);
+}
+
 // A crash under many requests is sent in few datagrams.
 Test(detector, strikes_of_one_crash_reach_all_nodes_in_few_datagrams) {
   Network network(30);
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -355,6 +355,17 @@
   cr_assert(!ReadResponse({}).leaving);
 }
 
+// Guards against callers that see what a server tells routers only.
+Test(request_codec, that_a_server_is_leaving_is_not_forwarded) {
+  io::HttpResponse head;
+  head.status = 500;
+  head.headers.Add("server-leaving", "1");
+  head.headers.Add("Retry-After", "3");
+  const io::HttpResponse forwarded = ForwardedResponse(head);
+  cr_assert(!forwarded.headers.Find("Server-Leaving"));
+  cr_assert((*forwarded.headers.Find("Retry-After")) == "3");
+}
+
 Test(request_codec, only_a_refusal_before_execution_has_a_not_executed_status) {
   using admission::Executed;
   using admission::RefusalCode;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -42,6 +42,9 @@
     dependencies.log = &this->log;
     dependencies.report_unreachable = [](const std::string&) {};
     dependencies.report_refusing = [](const std::string&) {};
+    dependencies.report_departure = [this](const std::string&, WallTime) {
+      ++this->departures;
+    };
     dependencies.report_strikes =
         [this](const std::vector<quarantine::Strike>& added) {
           this->strikes += static_cast<int>(added.size());
@@ -174,6 +177,7 @@
   std::unique_ptr<io::HttpServer> router_server;
   std::vector<std::unique_ptr<io::HttpServer>> servers;
   int strikes = 0;
+  int departures = 0;  ///< reported to peers
 
  private:
   static RoutingStateSettings Settings() {
@@ -1736,3 +1740,162 @@
               Duration::zero());
   });
 }
+
+namespace {
+
+// Sends requests one after the other to a server that says that it leaves, in
+// its response with `status`, and another one. The store says twice more that
+// the first one is ready, then that it has started again.
+void CheckLeavingServer(io::Runtime& runtime,
+                        std::uint16_t base_port,
+                        const std::string& path,
+                        unsigned status) {
+  RouterFixture fixture(runtime, base_port);
+  const bool is_stream = path == "/draft/x";
+  const std::string service = is_stream ? "llm" : "app";
+  const placement::LayerRange layers = {0, is_stream ? 4U : 0U};
+  const auto respond = [is_stream](io::HttpExchange& exchange,
+                                   io::HttpResponse response) {
+    if (!is_stream || response.status != 200) {
+      return exchange.Respond(response);
+    }
+    exchange.BeginStream(response);
+    exchange.WriteChunk(Event(1));
+    exchange.EndStream();
+  };
+  int arrivals = 0;
+  fixture.AddServer(1, service, layers, [&](io::HttpExchange& exchange) {
+    ++arrivals;
+    io::HttpResponse response = MakeResponse(exchange, status, "");
+    response.headers.Add("Server-Leaving", "1");
+    if (status != 200) {
+      response.headers.Add("Chervilpass-Not-Executed", "1");
+    }
+    respond(exchange, response);
+  });
+  fixture.AddServer(2, service, layers, [&](io::HttpExchange& exchange) {
+    respond(exchange, MakeResponse(exchange, 200, ""));
+  });
+  routing::BackendServer server = *fixture.routing_state.Servers().Find("s1");
+  std::uint64_t revision = 10;
+  const auto write = [&] {
+    ++server.slots;  // a change
+    fixture.routing_state.Servers().ApplyChange({"s1", ++revision, server},
+                                                false, runtime.Now());
+  };
+  int requests = 0;
+  const auto send = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      const auto response =
+          fixture.Call(fixture.Request(path, fmt::format("r{}", ++requests)));
+      cr_assert_eq(response.value().status, 200);
+      cr_assert(!response.value().headers.Find("Server-Leaving"));
+    }
+  };
+  for (int i = 0; i < 50 && arrivals == 0; ++i) {
+    send(1);
+  }
+  cr_assert_eq(arrivals, 1);
+  // Longer than the cooldown after a refusal.
+  runtime.SleepFor(milliseconds(400));
+  send(20);
+  for (int i = 0; i < 2; ++i) {
+    write();
+    send(20);
+  }
+  cr_assert_eq(arrivals, 1);
+  cr_assert_eq(fixture.departures, 1);
+  server.started = {1};
+  write();
+  for (int i = 0; i < 50 && arrivals == 1; ++i) {
+    send(1);
+  }
+  send(20);
+  cr_assert_eq(arrivals, 2);
+  cr_assert_eq(fixture.departures, 2);
+}
+
+}  // namespace
+
+// Guards against calls to a server that has said that it leaves.
+Test(router, calls_avoid_a_server_that_says_it_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    CheckLeavingServer(runtime, 25100, "/lookup/x", 200);
+  });
+}
+
+// Guards against a departure that is not read from a refusal.
+Test(router, calls_avoid_a_server_that_refuses_and_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    CheckLeavingServer(runtime, 25110, "/lookup/x", 503);
+  });
+}
+
+// Guards against streams to a worker that has said that it leaves.
+Test(router, streams_avoid_a_worker_that_says_it_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    CheckLeavingServer(runtime, 25120, "/draft/x", 200);
+  });
+}
+
+// Guards against a departure that is not read from a worker's refusal.
+Test(router, streams_avoid_a_worker_that_refuses_and_leaves) {
+  OnRuntime([](io::Runtime& runtime) {
+    CheckLeavingServer(runtime, 25130, "/draft/x", 503);
+  });
+}
+
+// Guards against a stream that is cut because its worker begins to leave.
+Test(router, a_stream_in_progress_at_a_leaving_worker_goes_on) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25140);
+    int runs = 0;
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      ++runs;
+      io::HttpResponse head = MakeResponse(exchange, 200, "");
+      head.headers.Add("Server-Leaving", "1");
+      exchange.BeginStream(head);
+      for (int id = 1; id <= 20; ++id) {
+        exchange.WriteChunk(Event(id));
+        runtime.SleepFor(milliseconds(20));
+      }
+      exchange.EndStream();
+    });
+    const auto body = fixture.Stream(fixture.Request("/once/x", "r1"));
+    std::string expected;
+    for (int id = 1; id <= 20; ++id) {
+      expected += Event(id);
+    }
+    cr_assert(body.has_value() && body.value() == expected);
+    cr_assert_eq(runs, 1);
+    cr_assert_eq(fixture.Call(fixture.Request("/once/x", "r2")).value().status,
+                 503);
+    cr_assert_eq(runs, 1);
+  });
+}
+
+// Guards against a send after a wait during which the server began to leave.
+Test(router, a_request_that_waited_is_not_sent_to_a_leaving_server) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25150);
+    int arrivals = 0;
+    fixture.AddServer(1, "app", {}, [&arrivals](io::HttpExchange& exchange) {
+      ++arrivals;
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    });
+    fixture.routing_state.RecordRest("s1", {}, milliseconds(150),
+                                     runtime.Now());
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      status = fixture.Call(fixture.Request("/lookup/x", "r1")).value().status;
+    });
+    runtime.SleepFor(milliseconds(75));
+    cr_assert(fixture.routing_state.Servers().MarkLeaving("s1", {}));
+    runtime.SleepFor(milliseconds(300));
+    cr_assert_eq(status, 503);
+    cr_assert_eq(arrivals, 0);
+  });
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -285,6 +285,58 @@
   cr_assert(!tracker.RefusedRepeatedly("w"));
 }
 
+// Guards against a record that hides that a server has said it leaves, and
+// against a later start that counts as leaving too.
+Test(server_registry, a_server_that_says_it_leaves_is_leaving) {
+  ServerRegistry registry{ServerRegistrySettings{}};
+  ServerRecord record = Record("s", 10, 80);
+  record.server->started = {1000};
+  registry.ApplyChange(record, false, kStart);
+  const std::uint64_t generation = registry.Generation();
+  cr_assert(!registry.MarkLeaving("s", {999}));
+  cr_assert(!registry.MarkLeaving("t", {1000}));
+  cr_assert_eq(registry.Usable("orders").size(), 1);
+  cr_assert_eq(registry.Generation(), generation);
+  cr_assert(registry.MarkLeaving("s", {1000}));
+  cr_assert(!registry.MarkLeaving("s", {1000}));
+  cr_assert_gt(registry.Generation(), generation);
+  cr_assert(registry.Usable("orders").empty() && registry.Find("s")->leaving);
+  // The store says ready again, in a listing and after a removal.
+  record.revision = 11;
+  record.server->slots = 9;
+  registry.ApplyChange(record, false, kStart);
+  cr_assert(registry.Usable("orders").empty());
+  cr_assert_eq(registry.Find("s")->slots, 9);
+  registry.ApplyListing({record}, 12, kStart);
+  cr_assert(registry.Usable("orders").empty());
+  registry.ApplyChange({"s", 13, std::nullopt}, true, kStart);
+  cr_assert_null(registry.Find("s"));
+  record.revision = 14;
+  registry.ApplyChange(record, false, kStart);
+  cr_assert(registry.Usable("orders").empty());
+  // Another start of it, and then again one that leaves.
+  record.revision = 15;
+  record.server->started = {2000};
+  registry.ApplyChange(record, false, kStart);
+  cr_assert_eq(registry.Usable("orders").size(), 1);
+  cr_assert(!registry.MarkLeaving("s", {1000}));
+  cr_assert_eq(registry.Usable("orders").size(), 1);
+  cr_assert(registry.MarkLeaving("s", {2000}));
+  cr_assert(registry.Usable("orders").empty());
+}
+
+// Guards against a registration that an outage of the store keeps although its
+// server has said that it leaves.
+Test(server_registry, the_grace_period_does_not_keep_a_leaving_server) {
+  ServerRegistry registry{ServerRegistrySettings{}};
+  registry.ApplyListing({Record("a", 1, 80), Record("b", 2, 81)}, 3, kStart);
+  cr_assert(registry.MarkLeaving("a", {}));
+  registry.OnStoreRegained(kStart);
+  registry.ApplyListing({}, 5, kStart);
+  cr_assert_null(registry.Find("a"));
+  cr_assert_not_null(registry.Find("b"));
+}
+
 Test(routing_state, an_older_configuration_is_not_applied) {
   RoutingState routing_state({}, 1);
   RouteTableData data;
