Tests: arrivals in the millisecond in which a rest ends are after it

The log of the stand-in has whole milliseconds, so a request that waited for the end of a rest could be counted as one within it. The bound of two requests is unchanged.

--- a/fault_tests/resting_servers.py
+++ b/fault_tests/resting_servers.py
@@ -27,6 +27,7 @@
 import collections
 import http.client
 import json
+import math
 import os
 import random
 import re
@@ -243,10 +244,13 @@
                                             for ip, begin, end in fleet.vm_restarts):
                 continue
             rests += 1
-            count = sum(arrival["vm"] == answer["vm"] and at + REACTION_S < arrival["at"] / 1000 < at + seconds and
-                        not any(begin <= arrival["at"] / 1000 <= end for _, begin, end in silences)
-                        for arrival in log.arrivals)
-            worst = max(worst, (count, "%s asked %s for %.2f s at %.2f" % (log.server, answer["vm"], seconds, at)))
+            # Whole milliseconds, as logged: what arrives in that of the end is not within the rest.
+            late = ["%.3f" % ((arrival["at"] - answer["at"]) / 1000) for arrival in log.arrivals
+                    if arrival["vm"] == answer["vm"] and
+                    1000 * REACTION_S < arrival["at"] - answer["at"] < math.floor(1000 * seconds + 1e-6) and
+                    not any(begin <= arrival["at"] / 1000 <= end for _, begin, end in silences)]
+            worst = max(worst, (len(late), "%s asked %s for %.2f s at %.2f, then %s" %
+                                (log.server, answer["vm"], seconds, at, " ".join(late[:6]))))
     check("%s: at most %d requests of a VM reach a resting server" % (name, REST_REQUESTS), worst[0] <= REST_REQUESTS,
           "%d rests, most %d %s" % (rests, *worst))
     return rests
@@ -303,7 +307,8 @@
     logs = fleet.all_logs()
     outcomes = [outcome for load in loads for outcome in load.outcomes]
     kinds = collections.Counter((outcome.route, outcome.kind) for outcome in outcomes)
-    print("%s: %s" % (name, ", ".join("%s %s %d" % (*kind, count) for kind, count in sorted(kinds.items()))), flush=True)
+    print("%s: %s" % (name, ", ".join("%s %s %d" % (*kind, count) for kind, count in sorted(kinds.items()))),
+          flush=True)
     senders = {arrival["vm"] for log in logs for arrival in log.arrivals} - {""}  # empty: gone already
     check("%s: requests come from the addresses of the VMs" % name,
           senders and senders <= {router.ip for router in fleet.routers}, senders)
