Rests: callers come back within a second after the first server

While all servers of a service rested 3.4 s, 4 of 208 refusals named up to 5.1 s: the spread was half of the time left. It is bounded by one second now.

--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -28,6 +28,7 @@
 // that is left.
 constexpr double kRestRetrySpreadShare = 0.5;
 constexpr Duration kMinRestRetrySpread = milliseconds(300);
+constexpr Duration kMaxRestRetrySpread = seconds(1);
 constexpr Duration kMaxRestRetryAfter = seconds(10);  // without the spread
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
@@ -206,8 +207,8 @@
   }
   const Duration wait = std::min(*first_back, kMaxRestRetryAfter);
   const Duration spread =
-      std::max(kMinRestRetrySpread,
-               duration_cast<Duration>(kRestRetrySpreadShare * wait));
+      std::clamp(duration_cast<Duration>(kRestRetrySpreadShare * wait),
+                 kMinRestRetrySpread, kMaxRestRetrySpread);
   return wait + duration_cast<Duration>(this->random.Unit() * spread);
 }
 
