Streams: a first worker that answers again may hold a move at once

Trace: the first worker had been silent, was in the cooldown for unreachable workers (1.5 to 12 s), and answered long before its end; a move needs the first worker, so none was tried, and the first worker cut the runs that waited for a later stage. A move now probes a first worker that counts as unreachable, and an answer ends that cooldown.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -285,7 +285,7 @@
     switch (result.outcome) {
       case SendOutcome::kResponse:
         routing_state.ServerHealth().OnSuccess(server.id, now - start, now);
-        routing_state.OnServed(server.id);
+        routing_state.OnAnswered(server.id);
         return;
       case SendOutcome::kNotExecuted:
         routing_state.StartCooldown(server.id, routing::CooldownReason::kFull,
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -135,7 +135,7 @@
   this->server_health.ClearRefusedConnections();
 }
 
-void RoutingState::OnServed(const std::string& worker) {
+void RoutingState::OnAnswered(const std::string& worker) {
   this->cooldowns.ClearUnreachable(this->Incarnation(worker));
 }
 
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -114,8 +114,9 @@
   /// Forgets which servers could not be reached.
   void ClearUnreachable();
 
-  /// A worker has completed a request: ends its unreachable cooldown.
-  void OnServed(const std::string& worker);
+  /// A worker has completed a request or answered a probe: ends its unreachable
+  /// cooldown.
+  void OnAnswered(const std::string& worker);
 
   /// The start of a server; zero if it is unknown.
   WallTime StartedOf(const std::string& server) const;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -564,7 +564,7 @@
     }
     call->ReturnToPool();
     for (const PathStage& stage : this->stream.path) {
-      this->dependencies.routing_state->OnServed(stage.worker);
+      this->dependencies.routing_state->OnAnswered(stage.worker);
     }
     return {SendOutcome::kResponse, {}, "", false};
   }
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -480,6 +480,23 @@
     return path;
   }
 
+  // Ends the cooldown of an unreachable worker that answers again. The first
+  // worker of a path holds the run: without it nothing can be moved.
+  void RecheckWorker(const PathStage& stage) {
+    RoutingState& routing_state = *this->dependencies->routing_state;
+    if (!routing_state.IsUnreachable(stage.worker,
+                                     this->dependencies->runtime->Now()) ||
+        !this->pending_reports.insert(stage.worker).second) {
+      return;
+    }
+    const bool answers = this->Answers(stage.worker, stage.address,
+                                       this->settings.verify_timeout);
+    this->pending_reports.erase(stage.worker);
+    if (answers) {
+      routing_state.OnAnswered(stage.worker);
+    }
+  }
+
   // A leaving worker completes its current requests, but accepts no new path.
   bool CanKeep(const PathStage& stage, Instant now) const {
     const RoutingState& routing_state = *this->dependencies->routing_state;
@@ -518,6 +535,9 @@
     for (const auto& [worker, start] : this->SuspectWorkersOf(stream, run)) {
       this->dependencies->crashes->AwaitVerdict(start);
     }
+    if (this->InProgress(stream, run)) {
+      this->RecheckWorker(PathStage(stream->path.front()));
+    }
     for (int i = 0; i < kMaxMoveOrders; ++i) {
       if (!this->InProgress(stream, run)) {
         return;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1291,6 +1291,51 @@
   });
 }
 
+// Guards against streams that may run once and end at a sound first worker: it
+// was silent as well, and no move was tried until its cooldown had ended.
+Test(router, a_stream_is_moved_once_its_first_worker_answers_again) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22930);
+    const Instant silent_until = runtime.Now() + milliseconds(500);
+    Instant moved_at{};
+    fixture.AddServer(1, "llm", {0, 2}, [&](io::HttpExchange& exchange) {
+      const io::HttpRequest& request = exchange.Request();
+      if (request.method == "GET" || request.target == "/v1/order") {
+        while (runtime.Now() < silent_until) {
+          runtime.SleepFor(milliseconds(5));
+        }
+        if (request.method != "GET") {
+          moved_at = runtime.Now();
+        }
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      exchange.WriteChunk(Event(1));
+      while (moved_at == Instant{}) {
+        runtime.SleepFor(milliseconds(5));
+      }
+      exchange.WriteChunk(Event(2));
+      exchange.EndStream();
+    });
+    // Accepts connections and does not respond.
+    fixture.AddServer(2, "llm", {2, 4}, [&runtime](io::HttpExchange& exchange) {
+      runtime.SleepFor(seconds(3));
+      exchange.Abort();
+    });
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(40));
+      fixture.AddServer(3, "llm", {2, 4}, [](io::HttpExchange& exchange) {
+        exchange.Respond({200, {}, R"({"seq":1})"});
+      });
+    });
+    const auto body = fixture.Stream(fixture.Request("/once/x", "r1"));
+    cr_assert(body.has_value());
+    cr_assert(body.value() == Event(1) + Event(2));
+    cr_assert(moved_at - silent_until < milliseconds(500), "%ld",
+              ToMilliseconds(moved_at - silent_until));
+  });
+}
+
 namespace {
 
 constexpr const char* kPromptPrefix = "Chervilpass-Prompt-Prefix";
