--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -142,14 +142,15 @@
   }
 
  private:
-  // Takes servers out of `tried` that rest for `max_wait` at most: they can be
-  // asked again after their rest. False if there are none.
+  // Takes servers out of `tried` whose rest ends at most `max_wait` after the
+  // request was received: they can be asked again. False if there are none.
   bool MayAskAgain(std::set<std::string>* tried, Duration max_wait) const {
     const RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
+    const Duration wait_left = max_wait - (now - this->context.received);
     return std::erase_if(*tried, [&](const std::string& server) {
              const Duration left = routing_state.RestLeft(server, now);
-             return left > Duration::zero() && left <= max_wait;
+             return left > Duration::zero() && left <= wait_left;
            }) > 0;
   }
 
