--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -71,7 +71,7 @@
 // several runs at a time; each has a number of its own.
 struct Run {
   std::string request_id;
-  std::string key;  // request id and number, as other workers see it
+  std::string key;  // identifies the run at other workers
   std::vector<Stage> path;
 };
 
@@ -704,7 +704,9 @@
     }
     const auto run = std::make_shared<Run>();
     run->request_id = id;
-    run->key = fmt::format("{}-{}-{}", this->settings.id, id, ++this->last_run);
+    // Part of a query, so without the request id, which may hold any character.
+    run->key = fmt::format("{}-{}-{}", this->settings.id, this->started_at_ms,
+                           ++this->last_run);
     run->path =
         ReadPath(request.headers.Find("Chervilpass-Hop-Count").value_or(""));
     // A copy: a repath order may replace the path while the stages are checked.
