--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -28,7 +28,7 @@
 // that is left.
 constexpr double kRestRetrySpreadShare = 0.5;
 constexpr Duration kMinRestRetrySpread = milliseconds(300);
-constexpr Duration kMaxRestRetrySpread = seconds(1);
+constexpr Duration kMaxRestRetrySpread = milliseconds(1400);
 constexpr Duration kMaxRestRetryAfter = seconds(10);  // without the spread
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
