Streams: a run is given up if a worker of its path has ended

Cause: runs were kept at their first workers also when a probe had shown that a later worker had ended, so they crashed its successor as soon as it had its layers. An end is no silence: the run cannot go on there, and is given up at once with its retry in hand, as before; so is a quarantined one.

--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -177,8 +177,10 @@
       this->policy.GrantExtraAttempt();
     }
     const RetryDecision decision = this->policy.OnSendEnded(
-        result.outcome, this->scope.TimeLeft(),
-        [this, standby_ready] { return standby_ready || this->TakeRetry(); });
+        result.outcome, this->scope.TimeLeft(), [this, standby_ready] {
+          return standby_ready || this->scope.TakePaidRetry() ||
+                 this->TakeRetry();
+        });
     if (this->scope.Stopped()) {
       return this->EndStopped();
     }
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -242,10 +242,10 @@
                                                : finding->second.evidence);
   }
 
-  // Starts a standby run on another path. That resumes sooner than a move: the
-  // workers that take over in a move must process the tokens of all streams of
-  // the lost worker. False if no other run could follow. `excluded` are workers
-  // that it is not to use.
+  // Starts a standby run on another path, or gives up a run that cannot go on
+  // for one there. That resumes sooner than a move: the workers that take over
+  // in a move must process the tokens of all streams of the lost worker. False
+  // if no other run could follow. `excluded` are workers that it is not to use.
   bool TryResume(ActiveStream* stream,
                  std::string_view reason,
                  const std::set<std::string>& excluded) {
@@ -262,15 +262,31 @@
         !this->dependencies->routing_state->Retries().TryRetry()) {
       return false;
     }
-    this->dependencies->log->Info("stream.stalled",
-                                  {{"request", stream->request_id},
-                                   {"path", DescribePath(stream->path)},
-                                   {"reason", reason}});
-    this->dependencies->metrics->Increment("chervil_streams_stalled_total");
-    stream->start_standby(excluded);
+    this->LogStall(*stream, reason);
+    if (this->HasEndedStage(*stream)) {
+      stream->scope->SetRetryPaid();
+      stream->scope->Stop(StopReason::kStalled);
+    } else {
+      stream->start_standby(excluded);
+    }
     return true;
   }
 
+  // True if a probe has shown that a worker of the path has ended. Its part of
+  // the run is lost: the run cannot go on there, as at a silent worker.
+  bool HasEndedStage(const ActiveStream& stream) const {
+    return std::any_of(
+        stream.path.begin(), stream.path.end(), [&](const PathStage& stage) {
+          const auto start = stream.workers.find(stage.worker);
+          if (start == stream.workers.end()) {
+            return false;
+          }
+          const auto finding = this->findings.find(start->second.Key());
+          return finding != this->findings.end() &&
+                 finding->second.evidence == LossEvidence::kEnded;
+        });
+  }
+
   // False as well for a request that would not be sent again: it is suspected
   // of crashing its workers, or would be refused because this VM leaves.
   bool MayRunAgain(const ActiveStream& stream) const {
@@ -297,6 +313,14 @@
         .has_value();
   }
 
+  void LogStall(const ActiveStream& stream, std::string_view reason) {
+    this->dependencies->log->Info("stream.stalled",
+                                  {{"request", stream.request_id},
+                                   {"path", DescribePath(stream.path)},
+                                   {"reason", reason}});
+    this->dependencies->metrics->Increment("chervil_streams_stalled_total");
+  }
+
   // Asks the first worker of a path which of its requests wait for which
   // workers; one report at a time serves all streams that begin there.
   void StartExamining(const PathStage& first) {
@@ -543,9 +567,14 @@
         return;
       }
       const CrashMonitor& crashes = *this->dependencies->crashes;
+      // Its workers have ended: no silence, and its run would end the next one.
+      if (crashes.IsQuarantined(stream->run)) {
+        this->LogStall(*stream, "it has crashed backend servers");
+        stream->scope->Stop(StopReason::kStalled);
+        return;
+      }
       // New workers would run the request again.
-      if (crashes.IsQuarantined(stream->run) ||
-          crashes.MustNotRepeat(stream->run)) {
+      if (crashes.MustNotRepeat(stream->run)) {
         break;
       }
       const Path path = this->ReplacementPath(*stream, refusing);
