Streams: a run is given up at each end of its worker, standby runs too

A worker that had started again since the run began, or that another VM had found first, counted as silent: a standby run started, the first run was kept, and its first worker sent the request on to each return of the ended worker, up to 3 s long. The path of the standby run was not watched at all, and while there was one the first run was not watched either. In all five traced failures the strike came 2 to 3 ms after the standby run had begun.

- A worker has ended if a probe showed so, if its end is known from strikes, or if it is registered with a later start.
A run whose worker has ended is given up or moved, also beside a standby run, which then follows it.
- The workers of standby runs are checked and probed like those of first runs; one that has ended ends the standby run and gets a strike.
- A move replaces a worker that has ended although it is back.
- A run that waits for a worker which has started again is recorded for its new start.

The unit test fails before.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -485,6 +485,17 @@
   return start;
 }
 
+bool CrashMonitor::HasEnded(const ServerStart& start) const {
+  ServerStart first = start;
+  first.known_ends = 0;
+  if (this->state->Routing().EndsOf(first.Key()) > start.known_ends) {
+    return true;
+  }
+  const routing::BackendServer* registered =
+      this->state->Routing().Servers().Find(start.id);
+  return registered != nullptr && IsLaterStart(registered->started, start);
+}
+
 std::uint32_t CrashMonitor::StrikesOf(std::uint64_t fingerprint) const {
   return this->state->dependencies->routing_state->Strikes().Count(
       fingerprint, this->state->dependencies->runtime->WallNow());
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -110,6 +110,9 @@
                       const io::Endpoint& address,
                       bool model_worker) const;
 
+  /// True if the server is known to have ended since this start.
+  bool HasEnded(const ServerStart& start) const;
+
   /// Independent strikes of a request now.
   std::uint32_t StrikesOf(std::uint64_t fingerprint) const;
 
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -45,6 +45,16 @@
   }
 }
 
+void StandbyRun::Fail(std::set<std::string> new_ended_workers) {
+  if (this->done || !this->MayGoOn()) {
+    return;
+  }
+  this->ended_workers = std::move(new_ended_workers);
+  if (this->call != nullptr) {
+    this->call->Cancel();
+  }
+}
+
 void StandbyRun::Run() {
   BegunStreamRun run = this->Begin();
   this->call = nullptr;
@@ -88,7 +98,7 @@
 
 bool StandbyRun::MayBeSent() const {
   const CrashMonitor& crashes = *this->dependencies->crashes;
-  return !this->cancelled && !crashes.IsQuarantined(this->request.run) &&
+  return this->MayGoOn() && !crashes.IsQuarantined(this->request.run) &&
          !crashes.MustNotRepeat(this->request.run);
 }
 
@@ -136,7 +146,7 @@
   run.outcome = SendOutcome::kNotSent;
   run.detail = "no other VM takes it";
   this->through_peer = true;
-  while (this->forwarder.Possible() && !this->cancelled) {
+  while (this->forwarder.Possible() && this->MayGoOn()) {
     ForwardedCall forwarded = this->forwarder.Send(
         this->request.request, this->TimeLeft(), this->request.sequence.Last(),
         [this](io::HttpCall* opened) { return this->SetCall(opened); });
@@ -162,11 +172,12 @@
 }
 
 bool StandbyRun::SetCall(io::HttpCall* new_call) {
-  if (this->cancelled) {
+  if (!this->MayGoOn()) {
     return false;
   }
   this->call = new_call;
   this->sent = true;
+  this->sent_at = this->dependencies->runtime->Now();
   return true;
 }
 
@@ -211,10 +222,10 @@
   this->reserved = path;
   this->dependencies->routing_state->Loads().Add(path, this->request.tokens);
   for (const PathStage& stage : path) {
+    const ServerStart start =
+        crashes.StartOf(stage.worker, stage.address, true);
+    this->workers[stage.worker] = start;
     if (!this->request.workers.contains(stage.worker)) {
-      const ServerStart start =
-          crashes.StartOf(stage.worker, stage.address, true);
-      this->new_workers[stage.worker] = start;
       crashes.OnRunStarted(run, start);
     }
   }
@@ -227,19 +238,25 @@
   this->dependencies->routing_state->Loads().Remove(this->reserved,
                                                     this->request.tokens);
   this->reserved.clear();
-  for (const auto& [worker, start] : this->new_workers) {
-    this->dependencies->crashes->OnRunEnded(this->request.run, start);
+  // The first run still counts for the workers that it uses as well.
+  for (const auto& [worker, start] : this->workers) {
+    if (!this->request.workers.contains(worker)) {
+      this->dependencies->crashes->OnRunEnded(this->request.run, start);
+    }
   }
 }
 
 void StandbyRun::RecordLoss() {
   for (const PathStage& stage : this->reserved) {
-    const bool broke =
-        stage.worker == this->reserved.front().worker && !this->cancelled;
+    LossEvidence evidence = LossEvidence::kAbandoned;
+    if (this->ended_workers.contains(stage.worker)) {
+      evidence = LossEvidence::kEnded;
+    } else if (this->MayGoOn() &&
+               stage.worker == this->reserved.front().worker) {
+      evidence = LossEvidence::kConnectionBroke;
+    }
     this->dependencies->crashes->OnRunLost(
-        this->request.run,
-        this->dependencies->crashes->StartOf(stage.worker, stage.address, true),
-        broke ? LossEvidence::kConnectionBroke : LossEvidence::kAbandoned);
+        this->request.run, this->workers.at(stage.worker), evidence);
   }
 }
 
--- a/chervilpass/serving/standby_run.h
+++ b/chervilpass/serving/standby_run.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "chervilpass/serving/crash_monitor.h"
@@ -46,6 +47,10 @@
   /// The first run goes on: ends this one.
   void Cancel();
 
+  /// Ends the run: these workers of its path have ended. Then `on_done` is
+  /// called.
+  void Fail(std::set<std::string> ended_workers);
+
   bool Done() const { return this->done; }
 
   /// True if it has written and can be taken over.
@@ -56,6 +61,16 @@
   /// True if a worker or another VM may have run it.
   bool MayHaveRun() const { return this->sent; }
 
+  /// The path; empty until it is chosen, and if another VM takes the request.
+  const placement::Path& RunPath() const { return this->reserved; }
+
+  /// The start of a worker of the path.
+  const ServerStart& StartOf(const std::string& worker) const {
+    return this->workers.at(worker);
+  }
+
+  Instant SentAt() const { return this->sent_at; }
+
   /// VMs that the request has been forwarded to.
   const std::set<io::Endpoint>& TriedPeers() const {
     return this->forwarder.Tried();
@@ -79,6 +94,9 @@
   void AwaitFirstEvent(BegunStreamRun* run);
   bool MayBeSent() const;
   bool SetCall(io::HttpCall* new_call);
+  bool MayGoOn() const {
+    return !this->cancelled && this->ended_workers.empty();
+  }
   Duration TimeLeft() const;
   void Reserve(const placement::Path& path);
   void Release();
@@ -91,8 +109,10 @@
   BegunStreamRun begun;
   io::HttpCall* call = nullptr;  ///< in progress
   placement::Path reserved;
-  /// Starts of the workers of the path that the first run does not use.
-  std::map<std::string, ServerStart> new_workers;
+  std::map<std::string, ServerStart> workers;  ///< of `reserved`
+  /// Workers that have ended; then the run fails.
+  std::set<std::string> ended_workers;
+  Instant sent_at{};
   bool cancelled = false;
   bool sent = false;
   bool through_peer = false;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -271,7 +271,7 @@
 
   // Tells the registry what may follow the run in progress.
   void UpdateOptions() {
-    this->stream.standby_in_progress = this->standby != nullptr;
+    this->stream.standby = this->standby.get();
     this->stream.may_resume = this->policy.MayRunAgain();
     this->stream.may_forward = this->forwarder.Possible();
   }
@@ -453,6 +453,7 @@
     this->stream.first_event_seen = false;
     this->stream.run.events = 0;
     this->stream.moved = false;
+    this->stream.worker_ended = false;
     this->UpdateOptions();
     RecordWorkers(this->dependencies, &this->stream, {});
     this->last_path = path;
@@ -620,6 +621,9 @@
     }
     this->last_event = now;
     this->CancelStandby();
+    if (std::exchange(this->stream.worker_ended, false)) {
+      RecordRestarts(this->dependencies, &this->stream);
+    }
     // An event has passed through all workers of the path.
     for (const PathStage& stage : this->stream.path) {
       this->dependencies.links->OnReached(stage.worker);
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "chervilpass/serving/link_monitor.h"
+#include "chervilpass/serving/standby_run.h"
 #include "platform/worker_decoder.h"
 
 namespace chervilpass::serving {
@@ -50,6 +51,22 @@
   }
 }
 
+void RecordRestarts(const RouterDependencies& dependencies,
+                    ActiveStream* stream) {
+  placement::Path kept;
+  for (const PathStage& stage : stream->path) {
+    const auto known = stream->workers.find(stage.worker);
+    if (known != stream->workers.end() &&
+        dependencies.crashes->StartOf(stage.worker, stage.address, true) ==
+            known->second) {
+      kept.push_back(stage);
+    }
+  }
+  if (kept.size() < stream->path.size()) {
+    RecordWorkers(dependencies, stream, kept);
+  }
+}
+
 void ForgetWorkers(const RouterDependencies& dependencies,
                    ActiveStream* stream) {
   for (const auto& [worker, start] : stream->workers) {
@@ -92,22 +109,37 @@
     });
     const std::set<std::string> active = this->RecentlyActiveWorkers(now);
     for (ActiveStream* stream : this->streams) {
+      if (stream->standby != nullptr) {
+        this->CheckStandby(*stream->standby, now);
+      }
       if (stream->path.empty() || stream->moving ||
-          stream->standby_in_progress ||
           stream->scope->Reason() != StopReason::kNone) {
         continue;
       }
+      if (stream->worker_ended && !this->HasEndedStage(*stream)) {
+        RecordRestarts(*this->dependencies, stream);
+      }
       const Duration silence = now - stream->last_progress;
       const Duration min_stall = this->MinStall(*stream);
       if (silence < std::max(min_stall, this->settings.probe_threshold)) {
         continue;
       }
+      if (stream->standby != nullptr) {
+        if (this->HasEndedStage(*stream)) {
+          // The standby run is what follows.
+          this->ReportLostStages(stream, now);
+          this->LogStall(*stream, "a worker of its path has ended");
+          stream->scope->Stop(StopReason::kStalled);
+        }
+        continue;
+      }
       if (this->dependencies->links->CutOff()) {
         this->TryResume(stream, "this VM is cut off", {});
         continue;
       }
-      if (this->HasUnreachableStage(*stream, now)) {
-        this->ReportUnreachableStages(*stream, now);
+      if (this->HasUnreachableStage(*stream, now) ||
+          this->HasEndedStage(*stream)) {
+        this->ReportLostStages(stream, now);
         if (!this->TryResume(stream, "a worker of its path is gone", {})) {
           this->StartMove(stream, {});
         }
@@ -115,7 +147,7 @@
       }
       const bool expects_event = ExpectsEvent(*stream);
       if (expects_event) {
-        this->ProbePath(*stream, active);
+        this->ProbePath(stream->path, active);
       }
       if (silence < (expects_event
                          ? std::max(min_stall, this->settings.stall_threshold)
@@ -157,9 +189,8 @@
 
   // Reports lag behind, so an unreachable worker is found sooner by probing all
   // workers of the path that serve no stream with a recent event.
-  void ProbePath(const ActiveStream& stream,
-                 const std::set<std::string>& active) {
-    for (const PathStage& stage : stream.path) {
+  void ProbePath(const Path& path, const std::set<std::string>& active) {
+    for (const PathStage& stage : path) {
       if (!active.contains(stage.worker) &&
           !this->probes_answered.contains(stage.worker)) {
         this->StartProbe(stage);
@@ -222,10 +253,13 @@
   }
 
   // The workers may have crashed because of the stream.
-  void ReportUnreachableStages(const ActiveStream& stream, Instant now) {
-    for (const PathStage& stage : stream.path) {
-      if (this->dependencies->routing_state->IsUnreachable(stage.worker, now)) {
-        this->ReportLoss(stream, stage.worker);
+  void ReportLostStages(ActiveStream* stream, Instant now) {
+    for (const PathStage& stage : stream->path) {
+      const bool ended = this->HasEnded(*stream, stage.worker);
+      stream->worker_ended |= ended;
+      if (ended ||
+          this->dependencies->routing_state->IsUnreachable(stage.worker, now)) {
+        this->ReportLoss(*stream, stage.worker);
       }
     }
   }
@@ -236,10 +270,47 @@
       return;
     }
     const auto finding = this->findings.find(start->second.Key());
-    this->dependencies->crashes->OnRunLost(stream.run, start->second,
-                                           finding == this->findings.end()
-                                               ? LossEvidence::kSuspected
-                                               : finding->second.evidence);
+    LossEvidence evidence = LossEvidence::kSuspected;
+    if (this->HasEnded(start->second)) {
+      evidence = LossEvidence::kEnded;
+    } else if (finding != this->findings.end()) {
+      evidence = finding->second.evidence;
+    }
+    this->dependencies->crashes->OnRunLost(stream.run, start->second, evidence);
+  }
+
+  bool HasEnded(const ServerStart& start) const {
+    const auto finding = this->findings.find(start.Key());
+    return (finding != this->findings.end() &&
+            finding->second.evidence == LossEvidence::kEnded) ||
+           this->dependencies->crashes->HasEnded(start);
+  }
+
+  // True if the worker has ended since the run began there.
+  bool HasEnded(const ActiveStream& stream, const std::string& worker) const {
+    const auto start = stream.workers.find(worker);
+    return start != stream.workers.end() && this->HasEnded(start->second);
+  }
+
+  // Ends a standby run that cannot go on because a worker of its path has
+  // ended.
+  void CheckStandby(StandbyRun& standby, Instant now) {
+    if (standby.Done() || !standby.MayHaveRun()) {
+      return;
+    }
+    std::set<std::string> ended;
+    for (const PathStage& stage : standby.RunPath()) {
+      if (this->HasEnded(standby.StartOf(stage.worker))) {
+        ended.insert(stage.worker);
+      }
+    }
+    if (!ended.empty()) {
+      standby.Fail(std::move(ended));
+      return;
+    }
+    if (now - standby.SentAt() >= this->settings.first_event_stall_threshold) {
+      this->ProbePath(standby.RunPath(), this->RecentlyActiveWorkers(now));
+    }
   }
 
   // Starts a standby run on another path, or gives up a run that cannot go on
@@ -256,7 +327,7 @@
     const Duration interval =
         this->settings.standby_interval *
         (1U << std::min(stream->failed_standbys, kMaxIntervalDoublings));
-    if (stream->standby_in_progress ||
+    if (stream->standby != nullptr ||
         now - stream->last_standby_end < interval ||
         !this->MayRunAgain(*stream) || !may_go_elsewhere ||
         !this->dependencies->routing_state->Retries().TryRetry()) {
@@ -272,19 +343,14 @@
     return true;
   }
 
-  // True if a probe has shown that a worker of the path has ended. Its part of
-  // the run is lost: the run cannot go on there, as at a silent worker.
+  // True if a worker of the path is known to have ended, though it may have
+  // started again. Its part of the run is lost: the run cannot go on there, as
+  // at a silent worker.
   bool HasEndedStage(const ActiveStream& stream) const {
-    return std::any_of(
-        stream.path.begin(), stream.path.end(), [&](const PathStage& stage) {
-          const auto start = stream.workers.find(stage.worker);
-          if (start == stream.workers.end()) {
-            return false;
-          }
-          const auto finding = this->findings.find(start->second.Key());
-          return finding != this->findings.end() &&
-                 finding->second.evidence == LossEvidence::kEnded;
-        });
+    return std::any_of(stream.path.begin(), stream.path.end(),
+                       [&](const PathStage& stage) {
+                         return this->HasEnded(stream, stage.worker);
+                       });
   }
 
   // False as well for a request that would not be sent again: it is suspected
@@ -402,7 +468,7 @@
     this->StartFullCooldown(worker);
     for (ActiveStream* stream : this->streams) {
       if (ids.contains(stream->request_id) && !stream->moving &&
-          !stream->standby_in_progress && !stream->path.empty()) {
+          stream->standby == nullptr && !stream->path.empty()) {
         // It may have crashed and started again.
         this->ReportLoss(*stream, worker);
         this->StartMove(stream, {worker});
@@ -462,8 +528,8 @@
         });
   }
 
-  // The path with unreachable and refusing workers replaced; empty if that is
-  // impossible.
+  // The path with unreachable, ended and refusing workers replaced; empty if
+  // that is impossible.
   Path ReplacementPath(const ActiveStream& stream,
                        const std::set<std::string>& refusing) const {
     RoutingState& routing_state = *this->dependencies->routing_state;
@@ -474,7 +540,8 @@
       excluded.insert(stage.worker);
     }
     for (const PathStage& stage : stream.path) {
-      if (!refusing.contains(stage.worker) && this->CanKeep(stage, now)) {
+      if (!refusing.contains(stage.worker) && this->CanKeep(stage, now) &&
+          !this->HasEnded(stream, stage.worker)) {
         path.push_back(stage);
         continue;
       }
@@ -639,6 +706,7 @@
     }
     if (!this->TryResume(stream, "its path cannot be mended", {})) {
       // Nothing else can complete it now: wait for the worker.
+      RecordRestarts(*this->dependencies, stream);
       stream->last_progress = this->dependencies->runtime->Now();
     }
   }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -54,6 +54,8 @@
   bool operator==(const StreamRegistrySettings&) const = default;
 };
 
+class StandbyRun;
+
 /// A stream in progress. Owned by the fiber that serves it.
 struct ActiveStream {
   std::string request_id;
@@ -65,7 +67,7 @@
   /// Starts a run that takes over once it has written; it is paid from the
   /// retry budget already.
   std::function<void(const std::set<std::string>& excluded)> start_standby;
-  bool standby_in_progress = false;
+  StandbyRun* standby = nullptr;      ///< null if none is in progress
   std::uint32_t failed_standbys = 0;  ///< during the run in progress
   Instant last_standby_end{};
 
@@ -83,6 +85,8 @@
   bool first_event_seen = false;
   bool moving = false;  ///< a move to another path is in progress
   bool moved = false;   ///< since the last event
+  /// A worker of the path has ended since the last event; it may start again.
+  bool worker_ended = false;
 };
 
 /// Records the starts of the workers that a run was given or moved to. Workers
@@ -91,6 +95,11 @@
                    ActiveStream* stream,
                    const placement::Path& kept);
 
+/// Records the workers of the path that have started again: the first worker
+/// sends the stream on to them by itself.
+void RecordRestarts(const RouterDependencies& dependencies,
+                    ActiveStream* stream);
+
 /// Forgets the workers of a run that has ended.
 void ForgetWorkers(const RouterDependencies& dependencies,
                    ActiveStream* stream);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1237,6 +1237,48 @@
   });
 }
 
+// Guards against a standby run that waits for a worker that has ended: its
+// first worker sends the request on to each later start of that one, and ends
+// it again. The first run goes on.
+Test(router, a_standby_run_ends_with_a_worker_of_its_path) {
+  OnRuntime([](io::Runtime& runtime) {
+    std::vector<Instant> begun;
+    std::vector<Instant> cancelled;
+    SilentPair pair(runtime, 22945, milliseconds(900),
+                    [&](io::HttpExchange& exchange) {
+                      if (exchange.Request().method == "GET") {
+                        return exchange.Respond({200, {}, R"({"seq":1})"});
+                      }
+                      begun.push_back(runtime.Now());
+                      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+                      while (!exchange.PeerClosed()) {
+                        runtime.SleepFor(milliseconds(5));
+                      }
+                      cancelled.push_back(runtime.Now());
+                    });
+    Instant restarted{};
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(60));
+      RoutingState& routing_state = pair.fixture.routing_state;
+      routing::BackendServer worker = *routing_state.Servers().Find("s2");
+      for (const int revision : {10, 11}) {
+        worker.started = WallTime{revision};
+        routing_state.Servers().ApplyChange(
+            {"s2", static_cast<std::uint64_t>(revision), worker}, false,
+            runtime.Now());
+        restarted = runtime.Now();
+        runtime.SleepFor(milliseconds(300));
+      }
+    });
+    cr_assert(pair.Serves());
+    cr_assert_eq(pair.runs, 1);
+    cr_assert_geq(cancelled.size(), 1);
+    cr_assert(begun.front() < restarted);
+    cr_assert(cancelled.front() < restarted + milliseconds(60));
+    cr_assert_eq(pair.fixture.strikes, 1);
+  });
+}
+
 // Guards against calls that end because their VM found itself cut off: they
 // were cancelled, and then there was no retry or no other VM for them.
 Test(router, a_call_goes_on_if_no_other_vm_can_repeat_it) {
