Shutdown: connections that are established when a VM stops get an answer

HttpServer::StopAccepting accepts what is established before it closes the acceptor, and such a connection is served. The router then reads for 100 ms more, and waits for what it takes until the end of the grace period.

The unit test fails without the change (0 of 3 served).

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "chervilpass/io/await.h"
@@ -243,36 +244,54 @@
         acceptor(runtime->Context()) {}
 
   void AcceptLoop() {
-    while (!this->stopping) {
+    while (!this->stopped) {
       Tcp::socket socket(this->runtime->Context());
       const Completion accepted = Await([&](auto handler) {
         this->acceptor.async_accept(socket, std::move(handler));
       });
       if (accepted.error) {
-        if (!this->stopping) {
+        if (!this->stopped) {
           // Most likely out of descriptors: waits for some to be closed.
           this->runtime->SleepFor(kAcceptRetryDelay);
         }
         continue;
       }
-      if (this->connections >= this->settings.connection_limit) {
-        continue;
+      this->StartServing(std::move(socket));
+    }
+  }
+
+  void StartServing(Tcp::socket socket) {
+    if (this->connections >= this->settings.connection_limit) {
+      return;
+    }
+    ++this->connections;
+    auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+    this->runtime->Spawn([self = this->shared_from_this(), shared] {
+      self->ServeConnection(std::move(*shared));
+    });
+  }
+
+  // Closing the acceptor resets connections that have not been accepted.
+  void AcceptEstablished() {
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+      Tcp::socket socket(this->runtime->Context());
+      this->acceptor.accept(socket, error);
+      if (!error) {
+        this->StartServing(std::move(socket));
       }
-      auto shared = std::make_shared<Tcp::socket>(std::move(socket));
-      this->runtime->Spawn([self = this->shared_from_this(), shared] {
-        self->ServeConnection(std::move(*shared));
-      });
     }
   }
 
   void ServeConnection(Tcp::socket socket) {
-    ++this->connections;
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     bool first = true;
-    while (!this->stopping && this->ServeRequest(&stream, &buffer, first)) {
+    while (!this->destroyed && this->ServeRequest(&stream, &buffer, first) &&
+           !this->stopped) {
       first = false;
     }
     stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
@@ -381,7 +400,8 @@
   HttpHandler handler;
   HttpErrorResponder error_responder;
   Tcp::acceptor acceptor;
-  bool stopping = false;
+  bool stopped = false;    // accepts no connections any more
+  bool destroyed = false;  // the handler may not be called any more
   bool keep_alive_allowed = true;
   std::set<beast::tcp_stream*> idle;  // between two requests
   std::size_t connections = 0;
@@ -392,7 +412,10 @@
     : state(std::move(state)) {}
 
 HttpServer::~HttpServer() {
-  this->StopAccepting();
+  this->state->destroyed = true;
+  this->state->stopped = true;
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
 }
 
 Result<std::unique_ptr<HttpServer>, HttpError> HttpServer::Create(
@@ -425,7 +448,10 @@
 }
 
 void HttpServer::StopAccepting() {
-  this->state->stopping = true;
+  if (std::exchange(this->state->stopped, true)) {
+    return;
+  }
+  this->state->AcceptEstablished();
   boost::system::error_code ignored;
   this->state->acceptor.close(ignored);
 }
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -90,7 +90,8 @@
 
   ~HttpServer();
 
-  /// Stops accepting; open connections close after the request in flight.
+  /// Stops accepting; connections that are established close after their next
+  /// response.
   void StopAccepting();
 
   /// Disables keep-alive: the server continues to accept connections, and
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -33,6 +33,9 @@
 constexpr Duration kDrainPollInterval = milliseconds(50);
 // Idle connections are closed at the latest this long before the exit.
 constexpr Duration kCloseIdleMargin = milliseconds(900);
+// How long requests are read once no connections are accepted any more.
+constexpr Duration kLastReadTime = milliseconds(100);
+constexpr Duration kLastReadPollInterval = milliseconds(5);
 // For the responses that are given at the end.
 constexpr Duration kFinalWriteTime = milliseconds(20);
 // The process exits at least this long before the end of the grace period.
@@ -706,11 +709,25 @@
     }
     // The grace period may have been shortened to less than has passed.
     this->router->RespondBeforeShutdown();
+    this->ServeEstablished(end());
     this->runtime.SleepFor(kFinalWriteTime);
     this->router->LogUnfinished();
     this->log.Info("router.stopped", {{"in_flight", this->router->InFlight()}});
   }
 
+  // Responds to requests that arrive on connections which are open already.
+  void ServeEstablished(Instant end) {
+    this->caller_server->StopAccepting();
+    const Instant until = this->runtime.Now() + kLastReadTime;
+    while (this->caller_server->Connections() > 0 &&
+           (this->runtime.Now() < until ||
+            (this->router->InFlight() > 0 && this->runtime.Now() < end))) {
+      this->caller_server->CloseIdle();
+      this->runtime.SleepFor(kLastReadPollInterval);
+      this->router->RespondBeforeShutdown();
+    }
+  }
+
   io::Runtime& runtime;
   RouterProgramSettings settings;
   app::CommandLine command_line;
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -317,6 +317,55 @@
   });
 }
 
+// Guards against connections that are reset when their server stops: the
+// system has established them, but the server has not accepted them yet.
+Test(http, established_connections_are_served_after_accepting_has_stopped) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(21);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    runtime.SleepFor(milliseconds(5));
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::endpoint address(
+        boost::asio::ip::make_address(listen.ip), listen.port);
+    std::vector<boost::asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < 3; ++i) {
+      sockets.emplace_back(context);
+      sockets.back().connect(address);
+    }
+    server->StopAccepting();
+    boost::system::error_code refused;
+    boost::asio::ip::tcp::socket late(context);
+    late.connect(address, refused);
+    std::atomic<bool> finished = false;
+    std::size_t served = 0;
+    std::thread peer([&] {
+      for (boost::asio::ip::tcp::socket& socket : sockets) {
+        boost::system::error_code error;
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")),
+            error);
+        std::string response;
+        char piece[1000];
+        while (!error) {
+          const std::size_t size =
+              socket.read_some(boost::asio::buffer(piece), error);
+          response.append(piece, size);
+        }
+        served += response.find("ok") != std::string::npos ? 1 : 0;
+      }
+      finished = true;
+    });
+    while (!finished) {
+      runtime.SleepFor(milliseconds(5));
+    }
+    peer.join();
+    cr_assert_eq(served, sockets.size(), "%zu served", served);
+    cr_assert(refused == boost::asio::error::connection_refused);
+  });
+}
+
 Test(endpoint, parses_ip_and_port_only) {
   cr_assert(Endpoint::Parse("127.0.0.1:80").has_value());
   for (const char* bad : {"", "127.0.0.1", "host:80", "127.0.0.1:0",
