Streams: requests with several strikes are kept apart

It had run beside the crashing one at four ends in a row: both had the same strikes, both were moved or sent on at the same time, and both to the only worker with free capacity that had just come back. Nothing tells two such requests from each other as long as they share their workers.

A request with two or more strikes avoids workers on which another such request runs, as far as this VM knows, for paths, standby runs and moves. If there is no other path it is served all the same (PathQuery::avoided).

--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -43,6 +43,7 @@
   double prompt_tokens = 0;
   double answer_tokens = 0;
   std::set<std::string> excluded;    ///< ids of workers not to use
+  std::set<std::string> avoided;     ///< used only if there is no other path
   bool includes_first_stage = true;  ///< that stage needs a batch slot
   /// Longest useful delay of the request by the rate limit of its first worker.
   Duration max_send_wait{0};
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -72,6 +72,11 @@
     bool probe_again = false;
   };
 
+  struct RunningServer {
+    std::string id;
+    std::map<std::string, TrackedRun> runs;  // by request id
+  };
+
   State(const RouterDependencies* dependencies, CrashMonitorSettings settings)
       : dependencies(dependencies), settings(settings) {}
 
@@ -437,7 +442,7 @@
         [&](const WatchedRun& lost) { return is_strong_suspect(lost.run); });
     if (const auto found = this->running.find(key);
         found != this->running.end()) {
-      for (const auto& [request, run] : found->second) {
+      for (const auto& [request, run] : found->second.runs) {
         has_strong_suspect |= is_strong_suspect(run);
       }
     }
@@ -452,8 +457,8 @@
   const RouterDependencies* dependencies;
   CrashMonitorSettings settings;
   std::map<std::string, Watched> watched;  // by ServerStart::Key
-  // Runs in progress, by ServerStart::Key, then request id.
-  std::map<std::string, std::map<std::string, TrackedRun>> running;
+  // Servers with runs in progress, by ServerStart::Key.
+  std::map<std::string, RunningServer> running;
   std::size_t watched_runs = 0;  // sum over `watched`
   bool dropping = false;         // `watched` is full, which has been logged
   bool stopped = false;
@@ -542,6 +547,23 @@
   return this->state->HasPartWithStrikes(run, kStrongSuspicion);
 }
 
+std::set<std::string> CrashMonitor::WorkersOfOtherSuspects(
+    const TrackedRun& run) const {
+  std::set<std::string> workers;
+  if (this->StrikesOf(run.fingerprint) < kStrongSuspicion) {
+    return workers;
+  }
+  for (const auto& [key, server] : this->state->running) {
+    for (const auto& [request, other] : server.runs) {
+      if (other.fingerprint != run.fingerprint &&
+          this->StrikesOf(other.fingerprint) >= kStrongSuspicion) {
+        workers.insert(server.id);
+      }
+    }
+  }
+  return workers;
+}
+
 void CrashMonitor::RecordPriorStrikes(TrackedRun* run) const {
   run->prior_strikes = this->StrikesOf(run->fingerprint);
   for (TrackedPart& part : run->parts) {
@@ -556,7 +578,9 @@
 
 void CrashMonitor::OnRunStarted(const TrackedRun& run,
                                 const ServerStart& server) {
-  this->state->running[server.Key()].insert_or_assign(run.request_id, run);
+  State::RunningServer& running = this->state->running[server.Key()];
+  running.id = server.id;
+  running.runs.insert_or_assign(run.request_id, run);
 }
 
 void CrashMonitor::OnRunEnded(const TrackedRun& run,
@@ -565,8 +589,8 @@
   if (found == this->state->running.end()) {
     return;
   }
-  found->second.erase(run.request_id);
-  if (found->second.empty()) {
+  found->second.runs.erase(run.request_id);
+  if (found->second.runs.empty()) {
     this->state->running.erase(found);
   }
 }
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -134,6 +135,11 @@
   /// it has not proven has several strikes.
   bool MustNotRepeat(const TrackedRun& run) const;
 
+  /// Workers on which another request with several strikes runs; none unless
+  /// this one has several as well. Kept apart, the requests that crash servers
+  /// differ from their neighbours.
+  std::set<std::string> WorkersOfOtherSuspects(const TrackedRun& run) const;
+
   /// Sets the prior strikes of a run that begins now.
   void RecordPriorStrikes(TrackedRun* run) const;
 
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -304,8 +304,19 @@
     const placement::ModelProfile& model,
     const placement::PathQuery& query,
     Instant now) {
-  return placement::ChoosePath(model, this->PathCandidates(service, model, now),
-                               query, this->settings.paths, &this->random);
+  const auto candidates = this->PathCandidates(service, model, now);
+  const auto choose = [&](const placement::PathQuery& wanted) {
+    return placement::ChoosePath(model, candidates, wanted,
+                                 this->settings.paths, &this->random);
+  };
+  if (!query.avoided.empty()) {
+    placement::PathQuery apart = query;
+    apart.excluded.insert(query.avoided.begin(), query.avoided.end());
+    if (auto found = choose(apart); found.has_value()) {
+      return found;
+    }
+  }
+  return choose(query);
 }
 
 std::optional<routing::BackendServer> RoutingState::PickServer(
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -417,6 +417,8 @@
     query.prompt_tokens = this->stream.prompt_tokens;
     query.answer_tokens = this->stream.answer_tokens;
     query.excluded = this->refusing_workers;
+    query.avoided =
+        this->dependencies.crashes->WorkersOfOtherSuspects(this->stream.run);
     query.max_send_wait = this->MaxWaitToSend();
     return query;
   }
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -557,6 +557,8 @@
       query.prompt_tokens = stream.prompt_tokens;
       query.answer_tokens = stream.answer_tokens;
       query.excluded = excluded;
+      query.avoided =
+          this->dependencies->crashes->WorkersOfOtherSuspects(stream.run);
       query.includes_first_stage = false;
       const auto found =
           routing_state.FindPath(stream.service, *stream.model, query, now);
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -476,6 +476,37 @@
   cr_assert(routing_state.RetryAfterRests("orders", kStart) >= seconds(3));
 }
 
+// Guards against requests that are refused because the only path leads through
+// a worker that is better avoided.
+Test(routing_state, avoided_workers_are_used_if_there_is_no_other_path) {
+  RoutingState routing_state({}, 1);
+  placement::ModelProfile model;
+  model.layers = 8;
+  model.layer_mb = 10;
+  model.kv_bytes_per_token = 1000;
+  model.batch_limit = 8;
+  model.typical_answer_tokens = 20;
+  model.accelerator_kinds["k"] = {36000, 1, 1};
+  for (const std::uint16_t port : {80, 81}) {
+    ServerRecord record = Record(fmt::format("s{}", port), port, port);
+    record.server->layers = {0, 8};
+    record.server->accelerator_kind = "k";
+    routing_state.Servers().ApplyChange(record, false, kStart);
+  }
+  placement::PathQuery query;
+  query.layers = {0, 8};
+  const auto worker = [&] {
+    const auto found = routing_state.FindPath("orders", model, query, kStart);
+    return found.has_value() ? found.value().path.front().worker : "";
+  };
+  query.avoided = {"s80"};
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(worker() == "s81");
+  }
+  query.excluded = {"s81"};
+  cr_assert(worker() == "s80");
+}
+
 // The store is unavailable while workers leave, so that only their refusals
 // show that they accept no new work.
 Test(routing_state, a_worker_that_refuses_despite_capacity_is_reported) {
