Rests: each lasts 5 ms more than its server has stated

The call waited for the end of the rest as the server had rounded it, asked both servers less than a millisecond too soon, and both answered 503 with "Retry-After: 0.000". Zero counted as no rest, so that the call had no server to wait for.

Zero is decoded as a rest of zero, and the router adds 5 ms to every rest, for the rounding.

--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -20,6 +20,9 @@
 constexpr double kMaxRateLimit = 1e6;     // requests per second
 // For routes without a response objective.
 constexpr Duration kDefaultSendWait = milliseconds(250);
+// Servers round the rests that they state. Asked a moment too soon they would
+// refuse again, and a request may be refused only a few times.
+constexpr Duration kRestMargin = milliseconds(5);
 
 void RecordRateLimit(const RouterDependencies& dependencies,
                      const std::string& server,
@@ -62,7 +65,8 @@
     return;
   }
   dependencies.metrics->Increment("chervil_rests_total");
-  if (dependencies.routing_state->RecordRest(server, started, *field.rest,
+  if (dependencies.routing_state->RecordRest(server, started,
+                                             *field.rest + kRestMargin,
                                              dependencies.runtime->Now())) {
     dependencies.log->Info("rest.began",
                            {{"request", context.metadata.request_id},
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -72,7 +72,7 @@
 /// How long a backend server that has refused a request wants none from this
 /// VM, according to its response.
 struct RestField {
-  /// None if the response asks for no rest. Positive and bounded.
+  /// None if the response states no time. Bounded, not negative.
   std::optional<Duration> rest;
   /// A field is there that is not one non-negative decimal number of seconds;
   /// it counts for nothing.
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1798,6 +1798,25 @@
   });
 }
 
+// Guards against a refusal of the call because the server had rounded the rest
+// of its rest down to nothing.
+Test(router, a_call_is_sent_again_after_a_rest_of_nothing) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 25048);
+    int arrivals = 0;
+    fixture.AddServer(1, "app", {}, [&arrivals](io::HttpExchange& exchange) {
+      ++arrivals;
+      exchange.Respond(
+          arrivals < 3
+              ? RestingResponse(exchange, arrivals == 1 ? "0.05" : "0.000")
+              : MakeResponse(exchange, 200, "ok"));
+    });
+    cr_assert_eq(
+        fixture.Call(fixture.Request("/lookup/x", "r1")).value().status, 200);
+    cr_assert_eq(arrivals, 3);
+  });
+}
+
 // Guards against a send after a wait during which another rest has begun.
 Test(router, a_rest_that_begins_during_a_wait_is_kept) {
   OnRuntime([](io::Runtime& runtime) {
