--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -48,6 +48,19 @@
   return std::move(server).value();
 }
 
+// All bytes received before the socket closes.
+std::string ReadToEnd(boost::asio::ip::tcp::socket& socket) {
+  std::string received;
+  char piece[1000];
+  boost::system::error_code error;
+  while (!error) {
+    const std::size_t size =
+        socket.read_some(boost::asio::buffer(piece), error);
+    received.append(piece, size);
+  }
+  return received;
+}
+
 // Sends bytes on a plain socket and returns all bytes received before it
 // closes.
 std::string RawExchange(const Endpoint& to, const std::string& bytes) {
@@ -56,14 +69,7 @@
   socket.connect({boost::asio::ip::make_address(to.ip), to.port});
   boost::system::error_code error;
   boost::asio::write(socket, boost::asio::buffer(bytes), error);
-  std::string response;
-  char piece[1000];
-  while (!error) {
-    const std::size_t size =
-        socket.read_some(boost::asio::buffer(piece), error);
-    response.append(piece, size);
-  }
-  return response;
+  return ReadToEnd(socket);
 }
 
 }  // namespace
@@ -346,13 +352,7 @@
         boost::asio::write(
             socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")),
             error);
-        std::string response;
-        char piece[1000];
-        while (!error) {
-          const std::size_t size =
-              socket.read_some(boost::asio::buffer(piece), error);
-          response.append(piece, size);
-        }
+        const std::string response = ReadToEnd(socket);
         served += response.find("ok") != std::string::npos ? 1 : 0;
       }
       finished = true;
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -440,10 +440,9 @@
   cr_assert(routing_state.RetryAfterRests("none", kStart) == Duration::zero());
 }
 
-// Guards against a resting first worker that counts as available because
-// workers of later layers do not rest.
-Test(routing_state, only_workers_with_the_first_layer_rest) {
-  RoutingState routing_state({}, 1);
+namespace {
+
+placement::ModelProfile EightLayers() {
   placement::ModelProfile model;
   model.layers = 8;
   model.layer_mb = 10;
@@ -451,6 +450,16 @@
   model.batch_limit = 8;
   model.typical_answer_tokens = 20;
   model.accelerator_kinds["k"] = {36000, 1, 1};
+  return model;
+}
+
+}  // namespace
+
+// Guards against a resting first worker that counts as available because
+// workers of later layers do not rest.
+Test(routing_state, only_workers_with_the_first_layer_rest) {
+  RoutingState routing_state({}, 1);
+  const placement::ModelProfile model = EightLayers();
   const auto add = [&](const std::string& id, std::uint16_t port,
                        placement::LayerRange layers) {
     ServerRecord record = Record(id, port, port);
@@ -480,13 +489,7 @@
 // a worker that is better avoided.
 Test(routing_state, avoided_workers_are_used_if_there_is_no_other_path) {
   RoutingState routing_state({}, 1);
-  placement::ModelProfile model;
-  model.layers = 8;
-  model.layer_mb = 10;
-  model.kv_bytes_per_token = 1000;
-  model.batch_limit = 8;
-  model.typical_answer_tokens = 20;
-  model.accelerator_kinds["k"] = {36000, 1, 1};
+  const placement::ModelProfile model = EightLayers();
   for (const std::uint16_t port : {80, 81}) {
     ServerRecord record = Record(fmt::format("s{}", port), port, port);
     record.server->layers = {0, 8};
