Stream registry: the check of one stream is a function of its own

CheckStreams had grown to two screens. No change of behaviour: the body of the loop moves, continue becomes return.

--- a/chervilpass/serving/standby_run.h
+++ b/chervilpass/serving/standby_run.h
@@ -51,6 +51,7 @@
   /// called.
   void Fail(std::set<std::string> ended_workers);
 
+  /// True once it has written or has ended.
   bool Done() const { return this->done; }
 
   /// True if it has written and can be taken over.
@@ -69,6 +70,7 @@
     return this->workers.at(worker);
   }
 
+  /// When it was last sent to a worker or to another VM.
   Instant SentAt() const { return this->sent_at; }
 
   /// VMs that the request has been forwarded to.
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -286,7 +286,7 @@
   }
 
   // Waits until a standby run, if one is in progress, is ready or has ended.
-  // One that does not write soon ends: nothing watches its workers.
+  // One that does not write soon ends: its workers may be silent as well.
   void AwaitStandby() {
     this->scope.ResumeAfterStall();
     const Instant until = this->dependencies.runtime->Now() + kMaxStandbyWait;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -109,56 +109,63 @@
     });
     const std::set<std::string> active = this->RecentlyActiveWorkers(now);
     for (ActiveStream* stream : this->streams) {
-      if (stream->standby != nullptr) {
-        this->CheckStandby(*stream->standby, now);
-      }
-      if (stream->path.empty() || stream->moving ||
-          stream->scope->Reason() != StopReason::kNone) {
-        continue;
-      }
-      if (stream->worker_ended && !this->HasEndedStage(*stream)) {
-        RecordRestarts(*this->dependencies, stream);
-      }
-      const Duration silence = now - stream->last_progress;
-      const Duration min_stall = this->MinStall(*stream);
-      if (silence < std::max(min_stall, this->settings.probe_threshold)) {
-        continue;
-      }
-      if (stream->standby != nullptr) {
-        if (this->HasEndedStage(*stream)) {
-          // The standby run is what follows.
-          this->ReportLostStages(stream, now);
-          this->LogStall(*stream, "a worker of its path has ended");
-          stream->scope->Stop(StopReason::kStalled);
-        }
-        continue;
-      }
-      if (this->dependencies->links->CutOff()) {
-        this->TryResume(stream, "this VM is cut off", {});
-        continue;
-      }
-      if (this->HasUnreachableStage(*stream, now) ||
-          this->HasEndedStage(*stream)) {
+      this->CheckStream(stream, active, now);
+    }
+  }
+
+  // `active` are workers that have served events just now.
+  void CheckStream(ActiveStream* stream,
+                   const std::set<std::string>& active,
+                   Instant now) {
+    if (stream->standby != nullptr) {
+      this->CheckStandby(*stream->standby, now);
+    }
+    if (stream->path.empty() || stream->moving ||
+        stream->scope->Reason() != StopReason::kNone) {
+      return;
+    }
+    if (stream->worker_ended && !this->HasEndedStage(*stream)) {
+      RecordRestarts(*this->dependencies, stream);
+    }
+    const Duration silence = now - stream->last_progress;
+    const Duration min_stall = this->MinStall(*stream);
+    if (silence < std::max(min_stall, this->settings.probe_threshold)) {
+      return;
+    }
+    if (stream->standby != nullptr) {
+      if (this->HasEndedStage(*stream)) {
+        // The standby run is what follows.
         this->ReportLostStages(stream, now);
-        if (!this->TryResume(stream, "a worker of its path is gone", {})) {
-          this->StartMove(stream, {});
-        }
-        continue;
-      }
-      const bool expects_event = ExpectsEvent(*stream);
-      if (expects_event) {
-        this->ProbePath(stream->path, active);
-      }
-      if (silence < (expects_event
-                         ? std::max(min_stall, this->settings.stall_threshold)
-                         : this->settings.first_event_stall_threshold)) {
-        continue;
+        this->LogStall(*stream, "a worker of its path has ended");
+        stream->scope->Stop(StopReason::kStalled);
       }
-      if (silence < this->settings.stall_timeout ||
-          !this->TryResume(stream, "no event for too long",
-                           {stream->path.front().worker})) {
-        this->StartExamining(stream->path.front());
+      return;
+    }
+    if (this->dependencies->links->CutOff()) {
+      this->TryResume(stream, "this VM is cut off", {});
+      return;
+    }
+    if (this->HasUnreachableStage(*stream, now) ||
+        this->HasEndedStage(*stream)) {
+      this->ReportLostStages(stream, now);
+      if (!this->TryResume(stream, "a worker of its path is gone", {})) {
+        this->StartMove(stream, {});
       }
+      return;
+    }
+    const bool expects_event = ExpectsEvent(*stream);
+    if (expects_event) {
+      this->ProbePath(stream->path, active);
+    }
+    if (silence < (expects_event
+                       ? std::max(min_stall, this->settings.stall_threshold)
+                       : this->settings.first_event_stall_threshold)) {
+      return;
+    }
+    if (silence < this->settings.stall_timeout ||
+        !this->TryResume(stream, "no event for too long",
+                         {stream->path.front().worker})) {
+      this->StartExamining(stream->path.front());
     }
   }
 
