Membership: a detector that holds in fleets of hundreds of VMs

- each VM sent a join request to each listed VM, and each was answered with the whole list in 33 datagrams: 1,636 datagrams and 863 KB a VM in the first second at 195 VMs (91 VMs: 401 and 205 KB).
VMs of 0.12 cores fall behind, are declared dead, and are asked to join again each second: it sustains itself;
- a datagram had room for five changes, each sent 32 times: after 6 s a VM knew 63 in 100 of the others as ready, and refutations waited behind old news;

Now: - VMs that the store lists are added from the list, without join requests; - changes travel as updates of some 28 bytes instead of whole records, up to 32 a datagram, refutations first, then those sent least often; - digests of the tables travel with probes; VMs whose tables differ exchange the buckets that differ (anti-entropy), within a budget of records. A death learnt that way counts as a suspicion; - suspicions last 0.8 to 1.8 s in the router, shorter with each VM that confirms them (Lifeguard); a VM that was stalled, or hears no one, waits longer; - notices to all members go through a few others each in fleets over 32 VMs, so their number does not grow with the VMs that notice the same event; - the table is kept in one place; no caller copies it any more; - member.changed is logged up to 5 times a second and VM.

Earlier builds read whole records and ignore the new fields; messages of a VM without a digest are answered in that form.

--- a/chervilpass/control/control_node.cc
+++ b/chervilpass/control/control_node.cc
@@ -222,7 +222,7 @@
     this->metrics->Increment("chervil_config_taken_total");
     this->detector.SetConfigVersion(version);
     this->PublishView();
-    this->Apply(this->detector.Announce(kAnnounceFanout));
+    this->Apply(this->detector.Announce(kAnnounceFanout, this->runtime->Now()));
   }
 
   // True if this VM is a relay of its data centre. Only relays watch the
@@ -370,7 +370,7 @@
     self.dispatch_up = dispatch_up;
     self.status = status;
     this->Apply(this->detector.UpdateSelf(self, now));
-    this->Apply(this->detector.Announce(kAnnounceFanout));
+    this->Apply(this->detector.Announce(kAnnounceFanout, this->runtime->Now()));
   }
 
   io::Runtime* runtime;
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -1,8 +1,10 @@
 #include "chervilpass/fleet/peer_group.h"
 
 #include <boost/json.hpp>
+#include <utility>
 
 #include "chervilpass/core/hash.h"
+#include "chervilpass/core/token_bucket.h"
 #include "chervilpass/rpc/gossip_codec.h"
 #include "platform/json_fields.h"
 
@@ -15,6 +17,9 @@
 
 constexpr std::uint32_t kAnnounceFanout = 3;  // receivers of an announcement
 constexpr Duration kRegisterRetryDelay = milliseconds(500);
+// Lines about changed members: per second, and at once.
+constexpr double kChangeLogRate = 5;
+constexpr double kChangeLogBurst = 40;
 
 json::value EncodeMember(const Member& member) {
   json::object body;
@@ -24,6 +29,7 @@
   body["http_port"] = member.http_port;
   body["control_port"] = member.control_port;
   body["gossip_port"] = member.gossip_port;
+  body["forward_port"] = member.forward_port;
   body["boot_id"] = member.boot_id;
   return body;
 }
@@ -41,6 +47,10 @@
       static_cast<std::uint16_t>(fields.Integer("control_port"));
   member.gossip_port =
       static_cast<std::uint16_t>(fields.Integer("gossip_port"));
+  // Earlier builds do not store the port.
+  member.forward_port =
+      static_cast<std::uint16_t>(fields.IntegerOr("forward_port", 0));
+  member.boot_id = fields.Integer("boot_id");
   return fields.FirstError() ? std::nullopt : std::optional<Member>(member);
 }
 
@@ -64,7 +74,8 @@
         detector(this->settings.detector,
                  this->settings.self,
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
-                 runtime->Now()) {}
+                 runtime->Now()),
+        change_log_rate(kChangeLogRate, kChangeLogBurst, runtime->Now()) {}
 
   void Start() {
     const auto self = this->shared_from_this();
@@ -146,19 +157,15 @@
         seed.cut_off = false;
         this->PingIfUnknown(seed);
       }
-      for (const Member& seed : this->listed_members) {
-        this->PingIfUnknown(seed);
-      }
       this->runtime->SleepFor(this->settings.seed_period);
     }
   }
 
   void PingIfUnknown(const Member& seed) {
-    for (const Member& member : this->detector.Members()) {
-      if (member.vm == seed.vm && member.boot_id != 0 &&
-          member.status != Status::kDead) {
-        return;
-      }
+    const Member* known = this->detector.Table().Find(seed.vm);
+    if (known != nullptr && known->boot_id != 0 &&
+        known->status != Status::kDead) {
+      return;
     }
     // The detector itself pings dead members too, but only from time to time.
     this->Apply(this->detector.AddSeed(seed, this->runtime->Now()));
@@ -207,45 +214,67 @@
   }
 
   void ApplyListing(const platform::Listing& listing) {
-    this->listed_members.clear();
+    std::vector<Member> listed;
     for (const platform::StoredObject& object : listing.objects) {
-      if (object.name == this->settings.self.vm) {
-        continue;
-      }
       if (const auto member = DecodeMember(object.name, object.spec)) {
-        this->listed_members.push_back(*member);
-        this->PingIfUnknown(*member);
+        listed.push_back(*member);
       } else {
         this->log->Warning("entry.unreadable", {{"entry", object.name}});
       }
     }
+    const std::size_t known = this->detector.Members().size();
+    this->Apply(this->detector.AddListed(listed, this->runtime->Now()));
+    this->log->Info("member.listed",
+                    {{"listed", listed.size()},
+                     {"new", this->detector.Members().size() - known}});
+    this->Announce();
+  }
+
+  void Announce() {
+    this->Apply(this->detector.Announce(kAnnounceFanout, this->runtime->Now()));
   }
 
   void Apply(const membership::DetectorActions& actions) {
     for (const membership::DetectorAction& action : actions) {
       std::visit([this](const auto& item) { this->Do(item); }, action);
     }
+    this->max_alive =
+        std::max(this->max_alive, this->detector.Table().AliveCount());
   }
 
+  // A message to several VMs is encoded once.
   void Do(const membership::SendGossip& send) {
-    this->socket->Send({send.to.ip, send.to.gossip_port},
-                       rpc::EncodeGossip(send.message));
+    if (this->last_message != send.message) {
+      this->last_message = send.message;
+      this->last_datagram = rpc::EncodeGossip(send.message);
+    }
+    this->socket->Send({send.to.ip, send.to.gossip_port}, this->last_datagram);
   }
 
+  // What the list of VMs says is logged as a whole. Changes that other VMs
+  // report are logged up to a rate: a herd of VMs that returns changes every
+  // record.
   void Do(const membership::MemberChanged& change) {
     const Member& member = change.member;
-    this->log->Info("member.changed",
-                    {{"member", member.vm},
-                     {"status", static_cast<int>(member.status)},
-                     {"incarnation", member.incarnation},
-                     {"entry_up", member.entry_up},
-                     {"store_up", member.store_up},
-                     {"cut_off", member.cut_off}});
-    std::size_t alive = 0;
-    for (const Member& known : this->detector.Members()) {
-      alive += known.status != Status::kDead ? 1 : 0;
+    const Instant now = this->runtime->Now();
+    this->metrics->Increment("chervil_member_changes_total");
+    if (change.origin == membership::ChangeOrigin::kListing) {
+      return;
+    }
+    if (!this->change_log_rate.TryTake(now)) {
+      ++this->unlogged_changes;
+      return;
     }
-    this->max_alive = std::max(this->max_alive, alive);
+    this->log->Info(
+        "member.changed",
+        {{"member", member.vm},
+         {"status", static_cast<int>(member.status)},
+         {"incarnation", member.incarnation},
+         {"own", change.origin == membership::ChangeOrigin::kOwn},
+         {"entry_up", member.entry_up},
+         {"store_up", member.store_up},
+         {"cut_off", member.cut_off},
+         {"unlogged_before", std::exchange(this->unlogged_changes, 0)}});
   }
 
   void Do(const membership::StrikeReceived& received) {
@@ -279,7 +308,7 @@
     change(&self);
     if (self != before) {
       this->Apply(this->detector.UpdateSelf(self, this->runtime->Now()));
-      this->Apply(this->detector.Announce(kAnnounceFanout));
+      this->Announce();
     }
   }
 
@@ -291,7 +320,10 @@
   PeerGroupEvents events;
   std::unique_ptr<io::UdpSocket> socket;
   membership::Detector detector;
-  std::vector<Member> listed_members;  ///< in the store, without this VM
+  membership::GossipMessage last_message;  ///< encoded in `last_datagram`
+  std::string last_datagram;
+  TokenBucket change_log_rate;
+  std::uint64_t unlogged_changes = 0;  ///< since the last line
   std::size_t max_alive = 1;
   bool stopped = false;
 };
@@ -333,7 +365,7 @@
 
 void PeerGroup::SetConfigVersion(std::uint64_t version) {
   this->state->detector.SetConfigVersion(version);
-  this->state->Apply(this->state->detector.Announce(kAnnounceFanout));
+  this->state->Announce();
 }
 
 void PeerGroup::SetLeaving() {
@@ -368,12 +400,28 @@
       {backend, started, this->state->runtime->WallNow()}));
 }
 
-std::vector<Member> PeerGroup::Members() const {
+const std::vector<Member>& PeerGroup::Members() const {
   return this->state->detector.Members();
 }
 
+const Member* PeerGroup::Find(const std::string& vm) const {
+  return this->state->detector.Table().Find(vm);
+}
+
+std::size_t PeerGroup::AliveCount() const {
+  return this->state->detector.Table().AliveCount();
+}
+
 std::size_t PeerGroup::MaxAlive() const {
   return this->state->max_alive;
 }
 
+std::uint64_t PeerGroup::BytesSent() const {
+  return this->state->socket->BytesSent();
+}
+
+std::uint64_t PeerGroup::DatagramsSent() const {
+  return this->state->socket->DatagramsSent();
+}
+
 }  // namespace chervilpass::fleet
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -78,13 +78,24 @@
   void BroadcastRefusing(const std::string& backend);
   void BroadcastDeparture(const std::string& backend, WallTime started);
 
-  /// Returns all known members, this VM first, dead ones included.
-  std::vector<membership::Member> Members() const;
+  /// All known members, this VM first, dead ones included. The reference stays
+  /// valid; its contents change while a fiber waits.
+  const std::vector<membership::Member>& Members() const;
+
+  /// Returns the record of a VM; null if it is unknown.
+  const membership::Member* Find(const std::string& vm) const;
+
+  /// Returns the number of VMs, this one included, that are not dead.
+  std::size_t AliveCount() const;
 
   /// Returns the maximum number of VMs, this one included, that were not dead
   /// at the same time.
   std::size_t MaxAlive() const;
 
+  /// Payload bytes and number of all gossip datagrams that this VM has sent.
+  std::uint64_t BytesSent() const;
+  std::uint64_t DatagramsSent() const;
+
  private:
   struct State;
   explicit PeerGroup(std::shared_ptr<State> state);
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -62,7 +62,7 @@
         MetricsRegistry* metrics,
         const Logger* log,
         PlacementControllerSettings settings,
-        std::function<std::vector<membership::Member>()> members,
+        std::function<const std::vector<membership::Member>&()> members,
         std::function<bool()> cut_off,
         DeciderClaim claim)
       : runtime(runtime),
@@ -83,7 +83,7 @@
   MetricsRegistry* metrics;
   const Logger* log;
   PlacementControllerSettings settings;
-  std::function<std::vector<membership::Member>()> members;
+  std::function<const std::vector<membership::Member>&()> members;
   std::function<bool()> cut_off;
   DeciderClaim claim;
 
@@ -191,7 +191,7 @@
   }
 
   bool AnyMemberReachesStore() const {
-    const auto known_members = this->members();
+    const auto& known_members = this->members();
     return std::any_of(known_members.begin(), known_members.end(),
                        [](const membership::Member& member) {
                          return member.store_up &&
@@ -436,7 +436,7 @@
     const Logger* log,
     PlacementControllerSettings settings,
     membership::Member self,
-    std::function<std::vector<membership::Member>()> members,
+    std::function<const std::vector<membership::Member>&()> members,
     std::function<bool()> cut_off) {
   auto state =
       std::make_shared<State>(runtime, store, http, routing_state, metrics, log,
--- a/chervilpass/fleet/placement_controller.h
+++ b/chervilpass/fleet/placement_controller.h
@@ -55,7 +55,7 @@
       const Logger* log,
       PlacementControllerSettings settings,
       membership::Member self,
-      std::function<std::vector<membership::Member>()> members,
+      std::function<const std::vector<membership::Member>&()> members,
       std::function<bool()> cut_off);
   ~PlacementController();
 
--- a/chervilpass/fleet/send_permits.cc
+++ b/chervilpass/fleet/send_permits.cc
@@ -28,7 +28,7 @@
         MetricsRegistry* metrics,
         const Logger* log,
         SendPermitsSettings settings,
-        std::function<std::vector<Member>()> members,
+        std::function<const std::vector<Member>&()> members,
         std::unique_ptr<io::UdpSocket> socket)
       : runtime(runtime),
         routing_state(routing_state),
@@ -110,8 +110,9 @@
     if (!limit) {
       return {true, Duration::zero()};
     }
-    const auto known_members = this->members();
-    const Member& scheduling = SchedulingMember(known_members, server);
+    const auto& known_members = this->members();
+    // A copy: the table changes while this fiber waits for a reply.
+    const Member scheduling = SchedulingMember(known_members, server);
     Reservation reservation;
     const auto silent = this->silent_until.find(scheduling.vm);
     if (scheduling.vm == known_members.front().vm) {
@@ -205,7 +206,7 @@
   MetricsRegistry* metrics;
   const Logger* log;
   SendPermitsSettings settings;
-  std::function<std::vector<Member>()> members;
+  std::function<const std::vector<Member>&()> members;
   std::unique_ptr<io::UdpSocket> socket;
   /// Of the servers that this VM schedules for all VMs.
   routing::RateScheduler scheduler;
@@ -236,7 +237,7 @@
     MetricsRegistry* metrics,
     const Logger* log,
     SendPermitsSettings settings,
-    std::function<std::vector<Member>()> members) {
+    std::function<const std::vector<Member>&()> members) {
   BOOST_OUTCOME_TRY(auto socket,
                     io::UdpSocket::Create(runtime, settings.listen));
   auto state = std::make_shared<State>(runtime, routing_state, metrics, log,
--- a/chervilpass/fleet/send_permits.h
+++ b/chervilpass/fleet/send_permits.h
@@ -42,7 +42,7 @@
       MetricsRegistry* metrics,
       const Logger* log,
       SendPermitsSettings settings,
-      std::function<std::vector<membership::Member>()> members);
+      std::function<const std::vector<membership::Member>&()> members);
   ~SendPermits();
 
   /// Reserves a time to send a request to a server, at most `max_wait` ahead.
--- a/chervilpass/membership/member.h
+++ b/chervilpass/membership/member.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string>
 
+#include "chervilpass/core/hash.h"
+
 namespace chervilpass::membership {
 
 /// State of a member, ordered by precedence within one incarnation.
@@ -47,4 +49,41 @@
   return candidate.status > known.status;
 }
 
+/// What changes of a record within one start of its VM, as sent to VMs that
+/// know the rest. About a quarter of the size of a `Member`.
+struct MemberUpdate {
+  std::uint64_t vm_key = 0;    ///< MemberKey of the VM
+  std::uint32_t identity = 0;  ///< MemberIdentity of the record
+  std::uint64_t boot_id = 0;
+  std::uint64_t incarnation = 0;
+  Status status = Status::kAlive;
+  bool entry_up = false;
+  bool dispatch_up = false;
+  bool store_up = false;
+  bool cut_off = false;
+  /// For kSuspect: the VM whose probe failed, by the lower half of its
+  /// MemberKey; 0 if unknown.
+  std::uint32_t suspected_by = 0;
+
+  auto operator<=>(const MemberUpdate&) const = default;
+};
+
+/// Identifies a VM in updates and digests.
+inline std::uint64_t MemberKey(const std::string& vm) {
+  return HashText(vm);
+}
+
+/// Hash of the parts of a record that an update leaves out.
+std::uint32_t MemberIdentity(const Member& member);
+
+/// Hash of the parts of a record on which all VMs agree once its last change
+/// has reached them.
+std::uint64_t MemberDigest(const Member& member);
+
+/// Returns the update that states `member`, whose MemberIdentity is `identity`.
+MemberUpdate UpdateOf(const Member& member, std::uint32_t identity);
+
+/// Returns `known` with the changes of `update`, which is about the same VM.
+Member WithUpdate(const Member& known, const MemberUpdate& update);
+
 }  // namespace chervilpass::membership
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -187,6 +187,26 @@
   loadsOfDataCentre @9 :Bool;   # `loads` are sums over the sender's data centre
   clearances @10 :List(Clearance);
   departures @11 :List(Departure);
+  updates @12 :List(MemberUpdate);
+  tableDigest @13 :UInt64;      # 0: this build does not compare tables
+  bucketDigests @14 :List(UInt32);  # empty, or one for each bucket
+  listedBuckets @15 :UInt64;    # bit set: `updates` has the whole bucket
+  wanted @16 :List(UInt64);     # keys of VMs
+  passOn @17 :Bool;
+}
+
+# The parts of a Member that change while the VM runs.
+struct MemberUpdate {
+  vmKey @0 :UInt64;
+  bootId @1 :UInt64;
+  incarnation @2 :UInt64;
+  identity @3 :UInt32;
+  suspectedBy @4 :UInt32;
+  status @5 :UInt8;             # membership::Status
+  entryUp @6 :Bool;
+  dispatchUp @7 :Bool;
+  storeUp @8 :Bool;
+  cutOff @9 :Bool;
 }
 
 # States that a start of a backend server has said that it leaves.
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -5,6 +5,8 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 #include "chervilpass/rpc/codec.h"
 
 namespace chervilpass::rpc {
@@ -13,6 +15,24 @@
 constexpr std::uint64_t kMaxMessageWords = 16 * 1024;
 constexpr std::uint8_t kMaxKind =
     static_cast<std::uint8_t>(membership::MessageKind::kLoads);
+constexpr std::uint8_t kMaxStatus =
+    static_cast<std::uint8_t>(membership::Status::kDead);
+
+membership::MemberUpdate ReadUpdate(schema::MemberUpdate::Reader from) {
+  membership::MemberUpdate update;
+  update.vm_key = from.getVmKey();
+  update.boot_id = from.getBootId();
+  update.incarnation = from.getIncarnation();
+  update.identity = from.getIdentity();
+  update.suspected_by = from.getSuspectedBy();
+  update.status = static_cast<membership::Status>(
+      std::min<std::uint8_t>(from.getStatus(), kMaxStatus));
+  update.entry_up = from.getEntryUp();
+  update.dispatch_up = from.getDispatchUp();
+  update.store_up = from.getStoreUp();
+  update.cut_off = from.getCutOff();
+  return update;
+}
 
 membership::GossipMessage ReadMessage(schema::Gossip::Reader from) {
   membership::GossipMessage message;
@@ -50,9 +70,59 @@
                              load.getRateLimitAge()});
   }
   message.loads_of_data_centre = from.getLoadsOfDataCentre();
+  for (const auto update : from.getUpdates()) {
+    message.updates.push_back(ReadUpdate(update));
+  }
+  message.table_digest = from.getTableDigest();
+  const auto digests = from.getBucketDigests();
+  if (digests.size() == membership::kTableBuckets) {
+    message.bucket_digests.emplace();
+    std::copy(digests.begin(), digests.end(), message.bucket_digests->begin());
+  }
+  message.listed_buckets = from.getListedBuckets();
+  for (const std::uint64_t key : from.getWanted()) {
+    message.wanted.push_back(key);
+  }
+  message.pass_on = from.getPassOn();
   return message;
 }
 
+void WriteUpdate(const membership::MemberUpdate& update,
+                 schema::MemberUpdate::Builder to) {
+  to.setVmKey(update.vm_key);
+  to.setBootId(update.boot_id);
+  to.setIncarnation(update.incarnation);
+  to.setIdentity(update.identity);
+  to.setSuspectedBy(update.suspected_by);
+  to.setStatus(static_cast<std::uint8_t>(update.status));
+  to.setEntryUp(update.entry_up);
+  to.setDispatchUp(update.dispatch_up);
+  to.setStoreUp(update.store_up);
+  to.setCutOff(update.cut_off);
+}
+
+// Fields that builds without table comparison do not know.
+void WriteTables(const membership::GossipMessage& message,
+                 schema::Gossip::Builder root) {
+  auto updates = root.initUpdates(message.updates.size());
+  for (unsigned i = 0; i < message.updates.size(); ++i) {
+    WriteUpdate(message.updates[i], updates[i]);
+  }
+  root.setTableDigest(message.table_digest);
+  if (message.bucket_digests) {
+    auto digests = root.initBucketDigests(membership::kTableBuckets);
+    for (unsigned i = 0; i < membership::kTableBuckets; ++i) {
+      digests.set(i, (*message.bucket_digests)[i]);
+    }
+  }
+  root.setListedBuckets(message.listed_buckets);
+  auto wanted = root.initWanted(message.wanted.size());
+  for (unsigned i = 0; i < message.wanted.size(); ++i) {
+    wanted.set(i, message.wanted[i]);
+  }
+  root.setPassOn(message.pass_on);
+}
+
 template <class Notice>
 void WriteNotices(const std::vector<Notice>& notices,
                   capnp::List<schema::LeavingNotice>::Builder to) {
@@ -102,6 +172,7 @@
     loads[i].setRateLimitAge(message.loads[i].rate_limit_age);
   }
   root.setLoadsOfDataCentre(message.loads_of_data_centre);
+  WriteTables(message, root);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, builder);
   const auto bytes = stream.getArray();
--- a/chervilpass/rpc/gossip_codec.h
+++ b/chervilpass/rpc/gossip_codec.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "chervilpass/membership/detector.h"
+#include "chervilpass/membership/gossip_message.h"
 
 namespace chervilpass::rpc {
 
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -11,6 +11,8 @@
 constexpr Duration kLeavePollInterval = milliseconds(50);
 // Time for the leaving status to spread by gossip.
 constexpr Duration kMinLeaveTime = milliseconds(1500);
+// Longest time of a suspicion, as a multiple of the shortest.
+constexpr int kMaxSuspicionFactor = 3;
 
 struct ControlSettings {
   control::ControlNodeSettings node;
@@ -57,8 +59,11 @@
       gossip.Milliseconds("probe_period_ms", {20, 60000}, 500);
   settings.node.detector.probe_timeout =
       gossip.Milliseconds("probe_timeout_ms", {10, 60000}, 150);
-  settings.node.detector.suspicion_timeout =
+  membership::SuspicionSettings& suspicion = settings.node.detector.suspicion;
+  suspicion.min_timeout =
       gossip.Milliseconds("suspicion_timeout_ms", {10, 600000}, 1000);
+  suspicion.max_timeout = kMaxSuspicionFactor * suspicion.min_timeout;
+  settings.node.detector.probe_deadline = settings.node.detector.probe_period;
   if (settings.node.detector.probe_timeout >=
       settings.node.detector.probe_period) {
     gossip.AddError("probe_timeout_ms", "must be below probe_period_ms");
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -11,6 +11,7 @@
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
+#include "chervilpass/fleet/router_detector.h"
 #include "chervilpass/fleet/send_permits.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
@@ -83,16 +84,6 @@
   return self;
 }
 
-membership::DetectorSettings FastDetector() {
-  membership::DetectorSettings settings;
-  // Callers cache addresses for two seconds; a failed entry must be removed
-  // from the lists sooner.
-  settings.probe_period = milliseconds(350);
-  settings.probe_timeout = milliseconds(120);
-  settings.suspicion_timeout = milliseconds(900);
-  return settings;
-}
-
 // Owns the components of the daemon and connects them.
 class Daemon {
  public:
@@ -156,7 +147,7 @@
     group.self = SelfOf(this->settings, this->boot_id);
     group.seed_ips = this->settings.seed_ips;
     std::erase(group.seed_ips, this->settings.ip);
-    group.detector = FastDetector();
+    group.detector = fleet::RouterDetectorSettings();
     fleet::PeerGroupEvents events;
     events.strike = [this](const quarantine::Strike& strike) {
       this->OnPeerStrike(strike);
@@ -197,11 +188,14 @@
       return false;
     }
     this->peers = std::move(created).value();
+    const auto members = [this]() -> const std::vector<membership::Member>& {
+      return this->peers->Members();
+    };
     fleet::SendPermitsSettings permit_settings;
     permit_settings.listen = this->settings.peers;
     auto created_permits = fleet::SendPermits::Create(
         &this->runtime, &this->routing_state, &this->metrics, &this->log,
-        std::move(permit_settings), [this] { return this->peers->Members(); });
+        std::move(permit_settings), members);
     if (created_permits.has_error()) {
       this->log.Error("router.cannot_listen",
                       {{"detail", created_permits.error().detail}});
@@ -216,8 +210,7 @@
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
         &this->routing_state, &this->metrics, &this->log, {},
-        SelfOf(this->settings, this->boot_id),
-        [this] { return this->peers->Members(); },
+        SelfOf(this->settings, this->boot_id), members,
         [this] { return this->links->CutOff(); });
     return true;
   }
@@ -386,6 +379,12 @@
                       static_cast<double>(this->router->InFlight()));
     this->metrics.Set("chervil_connections_made", "",
                       static_cast<double>(this->http->ConnectionsMade()));
+    this->metrics.Set("chervil_members_alive", "",
+                      static_cast<double>(this->peers->AliveCount()));
+    this->metrics.Set("chervil_gossip_sent_bytes", "",
+                      static_cast<double>(this->peers->BytesSent()));
+    this->metrics.Set("chervil_gossip_sent_datagrams", "",
+                      static_cast<double>(this->peers->DatagramsSent()));
     this->metrics.Set("chervil_placement_decides", "",
                       this->placement->IsDecider() ? 1 : 0);
     io::HttpResponse response;
@@ -535,12 +534,9 @@
   }
 
   std::optional<std::string> DataCentreOf(const std::string& vm) const {
-    for (const membership::Member& member : this->peers->Members()) {
-      if (member.vm == vm) {
-        return member.data_centre;
-      }
-    }
-    return std::nullopt;
+    const membership::Member* member = this->peers->Find(vm);
+    return member == nullptr ? std::nullopt
+                             : std::optional<std::string>(member->data_centre);
   }
 
   std::size_t DataCentrePeerCount() const {
@@ -574,17 +570,9 @@
     return notices;
   }
 
-  std::size_t AliveCount() const {
-    const auto members = this->peers->Members();
-    return static_cast<std::size_t>(std::count_if(
-        members.begin(), members.end(), [](const membership::Member& member) {
-          return member.status != membership::Status::kDead;
-        }));
-  }
-
   // The share of the other VMs of the fleet to which callers can go.
   double ReadyShare() const {
-    const auto members = this->peers->Members();
+    const auto& members = this->peers->Members();
     const auto ready = std::count_if(
         members.begin(), members.end(),
         [this](const membership::Member& member) {
@@ -623,7 +611,7 @@
       this->routing_state.Expire(this->runtime.Now(), this->runtime.WallNow());
       this->routing_state.Loads().SetDataCentrePeerCount(
           this->DataCentrePeerCount());
-      this->routing_state.SetFleetSize(this->AliveCount());
+      this->routing_state.SetFleetSize(this->peers->AliveCount());
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       if (this->Ready() != was_ready) {
--- a/unit_tests/membership_test.cc
+++ b/unit_tests/membership_test.cc
@@ -2,6 +2,7 @@
 // fleet view.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -9,7 +10,10 @@
 #include "chervilpass/membership/detector.h"
 #include "chervilpass/membership/fleet_view.h"
 #include "chervilpass/membership/loss_guard.h"
+#include "chervilpass/membership/member_table.h"
 #include "chervilpass/membership/rendezvous.h"
+#include "chervilpass/membership/suspicion.h"
+#include "chervilpass/membership/update_queue.h"
 
 using namespace chervilpass;
 using namespace chervilpass::membership;
@@ -27,6 +31,17 @@
   return member;
 }
 
+// What an earlier build sends of a message, or reads of it.
+GossipMessage AsOfEarlierBuild(GossipMessage message) {
+  message.updates.clear();
+  message.table_digest = 0;
+  message.bucket_digests.reset();
+  message.listed_buckets = 0;
+  message.wanted.clear();
+  message.pass_on = false;
+  return message;
+}
+
 // Simulated network of nodes that exchange datagrams in memory. Deterministic
 // for a seed.
 class Network {
@@ -106,6 +121,8 @@
     return true;
   }
 
+  /// Run an earlier build, which knows whole records of members only.
+  std::set<std::string> earlier_builds;
   std::set<std::string> frozen;
   std::set<std::string> side_a;  // partitioned from the rest if not empty
   double loss = 0;
@@ -138,8 +155,13 @@
           this->random.Chance(this->loss)) {
         continue;
       }
+      const bool has_updates = !this->earlier_builds.contains(datagram.from) &&
+                               !this->earlier_builds.contains(datagram.to);
       this->Apply(datagram.to,
-                  node->second.OnMessage(datagram.message, this->now));
+                  node->second.OnMessage(
+                      has_updates ? datagram.message
+                                  : AsOfEarlierBuild(datagram.message),
+                      this->now));
     }
   }
 
@@ -389,6 +411,139 @@
   cr_assert_lt(messages_per_node(40), 1.2 * messages_per_node(10));
 }
 
+// While VMs are upgraded one after the other, two builds run side by side.
+Test(detector, earlier_builds_and_this_one_know_all_members_and_deaths) {
+  Network network(0, 5);
+  for (int i = 0; i < 14; i += 2) {
+    network.earlier_builds.insert("vm-" + std::to_string(i));
+  }
+  for (int i = 0; i < 14; ++i) {
+    network.Add(i, 1);
+  }
+  network.RunFor(seconds(15));
+  cr_assert(network.AllSeeAllAlive());
+  network.frozen = {"vm-4", "vm-5"};
+  network.RunFor(seconds(15));
+  for (int i = 0; i < 14; ++i) {
+    const std::string vm = "vm-" + std::to_string(i);
+    if (!network.frozen.contains(vm)) {
+      cr_assert(network.StatusAt(vm, "vm-4") == Status::kDead, "%s",
+                vm.c_str());
+      cr_assert(network.StatusAt(vm, "vm-5") == Status::kDead, "%s",
+                vm.c_str());
+    }
+  }
+  network.frozen.clear();
+  network.RunFor(seconds(20));
+  cr_assert(network.AllSeeAllAlive());
+  network.Apply("vm-3", network.nodes.at("vm-3").AddStrikes({{42, "w", {}}}));
+  network.Apply("vm-2", network.nodes.at("vm-2").AddStrikes({{43, "w", {}}}));
+  network.RunFor(milliseconds(10));
+  for (const auto& [vm, received] : network.strikes) {
+    cr_assert_eq(received.size(), 2, "%s", vm.c_str());
+  }
+}
+
+Test(member_table, digests_are_equal_exactly_if_tables_agree) {
+  MemberTable a(MakeMember(0));
+  MemberTable b(MakeMember(1));
+  a.Put(MakeMember(1));
+  b.Put(MakeMember(0));
+  cr_assert_eq(a.Digest(), b.Digest());
+  for (int i = 2; i < 100; ++i) {
+    a.Put(MakeMember(i));
+  }
+  for (int i = 99; i >= 2; --i) {
+    b.Put(MakeMember(i));
+  }
+  cr_assert_eq(a.Digest(), b.Digest());
+  cr_assert(a.Buckets() == b.Buckets());
+  Member changed = MakeMember(42);
+  changed.entry_up = true;
+  b.Put(changed);
+  cr_assert_neq(a.Digest(), b.Digest());
+  std::size_t different = 0;
+  for (std::size_t i = 0; i < kTableBuckets; ++i) {
+    different += a.Buckets()[i] != b.Buckets()[i] ? 1 : 0;
+  }
+  cr_assert_eq(different, 1);
+  a.Put(changed);
+  cr_assert_eq(a.Digest(), b.Digest());
+  // Dead members are forgotten at different times.
+  changed.status = Status::kDead;
+  a.Put(changed);
+  b.Remove(changed.vm);
+  cr_assert_eq(a.Digest(), b.Digest());
+  cr_assert_eq(a.AliveCount(), 99);
+  cr_assert_eq(b.AliveCount(), 99);
+  cr_assert_null(b.Find(changed.vm));
+  cr_assert_eq(b.Find("vm-99")->vm, "vm-99");
+}
+
+Test(update_queue, refutations_and_new_changes_go_first) {
+  UpdateQueue queue;
+  queue.Push("a", UpdatePriority::kNormal);
+  queue.Push("b", UpdatePriority::kNormal);
+  cr_assert(queue.Take(1, 3) == std::vector<std::string>{"b"});
+  queue.Push("c", UpdatePriority::kNormal);
+  queue.Push("r", UpdatePriority::kRefutation);
+  cr_assert(queue.Take(2, 3) == (std::vector<std::string>{"r", "c"}));
+  cr_assert(queue.Take(9, 3) == (std::vector<std::string>{"r", "a", "c", "b"}));
+  cr_assert(queue.Take(9, 3) == (std::vector<std::string>{"r", "a", "c", "b"}));
+  cr_assert(queue.Take(9, 3) == std::vector<std::string>{"a"});
+  cr_assert_eq(queue.Size(), 0);
+  queue.Push("a", UpdatePriority::kNormal);
+  queue.Push("a", UpdatePriority::kNormal);
+  cr_assert_eq(queue.Size(), 1);
+  queue.Remove("a");
+  cr_assert_eq(queue.Size(), 0);
+}
+
+Test(suspicion, each_confirmation_shortens_the_timeout) {
+  const SuspicionSettings settings{seconds(1), seconds(3), 2};
+  const Instant start{};
+  Suspicion suspicion(settings, 100, 7, start);
+  cr_assert(suspicion.Deadline() == start + seconds(3));
+  cr_assert_not(suspicion.Confirm(7));
+  cr_assert_not(suspicion.Confirm(0));
+  cr_assert(suspicion.Confirm(8));
+  cr_assert_lt(suspicion.Deadline(), start + seconds(2));
+  cr_assert(suspicion.Confirm(9));
+  cr_assert(suspicion.Deadline() == start + seconds(1));
+  cr_assert_not(suspicion.Confirm(10));
+  suspicion.Extend(milliseconds(500));
+  cr_assert(suspicion.Deadline() == start + milliseconds(1500));
+  // In a fleet of two no other VM can confirm it.
+  cr_assert(Suspicion(settings, 0, 7, start).Deadline() == start + seconds(1));
+}
+
+// A VM that was stalled finds answers in its socket afterwards.
+Test(detector, a_stalled_node_suspects_no_one) {
+  Network network(9);
+  network.RunFor(seconds(10));
+  network.RunFor(milliseconds(100));
+  network.frozen.insert("vm-4");
+  network.RunFor(milliseconds(700));
+  network.frozen.clear();
+  Detector& stalled = network.nodes.at("vm-4");
+  for (const DetectorAction& action : stalled.OnTick(network.now)) {
+    cr_assert_not(std::holds_alternative<MemberChanged>(action));
+  }
+}
+
+// A VM that hears from no one cannot tell whether the others have ended.
+Test(detector, a_node_without_links_waits_before_it_suspects_others) {
+  Network network(9);
+  network.RunFor(seconds(10));
+  network.side_a = {"vm-4"};
+  network.RunFor(milliseconds(900));
+  for (const Member& member : network.nodes.at("vm-4").Members()) {
+    cr_assert(member.status == Status::kAlive, "%s", member.vm.c_str());
+  }
+  network.RunFor(seconds(20));
+  cr_assert(network.StatusAt("vm-4", "vm-1") == Status::kDead);
+}
+
 Test(loss_guard, a_single_loss_is_not_held) {
   LossGuard guard({});
   guard.OnDead("a", Instant{});
