Strikes: lost racks do not keep sound requests from being repeated

A run ends one server at most. ConcurrentEnds compares the servers that ended in the last 500 ms with the runs with the part that were lost: if more servers ended than runs were lost, not all ends are due to the part, and the run is repeated. Counting and quarantine are unchanged, so that the bounds on crashing parts hold.

Unit tests of the new module pass.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <map>
 
+#include "chervilpass/quarantine/concurrent_ends.h"
 #include "chervilpass/serving/link_monitor.h"
 #include "platform/worker_decoder.h"
 
@@ -35,6 +36,15 @@
   return kNames[static_cast<std::size_t>(result)];
 }
 
+std::vector<std::uint64_t> FingerprintsOf(
+    const std::vector<TrackedPart>& parts) {
+  std::vector<std::uint64_t> fingerprints;
+  for (const TrackedPart& part : parts) {
+    fingerprints.push_back(part.fingerprint);
+  }
+  return fingerprints;
+}
+
 // After a known end, a later start than the registered one proves no other end.
 bool IsLaterStart(WallTime started, const ServerStart& server) {
   return server.started.milliseconds != 0 && server.known_ends == 0 &&
@@ -100,6 +110,8 @@
     Watched& watched = this->watched[server.Key()];
     watched.server = server;
     watched.last_loss = this->dependencies->runtime->Now();
+    this->concurrent_ends.OnRunLost(run.serial, FingerprintsOf(run.parts),
+                                    watched.last_loss);
     this->AddRun(&watched, run);
     switch (evidence) {
       case LossEvidence::kConnectionBroke:
@@ -330,6 +342,7 @@
                      EndEvidence evidence,
                      std::string_view detail) {
     const auto found = this->watched.find(key);
+    const std::string id = found->second.server.id;
     std::vector<WatchedRun> runs = std::move(found->second.runs);
     this->watched_runs -= runs.size();
     this->watched.erase(found);
@@ -341,6 +354,7 @@
       });
     }
     this->dependencies->routing_state->OnServerEnded(key);
+    this->concurrent_ends.OnServerEnded(id, this->dependencies->runtime->Now());
     quarantine::StrikeTracker& tracker =
         this->dependencies->routing_state->Strikes();
     const WallTime now = this->dependencies->runtime->WallNow();
@@ -387,13 +401,9 @@
     if (run.proven || run.parts.empty()) {
       return {};
     }
-    std::vector<std::uint64_t> parts;
-    for (const TrackedPart& part : run.parts) {
-      parts.push_back(part.fingerprint);
-    }
     RoutingState& routing_state = *this->dependencies->routing_state;
-    const auto blamed =
-        routing_state.PromptParts().Blamed(parts, routing_state.Strikes(), now);
+    const auto blamed = routing_state.PromptParts().Blamed(
+        FingerprintsOf(run.parts), routing_state.Strikes(), now);
     std::vector<TrackedPart> tracked;
     std::copy_if(run.parts.begin(), run.parts.end(),
                  std::back_inserter(tracked), [&](const TrackedPart& part) {
@@ -411,16 +421,23 @@
                         tracked.fingerprint, now));
   }
 
-  // True if a part that the run has not proven has at least `count` strikes.
-  bool HasPartWithStrikes(const TrackedRun& run, std::uint32_t count) const {
+  // The parts that the run has not proven and that have at least `count`
+  // strikes.
+  std::vector<std::uint64_t> PartsWithStrikes(const TrackedRun& run,
+                                              std::uint32_t count) const {
+    std::vector<std::uint64_t> parts;
+    if (run.proven) {
+      return parts;
+    }
     const quarantine::StrikeTracker& tracker =
         this->dependencies->routing_state->Strikes();
     const WallTime now = this->dependencies->runtime->WallNow();
-    return !run.proven &&
-           std::any_of(run.parts.begin(), run.parts.end(),
-                       [&](const TrackedPart& part) {
-                         return tracker.Count(part.fingerprint, now) >= count;
-                       });
+    for (const TrackedPart& part : run.parts) {
+      if (tracker.Count(part.fingerprint, now) >= count) {
+        parts.push_back(part.fingerprint);
+      }
+    }
+    return parts;
   }
 
   // If requests with several strikes ran on the server, they take the blame
@@ -459,8 +476,11 @@
   std::map<std::string, Watched> watched;  // by ServerStart::Key
   // Servers with runs in progress, by ServerStart::Key.
   std::map<std::string, RunningServer> running;
-  std::size_t watched_runs = 0;  // sum over `watched`
-  bool dropping = false;         // `watched` is full, which has been logged
+  quarantine::ConcurrentEnds concurrent_ends{
+      quarantine::ConcurrentEndsSettings{}};
+  std::uint64_t last_serial = 0;  // of a run
+  std::size_t watched_runs = 0;   // sum over `watched`
+  bool dropping = false;          // `watched` is full, which has been logged
   bool stopped = false;
 };
 
@@ -518,9 +538,7 @@
   }
   std::vector<std::uint64_t> unproven;
   if (!run.proven) {
-    for (const TrackedPart& part : run.parts) {
-      unproven.push_back(part.fingerprint);
-    }
+    unproven = FingerprintsOf(run.parts);
   }
   return this->QuarantinedPart(unproven).has_value();
 }
@@ -540,11 +558,14 @@
 
 bool CrashMonitor::HasStrikes(const TrackedRun& run) const {
   return this->StrikesOf(run.fingerprint) > 0 ||
-         this->state->HasPartWithStrikes(run, 1);
+         !this->state->PartsWithStrikes(run, 1).empty();
 }
 
 bool CrashMonitor::MustNotRepeat(const TrackedRun& run) const {
-  return this->state->HasPartWithStrikes(run, kStrongSuspicion);
+  const auto parts = this->state->PartsWithStrikes(run, kStrongSuspicion);
+  return !parts.empty() &&
+         !this->state->concurrent_ends.ExceedRunsWith(
+             parts, this->state->dependencies->runtime->Now());
 }
 
 std::set<std::string> CrashMonitor::WorkersOfOtherSuspects(
@@ -564,7 +585,8 @@
   return workers;
 }
 
-void CrashMonitor::RecordPriorStrikes(TrackedRun* run) const {
+void CrashMonitor::RecordPriorStrikes(TrackedRun* run) {
+  run->serial = ++this->state->last_serial;
   run->prior_strikes = this->StrikesOf(run->fingerprint);
   for (TrackedPart& part : run->parts) {
     part.prior_strikes = this->StrikesOf(part.fingerprint);
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -74,6 +74,9 @@
   Instant first_event{};
   /// This run or an earlier one of the request has proven the parts sound.
   bool proven = false;
+  /// Number of the run at this VM; a run that moved to other workers counts as
+  /// a new one.
+  std::uint64_t serial = 0;
 
   auto operator<=>(const TrackedRun&) const = default;
 };
@@ -132,7 +135,8 @@
   bool HasStrikes(const TrackedRun& run) const;
 
   /// True if a run that was lost may not be repeated by the router: a part that
-  /// it has not proven has several strikes.
+  /// it has not proven has several strikes, and no other cause is evident, such
+  /// as the loss of several servers together.
   bool MustNotRepeat(const TrackedRun& run) const;
 
   /// Workers on which another request with several strikes runs; none unless
@@ -140,8 +144,8 @@
   /// differ from their neighbours.
   std::set<std::string> WorkersOfOtherSuspects(const TrackedRun& run) const;
 
-  /// Sets the prior strikes of a run that begins now.
-  void RecordPriorStrikes(TrackedRun* run) const;
+  /// Sets the prior strikes and the serial number of a run that begins now.
+  void RecordPriorStrikes(TrackedRun* run);
 
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
--- a/unit_tests/quarantine_test.cc
+++ b/unit_tests/quarantine_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "chervilpass/core/random.h"
+#include "chervilpass/quarantine/concurrent_ends.h"
 #include "chervilpass/quarantine/prompt_part_evidence.h"
 #include "chervilpass/quarantine/strike_tracker.h"
 
@@ -428,3 +429,41 @@
   cr_assert_leq(remembered, 100);
   cr_assert(evidence.ProvenSince(1, {999}), "a popular part is kept");
 }
+
+// A request with a part that crashes servers ends one server for each run.
+Test(concurrent_ends, one_end_for_each_run_may_be_due_to_the_part) {
+  ConcurrentEnds ends({milliseconds(500)});
+  const Instant start{};
+  ends.OnRunLost(1, {1, 2}, start);
+  ends.OnServerEnded("w1", start + milliseconds(10));
+  cr_assert_not(ends.ExceedRunsWith({2}, start + milliseconds(20)));
+  // The request is repeated and ends a second server.
+  ends.OnRunLost(2, {2, 3}, start + milliseconds(30));
+  ends.OnServerEnded("w2", start + milliseconds(40));
+  cr_assert_not(ends.ExceedRunsWith({2}, start + milliseconds(50)));
+  // The same end noticed twice counts once, and so does the same run.
+  ends.OnServerEnded("w2", start + milliseconds(60));
+  ends.OnRunLost(2, {2, 3}, start + milliseconds(60));
+  cr_assert_not(ends.ExceedRunsWith({2}, start + milliseconds(70)));
+}
+
+// Half of the workers are lost at once, several of them under one run.
+Test(concurrent_ends, the_loss_of_a_rack_is_not_due_to_a_part) {
+  ConcurrentEnds ends({milliseconds(500)});
+  const Instant start{};
+  ends.OnRunLost(1, {1, 2}, start);
+  ends.OnServerEnded("w1", start);
+  ends.OnServerEnded("w2", start + milliseconds(5));
+  cr_assert(ends.ExceedRunsWith({2}, start + milliseconds(20)));
+  // A later end of a single server is not part of that.
+  ends.OnRunLost(3, {2}, start + milliseconds(900));
+  ends.OnServerEnded("w3", start + milliseconds(905));
+  cr_assert_not(ends.ExceedRunsWith({2}, start + milliseconds(910)));
+}
+
+// Before the loss of the run itself is recorded it counts as one.
+Test(concurrent_ends, a_single_end_is_no_other_cause) {
+  ConcurrentEnds ends({milliseconds(500)});
+  ends.OnServerEnded("w1", Instant{});
+  cr_assert_not(ends.ExceedRunsWith({2}, Instant{} + milliseconds(1)));
+}
