Backend servers: repeated refusals and errors within streams are not believed

- A server that has refused a call takes it when it is sent again, and writes its refusal once more on the kept connection.
The router believed it: the call ran twice.
A refusal that names no request was believed on a kept connection as well: a call that ran was sent to a second server or answered 503.
- A stream without a length broke off, and the head and text of an error stood in it.
The head ends with a blank line, so it was forwarded as an event; without another worker the broken stream ended as complete.
So it was with JSON and with data without an id.
A 200 with another content type ended a broken stream as complete.
Errors with 404, 500 and 503 of the next worker did not get into streams; the test keeps that.

Now: - a request is repeated on a new connection only; - on a connection that has carried other requests, a response without a request id answers none: the outcome is unknown, never "not run"; - blocks with lines that are no fields of an event, and data without an id in a numbered stream, end the run as broken; the next run follows after the last whole event; its content type must be that of the head that was sent; - comments alone are no progress, so that a stalled worker that writes them counts as silent.

The sequence test takes events instead of ids; its expectations are the same.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -162,7 +162,8 @@
     }
     auto opened = this->dependencies.http->Open(
         server.address,
-        std::min(this->dependencies.connect_timeout, this->scope.TimeLeft()));
+        std::min(this->dependencies.connect_timeout, this->scope.TimeLeft()),
+        ConnectionFor(this->policy.Sends()));
     if (opened.has_error()) {
       if (this->dependencies.links->ConfirmFailure(server.id, start)) {
         routing_state.ServerHealth().OnRefusedConnection(server.id, start);
@@ -483,12 +484,21 @@
 
 }  // namespace
 
+io::ConnectionUse ConnectionFor(std::uint32_t earlier_sends) {
+  return earlier_sends == 0 ? io::ConnectionUse::kPooled
+                            : io::ConnectionUse::kFresh;
+}
+
 Result<io::HttpResponse, io::HttpError> ReadMatchingHead(
     io::HttpCall* call,
     const std::string& request_id) {
   for (int i = 0; i < kMaxForeignResponses; ++i) {
     BOOST_OUTCOME_TRY(io::HttpResponse head, call->ReadHead());
     const ResponseMetadata metadata = platform::ReadResponse(head);
+    if (!metadata.request_id && call->Reused()) {
+      return io::HttpError{io::HttpErrorCode::kProtocol,
+                           "an answer to no request on a kept connection"};
+    }
     const bool matches = metadata.request_id
                              ? *metadata.request_id == request_id
                              : !metadata.Successful();
--- a/chervilpass/serving/call_proxy.h
+++ b/chervilpass/serving/call_proxy.h
@@ -31,9 +31,15 @@
                         const RequestContext& context,
                         Duration time_left);
 
+/// The connection for a request that was sent `earlier_sends` times before. It
+/// is repeated on a new one only: on a connection that has carried its refusal,
+/// a faulty server may write the same refusal again while the request runs.
+io::ConnectionUse ConnectionFor(std::uint32_t earlier_sends);
+
 /// Reads the head of the response to `request_id`. Responses to other requests
 /// that arrive first on the connection are discarded; after three of them it
-/// fails with kProtocol.
+/// fails with kProtocol. So it does for a response without a request id on a
+/// connection that has carried other requests: it may answer one of those.
 Result<io::HttpResponse, io::HttpError> ReadMatchingHead(
     io::HttpCall* call,
     const std::string& request_id);
--- a/chervilpass/serving/event_stream.h
+++ b/chervilpass/serving/event_stream.h
@@ -11,21 +11,30 @@
 
 /// Position of an event relative to the events that the caller has received.
 enum class EventOrder {
-  kNext,       ///< The next one.
-  kRepeated,   ///< The caller has received it already.
-  kGap,        ///< At least one before it is missing.
-  kUnnumbered  ///< Without an id, such as a comment.
+  kNext,        ///< The next one.
+  kRepeated,    ///< The caller has received it already.
+  kGap,         ///< At least one before it is missing.
+  kUnnumbered,  ///< Without an id, such as a comment.
+  kForeign      ///< Not an event of the stream, such as an error message.
 };
 
 /// A complete event, including its blank line.
 struct StreamEvent {
   std::string_view bytes;  ///< valid until the next `Feed`
   std::optional<std::uint64_t> id;
+  bool has_data = false;
+  /// All lines are comments or fields of an event.
+  bool well_formed = true;
 };
 
 /// Splits the bytes of one run of a request into events. Not thread-safe.
 class EventSplitter {
  public:
+  /// Besides the fields of text/event-stream, events may have a field of this
+  /// name; it must stay valid.
+  explicit EventSplitter(std::string_view extension_field)
+      : extension_field(extension_field) {}
+
   /// Appends received bytes.
   void Feed(std::string_view bytes);
 
@@ -36,6 +45,7 @@
   bool HasPartial() const { return this->start < this->buffer.size(); }
 
  private:
+  std::string_view extension_field;
   std::string buffer;
   std::size_t start = 0;  ///< offset of the first event not returned yet
 };
@@ -49,7 +59,7 @@
       : last(last_seen) {}
 
   /// Classifies an event; kNext advances the sequence.
-  EventOrder Accept(const std::optional<std::uint64_t>& id);
+  EventOrder Accept(const StreamEvent& event);
 
   const std::optional<std::uint64_t>& Last() const { return this->last; }
 
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -135,6 +135,7 @@
   begin.path = path;
   begin.time_left = this->TimeLeft();
   begin.last_event_id = this->request.sequence.Last();
+  begin.earlier_sends = 1;  // the first run
   begin.set_call = [this](io::HttpCall* opened) {
     return this->SetCall(opened);
   };
@@ -185,7 +186,7 @@
 void StandbyRun::AwaitFirstEvent(BegunStreamRun* run) {
   this->call = run->call.get();
   run->detail.clear();
-  EventSplitter splitter;
+  EventSplitter splitter(platform::EventExtensionField());
   EventSequence sequence = this->request.sequence;
   while (true) {
     auto piece = run->call->ReadPiece();
@@ -198,12 +199,14 @@
     run->first_piece += piece.value();
     splitter.Feed(piece.value());
     while (const auto event = splitter.Next()) {
-      const EventOrder order = sequence.Accept(event->id);
+      const EventOrder order = sequence.Accept(*event);
       if (order == EventOrder::kNext) {
         return;
       }
       if (order == EventOrder::kGap) {
         run->detail = "an event is missing";
+      } else if (order == EventOrder::kForeign) {
+        run->detail = "bytes that are no event of the stream";
       }
     }
     if (!run->detail.empty()) {
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -497,6 +497,7 @@
     request.path = path;
     request.time_left = this->scope.TimeLeft();
     request.last_event_id = this->sequence.Last();
+    request.earlier_sends = this->policy.Sends();
     request.set_call = [this](io::HttpCall* call) {
       return this->SetCall(call);
     };
@@ -538,8 +539,14 @@
                           const Path& path,
                           const io::HttpResponse& head,
                           std::string_view first_piece) {
+    const std::string content_type =
+        head.headers.Find("Content-Type").value_or("");
+    if (this->stream_begun && content_type != this->content_type) {
+      return {SendOutcome::kUnknown, {}, "a response of another type", false};
+    }
     if (!this->stream_begun) {
       this->stream_begun = true;
+      this->content_type = content_type;
       this->policy.OnResponseBegun();
       this->scope.SetResponseBegun();
       if (!this->context.exchange->BeginStream(
@@ -548,7 +555,7 @@
         return {SendOutcome::kUnknown, {}, "the caller has gone", false};
       }
     }
-    EventSplitter splitter;
+    EventSplitter splitter(platform::EventExtensionField());
     splitter.Feed(first_piece);
     if (!this->ForwardComplete(&splitter)) {
       return {SendOutcome::kUnknown, {}, this->run_error, false};
@@ -584,30 +591,37 @@
       return false;
     }
     std::string out;
-    bool gap = false;
+    std::string_view objection;
+    bool progress = false;
     while (const auto event = splitter->Next()) {
-      const EventOrder order = this->sequence.Accept(event->id);
+      const EventOrder order = this->sequence.Accept(*event);
       if (order == EventOrder::kGap) {
-        gap = true;
+        objection = "an event is missing";
+        break;
+      }
+      if (order == EventOrder::kForeign) {
+        objection = "bytes that are no event of the stream";
         break;
       }
       if (order != EventOrder::kRepeated) {
         out += event->bytes;
         ++this->events;
       }
+      // A worker that writes comments only is as good as silent.
+      progress |= order == EventOrder::kNext || event->has_data;
     }
-    if (!out.empty()) {
+    if (progress) {
       this->RecordProgress();
+    }
+    if (!out.empty()) {
       if (!this->context.exchange->WriteChunk(out)) {
         this->scope.Stop(StopReason::kCallerGone);
         this->run_error = "the caller has gone";
         return false;
       }
     }
-    if (gap) {
-      this->run_error = "an event is missing";
-    }
-    return !gap;
+    this->run_error = objection;
+    return objection.empty();
   }
 
   void RecordProgress() {
@@ -851,6 +865,7 @@
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
   bool stream_begun = false;  ///< the response head has been sent
+  std::string content_type;   ///< of the response head
   bool event_seen = false;
   Instant last_event{};
   Duration first_event{0};
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -138,7 +138,8 @@
   failed.outcome = SendOutcome::kNotSent;
   failed.path = request.path;
   auto opened = dependencies.http->Open(
-      first.address, std::min(dependencies.connect_timeout, request.time_left));
+      first.address, std::min(dependencies.connect_timeout, request.time_left),
+      ConnectionFor(request.earlier_sends));
   if (opened.has_error()) {
     failed.detail = opened.error().detail;
     if (dependencies.links->ConfirmFailure(first.worker, begun)) {
--- a/chervilpass/serving/stream_run.h
+++ b/chervilpass/serving/stream_run.h
@@ -19,6 +19,7 @@
   placement::Path path;
   Duration time_left{0};
   std::optional<std::uint64_t> last_event_id;  ///< the run goes on after it
+  std::uint32_t earlier_sends = 0;             ///< of the same request
   /// Called with the call before the request is sent, so that another fiber can
   /// cancel it; false if the request is not to be sent any more.
   std::function<bool(io::HttpCall*)> set_call;
--- /dev/null
+++ b/unit_tests/faulty_server_test.cc
@@ -0,0 +1,364 @@
+// Tests of the router against backend servers that write bytes which are no
+// answer to the request in progress: repeated refusals and errors in streams.
+#include <fmt/format.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <mutex>
+#include <thread>
+
+// Last: its macros clash with headers of Boost.
+#include "unit_tests/router_fixture.h"
+
+using namespace chervilpass;
+using namespace chervilpass::serving;
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+// A request as a RawServer receives it.
+struct RawRequest {
+  std::string id;
+  std::string head;
+  int number = 0;         ///< of the request at the server, from 1
+  int on_connection = 0;  ///< number of the request on its connection, from 1
+};
+
+// The bytes that a RawServer writes, and whether it closes the connection then.
+struct RawAnswer {
+  std::string bytes;
+  bool closes = false;
+};
+
+// A server on threads of its own whose responses are written byte by byte as a
+// script says, so that they need not be valid.
+class RawServer {
+ public:
+  using Script = std::function<RawAnswer(const RawRequest&)>;
+
+  RawServer(std::uint16_t port, Script script)
+      : script(std::move(script)),
+        acceptor(this->context,
+                 Tcp::endpoint(asio::ip::make_address(kIp), port)),
+        accepting([this] { this->Accept(); }) {}
+
+  ~RawServer() {
+    this->stopping = true;
+    boost::system::error_code ignored;
+    Tcp::socket wake(this->context);
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    this->accepting.join();
+    for (const auto& socket : this->sockets) {
+      socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+  }
+
+  int Requests() const { return this->requests; }
+
+ private:
+  void Accept() {
+    while (true) {
+      auto socket = std::make_shared<Tcp::socket>(this->context);
+      boost::system::error_code error;
+      this->acceptor.accept(*socket, error);
+      if (this->stopping || error) {
+        return;
+      }
+      this->sockets.push_back(socket);
+      this->threads.emplace_back([this, socket] { this->Serve(*socket); });
+    }
+  }
+
+  void Serve(Tcp::socket& socket) {
+    std::string received;
+    boost::system::error_code error;
+    for (int on_connection = 1;; ++on_connection) {
+      const std::size_t head_end = asio::read_until(
+          socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      RawRequest request;
+      request.head = received.substr(0, head_end);
+      received.erase(0, head_end);
+      constexpr std::string_view kId = "Chervilpass-Request-Id: ";
+      const std::size_t at = request.head.find(kId);
+      if (at != std::string::npos) {
+        request.id = request.head.substr(
+            at + kId.size(), request.head.find("\r\n", at) - at - kId.size());
+      }
+      request.on_connection = on_connection;
+      RawAnswer answer;
+      {
+        const std::lock_guard lock(this->mutex);
+        request.number = ++this->requests;
+        answer = this->script(request);
+      }
+      asio::write(socket, asio::buffer(answer.bytes), error);
+      if (answer.closes) {
+        socket.shutdown(Tcp::socket::shutdown_both, error);
+        return;
+      }
+    }
+  }
+
+  Script script;
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::mutex mutex;  // guards calls of `script`
+  std::atomic<int> requests = 0;
+  std::atomic<bool> stopping = false;
+  // Used by the accepting thread until it has ended.
+  std::vector<std::shared_ptr<Tcp::socket>> sockets;
+  std::vector<std::thread> threads;
+  std::thread accepting;
+};
+
+std::string Refusal(const std::string& id) {
+  return fmt::format(
+      "HTTP/1.1 503 Service Unavailable\r\n{}Chervilpass-Not-Executed: 1\r\n"
+      "Retry-After: 0.00\r\nContent-Length: 4\r\n\r\nfull",
+      id.empty() ? "" : fmt::format("Chervilpass-Request-Id: {}\r\n", id));
+}
+
+std::string Success(const std::string& id) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nChervilpass-Request-Id: {}\r\n"
+      "Chervilpass-Server-Seal: seal\r\nContent-Length: 5\r\n\r\nfiled",
+      id);
+}
+
+// Head of a stream that ends with its connection.
+std::string StreamHead(const std::string& id) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nChervilpass-Request-Id: {}\r\n"
+      "Chervilpass-Server-Seal: seal\r\nContent-Type: "
+      "text/event-stream\r\n\r\n",
+      id);
+}
+
+// Registers a RawServer with the router.
+std::unique_ptr<RawServer> AddRawServer(RouterFixture* fixture,
+                                        int number,
+                                        const std::string& service,
+                                        placement::LayerRange layers,
+                                        RawServer::Script script) {
+  fixture->RegisterServer(number, service, layers);
+  return std::make_unique<RawServer>(
+      static_cast<std::uint16_t>(fixture->base_port + number),
+      std::move(script));
+}
+
+// A worker whose streams are complete: events 1 to 4, or those that are left.
+void ServeRestOfStream(io::HttpExchange& exchange) {
+  if (exchange.Request().method == "GET") {
+    return exchange.Respond({200, {}, R"({"seq":1})"});
+  }
+  const int from =
+      std::stoi(exchange.Request().headers.Find("Last-Event-Id").value_or("0"));
+  io::HttpResponse head = MakeResponse(exchange, 200, "");
+  head.headers.Add("Content-Type", "text/event-stream");
+  exchange.BeginStream(head);
+  for (int id = from + 1; id <= 4; ++id) {
+    exchange.WriteChunk(Event(id));
+  }
+  exchange.EndStream();
+}
+
+// Writes two events and then `bytes`, and closes its connection, once; serves
+// nothing afterwards.
+RawServer::Script BreakOffWith(const std::string& bytes) {
+  return [bytes](const RawRequest& request) {
+    if (request.head.starts_with("GET") || request.number > 1) {
+      return RawAnswer{"", true};
+    }
+    return RawAnswer{StreamHead(request.id) + Event(1) + Event(2) + bytes,
+                     true};
+  };
+}
+
+// Streams of a worker that breaks off with `bytes` are completed by another.
+void CheckBrokenStreamIsCompleted(std::uint16_t port,
+                                  const std::string& bytes) {
+  OnRuntime([&](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, port);
+    const auto broken =
+        AddRawServer(&fixture, 1, "llm", {0, 4}, BreakOffWith(bytes));
+    const auto first = fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert(first.has_error(), "a broken stream looked complete");
+
+    RouterFixture pair(runtime, static_cast<std::uint16_t>(port + 10));
+    const auto breaking =
+        AddRawServer(&pair, 1, "llm", {0, 4}, BreakOffWith(bytes));
+    pair.AddServer(2, "llm", {0, 4}, ServeRestOfStream);
+    const std::string expected = Event(1) + Event(2) + Event(3) + Event(4);
+    for (int i = 0; i < 6; ++i) {
+      const auto body =
+          pair.Stream(pair.Request("/draft/x", fmt::format("r{}", i)));
+      cr_assert(body.has_value());
+      cr_assert(body.value() == expected, "%s", body.value().c_str());
+    }
+    cr_assert_geq(breaking->Requests(), 1, "the broken worker was not used");
+  });
+}
+
+}  // namespace
+
+// A server that has refused a call takes it when it is sent again. It writes
+// its refusal once more on that connection, although the call runs.
+Test(faulty_server, a_repeated_refusal_of_a_call_is_not_believed) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26000);
+    std::set<std::string> refused;
+    int runs = 0;
+    const auto server =
+        AddRawServer(&fixture, 1, "app", {}, [&](const RawRequest& request) {
+          if (refused.insert(request.id).second) {
+            return RawAnswer{Refusal(request.id)};
+          }
+          ++runs;
+          return RawAnswer{(request.on_connection > 1 ? Refusal(request.id)
+                                                      : std::string()) +
+                           Success(request.id)};
+        });
+    const auto response = fixture.Call(fixture.Request("/file/x", "r1"));
+    cr_assert_eq(runs, 1, "the call ran %d times", runs);
+    cr_assert_eq(response.value().status, 200);
+  });
+}
+
+// The repeated refusal names no request, and the call that follows on the same
+// connection runs.
+Test(faulty_server,
+     a_refusal_of_no_request_on_a_kept_connection_is_no_promise) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26010);
+    int runs = 0;
+    const RawServer::Script script = [&runs](const RawRequest& request) {
+      ++runs;
+      return RawAnswer{(request.on_connection > 1 ? Refusal("") : "") +
+                       Success(request.id)};
+    };
+    const auto first = AddRawServer(&fixture, 1, "app", {}, script);
+    for (int i = 1; i <= 8; ++i) {
+      const int runs_before = runs;
+      const auto response =
+          fixture.Call(fixture.Request("/file/x", fmt::format("r{}", i)));
+      const unsigned status = response.value().status;
+      cr_assert(status == 200 || status == 502, "status %u", status);
+      cr_assert_eq(runs, runs_before + 1);
+    }
+    const auto second = AddRawServer(&fixture, 2, "app", {}, script);
+    for (int i = 11; i <= 18; ++i) {
+      const int runs_before = runs;
+      const auto response =
+          fixture.Call(fixture.Request("/file/x", fmt::format("r{}", i)));
+      const unsigned status = response.value().status;
+      cr_assert(status == 200 || status == 502, "status %u", status);
+      cr_assert_eq(runs, runs_before + 1, "the call ran twice");
+    }
+  });
+}
+
+// The first refusal on a new connection can only be the answer to the request,
+// also if it does not name it.
+Test(faulty_server, a_refusal_of_no_request_on_a_new_connection_is_believed) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26020);
+    const auto server =
+        AddRawServer(&fixture, 1, "app", {}, [](const RawRequest&) {
+          return RawAnswer{Refusal(""), true};
+        });
+    cr_assert_eq(fixture.Call(fixture.Request("/file/x", "r1")).value().status,
+                 503);
+  });
+}
+
+Test(faulty_server, a_second_answer_reaches_no_other_caller) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26030);
+    std::string previous;
+    const auto server = AddRawServer(
+        &fixture, 1, "app", {}, [&previous](const RawRequest& request) {
+          // The answer to the previous request once more, late.
+          const std::string extra =
+              request.on_connection > 1 ? Success(previous) : "";
+          previous = request.id;
+          return RawAnswer{extra + Success(request.id)};
+        });
+    for (int i = 1; i <= 8; ++i) {
+      const std::string id = fmt::format("r{}", i);
+      const auto response = fixture.Call(fixture.Request("/file/x", id));
+      cr_assert_eq(response.value().status, 200);
+      cr_assert(response.value().headers.Find("Chervilpass-Request-Id") == id);
+    }
+  });
+}
+
+// Guards against the head of an error that is forwarded as an event: it ends
+// with a blank line as well.
+Test(faulty_server, an_error_in_a_stream_is_not_forwarded) {
+  CheckBrokenStreamIsCompleted(26100,
+                               "HTTP/1.1 503 Service Unavailable\r\n"
+                               "Content-Length: 5\r\n\r\nerror");
+}
+
+Test(faulty_server, a_json_error_in_a_stream_is_not_forwarded) {
+  CheckBrokenStreamIsCompleted(26130, "{\"error\":\"worker failed\"}\n\n");
+}
+
+// The worker breaks off within an event, which the head of the error completes.
+Test(faulty_server, an_error_within_an_event_is_not_forwarded) {
+  CheckBrokenStreamIsCompleted(26160,
+                               "id: 3\ndata: pie\nHTTP/1.1 500 Error\n"
+                               "Content-Length: 0\n\n");
+}
+
+Test(faulty_server, data_without_an_id_in_a_numbered_stream_is_not_forwarded) {
+  CheckBrokenStreamIsCompleted(26190, "data: worker failed\n\n");
+}
+
+// After a stream has begun and broken off the next worker answers with an
+// error.
+Test(faulty_server, an_error_of_the_next_worker_is_not_part_of_the_stream) {
+  OnRuntime([](io::Runtime& runtime) {
+    int port = 26220;
+    for (const unsigned status : {500U, 503U, 404U, 200U}) {
+      RouterFixture fixture(runtime, static_cast<std::uint16_t>(port));
+      port += 10;
+      const auto worker = [&](io::HttpExchange& exchange) {
+        if (exchange.Request().method == "GET") {
+          return exchange.Abort();
+        }
+        if (!exchange.Request().headers.Find("Last-Event-Id")) {
+          io::HttpResponse head = MakeResponse(exchange, 200, "");
+          head.headers.Add("Content-Type", "text/event-stream");
+          exchange.BeginStream(head);
+          exchange.WriteChunk(Event(1));
+          runtime.SleepFor(milliseconds(20));
+          return exchange.Abort();
+        }
+        io::HttpResponse error =
+            MakeResponse(exchange, status, "{\"error\":\"failed\"}\n\n");
+        error.headers.Add("Content-Type", "application/json");
+        exchange.Respond(error);
+      };
+      fixture.AddServer(1, "llm", {0, 4}, worker);
+      fixture.AddServer(2, "llm", {0, 4}, worker);
+      std::string body;
+      const auto done = fixture.caller->Stream(
+          {kIp, fixture.base_port}, fixture.Request("/draft/x", "r1", "1500"),
+          seconds(5), [&body](std::string_view data) {
+            body += data;
+            return true;
+          });
+      cr_assert(done.has_error(), "status %u: it looked complete", status);
+      cr_assert(body == Event(1), "status %u: %s", status, body.c_str());
+    }
+  });
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -149,7 +149,7 @@
   const std::string bytes =
       "id: 1\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
   for (std::size_t size = 1; size <= bytes.size(); ++size) {
-    EventSplitter splitter;
+    EventSplitter splitter("version");
     std::string out;
     std::vector<std::uint64_t> ids;
     for (std::size_t at = 0; at < bytes.size(); at += size) {
@@ -168,16 +168,53 @@
 }
 
 Test(event_stream, gaps_and_repetitions_of_ids_are_detected) {
+  const auto event = [](std::optional<std::uint64_t> id) {
+    return StreamEvent{"", id};
+  };
   EventSequence fresh(std::nullopt);
-  cr_assert(fresh.Accept(5) == EventOrder::kNext);
-  cr_assert(fresh.Accept(6) == EventOrder::kNext);
-  cr_assert(fresh.Accept(6) == EventOrder::kRepeated);
-  cr_assert(fresh.Accept(8) == EventOrder::kGap);
-  cr_assert(fresh.Accept(7) == EventOrder::kNext);
-  cr_assert(fresh.Accept(std::nullopt) == EventOrder::kUnnumbered);
+  cr_assert(fresh.Accept(event(5)) == EventOrder::kNext);
+  cr_assert(fresh.Accept(event(6)) == EventOrder::kNext);
+  cr_assert(fresh.Accept(event(6)) == EventOrder::kRepeated);
+  cr_assert(fresh.Accept(event(8)) == EventOrder::kGap);
+  cr_assert(fresh.Accept(event(7)) == EventOrder::kNext);
+  cr_assert(fresh.Accept(event(std::nullopt)) == EventOrder::kUnnumbered);
   EventSequence resumed(12);
-  cr_assert(resumed.Accept(14) == EventOrder::kGap);
-  cr_assert(resumed.Accept(13) == EventOrder::kNext);
+  cr_assert(resumed.Accept(event(14)) == EventOrder::kGap);
+  cr_assert(resumed.Accept(event(13)) == EventOrder::kNext);
+}
+
+namespace {
+
+EventOrder OrderOf(const std::string& bytes,
+                   std::optional<std::uint64_t> last) {
+  EventSplitter splitter("version");
+  splitter.Feed(bytes);
+  const auto event = splitter.Next();
+  cr_assert(event.has_value());
+  return EventSequence(last).Accept(*event);
+}
+
+}  // namespace
+
+Test(event_stream, only_events_belong_to_a_stream) {
+  for (const std::string event :
+       {"id: 8\ndata: x\n\n", "version: 3\nid: 8\ndata: x\ndata: y\n\n",
+        "event: token\r\nid:8\r\n: comment\r\ndata\r\n\r\n"}) {
+    cr_assert(OrderOf(event, 7) == EventOrder::kNext, "%s", event.c_str());
+  }
+  for (const std::string event : {": alive\n\n", "retry: 100\n\n"}) {
+    cr_assert(OrderOf(event, 7) == EventOrder::kUnnumbered, "%s",
+              event.c_str());
+  }
+  // A stream without ids.
+  cr_assert(OrderOf("data: x\n\n", std::nullopt) == EventOrder::kUnnumbered);
+  for (const std::string bytes :
+       {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "{\"error\": \"failed\"}\n\n", "data: failed\n\n", "id: x\ndata: y\n\n",
+        "id: 8\ndata: x\nHTTP/1.1 500 Error\n\n",
+        "id: 8\ndata: x\ncontent-length: 5\n\n"}) {
+    cr_assert(OrderOf(bytes, 7) == EventOrder::kForeign, "%s", bytes.c_str());
+  }
 }
 
 Test(server_registry, an_older_record_never_replaces_a_newer_one) {
