--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -607,8 +607,9 @@
         out += event->bytes;
         ++this->events;
       }
-      // A worker that writes comments only is as good as silent.
-      progress |= order == EventOrder::kNext || event->has_data;
+      // A worker that writes comments or repetitions only counts as silent.
+      progress |= order == EventOrder::kNext ||
+                  (order == EventOrder::kUnnumbered && event->has_data);
     }
     if (progress) {
       this->RecordProgress();
--- a/unit_tests/faulty_server_test.cc
+++ b/unit_tests/faulty_server_test.cc
@@ -207,6 +207,47 @@
   });
 }
 
+// A stalled worker keeps writing `filler`; another one completes the stream.
+void CheckNoProgress(std::uint16_t port, const std::string& filler) {
+  OnRuntime([port, &filler](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, port);
+    int runs = 0;
+    const auto worker = [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        runtime.SleepFor(seconds(5));  // no report either
+        return exchange.Abort();
+      }
+      const bool stalled = ++runs == 1;
+      const int from = std::stoi(
+          exchange.Request().headers.Find("Last-Event-Id").value_or("0"));
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      exchange.WriteChunk(Event(from + 1));
+      if (!stalled) {
+        exchange.WriteChunk(Event(from + 2));
+        exchange.EndStream();
+        return;
+      }
+      for (int i = 0; i < 100 && exchange.WriteChunk(filler); ++i) {
+        runtime.SleepFor(milliseconds(40));
+      }
+      exchange.Abort();
+    };
+    fixture.AddServer(1, "llm", {0, 4}, worker);
+    fixture.AddServer(2, "llm", {0, 4}, worker);
+    const Instant start = runtime.Now();
+    const auto body = fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert(body.has_value());
+    std::string events = body.value();
+    const std::string comment = ": alive\n\n";
+    for (std::size_t at = 0;
+         (at = events.find(comment, at)) != std::string::npos;) {
+      events.erase(at, comment.size());
+    }
+    cr_assert(events == Event(1) + Event(2) + Event(3), "%s", events.c_str());
+    cr_assert(runtime.Now() - start < milliseconds(1800));
+  });
+}
+
 }  // namespace
 
 // A server that has refused a call takes it when it is sent again. It writes
@@ -363,44 +404,10 @@
   });
 }
 
-// A stalled worker keeps its connection alive with comments. They reach the
-// caller, but another worker completes the stream.
 Test(faulty_server, a_worker_that_writes_comments_only_counts_as_silent) {
-  OnRuntime([](io::Runtime& runtime) {
-    RouterFixture fixture(runtime, 26300);
-    int runs = 0;
-    const auto worker = [&](io::HttpExchange& exchange) {
-      if (exchange.Request().method == "GET") {
-        runtime.SleepFor(seconds(5));  // no report either
-        return exchange.Abort();
-      }
-      const bool stalled = ++runs == 1;
-      const int from = std::stoi(
-          exchange.Request().headers.Find("Last-Event-Id").value_or("0"));
-      exchange.BeginStream(MakeResponse(exchange, 200, ""));
-      exchange.WriteChunk(Event(from + 1));
-      if (!stalled) {
-        exchange.WriteChunk(Event(from + 2));
-        exchange.EndStream();
-        return;
-      }
-      for (int i = 0; i < 100 && exchange.WriteChunk(": alive\n\n"); ++i) {
-        runtime.SleepFor(milliseconds(40));
-      }
-      exchange.Abort();
-    };
-    fixture.AddServer(1, "llm", {0, 4}, worker);
-    fixture.AddServer(2, "llm", {0, 4}, worker);
-    const Instant start = runtime.Now();
-    const auto body = fixture.Stream(fixture.Request("/draft/x", "r1"));
-    cr_assert(body.has_value());
-    std::string events = body.value();
-    const std::string comment = ": alive\n\n";
-    for (std::size_t at = 0;
-         (at = events.find(comment, at)) != std::string::npos;) {
-      events.erase(at, comment.size());
-    }
-    cr_assert(events == Event(1) + Event(2) + Event(3), "%s", events.c_str());
-    cr_assert(runtime.Now() - start < milliseconds(1800));
-  });
+  CheckNoProgress(26300, ": alive\n\n");
+}
+
+Test(faulty_server, a_worker_that_repeats_its_events_counts_as_silent) {
+  CheckNoProgress(26310, Event(1));
 }
