Logs of extra attempts, and of departures of unregistered servers

Neither report could be told apart by the logs: which place granted a stream a run beyond the attempts of its route, and that a server's statement to leave was dropped because its start was not registered. request.extra_attempt and worker.leaving_unregistered say so, each with a counter. No decision changes.

--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -113,6 +113,20 @@
                    const std::string& server,
                    WallTime started) {
   dependencies.metrics->Increment("chervil_leaving_responses_total");
+  const routing::ServerRegistry& servers =
+      dependencies.routing_state->Servers();
+  const routing::BackendServer* registered = servers.Find(server);
+  if (registered == nullptr || registered->started != started) {
+    dependencies.metrics->Increment("chervil_unregistered_departures_total");
+    dependencies.log->Info(
+        "worker.leaving_unregistered",
+        {{"request", context.metadata.request_id},
+         {"worker", server},
+         {"started", started.milliseconds},
+         {"registered", registered != nullptr},
+         {"registered_start",
+          registered == nullptr ? 0 : registered->started.milliseconds}});
+  }
   if (!dependencies.routing_state->Servers().MarkLeaving(server, started)) {
     return;
   }
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -174,7 +174,10 @@
       return this->EndSuspect();
     }
     if (result.worker_lost) {
-      this->policy.GrantExtraAttempt();
+      this->GrantExtraAttempt(
+          result.through_peer ? "the run at another VM was lost"
+                              : "the run was lost",
+          this->last_path.empty() ? "" : this->last_path.front().worker);
     }
     const RetryDecision decision = this->policy.OnSendEnded(
         result.outcome, this->scope.TimeLeft(), [this, standby_ready] {
@@ -211,6 +214,24 @@
     return true;
   }
 
+  // `worker` is the first one of the lost run; empty if another VM ran it or
+  // the run had no path yet.
+  void GrantExtraAttempt(std::string_view reason, const std::string& worker) {
+    this->policy.GrantExtraAttempt();
+    const Instant now = this->dependencies.runtime->Now();
+    this->dependencies.metrics->Increment("chervil_extra_attempts_total");
+    this->dependencies.log->Info(
+        "request.extra_attempt",
+        {{"request", this->context.metadata.request_id},
+         {"reason", reason},
+         {"worker", worker},
+         {"unreachable",
+          !worker.empty() &&
+              this->dependencies.routing_state->IsUnreachable(worker, now)},
+         {"attempts", this->context.route->attempts},
+         {"sends", this->policy.Sends()}});
+  }
+
   // ---- standby runs ----
 
   // `excluded` are workers that it is not to use.
@@ -250,7 +271,8 @@
          {"path", DescribePath(failed.path)},
          {"reason", failed.detail}});
     if (failed.lost) {
-      this->policy.GrantExtraAttempt();
+      this->GrantExtraAttempt("the standby run was lost",
+                              failed.path.front().worker);
     }
     this->EndStandby(failed.outcome);
   }
@@ -292,7 +314,7 @@
     const Instant until = this->dependencies.runtime->Now() + kMaxStandbyWait;
     while (this->standby && !this->standby->Ready() && !this->scope.Stopped()) {
       if (this->dependencies.runtime->Now() >= until) {
-        this->policy.GrantExtraAttempt();
+        this->GrantExtraAttempt("the standby run has not begun in time", "");
         this->CancelStandby();
         break;
       }
@@ -355,7 +377,7 @@
       if (result.outcome == SendOutcome::kFailed && !this->stream_begun) {
         return this->Finish(RetryDecision::kForward, result);
       }
-      this->policy.GrantExtraAttempt();
+      this->GrantExtraAttempt("the run at another VM was lost", "");
       const RetryDecision decision =
           this->policy.OnSendEnded(result.outcome, this->scope.TimeLeft(),
                                    [this] { return this->TakeRetry(); });
