--- a/fault_tests/resting_servers.py
+++ b/fault_tests/resting_servers.py
@@ -143,8 +143,9 @@
     """Requests at a steady rate to each router, each on a connection of its own. `kept`
     sends them one after the other on one connection to each router."""
 
-    def __init__(self, fleet, route, rate=RATE, events=8, kept=False, name=""):
+    def __init__(self, fleet, route, rate=RATE, events=8, kept=False, name="", query=""):
         self.fleet, self.route, self.gap, self.events, self.kept = fleet, route, 1.0 / rate, events, kept
+        self.query = query
         self.name = name or route
         self.outcomes, self.threads, self.stopped, self.lock = [], [], False, threading.Lock()
         self.loops = [threading.Thread(target=self.loop, args=(router,), daemon=True) for router in fleet.routers]
@@ -190,7 +191,8 @@
         except OSError:
             return  # the router is being restarted
         try:
-            connection.request("GET" if self.route == "lookup" else "POST", "/%s/x" % self.route, headers=headers)
+            connection.request("GET" if self.route == "lookup" else "POST", "/%s/x%s" % (self.route, self.query),
+                               headers=headers)
             response = connection.getresponse()
             head_at, status, kind = time.monotonic(), response.status, "cut"
             retry_after, seal = response.getheader("Retry-After"), response.getheader("Chervilpass-Server-Seal")
@@ -471,6 +473,25 @@
     check_served(name, "all requests", outcomes)
 
 
+def play_leaving_lapsed(name, fleet):
+    """The registration of the server lapses; answers to earlier requests say meanwhile that
+    it leaves; then the same start is registered again."""
+    for _ in range(2):
+        fleet.add_plain_server("hal-1", "register")
+    fleet.start()
+    loads = [Load(fleet, "lookup", rate=3, query="?work_ms=1200")]
+    time.sleep(3)
+    server = fleet.plain[0]
+    fleet.worker_faults(server, unregistered_ms=4000)
+    fleets.http("DELETE", "http://%s/v1/objects/servers/%s" % (fleet.store_address(), server.name))
+    time.sleep(0.3)
+    fleet.worker_faults(server, leaving=True)
+    time.sleep(4 + CONTACT_S)
+    outcomes, _, told = check_all(name, fleet, loads)
+    check("%s: VMs were told" % name, told > 0)
+    check_served(name, "all requests", outcomes)
+
+
 def play_leaving_model(name, fleet):
     fleet.start()
     loads = [Load(fleet, "draft", rate=6), Load(fleet, "once", rate=3)]
@@ -552,7 +573,7 @@
 
 
 CELLS = {"one-rests": play_one_rests, "all-rest": play_all_rest, "model": play_model, "short": play_short,
-         "bad-values": play_bad_values, "restart": play_restart, "leaving-plain": play_leaving_plain,
+         "bad-values": play_bad_values, "restart": play_restart, "leaving-plain": play_leaving_plain, "leaving-lapsed": play_leaving_lapsed,
          "leaving-model": play_leaving_model, "leaving-return": play_leaving_return,
          "leaving-streams": play_leaving_streams}
 
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -4,8 +4,9 @@
 // workers and stalls while one of them is unavailable. Layers that it is
 // ordered to give up serve the runs that use them already until those end. Both
 // register themselves in the store, log the requests that reach them and, if
-// asked through /admin/faults, turn requests away for a while (`rest`) or say
-// that they leave (`leaving`).
+// asked through /admin/faults, turn requests away for a while (`rest`), say
+// that they leave (`leaving`), break off streams (`break_every`) or do not
+// renew their registration (`unregistered_ms`).
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -110,6 +111,17 @@
   std::string leaving;            // the field's value
 };
 
+// How streams break off although this worker goes on.
+enum class StreamBreak { kWithinEvent, kReset, kGap };
+
+// Streams that break off.
+struct StreamBreaks {
+  int every = 0;  // just each stream with such a number; 0: none
+  int count = 0;  // streams since the begin
+  int after_events = 0;
+  StreamBreak how = StreamBreak::kWithinEvent;
+};
+
 // Requests that are turned away with a time of rest.
 struct Rest {
   std::vector<std::string> fields;  // empty: none are
@@ -164,6 +176,9 @@
   // the process ends.
   void Register() {
     while (true) {
+      while (this->runtime->Now() < this->unregistered_until) {
+        this->runtime->SleepFor(milliseconds(20));
+      }
       io::HttpRequest request;
       request.method = this->registered ? "PUT" : "POST";
       request.path = this->registered
@@ -290,6 +305,21 @@
     }
   }
 
+  // Of `break_every` streams one breaks off after `break_after` events.
+  void SetBreaks(const json::object& fields) {
+    this->breaks = {};
+    this->breaks.every = fields.at("break_every").to_number<int>();
+    if (const auto* after = fields.if_contains("break_after")) {
+      this->breaks.after_events = after->to_number<int>();
+    }
+    if (const auto* how = fields.if_contains("break_how")) {
+      this->breaks.how = how->as_string() == "reset" ? StreamBreak::kReset
+                         : how->as_string() == "gap"
+                             ? StreamBreak::kGap
+                             : StreamBreak::kWithinEvent;
+    }
+  }
+
   void SetFaults(io::HttpExchange& exchange) {
     boost::system::error_code error;
     const json::value body = json::parse(exchange.Request().body, error);
@@ -316,6 +346,14 @@
     if (fields.contains("rest")) {
       this->SetRest(fields);
     }
+    if (fields.contains("break_every")) {
+      this->SetBreaks(fields);
+    }
+    // Its registration is not renewed meanwhile; the test removes it.
+    if (const auto* time = fields.if_contains("unregistered_ms")) {
+      this->unregistered_until =
+          this->runtime->Now() + milliseconds(time->to_number<int>());
+    }
     if (const auto* value = fields.if_contains("leaving_value")) {
       this->leaving_value = std::string(value->as_string());
     }
@@ -736,10 +774,17 @@
       this->CrashBeside(id, crash_part);
     }
     int sent_events = 0;
+    const bool breaks = this->TakeBreak();
     while (complete && event < events) {
+      if (breaks && sent_events >= this->breaks.after_events) {
+        this->WriteBreak(exchange, event);
+        complete = false;
+        break;
+      }
+      ++sent_events;
       complete = this->SendEvent(exchange, *run, ++event, crash_body);
       if (this->break_after_events > 0 &&
-          ++sent_events >= this->break_after_events) {
+          sent_events >= this->break_after_events) {
         this->break_after_events = 0;
         exchange.WriteChunk("id: 9999\ndata: ha");
         complete = false;
@@ -755,6 +800,27 @@
     }
   }
 
+  // True if the next stream is to break off.
+  bool TakeBreak() {
+    return this->breaks.every > 0 &&
+           ++this->breaks.count % this->breaks.every == 0;
+  }
+
+  // The last bytes of a stream that breaks off after `event`.
+  void WriteBreak(io::HttpExchange& exchange, std::uint64_t event) {
+    switch (this->breaks.how) {
+      case StreamBreak::kWithinEvent:
+        exchange.WriteChunk(fmt::format("id: {}\ndata: ha", event + 1));
+        return;
+      case StreamBreak::kReset:
+        return;
+      case StreamBreak::kGap:
+        exchange.WriteChunk(fmt::format("id: {}\ndata: x\n\n", event + 2));
+        this->runtime->SleepFor(kStallRetryInterval);
+        return;
+    }
+  }
+
   bool SendEvent(io::HttpExchange& exchange,
                  const Run& run,
                  std::uint64_t event,
@@ -803,7 +869,9 @@
   std::vector<Arrival> arrivals;    // oldest first
   std::vector<MarkedAnswer> marked_answers;  // oldest first
   Rest rest;
-  bool leaving = false;  // says so in all answers
+  StreamBreaks breaks;
+  Instant unregistered_until{};  // no registration is written before
+  bool leaving = false;          // says so in all answers
   std::string leaving_value = "1";
   std::vector<std::string> rate_limit_fields;     // of each response
   std::vector<std::shared_ptr<Run>> active_runs;  // oldest first
