Departures: kept without a registration, and told to the VM that forwarded

Servers that had said in an answer that they leave got requests again. The statement was an attribute of the registered entry: an answer or a notice that came while there was none, or for another start, was dropped, and the server was used once its registration came back. A record of an earlier start ended it. A VM that was served through another one never read it.

The registry keeps departures by server and latest start, whatever entries come and go, and knows the start of a server whose entry has gone. Answers to forwarded requests name the leaving server (Chervilpass-Departure); builds that do not know the field ignore it, and forward it to callers as any other.

--- a/chervilpass/routing/server_registry.cc
+++ b/chervilpass/routing/server_registry.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t kMaxRemovedIds = 4096;  // bounds memory
-constexpr std::size_t kMaxLeavingIds = 4096;  // bounds memory
+constexpr std::size_t kMaxDepartures = 4096;  // bounds memory
 
 }  // namespace
 
@@ -29,21 +29,14 @@
   if (!record.server) {
     // Unreadable, so not written by a backend server: stop using the entry.
     if (existing != this->entries.end()) {
-      this->by_address.erase(existing->second.server.address);
-      this->entries.erase(existing);
-      ++this->generation;
+      this->Erase(existing);
     }
     return;
   }
   BackendServer server = *record.server;
-  const auto said = this->said_leaving.find(record.id);
-  if (said != this->said_leaving.end()) {
-    if (said->second == server.started) {
-      server.leaving = true;
-    } else {
-      this->said_leaving.erase(said);
-    }
-  }
+  const auto departure = this->departures.find(record.id);
+  server.leaving |= departure != this->departures.end() &&
+                    server.started <= departure->second.started;
   if (existing != this->entries.end()) {
     existing->second.expired_since.reset();
     existing->second.revision = record.revision;
@@ -66,7 +59,7 @@
       if (owner->second.revision > record.revision) {
         return;
       }
-      this->entries.erase(owner);
+      this->Erase(owner);
     }
   }
   this->by_address[server.address] = record.id;
@@ -88,13 +81,23 @@
     }
     return;
   }
-  this->by_address.erase(existing->second.server.address);
-  this->entries.erase(existing);
+  this->Erase(existing);
   if (this->removed.size() >= kMaxRemovedIds) {
     this->removed.erase(this->removed.begin());
   }
   this->removed[id] = revision;
+}
+
+std::map<std::string, ServerRegistry::Entry>::iterator ServerRegistry::Erase(
+    std::map<std::string, Entry>::iterator entry) {
+  const BackendServer& server = entry->second.server;
+  this->by_address.erase(server.address);
+  if (this->former_starts.size() >= kMaxRemovedIds) {
+    this->former_starts.erase(this->former_starts.begin());
+  }
+  this->former_starts[entry->first] = server.started;
   ++this->generation;
+  return this->entries.erase(entry);
 }
 
 void ServerRegistry::ApplyListing(const std::vector<ServerRecord>& records,
@@ -128,15 +131,21 @@
 
 bool ServerRegistry::MarkLeaving(const std::string& id, WallTime started) {
   const auto found = this->entries.find(id);
-  if (found == this->entries.end() || found->second.server.started != started) {
+  if (found != this->entries.end() && found->second.server.started > started) {
+    return false;
+  }
+  const auto known = this->departures.find(id);
+  if (known != this->departures.end() && known->second.started >= started) {
     return false;
   }
-  if (this->said_leaving.size() >= kMaxLeavingIds) {
-    std::erase_if(this->said_leaving, [this](const auto& entry) {
-      return !this->entries.contains(entry.first);
-    });
+  if (known == this->departures.end() &&
+      this->departures.size() >= kMaxDepartures) {
+    this->DropOldestDeparture();
+  }
+  this->departures[id] = {started, ++this->last_departure};
+  if (found == this->entries.end()) {
+    return true;
   }
-  this->said_leaving[id] = started;
   if (found->second.server.leaving) {
     return false;
   }
@@ -145,6 +154,35 @@
   return true;
 }
 
+// Of a server without an entry, if there is one: its start has ended, most
+// likely.
+void ServerRegistry::DropOldestDeparture() {
+  const auto rank = [this](const auto& departure) {
+    return std::make_pair(this->entries.contains(departure.first),
+                          departure.second.number);
+  };
+  this->departures.erase(std::min_element(
+      this->departures.begin(), this->departures.end(),
+      [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); }));
+}
+
+bool ServerRegistry::IsLeaving(const std::string& id) const {
+  if (const BackendServer* server = this->Find(id)) {
+    return server->leaving;
+  }
+  const auto departure = this->departures.find(id);
+  return departure != this->departures.end() &&
+         this->StartOf(id) <= departure->second.started;
+}
+
+WallTime ServerRegistry::StartOf(const std::string& id) const {
+  if (const BackendServer* server = this->Find(id)) {
+    return server->started;
+  }
+  const auto former = this->former_starts.find(id);
+  return former == this->former_starts.end() ? WallTime{} : former->second;
+}
+
 void ServerRegistry::OnStoreRegained(Instant now) {
   this->ExtendGrace(now + this->settings.expiry_grace);
 }
@@ -166,9 +204,7 @@
   this->grace_until.reset();
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
     if (entry->second.expired_since) {
-      this->by_address.erase(entry->second.server.address);
-      entry = this->entries.erase(entry);
-      ++this->generation;
+      entry = this->Erase(entry);
     } else {
       ++entry;
     }
--- a/chervilpass/routing/server_registry.h
+++ b/chervilpass/routing/server_registry.h
@@ -33,7 +33,8 @@
 
 /// Not thread-safe. Invariants: the record of an id is the one with the highest
 /// revision received; no address belongs to two servers; a start of a server
-/// that has said that it leaves is leaving in every record of it.
+/// that has said that it leaves, and each earlier one, is leaving in every
+/// record of it, whether or not the start was registered when it said so.
 class ServerRegistry {
  public:
   explicit ServerRegistry(ServerRegistrySettings settings)
@@ -48,10 +49,17 @@
   void ApplyChange(const ServerRecord& record, bool removed, Instant now);
 
   /// A server has said itself that this start of it leaves, which counts more
-  /// than its records. Ignored unless that start is registered. Returns true if
-  /// it was not known to leave.
+  /// than its records. Returns true if it was not known to leave; false as well
+  /// for an earlier start than the registered one.
   bool MarkLeaving(const std::string& id, WallTime started);
 
+  /// True if the server leaves, according to its record or to itself.
+  bool IsLeaving(const std::string& id) const;
+
+  /// The registered start of a server or, if its registration is gone, the
+  /// latest one; zero if it was never registered.
+  WallTime StartOf(const std::string& id) const;
+
   /// The store is reachable again after an outage; starts the grace period.
   void OnStoreRegained(Instant now);
 
@@ -86,17 +94,28 @@
     std::optional<Instant> expired_since;
   };
 
+  // The latest start of a server that has said that it leaves.
+  struct Departure {
+    WallTime started;
+    std::uint64_t number = 0;  ///< in the order of the statements
+  };
+
   void Upsert(const ServerRecord& record);
   void Remove(const std::string& id, std::uint64_t revision, Instant now);
+  std::map<std::string, Entry>::iterator Erase(
+      std::map<std::string, Entry>::iterator entry);
+  void DropOldestDeparture();
 
   ServerRegistrySettings settings;
   std::map<std::string, Entry> entries;
   std::map<io::Endpoint, std::string> by_address;
   /// Revision of each removal, by id; older records do not restore the server.
   std::map<std::string, std::uint64_t> removed;
-  /// Starts of servers that have said that they leave, by id. Kept when the
-  /// entry is removed: the same start may be registered again.
-  std::map<std::string, WallTime> said_leaving;
+  /// Starts of the servers whose entries are gone.
+  std::map<std::string, WallTime> former_starts;
+  /// Kept without an entry: the same start may be registered again.
+  std::map<std::string, Departure> departures;
+  std::uint64_t last_departure = 0;
   std::optional<Instant> grace_until;
   std::uint64_t generation = 0;
 };
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -240,7 +240,7 @@
                                    : LostSend(body.error());
     }
     call->ReturnToPool();
-    return this->Classify(metadata, std::move(head).value(),
+    return this->Classify(metadata, server.id, head.value(),
                           std::move(body).value());
   }
 
@@ -252,6 +252,7 @@
   }
 
   SendResult Classify(const ResponseMetadata& metadata,
+                      const std::string& server,
                       const io::HttpResponse& head,
                       std::string body) const {
     if (metadata.not_executed) {
@@ -267,10 +268,11 @@
               {},
               fmt::format("status {} without a statement", metadata.status)};
     }
-    SendResult result{IsServerFailure(metadata.status) ? SendOutcome::kFailed
-                                                       : SendOutcome::kResponse,
-                      platform::ForwardedResponse(head),
-                      fmt::format("status {}", metadata.status)};
+    SendResult result{
+        IsServerFailure(metadata.status) ? SendOutcome::kFailed
+                                         : SendOutcome::kResponse,
+        ResponseForCaller(this->dependencies, this->context, server, head),
+        fmt::format("status {}", metadata.status)};
     result.response.body = std::move(body);
     return result;
   }
--- a/chervilpass/serving/peer_forwarder.cc
+++ b/chervilpass/serving/peer_forwarder.cc
@@ -63,6 +63,7 @@
     forwarded.detail = head.error().detail;
     return forwarded;
   }
+  RecordPeerStatements(this->dependencies, this->context, head.value());
   forwarded.outcome = SendOutcome::kResponse;
   forwarded.head = std::move(head).value();
   return forwarded;
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "chervilpass/serving/link_monitor.h"
+#include "platform/request_codec.h"
 
 namespace chervilpass::serving {
 namespace {
@@ -77,9 +78,7 @@
 
 bool IsLeaving(const RouterDependencies& dependencies,
                const std::string& server) {
-  const routing::BackendServer* known =
-      dependencies.routing_state->Servers().Find(server);
-  return known != nullptr && known->leaving;
+  return dependencies.routing_state->Servers().IsLeaving(server);
 }
 
 // Waits until the server does not rest; false if that would be after `latest`.
@@ -113,8 +112,9 @@
                    const std::string& server,
                    WallTime started) {
   dependencies.metrics->Increment("chervil_leaving_responses_total");
-  const routing::ServerRegistry& servers =
-      dependencies.routing_state->Servers();
+  routing::ServerRegistry& servers = dependencies.routing_state->Servers();
+  // A later start that is registered by now must be the one that has answered.
+  started = std::max(started, servers.StartOf(server));
   const routing::BackendServer* registered = servers.Find(server);
   if (registered == nullptr || registered->started != started) {
     dependencies.metrics->Increment("chervil_unregistered_departures_total");
@@ -127,7 +127,7 @@
          {"registered_start",
           registered == nullptr ? 0 : registered->started.milliseconds}});
   }
-  if (!dependencies.routing_state->Servers().MarkLeaving(server, started)) {
+  if (!servers.MarkLeaving(server, started)) {
     return;
   }
   dependencies.report_departure(server, started);
@@ -167,6 +167,31 @@
   }
 }
 
+void RecordPeerStatements(const RouterDependencies& dependencies,
+                          const RequestContext& context,
+                          const io::HttpResponse& head) {
+  const auto departure = platform::ReadDeparture(head);
+  if (departure && dependencies.routing_state->Servers().MarkLeaving(
+                       departure->server, departure->started)) {
+    dependencies.log->Info("worker.departure_learned",
+                           {{"request", context.metadata.request_id},
+                            {"worker", departure->server},
+                            {"started", departure->started.milliseconds}});
+  }
+}
+
+io::HttpResponse ResponseForCaller(const RouterDependencies& dependencies,
+                                   const RequestContext& context,
+                                   const std::string& server,
+                                   const io::HttpResponse& head) {
+  io::HttpResponse response = platform::ForwardedResponse(head);
+  if (context.forwarded && platform::ReadResponse(head).leaving) {
+    platform::AddDeparture(
+        &response, {server, dependencies.routing_state->StartedOf(server)});
+  }
+  return response;
+}
+
 Duration MaxSendWait(const RequestContext& context, Duration time_left) {
   const Duration objective = context.route->response_objective;
   const Duration useful =
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -79,6 +79,19 @@
                             WallTime started,
                             const ResponseMetadata& response);
 
+/// Records what another VM's response states about the server that it comes
+/// from: that the server is leaving.
+void RecordPeerStatements(const RouterDependencies& dependencies,
+                          const RequestContext& context,
+                          const io::HttpResponse& head);
+
+/// The head of the response of `server` to send to the caller or, if another VM
+/// has forwarded the request, to that VM, which must know if the server leaves.
+io::HttpResponse ResponseForCaller(const RouterDependencies& dependencies,
+                                   const RequestContext& context,
+                                   const std::string& server,
+                                   const io::HttpResponse& head);
+
 /// The longest time for which the request waits for a server's rate limit or
 /// rest: it can still be answered in time afterwards. Requests of higher
 /// priority wait longer, so that they are sent first while rates are scarce.
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -83,6 +83,14 @@
   auto operator<=>(const RestField&) const = default;
 };
 
+/// The start of a backend server that has said that it leaves.
+struct ServerDeparture {
+  std::string server;
+  WallTime started;  ///< zero if unknown
+
+  auto operator<=>(const ServerDeparture&) const = default;
+};
+
 /// Metadata from the status and the header of a response.
 struct ResponseMetadata {
   unsigned status = 0;
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -140,8 +140,7 @@
 }
 
 WallTime RoutingState::StartedOf(const std::string& server) const {
-  const routing::BackendServer* known = this->servers.Find(server);
-  return known == nullptr ? WallTime{} : known->started;
+  return this->servers.StartOf(server);
 }
 
 bool RoutingState::RecordRateLimit(const std::string& server,
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -578,7 +578,10 @@
       this->policy.OnResponseBegun();
       this->scope.SetResponseBegun();
       if (!this->context.exchange->BeginStream(
-              platform::ForwardedResponse(head))) {
+              path.empty()
+                  ? platform::ForwardedResponse(head)
+                  : ResponseForCaller(this->dependencies, this->context,
+                                      path.front().worker, head))) {
         this->scope.Stop(StopReason::kCallerGone);
         return {SendOutcome::kUnknown, {}, "the caller has gone", false};
       }
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -54,7 +54,9 @@
 }
 
 // Reads the rest of a response that reports a failure.
-void ReadFailure(io::HttpCall* call,
+void ReadFailure(const RouterDependencies& dependencies,
+                 const RequestContext& context,
+                 io::HttpCall* call,
                  const io::HttpResponse& head,
                  BegunStreamRun* run) {
   run->detail = fmt::format("status {}", head.status);
@@ -66,7 +68,8 @@
   }
   call->ReturnToPool();
   run->outcome = SendOutcome::kFailed;
-  run->response = platform::ForwardedResponse(head);
+  run->response =
+      ResponseForCaller(dependencies, context, run->path.front().worker, head);
   run->response.body = std::move(body).value();
 }
 
@@ -117,7 +120,7 @@
     RecordRefusal(dependencies, *request.model, *run.refusing_worker,
                   response.status);
   } else if (!response.Successful()) {
-    ReadFailure(call.get(), head.value(), &run);
+    ReadFailure(dependencies, *request.context, call.get(), head.value(), &run);
   } else if (!response.sealed || response.encoded) {
     run.detail = "success without a valid signature";
   } else {
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -450,3 +450,50 @@
   }
   cr_assert_gt(read, 100, "mutations are too strong: %d were read", read);
 }
+
+// A forwarded request tells how often it may run; a build that does not know
+// the field passes it on to no server.
+Test(request_codec, a_forwarded_request_carries_the_attempts_that_are_left) {
+  io::HttpRequest received = CallerRequest();
+  received.headers.Add("Chervilpass-Attempts-Left", "7");
+  const auto for_peer = RequestForPeer(received, milliseconds(900), 2, 12);
+  const auto metadata = ReadRequest(for_peer);
+  cr_assert(metadata.has_value());
+  cr_assert(metadata.value().attempts_left == 2U);
+  cr_assert(metadata.value().last_event_id == 12U);
+  cr_assert(!ForwardedRequest(for_peer, {})
+                 .headers.Find("Chervilpass-Attempts-Left"));
+  // As the build before forwards it.
+  cr_assert(!ReadRequest(CallerRequest()).value().attempts_left);
+  const std::pair<const char*, std::optional<std::uint32_t>> values[] = {
+      {"0", 1},
+      {"1", 1},
+      {"4294967296", UINT32_MAX},
+      {"99999999999999999999", {}},
+      {"-1", {}},
+      {"", {}},
+      {"two", {}}};
+  for (const auto& [text, expected] : values) {
+    io::HttpRequest request = CallerRequest();
+    request.headers.Add("Chervilpass-Attempts-Left", text);
+    cr_assert(ReadRequest(request).value().attempts_left == expected, "%s",
+              text);
+  }
+}
+
+Test(request_codec, a_departure_is_read_by_other_vms_and_not_by_callers) {
+  io::HttpResponse response;
+  response.headers.Add("Chervilpass-Server-Seal", "seal");
+  cr_assert(!ReadDeparture(response));
+  AddDeparture(&response, {"i-7f3a", {1700000000000}});
+  const auto departure = ReadDeparture(response);
+  cr_assert(departure == (serving::ServerDeparture{"i-7f3a", {1700000000000}}));
+  cr_assert_eq(ResponseOfPeer(response).headers.All().size(), 1);
+  cr_assert_eq(ForwardedResponse(response).headers.All().size(), 1);
+  for (const char* text : {"", " ", "5", "5 ", "x i-7", "-5 i-7", "i-7 5",
+                           "99999999999999999999 i-7"}) {
+    io::HttpResponse malformed;
+    malformed.headers.Add("Chervilpass-Departure", text);
+    cr_assert(!ReadDeparture(malformed), "%s", text);
+  }
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -331,7 +331,9 @@
   registry.ApplyChange(record, false, kStart);
   const std::uint64_t generation = registry.Generation();
   cr_assert(!registry.MarkLeaving("s", {999}));
+  cr_assert(registry.MarkLeaving("t", {1000}));
   cr_assert(!registry.MarkLeaving("t", {1000}));
+  cr_assert(registry.IsLeaving("t") && !registry.IsLeaving("s"));
   cr_assert_eq(registry.Usable("orders").size(), 1);
   cr_assert_eq(registry.Generation(), generation);
   cr_assert(registry.MarkLeaving("s", {1000}));
