Listings: one odd entry does not keep a VM from the others

Report of another operator: an entry of another writer, very deeply nested or with a number too large, and the machines stop following the list. Here a value that cannot be read (more than 32 levels, an exponent out of range, bytes that are no UTF-8, half a surrogate pair) made the whole listing or watch unreadable, again with each attempt: a VM knew 0 of 2 workers. A number without a finite value, or an entry nested less deep, passed, and made the state that relays send their followers unreadable.

--- a/chervilpass/fleet/peer_state.cc
+++ b/chervilpass/fleet/peer_state.cc
@@ -12,6 +12,9 @@
 using platform::ObjectChange;
 using platform::StoredObject;
 
+// From the root of a state to the specs, which other writers may have written.
+constexpr int kSpecLevel = 4;
+
 }  // namespace
 
 std::string EncodePeerState(const PeerState& state) {
@@ -34,7 +37,7 @@
 }
 
 std::optional<PeerState> DecodePeerState(const std::string& text) {
-  const auto body = platform::ParseJson(text);
+  const auto body = platform::ParseJsonOfSeveralWriters(text, kSpecLevel);
   if (!body) {
     return std::nullopt;
   }
