Planner: leaves out workers with layers that the model does not have

Report of another operator: one odd entry among the workers, and machines end again and again. An entry with a known kind and layers beyond the model's made the planner read far beyond its table of layers; the VM that decides on placement ended, then the next one that took the claim.

odd_entries_test, the_planner_leaves_out_workers_with_unknown_layers: ended by a signal before, passes now.

--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -549,7 +549,10 @@
     const PlannerSettings& settings) {
   std::map<std::string, std::vector<PlannedWorker>> groups;
   for (const PlannedWorker& worker : workers) {
-    groups[worker.data_centre].push_back(worker);
+    // Its entry was not written by a worker of this model.
+    if (worker.layers.to <= model.layers) {
+      groups[worker.data_centre].push_back(worker);
+    }
   }
   std::vector<PlannedWorker> too_small;
   std::vector<PlacementOrder> orders;
--- a/unit_tests/odd_entries_test.cc
+++ b/unit_tests/odd_entries_test.cc
@@ -8,6 +8,7 @@
 #include "chervilpass/fleet/peer_state.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/io/http_server.h"
+#include "chervilpass/placement/planner.h"
 
 // Last: its macros clash with headers of Boost.
 #include "unit_tests/router_fixture.h"
@@ -280,3 +281,41 @@
     }
   });
 }
+
+// Guards against a VM that ends while it plans because an entry names layers
+// that the model does not have.
+Test(odd_entries, the_planner_leaves_out_workers_with_unknown_layers) {
+  placement::ModelProfile model;
+  model.layers = 8;
+  model.layer_mb = 100;
+  model.kv_bytes_per_token = 8000;
+  model.step_time = milliseconds(1);
+  model.prefill_tokens_per_second = 100000;
+  model.concurrent_loads = 4;
+  model.batch_limit = 64;
+  model.typical_prompt_tokens = 100;
+  model.typical_answer_tokens = 20;
+  model.accelerator_kinds["k"] = {590, 1, 1};
+  const auto worker = [&](const std::string& name,
+                          placement::LayerRange layers) {
+    placement::PlannedWorker planned;
+    planned.worker = name;
+    planned.data_centre = "a";
+    planned.kind = model.accelerator_kinds.at("k");
+    planned.layers = layers;
+    return planned;
+  };
+  for (const placement::LayerRange odd :
+       {placement::LayerRange{0, 100000}, {99990, 100000}, {4, 9}, {8, 9}}) {
+    for (const std::uint32_t held : {0U, 4U, 8U}) {
+      std::vector<placement::PlannedWorker> workers = {
+          worker("a", {0, std::min(held, 4U)}),
+          worker("b", {std::min(held, 4U), held}),
+          worker("c", {0, std::min(held, 4U)}), worker("odd", odd)};
+      for (const auto& order : placement::PlanPlacement(model, workers, {})) {
+        cr_assert(order.worker != "odd");
+        cr_assert_leq(order.layers.to, model.layers);
+      }
+    }
+  }
+}
