Test: heads of answers that are cut at each byte are no success

Ruled out here: calls and streams of all kinds, a cut at each byte of the head; no caller gets a success or a signature. The four tests passed on the code as it was.

--- a/unit_tests/faulty_server_test.cc
+++ b/unit_tests/faulty_server_test.cc
@@ -411,3 +411,60 @@
 Test(faulty_server, a_worker_that_repeats_its_events_counts_as_silent) {
   CheckNoProgress(26310, Event(1));
 }
+
+namespace {
+
+// Sends requests to servers that close in the middle of the head of their
+// answer, at each of its bytes in turn; no caller may get a success.
+void CheckCutHeads(std::uint16_t port,
+                   const std::string& path,
+                   const std::string& service,
+                   placement::LayerRange layers) {
+  OnRuntime([&](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, port);
+    const std::string id = "r0000000";
+    const std::string answer = layers.Empty() ? Success(id) : StreamHead(id);
+    const std::size_t head_size = answer.find("\r\n\r\n") + 4;
+    std::atomic<std::size_t> cuts = 0;
+    std::vector<std::unique_ptr<RawServer>> servers;
+    for (int number = 1; number <= 12; ++number) {
+      servers.push_back(AddRawServer(
+          &fixture, number, service, layers, [&](const RawRequest& request) {
+            if (request.head.starts_with("GET /v1/report")) {
+              return RawAnswer{
+                  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\":1}"};
+            }
+            return RawAnswer{answer.substr(0, cuts++ % head_size), true};
+          }));
+    }
+    for (int i = 0; i < 2000 && cuts < head_size; ++i) {
+      const auto response = fixture.Call(fixture.Request(path, id));
+      cr_assert(!response.has_value() || response.value().status >= 400,
+                "a success after %zu cuts", cuts.load());
+      cr_assert(!response.has_value() ||
+                !response.value().headers.Find("Chervilpass-Server-Seal"));
+      runtime.SleepFor(milliseconds(10));
+    }
+    cr_assert_geq(cuts, head_size, "%zu of %zu", cuts.load(), head_size);
+  });
+}
+
+}  // namespace
+
+// Guard against successes with an empty or a short body: the head of the
+// server's answer has not arrived as a whole.
+Test(faulty_server, a_cut_head_of_an_idempotent_call_is_no_success) {
+  CheckCutHeads(26400, "/lookup/x", "app", {});
+}
+
+Test(faulty_server, a_cut_head_of_a_non_idempotent_call_is_no_success) {
+  CheckCutHeads(26420, "/file/x", "app", {});
+}
+
+Test(faulty_server, a_cut_head_of_a_stream_is_no_success, .timeout = 60) {
+  CheckCutHeads(26440, "/draft/x", "llm", {0, 4});
+}
+
+Test(faulty_server, a_cut_head_of_a_stream_that_runs_once_is_no_success) {
+  CheckCutHeads(26460, "/once/x", "llm", {0, 4});
+}
