Shutdown: calls of unknown duration are not taken late in the grace period

Report of another operator: late in the grace of a planned stop requests were taken and cut with no answer at its end, among them some that may not be repeated. Here each call gets an answer before the end; but a VM that knew no usual time of a route's calls took them until half a second before it, and answered 502: of 15 calls of 2 s that may not be repeated, one sent 5.5 s after SIGTERM ran and got 502. A call of unknown duration is now expected to take four times the response objective of its route, its own time left at most, and is refused (not run) if the grace period is shorter.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -94,7 +94,8 @@
         return this->EndQuarantined();
       }
       if (const auto objection = this->dependencies.shutdown->ObjectionToCall(
-              this->context.route->name, this->scope.TimeLeft(),
+              this->context.route->name,
+              this->context.route->response_objective, this->scope.TimeLeft(),
               this->dependencies.runtime->Now())) {
         return RefuseLeaving(this->dependencies, this->context,
                              this->policy.Executed(), *objection,
--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -31,6 +31,7 @@
 
 std::optional<std::string> ShutdownGate::ObjectionToCall(
     const std::string& route,
+    Duration objective,
     Duration time_left,
     Instant now) const {
   if (!this->end) {
@@ -40,11 +41,17 @@
   if (left <= Duration::zero()) {
     return "this VM is leaving";
   }
-  const auto usual = this->run_times.CallTime(route, this->settings.later);
-  if (!usual || std::min(*usual, time_left) <= left) {
-    return std::nullopt;
+  Duration expected = time_left;
+  if (const auto usual =
+          this->run_times.CallTime(route, this->settings.later)) {
+    expected = std::min(*usual, time_left);
+  } else if (objective > Duration::zero()) {
+    expected = std::min(duration_cast<Duration>(
+                            this->settings.unknown_call_objectives * objective),
+                        time_left);
   }
-  return TooLong(*usual, left);
+  return expected <= left ? std::nullopt
+                          : std::optional<std::string>(TooLong(expected, left));
 }
 
 std::optional<std::string> ShutdownGate::ObjectionToStream(
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -22,6 +22,9 @@
   EstimateCaution later{.time_quantile = 0.95,
                         .time_margin = 1.1,
                         .length_deviations = 3};
+  /// A call of a route without recent calls is expected to take this many times
+  /// the route's response objective.
+  double unknown_call_objectives = 4;
   /// Before the end of the process, requests without a response get one. Longer
   /// than a connection to a backend server may take, which cannot be cancelled.
   Duration final_response_time = milliseconds(500);
@@ -60,8 +63,10 @@
 
   /// Why a call should not be sent; empty if it should. A call always gets a
   /// response before the end; one that is expected to end later is better sent
-  /// through another VM.
+  /// through another VM. `objective` is the route's response objective, zero if
+  /// it has none.
   std::optional<std::string> ObjectionToCall(const std::string& route,
+                                             Duration objective,
                                              Duration time_left,
                                              Instant now) const;
 
--- a/fault_tests/planned_work.py
+++ b/fault_tests/planned_work.py
@@ -9,6 +9,9 @@
 breaks off, if one that would end well before the process is refused, or if a
 refusal is late or names no time to retry.
 
+The cell "stop-cold" stops a router that knows no usual times of calls yet. It fails as well
+if a call that may not be repeated gets 502.
+
 The cell "silent-workers" pauses all model workers for a second while streams run;
 the cell "config-changes" changes the configuration again and again while callers
 reuse their connections. They fail if a request gets no complete answer."""
@@ -183,6 +186,31 @@
     report(name, fleet, stopping.outcomes, ended_s, [request[0] for request in requests])
 
 
+def play_stop_cold(name, fleet):
+    fleet.call_timeout_ms = 20000
+    fleet.slow_routes = ["call2000"]
+    for _ in range(2):
+        fleet.add_plain_server("hal-1", "register")
+    fleet.start()
+    stopping = StoppingRouter(fleet, fleet.routers[1])
+    ended_s = stopping.play([("file", "POST", "/file/x?work_ms=2000", 2.0, 20.0, {}), call_request(2000)], 0.5)
+    ran, outcomes = fleet.runs(), stopping.outcomes
+    for kind in ("file", "call2000"):
+        kinds = [outcome.kind for outcome in outcomes if outcome.name.startswith(kind)]
+        print("%s: %s %s" % (name, kind, " ".join("%s %d" % (item, kinds.count(item)) for item in sorted(set(kinds)))))
+    broken = [outcome for outcome in outcomes if outcome.kind == "cut" or
+              (outcome.kind == "silent" and (outcome.name in ran or outcome.elapsed_s > LOSS_SLACK_S))]
+    check("%s: no request that was taken after SIGTERM is broken off" % name, not broken,
+          "%d of %d in %.2f s" % (len(broken), len(outcomes), ended_s))
+    failed = [outcome for outcome in outcomes if outcome.kind == "failed" and outcome.name.startswith("file")]
+    check("%s: calls that may not be repeated end or are refused" % name, not failed,
+          ["%s sent at %.2f s, %d after %.2f s" % (item.name, item.sent_at, item.status, item.elapsed_s)
+           for item in failed])
+    late = [outcome for outcome in outcomes if outcome.kind == "refused" and
+            (outcome.elapsed_s > REFUSAL_S or not outcome.retry_after or outcome.name in ran)]
+    check("%s: refusals are given at once, name a time and are true" % name, not late, len(late))
+
+
 def play_silent_workers(name, fleet):
     fleet.start()
     begun = time.monotonic()
@@ -289,7 +317,7 @@
         fleet.stop()
 
 
-OTHER_CELLS = {"silent-workers": play_silent_workers, "config-changes": play_config_changes}
+OTHER_CELLS = {"stop-cold": play_stop_cold, "silent-workers": play_silent_workers, "config-changes": play_config_changes}
 CELLS = list(STOP_CELLS) + list(OTHER_CELLS)
 
 
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -670,10 +670,12 @@
   ShutdownGate gate({});
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   cr_assert(!gate.ObjectionToStream("llm", size, 0, kStart));
-  cr_assert(!gate.ObjectionToCall("lookup", seconds(60), kStart));
+  cr_assert(
+      !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
   gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
   cr_assert(gate.ObjectionToStream("llm", size, 0, kStart), "nothing is known");
-  cr_assert(!gate.ObjectionToCall("lookup", seconds(60), kStart));
+  cr_assert(
+      !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
   ServeStreams(&gate.RunTimes(), 8);
   for (int i = 0; i < 8; ++i) {
     gate.RunTimes().OnCallEnded("lookup", milliseconds(1000));
@@ -687,8 +689,8 @@
     cr_assert(!stream_cut || !stream_sent);
     const bool call_fits = at <= seconds(8) - milliseconds(1650);
     const bool call_cut = at > seconds(7);
-    const bool call_sent =
-        !gate.ObjectionToCall("lookup", seconds(60), kStart + at);
+    const bool call_sent = !gate.ObjectionToCall("lookup", milliseconds(500),
+                                                 seconds(60), kStart + at);
     cr_assert(!call_fits || call_sent);
     cr_assert(!call_cut || !call_sent);
   }
@@ -729,12 +731,30 @@
     gate.RunTimes().OnCallEnded("lookup", seconds(5));
   }
   gate.SetEnd(kStart, kStart + seconds(2), Duration::zero());
-  cr_assert(gate.ObjectionToCall("lookup", seconds(60), kStart));
-  cr_assert(!gate.ObjectionToCall("lookup", seconds(1), kStart));
+  cr_assert(
+      gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
+  cr_assert(
+      !gate.ObjectionToCall("lookup", milliseconds(500), seconds(1), kStart));
   cr_assert(!gate.MustRespond(kStart + milliseconds(1450)));
   cr_assert(gate.MustRespond(kStart + milliseconds(1500)));
 }
 
+// Guards against calls that a VM which knows no usual time of them takes late
+// in its grace period, and cannot complete.
+Test(shutdown_gate, a_call_of_unknown_duration_is_not_accepted_late) {
+  ShutdownGate gate({});
+  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
+  const auto accepted = [&](Duration objective, Duration time_left,
+                            Duration at) {
+    return !gate.ObjectionToCall("file", objective, time_left, kStart + at);
+  };
+  cr_assert(accepted(milliseconds(500), seconds(20), seconds(5)));
+  cr_assert(!accepted(milliseconds(500), seconds(20), seconds(6)));
+  cr_assert(accepted(milliseconds(500), seconds(1), seconds(6)));
+  cr_assert(accepted(Duration::zero(), seconds(7), Duration::zero()));
+  cr_assert(!accepted(Duration::zero(), seconds(20), Duration::zero()));
+}
+
 // Guards against callers that are sent from one leaving VM to the next.
 Test(shutdown_gate, retries_wait_until_a_vm_is_ready) {
   ShutdownGate gate({});
