Attempts: an end that is only concluded does not excuse a run

A run is excused now only by what this VM has seen: a refused connection, a later start that answers or is registered, or a registration that is gone.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 #include "chervilpass/quarantine/concurrent_ends.h"
 #include "chervilpass/serving/link_monitor.h"
@@ -23,6 +24,7 @@
 // Strikes from which a request takes the blame for a crash alone. One strike is
 // too few: the loss of a rack gives one to many requests.
 constexpr std::uint32_t kStrongSuspicion = 2;
+constexpr std::size_t kMaxVerifiedEnds = 4096;  // bounds memory
 
 // How it is known that a server ended.
 enum class EndEvidence {
@@ -229,8 +231,26 @@
     }
   }
 
+  ProbeResult Probe(const ServerStart& server, Duration timeout) {
+    const ProbeResult result = this->Examine(server, timeout);
+    if (result == ProbeResult::kRefused || result == ProbeResult::kRestarted) {
+      this->RecordVerifiedEnd(server);
+    }
+    return result;
+  }
+
+  // An end of a start is one of each earlier start as well.
+  void RecordVerifiedEnd(ServerStart server) {
+    if (this->verified_ends.size() >= kMaxVerifiedEnds) {
+      this->verified_ends.clear();
+    }
+    const std::uint32_t ends = std::exchange(server.known_ends, 0) + 1;
+    std::uint32_t& verified = this->verified_ends[server.Key()];
+    verified = std::max(verified, ends);
+  }
+
   // A plain server is only connected to: a request would take one of its slots.
-  ProbeResult Probe(const ServerStart& server, Duration timeout) const {
+  ProbeResult Examine(const ServerStart& server, Duration timeout) const {
     io::Runtime& runtime = *this->dependencies->runtime;
     const Instant start = runtime.Now();
     std::optional<io::HttpError> error;
@@ -313,6 +333,7 @@
       ++it;
     }
     for (const std::string& key : ended) {
+      this->RecordVerifiedEnd(this->watched.at(key).server);
       this->OnServerEnded(key, EndEvidence::kLaterStart, "registration");
     }
   }
@@ -478,6 +499,8 @@
   std::map<std::string, RunningServer> running;
   quarantine::ConcurrentEnds concurrent_ends{
       quarantine::ConcurrentEndsSettings{}};
+  // Ends that this VM has seen, by ServerStart::Key without known ends.
+  std::map<std::string, std::uint32_t> verified_ends;
   std::uint64_t last_serial = 0;  // of a run
   std::size_t watched_runs = 0;   // sum over `watched`
   bool dropping = false;          // `watched` is full, which has been logged
@@ -521,6 +544,19 @@
   return registered != nullptr && IsLaterStart(registered->started, start);
 }
 
+bool CrashMonitor::HasVerifiedEnd(const ServerStart& start) const {
+  ServerStart first = start;
+  first.known_ends = 0;
+  const auto verified = this->state->verified_ends.find(first.Key());
+  if (verified != this->state->verified_ends.end() &&
+      verified->second > start.known_ends) {
+    return true;
+  }
+  const routing::BackendServer* registered =
+      this->state->Routing().Servers().Find(start.id);
+  return registered != nullptr && IsLaterStart(registered->started, start);
+}
+
 std::uint32_t CrashMonitor::StrikesOf(std::uint64_t fingerprint) const {
   return this->state->dependencies->routing_state->Strikes().Count(
       fingerprint, this->state->dependencies->runtime->WallNow());
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -114,9 +114,17 @@
                       const io::Endpoint& address,
                       bool model_worker) const;
 
-  /// True if the server is known to have ended since this start.
+  /// True if the server is known to have ended since this start, or has to be
+  /// taken for ended: another VM says so, or it is silent and broke a
+  /// connection.
   bool HasEnded(const ServerStart& start) const;
 
+  /// True if this VM has seen that the server has ended since this start: its
+  /// address refused a connection, a later start of it answered or is
+  /// registered, or its registration is gone. A sound server that is silent for
+  /// a while never counts.
+  bool HasVerifiedEnd(const ServerStart& start) const;
+
   /// Independent strikes of a request now.
   std::uint32_t StrikesOf(std::uint64_t fingerprint) const;
 
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -279,7 +279,7 @@
   if (this->MayGoOn()) {
     this->dependencies->crashes->AwaitVerdict(start);
   }
-  return this->dependencies->crashes->HasEnded(start);
+  return this->dependencies->crashes->HasVerifiedEnd(start);
 }
 
 BegunStreamRun StandbyRun::Take() {
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -554,11 +554,12 @@
     }
     const bool connection_broke = this->scope.Reason() == StopReason::kNone;
     this->ReportLoss(path.front().worker, connection_broke);
-    // A connection that broke does not show that the worker has ended.
+    // A connection that broke does not show that the worker has ended, nor does
+    // its silence.
     const auto start = this->stream.workers.find(path.front().worker);
     const bool worker_ended =
         start != this->stream.workers.end() &&
-        this->dependencies.crashes->HasEnded(start->second);
+        this->dependencies.crashes->HasVerifiedEnd(start->second);
     return {SendOutcome::kUnknown, {}, detail, worker_ended, true};
   }
 
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -360,6 +360,14 @@
                        });
   }
 
+  bool HasLostFirstWorker(const ActiveStream& stream) const {
+    const auto start = stream.path.empty()
+                           ? stream.workers.end()
+                           : stream.workers.find(stream.path.front().worker);
+    return start != stream.workers.end() &&
+           this->dependencies->crashes->HasVerifiedEnd(start->second);
+  }
+
   // False as well for a request that would not be sent again: it is suspected
   // of crashing its workers, or would be refused because this VM leaves.
   bool MayRunAgain(const ActiveStream& stream) const {
@@ -368,8 +376,7 @@
                                      !stream.scope->ResponseBegun();
     const bool attempts_left =
         stream.may_resume ||
-        (stream.may_replace_ended && !stream.path.empty() &&
-         this->HasEnded(stream, stream.path.front().worker));
+        (stream.may_replace_ended && this->HasLostFirstWorker(stream));
     return attempts_left && !refused_by_shutdown &&
            !crashes.IsQuarantined(stream.run) &&
            !crashes.MustNotRepeat(stream.run);
--- a/unit_tests/attempts_test.cc
+++ b/unit_tests/attempts_test.cc
@@ -119,6 +119,32 @@
   CheckSoundWorkers(26640, Break::kMixed);
 }
 
+// Guards against a further attempt on the word of another VM, or after the end
+// of a worker was concluded from its silence: the worker goes on.
+Test(attempts, a_worker_that_is_taken_for_ended_grants_no_attempt) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26680);
+    int runs = 0;
+    for (int number = 1; number <= 4; ++number) {
+      fixture.AddServer(
+          number, "llm", {0, 4}, [&, number](io::HttpExchange& exchange) {
+            if (AnswerReport(exchange)) {
+              return;
+            }
+            ++runs;
+            const int first = FirstEventOf(exchange);
+            exchange.BeginStream(MakeResponse(exchange, 200, ""));
+            exchange.WriteChunk(Event(first));
+            runtime.SleepFor(milliseconds(20));
+            fixture.routing_state.OnServerEnded(fmt::format("s{}", number));
+            exchange.Abort();
+          });
+    }
+    (void)fixture.Stream(fixture.Request("/draft/x", "r1"));
+    cr_assert_leq(runs, kAttempts, "%d runs", runs);
+  });
+}
+
 // Guards against streams that end with the second of two workers that have
 // ended: the runs there do not count.
 Test(attempts, runs_on_workers_that_ended_do_not_count) {
