--- a/fault_tests/resting_servers.py
+++ b/fault_tests/resting_servers.py
@@ -23,7 +23,6 @@
 silent servers at random moments. In a seed without restarts and silences, it checks all
 but the last rule; in the others, the first two, "once", and that refusals name a time."""
 
-import argparse
 import collections
 import http.client
 import json
@@ -573,31 +572,13 @@
 
 
 CELLS = {"one-rests": play_one_rests, "all-rest": play_all_rest, "model": play_model, "short": play_short,
-         "bad-values": play_bad_values, "restart": play_restart, "leaving-plain": play_leaving_plain, "leaving-lapsed": play_leaving_lapsed,
-         "leaving-model": play_leaving_model, "leaving-return": play_leaving_return,
-         "leaving-streams": play_leaving_streams}
-
-
-def run(play, name, subnet):
-    fleet = RestFleet(subnet)
-    try:
-        play(name, fleet)
-    finally:
-        fleet.stop()
+         "bad-values": play_bad_values, "restart": play_restart, "leaving-plain": play_leaving_plain,
+         "leaving-lapsed": play_leaving_lapsed, "leaving-model": play_leaving_model,
+         "leaving-return": play_leaving_return, "leaving-streams": play_leaving_streams}
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--cell", action="append", choices=CELLS)
-    parser.add_argument("--subnet", type=int, default=70)
-    parser.add_argument("--random", nargs=2, type=int, metavar=("FIRST", "LAST"))
-    arguments = parser.parse_args()
-    if arguments.random:
-        for seed in range(arguments.random[0], arguments.random[1] + 1):
-            run(play_random, seed, arguments.subnet)
-    else:
-        for name in arguments.cell or CELLS:
-            run(CELLS[name], name, arguments.subnet)
+    platform_fleet.play_cells(__doc__, CELLS, play_random, RestFleet, subnet=70)
     print("resting_servers: %d failed" % len(FAILED))
     return 1 if FAILED else 0
 
--- a/fault_tests/route_attempts.py
+++ b/fault_tests/route_attempts.py
@@ -18,7 +18,6 @@
 
 "--random" plays seeds FIRST to LAST: a mix of all faults."""
 
-import argparse
 import collections
 import json
 import os
@@ -239,26 +238,8 @@
 CELLS = {"breaks": play_breaks, "kills": play_kills, "cut": play_cut}
 
 
-def run(play, name, subnet):
-    fleet = AttemptsFleet(subnet)
-    try:
-        play(name, fleet)
-    finally:
-        fleet.stop()
-
-
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--cell", action="append", choices=CELLS)
-    parser.add_argument("--subnet", type=int, default=75)
-    parser.add_argument("--random", nargs=2, type=int, metavar=("FIRST", "LAST"))
-    arguments = parser.parse_args()
-    if arguments.random:
-        for seed in range(arguments.random[0], arguments.random[1] + 1):
-            run(play_random, seed, arguments.subnet)
-    else:
-        for name in arguments.cell or CELLS:
-            run(CELLS[name], name, arguments.subnet)
+    platform_fleet.play_cells(__doc__, CELLS, play_random, AttemptsFleet, subnet=75)
     print("route_attempts: %d failed" % len(FAILED))
     return 1 if FAILED else 0
 
--- a/fault_tests/worker_limits.py
+++ b/fault_tests/worker_limits.py
@@ -15,7 +15,6 @@
 "--random" plays seeds FIRST to LAST: services, limits, restarts of servers and routers
 at random moments; they check the first rule for routers that were not restarted."""
 
-import argparse
 import json
 import os
 import random
@@ -246,26 +245,12 @@
          "bad-values": play_bad_values, "restart": play_restart}
 
 
-def run(play, name, subnet):
-    fleet = platform_fleet.PlatformFleet(os.path.join(fleets.ROOT, "run", "worker_limits-%d" % subnet), subnet)
-    try:
-        play(name, fleet)
-    finally:
-        fleet.stop()
+def make_fleet(subnet):
+    return platform_fleet.PlatformFleet(os.path.join(fleets.ROOT, "run", "worker_limits-%d" % subnet), subnet)
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--cell", action="append", choices=CELLS)
-    parser.add_argument("--subnet", type=int, default=65)
-    parser.add_argument("--random", nargs=2, type=int, metavar=("FIRST", "LAST"))
-    arguments = parser.parse_args()
-    if arguments.random:
-        for seed in range(arguments.random[0], arguments.random[1] + 1):
-            run(play_random, seed, arguments.subnet)
-    else:
-        for name in arguments.cell or CELLS:
-            run(CELLS[name], name, arguments.subnet)
+    platform_fleet.play_cells(__doc__, CELLS, play_random, make_fleet, subnet=65)
     print("worker_limits: %d failed" % len(FAILED))
     return 1 if FAILED else 0
 
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -2,6 +2,7 @@
 platform: a store, model workers and plain backend servers. Every started
 process is stopped by its process id."""
 
+import argparse
 import http.client
 import json
 import os
@@ -257,3 +258,24 @@
         process.send(signal_number)
         if signal_number == signal.SIGKILL:
             process.child.wait()
+
+
+def play_cells(description, cells, play_random, make_fleet, subnet):
+    """Reads the command line of a test with cells and plays those that it names, all by
+    default, or random seeds; each on a fleet of its own. `cells` maps names to functions of a
+    name and a fleet, `play_random` takes a seed and a fleet, `make_fleet` a subnet."""
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--cell", action="append", choices=cells)
+    parser.add_argument("--subnet", type=int, default=subnet)
+    parser.add_argument("--random", nargs=2, type=int, metavar=("FIRST", "LAST"))
+    arguments = parser.parse_args()
+    if arguments.random:
+        plays = [(play_random, seed) for seed in range(arguments.random[0], arguments.random[1] + 1)]
+    else:
+        plays = [(cells[name], name) for name in arguments.cell or cells]
+    for play, name in plays:
+        fleet = make_fleet(arguments.subnet)
+        try:
+            play(name, fleet)
+        finally:
+            fleet.stop()
