--- a/unit_tests/faulty_server_test.cc
+++ b/unit_tests/faulty_server_test.cc
@@ -427,7 +427,8 @@
     const std::size_t head_size = answer.find("\r\n\r\n") + 4;
     std::atomic<std::size_t> cuts = 0;
     std::vector<std::unique_ptr<RawServer>> servers;
-    for (int number = 1; number <= 12; ++number) {
+    // Many, since a worker is not used for a while after a run that was lost.
+    for (int number = 1; number <= 48; ++number) {
       servers.push_back(AddRawServer(
           &fixture, number, service, layers, [&](const RawRequest& request) {
             if (request.head.starts_with("GET /v1/report")) {
@@ -443,7 +444,7 @@
                 "a success after %zu cuts", cuts.load());
       cr_assert(!response.has_value() ||
                 !response.value().headers.Find("Chervilpass-Server-Seal"));
-      runtime.SleepFor(milliseconds(10));
+      runtime.SleepFor(milliseconds(2));
     }
     cr_assert_geq(cuts, head_size, "%zu of %zu", cuts.load(), head_size);
   });
@@ -454,17 +455,17 @@
 // Guard against successes with an empty or a short body: the head of the
 // server's answer has not arrived as a whole.
 Test(faulty_server, a_cut_head_of_an_idempotent_call_is_no_success) {
-  CheckCutHeads(26400, "/lookup/x", "app", {});
+  CheckCutHeads(27000, "/lookup/x", "app", {});
 }
 
 Test(faulty_server, a_cut_head_of_a_non_idempotent_call_is_no_success) {
-  CheckCutHeads(26420, "/file/x", "app", {});
+  CheckCutHeads(27060, "/file/x", "app", {});
 }
 
-Test(faulty_server, a_cut_head_of_a_stream_is_no_success, .timeout = 60) {
-  CheckCutHeads(26440, "/draft/x", "llm", {0, 4});
+Test(faulty_server, a_cut_head_of_a_stream_is_no_success) {
+  CheckCutHeads(27120, "/draft/x", "llm", {0, 4});
 }
 
 Test(faulty_server, a_cut_head_of_a_stream_that_runs_once_is_no_success) {
-  CheckCutHeads(26460, "/once/x", "llm", {0, 4});
+  CheckCutHeads(27180, "/once/x", "llm", {0, 4});
 }
