--- a/fault_tests/route_attempts.py
+++ b/fault_tests/route_attempts.py
@@ -10,8 +10,8 @@
    the start and the end of the request do not count;
  - a request that may run once runs twice;
  - a stream that is served lacks an event, or has one twice;
- - a request is lost although its servers went on and broke off fewer of its runs than its
-   route has attempts.
+ - in the cell "breaks": a request is lost although its servers went on and broke off fewer
+   of its runs than its route has attempts. The others print how many are.
 
 It prints how many requests were served, cut and refused, so that what a bound on attempts
 costs can be compared.
