--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,7 @@
 STAYS_S = 15.0           # "a little longer (at times many seconds)"
 CONFIG_APPLY_S = 2.0     # configApplyMs
 EVENTS = 450
+TIMEOUT_S, USED_SHARE = 20.0, 0.7
 PAUSE_EVERY, PAUSE_S = 50, 0.25  # a pause of a preempted request, shorter than gapAimMs
 
 
@@ -69,7 +70,8 @@
     complete answer, [...] once it has been passed on to a worker [...]. Planned work is: [...] a
     configuration that may be in force, from its sending until `configApplyMs` + 1 s after its
     acknowledgement. Beside a configuration it counts only if the machine cuts requests over three
-    times as often then as at other times [...]. Not counted: the worker broke off [...].\""""
+    times as often then as at other times, and not for a request that has used seven tenths of its time.
+    Not counted: the worker broke off, the deadline or the route's timeout was reached [...].\""""
     deployment.records.flush()
     with open(deployment.records.name) as records:
         entries = [json.loads(line) for line in records]
@@ -81,6 +83,8 @@
         run = ends.get(entry["request"], {"alive": False, "written": 0, "of": 0, "worker": "?"})
         if not run["alive"]:
             continue  # the worker broke off
+        if entry["t"] - entry["sent"] > USED_SHARE * TIMEOUT_S:
+            continue  # "not for a request that has used seven tenths of its time"
         if any(begin <= entry["t"] <= end for begin, end in changes):
             found.append("%.3f s: %s cuts %s, sent at %.3f s, after %d of %d events; its worker %s was at work" % (
                 entry["t"], entry["router"], entry["request"], entry["sent"], run["written"], run["of"],
