Crash monitor: a leaving server that refuses connections has not ended

Callers saw streams cut in the middle while their worker was at work: it had drained, took no new connections and went on with its streams, as it should.

Cause: each refused probe counted as the end of the process. When events followed, the VM concluded that the worker had started again, so that one process that never ended gave a stream a strike in each pause. After four the stream was cut as one that crashes its workers.

Change: a refusal says that nothing listens, not that the process has ended. Of a server that leaves, or whose registration is gone, it is a result of its own; such a server has ended if a connection to it broke as well, or if the first worker of a path reports that requests wait for it. It is not marked unreachable either, so that no second run is started. A start that counted as ended and went on does not end again by a refusal alone. A registered server that does not leave has ended when it refuses a connection, as before: real crashes are found as fast as they were.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -33,8 +33,9 @@
 };
 
 std::string_view ResultName(ProbeResult result) {
-  constexpr std::string_view kNames[] = {"answers", "restarted", "refused",
-                                         "silent",  "broken",    "unknown"};
+  constexpr std::string_view kNames[] = {
+      "answers", "restarted", "refused", "not accepting",
+      "silent",  "broken",    "unknown"};
   return kNames[static_cast<std::size_t>(result)];
 }
 
@@ -53,6 +54,12 @@
          started > server.started;
 }
 
+// The registered start, without the ends that are known since.
+ServerStart FirstStart(ServerStart server) {
+  server.known_ends = 0;
+  return server;
+}
+
 }  // namespace
 
 std::string ServerStart::Key() const {
@@ -178,7 +185,8 @@
       }
       Watched& watched = found->second;
       this->MarkServer(watched, result);
-      if (this->ProvesEnd(watched, result)) {
+      if (ProvesEnd(watched, result)) {
+        this->RecordVerifiedEnd(watched.server, result);
         this->OnServerEnded(key,
                             result == ProbeResult::kRestarted
                                 ? EndEvidence::kLaterStart
@@ -186,7 +194,8 @@
                             ResultName(result));
         return;
       }
-      if (result == ProbeResult::kAnswers) {
+      if (result == ProbeResult::kAnswers ||
+          result == ProbeResult::kNotAccepting) {
         watched.silent = false;
       }
       watched.silent |=
@@ -198,13 +207,15 @@
     }
   }
 
-  // A server that only stopped answering may be cut off instead; one that also
-  // broke a connection has ended.
+  // A server that only stopped answering may be cut off instead, and one that
+  // only stopped accepting connections may be leaving; one that also broke a
+  // connection has ended.
   static bool ProvesEnd(const Watched& watched, ProbeResult result) {
     switch (result) {
       case ProbeResult::kRestarted:
       case ProbeResult::kRefused:
         return true;
+      case ProbeResult::kNotAccepting:
       case ProbeResult::kSilent:
       case ProbeResult::kBroken:
         return watched.connection_broke;
@@ -216,9 +227,10 @@
   }
 
   void MarkServer(const Watched& watched, ProbeResult result) const {
-    const bool gone = result == ProbeResult::kRefused ||
-                      result == ProbeResult::kSilent ||
-                      result == ProbeResult::kBroken;
+    const bool gone =
+        result == ProbeResult::kRefused || result == ProbeResult::kSilent ||
+        result == ProbeResult::kBroken ||
+        (result == ProbeResult::kNotAccepting && watched.connection_broke);
     if (!gone) {
       return;
     }
@@ -232,21 +244,47 @@
   }
 
   ProbeResult Probe(const ServerStart& server, Duration timeout) {
-    const ProbeResult result = this->Examine(server, timeout);
+    ProbeResult result = this->Examine(server, timeout);
+    if (result == ProbeResult::kRefused && this->MayRefuseConnections(server)) {
+      result = ProbeResult::kNotAccepting;
+      this->dependencies->metrics->Increment(
+          "chervil_probes_not_accepted_total");
+      this->dependencies->log->Info(
+          "probe.not_accepted",
+          {{"worker", server.Key()},
+           {"registered", this->Routing().Servers().Find(server.id) != nullptr},
+           {"leaving", this->Routing().Servers().IsLeaving(server.id)}});
+    }
     if (result == ProbeResult::kRefused || result == ProbeResult::kRestarted) {
-      this->RecordVerifiedEnd(server);
+      this->RecordVerifiedEnd(server, result);
     }
     return result;
   }
 
+  // The end of a server that leaves shows in its open connections, as it does
+  // in the reports of workers that wait for it. Only a start that has accepted
+  // connections so far has ended when it refuses one.
+  bool MayRefuseConnections(const ServerStart& server) const {
+    const routing::ServerRegistry& servers = this->Routing().Servers();
+    if (servers.Find(server.id) == nullptr || servers.IsLeaving(server.id)) {
+      return true;
+    }
+    return server.known_ends > 0 &&
+           !this->restarted.contains(FirstStart(server).Key());
+  }
+
   // An end of a start is one of each earlier start as well.
-  void RecordVerifiedEnd(ServerStart server) {
+  void RecordVerifiedEnd(const ServerStart& server, ProbeResult result) {
     if (this->verified_ends.size() >= kMaxVerifiedEnds) {
       this->verified_ends.clear();
+      this->restarted.clear();
+    }
+    const std::string key = FirstStart(server).Key();
+    std::uint32_t& verified = this->verified_ends[key];
+    verified = std::max(verified, server.known_ends + 1);
+    if (result == ProbeResult::kRestarted) {
+      this->restarted.insert(key);
     }
-    const std::uint32_t ends = std::exchange(server.known_ends, 0) + 1;
-    std::uint32_t& verified = this->verified_ends[server.Key()];
-    verified = std::max(verified, ends);
   }
 
   // A plain server is only connected to: a request would take one of its slots.
@@ -333,7 +371,8 @@
       ++it;
     }
     for (const std::string& key : ended) {
-      this->RecordVerifiedEnd(this->watched.at(key).server);
+      this->RecordVerifiedEnd(this->watched.at(key).server,
+                              ProbeResult::kUnknown);
       this->OnServerEnded(key, EndEvidence::kLaterStart, "registration");
     }
   }
@@ -501,6 +540,8 @@
       quarantine::ConcurrentEndsSettings{}};
   // Ends that this VM has seen, by ServerStart::Key without known ends.
   std::map<std::string, std::uint32_t> verified_ends;
+  // Of these, the servers at which a later start has answered.
+  std::set<std::string> restarted;
   std::uint64_t last_serial = 0;  // of a run
   std::size_t watched_runs = 0;   // sum over `watched`
   bool dropping = false;          // `watched` is full, which has been logged
@@ -525,18 +566,15 @@
 ServerStart CrashMonitor::StartOf(const std::string& id,
                                   const io::Endpoint& address,
                                   bool model_worker) const {
-  const routing::BackendServer* server =
-      this->state->Routing().Servers().Find(id);
-  ServerStart start{id, server == nullptr ? WallTime{} : server->started,
-                    address, model_worker};
+  ServerStart start{id, this->state->Routing().Servers().StartOf(id), address,
+                    model_worker};
   start.known_ends = this->state->Routing().EndsOf(start.Key());
   return start;
 }
 
 bool CrashMonitor::HasEnded(const ServerStart& start) const {
-  ServerStart first = start;
-  first.known_ends = 0;
-  if (this->state->Routing().EndsOf(first.Key()) > start.known_ends) {
+  if (this->state->Routing().EndsOf(FirstStart(start).Key()) >
+      start.known_ends) {
     return true;
   }
   const routing::BackendServer* registered =
@@ -545,9 +583,8 @@
 }
 
 bool CrashMonitor::HasVerifiedEnd(const ServerStart& start) const {
-  ServerStart first = start;
-  first.known_ends = 0;
-  const auto verified = this->state->verified_ends.find(first.Key());
+  const auto verified =
+      this->state->verified_ends.find(FirstStart(start).Key());
   if (verified != this->state->verified_ends.end() &&
       verified->second > start.known_ends) {
     return true;
@@ -629,6 +666,10 @@
   }
 }
 
+bool CrashMonitor::MayRefuseConnections(const ServerStart& server) const {
+  return this->state->MayRefuseConnections(server);
+}
+
 ProbeResult CrashMonitor::Probe(const ServerStart& server,
                                 Duration timeout) const {
   return this->state->Probe(server, timeout);
@@ -677,15 +718,15 @@
   this->state->dependencies->routing_state->StartCooldown(
       server.id, routing::CooldownReason::kFull,
       this->state->dependencies->runtime->Now());
-  this->state->dependencies->runtime->Spawn(
-      [state = this->state, server, evidence = std::move(evidence)] {
-        const ProbeResult result =
-            state->Probe(server, state->settings.probe_timeout);
-        if (result != ProbeResult::kAnswers &&
-            result != ProbeResult::kRestarted && !state->stopped) {
-          MarkUnreachable(*state->dependencies, server.id, evidence);
-        }
-      });
+  this->state->dependencies->runtime->Spawn([state = this->state, server,
+                                             evidence = std::move(evidence)] {
+    const ProbeResult result =
+        state->Probe(server, state->settings.probe_timeout);
+    if (result != ProbeResult::kAnswers && result != ProbeResult::kRestarted &&
+        result != ProbeResult::kNotAccepting && !state->stopped) {
+      MarkUnreachable(*state->dependencies, server.id, evidence);
+    }
+  });
 }
 
 void CrashMonitor::OnPartsProven(const TrackedRun& run) {
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -94,10 +94,13 @@
 enum class ProbeResult {
   kAnswers,    ///< The same start of the server, as far as is known.
   kRestarted,  ///< A later start answers.
-  kRefused,    ///< Nothing listens there.
-  kSilent,     ///< No answer in time.
-  kBroken,     ///< Accepts connections, but does not answer.
-  kUnknown,    ///< This VM was stalled or cut off.
+  kRefused,    ///< Nothing listens there: the server has ended.
+  /// Nothing listens there, but a server that leaves stops to accept
+  /// connections before it ends: it may go on with its requests.
+  kNotAccepting,
+  kSilent,   ///< No answer in time.
+  kBroken,   ///< Accepts connections, but does not answer.
+  kUnknown,  ///< This VM was stalled or cut off.
 };
 
 /// Gives strikes to the requests whose runs were lost when a server ended, and
@@ -109,7 +112,8 @@
       CrashMonitorSettings settings);
   ~CrashMonitor();
 
-  /// The current start of a server; `started` is zero if it is not registered.
+  /// The current start of a server or, if its registration is gone, the latest
+  /// one; `started` is zero if it was never registered.
   ServerStart StartOf(const std::string& id,
                       const io::Endpoint& address,
                       bool model_worker) const;
@@ -120,7 +124,8 @@
   bool HasEnded(const ServerStart& start) const;
 
   /// True if this VM has seen that the server has ended since this start: its
-  /// address refused a connection, a later start of it answered or is
+  /// address refused a connection (which says nothing of a server that leaves,
+  /// unless it broke a connection as well), a later start of it answered or is
   /// registered, or its registration is gone. A sound server that is silent for
   /// a while never counts.
   bool HasVerifiedEnd(const ServerStart& start) const;
@@ -155,6 +160,11 @@
   /// Sets the prior strikes and the serial number of a run that begins now.
   void RecordPriorStrikes(TrackedRun* run);
 
+  /// True if a refused connection does not show that the server has ended: it
+  /// leaves, its registration is gone, or it refused connections before and
+  /// went on with its requests.
+  bool MayRefuseConnections(const ServerStart& server) const;
+
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
 
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -215,10 +215,10 @@
 
   void Probe(const PathStage& stage) {
     const Instant start = this->dependencies->runtime->Now();
-    const bool answers = this->Answers(stage.worker, stage.address,
-                                       this->settings.verify_timeout);
+    const ProbeResult result = this->ProbeWorker(stage.worker, stage.address,
+                                                 this->settings.verify_timeout);
     this->pending_reports.erase(stage.worker);
-    if (answers) {
+    if (IsAnswer(result) || result == ProbeResult::kNotAccepting) {
       this->probes_answered[stage.worker] = this->dependencies->runtime->Now();
     } else if (this->last_local_stall < start && !this->stopped) {
       MarkUnreachable(*this->dependencies, stage.worker,
@@ -423,6 +423,14 @@
     const auto response = this->dependencies->http->Call(
         first.address, request, this->settings.report_timeout);
     this->pending_reports.erase(first.worker);
+    // Its open connections show whether a worker that leaves goes on.
+    const CrashMonitor& crashes = *this->dependencies->crashes;
+    if (response.has_error() &&
+        response.error().code == io::HttpErrorCode::kConnect &&
+        crashes.MayRefuseConnections(
+            crashes.StartOf(first.worker, first.address, true))) {
+      return;
+    }
     if (response.has_error() || response.value().status != 200) {
       MarkUnreachable(*this->dependencies, first.worker,
                       response.has_error()
@@ -437,55 +445,72 @@
           {{"worker", first.worker}, {"reason", report.error().detail}});
       return;
     }
-    std::map<std::string, std::set<std::string>> waiting;  // ids by worker
+    std::map<std::string, WaitingRequests> waiting;  // by worker
     for (const platform::StalledRequest& stalled : report.value().stalled) {
-      if (const auto worker = this->WorkerAt(stalled)) {
-        waiting[*worker].insert(stalled.request_id);
+      if (const PathStage* stage = this->StageOf(stalled)) {
+        WaitingRequests& requests = waiting[stage->worker];
+        requests.address = stage->address;
+        requests.ids.insert(stalled.request_id);
       }
     }
-    for (const auto& [worker, ids] : waiting) {
-      this->StartVerifying(worker, ids);
+    for (const auto& [worker, requests] : waiting) {
+      this->StartVerifying(worker, requests);
     }
   }
 
-  // The worker that the request waits for, taken from the paths of this VM's
-  // streams, since it may not be registered any more.
-  std::optional<std::string> WorkerAt(
-      const platform::StalledRequest& stalled) const {
+  // Requests that wait for one worker.
+  struct WaitingRequests {
+    io::Endpoint address;  // of the worker
+    std::set<std::string> ids;
+  };
+
+  // The stage that the request waits for, taken from the paths of this VM's
+  // streams, since its worker may not be registered any more. Null if there is
+  // none.
+  const PathStage* StageOf(const platform::StalledRequest& stalled) const {
     for (const ActiveStream* stream : this->streams) {
       if (stream->request_id != stalled.request_id) {
         continue;
       }
       for (const PathStage& stage : stream->path) {
         if (stage.address == stalled.waits_for) {
-          return stage.worker;
+          return &stage;
         }
       }
     }
-    return std::nullopt;
+    return nullptr;
   }
 
   // A worker that requests wait for may be unreachable, have no capacity or be
   // giving up layers; probing it tells the first case from the others.
   void StartVerifying(const std::string& worker,
-                      const std::set<std::string>& ids) {
+                      const WaitingRequests& requests) {
     if (!this->pending_reports.insert(worker).second) {
       return;
     }
-    this->dependencies->runtime->Spawn([self = this->shared_from_this(), worker,
-                                        ids] { self->Verify(worker, ids); });
+    this->dependencies->runtime->Spawn(
+        [self = this->shared_from_this(), worker, requests] {
+          self->Verify(worker, requests);
+        });
   }
 
-  void Verify(const std::string& worker, const std::set<std::string>& ids) {
-    const bool answers = this->Answers(worker);
+  void Verify(const std::string& worker, const WaitingRequests& requests) {
+    const ProbeResult result = this->ProbeWorker(worker, requests.address,
+                                                 this->settings.report_timeout);
     this->pending_reports.erase(worker);
-    if (!answers) {
+    if (result == ProbeResult::kNotAccepting) {
+      // Nothing comes from it either: it has ended since it began to leave.
+      this->RecordFinding(
+          this->dependencies->crashes->StartOf(worker, requests.address, true),
+          LossEvidence::kEnded);
+    }
+    if (!IsAnswer(result)) {
       MarkUnreachable(*this->dependencies, worker, "requests stall there");
       return;
     }
     this->StartFullCooldown(worker);
     for (ActiveStream* stream : this->streams) {
-      if (ids.contains(stream->request_id) && !stream->moving &&
+      if (requests.ids.contains(stream->request_id) && !stream->moving &&
           stream->standby == nullptr && !stream->path.empty()) {
         // It may have crashed and started again.
         this->ReportLoss(*stream, worker);
@@ -494,39 +519,39 @@
     }
   }
 
-  // True if the worker answers a request for its report.
-  bool Answers(const std::string& worker) {
-    const auto* server =
-        this->dependencies->routing_state->Servers().Find(worker);
-    return server != nullptr && this->Answers(worker, server->address,
-                                              this->settings.report_timeout);
+  static bool IsAnswer(ProbeResult result) {
+    return result == ProbeResult::kAnswers || result == ProbeResult::kRestarted;
   }
 
-  bool Answers(const std::string& worker,
-               const io::Endpoint& address,
-               Duration timeout) {
+  void RecordFinding(const ServerStart& start, LossEvidence evidence) {
+    this->findings[start.Key()] = {evidence,
+                                   this->dependencies->runtime->Now()};
+  }
+
+  // Asks the worker for its report and keeps what that shows.
+  ProbeResult ProbeWorker(const std::string& worker,
+                          const io::Endpoint& address,
+                          Duration timeout) {
     const CrashMonitor& crashes = *this->dependencies->crashes;
     const ServerStart start = crashes.StartOf(worker, address, true);
     const ProbeResult result = crashes.Probe(start, timeout);
-    const Instant now = this->dependencies->runtime->Now();
     switch (result) {
       case ProbeResult::kAnswers:
-        this->findings[start.Key()] = {LossEvidence::kAbandoned, now};
-        return true;
+      case ProbeResult::kNotAccepting:
+        this->RecordFinding(start, LossEvidence::kAbandoned);
+        break;
       case ProbeResult::kRestarted:
-        this->findings[start.Key()] = {LossEvidence::kEnded, now};
-        return true;
       case ProbeResult::kRefused:
-        this->findings[start.Key()] = {LossEvidence::kEnded, now};
-        return false;
+        this->RecordFinding(start, LossEvidence::kEnded);
+        break;
       case ProbeResult::kSilent:
       case ProbeResult::kBroken:
-        this->findings[start.Key()] = {LossEvidence::kNoAnswer, now};
-        return false;
+        this->RecordFinding(start, LossEvidence::kNoAnswer);
+        break;
       case ProbeResult::kUnknown:
-        return false;
+        break;
     }
-    return false;
+    return result;
   }
 
   void StartFullCooldown(const std::string& worker) {
@@ -600,10 +625,10 @@
         !this->pending_reports.insert(stage.worker).second) {
       return;
     }
-    const bool answers = this->Answers(stage.worker, stage.address,
-                                       this->settings.verify_timeout);
+    const ProbeResult result = this->ProbeWorker(stage.worker, stage.address,
+                                                 this->settings.verify_timeout);
     this->pending_reports.erase(stage.worker);
-    if (answers) {
+    if (IsAnswer(result)) {
       routing_state.OnAnswered(stage.worker);
     }
   }
