Crash monitor: a registered worker that refuses connections is unreachable

Streams were sent to a worker that had crashed, each time its cooldown ended and as long as its registration stood: took the refusal of a worker whose end is known already for one by a worker that departs, and did not mark it unreachable.

Cause: one predicate answered two questions, whether a refusal proves an end and whether the worker gets no new requests anyhow. They are apart now: only a worker that departs (it leaves, or its registration is gone) stays as it is.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -230,7 +230,8 @@
     const bool gone =
         result == ProbeResult::kRefused || result == ProbeResult::kSilent ||
         result == ProbeResult::kBroken ||
-        (result == ProbeResult::kNotAccepting && watched.connection_broke);
+        (result == ProbeResult::kNotAccepting &&
+         (watched.connection_broke || !this->IsDeparting(watched.server)));
     if (!gone) {
       return;
     }
@@ -245,7 +246,7 @@
 
   ProbeResult Probe(const ServerStart& server, Duration timeout) {
     ProbeResult result = this->Examine(server, timeout);
-    if (result == ProbeResult::kRefused && this->MayRefuseConnections(server)) {
+    if (result == ProbeResult::kRefused && !this->RefusalProvesEnd(server)) {
       result = ProbeResult::kNotAccepting;
       this->dependencies->metrics->Increment(
           "chervil_probes_not_accepted_total");
@@ -261,16 +262,19 @@
     return result;
   }
 
-  // The end of a server that leaves shows in its open connections, as it does
-  // in the reports of workers that wait for it. Only a start that has accepted
-  // connections so far has ended when it refuses one.
-  bool MayRefuseConnections(const ServerStart& server) const {
+  bool IsDeparting(const ServerStart& server) const {
     const routing::ServerRegistry& servers = this->Routing().Servers();
-    if (servers.Find(server.id) == nullptr || servers.IsLeaving(server.id)) {
-      return true;
-    }
-    return server.known_ends > 0 &&
-           !this->restarted.contains(FirstStart(server).Key());
+    return servers.Find(server.id) == nullptr || servers.IsLeaving(server.id);
+  }
+
+  // A departing server stops accepting connections before it ends: its end
+  // shows in its open connections, and in the reports of workers that wait for
+  // it. One that went on after an earlier refusal departs without notice,
+  // unless a later start of it has answered since.
+  bool RefusalProvesEnd(const ServerStart& server) const {
+    return !this->IsDeparting(server) &&
+           (server.known_ends == 0 ||
+            this->restarted.contains(FirstStart(server).Key()));
   }
 
   // An end of a start is one of each earlier start as well.
@@ -666,8 +670,8 @@
   }
 }
 
-bool CrashMonitor::MayRefuseConnections(const ServerStart& server) const {
-  return this->state->MayRefuseConnections(server);
+bool CrashMonitor::IsDeparting(const ServerStart& server) const {
+  return this->state->IsDeparting(server);
 }
 
 ProbeResult CrashMonitor::Probe(const ServerStart& server,
@@ -718,15 +722,17 @@
   this->state->dependencies->routing_state->StartCooldown(
       server.id, routing::CooldownReason::kFull,
       this->state->dependencies->runtime->Now());
-  this->state->dependencies->runtime->Spawn([state = this->state, server,
-                                             evidence = std::move(evidence)] {
-    const ProbeResult result =
-        state->Probe(server, state->settings.probe_timeout);
-    if (result != ProbeResult::kAnswers && result != ProbeResult::kRestarted &&
-        result != ProbeResult::kNotAccepting && !state->stopped) {
-      MarkUnreachable(*state->dependencies, server.id, evidence);
-    }
-  });
+  this->state->dependencies->runtime->Spawn(
+      [state = this->state, server, evidence = std::move(evidence)] {
+        const ProbeResult result =
+            state->Probe(server, state->settings.probe_timeout);
+        const bool departs =
+            result == ProbeResult::kNotAccepting && state->IsDeparting(server);
+        if (result != ProbeResult::kAnswers &&
+            result != ProbeResult::kRestarted && !departs && !state->stopped) {
+          MarkUnreachable(*state->dependencies, server.id, evidence);
+        }
+      });
 }
 
 void CrashMonitor::OnPartsProven(const TrackedRun& run) {
--- a/chervilpass/serving/crash_monitor.h
+++ b/chervilpass/serving/crash_monitor.h
@@ -95,8 +95,8 @@
   kAnswers,    ///< The same start of the server, as far as is known.
   kRestarted,  ///< A later start answers.
   kRefused,    ///< Nothing listens there: the server has ended.
-  /// Nothing listens there, but a server that leaves stops to accept
-  /// connections before it ends: it may go on with its requests.
+  /// Nothing listens there, but the server may go on with its requests: it
+  /// departs, or it went on after an earlier refusal.
   kNotAccepting,
   kSilent,   ///< No answer in time.
   kBroken,   ///< Accepts connections, but does not answer.
@@ -160,10 +160,9 @@
   /// Sets the prior strikes and the serial number of a run that begins now.
   void RecordPriorStrikes(TrackedRun* run);
 
-  /// True if a refused connection does not show that the server has ended: it
-  /// leaves, its registration is gone, or it refused connections before and
-  /// went on with its requests.
-  bool MayRefuseConnections(const ServerStart& server) const;
+  /// True if the server leaves or its registration is gone: it gets no new
+  /// requests, and may refuse connections before it ends.
+  bool IsDeparting(const ServerStart& server) const;
 
   /// Asks a model worker for its report, or connects to a plain server.
   ProbeResult Probe(const ServerStart& server, Duration timeout) const;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -218,7 +218,9 @@
     const ProbeResult result = this->ProbeWorker(stage.worker, stage.address,
                                                  this->settings.verify_timeout);
     this->pending_reports.erase(stage.worker);
-    if (IsAnswer(result) || result == ProbeResult::kNotAccepting) {
+    const bool departs = result == ProbeResult::kNotAccepting &&
+                         this->IsDeparting(stage.worker, stage.address);
+    if (IsAnswer(result) || departs) {
       this->probes_answered[stage.worker] = this->dependencies->runtime->Now();
     } else if (this->last_local_stall < start && !this->stopped) {
       MarkUnreachable(*this->dependencies, stage.worker,
@@ -423,12 +425,10 @@
     const auto response = this->dependencies->http->Call(
         first.address, request, this->settings.report_timeout);
     this->pending_reports.erase(first.worker);
-    // Its open connections show whether a worker that leaves goes on.
-    const CrashMonitor& crashes = *this->dependencies->crashes;
+    // Its open connections show whether a departing worker goes on.
     if (response.has_error() &&
         response.error().code == io::HttpErrorCode::kConnect &&
-        crashes.MayRefuseConnections(
-            crashes.StartOf(first.worker, first.address, true))) {
+        this->IsDeparting(first.worker, first.address)) {
       return;
     }
     if (response.has_error() || response.value().status != 200) {
@@ -523,6 +523,12 @@
     return result == ProbeResult::kAnswers || result == ProbeResult::kRestarted;
   }
 
+  bool IsDeparting(const std::string& worker,
+                   const io::Endpoint& address) const {
+    const CrashMonitor& crashes = *this->dependencies->crashes;
+    return crashes.IsDeparting(crashes.StartOf(worker, address, true));
+  }
+
   void RecordFinding(const ServerStart& start, LossEvidence evidence) {
     this->findings[start.Key()] = {evidence,
                                    this->dependencies->runtime->Now()};
--- a/unit_tests/leaving_workers_test.cc
+++ b/unit_tests/leaving_workers_test.cc
@@ -201,3 +201,20 @@
     }
   });
 }
+
+// Guards against streams that are sent to a worker which has crashed, again and
+// again while its registration stands: its end was known already.
+Test(leaving_workers, a_crashed_worker_stays_unreachable) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 26400);
+    fixture.AddServer(1, "llm", {0, 4},
+                      [](io::HttpExchange& exchange) { exchange.Abort(); });
+    fixture.servers[0]->StopAccepting();
+    runtime.SleepFor(milliseconds(5));
+    fixture.routing_state.OnServerEnded("s1");
+    (void)fixture.Call(fixture.Request("/draft/x", "r1", "400"));
+    runtime.SleepFor(milliseconds(100));
+    cr_assert(fixture.routing_state.IsUnreachable("s1", runtime.Now()));
+    cr_assert_eq(fixture.strikes, 0);
+  });
+}
