Server registry: a record of no configured service takes no address

Callers got 503 to every request, for good, although all servers were sound: another writer had left entries of a service that no configuration names, at the addresses of these servers.

Cause: the registry gave an address to the newest record, whatever service it names, and erased the other record. The server behind it had no reason to write its entry again, so nothing brought it back, not even the removal of the odd entry. A decision about use was carried out as a loss of knowledge.

Change: the registry keeps every readable record. Of several with one address the newest of a configured service is in use, without one the newest of all; when it goes, moves, becomes unreadable or is no longer configured, the next one is. The check whether this VM is cut off connects to servers of configured services only. A reused address goes to the newer server, as before.

--- a/chervilpass/routing/server_registry.cc
+++ b/chervilpass/routing/server_registry.cc
@@ -41,30 +41,79 @@
     existing->second.expired_since.reset();
     existing->second.revision = record.revision;
     if (existing->second.server == server) {
+      // Now the newest record of its address.
+      this->AssignAddress(server.address);
       return;
     }
-    const auto old_address =
-        this->by_address.find(existing->second.server.address);
-    if (old_address != this->by_address.end() &&
-        old_address->second == record.id) {
-      this->by_address.erase(old_address);
-    }
+    this->ReleaseAddress(record.id, existing->second.server.address);
+  }
+  const io::Endpoint address = server.address;
+  this->entries[record.id] = {std::move(server), record.revision, std::nullopt,
+                              false};
+  this->claims[address].insert(record.id);
+  this->AssignAddress(address);
+  ++this->generation;
+}
+
+bool ServerRegistry::IsConfigured(const BackendServer& server) const {
+  return !this->services || this->services->contains(server.service);
+}
+
+// Removes the claim of an entry; another one may be in use then.
+void ServerRegistry::ReleaseAddress(const std::string& id,
+                                    const io::Endpoint& address) {
+  const auto found = this->claims.find(address);
+  found->second.erase(id);
+  if (found->second.empty()) {
+    this->claims.erase(found);
   }
-  // A reused address belongs to the newer registration.
-  const auto address_owner = this->by_address.find(server.address);
-  if (address_owner != this->by_address.end() &&
-      address_owner->second != record.id) {
-    const auto owner = this->entries.find(address_owner->second);
-    if (owner != this->entries.end()) {
-      if (owner->second.revision > record.revision) {
-        return;
+  this->AssignAddress(address);
+}
+
+// A reused address belongs to the newest registration.
+void ServerRegistry::AssignAddress(const io::Endpoint& address) {
+  const auto found = this->claims.find(address);
+  const std::string* newest = nullptr;
+  std::pair<bool, std::uint64_t> highest_rank;
+  if (found != this->claims.end()) {
+    for (const std::string& id : found->second) {
+      const Entry& entry = this->entries.at(id);
+      const std::pair rank(this->IsConfigured(entry.server), entry.revision);
+      if (newest == nullptr || rank > highest_rank) {
+        newest = &id;
+        highest_rank = rank;
       }
-      this->Erase(owner);
     }
   }
-  this->by_address[server.address] = record.id;
-  this->entries[record.id] = {std::move(server), record.revision, std::nullopt};
-  ++this->generation;
+  const auto holder = this->by_address.find(address);
+  const bool held = holder != this->by_address.end();
+  if (held && newest != nullptr && holder->second == *newest) {
+    return;
+  }
+  if (held) {
+    const auto previous = this->entries.find(holder->second);
+    if (previous != this->entries.end()) {
+      previous->second.in_use = false;
+    }
+    this->by_address.erase(holder);
+  }
+  if (newest != nullptr) {
+    this->entries.at(*newest).in_use = true;
+    this->by_address[address] = *newest;
+  }
+  if (held || newest != nullptr) {
+    ++this->generation;
+  }
+}
+
+void ServerRegistry::SetServices(std::set<std::string> names) {
+  if (this->services == names) {
+    return;
+  }
+  this->services = std::move(names);
+  for (const auto& [address, ids] : this->claims) {
+    this->AssignAddress(address);
+  }
 }
 
 void ServerRegistry::Remove(const std::string& id,
@@ -90,14 +139,16 @@
 
 std::map<std::string, ServerRegistry::Entry>::iterator ServerRegistry::Erase(
     std::map<std::string, Entry>::iterator entry) {
-  const BackendServer& server = entry->second.server;
-  this->by_address.erase(server.address);
+  const std::string id = entry->first;
+  const io::Endpoint address = entry->second.server.address;
   if (this->former_starts.size() >= kMaxRemovedIds) {
     this->former_starts.erase(this->former_starts.begin());
   }
-  this->former_starts[entry->first] = server.started;
+  this->former_starts[id] = entry->second.server.started;
+  const auto next = this->entries.erase(entry);
+  this->ReleaseAddress(id, address);
   ++this->generation;
-  return this->entries.erase(entry);
+  return next;
 }
 
 void ServerRegistry::ApplyListing(const std::vector<ServerRecord>& records,
@@ -167,8 +218,9 @@
 }
 
 bool ServerRegistry::IsLeaving(const std::string& id) const {
-  if (const BackendServer* server = this->Find(id)) {
-    return server->leaving;
+  const auto entry = this->entries.find(id);
+  if (entry != this->entries.end()) {
+    return entry->second.server.leaving;
   }
   const auto departure = this->departures.find(id);
   return departure != this->departures.end() &&
@@ -176,8 +228,9 @@
 }
 
 WallTime ServerRegistry::StartOf(const std::string& id) const {
-  if (const BackendServer* server = this->Find(id)) {
-    return server->started;
+  const auto entry = this->entries.find(id);
+  if (entry != this->entries.end()) {
+    return entry->second.server.started;
   }
   const auto former = this->former_starts.find(id);
   return former == this->former_starts.end() ? WallTime{} : former->second;
@@ -213,20 +266,25 @@
 
 const BackendServer* ServerRegistry::Find(const std::string& id) const {
   const auto found = this->entries.find(id);
-  return found == this->entries.end() ? nullptr : &found->second.server;
+  return found != this->entries.end() && found->second.in_use
+             ? &found->second.server
+             : nullptr;
 }
 
 const BackendServer* ServerRegistry::FindByAddress(
     const io::Endpoint& address) const {
   const auto found = this->by_address.find(address);
-  return found == this->by_address.end() ? nullptr : this->Find(found->second);
+  return found == this->by_address.end()
+             ? nullptr
+             : &this->entries.at(found->second).server;
 }
 
 std::vector<const BackendServer*> ServerRegistry::Usable(
     const std::string& service) const {
   std::vector<const BackendServer*> usable;
   for (const auto& [id, entry] : this->entries) {
-    if (entry.server.service == service && !entry.server.leaving) {
+    if (entry.in_use && entry.server.service == service &&
+        !entry.server.leaving) {
       usable.push_back(&entry.server);
     }
   }
@@ -236,9 +294,19 @@
 std::vector<const BackendServer*> ServerRegistry::All() const {
   std::vector<const BackendServer*> all;
   for (const auto& [id, entry] : this->entries) {
-    all.push_back(&entry.server);
+    if (entry.in_use) {
+      all.push_back(&entry.server);
+    }
   }
   return all;
 }
 
+std::vector<const BackendServer*> ServerRegistry::Configured() const {
+  std::vector<const BackendServer*> configured = this->All();
+  std::erase_if(configured, [this](const BackendServer* server) {
+    return !this->IsConfigured(*server);
+  });
+  return configured;
+}
+
 }  // namespace chervilpass::routing
--- a/chervilpass/routing/server_registry.h
+++ b/chervilpass/routing/server_registry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,12 @@
   bool operator==(const ServerRegistrySettings&) const = default;
 };
 
+/// Other writers may leave records too, at the addresses of servers as well. Of
+/// several records with one address, the newest of a configured service names
+/// the server there; without one, the newest of all. The others are kept: they
+/// may name the server again once that record is gone, and their servers need
+/// not write them again.
+///
 /// Not thread-safe. Invariants: the record of an id is the one with the highest
 /// revision received; no address belongs to two servers; a start of a server
 /// that has said that it leaves, and each earlier one, is leaving in every
@@ -72,17 +79,25 @@
   /// Removes the expired registrations once the grace period has ended.
   void Expire(Instant now);
 
-  bool Empty() const { return this->entries.empty(); }
+  /// Sets the services that are configured; all are until then.
+  void SetServices(std::set<std::string> names);
 
-  /// Null if no such server is registered.
+  bool Empty() const { return this->by_address.empty(); }
+
+  /// Null if no such server is registered, or if another record names the
+  /// server at its address.
   const BackendServer* Find(const std::string& id) const;
   const BackendServer* FindByAddress(const io::Endpoint& address) const;
 
   /// Servers of a service that are not leaving.
   std::vector<const BackendServer*> Usable(const std::string& service) const;
 
+  /// Servers of all services, leaving ones included.
   std::vector<const BackendServer*> All() const;
 
+  /// Those of them whose services are configured.
+  std::vector<const BackendServer*> Configured() const;
+
   /// Incremented with each change.
   std::uint64_t Generation() const { return this->generation; }
 
@@ -92,6 +107,8 @@
     std::uint64_t revision = 0;
     /// Set if only the grace period keeps the entry.
     std::optional<Instant> expired_since;
+    /// It names the server at its address.
+    bool in_use = false;
   };
 
   // The latest start of a server that has said that it leaves.
@@ -102,13 +119,21 @@
 
   void Upsert(const ServerRecord& record);
   void Remove(const std::string& id, std::uint64_t revision, Instant now);
+  bool IsConfigured(const BackendServer& server) const;
+  void ReleaseAddress(const std::string& id, const io::Endpoint& address);
+  void AssignAddress(const io::Endpoint& address);
   std::map<std::string, Entry>::iterator Erase(
       std::map<std::string, Entry>::iterator entry);
   void DropOldestDeparture();
 
   ServerRegistrySettings settings;
   std::map<std::string, Entry> entries;
+  /// Ids of the entries with each address; no set is empty.
+  std::map<io::Endpoint, std::set<std::string>> claims;
+  /// The one of these that is in use.
   std::map<io::Endpoint, std::string> by_address;
+  /// Configured services; none before the first configuration.
+  std::optional<std::set<std::string>> services;
   /// Revision of each removal, by id; older records do not restore the server.
   std::map<std::string, std::uint64_t> removed;
   /// Starts of the servers whose entries are gone.
--- a/chervilpass/serving/link_monitor.cc
+++ b/chervilpass/serving/link_monitor.cc
@@ -71,12 +71,12 @@
     return !this->cut_off;
   }
 
-  // Random servers of all services, without `except`.
+  // Random servers of all configured services, without `except`.
   std::vector<routing::BackendServer> Sample(const std::string& except,
                                              std::size_t size) {
     std::vector<routing::BackendServer> servers;
     for (const routing::BackendServer* server :
-         this->routing_state->Servers().All()) {
+         this->routing_state->Servers().Configured()) {
       if (server->id != except) {
         servers.push_back(*server);
       }
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -59,6 +59,16 @@
     return false;
   }
   this->table = std::move(newer);
+  std::set<std::string> services;
+  for (const routing::ServiceProfile& service : this->table->Data().services) {
+    services.insert(service.name);
+  }
+  for (const routing::Route& route : this->table->Data().routes) {
+    for (const routing::ServiceShare& share : route.shares) {
+      services.insert(share.service);
+    }
+  }
+  this->servers.SetServices(std::move(services));
   return true;
 }
 
--- a/unit_tests/odd_entries_test.cc
+++ b/unit_tests/odd_entries_test.cc
@@ -319,3 +319,157 @@
     }
   }
 }
+
+namespace {
+
+// A record of a server of `service` at port `port` of one VM.
+routing::ServerRecord RecordAt(const std::string& id,
+                               std::uint64_t revision,
+                               std::uint16_t port,
+                               const std::string& service) {
+  routing::BackendServer server;
+  server.id = id;
+  server.service = service;
+  server.address = {"127.0.203.9", port};
+  server.data_centre = "a";
+  server.slots = 4;
+  return {id, revision, server};
+}
+
+// The id of the server in use at port 80; empty if there is none.
+std::string HolderOf(const routing::ServerRegistry& registry) {
+  const auto* server = registry.FindByAddress({"127.0.203.9", 80});
+  return server == nullptr ? "" : server->id;
+}
+
+}  // namespace
+
+// Guards against sound servers that are left out for good: another writer's
+// entry names their address and a service that is not configured.
+Test(odd_entries, an_entry_of_no_service_takes_no_address) {
+  const auto own = RecordAt("own", 5, 80, "app");
+  for (const std::uint64_t odd_revision : {3, 5, 9}) {
+    const auto odd = RecordAt("odd", odd_revision, 80, "none");
+    for (const bool odd_first : {false, true}) {
+      for (const bool listed : {false, true}) {
+        routing::ServerRegistry registry{routing::ServerRegistrySettings{}};
+        registry.SetServices({"app"});
+        if (listed) {
+          registry.ApplyListing(
+              odd_first ? std::vector{odd, own} : std::vector{own, odd}, 10,
+              Instant{});
+        } else {
+          registry.ApplyChange(odd_first ? odd : own, false, Instant{});
+          registry.ApplyChange(odd_first ? own : odd, false, Instant{});
+        }
+        cr_assert(HolderOf(registry) == "own", "%s",
+                  HolderOf(registry).c_str());
+        cr_assert_eq(registry.Usable("app").size(), 1);
+        cr_assert_eq(registry.Configured().size(), 1);
+        registry.ApplyChange({"odd", 11, std::nullopt}, true, Instant{});
+        cr_assert_eq(registry.Usable("app").size(), 1);
+      }
+    }
+  }
+}
+
+// The configuration may come after the entries, and may change.
+Test(odd_entries, addresses_follow_the_configured_services) {
+  routing::ServerRegistry registry{routing::ServerRegistrySettings{}};
+  registry.ApplyListing(
+      {RecordAt("own", 5, 80, "app"), RecordAt("odd", 9, 80, "new")}, 10,
+      Instant{});
+  registry.SetServices({"app"});
+  cr_assert(HolderOf(registry) == "own");
+  std::uint64_t generation = registry.Generation();
+  registry.SetServices({"app"});
+  cr_assert_eq(registry.Generation(), generation);
+  registry.SetServices({"app", "new"});
+  cr_assert_gt(registry.Generation(), generation);
+  cr_assert(HolderOf(registry) == "odd");
+  cr_assert(registry.Usable("app").empty());
+  registry.SetServices({"app"});
+  cr_assert(HolderOf(registry) == "own");
+  cr_assert_eq(registry.Usable("app").size(), 1);
+}
+
+// Guards against a server that stays left out once the entry that took its
+// address is gone or unreadable: its own entry does not change again.
+Test(odd_entries, an_address_returns_to_the_entry_that_is_left) {
+  for (const bool removed : {false, true}) {
+    routing::ServerRegistry registry{routing::ServerRegistrySettings{}};
+    registry.SetServices({"app", "llm"});
+    registry.ApplyChange(RecordAt("own", 5, 80, "app"), false, Instant{});
+    registry.ApplyChange(RecordAt("other", 9, 80, "llm"), false, Instant{});
+    cr_assert(HolderOf(registry) == "other");
+    cr_assert_null(registry.Find("own"));
+    registry.ApplyChange({"other", 10, std::nullopt}, removed, Instant{});
+    cr_assert(HolderOf(registry) == "own");
+    cr_assert_not_null(registry.Find("own"));
+    // It moves to another address.
+    registry.ApplyChange(RecordAt("other", 11, 80, "llm"), false, Instant{});
+    registry.ApplyChange(RecordAt("other", 12, 81, "llm"), false, Instant{});
+    cr_assert(HolderOf(registry) == "own");
+    cr_assert_eq(registry.All().size(), 2);
+    // The owner writes again.
+    registry.ApplyChange(RecordAt("other", 13, 80, "llm"), false, Instant{});
+    registry.ApplyChange(RecordAt("own", 14, 80, "app"), false, Instant{});
+    cr_assert(HolderOf(registry) == "own");
+  }
+}
+
+// Guards against a reused address that stays with the earlier server, whose
+// entry the store has kept or removes late.
+Test(odd_entries, a_reused_address_stays_with_the_newer_server) {
+  routing::ServerRegistry registry{routing::ServerRegistrySettings{}};
+  registry.SetServices({"app", "llm"});
+  registry.ApplyChange(RecordAt("gone", 5, 80, "app"), false, Instant{});
+  registry.ApplyChange(RecordAt("new", 9, 80, "llm"), false, Instant{});
+  registry.ApplyChange(RecordAt("gone", 6, 80, "app"), false, Instant{});
+  cr_assert(HolderOf(registry) == "new");
+  registry.ApplyChange({"gone", 10, std::nullopt}, true, Instant{});
+  cr_assert(HolderOf(registry) == "new");
+  cr_assert_eq(registry.All().size(), 1);
+}
+
+// Guards against refusals of all requests: every sound server has the address
+// of an entry of no service.
+Test(odd_entries, servers_are_used_beside_entries_of_no_service) {
+  OnRuntime([](io::Runtime& runtime) {
+    serving::RouterFixture fixture(runtime, 26950);
+    for (const int number : {1, 2}) {
+      fixture.AddServer(number, "app", {}, [](io::HttpExchange& exchange) {
+        exchange.Respond(serving::MakeResponse(exchange, 200, "ok"));
+      });
+    }
+    routing::ServerRegistry& servers = fixture.routing_state.Servers();
+    for (const int number : {1, 2}) {
+      routing::BackendServer odd = *servers.Find(fmt::format("s{}", number));
+      odd.id = fmt::format("odd{}", number);
+      odd.service = "none";
+      servers.ApplyChange({odd.id, 20, odd}, false, runtime.Now());
+    }
+    for (const char* path : {"/lookup/x", "/file/x"}) {
+      const auto response = fixture.Call(fixture.Request(path, path));
+      cr_assert_eq(response.value().status, 200, "%s", path);
+    }
+  });
+}
+
+// Guards against a VM that takes itself for cut off because nothing answers at
+// the addresses of entries of no service.
+Test(odd_entries, links_are_not_checked_with_entries_of_no_service) {
+  OnRuntime([](io::Runtime& runtime) {
+    serving::RouterFixture fixture(runtime, 26970);
+    fixture.AddServer(1, "app", {}, [](io::HttpExchange& exchange) {
+      exchange.Respond(serving::MakeResponse(exchange, 200, "ok"));
+    });
+    for (std::uint16_t number = 2; number < 60; ++number) {
+      const auto odd =
+          RecordAt(fmt::format("odd{}", number), number + 100U, number, "none");
+      fixture.routing_state.Servers().ApplyChange(odd, false, runtime.Now());
+    }
+    cr_assert(fixture.links->ConfirmFailure("other", runtime.Now()));
+    cr_assert(!fixture.links->CutOff());
+  });
+}
