Store: open connections that fall silent are not taken for an outage

Callers' requests went to a worker that had left, up to 4 s after its entry was removed, through VMs in touch; filings on it were lost as it exited.

Cause: the open connections to the store had fallen silent. Each call without an answer closed only its own connection, and the next one took another silent one from the pool, so that 2.6 s passed without an answer. The VM then took the store for lost, and held back all removals for 2.2 s once it was back, though it had never been away.

Change: after a call without an answer on a pooled connection, HttpClient drops the idle connections to that address that are as old. StoreSync asks once on a new connection when a watch got no answer. Only an answer within 250 ms shows that the store was there; a store that is down, frozen, slow, or that takes connections and answers none gives none, and counts as lost after the same time as before, with the same grace for lapsed registrations. A follower whose poll failed asks its relay to answer at once.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -165,10 +165,13 @@
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
     while (!this->stopped && this->watching) {
-      const auto changes = this->store->Watch(
+      auto changes = this->store->Watch(
           kind, revision,
           kind == StoreKind::kConfig ? this->settings.config_watch_wait
                                      : this->settings.workers_watch_wait);
+      if (changes.has_error()) {
+        this->ReplaceSilentConnection(kind, revision, &changes);
+      }
       if (changes.has_error()) {
         this->OnStoreFailure(kind, changes.error());
         if (changes.error().code == StoreErrorCode::kRevisionCompacted ||
@@ -188,6 +191,35 @@
     }
   }
 
+  // A watch without an answer does not show that the store is unreachable: its
+  // connection may have fallen silent. Asks once on a new one, and takes its
+  // answer if that is prompt. A store that was unreachable, or responds slowly,
+  // keeps the time until it counts as lost.
+  void ReplaceSilentConnection(StoreKind kind,
+                               std::uint64_t revision,
+                               Result<Changes, StoreError>* changes) {
+    if (changes->error().code != StoreErrorCode::kNoAnswer || !this->store_up) {
+      return;
+    }
+    const Instant asked = this->runtime->Now();
+    auto fresh = this->store->ChangesOnNewConnection(
+        kind, revision, this->settings.prompt_response);
+    const Duration took = this->runtime->Now() - asked;
+    const bool silent =
+        fresh.has_value() && took <= this->settings.prompt_response;
+    this->log->Info(
+        "store.watch_unanswered",
+        {{"what", NameOf(kind)},
+         {"revision", revision},
+         {"silent_ms", ToMilliseconds(asked - this->last_store_response)},
+         {"new_connection_ms", ToMilliseconds(took)},
+         {"connection_was_silent", silent}});
+    if (silent) {
+      this->metrics->Increment("chervil_store_silent_connections_total");
+      *changes = std::move(fresh);
+    }
+  }
+
   bool IsSynced() const {
     return this->routing_state->Table() != nullptr &&
            this->state_log.WorkersRevision() > 0;
@@ -344,11 +376,17 @@
   void FollowRelay(std::size_t slot) {
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
+    // A relay is asked to respond at once after a failure, so that it is soon
+    // known whether only the connection to it had failed.
+    bool last_failed = false;
     while (!this->stopped) {
       const auto relays = this->events.relays();
       const bool follow =
           slot < relays.size() && (!this->watching || !this->store_up);
-      if (!follow || !this->PollRelay(relays[slot])) {
+      const Duration wait =
+          last_failed ? Duration::zero() : this->settings.relay_wait;
+      last_failed = follow && !this->PollRelay(relays[slot], wait);
+      if (!follow || last_failed) {
         this->runtime->SleepFor(follow ? backoff.Next(&this->random)
                                        : this->settings.relay_check_interval);
         continue;
@@ -357,13 +395,12 @@
     }
   }
 
-  bool PollRelay(const io::Endpoint& relay) {
+  bool PollRelay(const io::Endpoint& relay, Duration wait) {
     io::HttpRequest request;
     request.path = PeerStatePath();
-    request.query = fmt::format("config={}&workers={}&wait_ms={}",
-                                this->state_log.ConfigRevision(),
-                                this->state_log.WorkersRevision(),
-                                ToMilliseconds(this->settings.relay_wait));
+    request.query = fmt::format(
+        "config={}&workers={}&wait_ms={}", this->state_log.ConfigRevision(),
+        this->state_log.WorkersRevision(), ToMilliseconds(wait));
     const std::uint64_t since = this->state_log.WorkersRevision();
     const auto response = this->peers->Call(
         relay, request,
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -31,11 +31,16 @@
   Duration max_retry_delay = milliseconds(1000);
   /// Without a response for this long the store counts as unreachable.
   Duration store_lost_timeout = milliseconds(2600);
+  /// A store that responds on a new connection within this time was reachable
+  /// while a watch on another connection got no answer. One that was not may
+  /// respond at any time once it is back, but hardly in this one.
+  Duration prompt_response = milliseconds(250);
   /// Interval of the check whether this VM should watch the store.
   Duration relay_check_interval = milliseconds(200);
   /// A VM continues to watch for this long after others have taken over.
   Duration relay_handover_time = seconds(2);
-  /// A relay without a change responds after this time.
+  /// A relay without a change responds after this time, or at once if the last
+  /// call to it failed.
   Duration relay_wait = milliseconds(1000);
   /// A call to a relay times out this long after `relay_wait`.
   Duration relay_timeout_margin = milliseconds(350);
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -102,6 +102,7 @@
   struct Idle {
     StreamPtr stream;
     Instant expires_at;
+    Instant last_used;
   };
 
   Runtime* runtime;
@@ -130,10 +131,22 @@
       stream->expires_never();
       const Duration limit =
           std::min(keep_alive_time, this->settings.idle_timeout);
-      pool.push_back({std::move(stream), this->runtime->Now() + limit});
+      const Instant now = this->runtime->Now();
+      pool.push_back({std::move(stream), now + limit, now});
     }
   }
 
+  // A call that began then got no answer on a pooled connection.
+  void DropIdleSince(const Endpoint& address, Instant call_begin) {
+    const auto pool = this->idle.find(address);
+    if (pool == this->idle.end()) {
+      return;
+    }
+    std::erase_if(pool->second, [call_begin](const Idle& connection) {
+      return connection.last_used <= call_begin;
+    });
+  }
+
   Result<StreamPtr, HttpError> Connect(const Endpoint& address,
                                        Duration timeout) {
     auto stream = std::make_unique<beast::tcp_stream>(this->runtime->Context());
@@ -171,12 +184,14 @@
       : client(client),
         address(std::move(address)),
         stream(std::move(stream)),
-        reused(reused) {}
+        reused(reused),
+        begin(client->runtime->Now()) {}
 
   HttpClient::State* client;
   Endpoint address;
   StreamPtr stream;
   bool reused;
+  Instant begin;
   bool sent = false;
   bool cancelled = false;
   bool mismatch_skipped = false;
@@ -189,6 +204,12 @@
     if (this->cancelled) {
       return {HttpErrorCode::kReset, "cancelled"};
     }
+    // Either the call's time or that of TCP for its data has run out.
+    const bool unanswered =
+        error == beast::error::timeout || error == asio::error::timed_out;
+    if (unanswered && this->reused) {
+      this->client->DropIdleSince(this->address, this->begin);
+    }
     return FromBeastError(error);
   }
 };
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -80,7 +80,9 @@
 
 /// Sends requests. Fiber thread only. Addresses are passed by value, because
 /// the object that holds an address may be destroyed while a call is in
-/// progress.
+/// progress. Open connections may fall silent together while new ones work:
+/// once a call got no answer on a pooled connection, the idle connections to
+/// the address that were last used before it are not reused.
 class HttpClient {
  public:
   static std::unique_ptr<HttpClient> Create(Runtime* runtime,
