Store: watches of different VMs do not stay in step

VMs that start together sent their watches of the store at the same instants from then on, for each kind, and so did those that noticed a silent connection together: bursts at the store, as large as the number of relays.

Change: the wait of each watch is shorter by a random share, up to 5 percent.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -165,10 +165,8 @@
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
     while (!this->stopped && this->watching) {
-      auto changes = this->store->Watch(
-          kind, revision,
-          kind == StoreKind::kConfig ? this->settings.config_watch_wait
-                                     : this->settings.workers_watch_wait);
+      auto changes =
+          this->store->Watch(kind, revision, this->NextWatchWait(kind));
       if (changes.has_error()) {
         this->ReplaceSilentConnection(kind, revision, &changes);
       }
@@ -191,6 +189,15 @@
     }
   }
 
+  Duration NextWatchWait(StoreKind kind) {
+    const Duration longest = kind == StoreKind::kConfig
+                                 ? this->settings.config_watch_wait
+                                 : this->settings.workers_watch_wait;
+    const double share =
+        1 - this->settings.watch_wait_jitter * this->random.Unit();
+    return duration_cast<Duration>(share * longest);
+  }
+
   // A watch without an answer does not show that the store is unreachable: its
   // connection may have fallen silent. Asks once on a new one, and takes its
   // answer if that is prompt. A store that was unreachable, or responds slowly,
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -24,6 +24,9 @@
   /// since gossip announces new versions too.
   Duration workers_watch_wait = milliseconds(1000);
   Duration config_watch_wait = milliseconds(2000);
+  /// Each wait is shorter by up to this share, so that the watches of VMs that
+  /// start together do not reach the store in bursts.
+  double watch_wait_jitter = 0.05;
   /// Time between a change of workers and the next watch, to receive changes in
   /// batches.
   Duration worker_batch_delay = milliseconds(120);
