Router: log and count what tells lost descriptors from old configurations

A VM that refused a request with 401 or 404 did not log how old its configuration was, and connections that it closed at a limit, could not accept or could not open for want of descriptors left no trace.

request.ended carries config_unconfirmed_ms; connections.refused names the counts, one line a second at most; config.unreadable names the version that stays. New metrics: chervil_config_version, chervil_config_unconfirmed_seconds, chervil_caller_connections, chervil_connections_over_limit, chervil_accept_failures, chervil_connect_failures_local. No decision has changed.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -257,6 +257,7 @@
       for (const StoredObject& object : listing.objects) {
         this->ApplyConfig(object, "store");
       }
+      this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
     this->ApplyAllWorkers(listing.objects, listing.revision);
@@ -272,6 +273,7 @@
           this->ApplyConfig(change.object, "store");
         }
       }
+      this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
     this->ApplyWorkerChanges(changes.changes, since, changes.revision);
@@ -351,6 +353,11 @@
     return {object.name, object.revision, std::move(server).value()};
   }
 
+  std::uint64_t Version() const {
+    const auto& table = this->routing_state->Table();
+    return table == nullptr ? 0 : table->Version();
+  }
+
   void ApplyConfig(const StoredObject& object, std::string_view from) {
     if (object.name != kConfigName ||
         object.revision <= this->state_log.ConfigRevision()) {
@@ -358,8 +365,10 @@
     }
     auto data = platform::DecodeConfig(object.spec);
     if (data.has_error()) {
-      this->log->Error("config.unreadable", {{"revision", object.revision},
-                                             {"reason", data.error().detail}});
+      this->log->Error("config.unreadable",
+                       {{"revision", object.revision},
+                        {"reason", data.error().detail},
+                        {"kept_version", this->Version()}});
       this->metrics->Increment("chervil_config_unreadable_total");
       return;
     }
@@ -429,6 +438,7 @@
     if (received->config) {
       this->ApplyConfig(*received->config, relay.ToText());
     }
+    this->routing_state->OnConfigConfirmed(now);
     if (received->is_full) {
       std::vector<StoredObject> objects;
       for (const ObjectChange& change : received->workers) {
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -84,6 +84,14 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// True if a connection failed because of this process, not of its peer.
+bool IsLocalFailure(const boost::system::error_code& error) {
+  return error == asio::error::no_descriptors ||
+         error == boost::system::errc::too_many_files_open_in_system ||
+         error == boost::system::errc::address_not_available ||
+         error == asio::error::no_buffer_space;
+}
+
 // Parses "timeout=5, max=100" and subtracts a margin for the request's transfer
 // time: the server may close the connection while the request is on its way.
 Duration KeepAliveTimeout(const std::string& field) {
@@ -109,6 +117,7 @@
   HttpClientSettings settings;
   std::map<Endpoint, std::vector<Idle>> idle = {};
   std::uint64_t connections_made = 0;
+  std::uint64_t local_failures = 0;
 
   StreamPtr TakeFromPool(const Endpoint& address) {
     std::vector<Idle>& pool = this->idle[address];
@@ -162,6 +171,7 @@
                             std::move(handler));
     });
     if (connected.error) {
+      this->local_failures += IsLocalFailure(connected.error) ? 1 : 0;
       return HttpError{HttpErrorCode::kConnect,
                        address.ToText() + ": " + connected.error.message()};
     }
@@ -360,6 +370,10 @@
   return this->state->connections_made;
 }
 
+std::uint64_t HttpClient::LocalFailures() const {
+  return this->state->local_failures;
+}
+
 Result<HttpResponse, HttpError> HttpClient::Call(Endpoint address,
                                                  const HttpRequest& request,
                                                  Duration timeout,
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -99,6 +99,9 @@
   /// Number of connection attempts since the start.
   std::uint64_t ConnectionsMade() const;
 
+  /// Number of them that failed for want of descriptors or local ports.
+  std::uint64_t LocalFailures() const;
+
   /// Sends `request` and reads the complete response. `timeout` applies to
   /// connecting, to sending and to reading separately.
   Result<HttpResponse, HttpError> Call(
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -251,6 +251,7 @@
       });
       if (accepted.error) {
         if (!this->stopped) {
+          ++this->counts.accept_failures;
           // Most likely out of descriptors: waits for some to be closed.
           this->runtime->SleepFor(kAcceptRetryDelay);
         }
@@ -262,6 +263,7 @@
 
   void StartServing(Tcp::socket socket) {
     if (this->connections >= this->settings.connection_limit) {
+      ++this->counts.over_limit;
       return;
     }
     ++this->connections;
@@ -406,6 +408,7 @@
   std::set<beast::tcp_stream*> idle;  // between two requests
   std::size_t connections = 0;
   std::size_t in_flight = 0;
+  HttpServerCounts counts;
 };
 
 HttpServer::HttpServer(std::shared_ptr<State> state)
@@ -482,4 +485,8 @@
   return this->state->in_flight;
 }
 
+HttpServerCounts HttpServer::Counts() const {
+  return this->state->counts;
+}
+
 }  // namespace chervilpass::io
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -34,6 +34,14 @@
   bool operator==(const HttpServerSettings&) const = default;
 };
 
+/// Connections that an HttpServer did not serve, since its start.
+struct HttpServerCounts {
+  std::uint64_t over_limit = 0;       ///< closed at `connection_limit`
+  std::uint64_t accept_failures = 0;  ///< most likely out of descriptors
+
+  bool operator==(const HttpServerCounts&) const = default;
+};
+
 /// One request and its response. Used by the fiber of its handler only.
 class HttpExchange {
  public:
@@ -110,6 +118,8 @@
   /// Number of requests in progress.
   std::size_t InFlight() const;
 
+  HttpServerCounts Counts() const;
+
  private:
   struct State;
   explicit HttpServer(std::shared_ptr<State> state);
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -208,6 +208,9 @@
       return;
     }
     const std::uint64_t version = context.table ? context.table->Version() : 0;
+    const auto unconfirmed =
+        this->dependencies.routing_state->ConfigUnconfirmedFor(
+            this->dependencies.runtime->Now());
     const GenerationSize size = context.metadata.generation.value_or(
         GenerationSize{0, 0, std::nullopt});
     this->dependencies.log->Info(
@@ -230,6 +233,8 @@
          {"max_answer_tokens", size.max_answer_tokens},
          {"expected_answer_tokens", size.expected_answer_tokens.value_or(0)},
          {"config_version", version},
+         {"config_unconfirmed_ms",
+          unconfirmed ? ToMilliseconds(*unconfirmed) : -1},
          {"elapsed_ms", ToMilliseconds(elapsed)}});
   }
 };
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -64,6 +64,16 @@
     return this->table;
   }
 
+  /// The store or a relay has said that no configuration is newer.
+  void OnConfigConfirmed(Instant now) { this->config_confirmed = now; }
+
+  /// Time since that; none if it has not been said yet.
+  std::optional<Duration> ConfigUnconfirmedFor(Instant now) const {
+    return this->config_confirmed
+               ? std::optional<Duration>(now - *this->config_confirmed)
+               : std::nullopt;
+  }
+
   /// Finds a path for the query without workers in cooldown; fails with the
   /// reason why there is none.
   Result<placement::ChosenPath, placement::NoPathReason> FindPath(
@@ -203,7 +213,8 @@
                  Instant now) const;
 
   RoutingStateSettings settings;
-  std::shared_ptr<const routing::RouteTable> table;  ///< null until known
+  std::shared_ptr<const routing::RouteTable> table;
+  std::optional<Instant> config_confirmed;  ///< null until known
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -30,6 +30,7 @@
 // while the size is unknown.
 constexpr std::size_t kMinFleetSize = 9;
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
+constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
 constexpr Duration kDrainPollInterval = milliseconds(50);
 // Idle connections are closed at the latest this long before the exit.
@@ -379,6 +380,8 @@
                       static_cast<double>(this->router->InFlight()));
     this->metrics.Set("chervil_connections_made", "",
                       static_cast<double>(this->http->ConnectionsMade()));
+    this->ExportConnectionCounts();
+    this->ExportConfigAge();
     this->metrics.Set("chervil_members_alive", "",
                       static_cast<double>(this->peers->AliveCount()));
     this->metrics.Set("chervil_gossip_sent_bytes", "",
@@ -393,6 +396,70 @@
     exchange.Respond(response);
   }
 
+  void ExportConnectionCounts() {
+    const ConnectionCounts counts = this->CountConnections();
+    this->metrics.Set("chervil_connections_over_limit", "",
+                      static_cast<double>(counts.servers.over_limit));
+    this->metrics.Set("chervil_accept_failures", "",
+                      static_cast<double>(counts.servers.accept_failures));
+    this->metrics.Set("chervil_connect_failures_local", "",
+                      static_cast<double>(counts.local_failures));
+    this->metrics.Set("chervil_caller_connections", "",
+                      static_cast<double>(this->caller_server->Connections()));
+  }
+
+  void ExportConfigAge() {
+    const auto table = this->routing_state.Table();
+    this->metrics.Set("chervil_config_version", "",
+                      table ? static_cast<double>(table->Version()) : 0);
+    if (const auto unconfirmed =
+            this->routing_state.ConfigUnconfirmedFor(this->runtime.Now())) {
+      this->metrics.Set("chervil_config_unconfirmed_seconds", "",
+                        ToSeconds(*unconfirmed));
+    }
+  }
+
+  // ---- connections ----
+
+  // Connections that were not served or could not be made, since the start.
+  struct ConnectionCounts {
+    io::HttpServerCounts servers;
+    std::uint64_t local_failures = 0;
+
+    bool operator==(const ConnectionCounts&) const = default;
+  };
+
+  ConnectionCounts CountConnections() const {
+    ConnectionCounts sum;
+    for (const auto* server : {&this->caller_server, &this->forwarded_server,
+                               &this->readiness_server, &this->directory_server,
+                               &this->peer_server, &this->metrics_server}) {
+      const io::HttpServerCounts counts = (*server)->Counts();
+      sum.servers.over_limit += counts.over_limit;
+      sum.servers.accept_failures += counts.accept_failures;
+    }
+    sum.local_failures = this->http->LocalFailures();
+    return sum;
+  }
+
+  // At most one line in `kConnectionLogInterval`.
+  void LogConnections() {
+    const Instant now = this->runtime.Now();
+    const ConnectionCounts counts = this->CountConnections();
+    if (counts == this->logged_connections ||
+        now - this->connections_logged_at < kConnectionLogInterval) {
+      return;
+    }
+    this->log.Warning("connections.refused",
+                      {{"over_limit", counts.servers.over_limit},
+                       {"accept_failures", counts.servers.accept_failures},
+                       {"connect_failures_local", counts.local_failures},
+                       {"callers", this->caller_server->Connections()},
+                       {"in_flight", this->router->InFlight()}});
+    this->logged_connections = counts;
+    this->connections_logged_at = now;
+  }
+
   // ---- events ----
 
   void OnConfigChanged() {
@@ -614,6 +681,7 @@
       this->routing_state.SetFleetSize(this->peers->AliveCount());
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
+      this->LogConnections();
       if (this->Ready() != was_ready) {
         was_ready = this->Ready();
         this->log.Info("router.ready", {{"ready", was_ready}});
@@ -725,6 +793,8 @@
   std::uint64_t boot_id;
   serving::RoutingState routing_state;
   bool leaving = false;
+  ConnectionCounts logged_connections;
+  Instant connections_logged_at{};
   std::unique_ptr<platform::StoreClient> store;
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<fleet::PeerGroup> peers;
