Signals: only an order to stop ends a process, and only once

Callers saw: all requests in progress were lost as a router ended at once.

Cause: the handlers lived as long as one wait. The signal set of WaitForStopSignal was destroyed with the first signal, so that the default action was back while the process finished its requests; other signals, and all of them before the first wait, had their default action from the start. The class: what ends a process was decided by defaults of the system instead of in one place.

Change: Runtime::PrepareSignals, the first step of each daemon and stand-in, blocks SIGTERM, SIGINT and SIGHUP until one set of handlers is installed for the rest of the process, and ignores signals that are no order to end.

--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -1,16 +1,23 @@
 #include "chervilpass/io/runtime.h"
 
+#include <signal.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <cstdlib>
+#include <exception>
 #include <future>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
-#include "chervilpass/core/log.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/fiber_scheduler.h"
 
@@ -20,16 +27,112 @@
 // Maximum delay of a log line; a longer period saves wake-ups.
 constexpr Duration kLogFlushPeriod = milliseconds(200);
 
+constexpr std::array kHandledSignals = {SIGTERM, SIGINT, SIGHUP};
+// They would end the process by default.
+constexpr std::array kIgnoredSignals = {SIGPIPE, SIGUSR1,   SIGUSR2,
+                                        SIGALRM, SIGVTALRM, SIGPROF,
+                                        SIGXFSZ, SIGIO,     SIGPWR};
+
+const Logger* terminate_log = nullptr;
+
+[[noreturn]] void LogAndAbort() {
+  std::string detail = "no exception";
+  try {
+    if (const auto exception = std::current_exception()) {
+      std::rethrow_exception(exception);
+    }
+  } catch (const std::exception& exception) {
+    detail = exception.what();
+  } catch (...) {
+    detail = "not a standard exception";
+  }
+  terminate_log->Error("process.terminated", {{"detail", detail}});
+  std::abort();
+}
+
+void ChangeMask(int how) {
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (const int number : kHandledSignals) {
+    ::sigaddset(&signals, number);
+  }
+  ::pthread_sigmask(how, &signals, nullptr);
+}
+
 }  // namespace
 
 struct Runtime::State {
+  // The handlers stay installed until the process ends.
+  void WatchSignals() {
+    if (this->signals) {
+      return;
+    }
+    this->signals.emplace(this->context);
+    for (const int number : kHandledSignals) {
+      this->signals->add(number);
+    }
+    this->AwaitSignal();
+    // Delivers the signals that have arrived since PrepareSignals.
+    ChangeMask(SIG_UNBLOCK);
+  }
+
+  void AwaitSignal() {
+    this->signals->async_wait(
+        [this](boost::system::error_code error, int number) {
+          if (!error) {
+            this->OnSignal(number);
+            this->AwaitSignal();
+          }
+        });
+  }
+
+  void OnSignal(int number) {
+    const bool reload = number == SIGHUP;
+    std::string_view effect = "stop";
+    if (reload) {
+      effect = this->on_reload ? "reload" : "none";
+    } else if (this->stop_requested) {
+      effect = "none, is stopping";
+    }
+    if (this->signal_log != nullptr) {
+      this->signal_log->Info("signal.received",
+                             {{"number", number}, {"effect", effect}});
+    }
+    if (reload) {
+      if (this->on_reload) {
+        boost::fibers::fiber(this->on_reload).detach();
+      }
+      return;
+    }
+    this->stop_requested = true;
+    if (this->on_stop) {
+      std::exchange(this->on_stop, nullptr)();
+    }
+  }
+
   boost::asio::io_context context{1};
   PollerSlot poller;
+  std::optional<boost::asio::signal_set> signals;
+  const Logger* signal_log = nullptr;
+  bool stop_requested = false;
+  std::function<void()> on_stop;
+  std::function<void()> on_reload;
 };
 
 Runtime::Runtime() : state(std::make_unique<State>()) {}
 Runtime::~Runtime() = default;
 
+void Runtime::PrepareSignals() {
+  ChangeMask(SIG_BLOCK);
+  for (const int number : kIgnoredSignals) {
+    struct sigaction current {};
+    ::sigaction(number, nullptr, &current);
+    if (current.sa_handler == SIG_DFL) {
+      ::signal(number, SIG_IGN);
+    }
+  }
+}
+
 void Runtime::Run(const std::function<void(Runtime&)>& body) {
   // At the end of its thread the scheduler waits for all fibers, some of which
   // never end. The thread therefore pauses for ever and the runtime is leaked.
@@ -81,28 +184,24 @@
 }
 
 void Runtime::WaitForStopSignal() {
-  boost::asio::signal_set signals(this->state->context, SIGTERM, SIGINT);
-  Await([&signals](auto handler) {
-    signals.async_wait([handler](boost::system::error_code error, int) mutable {
-      handler(error, 0);
+  State& state = *this->state;
+  state.WatchSignals();
+  if (!state.stop_requested) {
+    Await([&state](auto handler) {
+      state.on_stop = [handler]() mutable { handler({}, 0); };
     });
-  });
+  }
 }
 
 void Runtime::OnReloadSignal(std::function<void()> on_reload) {
-  this->Spawn([this, on_reload = std::move(on_reload)] {
-    boost::asio::signal_set signals(this->state->context, SIGHUP);
-    while (true) {
-      const Completion received = Await([&signals](auto handler) {
-        signals.async_wait([handler](boost::system::error_code error,
-                                     int) mutable { handler(error, 0); });
-      });
-      if (received.error) {
-        return;
-      }
-      on_reload();
-    }
-  });
+  this->state->on_reload = std::move(on_reload);
+  this->state->WatchSignals();
+}
+
+void Runtime::LogTo(const Logger* log) {
+  this->state->signal_log = log;
+  terminate_log = log;
+  std::set_terminate(LogAndAbort);
 }
 
 boost::asio::io_context& Runtime::Context() {
--- a/chervilpass/io/runtime.h
+++ b/chervilpass/io/runtime.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "chervilpass/core/log.h"
 #include "chervilpass/core/time.h"
 
 namespace chervilpass::io {
@@ -13,6 +14,11 @@
 /// code between two waits is atomic with respect to other fibers.
 class Runtime {
  public:
+  /// Call this first in the main function of a daemon: SIGTERM, SIGINT and
+  /// SIGHUP stay pending until they are waited for, and signals that are no
+  /// order to end, such as SIGPIPE and SIGUSR1, are ignored.
+  static void PrepareSignals();
+
   /// Runs `body` as the first fiber on a new thread and returns when it ends.
   /// Other fibers are then never resumed and their resources are not freed:
   /// call this once per process.
@@ -38,13 +44,17 @@
   /// Reads the wall clock.
   WallTime WallNow() const;
 
-  /// Suspends the calling fiber until SIGTERM or SIGINT arrives.
+  /// Suspends the calling fiber until SIGTERM or SIGINT arrives. Further ones
+  /// have no effect; without OnReloadSignal, SIGHUP has none either.
   void WaitForStopSignal();
 
-  /// Calls `on_reload` on a fiber at each SIGHUP, which terminates the process
-  /// by default.
+  /// Calls `on_reload` on a fiber at each SIGHUP.
   void OnReloadSignal(std::function<void()> on_reload);
 
+  /// Logs each of these signals, and the exception by which the process ends if
+  /// none handles it, to `log`, which must outlive the runtime.
+  void LogTo(const Logger* log);
+
   /// The io_context, for the classes of this folder.
   boost::asio::io_context& Context();
 
--- /dev/null
+++ b/fault_tests/process_life.py
@@ -0,0 +1,195 @@
+"""Sends series of signals to routers and other daemons, and takes away the reader of
+their output, while requests are in progress. Real processes on loopback.
+
+    process_life.py [--cell NAME]... [--subnet N]
+
+A cell fails if a request in progress gets no complete answer, if a process ends by a
+signal that is no order to end at once, or if an orderly stop has another exit code than 0."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+import fleet as fleets  # noqa: E402
+import platform_fleet  # noqa: E402
+
+STREAM_EVENTS = 40      # of 30 ms
+STREAMS = 8             # in progress as the signals arrive
+GRACE_S = 8.0
+EARLY_STARTS = 10
+STRAY = [signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE, signal.SIGALRM, signal.SIGXFSZ, signal.SIGHUP]
+FAILED = []
+
+
+def check(what, condition, seen=""):
+    print("%s: %s %s" % ("ok" if condition else "FAILED", what, seen), flush=True)
+    if not condition:
+        FAILED.append(what)
+
+
+class Streams:
+    """Streams in progress through one router."""
+
+    def __init__(self, fleet, router, name):
+        self.fleet, self.router, self.name, self.whole = fleet, router, name, []
+        self.threads = [threading.Thread(target=self.stream, args=(number,), daemon=True) for number in range(STREAMS)]
+        for thread in self.threads:
+            thread.start()
+        time.sleep(0.4)
+
+    def stream(self, number):
+        self.whole.append(self.fleet.stream_whole(self.router, STREAM_EVENTS, "%s-%d" % (self.name, number)))
+
+    def check_all_whole(self):
+        for thread in self.threads:
+            thread.join(15)
+        check("%s: each request in progress is answered" % self.name, self.whole.count(True) == STREAMS,
+              "%d of %d" % (self.whole.count(True), STREAMS))
+
+
+def stopped_in_order(fleet, router, name, signals):
+    """`signals`: (seconds after the first one, signal)."""
+    streams = Streams(fleet, router, name)
+    begun = time.monotonic()
+    for after_s, number in signals:
+        time.sleep(max(0.0, begun + after_s - time.monotonic()))
+        router.process.send(number)
+    streams.check_all_whole()
+    try:
+        code = router.process.child.wait(GRACE_S + 2)
+    except subprocess.TimeoutExpired:
+        code = None
+    elapsed_s = time.monotonic() - begun
+    check("%s: the process ends in order and within its grace period" % name, code == 0 and elapsed_s <= GRACE_S,
+          "exit code %s after %.1f s" % (code, elapsed_s))
+    router.process.start()
+    fleet.wait_ready()
+
+
+def play_repeated_stop(name, fleet):
+    router = fleet.routers[0]
+    stopped_in_order(fleet, router, name + " SIGTERM twice", [(0, signal.SIGTERM), (0.5, signal.SIGTERM)])
+    stopped_in_order(fleet, router, name + " SIGTERM, SIGINT, SIGHUP, SIGTERM",
+                     [(0, signal.SIGTERM), (0.2, signal.SIGINT), (0.3, signal.SIGHUP), (0.4, signal.SIGTERM)])
+    stopped_in_order(fleet, router, name + " SIGHUP and SIGTERM at once",
+                     [(0, signal.SIGHUP), (0, signal.SIGTERM), (0, signal.SIGHUP), (0, signal.SIGINT)])
+
+
+def play_stray_signals(name, fleet):
+    router = fleet.routers[0]
+    streams = Streams(fleet, router, name)
+    for number in STRAY * 3:
+        router.process.send(number)
+        time.sleep(0.03)
+    streams.check_all_whole()
+    check("%s: the process goes on" % name, router.process.running())
+
+
+def play_output_gone(name, fleet):
+    """The reader of the router's output goes away."""
+    router = fleet.routers[0]
+    router.process.kill()
+    reader, writer = os.pipe()
+    router.process.child = subprocess.Popen(
+        [os.path.join(fleets.BUILD, "chervil-router"), "--config", router.process.config],
+        stdout=writer, stderr=writer, stdin=subprocess.DEVNULL)
+    os.close(writer)
+    fleet.wait_ready()
+    streams = Streams(fleet, router, name)
+    os.close(reader)
+    fleet.ask(router, "GET", "/no-such-route/x", "logged")
+    streams.check_all_whole()
+    check("%s: the process goes on" % name, router.process.running())
+
+
+def exit_code(process, number):
+    """None while it runs on."""
+    try:
+        return process.child.wait(GRACE_S + 2 if number == signal.SIGTERM else 0.5)
+    except subprocess.TimeoutExpired:
+        return None
+
+
+def ignores_broken_pipes(process):
+    with open("/proc/%d/status" % process.child.pid) as status:
+        ignored = next(int(line.split()[1], 16) for line in status if line.startswith("SigIgn:"))
+    return ignored >> (signal.SIGPIPE - 1) & 1
+
+
+def early_end(process, number):
+    """The exit code of a process that gets a signal as soon as it has prepared for signals,
+    before it has read its settings."""
+    process.start()
+    until = time.monotonic() + 0.1
+    while time.monotonic() < until and not ignores_broken_pipes(process):
+        pass
+    process.send(number)
+    return exit_code(process, number)
+
+
+def pending_end(process, number):
+    """The exit code of a process whose signal is pending from before its first step."""
+    with open(process.log, "a") as log:
+        process.child = subprocess.Popen(
+            [os.path.join(fleets.BUILD, process.binary), "--config", process.config], stdout=log, stderr=log,
+            stdin=subprocess.DEVNULL, preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, [number]))
+    process.send(number)
+    return exit_code(process, number)
+
+
+def play_early_signals(name, fleet):
+    router = fleet.routers[0]
+    for end in (early_end, pending_end):
+        for number, starts, wanted in ((signal.SIGHUP, EARLY_STARTS, None), (signal.SIGTERM, 3, 0)):
+            codes = []
+            for _ in range(starts):
+                router.process.kill()
+                codes.append(end(router.process, number))
+            check("%s: %s %s" % (name, end.__name__, number.name), all(code == wanted for code in codes),
+                  "exit codes %s" % codes)
+
+
+def play_other_daemons(name, platform):
+    """The daemons of the product's own interface, and a stand-in."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.Fleet(folder, platform.subnet + 1)
+        fleet.add_vm("vm-1", "hal-1", "dk-sjaelland")
+        fleet.write_vm(fleet.vms[0])
+        processes = fleet.vms[0].processes() + [
+            fleets.Process("platform", "fake-platform", "listen: '%s'\n" % fleet.platform_address(), folder)]
+        for process in processes:
+            process.start()
+        time.sleep(1)
+        for number in STRAY:
+            for process in processes:
+                process.send(number)
+        time.sleep(0.3)
+        ended = [process.name for process in processes if not process.running()]
+        check("%s: stray signals end none" % name, not ended, ended)
+        for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+            for process in processes:
+                process.send(number)
+            time.sleep(0.03)
+        codes = [process.child.wait(20) for process in processes]
+        check("%s: orderly ends" % name, all(code == 0 for code in codes), "exit codes %s" % codes)
+
+
+CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
+         "early-signals": play_early_signals, "other-daemons": play_other_daemons}
+
+
+def make_fleet(subnet):
+    folder = os.path.join(fleets.BUILD, "process-life-%d" % subnet)
+    fleet = platform_fleet.PlatformFleet(folder, subnet, routers_each=1, workers_each=2)
+    fleet.start()
+    return fleet
+
+
+if __name__ == "__main__":
+    platform_fleet.play_cells(__doc__, CELLS, None, make_fleet, 76)
+    sys.exit(1 if FAILED else 0)
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -85,6 +85,7 @@
 // when the VM's other daemons have stopped or the drain limit has passed.
 int RunDaemon(io::Runtime& runtime, const ControlSettings& settings) {
   const Logger log(settings.log);
+  runtime.LogTo(&log);
   MetricsRegistry metrics;
   const auto loop = rpc::RpcLoop::Create(&runtime);
   const std::shared_ptr<platform::ObjectClient> store =
@@ -136,6 +137,7 @@
 
 int main(int argc, char** argv) {
   using namespace chervilpass;
+  io::Runtime::PrepareSignals();
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, "Membership, configuration and views for one entry VM");
   const auto settings = app::LoadSettings<ControlSettings>(
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -106,6 +106,7 @@
 
   // Serves until a stop signal, then drains; returns the exit code.
   int Run() {
+    this->runtime->LogTo(&this->log);
     if (!this->Serve()) {
       return app::kExitFailure;
     }
@@ -200,6 +201,7 @@
 
 int main(int argc, char** argv) {
   using namespace chervilpass;
+  io::Runtime::PrepareSignals();
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv,
       "Owns cells of workers and shards of the at-most-once ledger");
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -87,6 +87,7 @@
 
 int RunDaemon(io::Runtime& runtime, const EntrySettings& settings) {
   const Logger log(settings.log);
+  runtime.LogTo(&log);
   MetricsRegistry metrics;
   const auto loop = rpc::RpcLoop::Create(&runtime);
   const auto view_subscriber =
@@ -127,6 +128,7 @@
 
 int main(int argc, char** argv) {
   using namespace chervilpass;
+  io::Runtime::PrepareSignals();
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, "Serves callers' requests and streams the answers");
   const auto settings = app::LoadSettings<EntrySettings>(
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -102,6 +102,7 @@
   }
 
   int Run() {
+    this->runtime.LogTo(&this->log);
     this->CreateClients();
     if (!this->CreatePeers() || !this->CreateServers()) {
       return app::kExitFailure;
@@ -817,6 +818,7 @@
 
 int main(int argc, char** argv) {
   using namespace chervilpass;
+  io::Runtime::PrepareSignals();
   const app::CommandLine command_line =
       app::ParseCommandLine(argc, argv, "Router daemon of an entry VM.");
   const auto settings = app::LoadSettings<RouterProgramSettings>(
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -930,5 +930,6 @@
 }  // namespace chervilpass::stand_ins
 
 int main(int argc, char** argv) {
+  chervilpass::io::Runtime::PrepareSignals();
   return chervilpass::stand_ins::Main(argc, argv);
 }
