HTTP server: an exception ends its own request or connection only

Counts of requests in progress were not restored by an unwound handler either.

Change: Router::Handle answers 502, or breaks off a response that has begun, and logs request.exception; the server's connection fiber is the last place for what is thrown outside of a handler (connection.exception). Counts are kept by scope. Metrics: chervil_request_exceptions_total, chervil_connection_exceptions.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -62,6 +62,18 @@
   return pending ? InputState::kNone : InputState::kClosed;
 }
 
+// Counts a request as in progress during its lifetime.
+class InProgress {
+ public:
+  explicit InProgress(std::size_t* count) : count(count) { ++*this->count; }
+  ~InProgress() { --*this->count; }
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+ private:
+  std::size_t* count;
+};
+
 class Exchange final : public HttpExchange {
  public:
   Exchange(beast::tcp_stream* stream,
@@ -86,6 +98,8 @@
                  : Endpoint{peer.address().to_string(), peer.port()};
   }
 
+  bool ResponseBegun() const override { return this->responded; }
+
   void Respond(const HttpResponse& response) override {
     if (this->responded) {
       return;
@@ -291,10 +305,17 @@
     socket.set_option(Tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    bool first = true;
-    while (!this->destroyed && this->ServeRequest(&stream, &buffer, first) &&
-           !this->stopped) {
-      first = false;
+    try {
+      bool first = true;
+      while (!this->destroyed && this->ServeRequest(&stream, &buffer, first) &&
+             !this->stopped) {
+        first = false;
+      }
+    } catch (const std::exception& exception) {
+      ++this->counts.exceptions;
+      if (this->on_exception) {
+        this->on_exception(exception.what());
+      }
     }
     stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
     --this->connections;
@@ -323,11 +344,12 @@
     const bool keep_alive = parser.get().keep_alive();
     Exchange exchange(stream, &this->settings, FromBeast(parser.release()),
                       keep_alive, &this->keep_alive_allowed);
-    ++this->in_flight;
     boost::system::error_code ignored;
     stream->expires_never();
-    this->handler(exchange);
-    --this->in_flight;
+    {
+      const InProgress in_progress(&this->in_flight);
+      this->handler(exchange);
+    }
     stream->socket().cancel(ignored);
     return exchange.Reusable();
   }
@@ -411,6 +433,7 @@
   std::size_t connections = 0;
   std::size_t in_flight = 0;
   HttpServerCounts counts;
+  std::function<void(std::string_view)> on_exception;
 };
 
 HttpServer::HttpServer(std::shared_ptr<State> state)
@@ -488,6 +511,11 @@
   return this->state->in_flight;
 }
 
+void HttpServer::OnException(
+    std::function<void(std::string_view detail)> on_exception) {
+  this->state->on_exception = std::move(on_exception);
+}
+
 HttpServerCounts HttpServer::Counts() const {
   return this->state->counts;
 }
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -34,10 +34,11 @@
   bool operator==(const HttpServerSettings&) const = default;
 };
 
-/// Connections that an HttpServer did not serve, since its start.
+/// Connections that an HttpServer did not serve or broke off, since its start.
 struct HttpServerCounts {
   std::uint64_t over_limit = 0;       ///< closed at `connection_limit`
   std::uint64_t accept_failures = 0;  ///< most likely out of descriptors
+  std::uint64_t exceptions = 0;       ///< of handlers; the connection ended
 
   bool operator==(const HttpServerCounts&) const = default;
 };
@@ -52,6 +53,9 @@
   /// Address of the peer; empty if the connection is broken.
   virtual Endpoint Peer() const = 0;
 
+  /// True if a response was sent or begun.
+  virtual bool ResponseBegun() const = 0;
+
   /// Sends a complete response. At most one of Respond and BeginStream may be
   /// called.
   virtual void Respond(const HttpResponse& response) = 0;
@@ -120,6 +124,10 @@
 
   HttpServerCounts Counts() const;
 
+  /// Calls `on_exception` if a handler, or the library on a peer's input,
+  /// throws. Only that connection ends.
+  void OnException(std::function<void(std::string_view detail)> on_exception);
+
  private:
   struct State;
   explicit HttpServer(std::shared_ptr<State> state);
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -48,11 +48,32 @@
     context->exchange = &exchange;
     context->received = this->dependencies.runtime->Now();
     this->in_flight.insert(context);
-    const RequestResult result = this->Serve(exchange, context);
+    const RequestResult result = this->ServeOrFail(exchange, context);
     this->in_flight.erase(context);
     this->RecordResult(*context, result);
   }
 
+  // An exception ends its own request only.
+  RequestResult ServeOrFail(io::HttpExchange& exchange,
+                            RequestContext* context) {
+    std::string detail;
+    try {
+      return this->Serve(exchange, context);
+    } catch (const std::exception& exception) {
+      detail = exception.what();
+    }
+    this->dependencies.metrics->Increment("chervil_request_exceptions_total");
+    this->dependencies.log->Error(
+        "request.exception",
+        {{"request", context->metadata.request_id}, {"detail", detail}});
+    if (exchange.ResponseBegun()) {
+      exchange.Abort();
+      return {0, "broken", "exception: " + detail, "", 0};
+    }
+    return Refuse(*context, RefusalCode::kBackendFailed, Executed::kUnknown,
+                  Duration::zero(), "internal error", 0);
+  }
+
   RequestResult Serve(io::HttpExchange& exchange, RequestContext* context) {
     const auto metadata = platform::ReadRequest(exchange.Request());
     if (metadata.has_error()) {
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -341,7 +341,12 @@
                       {{"detail", created.error().detail}});
       return nullptr;
     }
-    return std::move(created).value();
+    std::unique_ptr<io::HttpServer> listening = std::move(created).value();
+    listening->OnException([this, address](std::string_view detail) {
+      this->log.Error("connection.exception",
+                      {{"listener", address.ToText()}, {"detail", detail}});
+    });
+    return listening;
   }
 
   // ---- requests ----
@@ -403,6 +408,8 @@
                       static_cast<double>(counts.servers.over_limit));
     this->metrics.Set("chervil_accept_failures", "",
                       static_cast<double>(counts.servers.accept_failures));
+    this->metrics.Set("chervil_connection_exceptions", "",
+                      static_cast<double>(counts.servers.exceptions));
     this->metrics.Set("chervil_connect_failures_local", "",
                       static_cast<double>(counts.local_failures));
     this->metrics.Set("chervil_caller_connections", "",
@@ -438,6 +445,7 @@
       const io::HttpServerCounts counts = (*server)->Counts();
       sum.servers.over_limit += counts.over_limit;
       sum.servers.accept_failures += counts.accept_failures;
+      sum.servers.exceptions += counts.exceptions;
     }
     sum.local_failures = this->http->LocalFailures();
     return sum;
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -2,6 +2,7 @@
 // requests are on their way, and handlers that fail.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <stdexcept>
 #include <string>
 
 #include "chervilpass/io/http_client.h"
@@ -112,3 +113,32 @@
     cr_assert(caller.Receive().starts_with("HTTP/1.1 200"));
   });
 }
+
+// Guards against one request that ends the whole process: exceptions of a
+// handler, or of the HTTP library, ended the fiber and with it all requests.
+Test(http_server, an_exception_ends_its_own_connection_only) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(3);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      if (exchange.Request().target == "/bad") {
+        throw std::invalid_argument("bad request");
+      }
+      exchange.Respond({200, {}, "ok"});
+    });
+    std::string detail;
+    server->OnException([&](std::string_view text) { detail = text; });
+    Caller sound(listen);
+    sound.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    Caller bad(listen);
+    bad.Send("GET /bad HTTP/1.1\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(milliseconds(50));
+    cr_assert(sound.Receive().starts_with("HTTP/1.1 200"));
+    sound.Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(milliseconds(50));
+    cr_assert(sound.Receive().starts_with("HTTP/1.1 200"));
+    cr_assert_eq(server->Connections(), 1);
+    cr_assert_eq(server->InFlight(), 0);
+    cr_assert_eq(server->Counts().exceptions, 1);
+    cr_assert_eq(detail, "bad request");
+  });
+}
