Requests: proper forms are served, bodies of unclear length refused

Callers saw: 404 for a Host in capitals, with a final dot, or a target in absolute form; 400 for an empty line before the request line, a fraction or twenty digits in the deadline, and a text in Last-Event-Id; a wait in vain for 100 Continue; with HEAD a response that never ended. TRACE and CONNECT were sent on.

Cause: the router took the forms that its own callers send for the only ones. Codings other than chunked were left to the parser, which takes their body for empty.

Codings: 400 unless chunked is the last one, once, in HTTP/1.1, and 501 for others before it; the connection closes. 405 with Allow for TRACE and CONNECT, 501 for unknown methods.

--- a/chervilpass/admission/refusal.cc
+++ b/chervilpass/admission/refusal.cc
@@ -13,7 +13,7 @@
 };
 
 // Indexed by RefusalCode; no code has the value 0.
-constexpr std::array<RefusalRow, 19> kRows = {{
+constexpr std::array<RefusalRow, 20> kRows = {{
     {500, "internal"},           {400, "malformed"},
     {413, "too-large"},          {401, "unauthorized"},
     {404, "not-found"},          {408, "deadline-passed"},
@@ -23,7 +23,7 @@
     {502, "backend-failed"},     {422, "quarantined"},
     {503, "store-unavailable"},  {503, "leaving"},
     {503, "not-ready"},          {504, "timed-out"},
-    {405, "method-not-allowed"},
+    {405, "method-not-allowed"}, {501, "not-implemented"},
 }};
 
 const RefusalRow& RowOf(RefusalCode code) {
--- a/chervilpass/admission/refusal.h
+++ b/chervilpass/admission/refusal.h
@@ -34,6 +34,7 @@
   kNotReady = 16,          ///< No configuration is known yet.
   kTimedOut = 17,          ///< No answer arrived in time.
   kMethod = 18,            ///< The path does not allow the method.
+  kNotImplemented = 19,    ///< The method is not known.
 };
 
 /// A refusal of one request.
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -203,6 +203,7 @@
   bool reused;
   Instant begin;
   bool sent = false;
+  bool is_head = false;  ///< responses to HEAD have no body
   bool cancelled = false;
   bool mismatch_skipped = false;
   Duration keep_alive_time = hours(1);
@@ -241,6 +242,7 @@
   }
   call.stream->expires_never();
   call.sent = true;
+  call.is_head = request.method == "HEAD";
   return success();
 }
 
@@ -249,6 +251,7 @@
   while (true) {
     call.parser.emplace();
     call.parser->body_limit(call.client->settings.body_limit_bytes);
+    call.parser->skip(call.is_head);
     const Completion head = Await([&](auto handler) {
       http::async_read_header(*call.stream, call.buffer, *call.parser,
                               std::move(handler));
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -1,5 +1,6 @@
 #include "chervilpass/io/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -9,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "chervilpass/core/text.h"
 #include "chervilpass/io/await.h"
 
 namespace chervilpass::io {
@@ -20,14 +22,42 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::size_t kReadSize = 4096;  // bytes
 constexpr Duration kDiscardTimeout = milliseconds(500);
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;    // bytes
 constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
 
+struct RequestTarget {
+  std::string authority;  // empty if the target is in origin form
+  std::string origin_form;
+};
+
+// Splits a target in absolute form, whose authority replaces the Host field
+// (RFC 9112, section 3.2.2).
+RequestTarget SplitTarget(std::string_view target) {
+  for (const std::string_view scheme : {"http://", "https://"}) {
+    if (target.size() < scheme.size() ||
+        !beast::iequals({target.data(), scheme.size()},
+                        {scheme.data(), scheme.size()})) {
+      continue;
+    }
+    const std::string_view rest = target.substr(scheme.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    std::string origin_form(rest.substr(end));
+    if (!origin_form.starts_with('/')) {
+      origin_form.insert(0, 1, '/');
+    }
+    return {std::string(rest.substr(0, end)), std::move(origin_form)};
+  }
+  return {{}, std::string(target)};
+}
+
 HttpRequest FromBeast(http::request<http::string_body>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
+  const RequestTarget parts = SplitTarget(message.target());
+  request.target = parts.origin_form;
   const std::string& target = request.target;
   const std::size_t query_mark = target.find('?');
   request.path = target.substr(0, query_mark);
@@ -35,8 +65,11 @@
     request.query = target.substr(query_mark + 1);
   }
   for (const auto& field : message) {
-    request.headers.Add(std::string(field.name_string()),
-                        std::string(field.value()));
+    const bool replaced =
+        field.name() == http::field::host && !parts.authority.empty();
+    request.headers.Add(
+        std::string(field.name_string()),
+        replaced ? parts.authority : std::string(field.value()));
   }
   request.body = std::move(message.body());
   return request;
@@ -113,9 +146,17 @@
     message.keep_alive(this->keep_alive);
     message.prepare_payload();
     this->stream->expires_after(this->settings->write_timeout);
-    const Completion written = Await([&](auto handler) {
-      http::async_write(*this->stream, message, std::move(handler));
-    });
+    Completion written;
+    if (this->request.method == "HEAD") {
+      http::response_serializer<http::string_body> serializer(message);
+      written = Await([&](auto handler) {
+        http::async_write_header(*this->stream, serializer, std::move(handler));
+      });
+    } else {
+      written = Await([&](auto handler) {
+        http::async_write(*this->stream, message, std::move(handler));
+      });
+    }
     this->broken = this->broken || written.error.failed();
   }
 
@@ -231,7 +272,63 @@
   std::shared_ptr<Flags> flags = std::make_shared<Flags>();
 };
 
+// The caller sends the body only after an interim response (RFC 9110, section
+// 10.1.1).
+template <class Message>
+bool WaitsForContinue(const Message& message) {
+  return message.version() >= 11 &&
+         beast::iequals(message[http::field::expect], "100-continue");
+}
+
+// Drops empty lines at the begin of the input; true if nothing is left.
+bool DropEmptyLines(beast::flat_buffer* buffer) {
+  const std::string_view input(static_cast<const char*>(buffer->data().data()),
+                               buffer->size());
+  buffer->consume(std::min(input.find_first_not_of("\r\n"), input.size()));
+  return buffer->size() == 0;
+}
+
+// What is wrong with the transfer codings of a request. Without it the end of
+// its body is not known, and the body would be read as further requests
+// (RFC 9112, sections 6.1 and 6.3).
+template <class Message>
+std::optional<boost::system::error_code> ObjectionToCodings(
+    const Message& message) {
+  std::vector<std::string> codings;
+  const auto fields = message.equal_range(http::field::transfer_encoding);
+  for (auto field = fields.first; field != fields.second; ++field) {
+    for (const std::string& coding :
+         SplitText(std::string_view(field->value()), ',')) {
+      codings.push_back(coding);
+    }
+  }
+  if (codings.empty()) {
+    return std::nullopt;
+  }
+  const auto is_chunked = [](const std::string& coding) {
+    const std::size_t begin = coding.find_first_not_of(" \t");
+    const std::size_t end = coding.find_last_not_of(" \t");
+    return begin != std::string::npos &&
+           beast::iequals(coding.substr(begin, end + 1 - begin), "chunked");
+  };
+  if (message.version() < 11 || !is_chunked(codings.back())) {
+    return http::make_error_code(http::error::bad_transfer_encoding);
+  }
+  if (codings.size() == 1) {
+    return std::nullopt;
+  }
+  codings.pop_back();
+  if (std::any_of(codings.begin(), codings.end(), is_chunked)) {
+    return http::make_error_code(http::error::bad_transfer_encoding);
+  }
+  return boost::system::errc::make_error_code(
+      boost::system::errc::function_not_supported);
+}
+
 unsigned StatusOfReadError(const boost::system::error_code& error) {
+  if (error == boost::system::errc::function_not_supported) {
+    return 501;
+  }
   if (error == http::error::body_limit) {
     return 413;
   }
@@ -325,13 +422,16 @@
   bool ServeRequest(beast::tcp_stream* stream,
                     beast::flat_buffer* buffer,
                     bool first) {
-    if (!first && buffer->size() == 0 && !this->WaitForNextRequest(stream)) {
-      return false;
-    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(this->settings.limits.header_bytes);
     parser.body_limit(this->settings.limits.body_bytes);
-    const Completion read = this->ReadRequest(stream, buffer, &parser);
+    // Applies to one complete request.
+    Instant read_until =
+        this->runtime->Now() + this->settings.limits.read_timeout;
+    Completion read = this->ReadFirstBytes(stream, buffer, first, &read_until);
+    if (!read.error) {
+      read = this->ReadRequest(stream, buffer, &parser, read_until);
+    }
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
@@ -354,17 +454,72 @@
     return exchange.Reusable();
   }
 
-  // The timer ends with the read: later it would cancel writes of the response.
+  // Reads until something other than empty lines has arrived. These may precede
+  // a request line (RFC 9112, section 2.2), and a connection that has only sent
+  // them since its last request is idle.
+  Completion ReadFirstBytes(beast::tcp_stream* stream,
+                            beast::flat_buffer* buffer,
+                            bool first,
+                            Instant* read_until) {
+    while (DropEmptyLines(buffer)) {
+      if (!first && !this->WaitForNextRequest(stream)) {
+        return {asio::error::operation_aborted};
+      }
+      if (!first) {
+        *read_until = this->runtime->Now() + this->settings.limits.read_timeout;
+      }
+      Completion read = this->ReadTimed(stream, *read_until, [&](auto handler) {
+        stream->async_read_some(buffer->prepare(kReadSize), std::move(handler));
+      });
+      if (read.error) {
+        return read.error == asio::error::eof
+                   ? Completion{http::error::end_of_stream}
+                   : read;
+      }
+      buffer->commit(read.bytes);
+    }
+    return {};
+  }
+
   template <class Parser>
   Completion ReadRequest(beast::tcp_stream* stream,
                          beast::flat_buffer* buffer,
-                         Parser* parser) {
-    stream->expires_never();
-    const ReadTimer timer(this->runtime, stream,
-                          this->settings.limits.read_timeout);
-    Completion read = Await([&](auto handler) {
+                         Parser* parser,
+                         Instant until) {
+    const Completion head = this->ReadTimed(stream, until, [&](auto handler) {
+      http::async_read_header(*stream, *buffer, *parser, std::move(handler));
+    });
+    if (head.error) {
+      return head;
+    }
+    if (const auto objection = ObjectionToCodings(parser->get())) {
+      return {*objection};
+    }
+    if (parser->is_done()) {
+      return head;
+    }
+    if (WaitsForContinue(parser->get())) {
+      stream->expires_after(this->settings.write_timeout);
+      const Completion written = Await([&](auto handler) {
+        asio::async_write(*stream, asio::buffer(kContinue), std::move(handler));
+      });
+      if (written.error) {
+        return written;
+      }
+    }
+    return this->ReadTimed(stream, until, [&](auto handler) {
       http::async_read(*stream, *buffer, *parser, std::move(handler));
     });
+  }
+
+  // The timer ends with the read: later it would cancel writes of the response.
+  template <class Start>
+  Completion ReadTimed(beast::tcp_stream* stream,
+                       Instant until,
+                       Start&& start) {
+    stream->expires_never();
+    const ReadTimer timer(this->runtime, stream, until - this->runtime->Now());
+    Completion read = Await(std::forward<Start>(start));
     if (timer.Expired()) {
       read.error = beast::error::timeout;
     }
--- a/chervilpass/routing/route_table.cc
+++ b/chervilpass/routing/route_table.cc
@@ -1,8 +1,28 @@
 #include "chervilpass/routing/route_table.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace chervilpass::routing {
+namespace {
+
+// The host of a "HOST:PORT". Names are case-insensitive and may end with the
+// dot of the DNS root.
+std::string NormalHost(std::string_view host) {
+  const std::size_t bracket = host.starts_with('[') ? host.find(']') : 0;
+  host = host.substr(0, host.find(':', bracket));
+  if (host.ends_with('.')) {
+    host.remove_suffix(1);
+  }
+  std::string normal(host);
+  std::transform(normal.begin(), normal.end(), normal.begin(),
+                 [](unsigned char letter) {
+                   return static_cast<char>(std::tolower(letter));
+                 });
+  return normal;
+}
+
+}  // namespace
 
 std::string_view Route::PickService(double draw) const {
   double total = 0;
@@ -25,7 +45,7 @@
 
 RouteTable::RouteTable(RouteTableData data) : data(std::move(data)) {
   for (std::size_t i = 0; i < this->data.routes.size(); ++i) {
-    this->by_host[this->data.routes[i].host].push_back(i);
+    this->by_host[NormalHost(this->data.routes[i].host)].push_back(i);
   }
   for (auto& [host, indices] : this->by_host) {
     std::stable_sort(indices.begin(), indices.end(),
@@ -46,7 +66,7 @@
 
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view path) const {
-  const auto found = this->by_host.find(host);
+  const auto found = this->by_host.find(NormalHost(host));
   if (found == this->by_host.end()) {
     return nullptr;
   }
--- a/chervilpass/routing/route_table.h
+++ b/chervilpass/routing/route_table.h
@@ -107,7 +107,8 @@
   const CallerLimits& Limits() const { return this->data.limits; }
   const RouteTableData& Data() const { return this->data; }
 
-  /// The route of `host` with the longest matching prefix of `path`, or null.
+  /// The route of `host`, which may have a port, with the longest matching
+  /// prefix of `path`, or null.
   const Route* Find(std::string_view host, std::string_view path) const;
 
   /// The organisation that holds `key`, or null.
--- a/chervilpass/serving/request_metadata.h
+++ b/chervilpass/serving/request_metadata.h
@@ -29,6 +29,8 @@
   std::optional<std::string> key;     ///< authenticates the organisation
   std::optional<Duration> time_left;  ///< how long the caller will wait
   std::optional<std::uint64_t> last_event_id;
+  /// The caller names an event by an id that is not a number.
+  bool foreign_event_id = false;
   std::optional<GenerationSize> generation;
   /// Ids of the parts of the prompt that other requests may share, each once.
   std::vector<std::string> prompt_parts;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -6,6 +6,7 @@
 
 #include "chervilpass/core/hash.h"
 #include "chervilpass/serving/call_proxy.h"
+#include "chervilpass/serving/forwarded_methods.h"
 #include "chervilpass/serving/stream_proxy.h"
 #include "platform/request_codec.h"
 
@@ -22,10 +23,6 @@
 // Log lines about requests that are in progress when the process ends.
 constexpr std::size_t kMaxUnfinishedLogged = 50;
 
-std::string_view WithoutPort(std::string_view host) {
-  return host.substr(0, host.find(':'));
-}
-
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -75,6 +72,10 @@
   }
 
   RequestResult Serve(io::HttpExchange& exchange, RequestContext* context) {
+    if (const auto objection = ObjectionToMethod(exchange.Request().method)) {
+      return Refuse(*context, *objection, Executed::kNo, Duration::zero(),
+                    "the method is not forwarded", 0);
+    }
     const auto metadata = platform::ReadRequest(exchange.Request());
     if (metadata.has_error()) {
       return Refuse(*context, RefusalCode::kMalformed, Executed::kNo,
@@ -96,7 +97,7 @@
       return Refuse(*context, RefusalCode::kNotReady, Executed::kNo,
                     kNotReadyRetryAfter, "no configuration is known yet", 0);
     }
-    context->route = context->table->Find(WithoutPort(context->metadata.host),
+    context->route = context->table->Find(context->metadata.host,
                                           PathOf(exchange.Request().target));
     if (context->route == nullptr) {
       return Refuse(*context, RefusalCode::kNotFound, Executed::kNo,
@@ -169,6 +170,11 @@
     if (!service->model) {
       return ProxyCall(this->dependencies, *context, time_left);
     }
+    if (context->metadata.foreign_event_id) {
+      // Events of these streams are numbered: no event has this id.
+      return Refuse(*context, RefusalCode::kMalformed, Executed::kNo,
+                    Duration::zero(), "the last event's id is not a number", 0);
+    }
     for (const std::string& part : context->metadata.prompt_parts) {
       context->prompt_parts.push_back(
           quarantine::PromptPartEvidence::FingerprintOf(part));
