Forwarded requests: the operator's limits, and no other VM's, decide

Cause: the limits of a configuration were set on the callers' listener only; the listener for requests of other VMs kept its defaults (16 KiB of fields, 1 MiB of body). A 413 or 431 of another VM was passed on as if a server had answered. The class: a limit of one listener that the others do not follow. The other listeners take no bodies of callers.

Change: the listener for forwarded requests follows each configuration, with 1 KiB more for the fields that a VM adds; its idle timeout stays, since VMs keep their connections for longer than callers.

--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -47,6 +47,8 @@
 constexpr Duration kTcpUserTimeout = seconds(3);
 constexpr std::size_t kIdleConnectionsPerServer = 64;
 constexpr std::uint32_t kReservedDescriptors = 200;
+// For the header fields that a VM adds to a request that it forwards.
+constexpr std::uint32_t kForwardingHeaderBytes = 1024;
 // A new VM has exchanged gossip with its data centre after a few round trips.
 constexpr Duration kInitialGossipTime = milliseconds(400);
 // The VMs of a fleet start within 0.3 s; after kFleetStartTime the first
@@ -482,6 +484,11 @@
     if (this->caller_server) {
       this->caller_server->SetLimits(server_limits);
     }
+    server_limits.header_bytes += kForwardingHeaderBytes;
+    server_limits.idle_timeout = io::HttpServerLimits().idle_timeout;
+    if (this->forwarded_server) {
+      this->forwarded_server->SetLimits(server_limits);
+    }
   }
 
   void OnPeerStrike(const quarantine::Strike& strike) {
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -40,6 +40,7 @@
         self.plain_service = "register"
         self.slow_routes = []  # names of idempotent routes with a long timeout
         self.idle_timeout_ms = 15000
+        self.max_body_bytes, self.max_header_bytes = 1048576, 16384
         self.call_timeout_ms = 3000
         self.stream_timeout_ms = 20000
         self.retry_share, self.retry_reserve = 0.2, 200
@@ -122,7 +123,8 @@
                 "services": [{"name": "llm", "healthPath": "/health", "maxConns": 100, "engine": engine},
                              {"name": "register", "healthPath": "/health", "maxConns": 100},
                              {"name": "register-2", "healthPath": "/health", "maxConns": 100}],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000,
+                "limits": {"maxHeaderBytes": self.max_header_bytes, "maxBodyBytes": self.max_body_bytes,
+                           "headerTimeoutMs": 3000,
                            "idleTimeoutMs": self.idle_timeout_ms},
                 "tenants": [{"name": "skagen", "apiKeys": self.keys}]}
 
--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -35,6 +35,8 @@
 // A run that has not used a stage for so long has left it.
 constexpr Duration kStageUseLifetime = seconds(4);
 constexpr Duration kGiveUpPollInterval = milliseconds(20);
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 // Exit code after a request that contains the crash word.
 constexpr int kExitCrashed = 70;
 
@@ -919,6 +921,8 @@
     runtime.Spawn([&worker] { worker.Register(); });
     io::HttpServerSettings server;
     server.listen = settings.listen;
+    server.limits.header_bytes = kMaxHeaderBytes;
+    server.limits.body_bytes = kMaxBodyBytes;
     ServeUntilStopped(
         &runtime, settings.log, server, "worker.ready",
         [&worker](io::HttpExchange& exchange) { worker.Handle(exchange); });
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -1355,6 +1355,27 @@
   });
 }
 
+// Guards against callers that get another VM's limits as the answer to a
+// request which this VM's limits allow.
+Test(router, another_vms_limits_are_no_answer_for_the_caller) {
+  OnRuntime([](io::Runtime& runtime) {
+    const auto too_large = [](unsigned status) {
+      return [status](io::HttpExchange& exchange) {
+        exchange.Respond(Router::UnreadableResponse(status, "too large"));
+      };
+    };
+    std::uint16_t port = 24300;
+    for (const char* path : {"/lookup/x", "/file/x", "/draft/x", "/once/x"}) {
+      for (const unsigned status : {413U, 431U}) {
+        cr_assert_eq(StatusThroughPeers(runtime, port, path, too_large(status),
+                                        too_large(status)),
+                     503, "%s %u", path, status);
+        port += 20;
+      }
+    }
+  });
+}
+
 // A request that another VM forwarded must not travel on between VMs that are
 // all cut off.
 Test(router, a_forwarded_request_is_not_forwarded_again) {
