Placement: orders name their worker, and reports of other starts are not its own

Cause: orders and reports went to whoever had the registered address. The class: an address taken for an identity. Requests, calls and probes of ends check the instance or the start already; orders to hold layers, orders to continue on another path and the reports behind them did not.

Change: orders carry the id of their worker, and a 421 ends the order; a report that names another start than the registered one is logged (worker.report_of_another_start), counted and not recorded as the worker's.

The field is one that workers know already; no new wire field between VMs.

--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -352,7 +352,10 @@
         if (!this->ConfirmClaim()) {
           return;
         }
-        this->SendOrder(worker, order, report->orders_accepted);
+        if (this->SendOrder(worker, order, report->orders_accepted) ==
+            platform::OrderOutcome::kOtherWorker) {
+          return;
+        }
       }
       this->runtime->SleepFor(this->settings.load_poll_interval);
     }
@@ -360,11 +363,10 @@
 
   std::optional<platform::WorkerReport> FetchReport(
       const routing::BackendServer& worker) {
-    io::HttpRequest request;
-    request.path = platform::ReportPath();
     this->metrics->Increment("chervil_reports_asked_total");
-    const auto response = this->http->Call(worker.address, request,
-                                           this->settings.report_timeout);
+    const auto response =
+        this->http->Call(worker.address, platform::ReportRequest(),
+                         this->settings.report_timeout);
     if (response.has_error() || response.value().status != 200) {
       return std::nullopt;
     }
@@ -375,20 +377,37 @@
           {{"worker", worker.id}, {"reason", report.error().detail}});
       return std::nullopt;
     }
+    if (!IsOf(report.value(), worker)) {
+      this->metrics->Increment("chervil_foreign_reports_total");
+      this->log->Warning("worker.report_of_another_start",
+                         {{"worker", worker.id},
+                          {"address", worker.address.ToText()},
+                          {"registered_start", worker.started.milliseconds},
+                          {"start", report.value().started->milliseconds}});
+      return std::nullopt;
+    }
     return std::move(report).value();
   }
 
-  void SendOrder(const routing::BackendServer& worker,
-                 const PlacementOrder& order,
-                 std::uint64_t accepted) {
-    io::HttpRequest request;
-    request.method = "POST";
-    request.path = platform::OrderPath();
-    request.headers.Add("Content-Type", "application/json");
-    request.body = platform::EncodePlacementOrder(order.layers, accepted);
+  // An address may belong to another worker by now, and a worker may have been
+  // started again: the report says nothing of the registered start then.
+  static bool IsOf(const platform::WorkerReport& report,
+                   const routing::BackendServer& worker) {
+    return !report.started || worker.started == WallTime{} ||
+           *report.started == worker.started;
+  }
+
+  // None without an answer.
+  std::optional<platform::OrderOutcome> SendOrder(
+      const routing::BackendServer& worker,
+      const PlacementOrder& order,
+      std::uint64_t accepted) {
     this->metrics->Increment("chervil_orders_total");
-    const auto response = this->http->Call(worker.address, request,
-                                           this->settings.report_timeout);
+    const auto response = this->http->Call(
+        worker.address,
+        platform::OrderRequest(
+            worker.id, platform::EncodePlacementOrder(order.layers, accepted)),
+        this->settings.report_timeout);
     this->log->Info(
         "placement.order_sent",
         {{"worker", worker.id},
@@ -397,6 +416,9 @@
           response.has_error()
               ? response.error().detail
               : "status " + std::to_string(response.value().status)}});
+    return response.has_error() ? std::nullopt
+                                : std::optional(platform::OrderOutcomeOf(
+                                      response.value().status));
   }
 
   // ---- suspects ----
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -298,10 +298,9 @@
     std::optional<io::HttpError> error;
     ProbeResult answer = ProbeResult::kAnswers;
     if (server.model_worker) {
-      io::HttpRequest request;
-      request.path = platform::ReportPath();
       const auto response = this->dependencies->http->Call(
-          server.address, request, timeout, io::ConnectionUse::kFresh);
+          server.address, platform::ReportRequest(), timeout,
+          io::ConnectionUse::kFresh);
       if (response.has_error()) {
         error = response.error();
       } else {
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -420,10 +420,9 @@
   }
 
   void Examine(const PathStage& first) {
-    io::HttpRequest request;
-    request.path = platform::ReportPath();
-    const auto response = this->dependencies->http->Call(
-        first.address, request, this->settings.report_timeout);
+    const auto response =
+        this->dependencies->http->Call(first.address, platform::ReportRequest(),
+                                       this->settings.report_timeout);
     this->pending_reports.erase(first.worker);
     // Its open connections show whether a departing worker goes on.
     if (response.has_error() &&
@@ -707,14 +706,12 @@
       // at the same time do not all choose the same workers.
       const Path previous = stream->path;
       this->Reserve(stream, path);
-      io::HttpRequest order;
-      order.method = "POST";
-      order.path = platform::OrderPath();
-      order.headers.Add("Content-Type", "application/json");
-      order.body = platform::EncodeRepathOrder(run.request_id, path);
       const PathStage first = path.front();
       const auto response = this->dependencies->http->Call(
-          first.address, order, this->settings.report_timeout);
+          first.address,
+          platform::OrderRequest(
+              first.worker, platform::EncodeRepathOrder(run.request_id, path)),
+          this->settings.report_timeout);
       if (!this->InProgress(stream, run)) {
         return;
       }
