HTTP server: a stream in response to HEAD has no body

Callers saw: HEAD on a stream route, on a kept connection: the bytes "0\r\n\r\n" after the head, where the caller expects its next response.

Cause: since the worker's response to HEAD is read without a body and so ends as an empty stream; only Respond left out the body, EndStream still wrote the last chunk.

Change: WriteChunk and EndStream write nothing in response to HEAD.

Measured: http_server_test a_stream_in_response_to_head_has_no_body, failing on; HEAD and GET pipelined to a chervil-router with stand-ins: 5 stray bytes before, none now.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -147,7 +147,7 @@
     message.prepare_payload();
     this->stream->expires_after(this->settings->write_timeout);
     Completion written;
-    if (this->request.method == "HEAD") {
+    if (this->IsHead()) {
       http::response_serializer<http::string_body> serializer(message);
       written = Await([&](auto handler) {
         http::async_write_header(*this->stream, serializer, std::move(handler));
@@ -178,7 +178,7 @@
   }
 
   bool WriteChunk(std::string_view data) override {
-    if (this->broken || data.empty()) {
+    if (this->broken || data.empty() || this->IsHead()) {
       return !this->broken;
     }
     this->stream->expires_after(this->settings->write_timeout);
@@ -193,8 +193,8 @@
   }
 
   bool EndStream() override {
-    if (this->broken) {
-      return false;
+    if (this->broken || this->IsHead()) {
+      return !this->broken;
     }
     this->stream->expires_after(this->settings->write_timeout);
     const Completion written = Await([&](auto handler) {
@@ -232,6 +232,9 @@
   }
 
  private:
+  // Responses to HEAD have no body, and no end of one.
+  bool IsHead() const { return this->request.method == "HEAD"; }
+
   beast::tcp_stream* stream;
   const HttpServerSettings* settings;
   HttpRequest request;
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -142,3 +142,28 @@
     cr_assert_eq(detail, "bad request");
   });
 }
+
+// Guards against bytes that the caller takes for the next response.
+Test(http_server, a_stream_in_response_to_head_has_no_body) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(5);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      cr_expect(exchange.BeginStream({200, {}, ""}));
+      cr_expect(exchange.WriteChunk("piece"));
+      cr_expect(exchange.EndStream());
+    });
+    Caller caller(listen);
+    caller.Send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(milliseconds(50));
+    const std::string head = caller.Receive();
+    cr_expect(head.starts_with("HTTP/1.1 200"));
+    cr_expect(
+        head.ends_with("\r\n\r\n") && head.find("\r\n\r\n") == head.size() - 4,
+        "%s", head.c_str());
+    caller.Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(milliseconds(50));
+    const std::string next = caller.Receive();
+    cr_expect(next.starts_with("HTTP/1.1 200"));
+    cr_expect(next.ends_with("5\r\npiece\r\n0\r\n\r\n"), "%s", next.c_str());
+  });
+}
