HTTP server: a header field over 64 KiB is refused, not the end of the process

Callers saw: with a maxHeaderBytes over 64 KiB in the configuration, one request with a field of 70,000 bytes, with or without a key, ended the router (SIGABRT, "field value too large"), and with it all requests in progress. Trailers of chunked bodies did the same.

Cause: the HTTP library holds fields of 64 KiB and throws at longer ones while it parses. Composed reads parse on the poller's fiber, where the catch of the connection does not reach.

Change: the server reads bytes and parses them on the connection's fiber; a field that is too long is answered with 431. Headers that are longer in total are served as before, up to the operator's limit.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -23,7 +24,8 @@
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::size_t kReadSize = 4096;  // bytes
+constexpr std::size_t kReadSize = 4096;          // bytes
+constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
 constexpr Duration kDiscardTimeout = milliseconds(500);
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;    // bytes
 constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
@@ -489,9 +491,10 @@
                          beast::flat_buffer* buffer,
                          Parser* parser,
                          Instant until) {
-    const Completion head = this->ReadTimed(stream, until, [&](auto handler) {
-      http::async_read_header(*stream, *buffer, *parser, std::move(handler));
-    });
+    parser->eager(false);
+    const Completion head =
+        this->Parse(stream, buffer, parser, until,
+                    [parser] { return parser->is_header_done(); });
     if (head.error) {
       return head;
     }
@@ -510,9 +513,49 @@
         return written;
       }
     }
-    return this->ReadTimed(stream, until, [&](auto handler) {
-      http::async_read(*stream, *buffer, *parser, std::move(handler));
-    });
+    parser->eager(true);
+    return this->Parse(stream, buffer, parser, until,
+                       [parser] { return parser->is_done(); });
+  }
+
+  // Parses on the connection's fiber: what the parser throws within a composed
+  // read of the library would leave the poller and end the process.
+  template <class Parser, class Done>
+  Completion Parse(beast::tcp_stream* stream,
+                   beast::flat_buffer* buffer,
+                   Parser* parser,
+                   Instant until,
+                   Done done) {
+    while (!done()) {
+      boost::system::error_code error;
+      std::size_t used = 0;
+      if (buffer->size() > 0) {
+        try {
+          used = parser->put(buffer->data(), error);
+        } catch (const std::length_error&) {
+          // The library holds fields of up to 64 KiB, whatever the limit.
+          return {http::error::header_limit};
+        }
+        buffer->consume(used);
+      }
+      if (error && error != http::error::need_more) {
+        return {error};
+      }
+      if (done() || (!error && used > 0)) {
+        continue;
+      }
+      const std::size_t size = beast::read_size(*buffer, kMaxReadSize);
+      const Completion read = this->ReadTimed(stream, until, [&](auto handler) {
+        stream->async_read_some(buffer->prepare(size), std::move(handler));
+      });
+      if (read.error) {
+        return read.error == asio::error::eof
+                   ? Completion{http::error::partial_message}
+                   : read;
+      }
+      buffer->commit(read.bytes);
+    }
+    return {};
   }
 
   // The timer ends with the read: later it would cancel writes of the response.
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -143,6 +143,55 @@
   });
 }
 
+// Guards against one request that ends the process: the HTTP library throws as
+// it reads a field of more than 64 KiB, within an operation that belongs to no
+// connection's fiber.
+Test(http_server, a_field_too_large_for_the_library_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(4);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, exchange.Request().body});
+    });
+    HttpServerLimits limits;
+    limits.header_bytes = 256 * 1024;
+    server->SetLimits(limits);
+    const std::string large(70000, 'a');
+    std::string many;
+    for (int i = 0; i < 50; ++i) {
+      many += "X-" + std::to_string(i) + ": " + large.substr(0, 2000) + "\r\n";
+    }
+    const std::string begin = "POST /1 HTTP/1.1\r\nHost: a\r\n";
+    const std::string chunked = begin + "Transfer-Encoding: chunked\r\n\r\n";
+    const struct {
+      const char* name;
+      std::string bytes;
+      const char* status;
+    } rows[] = {
+        {"value", begin + "X-A: " + large + "\r\n\r\n", "HTTP/1.1 431"},
+        {"name", begin + large + ": b\r\n\r\n", "HTTP/1.1 431"},
+        {"trailer", chunked + "1\r\nb\r\n0\r\nX-A: " + large + "\r\n\r\n",
+         "HTTP/1.1 431"},
+        {"many fields", begin + many + "Content-Length: 1\r\n\r\nb",
+         "HTTP/1.1 200"},
+        {"body in chunks", chunked + "1\r\nb\r\n2\r\ncd\r\n0\r\n\r\n",
+         "HTTP/1.1 200"},
+    };
+    for (const auto& row : rows) {
+      Caller caller(listen);
+      // Later bytes are read by the poller.
+      for (std::size_t sent = 0; sent < row.bytes.size(); sent += 30000) {
+        caller.Send(row.bytes.substr(sent, 30000));
+        runtime.SleepFor(milliseconds(5));
+      }
+      runtime.SleepFor(milliseconds(50));
+      const std::string reply = caller.Receive();
+      cr_expect(reply.starts_with(row.status), "%s: %s", row.name,
+                reply.c_str());
+    }
+    cr_assert_eq(server->Counts().exceptions, 0);
+  });
+}
+
 // Guards against bytes that the caller takes for the next response.
 Test(http_server, a_stream_in_response_to_head_has_no_body) {
   OnRuntime([](Runtime& runtime) {
