Settings: a deeply nested file is rejected, not the end of the process

Callers saw: a settings file with 450 nested brackets, in place for three seconds or at a SIGHUP, ended a running router (SIGSEGV) and with it all requests in progress. 300 levels did not.

Cause: daemons read the changed file on a fiber, whose stack of 128 KiB is too small for the 500 levels that the YAML parser allows itself.

Change: the file is parsed on a thread with a usual stack; the parser's own limit then rejects it.

--- a/chervilpass/config/settings_reader.cc
+++ b/chervilpass/config/settings_reader.cc
@@ -4,6 +4,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <future>
 #include <set>
 
 #include "chervilpass/core/text.h"
@@ -128,7 +129,10 @@
                                         const std::string& file) {
   // yaml-cpp reports errors by exception.
   try {
-    const YAML::Node node = YAML::Load(text);
+    // The parser recurses up to 500 levels deep, too deep for a fiber's stack.
+    const YAML::Node node = std::async(std::launch::async, [&text] {
+                              return YAML::Load(text);
+                            }).get();
     if (!node.IsMap()) {
       return SettingsErrors{{file, 1, "", "a mapping of fields is expected"}};
     }
--- a/unit_tests/config_test.cc
+++ b/unit_tests/config_test.cc
@@ -1,6 +1,6 @@
 // Tests of the settings reader and of the fleet configuration: JSON,
 // validation, deltas, merges, the CSV table and the configuration history.
-#include <criterion/criterion.h>
+#include <boost/fiber/fiber.hpp>
 
 #include "chervilpass/config/change_merge.h"
 #include "chervilpass/config/config_json.h"
@@ -11,6 +11,9 @@
 #include "chervilpass/core/hash.h"
 #include "chervilpass/core/random.h"
 
+// Included last: its macros clash with names in Boost.
+#include <criterion/criterion.h>
+
 using namespace chervilpass;
 using namespace chervilpass::config;
 
@@ -71,6 +74,20 @@
   cr_assert_geq(reader.error().front().line, 2);
 }
 
+// Guards against the end of a daemon that reads its settings again: it does so
+// on a fiber, whose stack is small.
+Test(settings, deeply_nested_files_are_reported_on_a_fiber) {
+  for (const std::size_t depth : {450, 20000}) {
+    const std::string text =
+        "a: " + std::string(depth, '[') + std::string(depth, ']');
+    bool refused = false;
+    boost::fibers::fiber([&] {
+      refused = SettingsReader::FromText(text, "deep").has_error();
+    }).join();
+    cr_assert_eq(refused, depth > 500);
+  }
+}
+
 Test(settings, mutated_files_do_not_crash_the_reader) {
   const std::string good =
       "vm: a\nlisten: '127.0.0.1:1'\nlog: {level: info}\nlist:\n  - {x: 1}\n";
