Router: an address in the settings that is none is reported

The operator saw: with "ip: localhost" the check of the settings said ok, and the router ended by SIGABRT at its start.

Cause: all listeners but the callers' are made from this field, and only chervil-control checked it; the address is parsed by a call that throws.

Change: the field is checked as in chervil-control: exit code 2 and a line that names it.

--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -36,6 +36,10 @@
   RouterProgramSettings settings;
   settings.vm = reader.Text("vm");
   settings.ip = reader.Text("ip");
+  if (!io::Endpoint::Parse(settings.ip + ":1")) {
+    reader.AddError("ip",
+                    "'" + settings.ip + "' given; an IP address is expected");
+  }
   settings.data_centre = reader.Text("data_centre");
   settings.region = reader.Text("region");
   config::SettingsReader listen = reader.Section("listen");
