RPC server: out of descriptors it accepts again, instead of ending the process

The operator saw: chervil-control with 40 descriptors and 60 connections to its control port ended by SIGABRT ("The state of the promise has already been set"). chervil-dispatch listens with the same code.

Cause: the first connection that cannot be accepted ends KJ's listening; the error handler then reported the server's start a second time, which throws on the fiber thread. Without the throw it would have accepted nothing more.

Change: accepting begins anew 10 ms after a failure; the start is reported once.

--- a/chervilpass/rpc/server_core.cc
+++ b/chervilpass/rpc/server_core.cc
@@ -3,6 +3,26 @@
 #include <boost/fiber/future.hpp>
 
 namespace chervilpass::rpc {
+namespace {
+
+constexpr auto kAcceptRetryDelay = 10 * kj::MILLISECONDS;
+
+// Accepts until the loop ends; begins anew if that fails, most likely for want
+// of descriptors.
+kj::Promise<void> AcceptConnections(capnp::TwoPartyServer& server,
+                                    kj::ConnectionReceiver& receiver,
+                                    kj::Timer& timer) {
+  // A failure may be thrown as well as returned.
+  return kj::evalNow([&] { return server.listen(receiver); })
+      .catch_([&server, &receiver, &timer](kj::Exception&&) {
+        return timer.afterDelay(kAcceptRetryDelay)
+            .then([&server, &receiver, &timer] {
+              return AcceptConnections(server, receiver, timer);
+            });
+      });
+}
+
+}  // namespace
 
 Result<void, RpcError> Serve(
     const std::shared_ptr<RpcLoop>& loop,
@@ -19,12 +39,13 @@
     auto serving =
         context.io->provider->getNetwork()
             .parseAddress(listen.ip, listen.port)
-            .then([report,
-                   make_bootstrap](kj::Own<kj::NetworkAddress>&& address) {
+            .then([report, make_bootstrap,
+                   &timer = context.io->provider->getTimer()](
+                      kj::Own<kj::NetworkAddress>&& address) {
               auto receiver = address->listen();
               auto server = kj::heap<capnp::TwoPartyServer>(make_bootstrap());
               report(success());
-              auto accepting = server->listen(*receiver);
+              auto accepting = AcceptConnections(*server, *receiver, timer);
               return accepting.attach(kj::mv(server), kj::mv(receiver));
             })
             .catch_([report](kj::Exception&& exception) {
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -1,6 +1,9 @@
 // Tests of the fiber runtime, the HTTP server and client, and the RPC between
 // daemons, on loopback sockets.
+#include <sys/resource.h>
+
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/condition_variable.hpp>
@@ -443,6 +446,39 @@
   });
 }
 
+// Guards against the end of a daemon that is out of descriptors: a connection
+// that cannot be accepted reported the server's start a second time, which
+// throws.
+Test(rpc, a_server_that_runs_out_of_descriptors_accepts_again) {
+  OnRuntime([](Runtime& runtime) {
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    const Endpoint listen = TestEndpoint(30);
+    rpc::DispatchHandlers handlers;
+    handlers.query_claim = [](const std::string&, const std::string&) {
+      return rpc::ClaimState{rpc::ClaimAbsent{}};
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 4; ++i) {
+      callers.emplace_back(context).open(boost::asio::ip::tcp::v4());
+    }
+    rlimit before{};
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    ::setrlimit(RLIMIT_NOFILE, &none);
+    for (auto& caller : callers) {
+      caller.connect({boost::asio::ip::make_address(listen.ip), listen.port});
+    }
+    runtime.SleepFor(milliseconds(100));
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    callers.clear();
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    cr_assert(client->QueryClaim("o", "k", seconds(2)).has_value());
+  });
+}
+
 Test(rpc, calls_fail_without_a_server_and_succeed_once_it_listens) {
   OnRuntime([](Runtime& runtime) {
     const auto loop = rpc::RpcLoop::Create(&runtime);
