--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -27,6 +27,30 @@
   return target.substr(0, target.find('?'));
 }
 
+// Counts a request as in progress during its lifetime, also if it ends by an
+// exception.
+class InProgress {
+ public:
+  InProgress(std::set<const RequestContext*>* all,
+             std::size_t* forwarded,
+             const RequestContext* context)
+      : all(all), forwarded(forwarded), context(context) {
+    this->all->insert(this->context);
+    *this->forwarded += this->context->forwarded ? 1 : 0;
+  }
+  ~InProgress() {
+    this->all->erase(this->context);
+    *this->forwarded -= this->context->forwarded ? 1 : 0;
+  }
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+ private:
+  std::set<const RequestContext*>* all;
+  std::size_t* forwarded;
+  const RequestContext* context;
+};
+
 }  // namespace
 
 struct Router::State {
@@ -44,9 +68,9 @@
   void Handle(io::HttpExchange& exchange, RequestContext* context) {
     context->exchange = &exchange;
     context->received = this->dependencies.runtime->Now();
-    this->in_flight.insert(context);
+    const InProgress in_progress(&this->in_flight, &this->forwarded_in_flight,
+                                 context);
     const RequestResult result = this->ServeOrFail(exchange, context);
-    this->in_flight.erase(context);
     this->RecordResult(*context, result);
   }
 
@@ -293,9 +317,7 @@
 void Router::HandleForwarded(io::HttpExchange& exchange) {
   RequestContext context;
   context.forwarded = true;
-  ++this->state->forwarded_in_flight;
   this->state->Handle(exchange, &context);
-  --this->state->forwarded_in_flight;
 }
 
 io::HttpResponse Router::UnreadableResponse(unsigned status,
--- a/unit_tests/request_forms_test.cc
+++ b/unit_tests/request_forms_test.cc
@@ -78,6 +78,26 @@
   return Head("GET /lookup/x HTTP/1.1", "h.example", fields);
 }
 
+// An exchange whose responses cannot be written.
+class ThrowingExchange final : public io::HttpExchange {
+ public:
+  const io::HttpRequest& Request() const override { return this->request; }
+  io::Endpoint Peer() const override { return {}; }
+  bool ResponseBegun() const override { return false; }
+  void Respond(const io::HttpResponse&) override {
+    throw std::length_error("too long");
+  }
+  bool BeginStream(const io::HttpResponse&) override { return false; }
+  bool WriteChunk(std::string_view) override { return false; }
+  bool EndStream() override { return false; }
+  void Abort() override {}
+  bool PeerClosed() override { return false; }
+  void WatchPeer(std::function<void()>) override {}
+
+ private:
+  io::HttpRequest request;
+};
+
 // A router with a plain server that records the bodies of its runs.
 struct Fixture {
   Fixture(io::Runtime& runtime, std::uint16_t port)
@@ -309,3 +329,16 @@
     cr_expect_eq(last.Status(), 200);
   });
 }
+
+// Guards against a VM that leaves and waits for a request which has ended by an
+// exception, or reads what is left of it.
+Test(request_forms, a_response_that_throws_leaves_no_request_in_progress) {
+  OnRuntime([](io::Runtime& runtime) {
+    Fixture fixture(runtime, 24040);
+    serving::Router& router = *fixture.router.router;
+    ThrowingExchange exchange;
+    cr_expect_throw(router.Handle(exchange), std::length_error);
+    cr_expect_throw(router.HandleForwarded(exchange), std::length_error);
+    cr_expect_eq(router.InFlight(), 0);
+  });
+}
