Configuration: an optional field that is null counts as missing

A configuration with one optional field that is null was refused as a whole, and with it each later one of that form: every VM stayed at the version before.

The test erases each field and sets it to null: both must decode alike.

--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -2,6 +2,8 @@
 // input.
 #include <fmt/format.h>
 
+#include <functional>
+
 #include "chervilpass/core/random.h"
 #include "platform/config_decoder.h"
 #include "platform/entry_calls.h"
@@ -97,6 +99,28 @@
   return text;
 }
 
+// Calls `visit` for each member of each object below `value`, which it may
+// change as long as it puts it back.
+void ForEachMember(boost::json::value& value,
+                   const std::function<void(boost::json::object&,
+                                            const std::string&)>& visit) {
+  if (auto* array = value.if_array()) {
+    for (auto& item : *array) {
+      ForEachMember(item, visit);
+    }
+  }
+  if (auto* object = value.if_object()) {
+    std::vector<std::string> names;
+    for (const auto& member : *object) {
+      names.emplace_back(member.key());
+    }
+    for (const std::string& name : names) {
+      ForEachMember((*object)[name], visit);
+      visit(*object, name);
+    }
+  }
+}
+
 }  // namespace
 
 Test(config_decoder, reads_routes_services_keys_and_limits) {
@@ -119,6 +143,30 @@
   cr_assert(config.limits.idle_timeout == seconds(15));
 }
 
+// Guards against a configuration that is refused as a whole since an optional
+// field is null.
+Test(config_decoder, fields_that_are_null_count_as_missing) {
+  auto body = Json(kConfig);
+  std::string seen;
+  int optional = 0;
+  ForEachMember(
+      body, [&](boost::json::object& object, const std::string& name) {
+        const auto value = object[name];
+        object.erase(name);
+        const auto without = DecodeConfig(body);
+        object[name] = nullptr;
+        const auto with_null = DecodeConfig(body);
+        object[name] = value;
+        optional += without.has_value() ? 1 : 0;
+        if (without.has_value() != with_null.has_value() ||
+            (without.has_value() && !(without.value() == with_null.value()))) {
+          seen += " " + name;
+        }
+      });
+  cr_assert_geq(optional, 25);
+  cr_assert(seen.empty(), "%s", seen.c_str());
+}
+
 Test(config_decoder, requests_of_an_unknown_kind_are_never_retried) {
   auto body = Json(kConfig);
   body.as_object()["routes"].as_array()[0].as_object()["kind"] = "new_kind";
