Store: an answer that is too large leads to a new listing

A watch whose answer was larger than a client takes (8 MiB, several whole configurations) was asked for again and again with the same revision, while the watch of the workers went on: the VM stayed at the old configuration and counted as in touch. The error has a code of its own, and the VM lists anew, as for a compacted revision; so does the one for suspects. Relays' answers need no change: one that cannot be taken does not count as a response, so that the VM turns to the store itself after relay_lost_timeout.

The test has a store that answers a watch with 9 MiB: before, the VM stayed at version 3; now it has the new version after one such answer.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -137,7 +137,7 @@
 
   // Lists once, so that a new VM has the state before it has found its peers.
   // Then watches while `watching` is set, and lists again when the store has
-  // compacted the revision.
+  // compacted the revision or has too many changes since for one response.
   void ListAndWatch(StoreKind kind) {
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
@@ -173,6 +173,7 @@
       if (changes.has_error()) {
         this->OnStoreFailure(kind, changes.error());
         if (changes.error().code == StoreErrorCode::kRevisionCompacted ||
+            changes.error().code == StoreErrorCode::kTooLarge ||
             changes.error().code == StoreErrorCode::kMalformed) {
           return;
         }
--- a/chervilpass/fleet/suspect_sync.cc
+++ b/chervilpass/fleet/suspect_sync.cc
@@ -118,7 +118,8 @@
                                               this->settings.watch_wait);
       if (changes.has_error()) {
         this->runtime->SleepFor(this->settings.retry_delay);
-        if (changes.error().code == StoreErrorCode::kRevisionCompacted) {
+        if (changes.error().code == StoreErrorCode::kRevisionCompacted ||
+            changes.error().code == StoreErrorCode::kTooLarge) {
           return;
         }
         continue;
--- a/unit_tests/store_sync_test.cc
+++ b/unit_tests/store_sync_test.cc
@@ -40,7 +40,9 @@
 }
 
 // Responds to listings and watches with one configuration, or with 503 while
-// `refusing` is set.
+// `refusing` or, for the configuration, `refusing_config` is set. While
+// `history_bytes` is set, a watch from a revision before `revision` gives that
+// much.
 class ScriptedStore {
  public:
   ScriptedStore(io::Runtime& runtime, std::uint16_t port)
@@ -50,26 +52,44 @@
         })) {}
 
   bool refusing = false;
+  bool refusing_config = false;
+  std::uint64_t version = 3;   ///< of the configuration
+  std::uint64_t revision = 9;  ///< of the store
+  std::size_t history_bytes = 0;
   int watches = 0;
+  int large_answers = 0;
 
  private:
   void Handle(io::HttpExchange& exchange) {
-    if (this->refusing) {
+    const io::HttpRequest& request = exchange.Request();
+    const bool config = request.path.find("config") != std::string::npos;
+    if (this->Refuses(config)) {
       return exchange.Respond({503, {}, ""});
     }
-    const io::HttpRequest& request = exchange.Request();
-    if (request.QueryParameter("watch")) {
+    if (const auto since = request.QueryParameter("watch")) {
       ++this->watches;
+      if (config && this->history_bytes > 0 &&
+          std::stoull(*since) < this->revision) {
+        ++this->large_answers;
+        return exchange.Respond(
+            {200, {}, std::string(this->history_bytes, ' ')});
+      }
       this->runtime.SleepFor(milliseconds(50));
-      return exchange.Respond({this->refusing ? 503U : 200U,
-                               {},
-                               R"({"events":[],"storeRevision":9})"});
+      return exchange.Respond(
+          {this->Refuses(config) ? 503U : 200U,
+           {},
+           fmt::format(R"({{"events":[],"storeRevision":{}}})", *since)});
     }
-    const bool config = request.path.find("config") != std::string::npos;
-    exchange.Respond({200,
-                      {},
-                      fmt::format(R"({{"items":[{}],"storeRevision":9}})",
-                                  config ? Config(3, 7) : "")});
+    exchange.Respond(
+        {200,
+         {},
+         fmt::format(R"({{"items":[{}],"storeRevision":{}}})",
+                     config ? Config(this->version, this->revision - 2) : "",
+                     this->revision)});
+  }
+
+  bool Refuses(bool config) const {
+    return this->refusing || (config && this->refusing_config);
   }
 
   io::Runtime& runtime;
@@ -181,3 +201,21 @@
     cr_assert_gt(store.watches, 0);
   });
 }
+
+// Guards against a VM that stays at an old configuration: the store's answer to
+// its watch has several configurations and is larger than a VM takes.
+Test(store_sync, an_answer_that_is_too_large_leads_to_a_new_listing) {
+  OnRuntime([](io::Runtime& runtime) {
+    ScriptedStore store(runtime, 23030);
+    Vm vm(runtime, 23030);
+    runtime.SleepFor(milliseconds(300));
+    cr_assert_eq(vm.routing_state.Table()->Version(), 3);
+    store.history_bytes = 9 * 1024 * 1024;
+    store.version = 12;
+    store.revision = 30;
+    runtime.SleepFor(milliseconds(1500));
+    cr_assert_eq(vm.routing_state.Table()->Version(), 12);
+    cr_assert_eq(store.large_answers, 1);
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
+  });
+}
