Relays: one without the configuration refuses its followers

The failure of a call and the last response of the store were kept for both watches together. While only the watch of the configuration failed, each response to that of the workers cleared the failure: the relay told its followers that its old configuration was the newest, and never counted the store as lost. Both are kept apart now. The grace of expired entries after an outage still depends on the watch of the workers alone.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -37,6 +37,12 @@
   return std::strtoull(text.c_str(), nullptr, 10);
 }
 
+// The calls to the store of one kind of objects.
+struct WatchState {
+  bool last_call_failed = false;
+  Instant last_response{};
+};
+
 }  // namespace
 
 std::string PeerStatePath() {
@@ -66,7 +72,7 @@
   void Start() {
     const Instant now = this->runtime->Now();
     this->last_relay_response = now;
-    this->last_store_response = now;
+    this->ResetWatchStates(now);
     this->last_watch_needed = now - this->settings.relay_handover_time;
     const auto self = this->shared_from_this();
     this->runtime->Spawn([self] { self->ListAndWatch(StoreKind::kConfig); });
@@ -92,7 +98,7 @@
           now - this->last_watch_needed < this->settings.relay_handover_time;
       if (watch != this->watching) {
         this->watching = watch;
-        this->last_store_response = now;
+        this->ResetWatchStates(now);
         this->last_relay_response = now;
         this->log->Info("store.watch", {{"watching", watch}});
       }
@@ -100,10 +106,29 @@
     }
   }
 
+  void ResetWatchStates(Instant now) {
+    this->config_watch.last_response = now;
+    this->workers_watch.last_response = now;
+  }
+
+  WatchState& WatchOf(StoreKind kind) {
+    return kind == StoreKind::kConfig ? this->config_watch
+                                      : this->workers_watch;
+  }
+
+  // The store counts as lost if it does not respond to either watch: this VM
+  // lacks what the watch is for.
+  bool IsSilent(const WatchState& watch, Instant now) const {
+    return now - watch.last_response > this->settings.store_lost_timeout;
+  }
+
   void CheckStore(Instant now) {
-    const bool lost =
-        now - this->last_store_response > this->settings.store_lost_timeout ||
-        !this->watching;
+    const bool config_silent = this->IsSilent(this->config_watch, now);
+    const bool workers_silent = this->IsSilent(this->workers_watch, now);
+    this->workers_lost =
+        this->workers_lost ||
+        ((this->store_up || this->store_lost) && workers_silent);
+    const bool lost = config_silent || workers_silent || !this->watching;
     if (!this->store_up || !lost) {
       return;
     }
@@ -112,23 +137,28 @@
       this->store_lost = true;
       this->log->Warning(
           "store.lost",
-          {{"silent_ms", ToMilliseconds(now - this->last_store_response)}});
+          {{"config_silent_ms",
+            ToMilliseconds(now - this->config_watch.last_response)},
+           {"workers_silent_ms",
+            ToMilliseconds(now - this->workers_watch.last_response)}});
     }
     this->events.store_changed(false);
   }
 
-  void OnStoreResponse() {
+  void OnStoreResponse(StoreKind kind) {
     const Instant now = this->runtime->Now();
-    this->last_call_failed = false;
-    this->last_store_response = now;
-    if (this->store_up || !this->watching) {
+    this->WatchOf(kind) = {false, now};
+    if (this->store_up || !this->watching ||
+        this->IsSilent(this->config_watch, now) ||
+        this->IsSilent(this->workers_watch, now)) {
       return;
     }
     this->store_up = true;
-    if (this->store_lost) {
-      this->store_lost = false;
+    if (this->store_lost && this->workers_lost) {
       this->routing_state->Servers().OnStoreRegained(now);
     }
+    this->store_lost = false;
+    this->workers_lost = false;
     this->log->Info("store.regained", {});
     this->events.store_changed(true);
   }
@@ -155,7 +185,7 @@
       }
       backoff.Reset();
       listed = true;
-      this->OnStoreResponse();
+      this->OnStoreResponse(kind);
       this->ApplyListing(kind, listing.value());
       this->WatchFrom(kind, listing.value().revision);
     }
@@ -181,7 +211,7 @@
         continue;
       }
       backoff.Reset();
-      this->OnStoreResponse();
+      this->OnStoreResponse(kind);
       this->ApplyChanges(kind, changes.value(), revision);
       revision = std::max(revision, changes.value().revision);
       if (kind == StoreKind::kWorkers && !changes.value().changes.empty()) {
@@ -219,7 +249,8 @@
         "store.watch_unanswered",
         {{"what", NameOf(kind)},
          {"revision", revision},
-         {"silent_ms", ToMilliseconds(asked - this->last_store_response)},
+         {"silent_ms",
+          ToMilliseconds(asked - this->WatchOf(kind).last_response)},
          {"new_connection_ms", ToMilliseconds(took)},
          {"connection_was_silent", silent}});
     if (silent) {
@@ -234,8 +265,8 @@
   }
 
   void OnStoreFailure(StoreKind kind, const StoreError& error) {
-    if (!this->last_call_failed) {
-      this->last_call_failed = true;
+    if (!this->WatchOf(kind).last_call_failed) {
+      this->WatchOf(kind).last_call_failed = true;
       this->state_changed.notify_all();
     }
     this->metrics->Increment("chervil_store_sync_failures_total");
@@ -475,7 +506,10 @@
   // ---- as a relay ----
 
   // While calls to the store fail, the state of this VM may be stale.
-  bool CanRelay() const { return this->store_up && !this->last_call_failed; }
+  bool CanRelay() const {
+    return this->store_up && !this->config_watch.last_call_failed &&
+           !this->workers_watch.last_call_failed;
+  }
 
   void NotifyFollowers() { this->state_changed.notify_all(); }
 
@@ -541,9 +575,10 @@
   bool watching = false;  ///< this VM watches the store itself
   bool store_up = false;  ///< watching, and the store responds
   bool store_lost = false;
-  bool last_call_failed = false;  ///< to the store
-  bool fetching_config = false;   ///< a FetchConfig is running
-  Instant last_store_response{};
+  bool workers_lost = false;     ///< their watch was silent for too long
+  bool fetching_config = false;  ///< a FetchConfig is running
+  WatchState config_watch;
+  WatchState workers_watch;
   Instant last_relay_response{};
   Instant last_watch_needed{};
   boost::fibers::mutex mutex;
--- a/unit_tests/store_sync_test.cc
+++ b/unit_tests/store_sync_test.cc
@@ -219,3 +219,27 @@
     cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
   });
 }
+
+// Guards against followers that take a relay's old configuration as the newest:
+// the store refuses the relay's watch of the configuration only.
+Test(store_sync, relay_without_the_configuration_refuses_followers) {
+  OnRuntime([](io::Runtime& runtime) {
+    ScriptedStore store(runtime, 23040);
+    Vm vm(runtime, 23040);
+    runtime.SleepFor(milliseconds(400));
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
+    store.refusing_config = true;
+    runtime.SleepFor(milliseconds(200));
+    for (int i = 0; i < 30; ++i) {
+      cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 503);
+      runtime.SleepFor(milliseconds(20));
+    }
+    // Other VMs take over.
+    runtime.SleepFor(milliseconds(2500));
+    cr_assert(!vm.sync->StoreUp());
+    store.refusing_config = false;
+    runtime.SleepFor(milliseconds(1500));
+    cr_assert(vm.sync->StoreUp());
+    cr_assert_eq(vm.StatusForFollower("config=0&workers=0"), 200);
+  });
+}
