Router: an unconfirmed configuration gives no final refusal

A router that neither the store nor a relay had told for long that no configuration is newer refused requests for routes and keys that it did not know with 404 and 401, which callers do not repeat. After 3 s without a confirmation it answers 503 with Retry-After and states that nothing ran. Requests that the known configuration allows are served as before. Until the first confirmation the time counts from the router's start.

3 s is above the wait of a watch (2 s) with the time in which a lost response is noticed (0.7 s) and replaced (0.25 s), above a relay's poll (1.35 s), and above the time until the store counts as lost (2.6 s).

--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -124,16 +124,35 @@
     context->route = context->table->Find(context->metadata.host,
                                           PathOf(exchange.Request().target));
     if (context->route == nullptr) {
-      return Refuse(*context, RefusalCode::kNotFound, Executed::kNo,
-                    Duration::zero(), "no route for this host and path", 0);
+      return this->RefuseByConfig(*context, RefusalCode::kNotFound,
+                                  "no route for this host and path");
     }
     if (!this->Authenticate(context)) {
-      return Refuse(*context, RefusalCode::kUnauthorized, Executed::kNo,
-                    Duration::zero(), "the key is missing or not known", 0);
+      return this->RefuseByConfig(*context, RefusalCode::kUnauthorized,
+                                  "the key is missing or not known");
     }
     return this->ServeRouted(context);
   }
 
+  // Refuses what the configuration does not have. Callers do not come again
+  // after such a refusal, so only a recent configuration is a reason for it.
+  RequestResult RefuseByConfig(const RequestContext& context,
+                               RefusalCode code,
+                               std::string_view detail) const {
+    const Instant now = this->dependencies.runtime->Now();
+    const Duration unconfirmed =
+        this->dependencies.routing_state->ConfigUnconfirmedFor(now).value_or(
+            now - this->started);
+    if (unconfirmed <= this->settings.config_confirmation_timeout) {
+      return Refuse(context, code, Executed::kNo, Duration::zero(),
+                    std::string(detail), 0);
+    }
+    this->dependencies.metrics->Increment("chervil_unconfirmed_refusals_total");
+    return Refuse(
+        context, RefusalCode::kNotReady, Executed::kNo, kNotReadyRetryAfter,
+        fmt::format("{}, and the configuration may be old", detail), 0);
+  }
+
   // After a restart requests arrive before the store has answered.
   void AwaitRoutingState(const RequestContext& context) const {
     const RoutingState& routing_state = *this->dependencies.routing_state;
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -23,6 +23,10 @@
   /// configuration and the backend servers, each request by at most a third of
   /// the time that its caller waits.
   Duration startup_grace = seconds(1);
+  /// A configuration that has not been confirmed for longer may lack routes and
+  /// keys: requests without theirs are asked to come again. Above the wait of a
+  /// watch of the configuration, and a lost response to one.
+  Duration config_confirmation_timeout = seconds(3);
   /// Forwarded requests in progress from which on further ones are refused, so
   /// that they do not displace this VM's own callers.
   std::size_t max_forwarded = 256;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -33,6 +33,44 @@
   });
 }
 
+// Guards against requests that are refused for good by a configuration which
+// may be old: the route or the key may have been added since.
+Test(router, an_unconfirmed_configuration_gives_no_final_refusal) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 22960);
+    fixture.AddServer(1, "app", {}, [](io::HttpExchange& exchange) {
+      exchange.Respond(MakeResponse(exchange, 200, "found"));
+    });
+    const auto no_route = fixture.Request("/added/x", "r1");
+    auto no_key = fixture.Request("/lookup/x", "r2");
+    no_key.headers = {};
+    no_key.headers.Add("Host", "h.example");
+    no_key.headers.Add("Chervilpass-Request-Id", "r2");
+    no_key.headers.Add("Authorization", "Token added");
+    const auto known = fixture.Request("/lookup/x", "r3");
+    // Sound operation: a watch or a poll that has just begun or is about to
+    // end.
+    for (const Duration age : {milliseconds(0), milliseconds(2300)}) {
+      fixture.routing_state.OnConfigConfirmed(runtime.Now() - age);
+      cr_assert_eq(fixture.Call(no_route).value().status, 404);
+      cr_assert_eq(fixture.Call(no_key).value().status, 401);
+      cr_assert_eq(fixture.Call(known).value().status, 200);
+    }
+    for (const Duration age : {seconds(4), seconds(3600)}) {
+      for (const auto& request : {no_route, no_key}) {
+        fixture.routing_state.OnConfigConfirmed(runtime.Now() - age);
+        const auto response = fixture.Call(request);
+        cr_assert_eq(response.value().status, 503);
+        cr_assert(response.value().headers.Find("Retry-After"));
+      }
+      cr_assert_eq(fixture.Call(known).value().status, 200);
+    }
+    fixture.routing_state.OnConfigConfirmed(runtime.Now());
+    cr_assert_eq(fixture.Call(no_route).value().status, 404);
+    cr_assert_eq(fixture.Call(no_key).value().status, 401);
+  });
+}
+
 namespace {
 
 // Backend servers of one service that end under each request.
