HTTP server: a caller over the limit gets a complete refusal

Seen by callers: at the limit of connections a new connection was closed without a word, while others stayed open that had been idle for up to a minute. Cause: StartServing dropped the socket. Change: a further connection replaces the one that has been idle longest between two requests, unless that was used within the last second (closing it would likely cross the next request) or has input pending. If there is none, it gets a 503 with Retry-After and Connection: close, with the body of a refusal that was not run, as soon as it is accepted; its input is discarded so that the response is not lost by a reset. At most `refusal_limit` connections are being refused at a time; the oldest one is closed for a further one, 100 ms after its response at the earliest. The status is that of kNotReady: the VM cannot take the request now. kOverloaded would give 429, as if this caller had sent too much.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -5,8 +5,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <map>
+#include <list>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -29,6 +30,13 @@
 constexpr Duration kDiscardTimeout = milliseconds(500);
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;    // bytes
 constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
+// A connection with a request more recently than this is in use: closing it
+// would likely cross the next one.
+constexpr Duration kMinIdleTime = seconds(1);
+// A refused peer has this long to read the response.
+constexpr Duration kMinRefusalTime = milliseconds(100);
+constexpr Duration kRefusalPollInterval = milliseconds(5);
+constexpr std::string_view kRetryAfterSeconds = "1";
 
 struct RequestTarget {
   std::string authority;  // empty if the target is in origin form
@@ -349,6 +357,20 @@
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  // A connection between two requests.
+  struct IdleConnection {
+    beast::tcp_stream* stream;
+    Instant since;
+    bool closed = false;    // by CloseIdle or MakeRoom
+    bool replaced = false;  // by MakeRoom
+  };
+
+  // A connection that has been sent a refusal.
+  struct RefusedConnection {
+    beast::tcp_stream* stream;
+    Instant since;
+  };
+
   State(Runtime* runtime,
         HttpServerSettings settings,
         HttpHandler handler,
@@ -373,13 +395,85 @@
         }
         continue;
       }
+      while (!this->stopped && !this->MakeRoom() && !this->MayRefuse()) {
+        this->runtime->SleepFor(kRefusalPollInterval);
+      }
       this->StartServing(std::move(socket));
     }
   }
 
+  // False if all connections are in use.
+  bool MakeRoom() {
+    // The fibers of replaced connections may not have ended yet.
+    if (this->connections - this->replaced < this->settings.connection_limit) {
+      return true;
+    }
+    const Instant idle_since = this->runtime->Now() - kMinIdleTime;
+    for (IdleConnection& connection : this->idle) {
+      if (connection.since > idle_since) {
+        break;
+      }
+      if (!connection.closed &&
+          PendingInput(*connection.stream) == InputState::kNone) {
+        connection.closed = true;
+        connection.replaced = true;
+        ++this->replaced;
+        ++this->counts.idle_replaced;
+        boost::system::error_code ignored;
+        connection.stream->socket().close(ignored);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool MayRefuse() const {
+    return this->refused.size() < this->settings.refusal_limit ||
+           this->refused.front().since <=
+               this->runtime->Now() - kMinRefusalTime;
+  }
+
+  // The response fits into the empty send buffer of a new connection.
+  void Refuse(Tcp::socket socket) {
+    ++this->counts.over_limit;
+    const std::string text = this->RefusalText();
+    ::send(socket.native_handle(), text.data(), text.size(),
+           MSG_DONTWAIT | MSG_NOSIGNAL);
+    boost::system::error_code ignored;
+    if (this->refused.size() >= this->settings.refusal_limit) {
+      this->refused.front().stream->socket().close(ignored);
+      this->refused.pop_front();
+    }
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    this->refused.push_back({stream.get(), this->runtime->Now()});
+    this->runtime->Spawn([self = this->shared_from_this(), stream] {
+      self->DiscardInput(stream.get());
+      self->refused.remove_if([&stream](const RefusedConnection& connection) {
+        return connection.stream == stream.get();
+      });
+    });
+  }
+
+  std::string RefusalText() const {
+    const HttpResponse response =
+        this->error_responder(503, "this VM has no room for connections");
+    http::response<http::string_body> message(
+        static_cast<http::status>(response.status), 11);
+    CopyHeaders(response.headers, &message);
+    if (message.find(http::field::retry_after) == message.end()) {
+      message.set(http::field::retry_after, kRetryAfterSeconds);
+    }
+    message.body() = response.body;
+    message.keep_alive(false);
+    message.prepare_payload();
+    std::ostringstream text;
+    text << message;
+    return text.str();
+  }
+
   void StartServing(Tcp::socket socket) {
-    if (this->connections >= this->settings.connection_limit) {
-      ++this->counts.over_limit;
+    if (!this->MakeRoom()) {
+      this->Refuse(std::move(socket));
       return;
     }
     ++this->connections;
@@ -574,7 +668,8 @@
 
   bool WaitForNextRequest(beast::tcp_stream* stream) {
     const Instant start = this->runtime->Now();
-    this->idle[stream] = false;
+    const auto connection =
+        this->idle.insert(this->idle.end(), {stream, start});
     Completion ready;
     // The timeout may have been raised during the wait.
     do {
@@ -589,7 +684,9 @@
       }
     } while (this->runtime->Now() < start + this->settings.limits.idle_timeout);
     // Bytes that arrive after CloseIdle can still be read, but not answered.
-    const bool closed = this->idle.extract(stream).mapped();
+    const bool closed = connection->closed;
+    this->replaced -= connection->replaced ? 1 : 0;
+    this->idle.erase(connection);
     return !ready.error && !closed;
   }
 
@@ -629,9 +726,10 @@
   bool stopped = false;    // accepts no connections any more
   bool destroyed = false;  // the handler may not be called any more
   bool keep_alive_allowed = true;
-  // Connections between two requests; true if CloseIdle has closed them.
-  std::map<beast::tcp_stream*, bool> idle;
+  std::list<IdleConnection> idle;        // the one idle longest first
+  std::list<RefusedConnection> refused;  // the oldest first
   std::size_t connections = 0;
+  std::size_t replaced = 0;  // of these, closed by MakeRoom
   std::size_t in_flight = 0;
   HttpServerCounts counts;
   std::function<void(std::string_view)> on_exception;
@@ -691,11 +789,12 @@
 
 void HttpServer::CloseIdle() {
   boost::system::error_code ignored;
-  for (auto& [stream, closed] : this->state->idle) {
+  for (State::IdleConnection& connection : this->state->idle) {
     // A request that has arrived is still handled.
-    if (PendingInput(*stream) == InputState::kNone) {
-      closed = true;
-      stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    if (!connection.closed &&
+        PendingInput(*connection.stream) == InputState::kNone) {
+      connection.closed = true;
+      connection.stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
     }
   }
 }
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -29,14 +29,18 @@
   Endpoint listen;
   HttpServerLimits limits;
   Duration write_timeout = seconds(10);  ///< for one write
-  std::size_t connection_limit = 8192;   ///< further ones are closed at once
+  /// A further connection replaces the one that has been idle longest between
+  /// two requests. If there is none, it gets a response with status 503.
+  std::size_t connection_limit = 8192;
+  std::size_t refusal_limit = 16;  ///< connections being refused at a time
 
   bool operator==(const HttpServerSettings&) const = default;
 };
 
 /// Connections that an HttpServer did not serve or broke off, since its start.
 struct HttpServerCounts {
-  std::uint64_t over_limit = 0;       ///< closed at `connection_limit`
+  std::uint64_t over_limit = 0;       ///< refused at `connection_limit`
+  std::uint64_t idle_replaced = 0;    ///< closed for the sake of new ones
   std::uint64_t accept_failures = 0;  ///< most likely out of descriptors
   std::uint64_t exceptions = 0;       ///< of handlers; the connection ended
 
@@ -85,7 +89,8 @@
 /// Called for each request, on the fiber of its connection.
 using HttpHandler = std::function<void(HttpExchange&)>;
 
-/// Creates the response to a request that could not be read.
+/// Creates the response to a request that could not be read; with status 503 to
+/// a connection that is refused.
 using HttpErrorResponder =
     std::function<HttpResponse(unsigned status, std::string_view detail)>;
 
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -19,6 +19,7 @@
 
 // A VM learns the configuration within a second of its start.
 constexpr Duration kNotReadyRetryAfter = milliseconds(500);
+constexpr Duration kNoRoomRetryAfter = seconds(1);
 constexpr Duration kStartupPollInterval = milliseconds(20);
 // Log lines about requests that are in progress when the process ends.
 constexpr std::size_t kMaxUnfinishedLogged = 50;
@@ -341,8 +342,10 @@
 
 io::HttpResponse Router::UnreadableResponse(unsigned status,
                                             std::string_view detail) {
-  Refusal refusal{RefusalCode::kMalformed, Executed::kNo, Duration::zero(),
-                  std::string(detail)};
+  const bool no_room = status == 503;
+  const Refusal refusal{
+      no_room ? RefusalCode::kNotReady : RefusalCode::kMalformed, Executed::kNo,
+      no_room ? kNoRoomRetryAfter : Duration::zero(), std::string(detail)};
   io::HttpResponse response = platform::RefusalResponse(refusal, "");
   response.status = status;
   return response;
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -50,7 +50,8 @@
   /// Serves a request that another VM forwards. It is not forwarded again.
   void HandleForwarded(io::HttpExchange& exchange);
 
-  /// The response to a request that could not be read.
+  /// The response to a request that could not be read, or, with status 503, to
+  /// a connection for which there is no room.
   static io::HttpResponse UnreadableResponse(unsigned status,
                                              std::string_view detail);
 
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -2,8 +2,10 @@
 // requests are on their way, and handlers that fail.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
@@ -28,8 +30,8 @@
 
 std::unique_ptr<HttpServer> Serve(Runtime& runtime,
                                   const Endpoint& listen,
-                                  HttpHandler handler) {
-  HttpServerSettings settings;
+                                  HttpHandler handler,
+                                  HttpServerSettings settings = {}) {
   settings.listen = listen;
   auto server =
       HttpServer::Create(&runtime, settings, std::move(handler),
@@ -52,6 +54,15 @@
     boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
   }
 
+  // True if the server has closed the connection and nothing is left to read.
+  bool Closed() {
+    char byte = 0;
+    boost::system::error_code error;
+    this->socket.non_blocking(true);
+    this->socket.read_some(boost::asio::buffer(&byte, 1), error);
+    return error == boost::asio::error::eof;
+  }
+
   // Bytes that have arrived.
   std::string Receive() {
     std::string received(4096, '\0');
@@ -68,6 +79,14 @@
   Tcp::socket socket;
 };
 
+constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+// Part of a request: its body does not follow.
+constexpr std::string_view kPart =
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n";
+// After it a connection may be replaced.
+constexpr Duration kLongIdle = milliseconds(1100);
+constexpr Duration kTransfer = milliseconds(50);
+
 }  // namespace
 
 // Guards against requests that run although their connection is closed already:
@@ -148,7 +167,7 @@
 // connection's fiber.
 Test(http_server, a_field_too_large_for_the_library_is_refused) {
   OnRuntime([](Runtime& runtime) {
-    const Endpoint listen = TestEndpoint(4);
+    const Endpoint listen = TestEndpoint(8);
     const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
       exchange.Respond({200, {}, exchange.Request().body});
     });
@@ -195,7 +214,7 @@
 // Guards against bytes that the caller takes for the next response.
 Test(http_server, a_stream_in_response_to_head_has_no_body) {
   OnRuntime([](Runtime& runtime) {
-    const Endpoint listen = TestEndpoint(5);
+    const Endpoint listen = TestEndpoint(9);
     const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
       cr_expect(exchange.BeginStream({200, {}, ""}));
       cr_expect(exchange.WriteChunk("piece"));
@@ -216,3 +235,123 @@
     cr_expect(next.ends_with("5\r\npiece\r\n0\r\n\r\n"), "%s", next.c_str());
   });
 }
+
+// Guards against callers whose connections are closed without a word at the
+// limit.
+Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
+  OnRuntime([](Runtime& runtime) {
+    HttpServerSettings settings;
+    settings.connection_limit = 1;
+    const Endpoint listen = TestEndpoint(4);
+    int handled = 0;
+    const auto server = Serve(
+        runtime, listen, [&](HttpExchange&) { ++handled; }, settings);
+    Caller served(listen);
+    served.Send(std::string(kPart));
+    runtime.SleepFor(kTransfer);
+    Caller refused(listen);
+    refused.Send(std::string(kPart));
+    runtime.SleepFor(kTransfer);
+    const std::string response = refused.Receive();
+    cr_assert(response.starts_with("HTTP/1.1 503"), "%s", response.c_str());
+    cr_assert_neq(response.find("Retry-After: 1\r\n"), std::string::npos);
+    cr_assert_neq(response.find("Connection: close\r\n"), std::string::npos);
+    cr_assert(response.ends_with("no room for connections"));
+    cr_assert(refused.Closed());
+    cr_assert_not(served.Closed());
+    cr_assert_eq(handled, 0);
+    cr_assert_eq(server->Connections(), 1);
+    cr_assert_eq(server->Counts().over_limit, 1);
+  });
+}
+
+Test(http_server, the_connection_idle_longest_is_replaced_at_the_limit) {
+  OnRuntime([](Runtime& runtime) {
+    HttpServerSettings settings;
+    settings.connection_limit = 3;
+    const Endpoint listen = TestEndpoint(5);
+    const auto server = Serve(
+        runtime, listen,
+        [](HttpExchange& exchange) {
+          exchange.Respond({200, {}, "ok"});
+        },
+        settings);
+    Caller busy(listen);
+    busy.Send(std::string(kGet));
+    runtime.SleepFor(kTransfer);
+    busy.Receive();
+    Caller longest(listen);
+    longest.Send(std::string(kGet));
+    runtime.SleepFor(kTransfer);
+    longest.Receive();
+    Caller other(listen);
+    other.Send(std::string(kGet));
+    runtime.SleepFor(kLongIdle);
+    other.Receive();
+    // Idle longer than the others, until now.
+    busy.Send(std::string(kPart));
+    Caller fourth(listen);
+    fourth.Send(std::string(kGet));
+    runtime.SleepFor(kTransfer);
+    cr_assert(fourth.Receive().starts_with("HTTP/1.1 200"));
+    cr_assert(longest.Closed());
+    cr_assert_not(busy.Closed());
+    cr_assert_not(other.Closed());
+    cr_assert_eq(server->Connections(), 3);
+    cr_assert_eq(server->Counts().idle_replaced, 1);
+    cr_assert_eq(server->Counts().over_limit, 0);
+    busy.Send("123456789");
+    runtime.SleepFor(kTransfer);
+    cr_assert(busy.Receive().starts_with("HTTP/1.1 200"));
+  });
+}
+
+// Guards against connections in use that are closed under their callers.
+Test(http_server, a_connection_in_use_is_not_replaced) {
+  OnRuntime([](Runtime& runtime) {
+    HttpServerSettings settings;
+    settings.connection_limit = 1;
+    const Endpoint listen = TestEndpoint(6);
+    const auto server = Serve(
+        runtime, listen,
+        [](HttpExchange& exchange) {
+          exchange.Respond({200, {}, "ok"});
+        },
+        settings);
+    Caller used(listen);
+    for (int number = 0; number < 3; ++number) {
+      used.Send(std::string(kGet));
+      runtime.SleepFor(kTransfer);
+      cr_assert(used.Receive().starts_with("HTTP/1.1 200"));
+      Caller refused(listen);
+      runtime.SleepFor(kTransfer);
+      cr_assert(refused.Receive().starts_with("HTTP/1.1 503"));
+    }
+  });
+}
+
+// The callers do not close their connections, so that the refusals last.
+Test(http_server, more_refusals_than_at_a_time_are_given_one_after_another) {
+  OnRuntime([](Runtime& runtime) {
+    HttpServerSettings settings;
+    settings.connection_limit = 1;
+    settings.refusal_limit = 2;
+    const Endpoint listen = TestEndpoint(7);
+    const auto server = Serve(
+        runtime, listen, [](HttpExchange&) {}, settings);
+    Caller served(listen);
+    served.Send(std::string(kPart));
+    runtime.SleepFor(kTransfer);
+    std::vector<std::unique_ptr<Caller>> refused;
+    for (int number = 0; number < 7; ++number) {
+      refused.push_back(std::make_unique<Caller>(listen));
+      refused.back()->Send(std::string(kPart));
+    }
+    runtime.SleepFor(milliseconds(600));
+    for (const auto& caller : refused) {
+      cr_assert(caller->Receive().starts_with("HTTP/1.1 503"));
+    }
+    cr_assert_eq(server->Counts().over_limit, 7);
+    cr_assert_eq(server->Connections(), 1);
+  });
+}
