HTTP client: idle connections give way to new ones

Seen by callers: 502 and 503 from VMs without free descriptors, though their pools held idle connections to servers. Cause: the pool was limited for each address only, and a connect that failed for want of descriptors was not repeated. Change: a limit over all addresses, the connection idle longest is dropped first; a connect without a descriptor drops it too and is tried once more.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -84,10 +84,14 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool IsWantOfDescriptors(const boost::system::error_code& error) {
+  return error == asio::error::no_descriptors ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 // True if a connection failed because of this process, not of its peer.
 bool IsLocalFailure(const boost::system::error_code& error) {
-  return error == asio::error::no_descriptors ||
-         error == boost::system::errc::too_many_files_open_in_system ||
+  return IsWantOfDescriptors(error) ||
          error == boost::system::errc::address_not_available ||
          error == asio::error::no_buffer_space;
 }
@@ -115,6 +119,7 @@
 
   Runtime* runtime;
   HttpClientSettings settings;
+  // The connection last used is the last one of its address.
   std::map<Endpoint, std::vector<Idle>> idle = {};
   std::uint64_t connections_made = 0;
   std::uint64_t local_failures = 0;
@@ -142,7 +147,35 @@
           std::min(keep_alive_time, this->settings.idle_timeout);
       const Instant now = this->runtime->Now();
       pool.push_back({std::move(stream), now + limit, now});
+      if (this->IdleCount() > this->settings.idle_connections_total) {
+        this->DropOldestIdle();
+      }
+    }
+  }
+
+  std::size_t IdleCount() const {
+    std::size_t count = 0;
+    for (const auto& [address, pool] : this->idle) {
+      count += pool.size();
+    }
+    return count;
+  }
+
+  // False if no connection is idle.
+  bool DropOldestIdle() {
+    std::vector<Idle>* oldest = nullptr;
+    for (auto& [address, pool] : this->idle) {
+      if (!pool.empty() &&
+          (oldest == nullptr ||
+           pool.front().last_used < oldest->front().last_used)) {
+        oldest = &pool;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
     }
+    oldest->erase(oldest->begin());
+    return true;
   }
 
   // A call that began then got no answer on a pooled connection.
@@ -158,20 +191,20 @@
 
   Result<StreamPtr, HttpError> Connect(const Endpoint& address,
                                        Duration timeout) {
-    auto stream = std::make_unique<beast::tcp_stream>(this->runtime->Context());
     boost::system::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
     if (error) {
       return HttpError{HttpErrorCode::kConnect, error.message()};
     }
-    ++this->connections_made;
-    stream->expires_after(std::min(timeout, this->settings.connect_timeout));
-    const Completion connected = Await([&](auto handler) {
-      stream->async_connect(Tcp::endpoint(ip, address.port),
-                            std::move(handler));
-    });
+    const Tcp::endpoint peer(ip, address.port);
+    timeout = std::min(timeout, this->settings.connect_timeout);
+    auto stream = std::make_unique<beast::tcp_stream>(this->runtime->Context());
+    Completion connected = this->ConnectOnce(stream.get(), peer, timeout);
+    if (IsWantOfDescriptors(connected.error) && this->DropOldestIdle()) {
+      stream = std::make_unique<beast::tcp_stream>(this->runtime->Context());
+      connected = this->ConnectOnce(stream.get(), peer, timeout);
+    }
     if (connected.error) {
-      this->local_failures += IsLocalFailure(connected.error) ? 1 : 0;
       return HttpError{HttpErrorCode::kConnect,
                        address.ToText() + ": " + connected.error.message()};
     }
@@ -183,6 +216,17 @@
     }
     return stream;
   }
+
+  Completion ConnectOnce(beast::tcp_stream* stream,
+                         const Tcp::endpoint& peer,
+                         Duration timeout) {
+    ++this->connections_made;
+    stream->expires_after(timeout);
+    const Completion connected = Await(
+        [&](auto handler) { stream->async_connect(peer, std::move(handler)); });
+    this->local_failures += IsLocalFailure(connected.error) ? 1 : 0;
+    return connected;
+  }
 };
 
 // State of one call. Each response head gets a new parser.
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -17,6 +17,7 @@
   Duration connect_timeout = milliseconds(500);
   std::uint64_t body_limit_bytes = 8 * 1024 * 1024;  ///< of a response
   std::size_t idle_connections = 32;                 ///< per address
+  std::size_t idle_connections_total = 1024;         ///< oldest dropped first
   /// A connection that was idle for longer is not reused.
   Duration idle_timeout = seconds(60);
   /// Time after which unacknowledged data closes a connection
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -720,3 +720,72 @@
     cr_assert_eq(client->ConnectionsMade(), 1);
   });
 }
+
+namespace {
+
+// Leaves one idle connection to each of these servers in the client's pool, one
+// after another.
+void FillPool(Runtime& runtime,
+              HttpClient& client,
+              const std::vector<Endpoint>& servers) {
+  for (const Endpoint& server : servers) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    cr_assert(client.Call(server, request, seconds(1)).has_value());
+    runtime.SleepFor(milliseconds(5));
+  }
+}
+
+}  // namespace
+
+Test(http_client, idle_connections_are_limited_over_all_addresses) {
+  OnRuntime([](Runtime& runtime) {
+    std::vector<Endpoint> servers;
+    std::vector<std::unique_ptr<HttpServer>> running;
+    for (std::uint16_t number = 60; number < 63; ++number) {
+      servers.push_back(TestEndpoint(number));
+      running.push_back(Serve(runtime, servers.back(), [](auto& exchange) {
+        exchange.Respond({200, {}, "ok"});
+      }));
+    }
+    HttpClientSettings settings;
+    settings.idle_connections_total = 2;
+    const auto client = HttpClient::Create(&runtime, settings);
+    FillPool(runtime, *client, servers);
+    runtime.SleepFor(milliseconds(50));
+    cr_assert_eq(running[0]->Connections(), 0);
+    cr_assert_eq(running[1]->Connections(), 1);
+    cr_assert_eq(running[2]->Connections(), 1);
+  });
+}
+
+// Guards against requests that fail for want of descriptors while the pool
+// holds some.
+Test(http_client, an_idle_connection_is_given_up_for_a_new_one) {
+  OnRuntime([](Runtime& runtime) {
+    const std::vector<Endpoint> servers = {TestEndpoint(63), TestEndpoint(64)};
+    std::vector<std::unique_ptr<HttpServer>> running;
+    for (const Endpoint& server : servers) {
+      running.push_back(Serve(runtime, server, [](auto& exchange) {
+        exchange.Respond({200, {}, "ok"});
+      }));
+    }
+    const auto client = HttpClient::Create(&runtime, {});
+    FillPool(runtime, *client, {servers[0]});
+    runtime.SleepFor(milliseconds(50));
+    // All descriptors but those in use.
+    std::vector<int> taken;
+    while (taken.empty() || taken.back() >= 0) {
+      taken.push_back(::dup(0));
+    }
+    const auto opened = client->Open(servers[1], seconds(1));
+    cr_assert(opened.has_value());
+    cr_assert_eq(client->ConnectionsMade(), 3);
+    const auto second = client->Open(servers[1], seconds(1));
+    cr_assert(second.has_error());
+    for (const int descriptor : taken) {
+      ::close(descriptor);
+    }
+  });
+}
