--- a/unit_tests/request_forms_test.cc
+++ b/unit_tests/request_forms_test.cc
@@ -118,7 +118,7 @@
 // Guards against proper requests that are turned away because of their form.
 Test(request_forms, proper_forms_are_served) {
   OnRuntime([](io::Runtime& runtime) {
-    Fixture fixture(runtime, 24000);
+    Fixture fixture(runtime, 29000);
     const std::string usual = "GET /lookup/x HTTP/1.1";
     const struct {
       const char* name;
@@ -186,7 +186,7 @@
 // send the body.
 Test(request_forms, a_caller_that_waits_for_continue_gets_it) {
   OnRuntime([](io::Runtime& runtime) {
-    Fixture fixture(runtime, 24010);
+    Fixture fixture(runtime, 29010);
     const std::string head =
         Head("POST /file/x HTTP/1.1", "h.example",
              "Expect: 100-continue\r\nContent-Length: 3\r\n");
@@ -207,7 +207,7 @@
 // request before them is taken to be elsewhere than it is.
 Test(request_forms, bodies_of_unclear_length_are_refused_and_never_run) {
   OnRuntime([](io::Runtime& runtime) {
-    Fixture fixture(runtime, 24020);
+    Fixture fixture(runtime, 29020);
     const std::string inner = Lookup("");
     const std::string chunked_inner =
         fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", inner.size(), inner);
@@ -284,7 +284,7 @@
 // writes some methods with a body. The same router serves on afterwards.
 Test(request_forms, every_method_leaves_the_router_serving) {
   OnRuntime([](io::Runtime& runtime) {
-    Fixture fixture(runtime, 24030);
+    Fixture fixture(runtime, 29030);
     const struct {
       const char* method;
       unsigned status;
@@ -334,7 +334,7 @@
 // exception, or reads what is left of it.
 Test(request_forms, a_response_that_throws_leaves_no_request_in_progress) {
   OnRuntime([](io::Runtime& runtime) {
-    Fixture fixture(runtime, 24040);
+    Fixture fixture(runtime, 29040);
     serving::Router& router = *fixture.router.router;
     ThrowingExchange exchange;
     cr_expect_throw(router.Handle(exchange), std::length_error);
