Configuration: an unreadable item holds back no other change

One route, service, organisation or limit of a form that this build does not know refused the whole configuration and each later one. Items are decoded one by one now. An unreadable one keeps its form of the configuration in force, otherwise it is left out; without a version the old configuration stays as a whole. One log line names the items, at most 600 bytes of them, and chervil_config_unreadable_items_total counts them.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -26,6 +26,8 @@
 constexpr std::string_view kConfigName = "main";
 // Maximum time that a follower may ask a relay to wait, in milliseconds.
 constexpr std::uint64_t kMaxWaitMs = 10000;
+// What a log line says of unreadable items of a configuration.
+constexpr std::size_t kMaxItemsText = 600;  // bytes
 
 std::string_view NameOf(StoreKind kind) {
   return kind == StoreKind::kConfig ? "config" : "workers";
@@ -395,17 +397,22 @@
         object.revision <= this->state_log.ConfigRevision()) {
       return;
     }
-    auto data = platform::DecodeConfig(object.spec);
-    if (data.has_error()) {
+    const auto& known = this->routing_state->Table();
+    auto config = platform::DecodeConfig(
+        object.spec,
+        known == nullptr ? routing::RouteTableData{} : known->Data());
+    if (config.has_error()) {
       this->log->Error("config.unreadable",
                        {{"revision", object.revision},
-                        {"reason", data.error().detail},
+                        {"reason", config.error().detail},
                         {"kept_version", this->Version()}});
       this->metrics->Increment("chervil_config_unreadable_total");
       return;
     }
     this->state_log.ApplyConfig(object);
-    const auto table = routing::RouteTable::Create(std::move(data).value());
+    this->ReportUnreadableItems(object.revision, config.value().unreadable);
+    const auto table =
+        routing::RouteTable::Create(std::move(config.value().data));
     if (this->routing_state->ApplyConfig(table)) {
       this->log->Info("config.in_force",
                       {{"version", table->Version()},
@@ -417,6 +424,28 @@
     this->NotifyFollowers();
   }
 
+  void ReportUnreadableItems(
+      std::uint64_t revision,
+      const std::vector<platform::UnreadableItem>& items) const {
+    if (items.empty()) {
+      return;
+    }
+    std::string text;
+    for (const platform::UnreadableItem& item : items) {
+      if (text.size() >= kMaxItemsText) {
+        break;
+      }
+      text += fmt::format("{}{} ({}{})", text.empty() ? "" : "; ", item.name,
+                          item.detail, item.last_kept ? ", last kept" : "");
+    }
+    this->metrics->Increment("chervil_config_unreadable_items_total", "",
+                             items.size());
+    this->log->Error("config.unreadable_items",
+                     {{"revision", revision},
+                      {"count", items.size()},
+                      {"items", text.substr(0, kMaxItemsText)}});
+  }
+
   // ---- as a follower ----
 
   // Each of two fibers polls a different relay, so that a relay that fails
