--- a/fault_tests/soak.py
+++ b/fault_tests/soak.py
@@ -161,6 +161,7 @@
         process = router.process
         if not self.claim(process):
             return
+        fleets.wait_until(lambda: ignores_broken_pipes(process), 5, "%s is prepared for signals" % router.name)
         begun = self.stopping[router.name] = time.monotonic()
         leaving = [begun, float("inf")]
         self.leavings[router.name].append(leaving)
@@ -176,7 +177,9 @@
         elapsed_s = time.monotonic() - begun
         if code != 0 and not (code == "none" and self.trouble.touches(router.name, begun, begun + elapsed_s)):
             self.fail("ENDED", "%s after SIGTERM, exit code %s after %.2f s" % (router.name, code, elapsed_s))
-        process.kill()
+        if code == "none":
+            self.trouble.begin(router.name)[1] = time.monotonic()
+            process.kill()
         self.note("%s ended with %s after %.2f s" % (router.name, code, elapsed_s))
         leaving[1] = time.monotonic() + LOSS_SLACK_S
         self.start_process(process)
