Router: descriptors are divided, and callers cannot use them up

Seen by callers of four VMs with 300 descriptors each, 40 idle connections a second to each: 502 (10), 503 on connections in use (27), 8 connections without an answer; with room for 4,100 but a soft limit of 300 the same (6, 12, 8). The VMs failed 52 to 83 connects each, to servers, in the first and 46 to 117 in the second. No configuration was late on connections in use in these plays, but with all connections taken the VM did not answer at all. Cause: the limit of connections held for each of six listeners, came from the settings and not from the process's own limit, and nothing was left for connections to servers, the store and other VMs. Change: the router raises its soft limit to limits.descriptors or the hard limit, and divides what it got: a reserve, small shares of readiness, directory, peers and metrics, the rest for requests, each of which needs two connections, and for idle connections to servers.

--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -15,6 +15,7 @@
 #include "chervilpass/fleet/send_permits.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
+#include "chervilpass/io/descriptor_limit.h"
 #include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
@@ -46,7 +47,6 @@
 constexpr int kAddressLifetimeFactor = 3;
 constexpr Duration kTcpUserTimeout = seconds(3);
 constexpr std::size_t kIdleConnectionsPerServer = 64;
-constexpr std::uint32_t kReservedDescriptors = 200;
 // For the header fields that a VM adds to a request that it forwards.
 constexpr std::uint32_t kForwardingHeaderBytes = 1024;
 // A new VM has exchanged gossip with its data centre after a few round trips.
@@ -98,6 +98,8 @@
         command_line(command_line),
         log(this->settings.log),
         started(runtime.Now()),
+        descriptors(io::RaiseDescriptorLimit(this->settings.descriptors)),
+        shares(io::DivideDescriptors(this->descriptors)),
         boot_id(BootId(runtime)),
         routing_state(this->RoutingSettings(),
                       HashCombine(HashText(this->settings.ip), this->boot_id)) {
@@ -112,6 +114,8 @@
     this->log.Info("router.started",
                    {{"version", CHERVILPASS_VERSION},
                     {"callers", this->settings.callers.ToText()},
+                    {"descriptors", this->descriptors},
+                    {"caller_connections", this->shares.callers.connections},
                     {"boot_id", this->boot_id}});
     this->runtime.Spawn([this] { this->Housekeeping(); });
     this->runtime.Spawn([this] { this->WatchSettings(); });
@@ -142,6 +146,7 @@
                                                 {this->settings.store});
     io::HttpClientSettings http;
     http.idle_connections = kIdleConnectionsPerServer;
+    http.idle_connections_total = this->shares.idle_to_servers;
     http.tcp_user_timeout = kTcpUserTimeout;
     this->http = io::HttpClient::Create(&this->runtime, http);
   }
@@ -303,24 +308,24 @@
     dependencies.ready_share = [this] { return this->ReadyShare(); };
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
-        this->settings.callers,
+        this->settings.callers, this->shares.callers,
         [this](io::HttpExchange& exchange) { this->router->Handle(exchange); });
     const auto handle_entry_request = [this](io::HttpExchange& exchange) {
       std::visit([&](const auto& request) { this->Answer(exchange, request); },
                  platform::ReadEntryRequest(exchange.Request()));
     };
     this->forwarded_server = this->Listen(
-        this->settings.forwarded,
+        this->settings.forwarded, this->shares.forwarded,
         [this](auto& exchange) { this->router->HandleForwarded(exchange); });
-    this->readiness_server =
-        this->Listen(this->settings.readiness, handle_entry_request);
-    this->directory_server =
-        this->Listen(this->settings.directory, handle_entry_request);
+    this->readiness_server = this->Listen(
+        this->settings.readiness, this->shares.readiness, handle_entry_request);
+    this->directory_server = this->Listen(
+        this->settings.directory, this->shares.directory, handle_entry_request);
     this->peer_server = this->Listen(
-        this->settings.peers,
+        this->settings.peers, this->shares.peers,
         [this](io::HttpExchange& exchange) { this->AnswerPeer(exchange); });
     this->metrics_server = this->Listen(
-        this->settings.metrics,
+        this->settings.metrics, this->shares.metrics,
         [this](io::HttpExchange& exchange) { this->AnswerMetrics(exchange); });
     return this->caller_server && this->forwarded_server &&
            this->readiness_server && this->directory_server &&
@@ -328,13 +333,12 @@
   }
 
   std::unique_ptr<io::HttpServer> Listen(const io::Endpoint& address,
+                                         const io::ListenerShare& share,
                                          io::HttpHandler handler) {
     io::HttpServerSettings server;
     server.listen = address;
-    server.connection_limit =
-        this->settings.descriptors > 2 * kReservedDescriptors
-            ? (this->settings.descriptors - kReservedDescriptors) / 2
-            : kReservedDescriptors;
+    server.connection_limit = share.connections;
+    server.refusal_limit = share.refusals;
     auto created =
         io::HttpServer::Create(&this->runtime, server, std::move(handler),
                                serving::Router::UnreadableResponse);
@@ -408,6 +412,10 @@
     const ConnectionCounts counts = this->CountConnections();
     this->metrics.Set("chervil_connections_over_limit", "",
                       static_cast<double>(counts.servers.over_limit));
+    this->metrics.Set("chervil_idle_connections_replaced", "",
+                      static_cast<double>(counts.servers.idle_replaced));
+    this->metrics.Set("chervil_descriptor_limit", "",
+                      static_cast<double>(this->descriptors));
     this->metrics.Set("chervil_accept_failures", "",
                       static_cast<double>(counts.servers.accept_failures));
     this->metrics.Set("chervil_connection_exceptions", "",
@@ -446,6 +454,7 @@
                                &this->peer_server, &this->metrics_server}) {
       const io::HttpServerCounts counts = (*server)->Counts();
       sum.servers.over_limit += counts.over_limit;
+      sum.servers.idle_replaced += counts.idle_replaced;
       sum.servers.accept_failures += counts.accept_failures;
       sum.servers.exceptions += counts.exceptions;
     }
@@ -463,6 +472,7 @@
     }
     this->log.Warning("connections.refused",
                       {{"over_limit", counts.servers.over_limit},
+                       {"idle_replaced", counts.servers.idle_replaced},
                        {"accept_failures", counts.servers.accept_failures},
                        {"connect_failures_local", counts.local_failures},
                        {"callers", this->caller_server->Connections()},
@@ -806,6 +816,8 @@
   Logger log;
   MetricsRegistry metrics;
   Instant started;
+  std::size_t descriptors;  // the process may open
+  io::DescriptorDivision shares;
   std::uint64_t boot_id;
   serving::RoutingState routing_state;
   bool leaving = false;
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -2,6 +2,7 @@
 // daemons, on loopback sockets.
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <boost/fiber/operations.hpp>
 #include <thread>
 
+#include "chervilpass/io/descriptor_limit.h"
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/rpc/dispatch_rpc.h"
@@ -721,6 +723,39 @@
   });
 }
 
+Test(descriptors, the_shares_never_exceed_the_limit) {
+  for (std::size_t limit = 64; limit <= 1 << 20; limit += 1 + limit / 50) {
+    const DescriptorDivision division = DivideDescriptors(limit);
+    cr_assert_leq(division.Sum(), limit, "%zu of %zu", division.Sum(), limit);
+    // Nothing worth mentioning is left over.
+    cr_assert_geq(division.Sum() + 4, limit, "%zu of %zu", division.Sum(),
+                  limit);
+    cr_assert_geq(division.callers.connections, limit / 8);
+    cr_assert_geq(division.reserve, limit / 32);
+    cr_assert_geq(division.reserve, std::min<std::size_t>(limit / 4, 64));
+    for (const ListenerShare& share :
+         {division.callers, division.forwarded, division.readiness,
+          division.directory, division.peers, division.metrics}) {
+      cr_assert_geq(share.connections, 1);
+      cr_assert_geq(share.refusals, 1);
+    }
+  }
+}
+
+Test(descriptors, the_soft_limit_is_raised_as_far_as_the_hard_limit_allows) {
+  const rlimit start{100, 300};
+  cr_assert_eq(::setrlimit(RLIMIT_NOFILE, &start), 0);
+  rlimit limit{};
+  cr_assert_eq(RaiseDescriptorLimit(80), 80);
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  cr_assert_eq(limit.rlim_cur, 100);
+  cr_assert_eq(RaiseDescriptorLimit(200), 200);
+  cr_assert_eq(RaiseDescriptorLimit(4096), 300);
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  cr_assert_eq(limit.rlim_cur, 300);
+  cr_assert_eq(limit.rlim_max, 300);
+}
+
 namespace {
 
 // Leaves one idle connection to each of these servers in the client's pool, one
