Store: entries that lapsed in an outage keep their grace

Since both watches are kept apart, the response to the workers' watch could come before the one for the configuration, and its removals were applied without the grace of an outage. The grace begins with the first response of the workers' watch now, before it is applied.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -150,17 +150,18 @@
   void OnStoreResponse(StoreKind kind) {
     const Instant now = this->runtime->Now();
     this->WatchOf(kind) = {false, now};
+    // Before the response is applied: entries may have expired in the outage.
+    if (kind == StoreKind::kWorkers && this->workers_lost && this->watching) {
+      this->workers_lost = false;
+      this->routing_state->Servers().OnStoreRegained(now);
+    }
     if (this->store_up || !this->watching ||
         this->IsSilent(this->config_watch, now) ||
         this->IsSilent(this->workers_watch, now)) {
       return;
     }
     this->store_up = true;
-    if (this->store_lost && this->workers_lost) {
-      this->routing_state->Servers().OnStoreRegained(now);
-    }
     this->store_lost = false;
-    this->workers_lost = false;
     this->log->Info("store.regained", {});
     this->events.store_changed(true);
   }
