Store: a silent watch of the configuration is no outage

Its silent connection is noticed after 2.6 to 2.7 s, but the store counted as lost after 2.6 s, and removals were held back.

The time until the store counts as lost is longer for a watch by as much as its wait is longer: 3.6 s for the configuration, 2.6 s for the servers as before, so that an outage is seen as soon as before.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -119,14 +119,21 @@
   }
 
   // The store counts as lost if it does not respond to either watch: this VM
-  // lacks what the watch is for.
-  bool IsSilent(const WatchState& watch, Instant now) const {
-    return now - watch.last_response > this->settings.store_lost_timeout;
+  // lacks what the watch is for. A watch that waits longer without a change may
+  // be silent for longer.
+  bool IsSilent(StoreKind kind, Instant now) const {
+    const bool config = kind == StoreKind::kConfig;
+    const Duration longer_wait = config ? this->settings.config_watch_wait -
+                                              this->settings.workers_watch_wait
+                                        : Duration::zero();
+    const WatchState& watch = config ? this->config_watch : this->workers_watch;
+    return now - watch.last_response >
+           this->settings.store_lost_timeout + longer_wait;
   }
 
   void CheckStore(Instant now) {
-    const bool config_silent = this->IsSilent(this->config_watch, now);
-    const bool workers_silent = this->IsSilent(this->workers_watch, now);
+    const bool config_silent = this->IsSilent(StoreKind::kConfig, now);
+    const bool workers_silent = this->IsSilent(StoreKind::kWorkers, now);
     this->workers_lost =
         this->workers_lost ||
         ((this->store_up || this->store_lost) && workers_silent);
@@ -156,8 +163,8 @@
       this->routing_state->Servers().OnStoreRegained(now);
     }
     if (this->store_up || !this->watching ||
-        this->IsSilent(this->config_watch, now) ||
-        this->IsSilent(this->workers_watch, now)) {
+        this->IsSilent(StoreKind::kConfig, now) ||
+        this->IsSilent(StoreKind::kWorkers, now)) {
       return;
     }
     this->store_up = true;
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -32,7 +32,9 @@
   Duration worker_batch_delay = milliseconds(120);
   Duration min_retry_delay = milliseconds(50);
   Duration max_retry_delay = milliseconds(1000);
-  /// Without a response for this long the store counts as unreachable.
+  /// Without a response to the watch of the workers for this long the store
+  /// counts as unreachable; for that of the configuration, whose wait is
+  /// longer, the difference is added.
   Duration store_lost_timeout = milliseconds(2600);
   /// A store that responds on a new connection within this time was reachable
   /// while a watch on another connection got no answer. One that was not may
