Store: failed calls for the configuration count as before

Since the longer time of 3.6 s, until a silent watch of the configuration counts as an outage, held for refused calls as well: a relay that the store refuses only the configuration kept its place for a second longer. The longer time is for silence only.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -120,13 +120,14 @@
 
   // The store counts as lost if it does not respond to either watch: this VM
   // lacks what the watch is for. A watch that waits longer without a change may
-  // be silent for longer.
+  // be silent for longer, until a call fails.
   bool IsSilent(StoreKind kind, Instant now) const {
     const bool config = kind == StoreKind::kConfig;
-    const Duration longer_wait = config ? this->settings.config_watch_wait -
-                                              this->settings.workers_watch_wait
-                                        : Duration::zero();
     const WatchState& watch = config ? this->config_watch : this->workers_watch;
+    const Duration longer_wait = config && !watch.last_call_failed
+                                     ? this->settings.config_watch_wait -
+                                           this->settings.workers_watch_wait
+                                     : Duration::zero();
     return now - watch.last_response >
            this->settings.store_lost_timeout + longer_wait;
   }
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -33,8 +33,8 @@
   Duration min_retry_delay = milliseconds(50);
   Duration max_retry_delay = milliseconds(1000);
   /// Without a response to the watch of the workers for this long the store
-  /// counts as unreachable; for that of the configuration, whose wait is
-  /// longer, the difference is added.
+  /// counts as unreachable; for that of the configuration, which waits longer,
+  /// the difference is added until a call has failed.
   Duration store_lost_timeout = milliseconds(2600);
   /// A store that responds on a new connection within this time was reachable
   /// while a watch on another connection got no answer. One that was not may
