--- a/fault_tests/soak.py
+++ b/fault_tests/soak.py
@@ -246,7 +246,10 @@
         if not self.claim(server, group):
             return
         self.note("%s leaves" % server.name)
-        self.fleet.worker_faults(server, drain=True, leaving=draw.random() < 0.5)
+        order = json.dumps({"drain": True, "leaving": draw.random() < 0.5})
+        # A server that has just been started may not listen yet.
+        fleets.wait_until(lambda: fleets.http("POST", "http://%s/admin/faults" % server.address, order)[0] == 200,
+                          GRACE_S, "%s takes the order to leave" % server.name)
         entry = "http://%s/v1/objects/servers/%s" % (self.fleet.store_address(), server.name)
         while not self.stopped and '"draining"' not in fleets.http("GET", entry, timeout=1)[1]:
             time.sleep(0.1)
