--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -6,14 +6,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
-#include <optional>
-#include <sstream>
-#include <stdexcept>
 #include <utility>
 #include <vector>
 
-#include "chervilpass/core/text.h"
 #include "chervilpass/io/await.h"
+#include "chervilpass/io/request_reader.h"
+#include "chervilpass/io/server_exchange.h"
 
 namespace chervilpass::io {
 namespace {
@@ -24,9 +22,6 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
-constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::size_t kReadSize = 4096;          // bytes
-constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
 constexpr Duration kDiscardTimeout = milliseconds(500);
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;    // bytes
 constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
@@ -38,73 +33,6 @@
 constexpr Duration kRefusalPollInterval = milliseconds(5);
 constexpr std::string_view kRetryAfterSeconds = "1";
 
-struct RequestTarget {
-  std::string authority;  // empty if the target is in origin form
-  std::string origin_form;
-};
-
-// Splits a target in absolute form, whose authority replaces the Host field
-// (RFC 9112, section 3.2.2).
-RequestTarget SplitTarget(std::string_view target) {
-  for (const std::string_view scheme : {"http://", "https://"}) {
-    if (target.size() < scheme.size() ||
-        !beast::iequals({target.data(), scheme.size()},
-                        {scheme.data(), scheme.size()})) {
-      continue;
-    }
-    const std::string_view rest = target.substr(scheme.size());
-    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
-    std::string origin_form(rest.substr(end));
-    if (!origin_form.starts_with('/')) {
-      origin_form.insert(0, 1, '/');
-    }
-    return {std::string(rest.substr(0, end)), std::move(origin_form)};
-  }
-  return {{}, std::string(target)};
-}
-
-HttpRequest FromBeast(http::request<http::string_body>&& message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  const RequestTarget parts = SplitTarget(message.target());
-  request.target = parts.origin_form;
-  const std::string& target = request.target;
-  const std::size_t query_mark = target.find('?');
-  request.path = target.substr(0, query_mark);
-  if (query_mark != std::string::npos) {
-    request.query = target.substr(query_mark + 1);
-  }
-  for (const auto& field : message) {
-    const bool replaced =
-        field.name() == http::field::host && !parts.authority.empty();
-    request.headers.Add(
-        std::string(field.name_string()),
-        replaced ? parts.authority : std::string(field.value()));
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
-template <class Message>
-void CopyHeaders(const HttpHeaders& headers, Message* message) {
-  for (const HttpHeader& field : headers.All()) {
-    message->insert(field.name, field.value);
-  }
-}
-
-enum class InputState { kNone, kSome, kClosed };
-
-InputState PendingInput(beast::tcp_stream& stream) {
-  char byte = 0;
-  const ssize_t size = ::recv(stream.socket().native_handle(), &byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
-  if (size > 0) {
-    return InputState::kSome;
-  }
-  const bool pending = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return pending ? InputState::kNone : InputState::kClosed;
-}
-
 // Counts a request as in progress during its lifetime.
 class InProgress {
  public:
@@ -117,243 +45,6 @@
   std::size_t* count;
 };
 
-class Exchange final : public HttpExchange {
- public:
-  Exchange(beast::tcp_stream* stream,
-           const HttpServerSettings* settings,
-           HttpRequest request,
-           bool keep_alive,
-           const bool* keep_alive_allowed)
-      : stream(stream),
-        settings(settings),
-        request(std::move(request)),
-        keep_alive(keep_alive),
-        keep_alive_allowed(keep_alive_allowed) {}
-
-  ~Exchange() override { *this->watch_ended = true; }
-
-  const HttpRequest& Request() const override { return this->request; }
-
-  Endpoint Peer() const override {
-    boost::system::error_code error;
-    const Tcp::endpoint peer = this->stream->socket().remote_endpoint(error);
-    return error ? Endpoint{}
-                 : Endpoint{peer.address().to_string(), peer.port()};
-  }
-
-  bool ResponseBegun() const override { return this->responded; }
-
-  void Respond(const HttpResponse& response) override {
-    if (this->responded) {
-      return;
-    }
-    this->responded = true;
-    this->keep_alive = this->keep_alive && *this->keep_alive_allowed;
-    http::response<http::string_body> message(
-        static_cast<http::status>(response.status), 11);
-    CopyHeaders(response.headers, &message);
-    message.body() = response.body;
-    message.keep_alive(this->keep_alive);
-    message.prepare_payload();
-    this->stream->expires_after(this->settings->write_timeout);
-    Completion written;
-    if (this->IsHead()) {
-      http::response_serializer<http::string_body> serializer(message);
-      written = Await([&](auto handler) {
-        http::async_write_header(*this->stream, serializer, std::move(handler));
-      });
-    } else {
-      written = Await([&](auto handler) {
-        http::async_write(*this->stream, message, std::move(handler));
-      });
-    }
-    this->broken = this->broken || written.error.failed();
-  }
-
-  bool BeginStream(const HttpResponse& head) override {
-    this->responded = true;
-    this->keep_alive = this->keep_alive && *this->keep_alive_allowed;
-    http::response<http::empty_body> message(
-        static_cast<http::status>(head.status), 11);
-    CopyHeaders(head.headers, &message);
-    message.chunked(true);
-    message.keep_alive(this->keep_alive);
-    http::response_serializer<http::empty_body> serializer(message);
-    this->stream->expires_after(this->settings->write_timeout);
-    const Completion written = Await([&](auto handler) {
-      http::async_write_header(*this->stream, serializer, std::move(handler));
-    });
-    this->broken = written.error.failed();
-    return !this->broken;
-  }
-
-  bool WriteChunk(std::string_view data) override {
-    if (this->broken || data.empty() || this->IsHead()) {
-      return !this->broken;
-    }
-    this->stream->expires_after(this->settings->write_timeout);
-    const Completion written = Await([&](auto handler) {
-      asio::async_write(
-          *this->stream,
-          http::make_chunk(asio::const_buffer(data.data(), data.size())),
-          std::move(handler));
-    });
-    this->broken = written.error.failed();
-    return !this->broken;
-  }
-
-  bool EndStream() override {
-    if (this->broken || this->IsHead()) {
-      return !this->broken;
-    }
-    this->stream->expires_after(this->settings->write_timeout);
-    const Completion written = Await([&](auto handler) {
-      asio::async_write(*this->stream, http::make_chunk_last(),
-                        std::move(handler));
-    });
-    this->broken = written.error.failed();
-    return !this->broken;
-  }
-
-  void Abort() override {
-    this->responded = true;
-    this->broken = true;
-  }
-
-  bool PeerClosed() override {
-    const InputState input = PendingInput(*this->stream);
-    return this->broken || input == InputState::kClosed;
-  }
-
-  void WatchPeer(std::function<void()> on_gone) override {
-    this->stream->socket().async_wait(
-        Tcp::socket::wait_read,
-        [this, ended = this->watch_ended,
-         on_gone = std::move(on_gone)](const boost::system::error_code& error) {
-          if (!*ended && !error && this->PeerClosed()) {
-            this->broken = true;
-            on_gone();
-          }
-        });
-  }
-
-  bool Reusable() const {
-    return this->responded && !this->broken && this->keep_alive;
-  }
-
- private:
-  // Responses to HEAD have no body, and no end of one.
-  bool IsHead() const { return this->request.method == "HEAD"; }
-
-  beast::tcp_stream* stream;
-  const HttpServerSettings* settings;
-  HttpRequest request;
-  bool keep_alive;
-  const bool* keep_alive_allowed;  // false after DisableKeepAlive
-  bool responded = false;
-  bool broken = false;
-  // Shared with the handler of WatchPeer, which may outlive the exchange.
-  std::shared_ptr<bool> watch_ended = std::make_shared<bool>(false);
-};
-
-// Cancels a read that takes too long. The stream's own timer would close the
-// socket, so that no error response could be sent.
-class ReadTimer {
- public:
-  ReadTimer(Runtime* runtime, beast::tcp_stream* stream, Duration timeout)
-      : timer(runtime->Context(), timeout) {
-    this->timer.async_wait(
-        [stream, flags = this->flags](const boost::system::error_code& error) {
-          if (!error && !flags->ended) {
-            flags->expired = true;
-            stream->cancel();
-          }
-        });
-  }
-  ~ReadTimer() { this->flags->ended = true; }
-  ReadTimer(const ReadTimer&) = delete;
-  ReadTimer& operator=(const ReadTimer&) = delete;
-
-  bool Expired() const { return this->flags->expired; }
-
- private:
-  struct Flags {
-    bool expired = false;
-    bool ended = false;  // the stream may have been destroyed
-  };
-  asio::steady_timer timer;
-  std::shared_ptr<Flags> flags = std::make_shared<Flags>();
-};
-
-// The caller sends the body only after an interim response (RFC 9110, section
-// 10.1.1).
-template <class Message>
-bool WaitsForContinue(const Message& message) {
-  return message.version() >= 11 &&
-         beast::iequals(message[http::field::expect], "100-continue");
-}
-
-// Drops empty lines at the begin of the input; true if nothing is left.
-bool DropEmptyLines(beast::flat_buffer* buffer) {
-  const std::string_view input(static_cast<const char*>(buffer->data().data()),
-                               buffer->size());
-  buffer->consume(std::min(input.find_first_not_of("\r\n"), input.size()));
-  return buffer->size() == 0;
-}
-
-// What is wrong with the transfer codings of a request. Without it the end of
-// its body is not known, and the body would be read as further requests
-// (RFC 9112, sections 6.1 and 6.3).
-template <class Message>
-std::optional<boost::system::error_code> ObjectionToCodings(
-    const Message& message) {
-  std::vector<std::string> codings;
-  const auto fields = message.equal_range(http::field::transfer_encoding);
-  for (auto field = fields.first; field != fields.second; ++field) {
-    for (const std::string& coding :
-         SplitText(std::string_view(field->value()), ',')) {
-      codings.push_back(coding);
-    }
-  }
-  if (codings.empty()) {
-    return std::nullopt;
-  }
-  const auto is_chunked = [](const std::string& coding) {
-    const std::size_t begin = coding.find_first_not_of(" \t");
-    const std::size_t end = coding.find_last_not_of(" \t");
-    return begin != std::string::npos &&
-           beast::iequals(coding.substr(begin, end + 1 - begin), "chunked");
-  };
-  if (message.version() < 11 || !is_chunked(codings.back())) {
-    return http::make_error_code(http::error::bad_transfer_encoding);
-  }
-  if (codings.size() == 1) {
-    return std::nullopt;
-  }
-  codings.pop_back();
-  if (std::any_of(codings.begin(), codings.end(), is_chunked)) {
-    return http::make_error_code(http::error::bad_transfer_encoding);
-  }
-  return boost::system::errc::make_error_code(
-      boost::system::errc::function_not_supported);
-}
-
-unsigned StatusOfReadError(const boost::system::error_code& error) {
-  if (error == boost::system::errc::function_not_supported) {
-    return 501;
-  }
-  if (error == http::error::body_limit) {
-    return 413;
-  }
-  if (error == http::error::header_limit) {
-    return 431;
-  }
-  if (error == beast::error::timeout) {
-    return 408;
-  }
-  return 400;
-}
-
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -455,20 +146,12 @@
   }
 
   std::string RefusalText() const {
-    const HttpResponse response =
+    HttpResponse response =
         this->error_responder(503, "this VM has no room for connections");
-    http::response<http::string_body> message(
-        static_cast<http::status>(response.status), 11);
-    CopyHeaders(response.headers, &message);
-    if (message.find(http::field::retry_after) == message.end()) {
-      message.set(http::field::retry_after, kRetryAfterSeconds);
+    if (!response.headers.Find("Retry-After")) {
+      response.headers.Add("Retry-After", std::string(kRetryAfterSeconds));
     }
-    message.body() = response.body;
-    message.keep_alive(false);
-    message.prepare_payload();
-    std::ostringstream text;
-    text << message;
-    return text.str();
+    return ClosingResponseText(response);
   }
 
   void StartServing(Tcp::socket socket) {
@@ -500,10 +183,10 @@
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    RequestReader reader(this->runtime, &stream, &this->settings);
     try {
       bool first = true;
-      while (!this->destroyed && this->ServeRequest(&stream, &buffer, first) &&
+      while (!this->destroyed && this->ServeRequest(&stream, &reader, first) &&
              !this->stopped) {
         first = false;
       }
@@ -519,18 +202,9 @@
 
   // Reads and handles one request; true if the connection can be reused.
   bool ServeRequest(beast::tcp_stream* stream,
-                    beast::flat_buffer* buffer,
+                    RequestReader* reader,
                     bool first) {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(this->settings.limits.header_bytes);
-    parser.body_limit(this->settings.limits.body_bytes);
-    // Applies to one complete request.
-    Instant read_until =
-        this->runtime->Now() + this->settings.limits.read_timeout;
-    Completion read = this->ReadFirstBytes(stream, buffer, first, &read_until);
-    if (!read.error) {
-      read = this->ReadRequest(stream, buffer, &parser, read_until);
-    }
+    const Completion read = this->ReadRequest(stream, reader, first);
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
@@ -540,9 +214,9 @@
       this->UnreadableResponse(stream, read.error);
       return false;
     }
-    const bool keep_alive = parser.get().keep_alive();
-    Exchange exchange(stream, &this->settings, FromBeast(parser.release()),
-                      keep_alive, &this->keep_alive_allowed);
+    const bool keep_alive = reader->KeepAlive();
+    ServerExchange exchange(stream, &this->settings, reader->Take(), keep_alive,
+                            &this->keep_alive_allowed);
     boost::system::error_code ignored;
     stream->expires_never();
     {
@@ -553,117 +227,25 @@
     return exchange.Reusable();
   }
 
-  // Reads until something other than empty lines has arrived. These may precede
-  // a request line (RFC 9112, section 2.2), and a connection that has only sent
-  // them since its last request is idle.
-  Completion ReadFirstBytes(beast::tcp_stream* stream,
-                            beast::flat_buffer* buffer,
-                            bool first,
-                            Instant* read_until) {
-    while (DropEmptyLines(buffer)) {
-      if (!first && !this->WaitForNextRequest(stream)) {
-        return {asio::error::operation_aborted};
-      }
-      if (!first) {
-        *read_until = this->runtime->Now() + this->settings.limits.read_timeout;
-      }
-      Completion read = this->ReadTimed(stream, *read_until, [&](auto handler) {
-        stream->async_read_some(buffer->prepare(kReadSize), std::move(handler));
-      });
-      if (read.error) {
-        return read.error == asio::error::eof
-                   ? Completion{http::error::end_of_stream}
-                   : read;
-      }
-      buffer->commit(read.bytes);
-    }
-    return {};
-  }
-
-  template <class Parser>
+  // A connection that has only sent empty lines since its last request is idle.
   Completion ReadRequest(beast::tcp_stream* stream,
-                         beast::flat_buffer* buffer,
-                         Parser* parser,
-                         Instant until) {
-    parser->eager(false);
-    const Completion head =
-        this->Parse(stream, buffer, parser, until,
-                    [parser] { return parser->is_header_done(); });
-    if (head.error) {
-      return head;
-    }
-    if (const auto objection = ObjectionToCodings(parser->get())) {
-      return {*objection};
-    }
-    if (parser->is_done()) {
-      return head;
-    }
-    if (WaitsForContinue(parser->get())) {
-      stream->expires_after(this->settings.write_timeout);
-      const Completion written = Await([&](auto handler) {
-        asio::async_write(*stream, asio::buffer(kContinue), std::move(handler));
-      });
-      if (written.error) {
-        return written;
-      }
-    }
-    parser->eager(true);
-    return this->Parse(stream, buffer, parser, until,
-                       [parser] { return parser->is_done(); });
-  }
-
-  // Parses on the connection's fiber: what the parser throws within a composed
-  // read of the library would leave the poller and end the process.
-  template <class Parser, class Done>
-  Completion Parse(beast::tcp_stream* stream,
-                   beast::flat_buffer* buffer,
-                   Parser* parser,
-                   Instant until,
-                   Done done) {
-    while (!done()) {
-      boost::system::error_code error;
-      std::size_t used = 0;
-      if (buffer->size() > 0) {
-        try {
-          used = parser->put(buffer->data(), error);
-        } catch (const std::length_error&) {
-          // The library holds fields of up to 64 KiB, whatever the limit.
-          return {http::error::header_limit};
+                         RequestReader* reader,
+                         bool first) {
+    reader->Begin();
+    while (reader->DropEmptyLines()) {
+      if (!first) {
+        if (!this->WaitForNextRequest(stream)) {
+          return {asio::error::operation_aborted};
         }
-        buffer->consume(used);
-      }
-      if (error && error != http::error::need_more) {
-        return {error};
+        reader->Begin();
       }
-      if (done() || (!error && used > 0)) {
-        continue;
-      }
-      const std::size_t size = beast::read_size(*buffer, kMaxReadSize);
-      const Completion read = this->ReadTimed(stream, until, [&](auto handler) {
-        stream->async_read_some(buffer->prepare(size), std::move(handler));
-      });
+      const Completion read = reader->ReadSome();
       if (read.error) {
-        return read.error == asio::error::eof
-                   ? Completion{http::error::partial_message}
-                   : read;
+        return read;
       }
-      buffer->commit(read.bytes);
-    }
-    return {};
-  }
-
-  // The timer ends with the read: later it would cancel writes of the response.
-  template <class Start>
-  Completion ReadTimed(beast::tcp_stream* stream,
-                       Instant until,
-                       Start&& start) {
-    stream->expires_never();
-    const ReadTimer timer(this->runtime, stream, until - this->runtime->Now());
-    Completion read = Await(std::forward<Start>(start));
-    if (timer.Expired()) {
-      read.error = beast::error::timeout;
     }
-    return read;
+    const Completion head = reader->ReadHead();
+    return head.error ? head : reader->ReadBody();
   }
 
   bool WaitForNextRequest(beast::tcp_stream* stream) {
@@ -692,8 +274,8 @@
 
   void UnreadableResponse(beast::tcp_stream* stream,
                           const boost::system::error_code& error) {
-    Exchange exchange(stream, &this->settings, HttpRequest{}, false,
-                      &this->keep_alive_allowed);
+    ServerExchange exchange(stream, &this->settings, HttpRequest{}, false,
+                            &this->keep_alive_allowed);
     exchange.Respond(
         this->error_responder(StatusOfReadError(error), error.message()));
     this->DiscardInput(stream);
--- /dev/null
+++ b/chervilpass/io/request_reader.cc
@@ -0,0 +1,263 @@
+#include "chervilpass/io/request_reader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "chervilpass/core/text.h"
+
+namespace chervilpass::io {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::size_t kReadSize = 4096;          // bytes
+constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
+
+struct RequestTarget {
+  std::string authority;  // empty if the target is in origin form
+  std::string origin_form;
+};
+
+// Splits a target in absolute form, whose authority replaces the Host field
+// (RFC 9112, section 3.2.2).
+RequestTarget SplitTarget(std::string_view target) {
+  for (const std::string_view scheme : {"http://", "https://"}) {
+    if (target.size() < scheme.size() ||
+        !beast::iequals({target.data(), scheme.size()},
+                        {scheme.data(), scheme.size()})) {
+      continue;
+    }
+    const std::string_view rest = target.substr(scheme.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    std::string origin_form(rest.substr(end));
+    if (!origin_form.starts_with('/')) {
+      origin_form.insert(0, 1, '/');
+    }
+    return {std::string(rest.substr(0, end)), std::move(origin_form)};
+  }
+  return {{}, std::string(target)};
+}
+
+HttpRequest FromBeast(http::request<http::string_body>&& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const RequestTarget parts = SplitTarget(message.target());
+  request.target = parts.origin_form;
+  const std::string& target = request.target;
+  const std::size_t query_mark = target.find('?');
+  request.path = target.substr(0, query_mark);
+  if (query_mark != std::string::npos) {
+    request.query = target.substr(query_mark + 1);
+  }
+  for (const auto& field : message) {
+    const bool replaced =
+        field.name() == http::field::host && !parts.authority.empty();
+    request.headers.Add(
+        std::string(field.name_string()),
+        replaced ? parts.authority : std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+// The caller sends the body only after an interim response (RFC 9110, section
+// 10.1.1).
+template <class Message>
+bool WaitsForContinue(const Message& message) {
+  return message.version() >= 11 &&
+         beast::iequals(message[http::field::expect], "100-continue");
+}
+
+// What is wrong with the transfer codings of a request. Without it the end of
+// its body is not known, and the body would be read as further requests
+// (RFC 9112, sections 6.1 and 6.3).
+template <class Message>
+std::optional<boost::system::error_code> ObjectionToCodings(
+    const Message& message) {
+  std::vector<std::string> codings;
+  const auto fields = message.equal_range(http::field::transfer_encoding);
+  for (auto field = fields.first; field != fields.second; ++field) {
+    for (const std::string& coding :
+         SplitText(std::string_view(field->value()), ',')) {
+      codings.push_back(coding);
+    }
+  }
+  if (codings.empty()) {
+    return std::nullopt;
+  }
+  const auto is_chunked = [](const std::string& coding) {
+    const std::size_t begin = coding.find_first_not_of(" \t");
+    const std::size_t end = coding.find_last_not_of(" \t");
+    return begin != std::string::npos &&
+           beast::iequals(coding.substr(begin, end + 1 - begin), "chunked");
+  };
+  if (message.version() < 11 || !is_chunked(codings.back())) {
+    return http::make_error_code(http::error::bad_transfer_encoding);
+  }
+  if (codings.size() == 1) {
+    return std::nullopt;
+  }
+  codings.pop_back();
+  if (std::any_of(codings.begin(), codings.end(), is_chunked)) {
+    return http::make_error_code(http::error::bad_transfer_encoding);
+  }
+  return boost::system::errc::make_error_code(
+      boost::system::errc::function_not_supported);
+}
+
+}  // namespace
+
+ReadTimer::ReadTimer(Runtime* runtime,
+                     beast::tcp_stream* stream,
+                     Duration timeout)
+    : timer(runtime->Context(), timeout) {
+  this->timer.async_wait(
+      [stream, flags = this->flags](const boost::system::error_code& error) {
+        if (!error && !flags->ended) {
+          flags->expired = true;
+          stream->cancel();
+        }
+      });
+}
+
+ReadTimer::~ReadTimer() {
+  this->flags->ended = true;
+}
+
+RequestReader::RequestReader(Runtime* runtime,
+                             beast::tcp_stream* stream,
+                             const HttpServerSettings* settings)
+    : runtime(runtime), stream(stream), settings(settings) {}
+
+void RequestReader::Begin() {
+  this->until = this->runtime->Now() + this->settings->limits.read_timeout;
+  this->parser.emplace();
+  this->parser->header_limit(this->settings->limits.header_bytes);
+  this->parser->body_limit(this->settings->limits.body_bytes);
+}
+
+bool RequestReader::DropEmptyLines() {
+  const std::string_view input(
+      static_cast<const char*>(this->buffer.data().data()),
+      this->buffer.size());
+  this->buffer.consume(std::min(input.find_first_not_of("\r\n"), input.size()));
+  return this->buffer.size() == 0;
+}
+
+Completion RequestReader::ReadSome() {
+  const Completion read = this->ReadTimed(kReadSize);
+  return read.error == asio::error::eof ? Completion{http::error::end_of_stream}
+                                        : read;
+}
+
+Completion RequestReader::ReadHead() {
+  this->parser->eager(false);
+  const Completion head =
+      this->Parse([this] { return this->parser->is_header_done(); });
+  if (head.error) {
+    return head;
+  }
+  if (const auto objection = ObjectionToCodings(this->parser->get())) {
+    return {*objection};
+  }
+  return head;
+}
+
+Completion RequestReader::ReadBody() {
+  if (this->parser->is_done()) {
+    return {};
+  }
+  if (WaitsForContinue(this->parser->get())) {
+    this->stream->expires_after(this->settings->write_timeout);
+    const Completion written = Await([&](auto handler) {
+      asio::async_write(*this->stream, asio::buffer(kContinue),
+                        std::move(handler));
+    });
+    if (written.error) {
+      return written;
+    }
+  }
+  this->parser->eager(true);
+  return this->Parse([this] { return this->parser->is_done(); });
+}
+
+HttpRequest RequestReader::Take() {
+  return FromBeast(this->parser->release());
+}
+
+// Parses on the connection's fiber: what the parser throws within a composed
+// read of the library would leave the poller and end the process.
+Completion RequestReader::Parse(const std::function<bool()>& done) {
+  while (!done()) {
+    boost::system::error_code error;
+    std::size_t used = 0;
+    if (this->buffer.size() > 0) {
+      try {
+        used = this->parser->put(this->buffer.data(), error);
+      } catch (const std::length_error&) {
+        // The library holds fields of up to 64 KiB, whatever the limit.
+        return {http::error::header_limit};
+      }
+      this->buffer.consume(used);
+    }
+    if (error && error != http::error::need_more) {
+      return {error};
+    }
+    if (done() || (!error && used > 0)) {
+      continue;
+    }
+    const Completion read =
+        this->ReadTimed(beast::read_size(this->buffer, kMaxReadSize));
+    if (read.error) {
+      return read.error == asio::error::eof
+                 ? Completion{http::error::partial_message}
+                 : read;
+    }
+  }
+  return {};
+}
+
+// The timer ends with the read: later it would cancel writes of the response.
+Completion RequestReader::ReadTimed(std::size_t size) {
+  this->stream->expires_never();
+  const ReadTimer timer(this->runtime, this->stream,
+                        this->until - this->runtime->Now());
+  Completion read = Await([&](auto handler) {
+    this->stream->async_read_some(this->buffer.prepare(size),
+                                  std::move(handler));
+  });
+  if (timer.Expired()) {
+    read.error = beast::error::timeout;
+  }
+  if (!read.error) {
+    this->buffer.commit(read.bytes);
+  }
+  return read;
+}
+
+unsigned StatusOfReadError(const boost::system::error_code& error) {
+  if (error == boost::system::errc::function_not_supported) {
+    return 501;
+  }
+  if (error == http::error::body_limit) {
+    return 413;
+  }
+  if (error == http::error::header_limit) {
+    return 431;
+  }
+  if (error == beast::error::timeout) {
+    return 408;
+  }
+  return 400;
+}
+
+}  // namespace chervilpass::io
--- /dev/null
+++ b/chervilpass/io/request_reader.h
@@ -0,0 +1,86 @@
+// Reads the requests of one connection of an HttpServer. Internal to this
+// folder.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <optional>
+
+#include "chervilpass/io/await.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/io/runtime.h"
+
+namespace chervilpass::io {
+
+/// Cancels a read that takes too long. The stream's own timer would close the
+/// socket, so that no error response could be sent.
+class ReadTimer {
+ public:
+  ReadTimer(Runtime* runtime,
+            boost::beast::tcp_stream* stream,
+            Duration timeout);
+  ~ReadTimer();
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+
+  bool Expired() const { return this->flags->expired; }
+
+ private:
+  struct Flags {
+    bool expired = false;
+    bool ended = false;  // the stream may have been destroyed
+  };
+  boost::asio::steady_timer timer;
+  std::shared_ptr<Flags> flags = std::make_shared<Flags>();
+};
+
+/// Reads one request after the other. `stream` and `settings` outlive it. Used
+/// by the fiber of its connection only.
+class RequestReader {
+ public:
+  RequestReader(Runtime* runtime,
+                boost::beast::tcp_stream* stream,
+                const HttpServerSettings* settings);
+
+  /// Starts the next request, which must be complete within the read timeout.
+  void Begin();
+
+  /// Drops empty lines, which may precede a request line (RFC 9112, section
+  /// 2.2); true if nothing is left.
+  bool DropEmptyLines();
+
+  /// Reads some bytes of the request; end_of_stream if there are no more.
+  Completion ReadSome();
+
+  /// Reads the request's head.
+  Completion ReadHead();
+
+  /// Reads the rest of the request.
+  Completion ReadBody();
+
+  /// The request; once, after ReadBody.
+  HttpRequest Take();
+
+  bool KeepAlive() const { return this->parser->get().keep_alive(); }
+
+ private:
+  Completion Parse(const std::function<bool()>& done);
+  Completion ReadTimed(std::size_t size);
+
+  Runtime* runtime;
+  boost::beast::tcp_stream* stream;
+  const HttpServerSettings* settings;
+  boost::beast::flat_buffer buffer;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser;       ///< of the request that is being read
+  Instant until{};  ///< applies to one complete request
+};
+
+/// The status of the response to a request that could not be read.
+unsigned StatusOfReadError(const boost::system::error_code& error);
+
+}  // namespace chervilpass::io
