Logs and metrics of requests that end without an answer

A log could not tell a request that its process had served from one whose process ended before it could write, a caller that had left from one that had closed its sending side, nor show a request that was still arriving as the process ended. No decision changes.

- request.unread names requests that had arrived in part at the end; router.stopped counts them, with open connections, unacknowledged bytes and the time since the signal.
- How a caller's side ended: in the reason of request.ended, and chervil_caller_ends.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -1,11 +1,15 @@
 #include "chervilpass/io/http_server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -56,6 +60,14 @@
     bool replaced = false;  // by MakeRoom
   };
 
+  // A connection that is being served.
+  struct Connection {
+    beast::tcp_stream* stream;
+    const RequestReader* reader;
+    // Set while a request is being read of which a part has arrived.
+    std::optional<Instant> reading_since = std::nullopt;
+  };
+
   // A connection that has been sent a refusal.
   struct RefusedConnection {
     beast::tcp_stream* stream;
@@ -184,9 +196,12 @@
     socket.set_option(Tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     RequestReader reader(this->runtime, &stream, &this->settings);
+    const auto connection = this->open.insert(
+        this->open.end(), Connection{&stream, &reader, std::nullopt});
     try {
       bool first = true;
-      while (!this->destroyed && this->ServeRequest(&stream, &reader, first) &&
+      while (!this->destroyed &&
+             this->ServeRequest(&stream, &reader, &*connection, first) &&
              !this->stopped) {
         first = false;
       }
@@ -197,14 +212,18 @@
       }
     }
     stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    this->open.erase(connection);
     --this->connections;
   }
 
   // Reads and handles one request; true if the connection can be reused.
   bool ServeRequest(beast::tcp_stream* stream,
                     RequestReader* reader,
+                    Connection* connection,
                     bool first) {
-    const Completion read = this->ReadRequest(stream, reader, first);
+    const Completion read =
+        this->ReadRequest(stream, reader, connection, first);
+    connection->reading_since.reset();
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
@@ -216,7 +235,7 @@
     }
     const bool keep_alive = reader->KeepAlive();
     ServerExchange exchange(stream, &this->settings, reader->Take(), keep_alive,
-                            &this->keep_alive_allowed);
+                            &this->keep_alive_allowed, &this->peer_ends);
     boost::system::error_code ignored;
     stream->expires_never();
     {
@@ -230,6 +249,7 @@
   // A connection that has only sent empty lines since its last request is idle.
   Completion ReadRequest(beast::tcp_stream* stream,
                          RequestReader* reader,
+                         Connection* connection,
                          bool first) {
     reader->Begin();
     while (reader->DropEmptyLines()) {
@@ -244,6 +264,7 @@
         return read;
       }
     }
+    connection->reading_since = this->runtime->Now();
     const Completion head = reader->ReadHead();
     return head.error ? head : reader->ReadBody();
   }
@@ -275,7 +296,7 @@
   void UnreadableResponse(beast::tcp_stream* stream,
                           const boost::system::error_code& error) {
     ServerExchange exchange(stream, &this->settings, HttpRequest{}, false,
-                            &this->keep_alive_allowed);
+                            &this->keep_alive_allowed, &this->peer_ends);
     exchange.Respond(
         this->error_responder(StatusOfReadError(error), error.message()));
     this->DiscardInput(stream);
@@ -310,10 +331,12 @@
   bool keep_alive_allowed = true;
   std::list<IdleConnection> idle;        // the one idle longest first
   std::list<RefusedConnection> refused;  // the oldest first
+  std::list<Connection> open;            // being served
   std::size_t connections = 0;
   std::size_t replaced = 0;  // of these, closed by MakeRoom
   std::size_t in_flight = 0;
   HttpServerCounts counts;
+  PeerEndCounts peer_ends;
   std::function<void(std::string_view)> on_exception;
 };
 
@@ -393,6 +416,41 @@
   return this->state->in_flight;
 }
 
+std::vector<UnreadRequest> HttpServer::Unread() const {
+  std::vector<UnreadRequest> unread;
+  for (const State::Connection& connection : this->state->open) {
+    if (!connection.reading_since) {
+      continue;
+    }
+    UnreadRequest& request = unread.emplace_back();
+    boost::system::error_code error;
+    const Tcp::endpoint peer =
+        connection.stream->socket().remote_endpoint(error);
+    if (!error) {
+      request.peer = {peer.address().to_string(), peer.port()};
+    }
+    request.age = this->state->runtime->Now() - *connection.reading_since;
+    request.bytes = connection.reader->Received();
+    request.has_head = connection.reader->HasHead();
+    if (request.has_head) {
+      request.head = connection.reader->Head();
+    }
+  }
+  return unread;
+}
+
+std::size_t HttpServer::UnsentBytes() const {
+  std::size_t sum = 0;
+  for (const State::Connection& connection : this->state->open) {
+    int unsent = 0;
+    if (::ioctl(connection.stream->socket().native_handle(), SIOCOUTQ,
+                &unsent) == 0) {
+      sum += static_cast<std::size_t>(unsent);
+    }
+  }
+  return sum;
+}
+
 void HttpServer::OnException(
     std::function<void(std::string_view detail)> on_exception) {
   this->state->on_exception = std::move(on_exception);
@@ -402,4 +460,8 @@
   return this->state->counts;
 }
 
+PeerEndCounts HttpServer::PeerEnds() const {
+  return this->state->peer_ends;
+}
+
 }  // namespace chervilpass::io
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "chervilpass/core/result.h"
 #include "chervilpass/core/time.h"
@@ -47,6 +48,35 @@
   bool operator==(const HttpServerCounts&) const = default;
 };
 
+/// Peers that ended their side during a request, by what was seen first.
+struct PeerEndCounts {
+  std::uint64_t inputs_ended = 0;
+  std::uint64_t resets = 0;
+  std::uint64_t failed_writes = 0;
+
+  bool operator==(const PeerEndCounts&) const = default;
+};
+
+/// A request of which a part has arrived.
+struct UnreadRequest {
+  Endpoint peer;
+  Duration age{0};        ///< since its first bytes
+  std::size_t bytes = 0;  ///< that have arrived
+  bool has_head = false;  ///< `head` is complete
+  HttpRequest head;       ///< without the body
+};
+
+/// How the peer's side of a connection ended during a request.
+enum class PeerEnd {
+  kNone,         ///< Not seen.
+  kInputEnded,   ///< It has closed its sending side, or the connection.
+  kReset,        ///< The connection was reset.
+  kWriteFailed,  ///< A write failed or took too long.
+};
+
+/// "input ended", "reset", "write failed", or empty.
+std::string_view PeerEndName(PeerEnd end);
+
 /// One request and its response. Used by the fiber of its handler only.
 class HttpExchange {
  public:
@@ -81,6 +111,10 @@
   /// True if the peer has closed its connection.
   virtual bool PeerClosed() = 0;
 
+  /// How the peer's side ended, as far as PeerClosed, WatchPeer and the writes
+  /// have seen it.
+  virtual PeerEnd HowPeerEnded() const { return PeerEnd::kNone; }
+
   /// Calls `on_gone` once if the peer closes its connection before the handler
   /// returns. The watch ends without a call if the peer sends further bytes.
   virtual void WatchPeer(std::function<void()> on_gone) = 0;
@@ -127,8 +161,17 @@
   /// Number of requests in progress.
   std::size_t InFlight() const;
 
+  /// The requests that have arrived in part.
+  std::vector<UnreadRequest> Unread() const;
+
+  /// Bytes of responses that peers have not acknowledged; 0 if the system does
+  /// not tell.
+  std::size_t UnsentBytes() const;
+
   HttpServerCounts Counts() const;
 
+  PeerEndCounts PeerEnds() const;
+
   /// Calls `on_exception` if a handler, or the library on a peer's input,
   /// throws. Only that connection ends.
   void OnException(std::function<void(std::string_view detail)> on_exception);
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -47,7 +47,7 @@
   return {{}, std::string(target)};
 }
 
-HttpRequest FromBeast(http::request<http::string_body>&& message) {
+HttpRequest HeadFromBeast(const http::request<http::string_body>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   const RequestTarget parts = SplitTarget(message.target());
@@ -65,7 +65,6 @@
         std::string(field.name_string()),
         replaced ? parts.authority : std::string(field.value()));
   }
-  request.body = std::move(message.body());
   return request;
 }
 
@@ -140,6 +139,7 @@
 
 void RequestReader::Begin() {
   this->until = this->runtime->Now() + this->settings->limits.read_timeout;
+  this->received = this->buffer.size();
   this->parser.emplace();
   this->parser->header_limit(this->settings->limits.header_bytes);
   this->parser->body_limit(this->settings->limits.body_bytes);
@@ -190,8 +190,14 @@
   return this->Parse([this] { return this->parser->is_done(); });
 }
 
+HttpRequest RequestReader::Head() const {
+  return HeadFromBeast(this->parser->get());
+}
+
 HttpRequest RequestReader::Take() {
-  return FromBeast(this->parser->release());
+  HttpRequest request = this->Head();
+  request.body = std::move(this->parser->get().body());
+  return request;
 }
 
 // Parses on the connection's fiber: what the parser throws within a composed
@@ -240,6 +246,7 @@
   }
   if (!read.error) {
     this->buffer.commit(read.bytes);
+    this->received += read.bytes;
   }
   return read;
 }
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -61,6 +61,17 @@
   /// Reads the rest of the request.
   Completion ReadBody();
 
+  /// True once the head of the request is complete.
+  bool HasHead() const {
+    return this->parser && this->parser->is_header_done();
+  }
+
+  /// The request without its body; after ReadHead.
+  HttpRequest Head() const;
+
+  /// Bytes that have arrived since Begin, and before it.
+  std::size_t Received() const { return this->received; }
+
   /// The request; once, after ReadBody.
   HttpRequest Take();
 
@@ -78,6 +89,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;       ///< of the request that is being read
   Instant until{};  ///< applies to one complete request
+  std::size_t received = 0;
 };
 
 /// The status of the response to a request that could not be read.
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -51,6 +51,20 @@
   return pending ? InputState::kNone : InputState::kBroken;
 }
 
+std::string_view PeerEndName(PeerEnd end) {
+  switch (end) {
+    case PeerEnd::kNone:
+      return "";
+    case PeerEnd::kInputEnded:
+      return "input ended";
+    case PeerEnd::kReset:
+      return "reset";
+    case PeerEnd::kWriteFailed:
+      return "write failed";
+  }
+  return "";
+}
+
 std::string ClosingResponseText(const HttpResponse& response) {
   std::ostringstream text;
   text << ToBeast(response, false);
@@ -61,12 +75,14 @@
                                const HttpServerSettings* settings,
                                HttpRequest request,
                                bool keep_alive,
-                               const bool* keep_alive_allowed)
+                               const bool* keep_alive_allowed,
+                               PeerEndCounts* counts)
     : stream(stream),
       settings(settings),
       request(std::move(request)),
       keep_alive(keep_alive),
-      keep_alive_allowed(keep_alive_allowed) {}
+      keep_alive_allowed(keep_alive_allowed),
+      counts(counts) {}
 
 ServerExchange::~ServerExchange() {
   *this->watch_ended = true;
@@ -98,7 +114,7 @@
       http::async_write(*this->stream, message, std::move(handler));
     });
   }
-  this->broken = this->broken || written.error.failed();
+  this->OnWritten(written.error);
 }
 
 bool ServerExchange::BeginStream(const HttpResponse& head) {
@@ -114,8 +130,7 @@
   const Completion written = Await([&](auto handler) {
     http::async_write_header(*this->stream, serializer, std::move(handler));
   });
-  this->broken = written.error.failed();
-  return !this->broken;
+  return this->OnWritten(written.error);
 }
 
 bool ServerExchange::WriteChunk(std::string_view data) {
@@ -129,8 +144,7 @@
         http::make_chunk(asio::const_buffer(data.data(), data.size())),
         std::move(handler));
   });
-  this->broken = written.error.failed();
-  return !this->broken;
+  return this->OnWritten(written.error);
 }
 
 bool ServerExchange::EndStream() {
@@ -142,8 +156,7 @@
     asio::async_write(*this->stream, http::make_chunk_last(),
                       std::move(handler));
   });
-  this->broken = written.error.failed();
-  return !this->broken;
+  return this->OnWritten(written.error);
 }
 
 void ServerExchange::Abort() {
@@ -153,10 +166,44 @@
 
 bool ServerExchange::PeerClosed() {
   const InputState input = PendingInput(*this->stream);
+  if (input == InputState::kEnded) {
+    this->SetPeerEnd(PeerEnd::kInputEnded);
+  } else if (input == InputState::kBroken) {
+    this->SetPeerEnd(PeerEnd::kReset);
+  }
   return this->broken || input == InputState::kEnded ||
          input == InputState::kBroken;
 }
 
+bool ServerExchange::OnWritten(const boost::system::error_code& error) {
+  if (error.failed()) {
+    this->broken = true;
+    this->SetPeerEnd(PeerEnd::kWriteFailed);
+  }
+  return !this->broken;
+}
+
+// The first end that is seen counts.
+void ServerExchange::SetPeerEnd(PeerEnd end) {
+  if (this->peer_end != PeerEnd::kNone) {
+    return;
+  }
+  this->peer_end = end;
+  switch (end) {
+    case PeerEnd::kNone:
+      return;
+    case PeerEnd::kInputEnded:
+      ++this->counts->inputs_ended;
+      return;
+    case PeerEnd::kReset:
+      ++this->counts->resets;
+      return;
+    case PeerEnd::kWriteFailed:
+      ++this->counts->failed_writes;
+      return;
+  }
+}
+
 void ServerExchange::WatchPeer(std::function<void()> on_gone) {
   this->stream->socket().async_wait(
       Tcp::socket::wait_read,
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -409,7 +409,7 @@
   RequestResult EndStopped() {
     if (this->scope.Reason() == StopReason::kCallerGone) {
       this->context.exchange->Abort();
-      return {0, "left", "the caller has gone", this->last_server,
+      return {0, "left", CallerGone(this->context), this->last_server,
               this->policy.Sends()};
     }
     const bool not_sent =
@@ -522,6 +522,13 @@
                        "answers to other requests only"};
 }
 
+std::string CallerGone(const RequestContext& context) {
+  const io::PeerEnd end = context.exchange->HowPeerEnded();
+  return end == io::PeerEnd::kNone
+             ? "the caller has gone"
+             : fmt::format("the caller has gone: {}", io::PeerEndName(end));
+}
+
 RequestResult Refuse(const RequestContext& context,
                      RefusalCode code,
                      Executed executed,
--- a/chervilpass/serving/call_proxy.h
+++ b/chervilpass/serving/call_proxy.h
@@ -44,6 +44,9 @@
     io::HttpCall* call,
     const std::string& request_id);
 
+/// Why a request ended whose caller has gone, with how that was seen.
+std::string CallerGone(const RequestContext& context);
+
 /// Responds with a refusal; returns the result for the log and the metrics.
 RequestResult Refuse(const RequestContext& context,
                      admission::RefusalCode code,
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -272,7 +272,9 @@
               context.route->event_interval_objective) ||
          (context.route->response_objective > Duration::zero() &&
           result.first_event > context.route->response_objective));
-    const bool served = result.outcome == "served" && !late;
+    // While this VM leaves, a request without a line did not end.
+    const bool served =
+        result.outcome == "served" && !late && !this->shutdown->Leaving();
     if (served &&
         this->served_count++ % this->settings.served_requests_per_log_line !=
             0) {
@@ -391,6 +393,21 @@
   return this->state->in_flight.size();
 }
 
+void Router::LogUnread(const std::vector<io::UnreadRequest>& unread) const {
+  std::size_t logged = 0;
+  for (const io::UnreadRequest& request : unread) {
+    if (++logged > kMaxUnfinishedLogged) {
+      return;
+    }
+    this->state->dependencies.log->Warning(
+        "request.unread", {{"request", platform::RequestIdOf(request.head)},
+                           {"peer", request.peer.ToText()},
+                           {"has_head", request.has_head},
+                           {"bytes", request.bytes},
+                           {"age_ms", ToMilliseconds(request.age)}});
+  }
+}
+
 void Router::LogUnfinished() const {
   const Instant now = this->state->dependencies.runtime->Now();
   std::size_t logged = 0;
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <vector>
 
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/serving/crash_monitor.h"
@@ -73,6 +74,9 @@
   /// Requests in progress.
   std::size_t InFlight() const;
 
+  /// Logs requests that have arrived in part, as the process ends.
+  void LogUnread(const std::vector<io::UnreadRequest>& unread) const;
+
   /// Logs the requests in progress, which end with the process.
   void LogUnfinished() const;
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -742,7 +742,7 @@
 
   RequestResult EndServed(bool through_peer) {
     if (!this->context.exchange->EndStream()) {
-      return this->MakeResult(0, "left", "the caller has gone");
+      return this->MakeResult(0, "left", CallerGone(this->context));
     }
     if (through_peer) {
       return this->MakeResult(200, "served", "through another VM");
@@ -757,7 +757,7 @@
   RequestResult EndStopped() {
     if (this->scope.Reason() == StopReason::kCallerGone) {
       this->context.exchange->Abort();
-      return this->MakeResult(0, "left", "the caller has gone");
+      return this->MakeResult(0, "left", CallerGone(this->context));
     }
     if (this->stream_begun) {
       this->context.exchange->Abort();
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -420,6 +420,13 @@
                       static_cast<double>(counts.servers.accept_failures));
     this->metrics.Set("chervil_connection_exceptions", "",
                       static_cast<double>(counts.servers.exceptions));
+    const io::PeerEndCounts ends = this->caller_server->PeerEnds();
+    this->metrics.Set("chervil_caller_ends", "how=\"input_ended\"",
+                      static_cast<double>(ends.inputs_ended));
+    this->metrics.Set("chervil_caller_ends", "how=\"reset\"",
+                      static_cast<double>(ends.resets));
+    this->metrics.Set("chervil_caller_ends", "how=\"write_failed\"",
+                      static_cast<double>(ends.failed_writes));
     this->metrics.Set("chervil_connect_failures_local", "",
                       static_cast<double>(counts.local_failures));
     this->metrics.Set("chervil_caller_connections", "",
@@ -793,8 +800,15 @@
     this->router->RespondBeforeShutdown();
     this->ServeEstablished(end());
     this->runtime.SleepFor(kFinalWriteTime);
+    const auto unread = this->caller_server->Unread();
+    this->router->LogUnread(unread);
     this->router->LogUnfinished();
-    this->log.Info("router.stopped", {{"in_flight", this->router->InFlight()}});
+    this->log.Info("router.stopped",
+                   {{"in_flight", this->router->InFlight()},
+                    {"unread", unread.size()},
+                    {"connections", this->caller_server->Connections()},
+                    {"unsent_bytes", this->caller_server->UnsentBytes()},
+                    {"after_ms", ToMilliseconds(this->runtime.Now() - start)}});
   }
 
   // Responds to requests that arrive on connections which are open already.
