Router: a caller that has closed its sending side gets its answer

Callers that close their sending side after a request (TCP half-close; the connection is open for the answer) got no answer at any time: the end of the input was taken for the caller's departure, and the run at the worker was cancelled, or went on for nobody.

The end of the input does not tell the two apart; a write does, since a peer that has left answers it with a reset. Once the input of an HTTP/1.1 caller has ended the connection is probed, 50 ms later and then at growing intervals: by an interim response before the response (RFC 9110, section 15.2), within a stream by a leading zero of the next chunk's size (RFC 9112, section 7.1). The entry daemon takes part. HTTP/1.0 callers cannot be probed and count as before.

50 ms: shorter would send interim responses to callers of most plain calls, and work for a caller that has left should end within half a second.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -233,9 +233,8 @@
       this->UnreadableResponse(stream, read.error);
       return false;
     }
-    const bool keep_alive = reader->KeepAlive();
-    ServerExchange exchange(stream, &this->settings, reader->Take(), keep_alive,
-                            &this->keep_alive_allowed, &this->peer_ends);
+    const ResponseForms forms = reader->Forms();
+    ServerExchange exchange(this->Shared(stream), reader->Take(), forms);
     boost::system::error_code ignored;
     stream->expires_never();
     {
@@ -269,6 +268,11 @@
     return head.error ? head : reader->ReadBody();
   }
 
+  ServerConnection Shared(beast::tcp_stream* stream) {
+    return {this->runtime, stream, &this->settings, &this->keep_alive_allowed,
+            &this->peer_ends};
+  }
+
   bool WaitForNextRequest(beast::tcp_stream* stream) {
     const Instant start = this->runtime->Now();
     const auto connection =
@@ -295,8 +299,7 @@
 
   void UnreadableResponse(beast::tcp_stream* stream,
                           const boost::system::error_code& error) {
-    ServerExchange exchange(stream, &this->settings, HttpRequest{}, false,
-                            &this->keep_alive_allowed, &this->peer_ends);
+    ServerExchange exchange(this->Shared(stream), HttpRequest{}, {});
     exchange.Respond(
         this->error_responder(StatusOfReadError(error), error.message()));
     this->DiscardInput(stream);
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -34,6 +34,10 @@
   /// two requests. If there is none, it gets a response with status 503.
   std::size_t connection_limit = 8192;
   std::size_t refusal_limit = 16;  ///< connections being refused at a time
+  /// Peers may close their sending side once they have sent a request: the
+  /// connection is probed to tell them from those that have left. Otherwise the
+  /// end of the input ends the request.
+  bool half_closed_peers = false;
 
   bool operator==(const HttpServerSettings&) const = default;
 };
@@ -108,15 +112,16 @@
   /// Closes the connection without a response.
   virtual void Abort() = 0;
 
-  /// True if the peer has closed its connection.
+  /// True if the peer has left. With `half_closed_peers`, the end of its input
+  /// is no sign of that; then the call may write a probe.
   virtual bool PeerClosed() = 0;
 
   /// How the peer's side ended, as far as PeerClosed, WatchPeer and the writes
   /// have seen it.
   virtual PeerEnd HowPeerEnded() const { return PeerEnd::kNone; }
 
-  /// Calls `on_gone` once if the peer closes its connection before the handler
-  /// returns. The watch ends without a call if the peer sends further bytes.
+  /// Calls `on_gone` once if the peer leaves before the handler returns. The
+  /// watch ends without a call if the peer sends further bytes.
   virtual void WatchPeer(std::function<void()> on_gone) = 0;
 };
 
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -200,6 +200,11 @@
   return request;
 }
 
+ResponseForms RequestReader::Forms() const {
+  return {this->parser->get().keep_alive(),
+          this->parser->get().version() >= 11};
+}
+
 // Parses on the connection's fiber: what the parser throws within a composed
 // read of the library would leave the poller and end the process.
 Completion RequestReader::Parse(const std::function<bool()>& done) {
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -12,6 +12,7 @@
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/io/server_exchange.h"
 
 namespace chervilpass::io {
 
@@ -75,7 +76,8 @@
   /// The request; once, after ReadBody.
   HttpRequest Take();
 
-  bool KeepAlive() const { return this->parser->get().keep_alive(); }
+  /// What the request allows for its response; after ReadHead.
+  ResponseForms Forms() const;
 
  private:
   Completion Parse(const std::function<bool()>& done);
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -1,5 +1,8 @@
 #include "chervilpass/io/server_exchange.h"
 
+#include <poll.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -17,6 +20,18 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+// An answer that comes within this time needs no probe. Much shorter than the
+// half second after which work for callers that have left counts as wasted.
+constexpr Duration kFirstProbeDelay = milliseconds(50);
+constexpr Duration kMaxProbeInterval = seconds(1);
+// Clients discard interim responses that they did not ask for (RFC 9110,
+// section 15.2).
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// The size of the next chunk may begin with zeros (RFC 9112, section 7.1).
+// Parsers limit the number of digits.
+constexpr std::string_view kLeadingZero = "0";
+constexpr std::size_t kMaxChunkProbes = 6;
+
 template <class Message>
 void CopyHeaders(const HttpHeaders& headers, Message* message) {
   for (const HttpHeader& field : headers.All()) {
@@ -71,18 +86,13 @@
   return text.str();
 }
 
-ServerExchange::ServerExchange(beast::tcp_stream* stream,
-                               const HttpServerSettings* settings,
+ServerExchange::ServerExchange(const ServerConnection& connection,
                                HttpRequest request,
-                               bool keep_alive,
-                               const bool* keep_alive_allowed,
-                               PeerEndCounts* counts)
-    : stream(stream),
-      settings(settings),
+                               const ResponseForms& forms)
+    : connection(connection),
       request(std::move(request)),
-      keep_alive(keep_alive),
-      keep_alive_allowed(keep_alive_allowed),
-      counts(counts) {}
+      forms(forms),
+      probe_interval(kFirstProbeDelay) {}
 
 ServerExchange::~ServerExchange() {
   *this->watch_ended = true;
@@ -90,7 +100,8 @@
 
 Endpoint ServerExchange::Peer() const {
   boost::system::error_code error;
-  const Tcp::endpoint peer = this->stream->socket().remote_endpoint(error);
+  const Tcp::endpoint peer =
+      this->connection.stream->socket().remote_endpoint(error);
   return error ? Endpoint{} : Endpoint{peer.address().to_string(), peer.port()};
 }
 
@@ -99,64 +110,62 @@
     return;
   }
   this->responded = true;
-  this->keep_alive = this->keep_alive && *this->keep_alive_allowed;
+  this->forms.keep_alive =
+      this->forms.keep_alive && *this->connection.keep_alive_allowed;
   http::response<http::string_body> message =
-      ToBeast(response, this->keep_alive);
-  this->stream->expires_after(this->settings->write_timeout);
-  Completion written;
+      ToBeast(response, this->forms.keep_alive);
   if (this->IsHead()) {
     http::response_serializer<http::string_body> serializer(message);
-    written = Await([&](auto handler) {
-      http::async_write_header(*this->stream, serializer, std::move(handler));
+    this->Write([&](auto handler) {
+      http::async_write_header(*this->connection.stream, serializer,
+                               std::move(handler));
     });
   } else {
-    written = Await([&](auto handler) {
-      http::async_write(*this->stream, message, std::move(handler));
+    this->Write([&](auto handler) {
+      http::async_write(*this->connection.stream, message, std::move(handler));
     });
   }
-  this->OnWritten(written.error);
 }
 
 bool ServerExchange::BeginStream(const HttpResponse& head) {
   this->responded = true;
-  this->keep_alive = this->keep_alive && *this->keep_alive_allowed;
+  this->forms.keep_alive =
+      this->forms.keep_alive && *this->connection.keep_alive_allowed;
   http::response<http::empty_body> message(
       static_cast<http::status>(head.status), 11);
   CopyHeaders(head.headers, &message);
   message.chunked(true);
-  message.keep_alive(this->keep_alive);
+  message.keep_alive(this->forms.keep_alive);
   http::response_serializer<http::empty_body> serializer(message);
-  this->stream->expires_after(this->settings->write_timeout);
-  const Completion written = Await([&](auto handler) {
-    http::async_write_header(*this->stream, serializer, std::move(handler));
+  this->streaming = this->Write([&](auto handler) {
+    http::async_write_header(*this->connection.stream, serializer,
+                             std::move(handler));
   });
-  return this->OnWritten(written.error);
+  return this->streaming;
 }
 
 bool ServerExchange::WriteChunk(std::string_view data) {
   if (this->broken || data.empty() || this->IsHead()) {
     return !this->broken;
   }
-  this->stream->expires_after(this->settings->write_timeout);
-  const Completion written = Await([&](auto handler) {
+  this->chunk_probes = 0;
+  return this->Write([&](auto handler) {
     asio::async_write(
-        *this->stream,
+        *this->connection.stream,
         http::make_chunk(asio::const_buffer(data.data(), data.size())),
         std::move(handler));
   });
-  return this->OnWritten(written.error);
 }
 
 bool ServerExchange::EndStream() {
+  this->streaming = false;
   if (this->broken || this->IsHead()) {
     return !this->broken;
   }
-  this->stream->expires_after(this->settings->write_timeout);
-  const Completion written = Await([&](auto handler) {
-    asio::async_write(*this->stream, http::make_chunk_last(),
+  return this->Write([&](auto handler) {
+    asio::async_write(*this->connection.stream, http::make_chunk_last(),
                       std::move(handler));
   });
-  return this->OnWritten(written.error);
 }
 
 void ServerExchange::Abort() {
@@ -165,18 +174,74 @@
 }
 
 bool ServerExchange::PeerClosed() {
-  const InputState input = PendingInput(*this->stream);
-  if (input == InputState::kEnded) {
-    this->SetPeerEnd(PeerEnd::kInputEnded);
-  } else if (input == InputState::kBroken) {
+  const InputState input = PendingInput(*this->connection.stream);
+  if (input == InputState::kBroken) {
     this->SetPeerEnd(PeerEnd::kReset);
+    this->broken = true;
+  } else if (input == InputState::kEnded) {
+    const bool may_wait =
+        this->connection.settings->half_closed_peers && this->forms.interim;
+    if (!may_wait || !this->ProbeIfDue()) {
+      this->SetPeerEnd(PeerEnd::kInputEnded);
+      this->broken = true;
+    }
+  }
+  return this->broken;
+}
+
+bool ServerExchange::ProbeIfDue() {
+  const Instant now = this->connection.runtime->Now();
+  if (this->next_probe == Instant::min()) {
+    this->next_probe = now + this->probe_interval;
+  }
+  if (now < this->next_probe) {
+    return true;
+  }
+  this->next_probe = now + this->probe_interval;
+  this->probe_interval = std::min(2 * this->probe_interval, kMaxProbeInterval);
+  return this->WriteProbe();
+}
+
+bool ServerExchange::WriteProbe() {
+  const int socket = this->connection.stream->socket().native_handle();
+  pollfd state{socket, POLLOUT, 0};
+  if (::poll(&state, 1, 0) < 0) {
+    return true;
+  }
+  if ((state.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) {
+    return false;
+  }
+  const std::string_view text = this->ProbeText();
+  // With room for output the whole probe is taken. Without, or beside another
+  // write, that output shows whether the peer has left.
+  if ((state.revents & POLLOUT) == 0 || this->writing || text.empty()) {
+    return true;
   }
-  return this->broken || input == InputState::kEnded ||
-         input == InputState::kBroken;
+  this->chunk_probes += this->streaming ? 1 : 0;
+  const ssize_t size =
+      ::send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  return size == static_cast<ssize_t>(text.size()) ||
+         (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
-bool ServerExchange::OnWritten(const boost::system::error_code& error) {
-  if (error.failed()) {
+std::string_view ServerExchange::ProbeText() const {
+  if (!this->responded) {
+    return kContinue;
+  }
+  return this->streaming && !this->IsHead() &&
+                 this->chunk_probes < kMaxChunkProbes
+             ? kLeadingZero
+             : std::string_view();
+}
+
+template <class Start>
+bool ServerExchange::Write(Start&& start) {
+  this->connection.stream->expires_after(
+      this->connection.settings->write_timeout);
+  this->writing = true;
+  const Completion written = Await(std::forward<Start>(start));
+  this->writing = false;
+  if (written.error) {
     this->broken = true;
     this->SetPeerEnd(PeerEnd::kWriteFailed);
   }
@@ -193,31 +258,49 @@
     case PeerEnd::kNone:
       return;
     case PeerEnd::kInputEnded:
-      ++this->counts->inputs_ended;
+      ++this->connection.peer_ends->inputs_ended;
       return;
     case PeerEnd::kReset:
-      ++this->counts->resets;
+      ++this->connection.peer_ends->resets;
       return;
     case PeerEnd::kWriteFailed:
-      ++this->counts->failed_writes;
+      ++this->connection.peer_ends->failed_writes;
       return;
   }
 }
 
 void ServerExchange::WatchPeer(std::function<void()> on_gone) {
-  this->stream->socket().async_wait(
+  this->connection.stream->socket().async_wait(
       Tcp::socket::wait_read,
-      [this, ended = this->watch_ended,
-       on_gone = std::move(on_gone)](const boost::system::error_code& error) {
-        if (!*ended && !error && this->PeerClosed()) {
-          this->broken = true;
+      [this, ended = this->watch_ended, on_gone = std::move(on_gone)](
+          const boost::system::error_code& error) mutable {
+        if (*ended || error) {
+          return;
+        }
+        if (this->PeerClosed()) {
           on_gone();
+        } else if (PendingInput(*this->connection.stream) ==
+                   InputState::kEnded) {
+          this->WatchEndedInput(std::move(on_gone));
         }
       });
 }
 
+void ServerExchange::WatchEndedInput(std::function<void()> on_gone) {
+  const Duration delay = this->next_probe - this->connection.runtime->Now();
+  this->probe_alarm.emplace(this->connection.runtime,
+                            std::max(delay, Duration::zero()),
+                            [this, on_gone = std::move(on_gone)]() mutable {
+                              if (this->PeerClosed()) {
+                                on_gone();
+                              } else {
+                                this->WatchEndedInput(std::move(on_gone));
+                              }
+                            });
+}
+
 bool ServerExchange::Reusable() const {
-  return this->responded && !this->broken && this->keep_alive;
+  return this->responded && !this->broken && this->forms.keep_alive;
 }
 
 }  // namespace chervilpass::io
--- a/chervilpass/io/server_exchange.h
+++ b/chervilpass/io/server_exchange.h
@@ -5,8 +5,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
+#include "chervilpass/io/alarm.h"
 #include "chervilpass/io/http_server.h"
 
 namespace chervilpass::io {
@@ -25,15 +27,27 @@
 /// The text of a complete response after which the connection is closed.
 std::string ClosingResponseText(const HttpResponse& response);
 
-/// See HttpExchange. All pointers outlive it.
+/// What the exchanges of a connection share. All pointers outlive them.
+struct ServerConnection {
+  Runtime* runtime;
+  boost::beast::tcp_stream* stream;
+  const HttpServerSettings* settings;
+  const bool* keep_alive_allowed;  ///< false after DisableKeepAlive
+  PeerEndCounts* peer_ends;
+};
+
+/// What a request allows for its response.
+struct ResponseForms {
+  bool keep_alive = false;
+  bool interim = false;  ///< HTTP/1.1 (RFC 9110, section 15.2)
+};
+
+/// See HttpExchange.
 class ServerExchange final : public HttpExchange {
  public:
-  ServerExchange(boost::beast::tcp_stream* stream,
-                 const HttpServerSettings* settings,
+  ServerExchange(const ServerConnection& connection,
                  HttpRequest request,
-                 bool keep_alive,
-                 const bool* keep_alive_allowed,
-                 PeerEndCounts* counts);
+                 const ResponseForms& forms);
   ~ServerExchange() override;
 
   const HttpRequest& Request() const override { return this->request; }
@@ -59,15 +73,33 @@
   // Responses to HEAD have no body, and no end of one.
   bool IsHead() const { return this->request.method == "HEAD"; }
 
-  boost::beast::tcp_stream* stream;
-  const HttpServerSettings* settings;
+  // Starts to write, with the timeout of a write.
+  template <class Start>
+  bool Write(Start&& start);
+
+  // Probes a peer whose input has ended, if that is due; false if it has left.
+  bool ProbeIfDue();
+
+  // Writes what the peer ignores, but answers with a reset if it has left.
+  bool WriteProbe();
+
+  // Bytes that may be written now without a meaning to the peer.
+  std::string_view ProbeText() const;
+
+  void WatchEndedInput(std::function<void()> on_gone);
+
+  ServerConnection connection;
   HttpRequest request;
-  bool keep_alive;
-  const bool* keep_alive_allowed;  ///< false after DisableKeepAlive
-  PeerEndCounts* counts;
+  ResponseForms forms;
   bool responded = false;
+  bool streaming = false;  ///< between the begin and the end of a stream
+  bool writing = false;
   bool broken = false;
   PeerEnd peer_end = PeerEnd::kNone;
+  Instant next_probe = Instant::min();
+  Duration probe_interval;
+  std::size_t chunk_probes = 0;  ///< since the last chunk
+  std::optional<Alarm> probe_alarm;
   // Shared with the handler of WatchPeer, which may outlive the exchange.
   std::shared_ptr<bool> watch_ended = std::make_shared<bool>(false);
 };
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -29,6 +29,7 @@
   settings.data_centre = reader.Text("data_centre");
   settings.region = reader.Text("region");
   settings.http.listen = reader.Address("listen");
+  settings.http.half_closed_peers = true;
   settings.control = reader.Address("control");
   settings.drain_limit =
       reader.Milliseconds("drain_limit_ms", {0, 3600000}, 60000);
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -339,6 +339,7 @@
     server.listen = address;
     server.connection_limit = share.connections;
     server.refusal_limit = share.refusals;
+    server.half_closed_peers = true;
     auto created =
         io::HttpServer::Create(&this->runtime, server, std::move(handler),
                                serving::Router::UnreadableResponse);
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -54,6 +54,10 @@
     boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
   }
 
+  void CloseSendingSide() { this->socket.shutdown(Tcp::socket::shutdown_send); }
+
+  void Close() { this->socket.close(); }
+
   // True if the server has closed the connection and nothing is left to read.
   bool Closed() {
     char byte = 0;
@@ -355,3 +359,143 @@
     cr_assert_eq(server->Connections(), 1);
   });
 }
+
+namespace {
+
+// Longer than the first probes of a peer whose input has ended.
+constexpr Duration kProbedTime = milliseconds(400);
+// Work for a caller that has left ends within this time.
+constexpr Duration kGoneTime = milliseconds(500);
+
+HttpServerSettings HalfClosedPeers() {
+  HttpServerSettings settings;
+  settings.half_closed_peers = true;
+  return settings;
+}
+
+}  // namespace
+
+// Guards against callers that close their sending side after the request and
+// get no answer, as if they had left.
+Test(http_server, a_peer_that_closes_its_sending_side_gets_its_response) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(10);
+    bool gone = false;
+    const auto server = Serve(
+        runtime, listen,
+        [&](HttpExchange& exchange) {
+          exchange.WatchPeer([&gone] { gone = true; });
+          runtime.SleepFor(kProbedTime);
+          exchange.Respond({200, {}, "ok"});
+        },
+        HalfClosedPeers());
+    Caller caller(listen);
+    caller.Send(std::string(kGet));
+    caller.CloseSendingSide();
+    runtime.SleepFor(kProbedTime + kTransfer);
+    const std::string reply = caller.Receive();
+    cr_expect_not(gone);
+    cr_expect(reply.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "), "%s",
+              reply.c_str());
+    cr_expect_neq(reply.find("HTTP/1.1 200 OK\r\n"), std::string::npos);
+    cr_expect(reply.ends_with("\r\n\r\nok"), "%s", reply.c_str());
+    cr_expect(caller.Closed());
+  });
+}
+
+// The same for a stream; what probes the peer belongs to no chunk.
+Test(http_server, a_peer_that_closes_its_sending_side_gets_its_stream) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(11);
+    bool gone = false;
+    const auto server = Serve(
+        runtime, listen,
+        [&](HttpExchange& exchange) {
+          exchange.WatchPeer([&gone] { gone = true; });
+          cr_expect(exchange.BeginStream({200, {}, ""}));
+          cr_expect(exchange.WriteChunk("first"));
+          runtime.SleepFor(kProbedTime);
+          cr_expect(exchange.WriteChunk("second"));
+          runtime.SleepFor(kProbedTime);
+          cr_expect(exchange.EndStream());
+        },
+        HalfClosedPeers());
+    Caller caller(listen);
+    caller.Send(std::string(kGet));
+    caller.CloseSendingSide();
+    runtime.SleepFor(2 * kProbedTime + kTransfer);
+    const std::string reply = caller.Receive();
+    cr_expect_not(gone);
+    const std::string body = reply.substr(reply.find("\r\n\r\n") + 4);
+    cr_expect(body.starts_with("5\r\nfirst\r\n"), "%s", body.c_str());
+    const std::size_t second = body.find("second");
+    cr_assert_neq(second, std::string::npos);
+    const std::size_t begin = sizeof("5\r\nfirst\r\n") - 1;
+    const std::string digits = body.substr(begin, second - 2 - begin);
+    cr_expect(digits.size() > 1 && digits.size() <= 8, "%s", digits.c_str());
+    cr_expect_eq(std::stoul(digits, nullptr, 16), 6);
+    cr_expect(body.ends_with("0\r\n\r\n"), "%s", body.c_str());
+  });
+}
+
+// Guards against work that goes on for callers that have left.
+Test(http_server, a_peer_that_has_left_is_noticed_in_each_phase) {
+  OnRuntime([](Runtime& runtime) {
+    const char* const names[] = {"before the response", "stream, silent",
+                                 "stream, writes"};
+    for (int phase = 0; phase < 3; ++phase) {
+      const Endpoint listen =
+          TestEndpoint(static_cast<std::uint16_t>(12 + phase));
+      bool gone = false;
+      PeerEnd end = PeerEnd::kNone;
+      const auto server = Serve(
+          runtime, listen,
+          [&, phase](HttpExchange& exchange) {
+            exchange.WatchPeer([&gone] { gone = true; });
+            if (phase > 0) {
+              exchange.BeginStream({200, {}, ""});
+            }
+            for (int i = 0; i < 20; ++i) {
+              runtime.SleepFor(milliseconds(50));
+              if (phase == 2 && !exchange.WriteChunk("event")) {
+                gone = true;
+              }
+            }
+            end = exchange.HowPeerEnded();
+          },
+          HalfClosedPeers());
+      Caller caller(listen);
+      caller.Send(std::string(kGet));
+      runtime.SleepFor(kTransfer);
+      caller.Close();
+      runtime.SleepFor(kGoneTime - kTransfer);
+      cr_expect(gone, "%s", names[phase]);
+      runtime.SleepFor(milliseconds(700));
+      cr_expect_neq(end, PeerEnd::kNone, "%s", names[phase]);
+      const PeerEndCounts counts = server->PeerEnds();
+      cr_expect_eq(counts.inputs_ended + counts.resets + counts.failed_writes,
+                   1, "%s", names[phase]);
+    }
+  });
+}
+
+// HTTP/1.0 has no interim responses to probe with.
+Test(http_server, an_old_peer_that_closes_its_sending_side_has_left) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(15);
+    bool gone = false;
+    const auto server = Serve(
+        runtime, listen,
+        [&](HttpExchange& exchange) {
+          exchange.WatchPeer([&gone] { gone = true; });
+          runtime.SleepFor(kProbedTime);
+        },
+        HalfClosedPeers());
+    Caller caller(listen);
+    caller.Send("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+    caller.CloseSendingSide();
+    runtime.SleepFor(kProbedTime + kTransfer);
+    cr_expect(gone);
+    cr_expect(caller.Receive().empty());
+  });
+}
