Router: requests that are still arriving as a VM leaves get an answer

The server knows the requests that have arrived in part. In the last half second, and in the last 60 ms before an early exit, they get a complete 503 that says that they have not run, with Retry-After; the rest is discarded so that the response arrives. What the head alone decides (method, unreadable fields, route, key, the end of the process) is answered before the body is read. The same for requests of other VMs.

Of the same class, by test: a connection that is closed by the server with unread input is reset, which drops what the caller has not received of its response. After a last response the sending side is closed and input discarded, for half a second at most.

The three new tests of http_server_test cover all of this; without the discarding unread_input_cuts_no_response fails.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -66,6 +66,15 @@
     const RequestReader* reader;
     // Set while a request is being read of which a part has arrived.
     std::optional<Instant> reading_since = std::nullopt;
+    // The response to that request, which is not read to its end.
+    std::optional<HttpResponse> refusal = std::nullopt;
+  };
+
+  // What follows on a connection.
+  enum class AfterRequest {
+    kReadNext,
+    kDiscardAndClose,  // after a complete response
+    kClose,
   };
 
   // A connection that has been sent a refusal.
@@ -200,11 +209,15 @@
         this->open.end(), Connection{&stream, &reader, std::nullopt});
     try {
       bool first = true;
-      while (!this->destroyed &&
-             this->ServeRequest(&stream, &reader, &*connection, first) &&
-             !this->stopped) {
+      AfterRequest after = AfterRequest::kReadNext;
+      while (!this->destroyed && !this->stopped &&
+             after == AfterRequest::kReadNext) {
+        after = this->ServeRequest(&stream, &reader, &*connection, first);
         first = false;
       }
+      if (after != AfterRequest::kClose) {
+        this->DiscardInput(&stream);
+      }
     } catch (const std::exception& exception) {
       ++this->counts.exceptions;
       if (this->on_exception) {
@@ -216,22 +229,29 @@
     --this->connections;
   }
 
-  // Reads and handles one request; true if the connection can be reused.
-  bool ServeRequest(beast::tcp_stream* stream,
-                    RequestReader* reader,
-                    Connection* connection,
-                    bool first) {
+  // Reads and handles one request.
+  AfterRequest ServeRequest(beast::tcp_stream* stream,
+                            RequestReader* reader,
+                            Connection* connection,
+                            bool first) {
     const Completion read =
         this->ReadRequest(stream, reader, connection, first);
     connection->reading_since.reset();
+    const auto refusal = std::exchange(connection->refusal, std::nullopt);
+    if (read.error && refusal) {
+      this->RespondUnread(stream, reader, *refusal);
+      return AfterRequest::kDiscardAndClose;
+    }
     if (read.error == http::error::end_of_stream ||
         read.error == asio::error::connection_reset ||
         read.error == asio::error::operation_aborted) {
-      return false;
+      return AfterRequest::kClose;
     }
     if (read.error) {
-      this->UnreadableResponse(stream, read.error);
-      return false;
+      this->RespondUnread(stream, reader,
+                          this->error_responder(StatusOfReadError(read.error),
+                                                read.error.message()));
+      return AfterRequest::kDiscardAndClose;
     }
     const ResponseForms forms = reader->Forms();
     ServerExchange exchange(this->Shared(stream), reader->Take(), forms);
@@ -242,7 +262,9 @@
       this->handler(exchange);
     }
     stream->socket().cancel(ignored);
-    return exchange.Reusable();
+    return exchange.Reusable()   ? AfterRequest::kReadNext
+           : exchange.Complete() ? AfterRequest::kDiscardAndClose
+                                 : AfterRequest::kClose;
   }
 
   // A connection that has only sent empty lines since its last request is idle.
@@ -264,8 +286,20 @@
       }
     }
     connection->reading_since = this->runtime->Now();
-    const Completion head = reader->ReadHead();
-    return head.error ? head : reader->ReadBody();
+    Completion read = reader->ReadHead();
+    if (!read.error) {
+      read = reader->ParseArrived();
+    }
+    if (read.error || reader->IsDone()) {
+      return read;
+    }
+    if (this->on_head) {
+      connection->refusal = this->on_head(reader->Head());
+      if (connection->refusal) {
+        return {asio::error::operation_aborted};
+      }
+    }
+    return reader->ReadBody();
   }
 
   ServerConnection Shared(beast::tcp_stream* stream) {
@@ -297,12 +331,16 @@
     return !ready.error && !closed;
   }
 
-  void UnreadableResponse(beast::tcp_stream* stream,
-                          const boost::system::error_code& error) {
-    ServerExchange exchange(this->Shared(stream), HttpRequest{}, {});
-    exchange.Respond(
-        this->error_responder(StatusOfReadError(error), error.message()));
-    this->DiscardInput(stream);
+  // Responds to a request whose end is not read.
+  void RespondUnread(beast::tcp_stream* stream,
+                     RequestReader* reader,
+                     const HttpResponse& response) {
+    HttpRequest request;
+    if (reader->HasHead()) {
+      request = reader->Head();
+    }
+    ServerExchange exchange(this->Shared(stream), std::move(request), {});
+    exchange.Respond(response);
   }
 
   // Closing a socket with unread input resets the connection, and the peer may
@@ -341,6 +379,7 @@
   HttpServerCounts counts;
   PeerEndCounts peer_ends;
   std::function<void(std::string_view)> on_exception;
+  HttpHeadHandler on_head;
 };
 
 HttpServer::HttpServer(std::shared_ptr<State> state)
@@ -395,6 +434,18 @@
   this->state->keep_alive_allowed = false;
 }
 
+void HttpServer::RefuseUnread(
+    const std::function<HttpResponse(const HttpRequest& head)>& respond) {
+  for (State::Connection& connection : this->state->open) {
+    if (connection.reading_since && !connection.refusal) {
+      connection.refusal =
+          respond(connection.reader->HasHead() ? connection.reader->Head()
+                                               : HttpRequest{});
+      connection.stream->cancel();
+    }
+  }
+}
+
 void HttpServer::CloseIdle() {
   boost::system::error_code ignored;
   for (State::IdleConnection& connection : this->state->idle) {
@@ -454,6 +505,10 @@
   return sum;
 }
 
+void HttpServer::OnHead(HttpHeadHandler on_head) {
+  this->state->on_head = std::move(on_head);
+}
+
 void HttpServer::OnException(
     std::function<void(std::string_view detail)> on_exception) {
   this->state->on_exception = std::move(on_exception);
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -133,6 +134,11 @@
 using HttpErrorResponder =
     std::function<HttpResponse(unsigned status, std::string_view detail)>;
 
+/// Looks at the head of a request whose body has not arrived. A response ends
+/// the request: it is sent, and the connection is closed.
+using HttpHeadHandler =
+    std::function<std::optional<HttpResponse>(const HttpRequest& head)>;
+
 /// A listening server.
 class HttpServer {
  public:
@@ -154,6 +160,12 @@
   /// closes each after its next response.
   void DisableKeepAlive();
 
+  /// Responds to all requests that have arrived in part, and closes their
+  /// connections. `respond` gets the head, which is empty if it is not
+  /// complete.
+  void RefuseUnread(
+      const std::function<HttpResponse(const HttpRequest& head)>& respond);
+
   /// Closes connections that wait for their next request.
   void CloseIdle();
 
@@ -177,6 +189,10 @@
 
   PeerEndCounts PeerEnds() const;
 
+  /// Calls `on_head` for each request whose body does not arrive with its head,
+  /// before the rest is read.
+  void OnHead(HttpHeadHandler on_head);
+
   /// Calls `on_exception` if a handler, or the library on a peer's input,
   /// throws. Only that connection ends.
   void OnException(std::function<void(std::string_view detail)> on_exception);
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -161,8 +161,8 @@
 
 Completion RequestReader::ReadHead() {
   this->parser->eager(false);
-  const Completion head =
-      this->Parse([this] { return this->parser->is_header_done(); });
+  const Completion head = this->Parse(
+      Input::kAwaited, [this] { return this->parser->is_header_done(); });
   if (head.error) {
     return head;
   }
@@ -172,6 +172,12 @@
   return head;
 }
 
+Completion RequestReader::ParseArrived() {
+  this->parser->eager(true);
+  return this->Parse(Input::kArrived,
+                     [this] { return this->parser->is_done(); });
+}
+
 Completion RequestReader::ReadBody() {
   if (this->parser->is_done()) {
     return {};
@@ -187,7 +193,8 @@
     }
   }
   this->parser->eager(true);
-  return this->Parse([this] { return this->parser->is_done(); });
+  return this->Parse(Input::kAwaited,
+                     [this] { return this->parser->is_done(); });
 }
 
 HttpRequest RequestReader::Head() const {
@@ -207,7 +214,8 @@
 
 // Parses on the connection's fiber: what the parser throws within a composed
 // read of the library would leave the poller and end the process.
-Completion RequestReader::Parse(const std::function<bool()>& done) {
+Completion RequestReader::Parse(Input input,
+                                const std::function<bool()>& done) {
   while (!done()) {
     boost::system::error_code error;
     std::size_t used = 0;
@@ -226,6 +234,9 @@
     if (done() || (!error && used > 0)) {
       continue;
     }
+    if (input == Input::kArrived) {
+      return {};
+    }
     const Completion read =
         this->ReadTimed(beast::read_size(this->buffer, kMaxReadSize));
     if (read.error) {
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -59,6 +59,12 @@
   /// Reads the request's head.
   Completion ReadHead();
 
+  /// Parses what has arrived of the body.
+  Completion ParseArrived();
+
+  /// True once the request is complete.
+  bool IsDone() const { return this->parser->is_done(); }
+
   /// Reads the rest of the request.
   Completion ReadBody();
 
@@ -80,7 +86,10 @@
   ResponseForms Forms() const;
 
  private:
-  Completion Parse(const std::function<bool()>& done);
+  enum class Input { kArrived, kAwaited };
+
+  // Parses until `done`, or until what has arrived is used up.
+  Completion Parse(Input input, const std::function<bool()>& done);
   Completion ReadTimed(std::size_t size);
 
   Runtime* runtime;
--- a/chervilpass/io/server_exchange.h
+++ b/chervilpass/io/server_exchange.h
@@ -65,6 +65,11 @@
   /// True if another request can follow on the connection.
   bool Reusable() const;
 
+  /// True if the peer has been sent a complete response.
+  bool Complete() const {
+    return this->responded && !this->broken && !this->streaming;
+  }
+
  private:
   // Records the result of a write; false if the connection is broken.
   bool OnWritten(const boost::system::error_code& error);
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -122,36 +122,91 @@
       return Refuse(*context, RefusalCode::kNotReady, Executed::kNo,
                     kNotReadyRetryAfter, "no configuration is known yet", 0);
     }
-    context->route = context->table->Find(context->metadata.host,
-                                          PathOf(exchange.Request().target));
+    if (const auto refusal =
+            this->ObjectionByConfig(exchange.Request(), context)) {
+      return Refuse(*context, refusal->code, refusal->executed,
+                    refusal->retry_after, refusal->detail, 0);
+    }
+    return this->ServeRouted(context);
+  }
+
+  // Finds the route and the organisation of a request.
+  std::optional<Refusal> ObjectionByConfig(const io::HttpRequest& request,
+                                           RequestContext* context) const {
+    context->route =
+        context->table->Find(context->metadata.host, PathOf(request.target));
     if (context->route == nullptr) {
-      return this->RefuseByConfig(*context, RefusalCode::kNotFound,
-                                  "no route for this host and path");
+      return this->MissingInConfig(RefusalCode::kNotFound,
+                                   "no route for this host and path");
     }
     if (!this->Authenticate(context)) {
-      return this->RefuseByConfig(*context, RefusalCode::kUnauthorized,
-                                  "the key is missing or not known");
+      return this->MissingInConfig(RefusalCode::kUnauthorized,
+                                   "the key is missing or not known");
     }
-    return this->ServeRouted(context);
+    return std::nullopt;
   }
 
   // Refuses what the configuration does not have. Callers do not come again
   // after such a refusal, so only a recent configuration is a reason for it.
-  RequestResult RefuseByConfig(const RequestContext& context,
-                               RefusalCode code,
-                               std::string_view detail) const {
+  Refusal MissingInConfig(RefusalCode code, std::string_view detail) const {
     const Instant now = this->dependencies.runtime->Now();
     const Duration unconfirmed =
         this->dependencies.routing_state->ConfigUnconfirmedFor(now).value_or(
             now - this->started);
     if (unconfirmed <= this->settings.config_confirmation_timeout) {
-      return Refuse(context, code, Executed::kNo, Duration::zero(),
-                    std::string(detail), 0);
+      return {code, Executed::kNo, Duration::zero(), std::string(detail)};
     }
     this->dependencies.metrics->Increment("chervil_unconfirmed_refusals_total");
-    return Refuse(
-        context, RefusalCode::kNotReady, Executed::kNo, kNotReadyRetryAfter,
-        fmt::format("{}, and the configuration may be old", detail), 0);
+    return {RefusalCode::kNotReady, Executed::kNo, kNotReadyRetryAfter,
+            fmt::format("{}, and the configuration may be old", detail)};
+  }
+
+  // Why a request is refused whose body is still arriving; empty if the rest is
+  // needed to tell.
+  std::optional<Refusal> ObjectionToHead(const io::HttpRequest& head,
+                                         RequestContext* context) const {
+    if (const auto objection = ObjectionToMethod(head.method)) {
+      return Refusal{*objection, Executed::kNo, Duration::zero(),
+                     "the method is not forwarded"};
+    }
+    const auto metadata = platform::ReadRequest(head);
+    if (metadata.has_error()) {
+      return Refusal{RefusalCode::kMalformed, Executed::kNo, Duration::zero(),
+                     metadata.error().detail};
+    }
+    context->metadata = metadata.value();
+    if (this->shutdown->MustRespond(this->dependencies.runtime->Now())) {
+      return this->LeavingRefusal();
+    }
+    context->table = this->dependencies.routing_state->Table();
+    return context->table ? this->ObjectionByConfig(head, context)
+                          : std::nullopt;
+  }
+
+  Refusal LeavingRefusal() const {
+    return {RefusalCode::kLeaving, Executed::kNo,
+            this->shutdown->RetryAfter(this->dependencies.ready_share(),
+                                       this->dependencies.runtime->Now()),
+            "this VM is leaving"};
+  }
+
+  // The response to a request that is not read to its end.
+  io::HttpResponse RefuseUnread(const Refusal& refusal,
+                                const std::string& request_id,
+                                bool forwarded) const {
+    const io::HttpResponse response =
+        platform::RefusalResponse(refusal, request_id);
+    this->dependencies.metrics->Increment(
+        "chervil_unread_refusals_total",
+        fmt::format("code=\"{}\"", response.status));
+    this->dependencies.log->Info(
+        "request.refused_unread",
+        {{"request", request_id},
+         {"forwarded", forwarded},
+         {"status", response.status},
+         {"reason", fmt::format("{}: {}", admission::RefusalName(refusal.code),
+                                refusal.detail)}});
+    return response;
   }
 
   // After a restart requests arrive before the store has answered.
@@ -342,6 +397,29 @@
   this->state->Handle(exchange, &context);
 }
 
+std::optional<io::HttpResponse> Router::RefuseByHead(
+    const io::HttpRequest& head,
+    bool forwarded) {
+  RequestContext context;
+  context.forwarded = forwarded;
+  const auto refusal = this->state->ObjectionToHead(head, &context);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  return this->state->RefuseUnread(*refusal, platform::RequestIdOf(head),
+                                   forwarded);
+}
+
+io::HttpResponse Router::LeavingResponse(const io::HttpRequest& head) const {
+  return this->state->RefuseUnread(this->state->LeavingRefusal(),
+                                   platform::RequestIdOf(head), false);
+}
+
+bool Router::MustRespond() const {
+  return this->state->shutdown->MustRespond(
+      this->state->dependencies.runtime->Now());
+}
+
 io::HttpResponse Router::UnreadableResponse(unsigned status,
                                             std::string_view detail) {
   const bool no_room = status == 503;
@@ -360,8 +438,7 @@
 }
 
 void Router::RespondBeforeShutdown() {
-  if (!this->state->shutdown->MustRespond(
-          this->state->dependencies.runtime->Now())) {
+  if (!this->MustRespond()) {
     return;
   }
   const CallScopes scopes = this->state->scopes;
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "chervilpass/io/http_server.h"
@@ -51,6 +52,17 @@
   /// Serves a request that another VM forwards. It is not forwarded again.
   void HandleForwarded(io::HttpExchange& exchange);
 
+  /// The response to a request whose body is still arriving, if its head is
+  /// enough to refuse it: the rest need not be read.
+  std::optional<io::HttpResponse> RefuseByHead(const io::HttpRequest& head,
+                                               bool forwarded);
+
+  /// The response to a request that has arrived in part as this VM leaves.
+  io::HttpResponse LeavingResponse(const io::HttpRequest& head) const;
+
+  /// True once requests in progress get their final response.
+  bool MustRespond() const;
+
   /// The response to a request that could not be read, or, with status 503, to
   /// a connection for which there is no room.
   static io::HttpResponse UnreadableResponse(unsigned status,
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -39,6 +39,8 @@
 // How long requests are read once no connections are accepted any more.
 constexpr Duration kLastReadTime = milliseconds(100);
 constexpr Duration kLastReadPollInterval = milliseconds(5);
+// The part of it that callers have to read a refusal of what is still arriving.
+constexpr Duration kRefusalReadTime = milliseconds(60);
 // For the responses that are given at the end.
 constexpr Duration kFinalWriteTime = milliseconds(20);
 // The process exits at least this long before the end of the grace period.
@@ -317,6 +319,8 @@
     this->forwarded_server = this->Listen(
         this->settings.forwarded, this->shares.forwarded,
         [this](auto& exchange) { this->router->HandleForwarded(exchange); });
+    this->RefuseByHead(this->caller_server.get(), false);
+    this->RefuseByHead(this->forwarded_server.get(), true);
     this->readiness_server = this->Listen(
         this->settings.readiness, this->shares.readiness, handle_entry_request);
     this->directory_server = this->Listen(
@@ -356,6 +360,14 @@
     return listening;
   }
 
+  void RefuseByHead(io::HttpServer* server, bool forwarded) {
+    if (server != nullptr) {
+      server->OnHead([this, forwarded](const io::HttpRequest& head) {
+        return this->router->RefuseByHead(head, forwarded);
+      });
+    }
+  }
+
   // ---- requests ----
 
   bool Ready() const { return !this->leaving && this->sync->IsSynced(); }
@@ -787,7 +799,7 @@
         start + kAddressLifetimeFactor * this->settings.address_ttl;
     while (this->runtime.Now() < end()) {
       this->router->SetShutdown(start, end(), this->settings.address_ttl);
-      this->router->RespondBeforeShutdown();
+      this->RespondBeforeShutdown();
       this->runtime.SleepFor(kDrainPollInterval);
       const Instant now = this->runtime.Now();
       if (now > end() - kCloseIdleMargin || now > addresses_expired) {
@@ -798,7 +810,7 @@
       }
     }
     // The grace period may have been shortened to less than has passed.
-    this->router->RespondBeforeShutdown();
+    this->RespondBeforeShutdown();
     this->ServeEstablished(end());
     this->runtime.SleepFor(kFinalWriteTime);
     const auto unread = this->caller_server->Unread();
@@ -821,7 +833,27 @@
             (this->router->InFlight() > 0 && this->runtime.Now() < end))) {
       this->caller_server->CloseIdle();
       this->runtime.SleepFor(kLastReadPollInterval);
-      this->router->RespondBeforeShutdown();
+      this->RespondBeforeShutdown();
+      if (this->runtime.Now() >= until - kRefusalReadTime) {
+        this->RefuseUnread();
+      }
+    }
+  }
+
+  void RespondBeforeShutdown() {
+    this->router->RespondBeforeShutdown();
+    if (this->router->MustRespond()) {
+      this->RefuseUnread();
+    }
+  }
+
+  // Also in time for callers that are still sending to read the response.
+  void RefuseUnread() {
+    for (io::HttpServer* server :
+         {this->caller_server.get(), this->forwarded_server.get()}) {
+      server->RefuseUnread([this](const io::HttpRequest& head) {
+        return this->router->LeavingResponse(head);
+      });
     }
   }
 
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -499,3 +499,115 @@
     cr_expect(caller.Receive().empty());
   });
 }
+
+// Guards against requests that are closed without a word because they are still
+// arriving as the process ends.
+Test(http_server, requests_that_have_arrived_in_part_get_a_response) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(16);
+    int handled = 0;
+    const auto server =
+        Serve(runtime, listen, [&](HttpExchange&) { ++handled; });
+    const std::string parts[] = {
+        std::string(kPart), std::string(kPart) + "1234",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n",
+        "POST / HTT"};
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (const std::string& part : parts) {
+      callers.push_back(std::make_unique<Caller>(listen));
+      callers.back()->Send(part);
+    }
+    Caller silent(listen);
+    runtime.SleepFor(kTransfer);
+    cr_assert_eq(server->Unread().size(), 4);
+    std::size_t heads = 0;
+    server->RefuseUnread([&heads](const HttpRequest& head) {
+      heads += head.headers.Find("Host") ? 1 : 0;
+      return HttpResponse{503, {}, "leaving"};
+    });
+    runtime.SleepFor(kTransfer);
+    for (const auto& caller : callers) {
+      const std::string reply = caller->Receive();
+      cr_expect(reply.starts_with("HTTP/1.1 503"), "%s", reply.c_str());
+      cr_expect_neq(reply.find("Connection: close\r\n"), std::string::npos);
+      cr_expect(reply.ends_with("leaving"));
+      cr_expect(caller->Closed());
+    }
+    cr_expect_eq(heads, 3);
+    cr_expect_eq(handled, 0);
+    cr_expect(silent.Receive().empty());
+    cr_expect_eq(server->Unread().size(), 0);
+  });
+}
+
+// Guards against bodies that are read, and held, for callers that are refused
+// whatever they send.
+Test(http_server, a_request_refused_by_its_head_is_not_read) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(17);
+    int handled = 0;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      ++handled;
+      exchange.Respond({200, {}, "ok"});
+    });
+    int heads = 0;
+    server->OnHead([&](const HttpRequest& head) {
+      ++heads;
+      return head.target == "/refused"
+                 ? std::optional(HttpResponse{401, {}, "no key"})
+                 : std::nullopt;
+    });
+    const std::string rest =
+        " HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    Caller refused(listen);
+    refused.Send("POST /refused" + rest);
+    Caller expecting(listen);
+    expecting.Send(
+        "POST /refused HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+        "Content-Length: 4\r\n\r\n");
+    Caller taken(listen);
+    taken.Send("POST /taken" + rest);
+    runtime.SleepFor(kTransfer);
+    cr_expect(refused.Receive().starts_with("HTTP/1.1 401"));
+    cr_expect(expecting.Receive().starts_with("HTTP/1.1 401"));
+    cr_expect_eq(heads, 3);
+    cr_expect_eq(handled, 0);
+    taken.Send("body");
+    // A request that arrives whole is left to the handler.
+    Caller whole(listen);
+    whole.Send("POST /refused" + rest + "body");
+    runtime.SleepFor(kTransfer);
+    cr_expect(taken.Receive().starts_with("HTTP/1.1 200"));
+    cr_expect(whole.Receive().starts_with("HTTP/1.1 200"));
+    cr_expect_eq(heads, 3);
+    cr_expect_eq(handled, 2);
+  });
+}
+
+// Guards against responses that are lost in part because the connection is
+// closed with unread input: the system resets it and drops what is not yet
+// sent.
+Test(http_server, unread_input_cuts_no_response) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(18);
+    const std::string body(12'000'000, 'b');
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      exchange.Respond({200, {}, body});
+    });
+    server->DisableKeepAlive();
+    Caller caller(listen);
+    caller.Send(std::string(kGet));
+    runtime.SleepFor(kTransfer);
+    caller.Send(std::string(kGet));
+    std::string reply;
+    for (int i = 0; i < 4000 && reply.size() < body.size(); ++i) {
+      runtime.SleepFor(milliseconds(1));
+      // Reads more slowly than the response is written.
+      for (int piece = 0; piece < 2; ++piece) {
+        reply += caller.Receive();
+      }
+    }
+    cr_expect(reply.ends_with("bbbb"));
+    cr_expect_geq(reply.size(), body.size());
+  });
+}
