HTTP: bytes without end use up no memory

A faulty server, or any caller without a key, that sent a chunk's extension or a trailer field without end took 1.2 GB of a VM in 3 s; above its memory limit the process is killed, with every request on it. The library looks for the end of these lines without a limit, in a buffer of ours without a maximum, and limits were one connection's where there were any.

Requests: what is not parsed of a body, and empty lines before a request, are bounded. Answers: the buffer of a call is bounded by the limit of heads (16 KiB), interim responses by 16, an event by 256 KiB; a body is bounded where it is held, not in its sum, so that a stream may be longer than 8 MiB, which it could not be before. Such an answer is an error of its server, like any that cannot be read. A finished trailer field of over 64 KiB ended the process by an exception of the library outside of any fiber; the bound of the buffer keeps the library from it.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -25,13 +25,15 @@
 
 constexpr std::size_t kReadBufferSize = 16 * 1024;  // bytes
 constexpr Duration kKeepAliveMargin = milliseconds(500);
+constexpr int kMaxInterimResponses = 16;  // before one final response
 
 HttpError FromBeastError(const boost::system::error_code& error) {
   HttpErrorCode code = HttpErrorCode::kReset;
   if (error == beast::error::timeout) {
     code = HttpErrorCode::kTimeout;
   } else if (error == http::error::body_limit ||
-             error == http::error::header_limit) {
+             error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
     code = HttpErrorCode::kTooLarge;
   } else if (error.category() ==
                  http::make_error_code(http::error::bad_version).category() &&
@@ -239,7 +241,8 @@
         address(std::move(address)),
         stream(std::move(stream)),
         reused(reused),
-        begin(client->runtime->Now()) {}
+        begin(client->runtime->Now()),
+        buffer(client->settings.header_limit_bytes) {}
 
   HttpClient::State* client;
   Endpoint address;
@@ -251,6 +254,8 @@
   bool cancelled = false;
   bool mismatch_skipped = false;
   Duration keep_alive_time = hours(1);
+  // Limited: the library looks for the end of a line, and for that of a
+  // trailer, without a limit of its own.
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::vector<char> piece;
@@ -292,9 +297,14 @@
 
 Result<HttpResponse, HttpError> HttpCall::ReadHead() {
   State& call = *this->state;
-  while (true) {
+  for (int interim = 0;; ++interim) {
+    if (interim > kMaxInterimResponses) {
+      return HttpError{HttpErrorCode::kProtocol,
+                       "more interim responses than the limit"};
+    }
     call.parser.emplace();
-    call.parser->body_limit(call.client->settings.body_limit_bytes);
+    call.parser->header_limit(call.client->settings.header_limit_bytes);
+    call.parser->body_limit(boost::none);
     call.parser->skip(call.is_head);
     const Completion head = Await([&](auto handler) {
       http::async_read_header(*call.stream, call.buffer, *call.parser,
@@ -338,6 +348,10 @@
 
 Result<std::string, HttpError> HttpCall::ReadBody(std::size_t limit) {
   std::string body;
+  const auto stated = this->state->parser->content_length();
+  if (stated && *stated > limit && !this->state->parser->is_done()) {
+    return HttpError{HttpErrorCode::kTooLarge, "response body over limit"};
+  }
   while (true) {
     BOOST_OUTCOME_TRY(const std::string_view piece, this->ReadPiece());
     if (piece.empty()) {
@@ -351,11 +365,16 @@
 }
 
 Result<void, HttpError> HttpCall::SkipBody() {
-  BOOST_OUTCOME_TRY(
-      const std::string body,
-      this->ReadBody(this->state->client->settings.body_limit_bytes));
   this->state->mismatch_skipped = true;
-  return success();
+  const std::uint64_t limit = this->state->client->settings.body_limit_bytes;
+  for (std::uint64_t skipped = 0; skipped <= limit;) {
+    BOOST_OUTCOME_TRY(const std::string_view piece, this->ReadPiece());
+    if (piece.empty()) {
+      return success();
+    }
+    skipped += piece.size();
+  }
+  return HttpError{HttpErrorCode::kTooLarge, "response body over limit"};
 }
 
 bool HttpCall::IsComplete() const {
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -15,9 +15,11 @@
 /// Settings of an HttpClient.
 struct HttpClientSettings {
   Duration connect_timeout = milliseconds(500);
-  std::uint64_t body_limit_bytes = 8 * 1024 * 1024;  ///< of a response
-  std::size_t idle_connections = 32;                 ///< per address
-  std::size_t idle_connections_total = 1024;         ///< oldest dropped first
+  /// Of a response of HttpClient::Call. Other bodies are read in pieces.
+  std::uint64_t body_limit_bytes = 8 * 1024 * 1024;
+  std::uint32_t header_limit_bytes = 16 * 1024;  ///< of a response's head
+  std::size_t idle_connections = 32;             ///< per address
+  std::size_t idle_connections_total = 1024;     ///< oldest dropped first
   /// A connection that was idle for longer is not reused.
   Duration idle_timeout = seconds(60);
   /// Time after which unacknowledged data closes a connection
@@ -44,11 +46,13 @@
   Result<void, HttpError> Send(const HttpRequest& request, Duration timeout);
 
   /// Reads the next response head; the returned response has no body. Call it
-  /// again only after `SkipBody`.
+  /// again only after `SkipBody`. Interim responses are skipped, up to a limit.
   Result<HttpResponse, HttpError> ReadHead();
 
   /// Reads the next piece of the body into the call's buffer; empty at the end
-  /// of the body. The piece is valid until the next read.
+  /// of the body. The piece is valid until the next read. The body may have any
+  /// length; kTooLarge if what is no part of it, such as a trailer, exceeds the
+  /// limit of heads.
   Result<std::string_view, HttpError> ReadPiece();
 
   /// Reads the rest of the body; kTooLarge if it exceeds `limit` bytes.
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -21,6 +21,8 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::size_t kReadSize = 4096;          // bytes
 constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
+// Before one request.
+constexpr std::size_t kMaxEmptyLineBytes = 4096;
 
 struct RequestTarget {
   std::string authority;  // empty if the target is in origin form
@@ -149,11 +151,15 @@
   const std::string_view input(
       static_cast<const char*>(this->buffer.data().data()),
       this->buffer.size());
+  this->dropped += std::min(input.find_first_not_of("\r\n"), input.size());
   this->buffer.consume(std::min(input.find_first_not_of("\r\n"), input.size()));
   return this->buffer.size() == 0;
 }
 
 Completion RequestReader::ReadSome() {
+  if (this->dropped > kMaxEmptyLineBytes) {
+    return {http::error::bad_method};
+  }
   const Completion read = this->ReadTimed(kReadSize);
   return read.error == asio::error::eof ? Completion{http::error::end_of_stream}
                                         : read;
@@ -202,6 +208,7 @@
 }
 
 HttpRequest RequestReader::Take() {
+  this->dropped = 0;
   HttpRequest request = this->Head();
   request.body = std::move(this->parser->get().body());
   return request;
@@ -231,6 +238,12 @@
     if (error && error != http::error::need_more) {
       return {error};
     }
+    // The library looks for the end of a chunk's first line, and for that of
+    // the trailer, without a limit of its own.
+    if (used == 0 && this->parser->is_header_done() &&
+        this->buffer.size() > this->settings->limits.header_bytes) {
+      return {http::error::header_limit};
+    }
     if (done() || (!error && used > 0)) {
       continue;
     }
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -101,6 +101,7 @@
       parser;       ///< of the request that is being read
   Instant until{};  ///< applies to one complete request
   std::size_t received = 0;
+  std::size_t dropped = 0;  ///< bytes of empty lines since the last request
 };
 
 /// The status of the response to a request that could not be read.
--- a/chervilpass/serving/event_stream.h
+++ b/chervilpass/serving/event_stream.h
@@ -2,6 +2,7 @@
 // that their ids are consecutive.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,10 @@
 
 namespace chervilpass::serving {
 
+/// Largest event of a stream, in bytes. A longer one is no event of a sound
+/// worker, and its begin is held until its end.
+inline constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
 /// Position of an event relative to the events that the caller has received.
 enum class EventOrder {
   kNext,        ///< The next one.
@@ -41,6 +46,11 @@
   /// The next complete event; empty if more bytes are needed.
   std::optional<StreamEvent> Next();
 
+  /// True if an incomplete event exceeds kMaxEventBytes.
+  bool TooLarge() const {
+    return this->buffer.size() - this->start > kMaxEventBytes;
+  }
+
   /// True if bytes of an incomplete event are buffered.
   bool HasPartial() const { return this->start < this->buffer.size(); }
 
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -219,6 +219,9 @@
         run->detail = "bytes that are no event of the stream";
       }
     }
+    if (splitter.TooLarge()) {
+      run->detail = "an event over the limit";
+    }
     if (!run->detail.empty()) {
       break;
     }
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -643,6 +643,9 @@
       progress |= order == EventOrder::kNext ||
                   (order == EventOrder::kUnnumbered && event->has_data);
     }
+    if (objection.empty() && splitter->TooLarge()) {
+      objection = "an event over the limit";
+    }
     if (progress) {
       this->RecordProgress();
     }
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -49,6 +49,8 @@
 constexpr int kAddressLifetimeFactor = 3;
 constexpr Duration kTcpUserTimeout = seconds(3);
 constexpr std::size_t kIdleConnectionsPerServer = 64;
+// Of a server's answer to a probe, a question for its report, or an order.
+constexpr std::uint64_t kMaxControlAnswerBytes = 256 * 1024;
 // For the header fields that a VM adds to a request that it forwards.
 constexpr std::uint32_t kForwardingHeaderBytes = 1024;
 // A new VM has exchanged gossip with its data centre after a few round trips.
@@ -147,6 +149,7 @@
     this->store = platform::StoreClient::Create(&this->runtime, &this->metrics,
                                                 {this->settings.store});
     io::HttpClientSettings http;
+    http.body_limit_bytes = kMaxControlAnswerBytes;
     http.idle_connections = kIdleConnectionsPerServer;
     http.idle_connections_total = this->shares.idle_to_servers;
     http.tcp_user_timeout = kTcpUserTimeout;
--- /dev/null
+++ b/unit_tests/input_bounds_test.cc
@@ -0,0 +1,251 @@
+// Tests of the bounds of what a peer can make the HTTP server and client hold:
+// bytes without end, in each place of a message.
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "chervilpass/io/http_client.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/serving/event_stream.h"
+
+// Included last: its macros clash with names in Boost.
+#include <criterion/criterion.h>
+
+using namespace chervilpass;
+using namespace chervilpass::io;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+// A form without a bound takes all of this.
+constexpr std::size_t kEndlessBytes = 128 * 1024 * 1024;
+// What a bounded form takes, with what the sockets hold on the way. A server
+// discards up to 16 MiB, so that its response arrives.
+constexpr std::size_t kTakenBytes = 32 * 1024 * 1024;
+
+struct Form {
+  const char* name;
+  std::string first;
+  std::string again;
+};
+
+std::string Many(const std::string& text, std::size_t size) {
+  std::string many;
+  while (many.size() < size) {
+    many += text;
+  }
+  return many;
+}
+
+void OnRuntime(const std::function<void(Runtime&)>& body) {
+  Runtime::Run([&body](Runtime& runtime) { body(runtime); });
+}
+
+// Writes a form on a thread, until the peer closes.
+class EndlessPeer {
+ public:
+  EndlessPeer(int socket, Form form, std::size_t limit = kEndlessBytes)
+      : thread([this, socket, form = std::move(form), limit] {
+          std::string data = form.first.empty() ? form.again : form.first;
+          while (this->written < limit) {
+            const ssize_t size =
+                ::send(socket, data.data(), data.size(), MSG_NOSIGNAL);
+            if (size <= 0) {
+              break;
+            }
+            this->written += static_cast<std::size_t>(size);
+            data = form.again;
+          }
+          this->ended = true;
+        }) {}
+  ~EndlessPeer() { this->thread.join(); }
+
+  bool Ended() const { return this->ended; }
+  std::size_t Written() const { return this->written; }
+
+ private:
+  std::atomic<std::size_t> written = 0;
+  std::atomic<bool> ended = false;
+  std::thread thread;
+};
+
+std::unique_ptr<HttpServer> Serve(Runtime& runtime, const Endpoint& listen) {
+  HttpServerSettings settings;
+  settings.listen = listen;
+  settings.limits.read_timeout = seconds(5);
+  auto server = HttpServer::Create(
+      &runtime, settings,
+      [](HttpExchange& exchange) {
+        exchange.Respond({200, {}, exchange.Request().body});
+      },
+      [](unsigned status, std::string_view detail) {
+        return HttpResponse{status, {}, std::string(detail)};
+      });
+  cr_assert(server.has_value());
+  return std::move(server).value();
+}
+
+std::string ReadReply(int socket) {
+  std::string reply(4096, '\0');
+  const ssize_t size = ::recv(socket, reply.data(), reply.size(), MSG_DONTWAIT);
+  reply.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  return reply;
+}
+
+const std::string kHead = "POST / HTTP/1.1\r\nHost: a\r\n";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kAnswer = "HTTP/1.1 200 OK\r\n";
+const std::string kPiece(16 * 1024, 'a');
+
+}  // namespace
+
+// Guards against callers, without a key too, that use up the memory of a VM by
+// a request without end: the library looked for the end of a line without a
+// limit.
+Test(input_bounds, a_request_without_end_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen{"127.0.206.1", 22001};
+    const auto server = Serve(runtime, listen);
+    const Form forms[] = {
+        {"extension", kHead + kChunked + "5;a=", kPiece},
+        {"chunk size", kHead + kChunked, Many("0", 16 * 1024)},
+        {"trailer", kHead + kChunked + "1\r\na\r\n0\r\nX-A: ", kPiece},
+        {"trailer fields", kHead + kChunked + "1\r\na\r\n0\r\n",
+         Many("X-A: b\r\n", 16 * 1024)},
+        {"field", kHead + "X-A: ", kPiece},
+        {"fields", kHead, Many("X-A: b\r\n", 16 * 1024)},
+        {"empty lines", "", Many("\r\n", 16 * 1024)},
+        {"target", "GET /", kPiece},
+        {"body", kHead + kChunked, "4000\r\n" + kPiece + "\r\n"},
+    };
+    for (const Form& form : forms) {
+      boost::asio::io_context context;
+      Tcp::socket socket(context);
+      socket.connect({boost::asio::ip::make_address(listen.ip), listen.port});
+      std::string reply;
+      {
+        const EndlessPeer peer(socket.native_handle(), form);
+        for (int i = 0; i < 200 && reply.empty(); ++i) {
+          runtime.SleepFor(milliseconds(10));
+          reply = ReadReply(socket.native_handle());
+        }
+        cr_expect(reply.starts_with("HTTP/1.1 4"), "%s: %s", form.name,
+                  reply.substr(0, 100).c_str());
+        cr_expect_lt(peer.Written(), kTakenBytes, "%s", form.name);
+        ::shutdown(socket.native_handle(), SHUT_RDWR);
+        runtime.SleepFor(milliseconds(20));
+      }
+    }
+  });
+}
+
+// The same for the answers of a faulty server. A large trailer field also ended
+// the process, by an exception of the library outside of any fiber.
+Test(input_bounds, an_answer_without_end_is_an_error) {
+  OnRuntime([](Runtime& runtime) {
+    const Form forms[] = {
+        {"extension", kAnswer + kChunked + "5;a=", kPiece},
+        {"chunk size", kAnswer + kChunked, Many("0", 16 * 1024)},
+        {"trailer", kAnswer + kChunked + "1\r\na\r\n0\r\nX-A: ", kPiece},
+        {"trailer fields", kAnswer + kChunked + "1\r\na\r\n0\r\n",
+         Many("X-A: b\r\n", 16 * 1024)},
+        {"large trailer field",
+         kAnswer + kChunked + "1\r\na\r\n0\r\nX-A: " + Many("a", 70000) +
+             "\r\n\r\n",
+         kPiece},
+        {"field", kAnswer + "X-A: ", kPiece},
+        {"fields", kAnswer, Many("X-A: b\r\n", 16 * 1024)},
+        {"interim responses", "",
+         Many("HTTP/1.1 100 Continue\r\n\r\n", 16 * 1024)},
+        {"body without length", kAnswer + "\r\n", kPiece},
+        {"body", kAnswer + "Content-Length: 100000000\r\n\r\n", kPiece},
+    };
+    HttpClientSettings settings;
+    settings.body_limit_bytes = 256 * 1024;
+    const auto client = HttpClient::Create(&runtime, settings);
+    std::uint16_t port = 22100;
+    for (const Form& form : forms) {
+      boost::asio::io_context context;
+      const Endpoint address{"127.0.206.1", ++port};
+      Tcp::acceptor acceptor(
+          context, {boost::asio::ip::make_address(address.ip), address.port});
+      Tcp::socket socket(context);
+      auto opened = client->Open(address, seconds(1), ConnectionUse::kFresh);
+      cr_assert(opened.has_value());
+      acceptor.accept(socket);
+      const EndlessPeer peer(socket.native_handle(), form);
+      auto call = std::move(opened).value();
+      cr_assert(call->Send(HttpRequest{}, seconds(1)).has_value());
+      auto head = call->ReadHead();
+      std::optional<HttpError> error;
+      if (head.has_error()) {
+        error = head.error();
+      } else if (auto body = call->ReadBody(256 * 1024); body.has_error()) {
+        error = body.error();
+      }
+      cr_expect(error.has_value(), "%s", form.name);
+      cr_expect(error && (error->code == HttpErrorCode::kTooLarge ||
+                          error->code == HttpErrorCode::kProtocol),
+                "%s: %s", form.name, error ? error->detail.c_str() : "");
+      cr_expect_lt(peer.Written(), kTakenBytes, "%s", form.name);
+      call.reset();
+    }
+  });
+}
+
+// Guards against long streams that are ended by a bound on their sum.
+Test(input_bounds, a_long_answer_is_read_in_pieces) {
+  OnRuntime([](Runtime& runtime) {
+    constexpr std::size_t kLongBytes = 40'000'000;
+    const auto client = HttpClient::Create(&runtime, {});
+    const Endpoint address{"127.0.206.1", 22200};
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address(address.ip), address.port});
+    Tcp::socket socket(context);
+    auto opened = client->Open(address, seconds(1), ConnectionUse::kFresh);
+    cr_assert(opened.has_value());
+    acceptor.accept(socket);
+    const EndlessPeer peer(
+        socket.native_handle(),
+        {"", kAnswer + "Content-Length: 40000000\r\n\r\n", kPiece}, kLongBytes);
+    auto call = std::move(opened).value();
+    cr_assert(call->Send(HttpRequest{}, seconds(1)).has_value());
+    cr_assert(call->ReadHead().has_value());
+    std::size_t sum = 0;
+    while (true) {
+      const auto piece = call->ReadPiece();
+      cr_assert(piece.has_value());
+      if (piece.value().empty()) {
+        break;
+      }
+      sum += piece.value().size();
+    }
+    cr_expect_eq(sum, kLongBytes);
+  });
+}
+
+// Guards against an event without end, whose begin is held until its end.
+Test(input_bounds, an_event_without_end_is_too_large) {
+  serving::EventSplitter splitter("");
+  splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: ");
+  cr_expect(splitter.Next().has_value());
+  const std::string piece(64 * 1024, 'a');
+  std::size_t fed = 0;
+  while (!splitter.TooLarge() && fed < kEndlessBytes) {
+    splitter.Feed(piece);
+    cr_expect_not(splitter.Next().has_value());
+    fed += piece.size();
+  }
+  cr_expect_leq(fed, serving::kMaxEventBytes + piece.size());
+  splitter.Feed("\n\n");
+  cr_expect(splitter.Next().has_value());
+  cr_expect_not(splitter.TooLarge());
+}
