HTTP server: a connection accepted as the server stops is served again

Since a connection that was established but not accepted as StopAccepting was called got no answer: the loop looked at the end of the server before the first request.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -210,8 +210,9 @@
     try {
       bool first = true;
       AfterRequest after = AfterRequest::kReadNext;
-      while (!this->destroyed && !this->stopped &&
-             after == AfterRequest::kReadNext) {
+      // A connection that is accepted as the server stops gets a response.
+      while (!this->destroyed && after == AfterRequest::kReadNext &&
+             (first || !this->stopped)) {
         after = this->ServeRequest(&stream, &reader, &*connection, first);
         first = false;
       }
