Router: bodies and answers share a memory budget

Limits were one connection's: 60 callers with a key that held back the last byte of 4 MiB took 256 MB, 60 answers without an end 425 MB, and limits.memory_mb was read and used nowhere. A process above it is killed.

A body takes its share, for two copies, before it is read on; without room it is not read for 250 ms, then refused with 503, not run. An answer waits for a second; one that holds more than a sixteenth of the memory for answers gives way at once, as an error of its server. Requests and responses are sent from where they are held, one copy less each. Listeners for other VMs' state, readiness, addresses and metrics take bodies of 16 KiB at most.

Metrics chervil_memory_* by owner; memory.budget in the log as the budget of an owner gets short and ample again.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -26,6 +26,12 @@
 constexpr std::size_t kReadBufferSize = 16 * 1024;  // bytes
 constexpr Duration kKeepAliveMargin = milliseconds(500);
 constexpr int kMaxInterimResponses = 16;  // before one final response
+// An answer waits for so long for memory.
+constexpr Duration kMaxMemoryWait = seconds(1);
+constexpr Duration kMemoryPollInterval = milliseconds(10);
+// An answer that holds more than this part of the memory for answers does not
+// wait for more.
+constexpr std::size_t kHoldersAtOnce = 16;
 
 HttpError FromBeastError(const boost::system::error_code& error) {
   HttpErrorCode code = HttpErrorCode::kReset;
@@ -44,9 +50,10 @@
   return {code, error.message()};
 }
 
-http::request<http::string_body> ToBeast(const Endpoint& address,
-                                         const HttpRequest& request) {
-  http::request<http::string_body> message;
+// The body stays in `request`, which outlives the message.
+http::request<http::span_body<const char>> ToBeast(const Endpoint& address,
+                                                   const HttpRequest& request) {
+  http::request<http::span_body<const char>> message;
   message.version(11);
   message.method_string(request.method);
   if (!request.target.empty()) {
@@ -61,7 +68,7 @@
   for (const HttpHeader& field : request.headers.All()) {
     message.insert(field.name, field.value);
   }
-  message.body() = request.body;
+  message.body() = {request.body.data(), request.body.size()};
   message.keep_alive(true);
   message.prepare_payload();
   return message;
@@ -242,7 +249,8 @@
         stream(std::move(stream)),
         reused(reused),
         begin(client->runtime->Now()),
-        buffer(client->settings.header_limit_bytes) {}
+        buffer(client->settings.header_limit_bytes),
+        share(client->settings.budget, memory::Owner::kAnswers) {}
 
   HttpClient::State* client;
   Endpoint address;
@@ -259,6 +267,28 @@
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::vector<char> piece;
+  memory::MemoryShare share;
+
+  // Waits until the memory for a body of `bytes` is granted; false if that
+  // takes too long. Meanwhile the server's output is not read.
+  bool AwaitMemory(std::size_t bytes) {
+    Runtime& runtime = *this->client->runtime;
+    const Instant latest = runtime.Now() + kMaxMemoryWait;
+    while (!this->share.Resize(bytes)) {
+      // Who holds most gives way first.
+      const std::size_t limit =
+          this->client->settings.budget->LimitOf(memory::Owner::kAnswers);
+      if (this->share.Bytes() > limit / kHoldersAtOnce ||
+          runtime.Now() >= latest) {
+        return false;
+      }
+      runtime.SleepFor(kMemoryPollInterval);
+      if (this->cancelled) {
+        return false;
+      }
+    }
+    return true;
+  }
 
   HttpError ToHttpError(const boost::system::error_code& error) const {
     if (this->cancelled) {
@@ -280,7 +310,7 @@
 Result<void, HttpError> HttpCall::Send(const HttpRequest& request,
                                        Duration timeout) {
   State& call = *this->state;
-  const http::request<http::string_body> message =
+  const http::request<http::span_body<const char>> message =
       ToBeast(call.address, request);
   call.stream->expires_after(timeout);
   const Completion written = Await([&](auto handler) {
@@ -360,6 +390,12 @@
     if (body.size() + piece.size() > limit) {
       return HttpError{HttpErrorCode::kTooLarge, "response body over limit"};
     }
+    if (!this->state->AwaitMemory(body.size() + piece.size())) {
+      return this->state->cancelled
+                 ? HttpError{HttpErrorCode::kReset, "cancelled"}
+                 : HttpError{HttpErrorCode::kTooLarge,
+                             "no memory for the response body"};
+    }
     body.append(piece);
   }
 }
@@ -377,6 +413,10 @@
   return HttpError{HttpErrorCode::kTooLarge, "response body over limit"};
 }
 
+memory::MemoryShare HttpCall::TakeShare() {
+  return std::move(this->state->share);
+}
+
 bool HttpCall::IsComplete() const {
   return this->state->parser && this->state->parser->is_done();
 }
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -9,6 +9,7 @@
 #include "chervilpass/core/time.h"
 #include "chervilpass/io/http.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/memory/memory_share.h"
 
 namespace chervilpass::io {
 
@@ -18,8 +19,11 @@
   /// Of a response of HttpClient::Call. Other bodies are read in pieces.
   std::uint64_t body_limit_bytes = 8 * 1024 * 1024;
   std::uint32_t header_limit_bytes = 16 * 1024;  ///< of a response's head
-  std::size_t idle_connections = 32;             ///< per address
-  std::size_t idle_connections_total = 1024;     ///< oldest dropped first
+  /// What bodies that are read whole may hold; null: no limit beyond that of
+  /// each body.
+  memory::MemoryBudget* budget = nullptr;
+  std::size_t idle_connections = 32;          ///< per address
+  std::size_t idle_connections_total = 1024;  ///< oldest dropped first
   /// A connection that was idle for longer is not reused.
   Duration idle_timeout = seconds(60);
   /// Time after which unacknowledged data closes a connection
@@ -55,9 +59,14 @@
   /// limit of heads.
   Result<std::string_view, HttpError> ReadPiece();
 
-  /// Reads the rest of the body; kTooLarge if it exceeds `limit` bytes.
+  /// Reads the rest of the body; kTooLarge if it exceeds `limit` bytes, or if
+  /// the budget has no room for it for a while. It holds its share of the
+  /// budget until the call is destroyed or TakeShare.
   Result<std::string, HttpError> ReadBody(std::size_t limit);
 
+  /// The share of the budget for the body, to be kept as long as the body.
+  memory::MemoryShare TakeShare();
+
   /// Discards the body of a response that belongs to another request. The
   /// connection is not reused after this call.
   Result<void, HttpError> SkipBody();
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -13,6 +13,7 @@
 #include "chervilpass/core/time.h"
 #include "chervilpass/io/http.h"
 #include "chervilpass/io/runtime.h"
+#include "chervilpass/memory/memory_budget.h"
 
 namespace chervilpass::io {
 
@@ -39,6 +40,10 @@
   /// connection is probed to tell them from those that have left. Otherwise the
   /// end of the input ends the request.
   bool half_closed_peers = false;
+  /// What request bodies and their copies may hold, for `owner`; null: no limit
+  /// beyond that of each body.
+  memory::MemoryBudget* budget = nullptr;
+  memory::Owner owner = memory::Owner::kCallerRequests;
 
   bool operator==(const HttpServerSettings&) const = default;
 };
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -23,6 +23,11 @@
 constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
 // Before one request.
 constexpr std::size_t kMaxEmptyLineBytes = 4096;
+// A body is held once as it was received and once as it is sent on.
+constexpr std::size_t kBodyCopies = 2;
+// A body is not read on for so long before its request is refused.
+constexpr Duration kMaxMemoryWait = milliseconds(250);
+constexpr Duration kMemoryPollInterval = milliseconds(10);
 
 struct RequestTarget {
   std::string authority;  // empty if the target is in origin form
@@ -137,11 +142,16 @@
 RequestReader::RequestReader(Runtime* runtime,
                              beast::tcp_stream* stream,
                              const HttpServerSettings* settings)
-    : runtime(runtime), stream(stream), settings(settings) {}
+    : runtime(runtime),
+      stream(stream),
+      settings(settings),
+      share(settings->budget, settings->owner) {}
 
 void RequestReader::Begin() {
   this->until = this->runtime->Now() + this->settings->limits.read_timeout;
   this->received = this->buffer.size();
+  this->share =
+      memory::MemoryShare(this->settings->budget, this->settings->owner);
   this->parser.emplace();
   this->parser->header_limit(this->settings->limits.header_bytes);
   this->parser->body_limit(this->settings->limits.body_bytes);
@@ -250,8 +260,11 @@
     if (input == Input::kArrived) {
       return {};
     }
-    const Completion read =
-        this->ReadTimed(beast::read_size(this->buffer, kMaxReadSize));
+    const std::size_t size = beast::read_size(this->buffer, kMaxReadSize);
+    Completion read = this->AwaitMemory(size);
+    if (!read.error) {
+      read = this->ReadTimed(size);
+    }
     if (read.error) {
       return read.error == asio::error::eof
                  ? Completion{http::error::partial_message}
@@ -261,6 +274,23 @@
   return {};
 }
 
+Completion RequestReader::AwaitMemory(std::size_t size) {
+  if (!this->parser->is_header_done()) {
+    return {};  // The limit of heads bounds it.
+  }
+  const std::size_t bytes =
+      kBodyCopies * (this->parser->get().body().size() + size);
+  const Instant latest =
+      std::min(this->until, this->runtime->Now() + kMaxMemoryWait);
+  while (!this->share.Resize(bytes)) {
+    if (this->runtime->Now() >= latest) {
+      return {asio::error::no_buffer_space};
+    }
+    this->runtime->SleepFor(kMemoryPollInterval);
+  }
+  return {};
+}
+
 // The timer ends with the read: later it would cancel writes of the response.
 Completion RequestReader::ReadTimed(std::size_t size) {
   this->stream->expires_never();
@@ -284,6 +314,9 @@
   if (error == boost::system::errc::function_not_supported) {
     return 501;
   }
+  if (error == asio::error::no_buffer_space) {
+    return 503;
+  }
   if (error == http::error::body_limit) {
     return 413;
   }
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -13,6 +13,7 @@
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/server_exchange.h"
+#include "chervilpass/memory/memory_share.h"
 
 namespace chervilpass::io {
 
@@ -92,14 +93,19 @@
   Completion Parse(Input input, const std::function<bool()>& done);
   Completion ReadTimed(std::size_t size);
 
+  // Waits until the memory for `size` further bytes of the body is granted;
+  // no_buffer_space if that takes too long.
+  Completion AwaitMemory(std::size_t size);
+
   Runtime* runtime;
   boost::beast::tcp_stream* stream;
   const HttpServerSettings* settings;
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser;       ///< of the request that is being read
-  Instant until{};  ///< applies to one complete request
+      parser;                 ///< of the request that is being read
+  Instant until{};            ///< applies to one complete request
+  memory::MemoryShare share;  ///< for the body, until the next request
   std::size_t received = 0;
   std::size_t dropped = 0;  ///< bytes of empty lines since the last request
 };
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -39,12 +39,14 @@
   }
 }
 
-http::response<http::string_body> ToBeast(const HttpResponse& response,
-                                          bool keep_alive) {
-  http::response<http::string_body> message(
+// The body stays in `response`, which outlives the message.
+http::response<http::span_body<const char>> ToBeast(
+    const HttpResponse& response,
+    bool keep_alive) {
+  http::response<http::span_body<const char>> message(
       static_cast<http::status>(response.status), 11);
   CopyHeaders(response.headers, &message);
-  message.body() = response.body;
+  message.body() = {response.body.data(), response.body.size()};
   message.keep_alive(keep_alive);
   message.prepare_payload();
   return message;
@@ -112,10 +114,10 @@
   this->responded = true;
   this->forms.keep_alive =
       this->forms.keep_alive && *this->connection.keep_alive_allowed;
-  http::response<http::string_body> message =
+  http::response<http::span_body<const char>> message =
       ToBeast(response, this->forms.keep_alive);
   if (this->IsHead()) {
-    http::response_serializer<http::string_body> serializer(message);
+    http::response_serializer<http::span_body<const char>> serializer(message);
     this->Write([&](auto handler) {
       http::async_write_header(*this->connection.stream, serializer,
                                std::move(handler));
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -30,7 +30,8 @@
   SendOutcome outcome = SendOutcome::kUnknown;
   io::HttpResponse response;  ///< for kResponse and kFailed
   std::string detail;
-  bool run_lost = false;  ///< sent, and no complete response arrived
+  bool run_lost = false;           ///< sent, and no complete response arrived
+  memory::MemoryShare share = {};  ///< for the body of `response`
 };
 
 // Callers of a VM that is cut off, with no other VM in reach, should retry at
@@ -185,7 +186,7 @@
     crashes.OnRunStarted(run, server_start);
     this->scope.SetCall(call.get());
     this->scope.SetRestartable(this->policy.MayRunAgain());
-    const SendResult result = this->Exchange(call.get(), server);
+    SendResult result = this->Exchange(call.get(), server);
     this->scope.SetRestartable(false);
     this->scope.SetCall(nullptr);
     crashes.OnRunEnded(run, server_start);
@@ -241,8 +242,10 @@
                                    : LostSend(body.error());
     }
     call->ReturnToPool();
-    return this->Classify(metadata, server.id, head.value(),
-                          std::move(body).value());
+    SendResult result = this->Classify(metadata, server.id, head.value(),
+                                       std::move(body).value());
+    result.share = call->TakeShare();
+    return result;
   }
 
   // A response that cannot be read is no sign of a lost run: the server lives.
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "chervilpass/app/program.h"
@@ -16,6 +17,7 @@
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
 #include "chervilpass/io/descriptor_limit.h"
+#include "chervilpass/memory/memory_budget.h"
 #include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
@@ -30,6 +32,13 @@
 // Smallest fleet size, in VMs, by which the retry reserve is divided; also used
 // while the size is unknown.
 constexpr std::size_t kMinFleetSize = 9;
+constexpr std::size_t kBytesPerMb = 1024 * 1024;
+// The budget of an owner counts as short from the first share of its limit on,
+// until it is below the second one.
+constexpr double kShortShare = 0.8;
+constexpr double kAmpleShare = 0.6;
+// Of requests that have no body, or hardly any.
+constexpr std::uint64_t kMaxControlBodyBytes = 16 * 1024;
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
 constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
@@ -104,6 +113,7 @@
         started(runtime.Now()),
         descriptors(io::RaiseDescriptorLimit(this->settings.descriptors)),
         shares(io::DivideDescriptors(this->descriptors)),
+        budget(memory::DivideMemory(this->settings.memory_mb * kBytesPerMb)),
         boot_id(BootId(runtime)),
         routing_state(this->RoutingSettings(),
                       HashCombine(HashText(this->settings.ip), this->boot_id)) {
@@ -150,6 +160,7 @@
                                                 {this->settings.store});
     io::HttpClientSettings http;
     http.body_limit_bytes = kMaxControlAnswerBytes;
+    http.budget = &this->budget;
     http.idle_connections = kIdleConnectionsPerServer;
     http.idle_connections_total = this->shares.idle_to_servers;
     http.tcp_user_timeout = kTcpUserTimeout;
@@ -314,6 +325,7 @@
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
         this->settings.callers, this->shares.callers,
+        memory::Owner::kCallerRequests,
         [this](io::HttpExchange& exchange) { this->router->Handle(exchange); });
     const auto handle_entry_request = [this](io::HttpExchange& exchange) {
       std::visit([&](const auto& request) { this->Answer(exchange, request); },
@@ -321,18 +333,21 @@
     };
     this->forwarded_server = this->Listen(
         this->settings.forwarded, this->shares.forwarded,
+        memory::Owner::kForwardedRequests,
         [this](auto& exchange) { this->router->HandleForwarded(exchange); });
     this->RefuseByHead(this->caller_server.get(), false);
     this->RefuseByHead(this->forwarded_server.get(), true);
-    this->readiness_server = this->Listen(
-        this->settings.readiness, this->shares.readiness, handle_entry_request);
-    this->directory_server = this->Listen(
-        this->settings.directory, this->shares.directory, handle_entry_request);
+    this->readiness_server =
+        this->Listen(this->settings.readiness, this->shares.readiness,
+                     std::nullopt, handle_entry_request);
+    this->directory_server =
+        this->Listen(this->settings.directory, this->shares.directory,
+                     std::nullopt, handle_entry_request);
     this->peer_server = this->Listen(
-        this->settings.peers, this->shares.peers,
+        this->settings.peers, this->shares.peers, std::nullopt,
         [this](io::HttpExchange& exchange) { this->AnswerPeer(exchange); });
     this->metrics_server = this->Listen(
-        this->settings.metrics, this->shares.metrics,
+        this->settings.metrics, this->shares.metrics, std::nullopt,
         [this](io::HttpExchange& exchange) { this->AnswerMetrics(exchange); });
     return this->caller_server && this->forwarded_server &&
            this->readiness_server && this->directory_server &&
@@ -341,12 +356,19 @@
 
   std::unique_ptr<io::HttpServer> Listen(const io::Endpoint& address,
                                          const io::ListenerShare& share,
+                                         std::optional<memory::Owner> owner,
                                          io::HttpHandler handler) {
     io::HttpServerSettings server;
     server.listen = address;
     server.connection_limit = share.connections;
     server.refusal_limit = share.refusals;
     server.half_closed_peers = true;
+    if (owner) {
+      server.budget = &this->budget;
+      server.owner = *owner;
+    } else {
+      server.limits.body_bytes = kMaxControlBodyBytes;
+    }
     auto created =
         io::HttpServer::Create(&this->runtime, server, std::move(handler),
                                serving::Router::UnreadableResponse);
@@ -410,6 +432,7 @@
                       static_cast<double>(this->http->ConnectionsMade()));
     this->ExportConnectionCounts();
     this->ExportConfigAge();
+    this->ExportMemory();
     this->metrics.Set("chervil_members_alive", "",
                       static_cast<double>(this->peers->AliveCount()));
     this->metrics.Set("chervil_gossip_sent_bytes", "",
@@ -485,6 +508,51 @@
     return sum;
   }
 
+  // One line as the budget of an owner gets short, and one as it is ample
+  // again.
+  void LogMemory() {
+    for (const memory::Owner owner : memory::kOwners) {
+      const memory::OwnerUse& use = this->budget.UseOf(owner);
+      const auto limit = static_cast<double>(this->budget.LimitOf(owner));
+      const auto held = static_cast<double>(use.held);
+      const bool was_short = this->short_owners.contains(owner);
+      if (!was_short && held >= kShortShare * limit) {
+        this->short_owners.insert(owner);
+        this->LogMemoryOf(owner, true);
+      } else if (was_short && held < kAmpleShare * limit) {
+        this->short_owners.erase(owner);
+        this->LogMemoryOf(owner, false);
+      }
+    }
+  }
+
+  void LogMemoryOf(memory::Owner owner, bool is_short) const {
+    const memory::OwnerUse& use = this->budget.UseOf(owner);
+    this->log.Warning("memory.budget",
+                      {{"owner", memory::OwnerName(owner)},
+                       {"short", is_short},
+                       {"held_bytes", use.held},
+                       {"limit_bytes", this->budget.LimitOf(owner)},
+                       {"peak_bytes", use.peak},
+                       {"refused", use.refused}});
+  }
+
+  void ExportMemory() {
+    for (const memory::Owner owner : memory::kOwners) {
+      const memory::OwnerUse& use = this->budget.UseOf(owner);
+      const std::string label =
+          fmt::format("owner=\"{}\"", memory::OwnerName(owner));
+      this->metrics.Set("chervil_memory_held_bytes", label,
+                        static_cast<double>(use.held));
+      this->metrics.Set("chervil_memory_peak_bytes", label,
+                        static_cast<double>(use.peak));
+      this->metrics.Set("chervil_memory_refused", label,
+                        static_cast<double>(use.refused));
+      this->metrics.Set("chervil_memory_limit_bytes", label,
+                        static_cast<double>(this->budget.LimitOf(owner)));
+    }
+  }
+
   // At most one line in `kConnectionLogInterval`.
   void LogConnections() {
     const Instant now = this->runtime.Now();
@@ -731,6 +799,7 @@
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       this->LogConnections();
+      this->LogMemory();
       if (this->Ready() != was_ready) {
         was_ready = this->Ready();
         this->log.Info("router.ready", {{"ready", was_ready}});
@@ -868,9 +937,11 @@
   Instant started;
   std::size_t descriptors;  // the process may open
   io::DescriptorDivision shares;
+  memory::MemoryBudget budget;
   std::uint64_t boot_id;
   serving::RoutingState routing_state;
   bool leaving = false;
+  std::set<memory::Owner> short_owners;
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
   std::unique_ptr<platform::StoreClient> store;
