Entry daemon: requests that are still arriving as it ends get an answer

They get 503, not run, and entry.stopped counts them. A 503 to what is not read, also at the limit of connections, says now that another address or a later time helps, not that the request is malformed.

--- a/chervilpass/entry/entry_service.cc
+++ b/chervilpass/entry/entry_service.cc
@@ -16,6 +16,8 @@
 using membership::Member;
 using membership::Status;
 
+// For requests that this VM does not read.
+constexpr Duration kUnreadableRetryAfter = seconds(1);
 constexpr std::string_view kCompletionsPath = "/v1/completions";
 constexpr std::string_view kServicesPath = "/v1/services/";
 constexpr std::string_view kRequestsPath = "/v1/requests/";
@@ -47,6 +49,10 @@
 
 io::HttpResponse EntryService::UnreadableResponse(unsigned status,
                                                   std::string_view detail) {
+  if (status == 503) {
+    return ProblemResponse({RefusalCode::kNotReady, Executed::kNo,
+                            kUnreadableRetryAfter, std::string(detail)});
+  }
   const bool too_large = status == 413 || status == 431;
   io::HttpResponse response = ProblemResponse(
       {too_large ? RefusalCode::kTooLarge : RefusalCode::kMalformed,
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kDrainPollInterval = milliseconds(20);
+// Callers that are still sending have so long to read that they are refused.
+constexpr Duration kRefusalReadTime = milliseconds(60);
 
 struct EntrySettings {
   std::string vm;
@@ -83,7 +85,13 @@
     runtime.SleepFor(kDrainPollInterval);
   }
   server->StopAccepting();
-  log.Info("entry.stopped", {{"in_flight", service->InFlight()}});
+  const std::size_t unread = server->Unread().size();
+  server->RefuseUnread([](const io::HttpRequest&) {
+    return entry::EntryService::UnreadableResponse(503, "this VM is leaving");
+  });
+  runtime.SleepFor(kRefusalReadTime);
+  log.Info("entry.stopped",
+           {{"in_flight", service->InFlight()}, {"unread", unread}});
 }
 
 int RunDaemon(io::Runtime& runtime, const EntrySettings& settings) {
