Router: the end of another VM's connection ends its request at once

Probes of peers that have closed their sending side are for callers: other VMs close a connection only if its caller has left, so that waiting 50 ms for a probe would be work for nobody.

--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -362,7 +362,8 @@
     server.listen = address;
     server.connection_limit = share.connections;
     server.refusal_limit = share.refusals;
-    server.half_closed_peers = true;
+    // Other VMs close a connection only if its caller has left.
+    server.half_closed_peers = owner == memory::Owner::kCallerRequests;
     if (owner) {
       server.budget = &this->budget;
       server.owner = *owner;
