Soak: callers that close their sending side, slow bodies, bytes without end

Three callers a router send requests on connections of their own, half of them closing their sending side after it; bodies, where there are any, arrive over up to 2.5 s. Bytes without end and held bodies are a further kind of fault.

--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -185,8 +185,9 @@
             time.sleep(0.05)
         peak_mb = self.status_mb("VmHWM")
         self.stopped = self.server.stopped = True
+        until = time.monotonic() + 6
         for thread in threads:
-            thread.join(4)
+            thread.join(max(0.0, until - time.monotonic()))
         self.report(before_mb, peak_mb)
 
     def report(self, before_mb, peak_mb):
--- a/fault_tests/soak.py
+++ b/fault_tests/soak.py
@@ -3,7 +3,8 @@
 
     soak.py [--seeds FIRST LAST | --seed N] [--seconds S] [--subnet N]
 
-Callers use kept connections, an operator changes the configuration about each second.
+Callers use kept connections, or close their sending side after a request, or send bodies slowly; an
+operator changes the configuration about each second. Others send bytes without end, or hold bodies back.
 A seed fails if
 
  - LOST: a request sent whole on a connection gets no complete answer. Not counted are
@@ -30,6 +31,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -39,6 +41,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 import fleet as fleets  # noqa: E402
 import platform_fleet  # noqa: E402
+import ending_connections  # noqa: E402
+import endless_bytes  # noqa: E402
 from process_life import ignores_broken_pipes  # noqa: E402
 
 BASE_KEY = "key-skagen"
@@ -52,6 +56,7 @@
 STREAMS = ("draft", "once")
 ONCE = ("once", "file")    # must not be repeated
 CALLERS = ("lookup", "lookup", "file", "draft", "once")  # of each router
+ODD_CALLERS = 3            # of each router
 RULES = ("LOST", "CONFIG", "DENIED", "TWICE", "REFUSED", "ORDER", "ENDED", "SCRIPT")
 
 Outcome = collections.namedtuple("Outcome", "request route router sent ended kind status detail")
@@ -277,9 +282,29 @@
         span[1] = time.monotonic()
         self.note("store: calm")
 
+    def send_noise(self, router, draw):
+        """Bytes without end, or a body that is held back, on some connections."""
+        name = draw.choice(sorted(endless_bytes.CALLER_FORMS))
+        first, again = endless_bytes.CALLER_FORMS[name]
+        until = time.monotonic() + draw.uniform(0.3, 2.0)
+        self.note("%s from callers of %s" % (name, router.name))
+
+        def send():
+            try:
+                with socket.create_connection((router.ip, platform_fleet.CALLER_PORT), 1) as connection:
+                    connection.settimeout(1)
+                    endless_bytes.send_form(connection, (first.replace(b"/%s/", b"/lookup/"), again), b"noise",
+                                            lambda: self.stopped or time.monotonic() > until)
+                    while time.monotonic() < until and connection.recv(65536):
+                        pass
+            except OSError:
+                pass
+        for _ in range(draw.randrange(1, 5)):
+            self.spawn(send)
+
     def play_faults(self):
-        kinds = ([self.stop_in_order] * 3 + [self.change_settings] * 3 + [self.stray] * 2 + [self.server_leaves] * 3 +
-                 [self.stop_all] * (self.draw.random() < 0.5))
+        kinds = ([self.send_noise] * 2 + [self.stop_in_order] * 3 + [self.change_settings] * 3 + [self.stray] * 2 +
+                 [self.server_leaves] * 3 + [self.stop_all] * (self.draw.random() < 0.5))
         if self.draw.random() < 0.6:  # else all trouble is planned, and excuses nothing
             kinds += [self.pause, self.kill, self.crash_server] * 2 + [self.store_fault]
         until = time.monotonic() + self.seconds
@@ -379,6 +404,52 @@
         if connection:
             connection.close()
 
+    def call_oddly(self, number, router, draw):
+        """Requests on connections of their own, whose sending side is closed after the request, or whose
+        bodies arrive slowly."""
+        count = 0
+        while not self.stopped:
+            count += 1
+            route, events = draw.choice(("lookup", "file", "draft", "once")), draw.randrange(3, 40)
+            request = "odd-%s-%d-%d" % (route, number, count)
+            body = b"b" * 1200 if route in ("file", "draft", "once") and draw.random() < 0.6 else b""
+            chunked, half = draw.random() < 0.5, draw.random() < 0.5
+            fields = "" if not body else ("Transfer-Encoding: chunked\r\n" if chunked else
+                                          "Content-Length: %d\r\n" % len(body))
+            head = ending_connections.head("POST" if route != "lookup" else "GET", "/%s/x" % route, request, events,
+                                           fields)
+            send = ending_connections.slowly(head, body, draw.uniform(0, 2.5), chunked) if body else None
+            sent, kind, status, data = time.monotonic(), "unsent", 0, b""
+            try:
+                with socket.create_connection((router.ip, platform_fleet.CALLER_PORT), 1) as connection:
+                    connection.settimeout(DEADLINE_S + 2)
+                    try:
+                        if send:
+                            send(connection)
+                        else:
+                            connection.sendall(head)
+                        sent, kind = time.monotonic(), "silent"
+                        if half:
+                            connection.shutdown(socket.SHUT_WR)
+                    except OSError:
+                        pass  # the answer may have come before the end of the body
+                    data = ending_connections.read_to_end(connection)
+            except OSError:
+                pass
+            status, whole = ending_connections.final_answer(data)
+            if status:
+                kind = "answered" if whole else "cut"
+            if kind != "unsent":
+                outcome = Outcome(request, route, router.name, sent, time.monotonic(), kind, status,
+                                  "half-closed" * half + " body" * bool(body))
+                self.outcomes.append(outcome)
+                self.counts["odd requests"] += 1
+                if kind != "answered":
+                    self.note("outcome %s at %s: %s %d after %.3f s %s" % (
+                        request, router.name, kind, status, outcome.ended - sent, outcome.detail))
+            router = draw.choice(self.fleet.routers)
+            time.sleep(draw.uniform(0, 0.2))
+
     def send(self, connection, request, route, router, idle_s, draw):
         """Returns for how long the connection can be kept, and the time of a refusal."""
         events = draw.randrange(3, 40)
@@ -486,6 +557,8 @@
         for index, router in enumerate(self.fleet.routers):
             for copy, route in enumerate(CALLERS):
                 self.spawn(self.call, index * 10 + copy, route, router, random.Random(self.draw.random()))
+            for copy in range(ODD_CALLERS):
+                self.spawn(self.call_oddly, index * 10 + copy, router, random.Random(self.draw.random()))
         self.play_faults()
         fleets.wait_until(lambda: not self.busy, 2 * GRACE_S, "all faults are over")
         time.sleep(0.5)
