--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -24,9 +24,11 @@
 SOUND_SHARE = 199 / 200    # of the sound requests that are served
 SOUND_S = 0.5              # the slowest of them
 SOUND_THREADS = 4
+RECONNECT_S = 0.5          # a sender whose connection is closed waits for so long
 GIVE_UP_MB = 1500          # a row ends here
 BODY_BYTES = 4 * 1024 * 1024
 PIECE = b"a" * 65536
+HELD_BODY = b"a" * (BODY_BYTES - 1)  # sent once
 HEAD = b"POST /%s/x HTTP/1.1\r\nHost: app.example\r\nChervilpass-Request-Id: %s\r\nChervilpass-Deadline-Ms: 9000\r\n"
 KEY = b"Authorization: Token key-skagen\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -40,8 +42,8 @@
     "field": (HEAD + b"X-A: ", PIECE),
     "fields": (HEAD, b"X-A: b\r\n" * 1024),
     "empty-lines": (b"", b"\r\n" * 4096),
-    "held-body": (HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES + b"a" * (BODY_BYTES - 1), b""),
-    "held-body-with-key": (HEAD + KEY + b"Content-Length: %d\r\n\r\n" % BODY_BYTES + b"a" * (BODY_BYTES - 1), b""),
+    "held-body": (HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES, HELD_BODY),
+    "held-body-with-key": (HEAD + KEY + b"Content-Length: %d\r\n\r\n" % BODY_BYTES, HELD_BODY),
 }
 SERVER_FORMS = {
     "extension": (SEALED + CHUNKED + b"5;a=", PIECE),
@@ -97,8 +99,10 @@
 def send_form(connection, form, request, stopped):
     first, again = form
     connection.sendall(first.replace(b"%s", request))
-    while again and not stopped():
+    while not stopped():
         connection.sendall(again)
+        if again is HELD_BODY:
+            return
 
 
 class EndlessFleet(platform_fleet.PlatformFleet):
@@ -163,7 +167,7 @@
                         pass
             except OSError:
                 pass
-            time.sleep(0.05)
+            time.sleep(RECONNECT_S)
 
     def play(self):
         if not self.router.process.running():
