--- a/unit_tests/input_bounds_test.cc
+++ b/unit_tests/input_bounds_test.cc
@@ -194,8 +194,8 @@
   });
 }
 
-// The same for the answers of a faulty server. A large trailer field also ended
-// the process, by an exception of the library outside of any fiber.
+// The same for the answers of a faulty server. A large trailer field could
+// also end the process, by an exception of the library outside of any fiber.
 Test(input_bounds, an_answer_without_end_is_an_error) {
   OnRuntime([](Runtime& runtime) {
     const Form forms[] = {
