Logs of a stop that tell how it ended and what its decisions rested on

What is missing to tell the causes apart:

- nothing says whether its fibers ran late: max_wake_delay_ms;
- a request that is accepted while the VM leaves has no line with the estimate that allows it: request.sent_while_leaving, from ShutdownVerdict;
- unacknowledged responses are a sum: response.unsent names them;
- lines are given up at the exit if standard output is not writable at once: the exit waits up to 50 ms for its reader.

The stop moves from main.cc into ShutdownSequence. No decision is changed.

serving_test, http_server_test: the verdict's estimates, unsent responses.

--- a/chervilpass/app/program.cc
+++ b/chervilpass/app/program.cc
@@ -8,6 +8,9 @@
 namespace chervilpass::app {
 namespace {
 
+// The last lines of a process may say most about it.
+constexpr Duration kMaxFinalLogWait = milliseconds(50);
+
 // Ends with kExitBadInput on an invalid command line; TCLAP's default is 1.
 class ExitCodeOutput final : public TCLAP::StdOutput {
  public:
@@ -22,7 +25,7 @@
 }  // namespace
 
 void ExitNow(int code) {
-  FlushLog();
+  FlushLog(kMaxFinalLogWait);
   std::fflush(stdout);
   std::fflush(stderr);
   std::_Exit(code);
--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -56,9 +56,13 @@
     }
   }
 
-  void Flush() {
+  void Flush(Duration max_wait) {
     const std::lock_guard lock(this->mutex);
+    const auto until = std::chrono::steady_clock::now() + max_wait;
     this->WriteOut();
+    while (!this->bytes.empty() && this->AwaitReader(until)) {
+      this->WriteOut();
+    }
   }
 
   std::uint64_t Dropped() {
@@ -67,6 +71,16 @@
   }
 
  private:
+  // False if standard output is not writable by `until`.
+  static bool AwaitReader(std::chrono::steady_clock::time_point until) {
+    const auto left = duration_cast<std::chrono::milliseconds>(
+        until - std::chrono::steady_clock::now());
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    return left.count() > 0 &&
+           ::poll(&ready, 1, static_cast<int>(left.count())) == 1 &&
+           (ready.revents & POLLOUT) != 0;
+  }
+
   // A pipe that polls as writable accepts PIPE_BUF bytes without blocking.
   void WriteOut() {
     std::size_t written = 0;
@@ -154,8 +168,8 @@
   LogBuffer::Instance().Add(line, level >= LogLevel::kError);
 }
 
-void FlushLog() {
-  LogBuffer::Instance().Flush();
+void FlushLog(Duration max_wait) {
+  LogBuffer::Instance().Flush(max_wait);
 }
 
 std::uint64_t DroppedLogLines() {
--- a/chervilpass/core/log.h
+++ b/chervilpass/core/log.h
@@ -13,6 +13,8 @@
 #include <type_traits>
 #include <vector>
 
+#include "chervilpass/core/time.h"
+
 namespace chervilpass {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
@@ -60,9 +62,10 @@
                           std::string_view event,
                           const std::vector<LogField>& fields);
 
-/// Writes as much of the buffer as possible without blocking. Call it every few
-/// hundred milliseconds and before the process ends.
-void FlushLog();
+/// Writes as much of the buffer as possible, waiting up to `max_wait` in all
+/// for the reader. Call it every few hundred milliseconds and before the
+/// process ends.
+void FlushLog(Duration max_wait = Duration::zero());
 
 /// Number of lines dropped since the start because the reader was too slow.
 std::uint64_t DroppedLogLines();
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -37,6 +37,13 @@
 constexpr Duration kRefusalPollInterval = milliseconds(5);
 constexpr std::string_view kRetryAfterSeconds = "1";
 
+// Empty if the connection is broken.
+Endpoint PeerOf(const beast::tcp_stream& stream) {
+  boost::system::error_code error;
+  const Tcp::endpoint peer = stream.socket().remote_endpoint(error);
+  return error ? Endpoint{} : Endpoint{peer.address().to_string(), peer.port()};
+}
+
 // Counts a request as in progress during its lifetime.
 class InProgress {
  public:
@@ -478,12 +485,7 @@
       continue;
     }
     UnreadRequest& request = unread.emplace_back();
-    boost::system::error_code error;
-    const Tcp::endpoint peer =
-        connection.stream->socket().remote_endpoint(error);
-    if (!error) {
-      request.peer = {peer.address().to_string(), peer.port()};
-    }
+    request.peer = PeerOf(*connection.stream);
     request.age = this->state->runtime->Now() - *connection.reading_since;
     request.bytes = connection.reader->Received();
     request.has_head = connection.reader->HasHead();
@@ -494,16 +496,23 @@
   return unread;
 }
 
-std::size_t HttpServer::UnsentBytes() const {
-  std::size_t sum = 0;
+std::vector<UnsentResponse> HttpServer::Unsent() const {
+  std::vector<UnsentResponse> unsent;
   for (const State::Connection& connection : this->state->open) {
-    int unsent = 0;
+    int bytes = 0;
     if (::ioctl(connection.stream->socket().native_handle(), SIOCOUTQ,
-                &unsent) == 0) {
-      sum += static_cast<std::size_t>(unsent);
+                &bytes) != 0 ||
+        bytes <= 0) {
+      continue;
+    }
+    UnsentResponse& response = unsent.emplace_back();
+    response.peer = PeerOf(*connection.stream);
+    response.bytes = static_cast<std::size_t>(bytes);
+    if (connection.reader->HasHead()) {
+      response.head = connection.reader->Head();
     }
   }
-  return sum;
+  return unsent;
 }
 
 void HttpServer::OnHead(HttpHeadHandler on_head) {
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -76,6 +76,13 @@
   HttpRequest head;       ///< without the body
 };
 
+/// A connection whose peer has not acknowledged all of a response.
+struct UnsentResponse {
+  Endpoint peer;
+  std::size_t bytes = 0;  ///< that are not acknowledged
+  HttpRequest head;       ///< of the latest request, without the body
+};
+
 /// How the peer's side of a connection ended during a request.
 enum class PeerEnd {
   kNone,         ///< Not seen.
@@ -186,9 +193,9 @@
   /// The requests that have arrived in part.
   std::vector<UnreadRequest> Unread() const;
 
-  /// Bytes of responses that peers have not acknowledged; 0 if the system does
-  /// not tell.
-  std::size_t UnsentBytes() const;
+  /// The connections whose peers have not acknowledged all that was written,
+  /// as far as the system tells.
+  std::vector<UnsentResponse> Unsent() const;
 
   HttpServerCounts Counts() const;
 
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -94,10 +94,7 @@
               this->context.fingerprint)) {
         return this->EndQuarantined();
       }
-      if (const auto objection = this->dependencies.shutdown->ObjectionToCall(
-              this->context.route->name,
-              this->context.route->response_objective, this->scope.TimeLeft(),
-              this->dependencies.runtime->Now())) {
+      if (const auto objection = this->ObjectionToSend()) {
         return RefuseLeaving(this->dependencies, this->context,
                              this->policy.Executed(), *objection,
                              this->policy.Sends());
@@ -144,6 +141,20 @@
   }
 
  private:
+  std::optional<std::string> ObjectionToSend() const {
+    const ShutdownGate& shutdown = *this->dependencies.shutdown;
+    if (!shutdown.Leaving()) {
+      return std::nullopt;
+    }
+    const ShutdownVerdict verdict = shutdown.JudgeCall(
+        this->context.route->name, this->context.route->response_objective,
+        this->scope.TimeLeft(), this->dependencies.runtime->Now());
+    if (!verdict.objection) {
+      LogSentWhileLeaving(this->dependencies, this->context, verdict);
+    }
+    return verdict.objection;
+  }
+
   // Takes servers out of `tried` whose rest ends at most `max_wait` after the
   // request was received: they can be asked again. False if there are none.
   bool MayAskAgain(std::set<std::string>* tried, Duration max_wait) const {
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -237,6 +237,21 @@
   return false;
 }
 
+void LogSentWhileLeaving(const RouterDependencies& dependencies,
+                         const RequestContext& context,
+                         const ShutdownVerdict& verdict) {
+  dependencies.log->Info(
+      "request.sent_while_leaving",
+      {{"request", context.metadata.request_id},
+       {"route", context.route->name},
+       {"service", context.service},
+       {"age_ms",
+        ToMilliseconds(dependencies.runtime->Now() - context.received)},
+       {"expected_ms",
+        verdict.expected ? ToMilliseconds(*verdict.expected) : -1},
+       {"left_ms", ToMilliseconds(verdict.left)}});
+}
+
 std::string DescribePath(const placement::Path& path) {
   std::string text;
   for (const placement::PathStage& stage : path) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -105,6 +105,12 @@
                  const std::string& server,
                  Duration max_wait);
 
+/// Logs that a leaving VM sends a request, with the estimates that the decision
+/// rests on.
+void LogSentWhileLeaving(const RouterDependencies& dependencies,
+                         const RequestContext& context,
+                         const ShutdownVerdict& verdict);
+
 /// "worker:from-to" of each stage, separated by commas, for the log.
 std::string DescribePath(const placement::Path& path);
 
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -485,19 +485,36 @@
   }
 }
 
-void Router::LogUnfinished() const {
+void Router::LogUnsent(const std::vector<io::UnsentResponse>& unsent) const {
+  std::size_t logged = 0;
+  for (const io::UnsentResponse& response : unsent) {
+    if (++logged > kMaxUnfinishedLogged) {
+      return;
+    }
+    this->state->dependencies.log->Warning(
+        "response.unsent", {{"request", platform::RequestIdOf(response.head)},
+                            {"peer", response.peer.ToText()},
+                            {"bytes", response.bytes}});
+  }
+}
+
+void Router::LogUnfinished(Duration left) const {
   const Instant now = this->state->dependencies.runtime->Now();
+  const bool cut = left <= Duration::zero();
   std::size_t logged = 0;
   for (const RequestContext* context : this->state->in_flight) {
     if (++logged > kMaxUnfinishedLogged) {
       return;
     }
     this->state->dependencies.log->Warning(
-        "request.cut",
+        cut ? "request.cut" : "request.unfinished",
         {{"request", context->metadata.request_id},
          {"route", context->route == nullptr ? "" : context->route->name},
          {"service", context->service},
-         {"reason", "the process ends"},
+         {"forwarded", context->forwarded},
+         {"begun", context->exchange->ResponseBegun()},
+         {"reason", cut ? "the process ends" : "the process ends soon"},
+         {"left_ms", ToMilliseconds(left)},
          {"age_ms", ToMilliseconds(now - context->received)}});
   }
 }
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -89,8 +89,13 @@
   /// Logs requests that have arrived in part, as the process ends.
   void LogUnread(const std::vector<io::UnreadRequest>& unread) const;
 
-  /// Logs the requests in progress, which end with the process.
-  void LogUnfinished() const;
+  /// Logs responses that callers have not received in full, as the process
+  /// ends.
+  void LogUnsent(const std::vector<io::UnsentResponse>& unsent) const;
+
+  /// Logs the requests in progress, which end with the process if they do not
+  /// end within `left`; zero as it ends.
+  void LogUnfinished(Duration left) const;
 
  private:
   struct State;
--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -29,53 +29,75 @@
          this->settings.restart_time;
 }
 
-std::optional<std::string> ShutdownGate::ObjectionToCall(
-    const std::string& route,
-    Duration objective,
-    Duration time_left,
-    Instant now) const {
-  if (!this->end) {
-    return std::nullopt;
-  }
-  const Duration left = *this->end - this->settings.final_response_time - now;
-  if (left <= Duration::zero()) {
-    return "this VM is leaving";
+ShutdownVerdict ShutdownGate::JudgeCall(const std::string& route,
+                                        Duration objective,
+                                        Duration time_left,
+                                        Instant now) const {
+  ShutdownVerdict verdict;
+  verdict.left = *this->end - this->settings.final_response_time - now;
+  if (verdict.left <= Duration::zero()) {
+    verdict.objection = "this VM is leaving";
+    return verdict;
   }
-  Duration expected = time_left;
+  verdict.expected = time_left;
   if (const auto usual =
           this->run_times.CallTime(route, this->settings.later)) {
-    expected = std::min(*usual, time_left);
+    verdict.expected = std::min(*usual, time_left);
   } else if (objective > Duration::zero()) {
-    expected = std::min(duration_cast<Duration>(
-                            this->settings.unknown_call_objectives * objective),
-                        time_left);
+    verdict.expected =
+        std::min(duration_cast<Duration>(
+                     this->settings.unknown_call_objectives * objective),
+                 time_left);
+  }
+  if (*verdict.expected > verdict.left) {
+    verdict.objection = TooLong(*verdict.expected, verdict.left);
   }
-  return expected <= left ? std::nullopt
-                          : std::optional<std::string>(TooLong(expected, left));
+  return verdict;
 }
 
-std::optional<std::string> ShutdownGate::ObjectionToStream(
+ShutdownVerdict ShutdownGate::JudgeStream(
     const std::string& service,
     const std::optional<GenerationSize>& size,
     double ready_share,
     Instant now) const {
-  if (!this->end) {
-    return std::nullopt;
-  }
   const bool expired = this->AddressesExpired(now);
   const EstimateCaution& caution =
       expired ? this->settings.later : this->settings.at_first;
-  auto expected =
-      size ? this->run_times.StreamTime(service, *size, caution) : std::nullopt;
-  if (!expected) {
-    return "this VM is leaving, and the stream's duration is not known";
+  ShutdownVerdict verdict;
+  verdict.left = *this->end - now;
+  if (size) {
+    verdict.expected = this->run_times.StreamTime(service, *size, caution);
+  }
+  if (!verdict.expected) {
+    verdict.objection =
+        "this VM is leaving, and the stream's duration is not known";
+    return verdict;
   }
   if (expired && ready_share >= this->settings.min_ready_share) {
-    *expected += this->settings.max_silence;
+    *verdict.expected += this->settings.max_silence;
   }
-  const Duration left = *this->end - now;
-  return *expected > left || this->MustRespond(now)
-             ? std::optional<std::string>(TooLong(*expected, left))
+  if (*verdict.expected > verdict.left || this->MustRespond(now)) {
+    verdict.objection = TooLong(*verdict.expected, verdict.left);
+  }
+  return verdict;
+}
+
+std::optional<std::string> ShutdownGate::ObjectionToCall(
+    const std::string& route,
+    Duration objective,
+    Duration time_left,
+    Instant now) const {
+  return this->end ? this->JudgeCall(route, objective, time_left, now).objection
+                   : std::nullopt;
+}
+
+std::optional<std::string> ShutdownGate::ObjectionToStream(
+    const std::string& service,
+    const std::optional<GenerationSize>& size,
+    double ready_share,
+    Instant now) const {
+  return this->end
+             ? this->JudgeStream(service, size, ready_share, now).objection
              : std::nullopt;
 }
 
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -41,6 +41,15 @@
   bool operator==(const ShutdownGateSettings&) const = default;
 };
 
+/// What a leaving VM expects of a request, and whether it sends it.
+struct ShutdownVerdict {
+  std::optional<Duration> expected;      ///< time until its end, if known
+  Duration left{0};                      ///< time in which it must end
+  std::optional<std::string> objection;  ///< why it is not sent
+
+  bool operator==(const ShutdownVerdict&) const = default;
+};
+
 /// Compares the expected time of requests with the time until the process ends.
 /// A VM that does not leave accepts all. Not thread-safe.
 class ShutdownGate {
@@ -61,18 +70,29 @@
   /// True once requests without a response must get one.
   bool MustRespond(Instant now) const;
 
-  /// Why a call should not be sent; empty if it should. A call always gets a
-  /// response before the end; one that is expected to end later is better sent
-  /// through another VM. `objective` is the route's response objective, zero if
-  /// it has none.
+  /// Whether to send a call. A call always gets a response before the end; one
+  /// that is expected to end later is better sent through another VM.
+  /// `objective` is the route's response objective, zero if it has none. This
+  /// VM leaves.
+  ShutdownVerdict JudgeCall(const std::string& route,
+                            Duration objective,
+                            Duration time_left,
+                            Instant now) const;
+
+  /// Whether to send a stream. A stream that has begun and outlasts the process
+  /// is lost, so that one of which nothing is known is not sent. `ready_share`
+  /// of the other VMs is ready. This VM leaves.
+  ShutdownVerdict JudgeStream(const std::string& service,
+                              const std::optional<GenerationSize>& size,
+                              double ready_share,
+                              Instant now) const;
+
+  /// The objections of JudgeCall and JudgeStream; none if this VM does not
+  /// leave.
   std::optional<std::string> ObjectionToCall(const std::string& route,
                                              Duration objective,
                                              Duration time_left,
                                              Instant now) const;
-
-  /// Why a stream should not be sent; empty if it should. A stream that has
-  /// begun and outlasts the process is lost, so that one of which nothing is
-  /// known is not sent. `ready_share` of the other VMs is ready.
   std::optional<std::string> ObjectionToStream(
       const std::string& service,
       const std::optional<GenerationSize>& size,
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -467,9 +467,13 @@
     if (this->stream_begun || !shutdown.Leaving()) {
       return std::nullopt;
     }
-    return shutdown.ObjectionToStream(
+    const ShutdownVerdict verdict = shutdown.JudgeStream(
         this->context.service, this->context.metadata.generation,
         this->dependencies.ready_share(), this->dependencies.runtime->Now());
+    if (!verdict.objection) {
+      LogSentWhileLeaving(this->dependencies, this->context, verdict);
+    }
+    return verdict.objection;
   }
 
   // Once the response has begun the request cannot be refused any more, but a
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -23,6 +23,7 @@
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
 #include "programs/router/settings.h"
+#include "programs/router/shutdown_sequence.h"
 
 namespace chervilpass {
 namespace {
@@ -43,20 +44,6 @@
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
 constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
-constexpr Duration kDrainPollInterval = milliseconds(50);
-// Idle connections are closed at the latest this long before the exit.
-constexpr Duration kCloseIdleMargin = milliseconds(900);
-// How long requests are read once no connections are accepted any more.
-constexpr Duration kLastReadTime = milliseconds(100);
-constexpr Duration kLastReadPollInterval = milliseconds(5);
-// The part of it that callers have to read a refusal of what is still arriving.
-constexpr Duration kRefusalReadTime = milliseconds(60);
-// For the responses that are given at the end.
-constexpr Duration kFinalWriteTime = milliseconds(20);
-// The process exits at least this long before the end of the grace period.
-constexpr Duration kExitMargin = milliseconds(350);
-// Callers may keep using addresses for three times their stated lifetime.
-constexpr int kAddressLifetimeFactor = 3;
 constexpr Duration kTcpUserTimeout = seconds(3);
 constexpr std::size_t kIdleConnectionsPerServer = 64;
 // Of a server's answer to a probe, a question for its report, or an order.
@@ -853,82 +840,18 @@
     this->log.Info("settings.reloaded", {{"why", reason}});
   }
 
-  // Leaves the address lists, refuses work that would not end in time, and
-  // waits for requests in flight until shortly before the end of the grace
-  // period.
+  // Leaves the address lists and ends the work of this VM.
   void Leave() {
-    const Instant start = this->runtime.Now();
-    // The settings may change until then.
-    const auto end = [this, start] {
-      return start + this->settings.shutdown_grace - kExitMargin;
-    };
     this->leaving = true;
-    this->log.Info(
-        "router.leaving",
-        {{"in_flight", this->router->InFlight()},
-         {"grace_ms", ToMilliseconds(this->settings.shutdown_grace)}});
     this->peers->SetLeaving();
-    this->caller_server->DisableKeepAlive();
-    const Instant addresses_expired =
-        start + kAddressLifetimeFactor * this->settings.address_ttl;
-    while (this->runtime.Now() < end()) {
-      this->router->SetShutdown(start, end(), this->settings.address_ttl);
-      this->RespondBeforeShutdown();
-      this->runtime.SleepFor(kDrainPollInterval);
-      const Instant now = this->runtime.Now();
-      if (now > end() - kCloseIdleMargin || now > addresses_expired) {
-        this->caller_server->CloseIdle();
-      }
-      if (now > addresses_expired && this->router->InFlight() == 0) {
-        break;
-      }
-    }
-    // The grace period may have been shortened to less than has passed.
-    this->RespondBeforeShutdown();
-    this->ServeEstablished(end());
-    this->runtime.SleepFor(kFinalWriteTime);
-    const auto unread = this->caller_server->Unread();
-    this->router->LogUnread(unread);
-    this->router->LogUnfinished();
-    this->log.Info("router.stopped",
-                   {{"in_flight", this->router->InFlight()},
-                    {"unread", unread.size()},
-                    {"connections", this->caller_server->Connections()},
-                    {"unsent_bytes", this->caller_server->UnsentBytes()},
-                    {"after_ms", ToMilliseconds(this->runtime.Now() - start)}});
-  }
-
-  // Responds to requests that arrive on connections which are open already.
-  void ServeEstablished(Instant end) {
-    this->caller_server->StopAccepting();
-    const Instant until = this->runtime.Now() + kLastReadTime;
-    while (this->caller_server->Connections() > 0 &&
-           (this->runtime.Now() < until ||
-            (this->router->InFlight() > 0 && this->runtime.Now() < end))) {
-      this->caller_server->CloseIdle();
-      this->runtime.SleepFor(kLastReadPollInterval);
-      this->RespondBeforeShutdown();
-      if (this->runtime.Now() >= until - kRefusalReadTime) {
-        this->RefuseUnread();
-      }
-    }
-  }
-
-  void RespondBeforeShutdown() {
-    this->router->RespondBeforeShutdown();
-    if (this->router->MustRespond()) {
-      this->RefuseUnread();
-    }
-  }
-
-  // Also in time for callers that are still sending to read the response.
-  void RefuseUnread() {
-    for (io::HttpServer* server :
-         {this->caller_server.get(), this->forwarded_server.get()}) {
-      server->RefuseUnread([this](const io::HttpRequest& head) {
-        return this->router->LeavingResponse(head);
-      });
-    }
+    ShutdownParts parts;
+    parts.runtime = &this->runtime;
+    parts.log = &this->log;
+    parts.router = this->router.get();
+    parts.callers = this->caller_server.get();
+    parts.forwarded = this->forwarded_server.get();
+    parts.settings = &this->settings;
+    ShutdownSequence(parts).Run();
   }
 
   io::Runtime& runtime;
--- /dev/null
+++ b/programs/router/shutdown_sequence.cc
@@ -0,0 +1,151 @@
+#include "programs/router/shutdown_sequence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilpass {
+namespace {
+
+constexpr Duration kDrainPollInterval = milliseconds(50);
+// Idle connections are closed at the latest this long before the exit.
+constexpr Duration kCloseIdleMargin = milliseconds(900);
+// How long requests are read once no connections are accepted any more.
+constexpr Duration kLastReadTime = milliseconds(100);
+constexpr Duration kLastReadPollInterval = milliseconds(5);
+// The part of it that callers have to read a refusal of what is still arriving.
+constexpr Duration kRefusalReadTime = milliseconds(60);
+// For the responses that are given at the end.
+constexpr Duration kFinalWriteTime = milliseconds(20);
+constexpr Duration kDrainLogInterval = seconds(1);
+// The process exits at least this long before the end of the grace period.
+constexpr Duration kExitMargin = milliseconds(350);
+// Callers may keep using addresses for three times their stated lifetime.
+constexpr int kAddressLifetimeFactor = 3;
+
+}  // namespace
+
+ShutdownSequence::ShutdownSequence(const ShutdownParts& parts)
+    : parts(parts), start(parts.runtime->Now()) {}
+
+Instant ShutdownSequence::End() const {
+  return this->start + this->parts.settings->shutdown_grace - kExitMargin;
+}
+
+void ShutdownSequence::Run() {
+  this->parts.log->Info(
+      "router.leaving",
+      {{"in_flight", this->parts.router->InFlight()},
+       {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
+  this->parts.callers->DisableKeepAlive();
+  this->ServeUntilEnd();
+  // The grace period may have been shortened to less than has passed.
+  this->RespondBeforeEnd();
+  this->ServeEstablished();
+  this->parts.runtime->SleepFor(kFinalWriteTime);
+  this->LogStopped();
+}
+
+void ShutdownSequence::ServeUntilEnd() {
+  const Instant addresses_expired =
+      this->start + kAddressLifetimeFactor * this->parts.settings->address_ttl;
+  while (this->parts.runtime->Now() < this->End()) {
+    this->parts.router->SetShutdown(this->start, this->End(),
+                                    this->parts.settings->address_ttl);
+    this->RespondBeforeEnd();
+    this->LogDraining();
+    this->Sleep(kDrainPollInterval);
+    const Instant now = this->parts.runtime->Now();
+    if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
+      this->parts.callers->CloseIdle();
+    }
+    if (now > addresses_expired && this->parts.router->InFlight() == 0) {
+      return;
+    }
+  }
+}
+
+// Responds to requests that arrive on connections which are open already.
+void ShutdownSequence::ServeEstablished() {
+  const Instant end = this->End();
+  this->parts.callers->StopAccepting();
+  const Instant until = this->parts.runtime->Now() + kLastReadTime;
+  while (this->parts.callers->Connections() > 0 &&
+         (this->parts.runtime->Now() < until ||
+          (this->parts.router->InFlight() > 0 &&
+           this->parts.runtime->Now() < end))) {
+    this->parts.callers->CloseIdle();
+    this->Sleep(kLastReadPollInterval);
+    this->RespondBeforeEnd();
+    if (this->parts.runtime->Now() >= until - kRefusalReadTime) {
+      this->RefuseUnread();
+    }
+  }
+}
+
+void ShutdownSequence::RespondBeforeEnd() {
+  this->parts.router->RespondBeforeShutdown();
+  if (this->parts.router->MustRespond()) {
+    this->RefuseUnread();
+    if (!std::exchange(this->unfinished_logged, true)) {
+      // What a process that is killed from now on leaves of them.
+      this->parts.router->LogUnfinished(this->End() -
+                                        this->parts.runtime->Now());
+    }
+  }
+}
+
+// Also in time for callers that are still sending to read the response.
+void ShutdownSequence::RefuseUnread() {
+  for (io::HttpServer* server : {this->parts.callers, this->parts.forwarded}) {
+    server->RefuseUnread([this](const io::HttpRequest& head) {
+      return this->parts.router->LeavingResponse(head);
+    });
+  }
+}
+
+void ShutdownSequence::Sleep(Duration duration) {
+  const Instant begun = this->parts.runtime->Now();
+  this->parts.runtime->SleepFor(duration);
+  this->max_wake_delay = std::max(
+      this->max_wake_delay, this->parts.runtime->Now() - begun - duration);
+}
+
+// Lines of a leaving process are written out at once: it may be killed.
+void ShutdownSequence::LogDraining() {
+  const Instant now = this->parts.runtime->Now();
+  if (now - this->draining_logged_at >= kDrainLogInterval) {
+    this->draining_logged_at = now;
+    this->parts.log->Info(
+        "router.draining",
+        {{"in_flight", this->parts.router->InFlight()},
+         {"connections", this->parts.callers->Connections()},
+         {"unsent_connections", this->parts.callers->Unsent().size()},
+         {"max_wake_delay_ms", ToMilliseconds(this->max_wake_delay)},
+         {"after_ms", ToMilliseconds(now - this->start)},
+         {"left_ms", ToMilliseconds(this->End() - now)}});
+  }
+  FlushLog();
+}
+
+void ShutdownSequence::LogStopped() const {
+  const auto unread = this->parts.callers->Unread();
+  this->parts.router->LogUnread(unread);
+  const auto unsent = this->parts.callers->Unsent();
+  this->parts.router->LogUnsent(unsent);
+  this->parts.router->LogUnfinished(Duration::zero());
+  std::size_t unsent_bytes = 0;
+  for (const io::UnsentResponse& response : unsent) {
+    unsent_bytes += response.bytes;
+  }
+  this->parts.log->Info(
+      "router.stopped",
+      {{"in_flight", this->parts.router->InFlight()},
+       {"unread", unread.size()},
+       {"connections", this->parts.callers->Connections()},
+       {"unsent_bytes", unsent_bytes},
+       {"max_wake_delay_ms", ToMilliseconds(this->max_wake_delay)},
+       {"log_lines_dropped", DroppedLogLines()},
+       {"after_ms", ToMilliseconds(this->parts.runtime->Now() - this->start)}});
+}
+
+}  // namespace chervilpass
--- /dev/null
+++ b/programs/router/shutdown_sequence.h
@@ -0,0 +1,54 @@
+// The orderly end of a router process, from SIGTERM to the exit.
+#pragma once
+
+#include <functional>
+
+#include "chervilpass/core/log.h"
+#include "chervilpass/core/time.h"
+#include "chervilpass/io/http_server.h"
+#include "chervilpass/io/runtime.h"
+#include "chervilpass/serving/router.h"
+#include "programs/router/settings.h"
+
+namespace chervilpass {
+
+/// What a ShutdownSequence ends. All of it outlives the sequence.
+struct ShutdownParts {
+  io::Runtime* runtime = nullptr;
+  const Logger* log = nullptr;
+  serving::Router* router = nullptr;
+  io::HttpServer* callers = nullptr;
+  io::HttpServer* forwarded = nullptr;
+  /// In force; a reload may change them during the sequence.
+  const RouterProgramSettings* settings = nullptr;
+};
+
+/// Refuses work that would not end in time, and waits for requests in progress
+/// until shortly before the end of the grace period. Fiber thread only.
+class ShutdownSequence {
+ public:
+  explicit ShutdownSequence(const ShutdownParts& parts);
+
+  /// Returns when the process should exit.
+  void Run();
+
+ private:
+  /// When the last responses are sent; the settings may change it.
+  Instant End() const;
+
+  void ServeUntilEnd();
+  void ServeEstablished();
+  void RespondBeforeEnd();
+  void RefuseUnread();
+  void Sleep(Duration duration);
+  void LogDraining();
+  void LogStopped() const;
+
+  ShutdownParts parts;
+  Instant start;
+  Instant draining_logged_at{};
+  bool unfinished_logged = false;
+  Duration max_wake_delay{0};  ///< of a sleep beyond its duration
+};
+
+}  // namespace chervilpass
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -611,3 +611,27 @@
     cr_expect_geq(reply.size(), body.size());
   });
 }
+
+// Guards against a process that ends without a word on responses that callers
+// have not received.
+Test(http_server, a_response_that_is_not_read_counts_as_unsent) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(19);
+    const std::string body(8'000'000, 'b');
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      exchange.Respond({200, {}, body});
+    });
+    Caller caller(listen);
+    caller.Send("GET /unread HTTP/1.1\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(kTransfer);
+    const auto unsent = server->Unsent();
+    cr_assert_eq(unsent.size(), 1);
+    cr_expect_gt(unsent[0].bytes, 0);
+    cr_expect_eq(unsent[0].head.target, "/unread");
+    while (!server->Unsent().empty()) {
+      while (!caller.Receive().empty()) {
+      }
+      runtime.SleepFor(milliseconds(1));
+    }
+  });
+}
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -697,6 +697,26 @@
   cr_assert(gate.ObjectionToStream("llm", std::nullopt, 0, kStart), "no size");
 }
 
+// The estimates in the log explain the decision.
+Test(shutdown_gate, a_verdict_has_the_estimates_that_it_rests_on) {
+  ShutdownGate gate({});
+  ServeStreams(&gate.RunTimes(), 8);
+  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
+  const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
+  const ShutdownVerdict stream =
+      gate.JudgeStream("llm", size, 0, kStart + seconds(6));
+  cr_assert(stream.expected && *stream.expected >= milliseconds(1600));
+  cr_assert(stream.left == seconds(2));
+  cr_assert(!stream.objection);
+  const ShutdownVerdict unknown =
+      gate.JudgeStream("other", size, 0, kStart + seconds(6));
+  cr_assert(!unknown.expected && unknown.objection);
+  const ShutdownVerdict call = gate.JudgeCall("lookup", milliseconds(100),
+                                              seconds(60), kStart + seconds(7));
+  cr_assert(call.expected == milliseconds(400));
+  cr_assert(call.left == milliseconds(500));
+}
+
 // A refusal costs a caller that could not know of the shutdown a retry.
 Test(shutdown_gate, more_streams_are_accepted_while_addresses_are_valid) {
   ShutdownGate gate({});
