Router: a leaving VM knows the grace period that is in force

Callers lost calls in progress when the settings file had changed the grace period shortly before SIGTERM, without a signal: the process was killed at the end of the new one (killed after 2.00 s, 4 of 4 calls without an answer).

The file was read each 3 s only, also while the VM left, and a shorter end that was learnt after all did not reach the gate that gives the last responses. It is read at SIGTERM and each 200 ms from then on, and each step of the stop asks for the end anew. The first poll after a start always reads the settings: they may have changed between the start and the first read.

--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -799,14 +799,20 @@
 
   // Polls the settings file, which may change without a signal.
   void WatchSettings() {
-    std::string last_text = this->SettingsText();
     while (true) {
       this->runtime.SleepFor(kSettingsPollInterval);
-      std::string text = this->SettingsText();
-      if (text != last_text) {
-        last_text = std::move(text);
-        this->Reload("file changed");
-      }
+      this->PollSettings();
+    }
+  }
+
+  // The first call reads them in any case: the file may have changed since the
+  // start.
+  void PollSettings() {
+    std::string text = this->SettingsText();
+    if (text != this->settings_text) {
+      const bool first = this->settings_text.empty();
+      this->settings_text = std::move(text);
+      this->Reload(first ? "first poll" : "file changed");
     }
   }
 
@@ -851,11 +857,13 @@
     parts.callers = this->caller_server.get();
     parts.forwarded = this->forwarded_server.get();
     parts.settings = &this->settings;
+    parts.refresh_settings = [this] { this->PollSettings(); };
     ShutdownSequence(parts).Run();
   }
 
   io::Runtime& runtime;
   RouterProgramSettings settings;
+  std::string settings_text;  // of the file, at the last poll
   app::CommandLine command_line;
   Logger log;
   MetricsRegistry metrics;
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -16,6 +16,8 @@
 constexpr Duration kRefusalReadTime = milliseconds(60);
 // For the responses that are given at the end.
 constexpr Duration kFinalWriteTime = milliseconds(20);
+// The grace period may change without a signal.
+constexpr Duration kSettingsPollInterval = milliseconds(200);
 constexpr Duration kDrainLogInterval = seconds(1);
 // The process exits at least this long before the end of the grace period.
 constexpr Duration kExitMargin = milliseconds(350);
@@ -32,14 +34,13 @@
 }
 
 void ShutdownSequence::Run() {
+  this->RefreshSettings();
   this->parts.log->Info(
       "router.leaving",
       {{"in_flight", this->parts.router->InFlight()},
        {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
   this->parts.callers->DisableKeepAlive();
   this->ServeUntilEnd();
-  // The grace period may have been shortened to less than has passed.
-  this->RespondBeforeEnd();
   this->ServeEstablished();
   this->parts.runtime->SleepFor(kFinalWriteTime);
   this->LogStopped();
@@ -49,11 +50,10 @@
   const Instant addresses_expired =
       this->start + kAddressLifetimeFactor * this->parts.settings->address_ttl;
   while (this->parts.runtime->Now() < this->End()) {
-    this->parts.router->SetShutdown(this->start, this->End(),
-                                    this->parts.settings->address_ttl);
     this->RespondBeforeEnd();
     this->LogDraining();
     this->Sleep(kDrainPollInterval);
+    this->RefreshSettings();
     const Instant now = this->parts.runtime->Now();
     if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
       this->parts.callers->CloseIdle();
@@ -66,13 +66,13 @@
 
 // Responds to requests that arrive on connections which are open already.
 void ShutdownSequence::ServeEstablished() {
-  const Instant end = this->End();
+  this->RespondBeforeEnd();
   this->parts.callers->StopAccepting();
   const Instant until = this->parts.runtime->Now() + kLastReadTime;
   while (this->parts.callers->Connections() > 0 &&
          (this->parts.runtime->Now() < until ||
           (this->parts.router->InFlight() > 0 &&
-           this->parts.runtime->Now() < end))) {
+           this->parts.runtime->Now() < this->End()))) {
     this->parts.callers->CloseIdle();
     this->Sleep(kLastReadPollInterval);
     this->RespondBeforeEnd();
@@ -82,7 +82,17 @@
   }
 }
 
+void ShutdownSequence::RefreshSettings() {
+  const Instant now = this->parts.runtime->Now();
+  if (now - this->settings_read_at >= kSettingsPollInterval) {
+    this->settings_read_at = now;
+    this->parts.refresh_settings();
+  }
+}
+
 void ShutdownSequence::RespondBeforeEnd() {
+  this->parts.router->SetShutdown(this->start, this->End(),
+                                  this->parts.settings->address_ttl);
   this->parts.router->RespondBeforeShutdown();
   if (this->parts.router->MustRespond()) {
     this->RefuseUnread();
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -19,8 +19,10 @@
   serving::Router* router = nullptr;
   io::HttpServer* callers = nullptr;
   io::HttpServer* forwarded = nullptr;
-  /// In force; a reload may change them during the sequence.
+  /// In force.
   const RouterProgramSettings* settings = nullptr;
+  /// Reads the settings again if they have changed.
+  std::function<void()> refresh_settings;
 };
 
 /// Refuses work that would not end in time, and waits for requests in progress
@@ -33,9 +35,11 @@
   void Run();
 
  private:
-  /// When the last responses are sent; the settings may change it.
+  /// When the last responses are sent, by the settings in force.
   Instant End() const;
 
+  void RefreshSettings();
+
   void ServeUntilEnd();
   void ServeEstablished();
   void RespondBeforeEnd();
@@ -46,6 +50,7 @@
 
   ShutdownParts parts;
   Instant start;
+  Instant settings_read_at{};
   Instant draining_logged_at{};
   bool unfinished_logged = false;
   Duration max_wake_delay{0};  ///< of a sleep beyond its duration
