Router: a stop ends the earlier the later its fibers run

A process that got little of the processor was killed at the end of its grace period, with all that was in progress (four of four routers that ran for 25 ms of each 250): its exit was planned for 350 ms before that end, and each of its last steps came up to 225 ms late.

The margin grows by four times the longest delay that the stop has seen, up to a sixth of the grace period, in which work may be cut. Without delays nothing changes.

--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -21,6 +21,11 @@
 constexpr Duration kDrainLogInterval = seconds(1);
 // The process exits at least this long before the end of the grace period.
 constexpr Duration kExitMargin = milliseconds(350);
+// Of SIGTERM, of the end, and of the waits for the last requests and writes:
+// each may be noticed as late as a sleep was before.
+constexpr int kLateSteps = 4;
+// Work that goes on in the last sixth of a grace period may be cut.
+constexpr int kMaxMarginDivisor = 6;
 // Callers may keep using addresses for three times their stated lifetime.
 constexpr int kAddressLifetimeFactor = 3;
 
@@ -30,7 +35,11 @@
     : parts(parts), start(parts.runtime->Now()) {}
 
 Instant ShutdownSequence::End() const {
-  return this->start + this->parts.settings->shutdown_grace - kExitMargin;
+  const Duration grace = this->parts.settings->shutdown_grace;
+  const Duration margin =
+      std::min(kExitMargin + kLateSteps * this->max_wake_delay,
+               std::max(kExitMargin, grace / kMaxMarginDivisor));
+  return this->start + grace - margin;
 }
 
 void ShutdownSequence::Run() {
@@ -42,7 +51,7 @@
   this->parts.callers->DisableKeepAlive();
   this->ServeUntilEnd();
   this->ServeEstablished();
-  this->parts.runtime->SleepFor(kFinalWriteTime);
+  this->Sleep(kFinalWriteTime);
   this->LogStopped();
 }
 
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -35,7 +35,8 @@
   void Run();
 
  private:
-  /// When the last responses are sent, by the settings in force.
+  /// When the last responses are sent, by the settings in force. Comes nearer
+  /// the later the process's fibers run.
   Instant End() const;
 
   void RefreshSettings();
