--- a/fault_tests/stop_ends.py
+++ b/fault_tests/stop_ends.py
@@ -24,6 +24,7 @@
 GRACE_S = 8.0
 EVENT_S = 0.03
 SHORT_GRACE_S = 2.0
+EXIT_MARGIN_S = 0.3         # for what delays the last steps of a stop
 SHORT_EVENTS = 25           # 0.75 s
 LONG_EVENTS = 600           # outlasts each grace period
 LONG_CALL_MS = 6000
@@ -186,6 +187,20 @@
     restart(fleet, router)
 
 
+def play_endless_streams(name, fleet):
+    """Streams that outlast the grace period are served for as long as is safe."""
+    router = fleet.routers[0]
+    asked = streams(fleet, router, name, LONG_EVENTS, 3)
+    time.sleep(0.3)
+    stop = Stop(router)
+    stop.check_ended(name, GRACE_S)
+    check("%s: the router ends well before it would be killed, but not early" % name,
+          GRACE_S * 5 / 6 <= stop.ended_s <= GRACE_S - EXIT_MARGIN_S, "after %.2f s" % stop.ended_s)
+    for result in asked:
+        result(15)
+    restart(fleet, router)
+
+
 class SlowReader:
     def __init__(self, router, name, size):
         self.data, self.ended_s = b"", None
@@ -228,7 +243,7 @@
 
 
 CELLS = {"shorter-grace": play_shorter_grace, "little-processor": play_little_processor, "late-orders": play_late_orders,
-         "slow-readers": play_slow_readers}
+         "slow-readers": play_slow_readers, "endless-streams": play_endless_streams}
 
 
 def make_fleet(subnet):
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -39,7 +39,7 @@
   const Duration margin =
       std::min(kExitMargin + kLateSteps * this->max_wake_delay,
                std::max(kExitMargin, grace / kMaxMarginDivisor));
-  return this->start + grace - margin;
+  return this->start + grace - margin - kLastReadTime - kFinalWriteTime;
 }
 
 void ShutdownSequence::Run() {
