HTTP server, client: the begin of an empty body in chunks in pieces ends no process

A caller with a key, or on a public route without one, ended a router: POST with Transfer-Encoding: chunked, then "0\r\n", "\r" and "\n" in segments of their own (SIGABRT, an assertion of the HTTP library, basic_parser.ipp:702, which takes for granted that it gets a last chunk in at least five bytes). The answer of a server, another VM or the store did the same in the client. Now both sides parse a body in chunks from its fifth byte on; no sound body is shorter.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "chervilpass/io/await.h"
+#include "chervilpass/io/chunked_body.h"
 
 namespace chervilpass::io {
 namespace {
@@ -267,8 +268,29 @@
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::vector<char> piece;
+  bool body_begun = false;  ///< a body in chunks may be parsed
   memory::MemoryShare share;
 
+  // Waits until the parser may be given the begin of the body.
+  Completion AwaitBody() {
+    while (this->parser->chunked() && !this->body_begun &&
+           this->buffer.size() < kShortestChunkedBody) {
+      const std::size_t missing = kShortestChunkedBody - this->buffer.size();
+      const Completion read = Await([&](auto handler) {
+        this->stream->async_read_some(this->buffer.prepare(missing),
+                                      std::move(handler));
+      });
+      if (read.error) {
+        return read.error == asio::error::eof
+                   ? Completion{http::error::partial_message}
+                   : read;
+      }
+      this->buffer.commit(read.bytes);
+    }
+    this->body_begun = true;
+    return {};
+  }
+
   // Waits until the memory for a body of `bytes` is granted; false if that
   // takes too long. Meanwhile the server's output is not read.
   bool AwaitMemory(std::size_t bytes) {
@@ -332,6 +354,7 @@
       return HttpError{HttpErrorCode::kProtocol,
                        "more interim responses than the limit"};
     }
+    call.body_begun = false;
     call.parser.emplace();
     call.parser->header_limit(call.client->settings.header_limit_bytes);
     call.parser->body_limit(boost::none);
@@ -359,6 +382,10 @@
   State& call = *this->state;
   call.piece.resize(kReadBufferSize);
   while (!call.parser->is_done()) {
+    const Completion begun = call.AwaitBody();
+    if (begun.error) {
+      return call.ToHttpError(begun.error);
+    }
     call.parser->get().body().data = call.piece.data();
     call.parser->get().body().size = call.piece.size();
     const Completion read = Await([&](auto handler) {
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chervilpass/core/text.h"
+#include "chervilpass/io/chunked_body.h"
 
 namespace chervilpass::io {
 namespace {
@@ -152,6 +153,7 @@
   this->received = this->buffer.size();
   this->share =
       memory::MemoryShare(this->settings->budget, this->settings->owner);
+  this->body_begun = false;
   this->parser.emplace();
   this->parser->header_limit(this->settings->limits.header_bytes);
   this->parser->body_limit(this->settings->limits.body_bytes);
@@ -236,7 +238,7 @@
   while (!done()) {
     boost::system::error_code error;
     std::size_t used = 0;
-    if (this->buffer.size() > 0) {
+    if (this->MayParse()) {
       try {
         used = this->parser->put(this->buffer.data(), error);
       } catch (const std::length_error&) {
@@ -274,6 +276,15 @@
   return {};
 }
 
+bool RequestReader::MayParse() {
+  if (!this->parser->is_header_done() || !this->parser->chunked() ||
+      this->body_begun) {
+    return this->buffer.size() > 0;
+  }
+  this->body_begun = this->buffer.size() >= kShortestChunkedBody;
+  return this->body_begun;
+}
+
 Completion RequestReader::AwaitMemory(std::size_t size) {
   if (!this->parser->is_header_done()) {
     return {};  // The limit of heads bounds it.
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -93,6 +93,9 @@
   Completion Parse(Input input, const std::function<bool()>& done);
   Completion ReadTimed(std::size_t size);
 
+  // False while more has to arrive before the parser may be given it.
+  bool MayParse();
+
   // Waits until the memory for `size` further bytes of the body is granted;
   // no_buffer_space if that takes too long.
   Completion AwaitMemory(std::size_t size);
@@ -106,6 +109,7 @@
       parser;                 ///< of the request that is being read
   Instant until{};            ///< applies to one complete request
   memory::MemoryShare share;  ///< for the body, until the next request
+  bool body_begun = false;    ///< a body in chunks is being parsed
   std::size_t received = 0;
   std::size_t dropped = 0;  ///< bytes of empty lines since the last request
 };
--- a/unit_tests/input_bounds_test.cc
+++ b/unit_tests/input_bounds_test.cc
@@ -248,6 +248,58 @@
   });
 }
 
+// Guards against a caller, without a key on a public route, or a server that
+// ends the process: the library aborts if the last chunk of an empty body
+// arrives before the end of its trailer, in further pieces.
+Test(input_bounds, an_empty_body_in_chunks_may_arrive_in_pieces) {
+  OnRuntime([](Runtime& runtime) {
+    const std::vector<std::string> rows[] = {
+        {"0\r\n", "\r\n"},      {"0\r\n", "\r", "\n"},
+        {"0\r\n\r", "\n"},      {"0", "\r", "\n", "\r", "\n"},
+        {"00\r\n", "\r", "\n"}, {"0;a\r\n", "X-T: 1\r\n", "\r\n"}};
+    const Endpoint listen{"127.0.206.1", 22500};
+    const auto server = Serve(runtime, listen);
+    const auto client = HttpClient::Create(&runtime, {});
+    std::uint16_t port = 22500;
+    for (const std::vector<std::string>& pieces : rows) {
+      boost::asio::io_context context;
+      const auto send = [&pieces](Tcp::socket* socket,
+                                  const std::string& head) {
+        socket->set_option(Tcp::no_delay(true));
+        boost::asio::write(*socket, boost::asio::buffer(head));
+        for (const std::string& piece : pieces) {
+          std::this_thread::sleep_for(milliseconds(20));
+          boost::asio::write(*socket, boost::asio::buffer(piece));
+        }
+      };
+      Tcp::socket caller(context);
+      caller.connect({boost::asio::ip::make_address(listen.ip), listen.port});
+      std::thread calling([&] { send(&caller, kHead + kChunked); });
+      std::string reply;
+      for (int i = 0; i < 200 && reply.empty(); ++i) {
+        runtime.SleepFor(milliseconds(10));
+        reply = ReadReply(caller.native_handle());
+      }
+      calling.join();
+      cr_expect(reply.starts_with("HTTP/1.1 200"), "%s", reply.c_str());
+
+      const Endpoint address{"127.0.206.1", ++port};
+      Tcp::acceptor acceptor(
+          context, {boost::asio::ip::make_address(address.ip), address.port});
+      Tcp::socket socket(context);
+      auto call = client->Open(address, seconds(1), ConnectionUse::kFresh);
+      cr_assert(call.has_value());
+      acceptor.accept(socket);
+      cr_assert(call.value()->Send(HttpRequest{}, seconds(1)).has_value());
+      std::thread answering([&] { send(&socket, kAnswer + kChunked); });
+      cr_expect(call.value()->ReadHead().has_value());
+      const auto body = call.value()->ReadBody(1024);
+      answering.join();
+      cr_expect(body.has_value() && body.value().empty());
+    }
+  });
+}
+
 // Guards against long streams that are ended by a bound on their sum.
 Test(input_bounds, a_long_answer_is_read_in_pieces) {
   OnRuntime([](Runtime& runtime) {
