HTTP server: fields of a trailer are no fields of the request

What callers sent in the trailer of a body in chunks was read and passed on as if it stood in the head: "Connection: close" there ended the connection, "Chervilpass-Deadline-Ms: 1" a request with 504, other fields reached the server (RFC 9110, section 6.5.1). Cause: the HTTP library adds a trailer's fields to those of the message, and the request was made from it after its end. Now its head is kept as it was when it ended; trailers are read and dropped. The new test failed before.

--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -181,6 +181,11 @@
   this->parser->eager(false);
   const Completion head = this->Parse(
       Input::kAwaited, [this] { return this->parser->is_header_done(); });
+  if (this->parser->is_header_done()) {
+    this->head = HeadFromBeast(this->parser->get());
+    this->forms = {this->parser->get().keep_alive(),
+                   this->parser->get().version() >= 11};
+  }
   if (head.error) {
     return head;
   }
@@ -215,22 +220,13 @@
                      [this] { return this->parser->is_done(); });
 }
 
-HttpRequest RequestReader::Head() const {
-  return HeadFromBeast(this->parser->get());
-}
-
 HttpRequest RequestReader::Take() {
   this->dropped = 0;
-  HttpRequest request = this->Head();
+  HttpRequest request = this->head;
   request.body = std::move(this->parser->get().body());
   return request;
 }
 
-ResponseForms RequestReader::Forms() const {
-  return {this->parser->get().keep_alive(),
-          this->parser->get().version() >= 11};
-}
-
 // Parses on the connection's fiber: what the parser throws within a composed
 // read of the library would leave the poller and end the process.
 Completion RequestReader::Parse(Input input,
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -74,8 +74,8 @@
     return this->parser && this->parser->is_header_done();
   }
 
-  /// The request without its body; after ReadHead.
-  HttpRequest Head() const;
+  /// The request without its body and trailer; after ReadHead.
+  const HttpRequest& Head() const { return this->head; }
 
   /// Bytes that have arrived since Begin, and before it.
   std::size_t Received() const { return this->received; }
@@ -84,7 +84,7 @@
   HttpRequest Take();
 
   /// What the request allows for its response; after ReadHead.
-  ResponseForms Forms() const;
+  const ResponseForms& Forms() const { return this->forms; }
 
  private:
   enum class Input { kArrived, kAwaited };
@@ -106,7 +106,9 @@
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser;                 ///< of the request that is being read
+      parser;        ///< of the request that is being read
+  HttpRequest head;  ///< the parser adds the trailer to the fields
+  ResponseForms forms;
   Instant until{};            ///< applies to one complete request
   memory::MemoryShare share;  ///< for the body, until the next request
   bool body_begun = false;    ///< a body in chunks is being parsed
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -240,6 +240,40 @@
   });
 }
 
+// Guards against trailers that a caller sets after what it has been checked by
+// (RFC 9110, section 6.5.1): a key, a tenant, a deadline, the connection's end.
+Test(http_server, a_trailer_is_no_part_of_the_head) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(30);
+    std::vector<std::string> names;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      names.clear();
+      for (const HttpHeader& field : exchange.Request().headers.All()) {
+        names.push_back(field.name);
+      }
+      exchange.Respond({200, {}, exchange.Request().body});
+    });
+    for (const std::string pause : {"0", "0\r\n"}) {
+      Caller caller(listen);
+      caller.Send(
+          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "1\r\nb\r\n" +
+          pause);
+      runtime.SleepFor(kTransfer);
+      caller.Send(std::string("0\r\n").substr(pause.size()) +
+                  "X-A: b\r\nConnection: close\r\n\r\n");
+      runtime.SleepFor(kTransfer);
+      const std::string reply = caller.Receive();
+      cr_expect(reply.starts_with("HTTP/1.1 200") && reply.ends_with("\r\nb"),
+                "%s", reply.c_str());
+      cr_expect_eq(names.size(), 2);
+      caller.Send(std::string(kGet));
+      runtime.SleepFor(kTransfer);
+      cr_expect(caller.Receive().starts_with("HTTP/1.1 200"));
+    }
+  });
+}
+
 // Guards against callers whose connections are closed without a word at the
 // limit.
 Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
