HTTP server: a request without just one proper Host is refused

Two Host fields, unlike ones too, were served by the first one and both were passed on; no Host in HTTP/1.1, "a b", "a/b" or "a:80x" were read as names, and http:///path went by the Host field. Another server before or behind the router may take such a request to be for another host (RFC 9112, section 3.2: 400 is a must; RFC 9110, section 4.2.1). Now 400, and the connection closes. A target in absolute form without a Host field (HTTP/1.0) gives the host. The new test failed before.

--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cctype>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -30,8 +32,12 @@
 constexpr Duration kMaxMemoryWait = milliseconds(250);
 constexpr Duration kMemoryPollInterval = milliseconds(10);
 
+unsigned char Byte(char byte) {
+  return static_cast<unsigned char>(byte);
+}
+
 struct RequestTarget {
-  std::string authority;  // empty if the target is in origin form
+  std::optional<std::string> authority;  // none in origin form
   std::string origin_form;
 };
 
@@ -52,7 +58,58 @@
     }
     return {std::string(rest.substr(0, end)), std::move(origin_form)};
   }
-  return {{}, std::string(target)};
+  return {std::nullopt, std::string(target)};
+}
+
+// True for a host, with or without a port (RFC 9112, section 3.2; RFC 3986,
+// section 3.2). Names may be empty.
+bool IsHost(std::string_view text) {
+  constexpr std::string_view kNameBytes = "-._~!$&'()*+,;=";
+  constexpr std::string_view kAddressBytes = ":.";
+  const auto is_hex = [](char byte) { return std::isxdigit(Byte(byte)) != 0; };
+  std::size_t end = 0;
+  if (text.starts_with('[')) {
+    end = 1;
+    while (end < text.size() &&
+           (is_hex(text[end]) ||
+            kAddressBytes.find(text[end]) != std::string_view::npos)) {
+      ++end;
+    }
+    if (end == text.size() || text[end] != ']') {
+      return false;
+    }
+    ++end;
+  } else {
+    while (end < text.size() && text[end] != ':') {
+      const bool escaped = text[end] == '%' && end + 2 < text.size() &&
+                           is_hex(text[end + 1]) && is_hex(text[end + 2]);
+      if (!escaped && std::isalnum(Byte(text[end])) == 0 &&
+          kNameBytes.find(text[end]) == std::string_view::npos) {
+        return false;
+      }
+      end += escaped ? 3 : 1;
+    }
+  }
+  if (end == text.size()) {
+    return true;
+  }
+  return text[end] == ':' &&
+         std::all_of(text.begin() + end + 1, text.end(),
+                     [](char byte) { return std::isdigit(Byte(byte)) != 0; });
+}
+
+// True unless the host that the request is for is unclear (RFC 9112, section
+// 3.2): then another server may take it to be for another one.
+template <class Message>
+bool HasProperHost(const Message& message) {
+  const std::size_t fields = message.count(http::field::host);
+  if (fields > 1 || (fields == 0 && message.version() >= 11) ||
+      !IsHost(message[http::field::host])) {
+    return false;
+  }
+  const RequestTarget parts = SplitTarget(message.target());
+  return !parts.authority ||
+         (!parts.authority->empty() && !parts.authority->starts_with(':'));
 }
 
 HttpRequest HeadFromBeast(const http::request<http::string_body>& message) {
@@ -68,10 +125,13 @@
   }
   for (const auto& field : message) {
     const bool replaced =
-        field.name() == http::field::host && !parts.authority.empty();
+        field.name() == http::field::host && parts.authority.has_value();
     request.headers.Add(
         std::string(field.name_string()),
-        replaced ? parts.authority : std::string(field.value()));
+        replaced ? *parts.authority : std::string(field.value()));
+  }
+  if (parts.authority && message.count(http::field::host) == 0) {
+    request.headers.Add("Host", *parts.authority);
   }
   return request;
 }
@@ -192,6 +252,9 @@
   if (const auto objection = ObjectionToCodings(this->parser->get())) {
     return {*objection};
   }
+  if (!HasProperHost(this->parser->get())) {
+    return {http::error::bad_value};
+  }
   return head;
 }
 
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -274,6 +274,55 @@
   });
 }
 
+// Guards against requests that another server before this one takes to be for
+// another host (RFC 9112, section 3.2; RFC 9110, section 4.2.1).
+Test(http_server, a_request_without_just_one_proper_host_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(31);
+    int runs = 0;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      ++runs;
+      exchange.Respond({200, {}, ""});
+    });
+    const std::string get = "GET / HTTP/1.1\r\n";
+    const struct {
+      std::string bytes;
+      bool proper;
+    } rows[] = {{get + "Host: a\r\n", true},
+                {get + "Host: a.b.:80\r\n", true},
+                {get + "Host: [::1]:80\r\n", true},
+                {get + "Host: a_b%20~!$&'()*+,;=\r\n", true},
+                {get + "Host:\r\n", true},
+                {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n", true},
+                {"GET http://a/ HTTP/1.1\r\nHost: b\r\n", true},
+                {get, false},
+                {get + "Host: a\r\nHost: a\r\n", false},
+                {get + "Host: a\r\nhost: b\r\n", false},
+                {"GET / HTTP/1.0\r\nHost: a\r\nHost: b\r\n", false},
+                {get + "Host: a b\r\n", false},
+                {get + "Host: a, b\r\n", false},
+                {get + "Host: a/b\r\n", false},
+                {get + "Host: a@b\r\n", false},
+                {get + "Host: a:80x\r\n", false},
+                {get + "Host: a%2\r\n", false},
+                {get + "Host: [::1\r\n", false},
+                {"GET http:/// HTTP/1.1\r\nHost: a\r\n", false},
+                {"GET http://:80/ HTTP/1.1\r\nHost: a\r\n", false},
+                {"GET http://a/ HTTP/1.1\r\n", false}};
+    for (const auto& row : rows) {
+      runs = 0;
+      Caller caller(listen);
+      caller.Send(row.bytes + "\r\n");
+      runtime.SleepFor(kTransfer);
+      cr_expect(caller.Receive().starts_with(row.proper ? "HTTP/1.1 200"
+                                                        : "HTTP/1.1 400"),
+                "%s", row.bytes.c_str());
+      cr_expect_eq(runs, row.proper ? 1 : 0, "%s", row.bytes.c_str());
+      cr_expect_eq(caller.Closed(), !row.proper, "%s", row.bytes.c_str());
+    }
+  });
+}
+
 // Guards against callers whose connections are closed without a word at the
 // limit.
 Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
