HTTP server: a response without a body states no length of 0

Each response to HEAD, and each 204 and 304, had "Content-Length: 0". For HEAD and 304 it is the length that GET would give, which is not 0 (RFC 9110, section 8.6); a 204 may have none. Callers that size a download by HEAD saw an empty one. Now the field is left out where the length is not known; a response of the router itself to HEAD keeps it. The new test failed before.

--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -40,15 +40,21 @@
 }
 
 // The body stays in `response`, which outlives the message.
-http::response<http::span_body<const char>> ToBeast(
-    const HttpResponse& response,
-    bool keep_alive) {
+http::response<http::span_body<const char>>
+ToBeast(const HttpResponse& response, bool keep_alive, bool is_head) {
   http::response<http::span_body<const char>> message(
       static_cast<http::status>(response.status), 11);
   CopyHeaders(response.headers, &message);
   message.body() = {response.body.data(), response.body.size()};
   message.keep_alive(keep_alive);
   message.prepare_payload();
+  // The length of a body that is not sent is stated if it is known only (RFC
+  // 9110, section 8.6).
+  const bool has_no_body =
+      is_head || response.status == 204 || response.status == 304;
+  if (has_no_body && response.body.empty()) {
+    message.content_length(boost::none);
+  }
   return message;
 }
 
@@ -84,7 +90,7 @@
 
 std::string ClosingResponseText(const HttpResponse& response) {
   std::ostringstream text;
-  text << ToBeast(response, false);
+  text << ToBeast(response, false, false);
   return text.str();
 }
 
@@ -115,7 +121,7 @@
   this->forms.keep_alive =
       this->forms.keep_alive && *this->connection.keep_alive_allowed;
   http::response<http::span_body<const char>> message =
-      ToBeast(response, this->forms.keep_alive);
+      ToBeast(response, this->forms.keep_alive, this->IsHead());
   if (this->IsHead()) {
     http::response_serializer<http::span_body<const char>> serializer(message);
     this->Write([&](auto handler) {
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -323,6 +323,49 @@
   });
 }
 
+// Guards against a length of 0 that is not the one of the body (RFC 9110,
+// section 8.6).
+Test(http_server, a_response_that_has_no_body_states_no_wrong_length) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(32);
+    HttpResponse response;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      exchange.Respond(response);
+    });
+    const struct {
+      const char* method;
+      unsigned status;
+      const char* body;
+      const char* length;  // nullptr: not stated
+    } rows[] = {{"HEAD", 200, "", nullptr}, {"HEAD", 404, "abc", "3"},
+                {"GET", 204, "", nullptr},  {"GET", 304, "", nullptr},
+                {"POST", 204, "", nullptr}, {"HEAD", 204, "", nullptr},
+                {"GET", 200, "", "0"},      {"GET", 200, "abc", "3"}};
+    Caller caller(listen);
+    for (const auto& row : rows) {
+      response = {row.status, {}, row.body};
+      caller.Send(std::string(row.method) + " / HTTP/1.1\r\nHost: a\r\n\r\n");
+      runtime.SleepFor(kTransfer);
+      const std::string reply = caller.Receive();
+      cr_expect(reply.starts_with("HTTP/1.1 " + std::to_string(row.status)),
+                "%s", reply.c_str());
+      const std::size_t field = reply.find("Content-Length: ");
+      const std::string stated =
+          field == std::string::npos
+              ? "none"
+              : reply.substr(field + 16,
+                             reply.find("\r\n", field) - field - 16);
+      cr_expect_str_eq(stated.c_str(),
+                       row.length == nullptr ? "none" : row.length, "%s %u",
+                       row.method, row.status);
+      cr_expect_eq(reply.find("Transfer-Encoding"), std::string::npos);
+      const std::string body = reply.substr(reply.find("\r\n\r\n") + 4);
+      cr_expect_str_eq(body.c_str(),
+                       std::string_view(row.method) == "HEAD" ? "" : row.body);
+    }
+  });
+}
+
 // Guards against callers whose connections are closed without a word at the
 // limit.
 Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
