HTTP server: a line end within a chunk's extension is refused

A line feed in a quoted value of a chunk extension was read as part of it; a server before this one that ends lines there reads other chunks and takes what follows for another request (RFC 9112, sections 7.1 and 2.2: a single LF ends lines of the head at most). Nothing of the body ran here. Now 400, and the connection closes.

--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -206,6 +206,14 @@
     : runtime(runtime),
       stream(stream),
       settings(settings),
+      check_chunk([](std::uint64_t,
+                     beast::string_view extension,
+                     boost::system::error_code& error) {
+        // The library accepts them within quotes.
+        if (extension.find_first_of("\r\n") != beast::string_view::npos) {
+          error = http::error::bad_chunk_extension;
+        }
+      }),
       share(settings->budget, settings->owner) {}
 
 void RequestReader::Begin() {
@@ -217,6 +225,7 @@
   this->parser.emplace();
   this->parser->header_limit(this->settings->limits.header_bytes);
   this->parser->body_limit(this->settings->limits.body_bytes);
+  this->parser->on_chunk_header(this->check_chunk);
 }
 
 bool RequestReader::DropEmptyLines() {
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -103,6 +103,11 @@
   Runtime* runtime;
   boost::beast::tcp_stream* stream;
   const HttpServerSettings* settings;
+  // Outlives the parser.
+  std::function<void(std::uint64_t size,
+                     boost::beast::string_view extension,
+                     boost::system::error_code& error)>
+      check_chunk;
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -366,6 +366,37 @@
   });
 }
 
+// Guards against chunks whose first line another server before this one takes
+// to end elsewhere (RFC 9112, section 7.1).
+Test(http_server, a_line_end_within_a_chunk_extension_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(33);
+    int runs = 0;
+    const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+      ++runs;
+      exchange.Respond({200, {}, ""});
+    });
+    for (const std::string extension : {";a=\"b\"", ";a=\"b\nc\"", ";a=\"\n\"",
+                                        ";a=\"\\\n\"", ";a\n", ";\nb=c"}) {
+      for (const std::string size : {"1", "0"}) {
+        runs = 0;
+        Caller caller(listen);
+        caller.Send(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            size + extension + "\r\n" +
+            (size == "1" ? "b\r\n0\r\n\r\n" : "\r\n"));
+        runtime.SleepFor(kTransfer);
+        const bool proper = extension.find('\n') == std::string::npos;
+        const std::string reply = caller.Receive();
+        cr_expect(reply.starts_with(proper ? "HTTP/1.1 200" : "HTTP/1.1 400"),
+                  "%s: %s", extension.c_str(), reply.c_str());
+        cr_expect_eq(runs, proper ? 1 : 0, "%s", extension.c_str());
+        cr_expect_eq(caller.Closed(), !proper, "%s", extension.c_str());
+      }
+    }
+  });
+}
+
 // Guards against callers whose connections are closed without a word at the
 // limit.
 Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
