--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -354,9 +354,10 @@
     std::thread peer([&] {
       for (boost::asio::ip::tcp::socket& socket : sockets) {
         boost::system::error_code error;
-        boost::asio::write(
-            socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")),
-            error);
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string(
+                               "GET / HTTP/1.1\r\nHost: a\r\n\r\n")),
+                           error);
         const std::string response = ReadToEnd(socket);
         served += response.find("ok") != std::string::npos ? 1 : 0;
       }
