HTTP server: a request of which a part has just arrived is refused as well

A request whose body was still arriving could get no response at the end of a process, and only request.unread named it.

A refusal cancelled the read in progress. If that read had ended already and the connection's fiber had not run yet, nothing was cancelled; the fiber waited for the next part, and further calls passed over the connection, since it had a refusal. The reader keeps in mind that it is to stop. It does so too while it waits for memory.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -94,7 +94,7 @@
   // A connection that is being served.
   struct Connection {
     beast::tcp_stream* stream;
-    const RequestReader* reader;
+    RequestReader* reader;
     // Set while a request is being read of which a part has arrived.
     std::optional<Instant> reading_since = std::nullopt;
     // The response to that request, which is not read to its end.
@@ -508,7 +508,7 @@
       connection.refusal =
           respond(connection.reader->HasHead() ? connection.reader->Head()
                                                : HttpRequest{});
-      connection.stream->cancel();
+      connection.reader->Stop();
     }
   }
 }
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -218,6 +218,7 @@
 
 void RequestReader::Begin() {
   this->until = this->runtime->Now() + this->settings->limits.read_timeout;
+  this->stopped = false;
   this->received = this->buffer.size();
   this->share =
       memory::MemoryShare(this->settings->budget, this->settings->owner);
@@ -228,6 +229,13 @@
   this->parser->on_chunk_header(this->check_chunk);
 }
 
+// A read that has ended already cannot be cancelled, although the fiber has not
+// seen its end.
+void RequestReader::Stop() {
+  this->stopped = true;
+  this->stream->cancel();
+}
+
 bool RequestReader::DropEmptyLines() {
   const std::string_view input(
       static_cast<const char*>(this->buffer.data().data()),
@@ -362,6 +370,9 @@
   const Instant latest =
       std::min(this->until, this->runtime->Now() + kMaxMemoryWait);
   while (!this->share.Resize(bytes)) {
+    if (this->stopped) {
+      return {asio::error::operation_aborted};
+    }
     if (this->runtime->Now() >= latest) {
       return {asio::error::no_buffer_space};
     }
@@ -372,6 +383,9 @@
 
 // The timer ends with the read: later it would cancel writes of the response.
 Completion RequestReader::ReadTimed(std::size_t size) {
+  if (this->stopped) {
+    return {asio::error::operation_aborted};
+  }
   this->stream->expires_never();
   const ReadTimer timer(this->runtime, this->stream,
                         this->until - this->runtime->Now());
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -50,6 +50,10 @@
   /// Starts the next request, which must be complete within the read timeout.
   void Begin();
 
+  /// Ends the reading of the request, now or at its next step, with
+  /// operation_aborted.
+  void Stop();
+
   /// Drops empty lines, which may precede a request line (RFC 9112, section
   /// 2.2); true if nothing is left.
   bool DropEmptyLines();
@@ -117,6 +121,7 @@
   Instant until{};            ///< applies to one complete request
   memory::MemoryShare share;  ///< for the body, until the next request
   bool body_begun = false;    ///< a body in chunks is being parsed
+  bool stopped = false;
   std::size_t received = 0;
   std::size_t dropped = 0;  ///< bytes of empty lines since the last request
 };
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -852,3 +852,30 @@
     cr_expect(second.Receive().ends_with("ok"));
   });
 }
+
+// Guards against requests that get no response at the end of a process: a part
+// of one that has arrived, but is not taken in yet, made its refusal wait for
+// the part after it.
+Test(http_server, a_request_of_which_a_part_has_just_arrived_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(22);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    const auto refuse = [&] {
+      server->RefuseUnread([](const HttpRequest&) {
+        return HttpResponse{503, {}, "leaving"};
+      });
+    };
+    Caller caller(listen);
+    caller.Send(std::string(kPart));
+    runtime.SleepFor(kTransfer);
+    caller.Send("1");
+    // The poller runs all of these before the fiber of the connection.
+    runtime.Post([&] {
+      runtime.Post([&] { runtime.Post([&] { runtime.Post(refuse); }); });
+    });
+    runtime.SleepFor(kTransfer);
+    cr_expect(caller.Receive().starts_with("HTTP/1.1 503"));
+  });
+}
