Addresses that a predecessor still holds are tried again

A router that was started while the one before it still left ended with code 1 at its first taken address, and nothing started it again.

An order to stop that arrives in this time ends the router with code 0. The RPC ports of dispatch and control are not tried again.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/request_reader.h"
 #include "chervilpass/io/server_exchange.h"
@@ -125,6 +126,27 @@
         error_responder(std::move(error_responder)),
         acceptor(runtime->Context()) {}
 
+  boost::system::error_code Listen() {
+    boost::system::error_code error;
+    const Endpoint& listen = this->settings.listen;
+    const Tcp::endpoint address(asio::ip::make_address(listen.ip), listen.port);
+    this->acceptor.open(address.protocol(), error);
+    if (!error) {
+      this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+      this->acceptor.bind(address, error);
+    }
+    if (!error) {
+      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      boost::system::error_code ignored;
+      this->acceptor.close(ignored);
+    }
+    return error;
+  }
+
   void AcceptLoop() {
     while (!this->stopped) {
       Tcp::socket socket(this->runtime->Context());
@@ -467,19 +489,9 @@
   auto state =
       std::make_shared<State>(runtime, std::move(settings), std::move(handler),
                               std::move(error_responder));
-  boost::system::error_code error;
   const Endpoint& listen = state->settings.listen;
-  const Tcp::endpoint address(asio::ip::make_address(listen.ip), listen.port);
-  state->acceptor.open(address.protocol(), error);
-  if (!error) {
-    state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    state->acceptor.bind(address, error);
-  }
-  if (!error) {
-    state->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
+  const boost::system::error_code error =
+      BindWhenFree(runtime, listen, [&state] { return state->Listen(); });
   if (error) {
     return HttpError{HttpErrorCode::kConnect,
                      listen.ToText() + ": " + error.message()};
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -18,6 +18,7 @@
 #include <thread>
 #include <utility>
 
+#include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/fiber_scheduler.h"
 
@@ -33,7 +34,7 @@
                                         SIGALRM, SIGVTALRM, SIGPROF,
                                         SIGXFSZ, SIGIO,     SIGPWR};
 
-const Logger* terminate_log = nullptr;
+const Logger* process_log = nullptr;
 
 [[noreturn]] void LogAndAbort() {
   std::string detail = "no exception";
@@ -46,7 +47,7 @@
   } catch (...) {
     detail = "not a standard exception";
   }
-  terminate_log->Error("process.terminated", {{"detail", detail}});
+  process_log->Error("process.terminated", {{"detail", detail}});
   std::abort();
 }
 
@@ -200,10 +201,14 @@
 
 void Runtime::LogTo(const Logger* log) {
   this->state->signal_log = log;
-  terminate_log = log;
+  process_log = log;
   std::set_terminate(LogAndAbort);
 }
 
+const Logger* ProcessLog() {
+  return process_log;
+}
+
 boost::asio::io_context& Runtime::Context() {
   return this->state->context;
 }
--- a/chervilpass/io/udp_socket.cc
+++ b/chervilpass/io/udp_socket.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 
+#include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/await.h"
 
 namespace chervilpass::io {
@@ -18,6 +19,22 @@
 struct UdpSocket::State {
   explicit State(Runtime* runtime) : socket(runtime->Context()) {}
 
+  boost::system::error_code Bind(const Udp::endpoint& address) {
+    boost::system::error_code error;
+    this->socket.open(address.protocol(), error);
+    if (!error) {
+      this->socket.bind(address, error);
+    }
+    if (!error) {
+      this->socket.non_blocking(true, error);
+    }
+    if (error) {
+      boost::system::error_code ignored;
+      this->socket.close(ignored);
+    }
+    return error;
+  }
+
   Udp::socket socket;
   std::array<char, kMaxDatagramSize> buffer;
   std::uint64_t bytes_sent = 0;
@@ -31,15 +48,9 @@
     Runtime* runtime,
     const Endpoint& listen) {
   auto state = std::make_unique<State>(runtime);
-  boost::system::error_code error;
   const Udp::endpoint address(asio::ip::make_address(listen.ip), listen.port);
-  state->socket.open(address.protocol(), error);
-  if (!error) {
-    state->socket.bind(address, error);
-  }
-  if (!error) {
-    state->socket.non_blocking(true, error);
-  }
+  const boost::system::error_code error =
+      BindWhenFree(runtime, listen, [&] { return state->Bind(address); });
   if (error) {
     return HttpError{HttpErrorCode::kConnect,
                      listen.ToText() + ": " + error.message()};
--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -4,7 +4,8 @@
     process_life.py [--cell NAME]... [--subnet N]
 
 A cell fails if a request in progress gets no complete answer, if a process ends by a
-signal that is no order to end at once, or if an orderly stop has another exit code than 0."""
+signal that is no order to end at once, if an orderly stop has another exit code than 0, or
+if a process does not start beside its leaving predecessor."""
 
 import os
 import signal
@@ -154,6 +155,36 @@
                   "exit codes %s" % codes)
 
 
+def play_restart_beside_predecessor(name, fleet):
+    """The next process starts while the one before it still leaves and holds the ports; then one is
+    told to stop while it waits."""
+    router = fleet.routers[0]
+    predecessor = router.process.child
+    predecessor.send_signal(signal.SIGTERM)
+    time.sleep(0.5)
+    router.process.start()
+    check("%s: the predecessor ends in order" % name, predecessor.wait(GRACE_S) == 0)
+    try:
+        fleet.wait_ready(5)
+    except TimeoutError:
+        pass
+    check("%s: the next process serves" % name, router.process.running() and fleet.stream_whole(router, 10))
+    with open(router.process.log) as log:
+        waits = sum("address.in_use" in line for line in log)
+    check("%s: the wait is logged once for each address" % name, 0 < waits <= 8, "%d lines" % waits)
+    first = router.process.child
+    router.process.start()
+    time.sleep(1)
+    router.process.send(signal.SIGTERM)
+    try:
+        code = router.process.child.wait(3)
+    except subprocess.TimeoutExpired:
+        code = "none"
+    check("%s: a process that waits ends when it is told to" % name, code == 0, "exit code %s" % code)
+    router.process.kill()
+    router.process.child = first
+
+
 def play_other_daemons(name, platform):
     """The daemons of the product's own interface, and a stand-in."""
     with tempfile.TemporaryDirectory() as folder:
@@ -180,7 +211,8 @@
 
 
 CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
-         "early-signals": play_early_signals, "other-daemons": play_other_daemons}
+         "early-signals": play_early_signals, "other-daemons": play_other_daemons,
+         "restart-beside-predecessor": play_restart_beside_predecessor}
 
 
 def make_fleet(subnet):
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -16,6 +16,7 @@
 #include "chervilpass/fleet/send_permits.h"
 #include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/fleet/suspect_sync.h"
+#include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/descriptor_limit.h"
 #include "chervilpass/memory/allocator.h"
 #include "chervilpass/memory/memory_budget.h"
@@ -111,7 +112,7 @@
     this->runtime.LogTo(&this->log);
     this->CreateClients();
     if (!this->CreatePeers() || !this->CreateServers()) {
-      return app::kExitFailure;
+      return io::StopSignalPending() ? app::kExitOk : app::kExitFailure;
     }
     this->log.Info("router.started",
                    {{"version", CHERVILPASS_VERSION},
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -879,3 +879,24 @@
     cr_expect(caller.Receive().starts_with("HTTP/1.1 503"));
   });
 }
+
+// Guards against processes that end at their start because their predecessor
+// has not ended yet.
+Test(http_server, a_port_that_is_still_taken_is_tried_again) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(23);
+    const auto handler = [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    };
+    auto predecessor = Serve(runtime, listen, handler);
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(300));
+      predecessor.reset();
+    });
+    const auto server = Serve(runtime, listen, handler);
+    Caller caller(listen);
+    caller.Send(std::string(kGet));
+    runtime.SleepFor(kTransfer);
+    cr_expect(caller.Receive().ends_with("ok"));
+  });
+}
