Daemons: real-time signals, SIGSTKFLT and SIGXCPU end no process

A router that got one of these ended at once, with all requests in progress and without a line.

They are ignored like the other signals that are no order to end, if nothing in the process handles them: only default effects are changed, and the signals that the C library reserves are left alone.

--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -29,10 +29,10 @@
 constexpr Duration kLogFlushPeriod = milliseconds(200);
 
 constexpr std::array kHandledSignals = {SIGTERM, SIGINT, SIGHUP};
-// They would end the process by default.
-constexpr std::array kIgnoredSignals = {SIGPIPE, SIGUSR1,   SIGUSR2,
-                                        SIGALRM, SIGVTALRM, SIGPROF,
-                                        SIGXFSZ, SIGIO,     SIGPWR};
+// They would end the process by default, as the real-time signals would.
+constexpr std::array kIgnoredSignals = {SIGPIPE,   SIGUSR1, SIGUSR2,  SIGALRM,
+                                        SIGVTALRM, SIGPROF, SIGXFSZ,  SIGXCPU,
+                                        SIGIO,     SIGPWR,  SIGSTKFLT};
 
 const Logger* process_log = nullptr;
 
@@ -51,6 +51,18 @@
   std::abort();
 }
 
+bool HasDefaultEffect(int number) {
+  struct sigaction current {};
+  return ::sigaction(number, nullptr, &current) == 0 &&
+         (current.sa_flags & SA_SIGINFO) == 0 && current.sa_handler == SIG_DFL;
+}
+
+void IgnoreByDefault(int number) {
+  if (HasDefaultEffect(number)) {
+    ::signal(number, SIG_IGN);
+  }
+}
+
 void ChangeMask(int how) {
   sigset_t signals;
   ::sigemptyset(&signals);
@@ -126,11 +138,11 @@
 void Runtime::PrepareSignals() {
   ChangeMask(SIG_BLOCK);
   for (const int number : kIgnoredSignals) {
-    struct sigaction current {};
-    ::sigaction(number, nullptr, &current);
-    if (current.sa_handler == SIG_DFL) {
-      ::signal(number, SIG_IGN);
-    }
+    IgnoreByDefault(number);
+  }
+  // Without those that the C library reserves.
+  for (int number = SIGRTMIN; number <= SIGRTMAX; ++number) {
+    IgnoreByDefault(number);
   }
 }
 
--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -23,7 +23,9 @@
 STREAMS = 8             # in progress as the signals arrive
 GRACE_S = 8.0
 EARLY_STARTS = 10
-STRAY = [signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE, signal.SIGALRM, signal.SIGXFSZ, signal.SIGHUP]
+STRAY = [signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE, signal.SIGALRM, signal.SIGXFSZ, signal.SIGHUP,
+         16, signal.SIGXCPU] + list(range(signal.SIGRTMIN, signal.SIGRTMAX + 1))  # 16: SIGSTKFLT
+STRAY_PAUSE_S = 0.008
 FAILED = []
 
 
@@ -86,7 +88,7 @@
     streams = Streams(fleet, router, name)
     for number in STRAY * 3:
         router.process.send(number)
-        time.sleep(0.03)
+        time.sleep(STRAY_PAUSE_S)
     streams.check_all_whole()
     check("%s: the process goes on" % name, router.process.running())
 
