Log: a process that ends by a signal leaves its last lines, and says so

A process that ended by SIGSEGV, SIGABRT (also of an assertion), SIGBUS and the like left up to 200 ms of lines in its buffer, and no line told its end from a kill.

A handler writes the buffer out, if no thread is changing it, then process.ended_by_signal with a text that was formatted when the first logger was made; only its time is filled in. It neither waits for a lock nor allocates, waits up to 50 ms for the reader, and the signal then has its usual effect. It has a stack of its own. Handlers that stand already are kept.

--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -3,17 +3,25 @@
 #include <fmt/chrono.h>
 #include <limits.h>
 #include <poll.h>
+#include <signal.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
 #include <mutex>
 #include <vector>
 
+#include "chervilpass/core/last_lines.h"
+
 namespace chervilpass {
 namespace {
 
+// For the reader of a process that ends by a signal.
+constexpr Duration kMaxCrashWait = milliseconds(50);
 constexpr std::string_view kLevelNames[] = {"debug", "info", "warning",
                                             "error"};
 
@@ -65,6 +73,18 @@
     }
   }
 
+  // Without waiting for a lock, and without allocating.
+  void FlushAtCrash(Duration max_wait) {
+    if (this->mutex.try_lock()) {
+      const auto until = std::chrono::steady_clock::now() + max_wait;
+      this->WriteOut();
+      while (!this->bytes.empty() && this->AwaitReader(until)) {
+        this->WriteOut();
+      }
+      this->mutex.unlock();
+    }
+  }
+
   std::uint64_t Dropped() {
     const std::lock_guard lock(this->mutex);
     return this->dropped;
@@ -109,6 +129,81 @@
   std::uint64_t dropped = 0;
 };
 
+// The lines that name the signals by which a process may end, except for their
+// times. Formatted in advance, because nothing may be allocated at that time.
+class CrashLines {
+ public:
+  static CrashLines& Instance() {
+    static CrashLines lines;
+    return lines;
+  }
+
+  // Takes the settings of the first logger only: those of a process are alike.
+  void Prepare(const LogSettings& settings) {
+    const std::lock_guard lock(this->mutex);
+    if (this->prepared) {
+      return;
+    }
+    LogBuffer::Instance();  // exists from now on
+    for (std::size_t number = 1; number < this->lines.size(); ++number) {
+      this->lines[number] =
+          FormatLogLine(settings, LogLevel::kError, 0,
+                        "process.ended_by_signal", {{"number", number}}) +
+          "\n";
+    }
+    this->time_position = this->lines[1].find(FormatUtc(0));
+    this->prepared = true;
+  }
+
+  // Sets the time of the line.
+  void Write(std::size_t number) {
+    if (!this->prepared || number >= this->lines.size()) {
+      return;
+    }
+    std::string& line = this->lines[number];
+    this->SetTime(line.data() + this->time_position);
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0) {
+      const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
+      static_cast<void>(written);
+    }
+  }
+
+  bool Prepared() const { return this->prepared; }
+
+ private:
+  // As FormatUtc does: 1970-01-01T00:00:00.000Z.
+  static void SetTime(char* text) {
+    using namespace std::chrono;
+    const auto now = floor<milliseconds>(system_clock::now());
+    const auto day = floor<days>(now);
+    const year_month_day date(day);
+    const hh_mm_ss time(now - day);
+    SetDigits(text, 4, static_cast<int>(date.year()));
+    SetDigits(text + 5, 2, static_cast<unsigned>(date.month()));
+    SetDigits(text + 8, 2, static_cast<unsigned>(date.day()));
+    SetDigits(text + 11, 2, time.hours().count());
+    SetDigits(text + 14, 2, time.minutes().count());
+    SetDigits(text + 17, 2, time.seconds().count());
+    SetDigits(text + 20, 3, time.subseconds().count());
+  }
+
+  static void SetDigits(char* text, int digits, std::int64_t value) {
+    for (int i = digits - 1; i >= 0; --i) {
+      text[i] = static_cast<char>('0' + value % 10);
+      value /= 10;
+    }
+  }
+
+  // Of the signals that have a meaning of their own.
+  static constexpr std::size_t kSignals = 32;
+
+  std::mutex mutex;
+  std::array<std::string, kSignals> lines;  // by signal
+  std::size_t time_position = 0;            // in each line
+  std::atomic<bool> prepared = false;
+};
+
 }  // namespace
 
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
@@ -148,7 +243,9 @@
   return line;
 }
 
-Logger::Logger(LogSettings settings) : settings(std::move(settings)) {}
+Logger::Logger(LogSettings settings) : settings(std::move(settings)) {
+  CrashLines::Instance().Prepare(this->settings);
+}
 
 bool Logger::Enabled(LogLevel level) const {
   return level >= this->settings.level;
@@ -172,6 +269,14 @@
   LogBuffer::Instance().Flush(max_wait);
 }
 
+void WriteLastLines(int signal_number) {
+  CrashLines& lines = CrashLines::Instance();
+  if (lines.Prepared()) {
+    LogBuffer::Instance().FlushAtCrash(kMaxCrashWait);
+    lines.Write(static_cast<std::size_t>(signal_number));
+  }
+}
+
 std::uint64_t DroppedLogLines() {
   return LogBuffer::Instance().Dropped();
 }
--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -18,6 +18,7 @@
 #include <thread>
 #include <utility>
 
+#include "chervilpass/core/last_lines.h"
 #include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/fiber_scheduler.h"
@@ -33,6 +34,11 @@
 constexpr std::array kIgnoredSignals = {SIGPIPE,   SIGUSR1, SIGUSR2,  SIGALRM,
                                         SIGVTALRM, SIGPROF, SIGXFSZ,  SIGXCPU,
                                         SIGIO,     SIGPWR,  SIGSTKFLT};
+// They end the process, after its last lines.
+constexpr std::array kFatalSignals = {SIGQUIT, SIGILL, SIGTRAP, SIGABRT,
+                                      SIGBUS,  SIGFPE, SIGSEGV, SIGSYS};
+// For the handler of fatal signals, if the stack of a fiber is used up.
+constexpr std::size_t kSignalStackSize = 64 * 1024;  // bytes
 
 const Logger* process_log = nullptr;
 
@@ -63,6 +69,37 @@
   }
 }
 
+// Runs once, and ends the process as the signal would have done without it.
+void OnFatalSignal(int number) {
+  WriteLastLines(number);
+  ::raise(number);
+}
+
+void HandleFatalSignals() {
+  struct sigaction action {};
+  action.sa_handler = OnFatalSignal;
+  action.sa_flags = static_cast<int>(SA_RESETHAND | SA_ONSTACK);
+  ::sigfillset(&action.sa_mask);
+  for (const int number : kFatalSignals) {
+    if (HasDefaultEffect(number)) {
+      ::sigaction(number, &action, nullptr);
+    }
+  }
+}
+
+// Of the calling thread, unless it has one.
+void ProvideSignalStack() {
+  stack_t current{};
+  if (::sigaltstack(nullptr, &current) == 0 &&
+      (current.ss_flags & SS_DISABLE) != 0) {
+    static std::array<char, kSignalStackSize> memory;
+    stack_t stack{};
+    stack.ss_sp = memory.data();
+    stack.ss_size = memory.size();
+    ::sigaltstack(&stack, nullptr);
+  }
+}
+
 void ChangeMask(int how) {
   sigset_t signals;
   ::sigemptyset(&signals);
@@ -144,6 +181,7 @@
   for (int number = SIGRTMIN; number <= SIGRTMAX; ++number) {
     IgnoreByDefault(number);
   }
+  HandleFatalSignals();
 }
 
 void Runtime::Run(const std::function<void(Runtime&)>& body) {
@@ -152,6 +190,7 @@
   auto* runtime = new Runtime();
   std::promise<void> ended;
   std::thread([runtime, &body, &ended] {
+    ProvideSignalStack();
     boost::fibers::use_scheduling_algorithm<FiberScheduler>(
         &runtime->state->context, &runtime->state->poller);
     runtime->Spawn([state = runtime->state.get()] {
--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -4,9 +4,11 @@
     process_life.py [--cell NAME]... [--subnet N]
 
 A cell fails if a request in progress gets no complete answer, if a process ends by a
-signal that is no order to end at once, if an orderly stop has another exit code than 0, or
-if a process does not start beside its leaving predecessor."""
+signal that is no order to end at once, if an orderly stop has another exit code than 0, if
+a process that ends by a fatal signal leaves no line that says so or loses the lines before
+it, or if a process does not start beside its leaving predecessor."""
 
+import json
 import os
 import signal
 import subprocess
@@ -26,6 +28,7 @@
 STRAY = [signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE, signal.SIGALRM, signal.SIGXFSZ, signal.SIGHUP,
          16, signal.SIGXCPU] + list(range(signal.SIGRTMIN, signal.SIGRTMAX + 1))  # 16: SIGSTKFLT
 STRAY_PAUSE_S = 0.008
+FATAL = [signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGQUIT]
 FAILED = []
 
 
@@ -187,6 +190,24 @@
     router.process.child = first
 
 
+def play_fatal_signals(name, fleet):
+    router = fleet.routers[0]
+    for number in FATAL:
+        request = "%s-%d" % (name, number)
+        fleet.ask(router, "GET", "/no-such-route/x", request)
+        router.process.send(number)
+        code = router.process.child.wait(5)
+        with open(router.process.log) as log:
+            text = log.read()
+        check("%s: %s ends the process" % (name, number.name), code == -number, code)
+        check("%s: %s: the lines before the end are written" % (name, number.name), request in text)
+        last = json.loads(text.splitlines()[-1])
+        check("%s: %s is named by the last line" % (name, number.name),
+              (last["event"], last.get("number")) == ("process.ended_by_signal", str(int(number))), last)
+        router.process.start()
+        fleet.wait_ready()
+
+
 def play_other_daemons(name, platform):
     """The daemons of the product's own interface, and a stand-in."""
     with tempfile.TemporaryDirectory() as folder:
@@ -214,7 +235,7 @@
 
 CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
          "early-signals": play_early_signals, "other-daemons": play_other_daemons,
-         "restart-beside-predecessor": play_restart_beside_predecessor}
+         "restart-beside-predecessor": play_restart_beside_predecessor, "fatal-signals": play_fatal_signals}
 
 
 def make_fleet(subnet):
