Router: a stop finishes what other VMs forward, without callers as well

A leaving VM ended while other VMs were still receiving its answers, or had just sent it requests, if no caller was connected: its last waits looked at callers' connections only, the listener for other VMs was open until the exit, and forwarded requests that were unread or unsent had no line.

It is closed with that of callers, so that a VM that connects later knows that its request was not run; idle connections of both are closed; connections, unread requests and unsent responses of both count, and have lines.

--- a/fault_tests/stop_ends.py
+++ b/fault_tests/stop_ends.py
@@ -37,6 +37,8 @@
 # What a caller's own system has received by then: the buffer, which Linux doubles.
 SLOW_SLACK_S = 2 * SLOW_BUFFER / SLOW_READ * SLOW_PAUSE_S
 SLOW_SENT_S = 4.6           # after SIGTERM: read to the end at about 6.9 s
+FORWARD_PORT = platform_fleet.STATE_PORT + 1
+FORWARD_SENDERS = 8
 FAILED = []
 
 
@@ -202,11 +204,11 @@
 
 
 class SlowReader:
-    def __init__(self, router, name, size):
-        self.data, self.ended_s = b"", None
+    def __init__(self, router, name, size, port=platform_fleet.CALLER_PORT, pause_s=SLOW_PAUSE_S):
+        self.data, self.ended_s, self.pause_s = b"", None, pause_s
         self.connection = socket.socket()
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
-        self.connection.connect((router.ip, platform_fleet.CALLER_PORT))
+        self.connection.connect((router.ip, port))
         self.connection.settimeout(10)
         self.connection.sendall(head("POST", "/file/x", name, 1, "Content-Length: %d\r\n" % size) + b"b" * size)
         self.thread = threading.Thread(target=self.read, daemon=True)
@@ -219,18 +221,18 @@
                 if not piece:
                     break
                 self.data += piece
-                time.sleep(SLOW_PAUSE_S)
+                time.sleep(self.pause_s)
         except OSError:
             pass
         self.ended_s = time.monotonic()
 
 
-def play_slow_readers(name, fleet):
+def play_slow_readers(name, fleet, port=platform_fleet.CALLER_PORT):
     """The router has nothing in progress any more, but its callers still receive."""
     router = fleet.routers[0]
     stop = Stop(router)
     stop.wait_until(SLOW_SENT_S)
-    readers = [SlowReader(router, "%s-%d" % (name, number), SLOW_BODY) for number in range(4)]
+    readers = [SlowReader(router, "%s-%d" % (name, number), SLOW_BODY, port) for number in range(4)]
     stop.check_ended(name, GRACE_S)
     for reader in readers:
         reader.thread.join(15)
@@ -242,8 +244,56 @@
     restart(fleet, router)
 
 
+def play_slow_peers(name, fleet):
+    """The same for requests that other VMs forward, without any caller."""
+    play_slow_readers(name, fleet, FORWARD_PORT)
+
+
+def forward_until_refused(router, name, results):
+    """Sends one request after the other to the port for other VMs, each on a connection of its own."""
+    for number in range(100000):
+        connection = socket.socket()
+        connection.settimeout(6)
+        try:
+            connection.connect((router.ip, FORWARD_PORT))
+        except OSError:
+            return
+        data = b""
+        try:
+            connection.sendall(head("POST", "/file/x", "%s-%d" % (name, number), 1, "Content-Length: 1\r\n"
+                                    "Connection: close\r\n") + b"b")
+            while True:
+                piece = connection.recv(65536)
+                if not piece:
+                    break
+                data += piece
+        except OSError:
+            pass
+        connection.close()
+        results.append(final_answer(data)[1])
+
+
+def play_forwarded_to_the_end(name, fleet):
+    """Other VMs forward requests until the router ends; it has no callers."""
+    router = fleet.routers[0]
+    results = []
+    stop = Stop(router)
+    stop.wait_until(4.5)
+    threads = [threading.Thread(target=forward_until_refused, args=(router, "%s-%d" % (name, number), results),
+                                daemon=True) for number in range(FORWARD_SENDERS)]
+    for thread in threads:
+        thread.start()
+    stop.check_ended(name, GRACE_S)
+    for thread in threads:
+        thread.join(10)
+    check("%s: each request on an established connection is answered" % name, results and all(results),
+          "%d of %d" % (results.count(True), len(results)))
+    restart(fleet, router)
+
+
 CELLS = {"shorter-grace": play_shorter_grace, "little-processor": play_little_processor, "late-orders": play_late_orders,
-         "slow-readers": play_slow_readers, "endless-streams": play_endless_streams}
+         "endless-streams": play_endless_streams, "slow-readers": play_slow_readers, "slow-peers": play_slow_peers,
+         "forwarded-to-the-end": play_forwarded_to_the_end}
 
 
 def make_fleet(subnet):
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -1,7 +1,9 @@
 #include "programs/router/shutdown_sequence.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace chervilpass {
 namespace {
@@ -74,15 +76,18 @@
 }
 
 // Responds to requests that arrive on connections which are open already, and
-// waits for callers that are still receiving.
+// waits for callers and other VMs that are still receiving.
 void ShutdownSequence::ServeEstablished() {
   this->RespondBeforeEnd();
+  // A VM that cannot connect any more knows that its request was not run.
   this->parts.callers->StopAccepting();
+  this->parts.forwarded->StopAccepting();
   const Instant until = this->parts.runtime->Now() + kLastReadTime;
   while (this->parts.runtime->Now() < until
-             ? this->parts.callers->Connections() > 0
+             ? this->Connections() > 0 || this->Unfinished()
              : this->parts.runtime->Now() < this->End() && this->Unfinished()) {
     this->parts.callers->CloseIdle();
+    this->parts.forwarded->CloseIdle();
     this->Sleep(kLastReadPollInterval);
     this->RespondBeforeEnd();
     if (this->parts.runtime->Now() >= until - kRefusalReadTime) {
@@ -91,6 +96,11 @@
   }
 }
 
+std::size_t ShutdownSequence::Connections() const {
+  return this->parts.callers->Connections() +
+         this->parts.forwarded->Connections();
+}
+
 bool ShutdownSequence::Unfinished() const {
   return this->parts.router->InFlight() > 0 ||
          !this->parts.callers->Unsent().empty() ||
@@ -153,9 +163,13 @@
 }
 
 void ShutdownSequence::LogStopped() const {
-  const auto unread = this->parts.callers->Unread();
+  std::vector<io::UnreadRequest> unread = this->parts.callers->Unread();
+  std::ranges::move(this->parts.forwarded->Unread(),
+                    std::back_inserter(unread));
   this->parts.router->LogUnread(unread);
-  const auto unsent = this->parts.callers->Unsent();
+  std::vector<io::UnsentResponse> unsent = this->parts.callers->Unsent();
+  std::ranges::move(this->parts.forwarded->Unsent(),
+                    std::back_inserter(unsent));
   this->parts.router->LogUnsent(unsent);
   this->parts.router->LogUnfinished(Duration::zero());
   std::size_t unsent_bytes = 0;
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -39,6 +39,9 @@
   /// the later the process's fibers run.
   Instant End() const;
 
+  /// Open ones of callers and of other VMs.
+  std::size_t Connections() const;
+
   /// True while a request is in progress or a response is not acknowledged.
   bool Unfinished() const;
 
