Router: the last wait of a stop knows the grace period as well

A router that waited for its last callers was killed at the end of a grace period that had become shorter meanwhile: only the wait before it read the settings and logged router.draining.

--- a/fault_tests/stop_ends.py
+++ b/fault_tests/stop_ends.py
@@ -37,6 +37,7 @@
 # What a caller's own system has received by then: the buffer, which Linux doubles.
 SLOW_SLACK_S = 2 * SLOW_BUFFER / SLOW_READ * SLOW_PAUSE_S
 SLOW_SENT_S = 4.6           # after SIGTERM: read to the end at about 6.9 s
+SLOWEST_PAUSE_S = 3 * SLOW_PAUSE_S     # read to the end at about 11.5 s
 FORWARD_PORT = platform_fleet.STATE_PORT + 1
 FORWARD_SENDERS = 8
 FAILED = []
@@ -249,6 +250,25 @@
     play_slow_readers(name, fleet, FORWARD_PORT)
 
 
+def play_shorter_grace_late(name, fleet):
+    """The grace period becomes shorter while the router waits for its last callers."""
+    router = fleet.routers[0]
+    await_poll(router)
+    set_grace(router, 2 * GRACE_S)
+    fleets.wait_until(lambda: "settings.reloaded" in open(router.process.log).read(), 5, "the settings are read")
+    time.sleep(3.5)
+    stop = Stop(router)
+    stop.wait_until(SLOW_SENT_S)
+    readers = [SlowReader(router, "%s-%d" % (name, number), SLOW_BODY, pause_s=SLOWEST_PAUSE_S) for number in range(4)]
+    stop.wait_until(6.6)
+    set_grace(router, GRACE_S)
+    stop.check_ended(name, GRACE_S)
+    for reader in readers:
+        reader.connection.close()
+        reader.thread.join(15)
+    restart(fleet, router)
+
+
 def forward_until_refused(router, name, results):
     """Sends one request after the other to the port for other VMs, each on a connection of its own."""
     for number in range(100000):
@@ -293,7 +313,7 @@
 
 CELLS = {"shorter-grace": play_shorter_grace, "little-processor": play_little_processor, "late-orders": play_late_orders,
          "endless-streams": play_endless_streams, "slow-readers": play_slow_readers, "slow-peers": play_slow_peers,
-         "forwarded-to-the-end": play_forwarded_to_the_end}
+         "shorter-grace-late": play_shorter_grace_late, "forwarded-to-the-end": play_forwarded_to_the_end}
 
 
 def make_fleet(subnet):
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -86,9 +86,11 @@
   while (this->parts.runtime->Now() < until
              ? this->Connections() > 0 || this->Unfinished()
              : this->parts.runtime->Now() < this->End() && this->Unfinished()) {
+    this->LogDraining();
     this->parts.callers->CloseIdle();
     this->parts.forwarded->CloseIdle();
     this->Sleep(kLastReadPollInterval);
+    this->RefreshSettings();
     this->RespondBeforeEnd();
     if (this->parts.runtime->Now() >= until - kRefusalReadTime) {
       this->RefuseUnread();
