Proxies: a wait for a permit ends with the stop, and is followed by a new look

A stream that was waiting for a rate limit or a rest as its VM got SIGTERM was sent after the wait by what was known before it: without an estimate, or by one that was older by the wait, and could be cut at the exit. A call that waited there as the last responses were given got none: only work at a server was stopped.

Whether a leaving VM sends a request is asked again after the wait, which a stopped request leaves within 20 ms.

The waits of the tests are longer than real ones.

--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -94,10 +94,8 @@
               this->context.fingerprint)) {
         return this->EndQuarantined();
       }
-      if (const auto objection = this->ObjectionToSend()) {
-        return RefuseLeaving(this->dependencies, this->context,
-                             this->policy.Executed(), *objection,
-                             this->policy.Sends());
+      if (const auto objection = this->ObjectionToSend(Check::kInAdvance)) {
+        return this->EndLeaving(*objection);
       }
       if (this->dependencies.links->CutOff()) {
         return this->ServeCutOff();
@@ -114,12 +112,15 @@
         return this->EndWithoutServer(tried.empty());
       }
       if (!AwaitPermit(this->dependencies, this->context, server->id,
-                       max_send_wait)) {
+                       max_send_wait, &this->scope)) {
         continue;
       }
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
+      if (const auto objection = this->ObjectionToSend(Check::kAtSend)) {
+        return this->EndLeaving(*objection);
+      }
       tried.insert(server->id);
       this->last_server = server->id;
       const SendResult result = this->Send(*server);
@@ -141,7 +142,10 @@
   }
 
  private:
-  std::optional<std::string> ObjectionToSend() const {
+  // The wait for a permit lies between the two.
+  enum class Check { kInAdvance, kAtSend };
+
+  std::optional<std::string> ObjectionToSend(Check check) const {
     const ShutdownGate& shutdown = *this->dependencies.shutdown;
     if (!shutdown.Leaving()) {
       return std::nullopt;
@@ -149,7 +153,7 @@
     const ShutdownVerdict verdict = shutdown.JudgeCall(
         this->context.route->name, this->context.route->response_objective,
         this->scope.TimeLeft(), this->dependencies.runtime->Now());
-    if (!verdict.objection) {
+    if (!verdict.objection && check == Check::kAtSend) {
       LogSentWhileLeaving(this->dependencies, this->context, verdict);
     }
     return verdict.objection;
@@ -420,6 +424,12 @@
     return this->Failed(RefusalCode::kBackendFailed, result.detail);
   }
 
+  RequestResult EndLeaving(const std::string& objection) {
+    return RefuseLeaving(this->dependencies, this->context,
+                         this->policy.Executed(), objection,
+                         this->policy.Sends());
+  }
+
   RequestResult EndStopped() {
     if (this->scope.Reason() == StopReason::kCallerGone) {
       this->context.exchange->Abort();
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/link_monitor.h"
 #include "platform/request_codec.h"
 
@@ -21,6 +22,8 @@
 constexpr double kMaxRateLimit = 1e6;     // requests per second
 // For routes without a response objective.
 constexpr Duration kDefaultSendWait = milliseconds(250);
+// Of a wait, at the end of the process.
+constexpr Duration kStopPollInterval = milliseconds(20);
 // Servers round the rests that they state. Asked a moment too soon they would
 // refuse again, and a request may be refused only a few times.
 constexpr Duration kRestMargin = milliseconds(5);
@@ -81,11 +84,28 @@
   return dependencies.routing_state->Servers().IsLeaving(server);
 }
 
+// False once `scope` is stopped: a request that waits is to be answered before
+// the process ends.
+bool SleepUnlessStopped(const RouterDependencies& dependencies,
+                        Duration duration,
+                        const CallScope* scope) {
+  const Instant until = dependencies.runtime->Now() + duration;
+  while (dependencies.runtime->Now() < until) {
+    if (scope != nullptr && scope->Stopped()) {
+      return false;
+    }
+    dependencies.runtime->SleepFor(
+        std::min(kStopPollInterval, until - dependencies.runtime->Now()));
+  }
+  return true;
+}
+
 // Waits until the server does not rest; false if that would be after `latest`.
 bool AwaitRest(const RouterDependencies& dependencies,
                const RequestContext& context,
                const std::string& server,
-               Instant latest) {
+               Instant latest,
+               const CallScope* scope) {
   while (true) {
     const Instant now = dependencies.runtime->Now();
     const Duration left = dependencies.routing_state->RestLeft(server, now);
@@ -103,7 +123,9 @@
     if (!in_time) {
       return false;
     }
-    dependencies.runtime->SleepFor(left);
+    if (!SleepUnlessStopped(dependencies, left, scope)) {
+      return false;
+    }
   }
 }
 
@@ -205,11 +227,12 @@
 bool AwaitPermit(const RouterDependencies& dependencies,
                  const RequestContext& context,
                  const std::string& server,
-                 Duration max_wait) {
+                 Duration max_wait,
+                 const CallScope* scope) {
   const Instant latest = dependencies.runtime->Now() + max_wait;
   // A rest may begin while the request waits for its permit, and the server may
   // begin to leave.
-  while (AwaitRest(dependencies, context, server, latest) &&
+  while (AwaitRest(dependencies, context, server, latest, scope) &&
          !IsLeaving(dependencies, server)) {
     const Duration wait_left =
         std::max(Duration::zero(), latest - dependencies.runtime->Now());
@@ -226,8 +249,8 @@
     if (!reservation.granted) {
       return false;
     }
-    if (reservation.wait > Duration::zero()) {
-      dependencies.runtime->SleepFor(reservation.wait);
+    if (!SleepUnlessStopped(dependencies, reservation.wait, scope)) {
+      return false;
     }
     if (dependencies.routing_state->RestLeft(
             server, dependencies.runtime->Now()) == Duration::zero()) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -22,6 +22,8 @@
 
 namespace chervilpass::serving {
 
+class CallScope;
+
 class CrashMonitor;
 class LinkMonitor;
 struct RequestContext;
@@ -99,11 +101,13 @@
 
 /// Waits until the rest of `server` has ended, reserves a time to send a
 /// request to it and waits until then. False if its rest or rate limit does not
-/// allow it soon enough, or if the server leaves.
+/// allow it soon enough, if the server leaves, or once `scope`, which may be
+/// null, is stopped.
 bool AwaitPermit(const RouterDependencies& dependencies,
                  const RequestContext& context,
                  const std::string& server,
-                 Duration max_wait);
+                 Duration max_wait,
+                 const CallScope* scope);
 
 /// Logs that a leaving VM sends a request, with the estimates that the decision
 /// rests on.
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -131,7 +131,7 @@
   const Path path = found.value().path;
   this->Reserve(path);
   if (!AwaitPermit(*this->dependencies, this->request.context,
-                   path.front().worker, max_wait) ||
+                   path.front().worker, max_wait, nullptr) ||
       !this->MayBeSent()) {
     run.detail = "not sent in time";
     return run;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -109,10 +109,8 @@
       if (this->dependencies.crashes->IsQuarantined(this->stream.run)) {
         return this->EndQuarantined();
       }
-      if (const auto objection = this->ObjectionToSend()) {
-        return RefuseLeaving(this->dependencies, this->context,
-                             this->policy.Executed(), *objection,
-                             this->policy.Sends());
+      if (const auto objection = this->ObjectionToSend(Check::kInAdvance)) {
+        return this->EndLeaving(*objection);
       }
       if (this->dependencies.links->CutOff()) {
         if (auto served = this->ServeThroughPeer()) {
@@ -142,13 +140,16 @@
         return this->EndWithoutPath(path.error());
       }
       if (!AwaitPermit(this->dependencies, this->context,
-                       path.value().path.front().worker,
-                       this->MaxWaitToSend())) {
+                       path.value().path.front().worker, this->MaxWaitToSend(),
+                       &this->scope)) {
         continue;
       }
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
+      if (const auto objection = this->ObjectionToSend(Check::kAtSend)) {
+        return this->EndLeaving(*objection);
+      }
       const RunResult result = this->RunOn(path.value().path);
       if (auto ended = this->EndAfter(result)) {
         return std::move(*ended);
@@ -157,6 +158,9 @@
   }
 
  private:
+  // The wait for a permit lies between the two.
+  enum class Check { kInAdvance, kAtSend };
+
   // The result of the request after this run; none if another run follows.
   std::optional<RequestResult> EndAfter(const RunResult& result) {
     if (result.outcome == SendOutcome::kResponse) {
@@ -462,7 +466,7 @@
   }
 
   // A stream that has begun goes on: nothing else could complete it.
-  std::optional<std::string> ObjectionToSend() const {
+  std::optional<std::string> ObjectionToSend(Check check) const {
     const ShutdownGate& shutdown = *this->dependencies.shutdown;
     if (this->stream_begun || !shutdown.Leaving()) {
       return std::nullopt;
@@ -470,7 +474,7 @@
     const ShutdownVerdict verdict = shutdown.JudgeStream(
         this->context.service, this->context.metadata.generation,
         this->dependencies.ready_share(), this->dependencies.runtime->Now());
-    if (!verdict.objection) {
+    if (!verdict.objection && check == Check::kAtSend) {
       LogSentWhileLeaving(this->dependencies, this->context, verdict);
     }
     return verdict.objection;
@@ -761,6 +765,12 @@
     return this->MakeResult(200, "served", "");
   }
 
+  RequestResult EndLeaving(const std::string& objection) {
+    return RefuseLeaving(this->dependencies, this->context,
+                         this->policy.Executed(), objection,
+                         this->policy.Sends());
+  }
+
   RequestResult EndStopped() {
     if (this->scope.Reason() == StopReason::kCallerGone) {
       this->context.exchange->Abort();
--- a/unit_tests/router_fixture.h
+++ b/unit_tests/router_fixture.h
@@ -48,8 +48,8 @@
         [this](const std::vector<quarantine::Strike>& added) {
           this->strikes += static_cast<int>(added.size());
         };
-    dependencies.acquire_permit = [](const std::string&, Duration) {
-      return routing::Reservation{true, Duration::zero()};
+    dependencies.acquire_permit = [this](const std::string&, Duration) {
+      return routing::Reservation{true, this->permit_wait};
     };
     this->links =
         LinkMonitor::Create(&runtime, &this->routing_state, this->http.get(),
@@ -183,6 +183,7 @@
   std::unique_ptr<Router> router;
   std::unique_ptr<io::HttpServer> router_server;
   std::vector<std::unique_ptr<io::HttpServer>> servers;
+  Duration permit_wait{0};  ///< of each send
   int strikes = 0;
   int departures = 0;  ///< reported to peers
 
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -853,6 +853,59 @@
   });
 }
 
+// Guards against streams that are sent long after the estimate that allows
+// them, because they waited for a permit, and are cut at the end of the
+// process.
+Test(router, a_stream_is_checked_after_its_wait_for_a_permit) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 23900);
+    fixture.permit_wait = milliseconds(300);
+    int sends = 0;
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      sends += exchange.Request().method == "GET" ? 0 : 1;
+      exchange.Respond({200, {}, R"({"seq":1})"});
+    });
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      const auto response = fixture.Call(fixture.Request("/draft/x", "r1"));
+      status = response.has_value() ? response.value().status : 0;
+    });
+    runtime.SleepFor(milliseconds(30));
+    fixture.router->SetShutdown(runtime.Now(), runtime.Now() + seconds(1),
+                                Duration::zero());
+    runtime.SleepFor(milliseconds(600));
+    cr_expect_eq(sends, 0);
+    cr_expect_eq(status, 503);
+  });
+}
+
+// The same for calls, which the end of the process may find in that wait.
+Test(router, a_call_that_waits_for_a_permit_gets_an_answer_before_the_end) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 23920);
+    fixture.permit_wait = milliseconds(900);
+    int sends = 0;
+    fixture.AddServer(1, "app", {}, [&](io::HttpExchange& exchange) {
+      ++sends;
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    });
+    unsigned status = 0;
+    runtime.Spawn([&] {
+      const auto response = fixture.Call(fixture.Request("/file/x", "r1"));
+      status = response.has_value() ? response.value().status : 0;
+    });
+    runtime.SleepFor(milliseconds(50));
+    fixture.router->SetShutdown(
+        runtime.Now(), runtime.Now() + milliseconds(520), Duration::zero());
+    runtime.SleepFor(milliseconds(50));
+    fixture.router->RespondBeforeShutdown();
+    runtime.SleepFor(milliseconds(300));
+    cr_expect_eq(status, 503);
+    runtime.SleepFor(milliseconds(700));
+    cr_expect_eq(sends, 0);
+  });
+}
+
 // Guards against streams that are given up because their worker is silent,
 // though no other worker could complete them.
 Test(router, a_stream_waits_for_its_silent_worker_if_there_is_no_other) {
