Entry: a drain waits for callers that still receive

An entry with nothing in progress ended 60 ms after its last response was in the send buffer, 1.23 s before the last of four callers that read 260 KiB/s had it. Its kept connections were closed by the exit only, and a request that began to arrive in the last 60 ms was not refused.

It ends kept connections with their next response, closes idle ones, refuses what is still arriving until the end, and waits until no response is unacknowledged, at most until the drain limit.

--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -6,11 +6,13 @@
 A cell fails if a request in progress gets no complete answer, if a process ends by a
 signal that is no order to end at once, if an orderly stop has another exit code than 0, if
 a process that ends by a fatal signal leaves no line that says so or loses the lines before
-it, or if a process does not start beside its leaving predecessor."""
+it, if a process does not start beside its leaving predecessor, or if an entry ends before
+its callers have received their answers."""
 
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +20,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+import ending_connections  # noqa: E402
 import fleet as fleets  # noqa: E402
 import platform_fleet  # noqa: E402
 
@@ -29,6 +32,11 @@
          16, signal.SIGXCPU] + list(range(signal.SIGRTMIN, signal.SIGRTMAX + 1))  # 16: SIGSTKFLT
 STRAY_PAUSE_S = 0.008
 FATAL = [signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGQUIT]
+SLOW_BODY = 600 * 1024
+SLOW_READ, SLOW_PAUSE_S = 16 * 1024, 0.06
+SLOW_BUFFER = 32 * 1024
+# What a caller's own system has received by then: the buffer, which Linux doubles.
+SLOW_SLACK_S = 2 * SLOW_BUFFER / SLOW_READ * SLOW_PAUSE_S
 FAILED = []
 
 
@@ -233,9 +241,64 @@
         check("%s: orderly ends" % name, all(code == 0 for code in codes), "exit codes %s" % codes)
 
 
+class SlowReader:
+    """A caller of an entry that reads about 260 KiB/s."""
+
+    def __init__(self, vm, size):
+        self.data, self.ended_s = b"", None
+        self.connection = socket.socket()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
+        self.connection.connect((vm.ip, fleets.HTTP_PORT))
+        self.connection.settimeout(10)
+        self.connection.sendall(("GET /v1/services/register/x HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key-skagen"
+                                 "\r\nContent-Length: %d\r\n\r\n" % size).encode() + b"b" * size)
+        self.thread = threading.Thread(target=self.read, daemon=True)
+        self.thread.start()
+
+    def read(self):
+        try:
+            while True:
+                piece = self.connection.recv(SLOW_READ)
+                if not piece:
+                    break
+                self.data += piece
+                time.sleep(SLOW_PAUSE_S)
+        except OSError:
+            pass
+        self.ended_s = time.monotonic()
+
+
+def play_entry_slow_readers(name, platform):
+    """An entry has nothing in progress any more, but its callers still receive."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.Fleet(folder, platform.subnet + 1)
+        fleet.entry_extra = "entries: {ttl_ms: 500}\n"
+        fleet.add_vm("vm-1", "hal-1", "dk-sjaelland")
+        fleet.add_service("register", "register-1", "hal-1", "dk-sjaelland")
+        fleet.add_organisation("skagen", "key-skagen")
+        try:
+            fleet.start()
+            entry = fleet.vms[0].entry
+            readers = [SlowReader(fleet.vms[0], SLOW_BODY) for _ in range(4)]
+            time.sleep(0.6)
+            entry.send(signal.SIGTERM)
+            check("%s: the entry ends in order" % name, entry.child.wait(20) == 0)
+            ended_s = time.monotonic()
+            for reader in readers:
+                reader.thread.join(15)
+            whole = [ending_connections.final_answer(reader.data) == (200, True) for reader in readers]
+            check("%s: each answer is whole" % name, all(whole), "%d of %d" % (whole.count(True), len(readers)))
+            late_s = max(reader.ended_s for reader in readers) - ended_s
+            check("%s: the entry ends after its callers have received their answers" % name, late_s <= SLOW_SLACK_S,
+                  "the last caller %.2f s after the entry" % late_s)
+        finally:
+            fleet.stop()
+
+
 CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
          "early-signals": play_early_signals, "other-daemons": play_other_daemons,
-         "restart-beside-predecessor": play_restart_beside_predecessor, "fatal-signals": play_fatal_signals}
+         "restart-beside-predecessor": play_restart_beside_predecessor, "fatal-signals": play_fatal_signals,
+         "entry-slow-readers": play_entry_slow_readers}
 
 
 def make_fleet(subnet):
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -9,6 +9,7 @@
 constexpr Duration kDrainPollInterval = milliseconds(20);
 // Callers that are still sending have so long to read that they are refused.
 constexpr Duration kRefusalReadTime = milliseconds(60);
+constexpr Duration kLastReadPollInterval = milliseconds(5);
 
 struct EntrySettings {
   std::string vm;
@@ -67,7 +68,7 @@
 
 // Drains in three steps: leaves the address lists; stops taking new work after
 // one TTL, when callers have refreshed their lists; ends when nothing is in
-// flight or at the drain limit.
+// flight and callers have received their responses, or at the drain limit.
 void Drain(io::Runtime& runtime,
            const EntrySettings& settings,
            const Logger& log,
@@ -81,17 +82,25 @@
   runtime.SleepFor(
       std::min(settings.drain_limit, settings.service.entries_ttl));
   service->StopAcceptingCalls();
+  server->DisableKeepAlive();
   while (service->InFlight() > 0 && runtime.Now() < deadline) {
     runtime.SleepFor(kDrainPollInterval);
   }
   server->StopAccepting();
   const std::size_t unread = server->Unread().size();
-  server->RefuseUnread([](const io::HttpRequest&) {
-    return entry::EntryService::UnreadableResponse(503, "this VM is leaving");
-  });
-  runtime.SleepFor(kRefusalReadTime);
-  log.Info("entry.stopped",
-           {{"in_flight", service->InFlight()}, {"unread", unread}});
+  const Instant until = runtime.Now() + kRefusalReadTime;
+  while (runtime.Now() < until
+             ? server->Connections() > 0
+             : runtime.Now() < deadline && !server->Unsent().empty()) {
+    server->RefuseUnread([](const io::HttpRequest&) {
+      return entry::EntryService::UnreadableResponse(503, "this VM is leaving");
+    });
+    server->CloseIdle();
+    runtime.SleepFor(kLastReadPollInterval);
+  }
+  log.Info("entry.stopped", {{"in_flight", service->InFlight()},
+                             {"unread", unread},
+                             {"unsent", server->Unsent().size()}});
 }
 
 int RunDaemon(io::Runtime& runtime, const EntrySettings& settings) {
