Router: a single delay does not end a stop early

The margin goes by what half of the latest eight waits exceed: a processor that is short for good still ends the stop early, a single delay does not, and a delay that has passed no longer counts.

--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -39,7 +39,7 @@
 Instant ShutdownSequence::End() const {
   const Duration grace = this->parts.settings->shutdown_grace;
   const Duration margin =
-      std::min(kExitMargin + kLateSteps * this->max_wake_delay,
+      std::min(kExitMargin + kLateSteps * this->wake_delays.Lasting(),
                std::max(kExitMargin, grace / kMaxMarginDivisor));
   return this->start + grace - margin - kLastReadTime - kFinalWriteTime;
 }
@@ -63,7 +63,7 @@
   while (this->parts.runtime->Now() < this->End()) {
     this->RespondBeforeEnd();
     this->LogDraining();
-    this->Sleep(kDrainPollInterval);
+    this->wake_delays.Add(this->Sleep(kDrainPollInterval));
     this->RefreshSettings();
     const Instant now = this->parts.runtime->Now();
     if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
@@ -140,11 +140,12 @@
   }
 }
 
-void ShutdownSequence::Sleep(Duration duration) {
+Duration ShutdownSequence::Sleep(Duration duration) {
   const Instant begun = this->parts.runtime->Now();
   this->parts.runtime->SleepFor(duration);
-  this->max_wake_delay = std::max(
-      this->max_wake_delay, this->parts.runtime->Now() - begun - duration);
+  const Duration delay = this->parts.runtime->Now() - begun - duration;
+  this->max_wake_delay = std::max(this->max_wake_delay, delay);
+  return delay;
 }
 
 // Lines of a leaving process are written out at once: it may be killed.
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "chervilpass/core/log.h"
+#include "chervilpass/core/recent_delays.h"
 #include "chervilpass/core/time.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
@@ -36,7 +37,7 @@
 
  private:
   /// When the last responses are sent, by the settings in force. Comes nearer
-  /// the later the process's fibers run.
+  /// while the process's fibers run late.
   Instant End() const;
 
   /// Open ones of callers and of other VMs.
@@ -51,7 +52,8 @@
   void ServeEstablished();
   void RespondBeforeEnd();
   void RefuseUnread();
-  void Sleep(Duration duration);
+  /// Returns how much longer than `duration` it took.
+  Duration Sleep(Duration duration);
   void LogDraining();
   void LogStopped() const;
 
@@ -60,6 +62,7 @@
   Instant settings_read_at{};
   Instant draining_logged_at{};
   bool unfinished_logged = false;
+  RecentDelays wake_delays;    ///< while requests are served
   Duration max_wake_delay{0};  ///< of a sleep beyond its duration
 };
 
--- a/unit_tests/core_test.cc
+++ b/unit_tests/core_test.cc
@@ -7,6 +7,7 @@
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/core/random.h"
+#include "chervilpass/core/recent_delays.h"
 #include "chervilpass/core/text.h"
 #include "chervilpass/core/token_bucket.h"
 
@@ -93,3 +94,20 @@
   cr_assert_leq(taken, 15);
   cr_assert_geq(taken, 14);
 }
+
+// Guards against a leaving VM that ends early because of a single delay.
+Test(recent_delays, a_lasting_delay_counts_until_it_ends) {
+  RecentDelays delays;
+  const auto add = [&delays](Duration delay, int times) {
+    for (int i = 0; i < times; ++i) {
+      delays.Add(delay);
+    }
+  };
+  add(milliseconds(1), 8);
+  add(milliseconds(300), 3);
+  cr_expect(delays.Lasting() == milliseconds(1));
+  add(milliseconds(200), 2);
+  cr_expect(delays.Lasting() == milliseconds(200));
+  add(milliseconds(1), 5);
+  cr_expect(delays.Lasting() == milliseconds(1));
+}
