--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -5,8 +5,9 @@
 // ordered to give up serve the runs that use them already until those end. Both
 // register themselves in the store, log the requests that reach them and, if
 // asked through /admin/faults, turn requests away for a while (`rest`), say
-// that they leave (`leaving`), break off streams (`break_every`) or do not
-// renew their registration (`unregistered_ms`).
+// that they leave (`leaving`), break off streams (`break_every`), do not renew
+// their registration (`unregistered_ms`) or work `slow` times as long, at once
+// or growing over `slow_over_ms`.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -124,6 +125,14 @@
   StreamBreak how = StreamBreak::kWithinEvent;
 };
 
+// How much longer work takes than usual.
+struct SlowDown {
+  double factor = 1;
+  double factor_before = 1;
+  Instant begun{};
+  Duration growth_time{0};
+};
+
 // Requests that are turned away with a time of rest.
 struct Rest {
   std::vector<std::string> fields;  // empty: none are
@@ -322,6 +331,32 @@
     }
   }
 
+  // Work takes `slow` times as long; the factor grows over `slow_over_ms`.
+  void SetSlowDown(const json::object& fields) {
+    const double before = this->SlowFactor();
+    this->slow_down = {fields.at("slow").to_number<double>(), before,
+                       this->runtime->Now(), Duration::zero()};
+    if (const auto* time = fields.if_contains("slow_over_ms")) {
+      this->slow_down.growth_time = milliseconds(time->to_number<int>());
+    }
+  }
+
+  double SlowFactor() const {
+    const SlowDown& slow = this->slow_down;
+    const Duration passed = this->runtime->Now() - slow.begun;
+    if (passed >= slow.growth_time) {
+      return slow.factor;
+    }
+    return slow.factor_before + (slow.factor - slow.factor_before) *
+                                    ToSeconds(passed) /
+                                    ToSeconds(slow.growth_time);
+  }
+
+  Duration WorkTime() const {
+    return duration_cast<Duration>(this->SlowFactor() *
+                                   this->settings.work_time);
+  }
+
   void SetFaults(io::HttpExchange& exchange) {
     boost::system::error_code error;
     const json::value body = json::parse(exchange.Request().body, error);
@@ -351,6 +386,9 @@
     if (fields.contains("break_every")) {
       this->SetBreaks(fields);
     }
+    if (fields.contains("slow")) {
+      this->SetSlowDown(fields);
+    }
     // Its registration is not renewed meanwhile; the test removes it.
     if (const auto* time = fields.if_contains("unregistered_ms")) {
       this->unregistered_until =
@@ -615,7 +653,7 @@
     ++this->runs[id];
     const auto work_ms = exchange.Request().QueryParameter("work_ms");
     this->runtime->SleepFor(work_ms ? milliseconds(std::stoi(*work_ms))
-                                    : this->settings.work_time);
+                                    : this->WorkTime());
     if (this->responses_to_drop > 0) {
       --this->responses_to_drop;
       return exchange.Abort();
@@ -763,7 +801,9 @@
     ++this->runs[id];
     const auto counts = SplitText(
         request.headers.Find("Chervilpass-Token-Counts").value_or("1,8"), ',');
-    const std::uint64_t events = std::stoull(counts.back());
+    // `events` in the query: the answer ends before its limit.
+    const std::uint64_t events =
+        std::stoull(request.QueryParameter("events").value_or(counts.back()));
     std::uint64_t event =
         std::stoull(request.headers.Find("Last-Event-Id").value_or("0"));
     const std::string crash_body =
@@ -830,7 +870,7 @@
                  const Run& run,
                  std::uint64_t event,
                  const std::string& crash_body) {
-    this->runtime->SleepFor(this->settings.work_time);
+    this->runtime->SleepFor(this->WorkTime());
     std::string layer_ranges = this->RunPath(run, crash_body);
     for (Duration waited{0}; layer_ranges.empty();
          waited += kStallRetryInterval) {
@@ -875,6 +915,7 @@
   std::vector<MarkedAnswer> marked_answers;  // oldest first
   Rest rest;
   StreamBreaks breaks;
+  SlowDown slow_down;
   Instant unregistered_until{};  // no registration is written before
   bool leaving = false;          // says so in all answers
   std::string leaving_value = "1";
