Router: a leaving VM sees that streams in progress have slowed down

A stream that a VM accepted in the first seconds after SIGTERM was cut at its exit when workers had become slower meanwhile. Its duration was estimated from runs that had ended: those show a slow-down only once slow runs have ended, and the long ones, which are cut, never do.

The pace of the service's streams in progress, silence included, counts beside ended runs if it is the slower one: the median while callers cannot know of the stop, else the nine in ten. Fewer than four such streams show nothing.

--- a/chervilpass/serving/run_time_estimator.cc
+++ b/chervilpass/serving/run_time_estimator.cc
@@ -6,7 +6,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/variance.hpp>
 #include <cmath>
-#include <vector>
+#include <utility>
 
 namespace chervilpass::serving {
 namespace {
@@ -14,6 +14,9 @@
 namespace accumulators = boost::accumulators;
 
 constexpr std::size_t kMaxNames = 4096;  // routes, or services
+// Effectively the latest five events or batches of them.
+constexpr double kEarlierEventsWeight = 0.8;
+constexpr std::uint64_t kMinPaceEvents = 4;
 
 void Append(std::deque<double>* samples, double value, std::size_t limit) {
   samples->push_back(value);
@@ -26,14 +29,28 @@
   return duration_cast<Duration>(std::chrono::duration<double>(time));
 }
 
+double Quantile(std::vector<double> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(
+      share * static_cast<double>(values.size() - 1) + 0.5)];
+}
+
 // Upper estimate from recent times, in seconds.
 double UpperTime(const std::deque<double>& times,
                  const EstimateCaution& caution) {
-  std::vector<double> sorted(times.begin(), times.end());
-  std::sort(sorted.begin(), sorted.end());
-  const auto rank = static_cast<std::size_t>(
-      caution.time_quantile * static_cast<double>(sorted.size() - 1) + 0.5);
-  return sorted[rank] * caution.time_margin;
+  return Quantile({times.begin(), times.end()}, caution.time_quantile) *
+         caution.time_margin;
+}
+
+// The same from streams in progress. Without a margin: it matters only where it
+// is above the estimate from ended runs, which has one.
+double UpperInterval(const std::vector<Duration>& intervals,
+                     const EstimateCaution& caution) {
+  std::vector<double> seconds;
+  for (const Duration interval : intervals) {
+    seconds.push_back(ToSeconds(interval));
+  }
+  return Quantile(std::move(seconds), caution.present_quantile);
 }
 
 // Names of the configuration come and go.
@@ -47,6 +64,23 @@
 
 }  // namespace
 
+void EventPace::OnEvents(std::uint64_t events, Duration elapsed) {
+  this->count += events;
+  this->events =
+      kEarlierEventsWeight * this->events + static_cast<double>(events);
+  this->seconds = kEarlierEventsWeight * this->seconds + ToSeconds(elapsed);
+}
+
+std::optional<Duration> EventPace::Interval(Duration silence) const {
+  if (this->count < kMinPaceEvents) {
+    return std::nullopt;
+  }
+  const double until_now =
+      (kEarlierEventsWeight * this->seconds + ToSeconds(silence)) /
+      (kEarlierEventsWeight * this->events + 1);
+  return FromSeconds(std::max(this->seconds / this->events, until_now));
+}
+
 void RunTimeEstimator::OnCallEnded(const std::string& route, Duration elapsed) {
   Append(&EntryOf(&this->calls, route), ToSeconds(elapsed),
          this->settings.timed_runs);
@@ -90,16 +124,21 @@
 std::optional<Duration> RunTimeEstimator::StreamTime(
     const std::string& service,
     const GenerationSize& size,
-    const EstimateCaution& caution) const {
+    const EstimateCaution& caution,
+    const std::vector<Duration>& intervals) const {
   const auto found = this->streams.find(service);
   if (found == this->streams.end() ||
       found->second.seconds_per_event.size() < this->settings.min_timed_runs) {
     return std::nullopt;
   }
   const Streams& known = found->second;
+  double seconds_per_event = UpperTime(known.seconds_per_event, caution);
+  if (intervals.size() >= this->settings.min_in_progress) {
+    seconds_per_event =
+        std::max(seconds_per_event, UpperInterval(intervals, caution));
+  }
   return FromSeconds(UpperTime(known.first_event_seconds, caution) +
-                     UpperTime(known.seconds_per_event, caution) *
-                         this->MaxEvents(known, size, caution));
+                     seconds_per_event * this->MaxEvents(known, size, caution));
 }
 
 // An event holds at least one token, so that an answer has at most as many
--- a/chervilpass/serving/run_time_estimator.h
+++ b/chervilpass/serving/run_time_estimator.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chervilpass/core/time.h"
 #include "chervilpass/serving/request_metadata.h"
@@ -19,6 +20,7 @@
   std::size_t sized_runs = 256;     ///< latest streams that give lengths
   std::size_t min_timed_runs = 8;   ///< without them there is no estimate
   std::size_t min_sized_runs = 64;  ///< before, answers may reach their limit
+  std::size_t min_in_progress = 4;  ///< streams that show the present pace
 
   bool operator==(const RunTimeEstimatorSettings&) const = default;
 };
@@ -30,10 +32,30 @@
   /// Bound of an answer's length by its caller's estimate, in standard
   /// deviations of the logarithm of their ratio.
   double length_deviations = 0;
+  /// Of the present times between events. Lower, since a single stream may
+  /// have waited for another worker.
+  double present_quantile = 0;
 
   bool operator==(const EstimateCaution&) const = default;
 };
 
+/// The time between the latest events of a stream in progress. Not thread-safe.
+class EventPace {
+ public:
+  /// `events` have come, `elapsed` after the ones before.
+  void OnEvents(std::uint64_t events, Duration elapsed);
+
+  /// The time between two events, `silence` after the latest; empty as long as
+  /// there are too few.
+  std::optional<Duration> Interval(Duration silence) const;
+
+ private:
+  std::uint64_t count = 0;
+  // Weighted sums over the latest events.
+  double events = 0;
+  double seconds = 0;
+};
+
 /// A stream that was served to its end.
 struct StreamRun {
   Duration first_event{0};  ///< from the arrival of the request
@@ -62,10 +84,14 @@
   std::optional<Duration> CallTime(const std::string& route,
                                    const EstimateCaution& caution) const;
 
-  /// Time of a stream of this size; empty if too few are known.
-  std::optional<Duration> StreamTime(const std::string& service,
-                                     const GenerationSize& size,
-                                     const EstimateCaution& caution) const;
+  /// Time of a stream of this size; empty if too few are known. `intervals`
+  /// are the present times between events of the service's streams in progress:
+  /// runs that have ended do not show yet that workers have slowed down.
+  std::optional<Duration> StreamTime(
+      const std::string& service,
+      const GenerationSize& size,
+      const EstimateCaution& caution,
+      const std::vector<Duration>& intervals = {}) const;
 
  private:
   using Samples = std::deque<double>;
--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -59,14 +59,16 @@
     const std::string& service,
     const std::optional<GenerationSize>& size,
     double ready_share,
-    Instant now) const {
+    Instant now,
+    const std::vector<Duration>& intervals) const {
   const bool expired = this->AddressesExpired(now);
   const EstimateCaution& caution =
       expired ? this->settings.later : this->settings.at_first;
   ShutdownVerdict verdict;
   verdict.left = *this->end - now;
   if (size) {
-    verdict.expected = this->run_times.StreamTime(service, *size, caution);
+    verdict.expected =
+        this->run_times.StreamTime(service, *size, caution, intervals);
   }
   if (!verdict.expected) {
     verdict.objection =
@@ -95,9 +97,11 @@
     const std::string& service,
     const std::optional<GenerationSize>& size,
     double ready_share,
-    Instant now) const {
+    Instant now,
+    const std::vector<Duration>& intervals) const {
   return this->end
-             ? this->JudgeStream(service, size, ready_share, now).objection
+             ? this->JudgeStream(service, size, ready_share, now, intervals)
+                   .objection
              : std::nullopt;
 }
 
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chervilpass/core/time.h"
 #include "chervilpass/serving/request_metadata.h"
@@ -17,11 +18,13 @@
   /// retry, so that a few streams may be cut.
   EstimateCaution at_first{.time_quantile = 0.5,
                            .time_margin = 1.05,
-                           .length_deviations = 1.3};
+                           .length_deviations = 1.3,
+                           .present_quantile = 0.5};
   /// Afterwards hardly any may be.
   EstimateCaution later{.time_quantile = 0.95,
                         .time_margin = 1.1,
-                        .length_deviations = 3};
+                        .length_deviations = 3,
+                        .present_quantile = 0.9};
   /// A call of a route without recent calls is expected to take this many times
   /// the route's response objective.
   double unknown_call_objectives = 4;
@@ -81,11 +84,14 @@
 
   /// Whether to send a stream. A stream that has begun and outlasts the process
   /// is lost, so that one of which nothing is known is not sent. `ready_share`
-  /// of the other VMs is ready. This VM leaves.
-  ShutdownVerdict JudgeStream(const std::string& service,
-                              const std::optional<GenerationSize>& size,
-                              double ready_share,
-                              Instant now) const;
+  /// of the other VMs is ready; `intervals` are the present times between
+  /// events of the service's streams. This VM leaves.
+  ShutdownVerdict JudgeStream(
+      const std::string& service,
+      const std::optional<GenerationSize>& size,
+      double ready_share,
+      Instant now,
+      const std::vector<Duration>& intervals = {}) const;
 
   /// The objections of JudgeCall and JudgeStream; none if this VM does not
   /// leave.
@@ -97,7 +103,8 @@
       const std::string& service,
       const std::optional<GenerationSize>& size,
       double ready_share,
-      Instant now) const;
+      Instant now,
+      const std::vector<Duration>& intervals = {}) const;
 
   /// When the caller of a refused request should retry: at once if it will find
   /// a ready VM; otherwise after its addresses have expired or, if no VM is
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -473,7 +473,8 @@
     }
     const ShutdownVerdict verdict = shutdown.JudgeStream(
         this->context.service, this->context.metadata.generation,
-        this->dependencies.ready_share(), this->dependencies.runtime->Now());
+        this->dependencies.ready_share(), this->dependencies.runtime->Now(),
+        this->registry->EventIntervals(this->context.service));
     if (!verdict.objection && check == Check::kAtSend) {
       LogSentWhileLeaving(this->dependencies, this->context, verdict);
     }
@@ -632,7 +633,7 @@
     }
     std::string out;
     std::string_view objection;
-    bool progress = false;
+    std::uint64_t progress = 0;
     while (const auto event = splitter->Next()) {
       const EventOrder order = this->sequence.Accept(*event);
       if (order == EventOrder::kGap) {
@@ -648,14 +649,14 @@
         ++this->events;
       }
       // A worker that writes comments or repetitions only counts as silent.
-      progress |= order == EventOrder::kNext ||
+      progress += order == EventOrder::kNext ||
                   (order == EventOrder::kUnnumbered && event->has_data);
     }
     if (objection.empty() && splitter->TooLarge()) {
       objection = "an event over the limit";
     }
-    if (progress) {
-      this->RecordProgress();
+    if (progress > 0) {
+      this->RecordProgress(progress);
     }
     if (!out.empty()) {
       if (!this->context.exchange->WriteChunk(out)) {
@@ -668,7 +669,8 @@
     return objection.empty();
   }
 
-  void RecordProgress() {
+  // `events` have come at once.
+  void RecordProgress(std::uint64_t events) {
     const Instant now = this->dependencies.runtime->Now();
     if (!this->event_seen) {
       this->event_seen = true;
@@ -677,11 +679,13 @@
                                           this->first_event);
     } else {
       const Duration interval = now - this->last_event;
+      this->stream.pace.OnEvents(events, interval);
       this->max_event_interval = std::max(this->max_event_interval, interval);
       this->stream.smoothed_event_interval += duration_cast<Duration>(
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
     this->last_event = now;
+    this->stream.last_event = now;
     this->CancelStandby();
     if (std::exchange(this->stream.worker_ended, false)) {
       RecordRestarts(this->dependencies, &this->stream);
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -827,6 +827,21 @@
   this->state->streams.erase(stream);
 }
 
+std::vector<Duration> StreamRegistry::EventIntervals(
+    const std::string& service) const {
+  const Instant now = this->state->dependencies->runtime->Now();
+  std::vector<Duration> intervals;
+  for (const ActiveStream* stream : this->state->streams) {
+    if (stream->service != service) {
+      continue;
+    }
+    if (const auto interval = stream->pace.Interval(now - stream->last_event)) {
+      intervals.push_back(*interval);
+    }
+  }
+  return intervals;
+}
+
 void StreamRegistry::OnPeerFoundUnreachable(const std::string& worker) {
   this->state->OnPeerFoundUnreachable(worker);
 }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -6,10 +6,12 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "chervilpass/serving/request_context.h"
+#include "chervilpass/serving/run_time_estimator.h"
 
 namespace chervilpass::serving {
 
@@ -84,6 +86,8 @@
   double answer_tokens = 0;
   Instant last_progress{};
   Duration smoothed_event_interval{0};
+  EventPace pace;
+  Instant last_event{};
   bool first_event_seen = false;
   bool moving = false;  ///< a move to another path is in progress
   bool moved = false;   ///< since the last event
@@ -118,6 +122,10 @@
   void Add(ActiveStream* stream);
   void Remove(ActiveStream* stream);
 
+  /// The present times between events of the service's streams, of those that
+  /// have written some.
+  std::vector<Duration> EventIntervals(const std::string& service) const;
+
   /// A peer has found a worker unreachable: streams that wait for it are moved
   /// sooner than on local evidence alone.
   void OnPeerFoundUnreachable(const std::string& worker);
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -906,6 +906,49 @@
   });
 }
 
+// Guards against streams that a leaving VM accepts by the pace of streams that
+// have ended, though workers have slowed down since.
+Test(router, a_leaving_vm_sees_that_streams_in_progress_have_slowed_down) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 23960);
+    Duration pace = milliseconds(2);
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      if (exchange.Request().method == "GET") {
+        return exchange.Respond({200, {}, R"({"seq":1})"});
+      }
+      exchange.BeginStream(MakeResponse(exchange, 200, ""));
+      for (int event = 1; event <= 20; ++event) {
+        runtime.SleepFor(pace);
+        exchange.WriteChunk(Event(event));
+      }
+      exchange.EndStream();
+    });
+    const auto status_of = [&](const std::string& id) {
+      const auto response = fixture.Call(fixture.Request("/draft/x", id));
+      return response.has_value() ? response.value().status : 0;
+    };
+    for (int number = 0; number < 8; ++number) {
+      cr_assert_eq(status_of(fmt::format("usual-{}", number)), 200);
+    }
+    const auto leave = [&] {
+      fixture.router->SetShutdown(runtime.Now(), runtime.Now() + seconds(3),
+                                  Duration::zero());
+    };
+    leave();
+    cr_assert_eq(status_of("leaving"), 200);
+    pace = milliseconds(80);
+    for (int number = 0; number < 4; ++number) {
+      runtime.Spawn(
+          [&status_of, number] { status_of(fmt::format("slow-{}", number)); });
+    }
+    runtime.SleepFor(milliseconds(600));
+    leave();
+    // 1.6 s, and the longest silence of a worker.
+    cr_assert_eq(status_of("late"), 503);
+    runtime.SleepFor(milliseconds(1300));
+  });
+}
+
 // Guards against streams that are given up because their worker is silent,
 // though no other worker could complete them.
 Test(router, a_stream_waits_for_its_silent_worker_if_there_is_no_other) {
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -745,6 +745,60 @@
   cr_assert(!sent(milliseconds(6450), 0.2));
 }
 
+// Guards against streams that are cut because the runs that have ended lately
+// do not show yet that workers have slowed down.
+Test(shutdown_gate, a_slow_down_is_seen_in_streams_in_progress) {
+  ShutdownGate gate({});
+  ServeStreams(&gate.RunTimes(), 8);
+  gate.SetEnd(kStart, kStart + seconds(8), seconds(2));
+  const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
+  const auto sent = [&](Duration at, const std::vector<Duration>& intervals) {
+    return !gate.ObjectionToStream("llm", size, 1, kStart + at, intervals);
+  };
+  const std::vector<Duration> usual(10, milliseconds(30));
+  const std::vector<Duration> slow(10, milliseconds(90));
+  for (const Duration at : {milliseconds(1000), milliseconds(3500)}) {
+    cr_assert(sent(at, usual));
+  }
+  // 4.6 to 5.1 s.
+  cr_assert(sent(milliseconds(1000), slow));
+  cr_assert(!sent(milliseconds(3500), slow));
+  const std::vector<Duration> few(3, milliseconds(90));
+  cr_assert(sent(milliseconds(3500), few));
+  std::vector<Duration> one_slow = usual;
+  one_slow.front() = seconds(1);
+  cr_assert(sent(milliseconds(3500), one_slow), "it may wait for a worker");
+  // A pace that is higher than that of ended runs promises nothing.
+  const std::vector<Duration> fast(10, milliseconds(3));
+  cr_assert(!sent(milliseconds(4450), fast));
+}
+
+// A stream shows a slow-down within few events, or by its silence.
+Test(event_pace, it_follows_the_latest_events) {
+  EventPace pace;
+  for (int i = 0; i < 3; ++i) {
+    pace.OnEvents(1, milliseconds(30));
+  }
+  cr_assert(!pace.Interval(Duration::zero()));
+  pace.OnEvents(3, milliseconds(90));
+  const auto near = [&](Duration silence, Duration expected) {
+    const Duration interval = *pace.Interval(silence);
+    return interval > expected - milliseconds(1) &&
+           interval < expected + milliseconds(1);
+  };
+  cr_assert(near(Duration::zero(), milliseconds(30)));
+  cr_assert(near(milliseconds(30), milliseconds(30)));
+  cr_assert(*pace.Interval(milliseconds(600)) > milliseconds(100));
+  for (int i = 0; i < 8; ++i) {
+    pace.OnEvents(1, milliseconds(150));
+  }
+  cr_assert(*pace.Interval(Duration::zero()) > milliseconds(120));
+  for (int i = 0; i < 20; ++i) {
+    pace.OnEvents(1, milliseconds(30));
+  }
+  cr_assert(*pace.Interval(Duration::zero()) < milliseconds(33));
+}
+
 Test(shutdown_gate, a_call_with_a_short_deadline_ends_in_time) {
   ShutdownGate gate({});
   for (int i = 0; i < 8; ++i) {
