--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -36,6 +36,13 @@
   return is_plain ? value : boost::json::serialize(boost::json::string(value));
 }
 
+// A field does not replace what each line begins with.
+std::string FieldName(const std::string& name) {
+  const bool taken = name == "time" || name == "level" || name == "program" ||
+                     name == "vm" || name == "event";
+  return taken ? "field_" + name : name;
+}
+
 std::string FormatUtc(std::int64_t wall_milliseconds) {
   const std::time_t seconds =
       static_cast<std::time_t>(wall_milliseconds / 1000);
@@ -230,7 +237,7 @@
     line["vm"] = settings.vm;
     line["event"] = event;
     for (const LogField& field : fields) {
-      line[field.name] = field.value;
+      line[FieldName(field.name)] = field.value;
     }
     return boost::json::serialize(line);
   }
@@ -238,7 +245,8 @@
                                  time, LevelName(level), settings.program,
                                  QuoteIfNeeded(settings.vm), event);
   for (const LogField& field : fields) {
-    line += fmt::format(" {}={}", field.name, QuoteIfNeeded(field.value));
+    line += fmt::format(" {}={}", FieldName(field.name),
+                        QuoteIfNeeded(field.value));
   }
   return line;
 }
--- a/chervilpass/fleet/send_permits.cc
+++ b/chervilpass/fleet/send_permits.cc
@@ -127,7 +127,7 @@
       this->silent_until[scheduling.vm] =
           this->runtime->Now() + this->settings.silent_time;
       this->log->Warning("permit.no_reply",
-                         {{"worker", server}, {"vm", scheduling.vm}});
+                         {{"worker", server}, {"to_vm", scheduling.vm}});
       reservation = this->UseOwnShare(server, max_wait, known_members);
     }
     this->metrics->Increment(reservation.granted
--- a/chervilpass/serving/peer_forwarder.cc
+++ b/chervilpass/serving/peer_forwarder.cc
@@ -33,7 +33,7 @@
   this->dependencies.metrics->Increment("chervil_requests_forwarded_total");
   this->dependencies.log->Info("request.forwarded",
                                {{"request", this->context.metadata.request_id},
-                                {"vm", target.ip},
+                                {"to_vm", target.ip},
                                 {"attempt", this->tried.size()},
                                 {"attempts_left", attempts}});
   const Instant deadline = this->dependencies.runtime->Now() + time_left;
--- a/unit_tests/core_test.cc
+++ b/unit_tests/core_test.cc
@@ -68,6 +68,16 @@
             "\"detail\":\"a \\\"quoted\\\" word\"}");
 }
 
+Test(log, field_does_not_replace_the_writer_of_a_json_line) {
+  const std::string line =
+      FormatLogLine({"p", "v", LogLevel::kInfo, LogFormat::kJson},
+                    LogLevel::kInfo, 0, "e", {{"vm", "another"}, {"a", 1}});
+  cr_assert(line ==
+            "{\"time\":\"1970-01-01T00:00:00.000Z\",\"level\":\"info\","
+            "\"program\":\"p\",\"vm\":\"v\",\"event\":\"e\","
+            "\"field_vm\":\"another\",\"a\":\"1\"}");
+}
+
 Test(metrics, prometheus_text_has_counters_and_quantiles) {
   MetricsRegistry metrics;
   metrics.Increment("a_total", "code=\"1\"", 2);
