--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -63,7 +63,8 @@
   while (this->parts.runtime->Now() < this->End()) {
     this->RespondBeforeEnd();
     this->LogDraining();
-    this->wake_delays.Add(this->Sleep(kDrainPollInterval));
+    this->wake_delays.Add(this->Sleep(std::min(
+        kDrainPollInterval, this->End() - this->parts.runtime->Now())));
     this->RefreshSettings();
     const Instant now = this->parts.runtime->Now();
     if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
