RPC servers: an address that a predecessor still holds is tried again

A dispatch or control daemon that was started while the one before it still left ended with code 1 at its RPC port, as routers did. Serve tries again like the other listeners. KJ reports the system's error as a text, which tells the case.

--- a/chervilpass/rpc/server_core.cc
+++ b/chervilpass/rpc/server_core.cc
@@ -1,6 +1,12 @@
 #include "chervilpass/rpc/server_core.h"
 
+#include <errno.h>
+
+#include <boost/asio/error.hpp>
 #include <boost/fiber/future.hpp>
+#include <cstring>
+
+#include "chervilpass/io/address_wait.h"
 
 namespace chervilpass::rpc {
 namespace {
@@ -22,12 +28,15 @@
       });
 }
 
-}  // namespace
+// KJ reports the system's error as a text only.
+bool IsAddressInUse(const RpcError& error) {
+  return error.detail.find(std::strerror(EADDRINUSE)) != std::string::npos;
+}
 
-Result<void, RpcError> Serve(
+Result<void, RpcError> TryServe(
     const std::shared_ptr<RpcLoop>& loop,
     const io::Endpoint& listen,
-    std::function<capnp::Capability::Client()> make_bootstrap) {
+    const std::function<capnp::Capability::Client()>& make_bootstrap) {
   using Listening = Result<void, RpcError>;
   const auto listening = std::make_shared<boost::fibers::promise<Listening>>();
   RpcLoop* raw = loop.get();
@@ -57,4 +66,21 @@
   return listening->get_future().get();
 }
 
+}  // namespace
+
+Result<void, RpcError> Serve(
+    const std::shared_ptr<RpcLoop>& loop,
+    const io::Endpoint& listen,
+    std::function<capnp::Capability::Client()> make_bootstrap) {
+  Result<void, RpcError> serving = success();
+  io::BindWhenFree(&loop->FiberRuntime(), listen, [&] {
+    serving = TryServe(loop, listen, make_bootstrap);
+    const bool in_use = serving.has_error() && IsAddressInUse(serving.error());
+    return in_use
+               ? boost::system::error_code(boost::asio::error::address_in_use)
+               : boost::system::error_code();
+  });
+  return serving;
+}
+
 }  // namespace chervilpass::rpc
--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -482,6 +482,29 @@
   });
 }
 
+// Guards against daemons that end at their start because their predecessor has
+// not ended yet.
+Test(rpc, a_port_that_is_still_taken_is_tried_again) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(31);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor predecessor(
+        context, {boost::asio::ip::make_address(listen.ip), listen.port});
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(300));
+      predecessor.close();
+    });
+    const auto loop = rpc::RpcLoop::Create(&runtime);
+    rpc::DispatchHandlers handlers;
+    handlers.query_claim = [](const std::string&, const std::string&) {
+      return rpc::ClaimState{rpc::ClaimAbsent{}};
+    };
+    cr_assert(rpc::ServeDispatch(loop, listen, handlers).has_value());
+    const auto client = rpc::DispatchClient::Create(loop, listen);
+    cr_assert(client->QueryClaim("o", "k", seconds(2)).has_value());
+  });
+}
+
 Test(rpc, calls_fail_without_a_server_and_succeed_once_it_listens) {
   OnRuntime([](Runtime& runtime) {
     const auto loop = rpc::RpcLoop::Create(&runtime);
