Dispatch: a drain lets the RPC thread write the last outcomes

A call counts until its outcome is handed to the RPC thread, and the process ended up to 20 ms later, before that thread had written it. Nothing tells when it has: the drain goes on until nothing has been in flight for 500 ms, at most until the drain limit.

--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -6,8 +6,8 @@
 A cell fails if a request in progress gets no complete answer, if a process ends by a
 signal that is no order to end at once, if an orderly stop has another exit code than 0, if
 a process that ends by a fatal signal leaves no line that says so or loses the lines before
-it, if a process does not start beside its leaving predecessor, or if an entry ends before
-its callers have received their answers."""
+it, if a process does not start beside its leaving predecessor, if an entry ends before its
+callers have received their answers, or a dispatcher before its answers are written."""
 
 import json
 import os
@@ -32,6 +32,8 @@
          16, signal.SIGXCPU] + list(range(signal.SIGRTMIN, signal.SIGRTMAX + 1))  # 16: SIGSTKFLT
 STRAY_PAUSE_S = 0.008
 FATAL = [signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGQUIT]
+DISPATCH_STOPS = 6
+DISPATCH_BODY = 900000   # its outcome takes some milliseconds to write
 SLOW_BODY = 600 * 1024
 SLOW_READ, SLOW_PAUSE_S = 16 * 1024, 0.06
 SLOW_BUFFER = 32 * 1024
@@ -295,10 +297,44 @@
             fleet.stop()
 
 
+def play_dispatch_answers(name, platform):
+    """A dispatcher is told to stop while its calls run; they end shortly before it does."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.Fleet(folder, platform.subnet + 1)
+        fleet.add_vm("vm-1", "hal-1", "dk-sjaelland")
+        fleet.add_service("register", "register-1", "hal-1", "dk-sjaelland", service_time_ms=1800)
+        fleet.add_organisation("skagen", "key-skagen")
+        url = "http://%s:%d/v1/services/register/x"
+        statuses = []
+
+        def call():
+            statuses.append(fleets.http("GET", url % (fleet.vms[0].ip, fleets.HTTP_PORT), "b" * DISPATCH_BODY,
+                                        timeout=10, headers={"Authorization": "Bearer key-skagen"})[0])
+        try:
+            fleet.start()
+            dispatch = fleet.vms[0].dispatch
+            for _ in range(DISPATCH_STOPS):
+                threads = [threading.Thread(target=call) for _ in range(4)]
+                for thread in threads:
+                    thread.start()
+                time.sleep(0.15)
+                dispatch.send(signal.SIGTERM)
+                code = dispatch.child.wait(15)
+                for thread in threads:
+                    thread.join()
+                check("%s: the dispatcher ends in order" % name, code == 0, code)
+                dispatch.start()
+                time.sleep(1.2)
+        finally:
+            fleet.stop()
+        check("%s: each call is answered" % name, statuses.count(200) == len(statuses),
+              "%d of %d" % (statuses.count(200), len(statuses)))
+
+
 CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
          "early-signals": play_early_signals, "other-daemons": play_other_daemons,
          "restart-beside-predecessor": play_restart_beside_predecessor, "fatal-signals": play_fatal_signals,
-         "entry-slow-readers": play_entry_slow_readers}
+         "entry-slow-readers": play_entry_slow_readers, "dispatch-answers": play_dispatch_answers}
 
 
 def make_fleet(subnet):
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -16,6 +16,9 @@
 constexpr Duration kDrainPollInterval = milliseconds(20);
 // Time for the leaving status to spread by gossip.
 constexpr Duration kMinDrainTime = milliseconds(1500);
+// For the RPC thread to write the last outcomes, of which nothing tells when
+// they are written.
+constexpr Duration kLastWriteTime = milliseconds(500);
 
 struct DispatchSettings {
   std::string vm;
@@ -168,17 +171,21 @@
   }
 
   // Entries learn by gossip that this dispatcher is leaving; requests that
-  // arrive until then are served. Ends when nothing is in flight, at the
-  // earliest after kMinDrainTime, or at the drain limit.
+  // arrive until then are served. Ends when nothing has been in flight for
+  // kLastWriteTime, at the earliest after kMinDrainTime, or at the drain limit.
   void Drain() {
     this->log.Info("dispatch.draining", {{"in_flight", this->InFlight()}});
     this->view_subscriber->Stop();
     const Instant start = this->runtime->Now();
     const Instant deadline = start + this->settings.drain_limit;
+    Instant busy = start;
     while (this->runtime->Now() < deadline &&
-           (this->InFlight() > 0 ||
+           (this->runtime->Now() < busy + kLastWriteTime ||
             this->runtime->Now() < start + kMinDrainTime)) {
       this->runtime->SleepFor(kDrainPollInterval);
+      if (this->InFlight() > 0) {
+        busy = this->runtime->Now();
+      }
     }
     this->log.Info("dispatch.stopped", {{"in_flight", this->InFlight()}});
   }
