Log: the last lines wait shortly for another thread's write

Either the signal came before the line, which follows the answer, or another thread was writing: not told apart.

--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -80,10 +80,16 @@
     }
   }
 
-  // Without waiting for a lock, and without allocating.
+  // Without allocating, and without waiting for long: the thread that has the
+  // lock may be the one that ends the process.
   void FlushAtCrash(Duration max_wait) {
-    if (this->mutex.try_lock()) {
-      const auto until = std::chrono::steady_clock::now() + max_wait;
+    const auto until = std::chrono::steady_clock::now() + max_wait;
+    bool locked = this->mutex.try_lock();
+    while (!locked && std::chrono::steady_clock::now() < until) {
+      ::poll(nullptr, 0, 1);
+      locked = this->mutex.try_lock();
+    }
+    if (locked) {
       this->WriteOut();
       while (!this->bytes.empty() && this->AwaitReader(until)) {
         this->WriteOut();
--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -205,6 +205,7 @@
     for number in FATAL:
         request = "%s-%d" % (name, number)
         fleet.ask(router, "GET", "/no-such-route/x", request)
+        time.sleep(0.03)    # its line comes right after its answer
         router.process.send(number)
         code = router.process.child.wait(5)
         with open(router.process.log) as log:
