--- a/unit_tests/io_test.cc
+++ b/unit_tests/io_test.cc
@@ -255,15 +255,15 @@
     std::vector<std::string> responses(5);
     std::thread peer([&] {
       responses[0] = RawExchange(listen, "NONSENSE\r\n\r\n");
-      responses[1] =
-          RawExchange(listen, "GET / HTTP/1.1\r\nX: " + std::string(4000, 'a') +
-                                  "\r\n\r\n");
+      responses[1] = RawExchange(
+          listen, "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(4000, 'a') +
+                      "\r\n\r\n");
       responses[2] = RawExchange(
-          listen, "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" +
+          listen, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" +
                       std::string(5000, 'a'));
       responses[3] = RawExchange(listen, "GET / HT");  // stalls
-      responses[4] =
-          RawExchange(listen, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+      responses[4] = RawExchange(
+          listen, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
       finished = true;
     });
     while (!finished) {
@@ -302,10 +302,11 @@
       const auto send = [&](const std::string& path) {
         auto socket = std::make_unique<boost::asio::ip::tcp::socket>(context);
         socket->connect(address);
-        boost::asio::write(*socket,
-                           boost::asio::buffer("GET " + path +
-                                               " HTTP/1.1\r\nConnection: close"
-                                               "\r\n\r\n"));
+        boost::asio::write(
+            *socket,
+            boost::asio::buffer("GET " + path +
+                                " HTTP/1.1\r\nHost: a\r\nConnection: close"
+                                "\r\n\r\n"));
         std::this_thread::sleep_for(milliseconds(800));
         return socket;
       };
