HTTP server: "close" in any Connection field ends the connection

A connection went on after "close" in a second Connection field, and after "keep-alive, close" in HTTP/1.0, so that further requests on it ran (RFC 9112, section 9.3). Cause: the HTTP library looks at one field, and in HTTP/1.0 for keep-alive only. Now all of them are read.

--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -144,6 +144,22 @@
          beast::iequals(message[http::field::expect], "100-continue");
 }
 
+// RFC 9112, section 9.3, over all Connection fields; the library looks at the
+// first one only.
+template <class Message>
+bool Persists(const Message& message) {
+  bool keep_alive = message.version() >= 11;
+  const auto fields = message.equal_range(http::field::connection);
+  for (auto field = fields.first; field != fields.second; ++field) {
+    http::token_list options(field->value());
+    if (options.exists("close")) {
+      return false;
+    }
+    keep_alive = keep_alive || options.exists("keep-alive");
+  }
+  return keep_alive;
+}
+
 // What is wrong with the transfer codings of a request. Without it the end of
 // its body is not known, and the body would be read as further requests
 // (RFC 9112, sections 6.1 and 6.3).
@@ -260,7 +276,7 @@
       Input::kAwaited, [this] { return this->parser->is_header_done(); });
   if (this->parser->is_header_done()) {
     this->head = HeadFromBeast(this->parser->get());
-    this->forms = {this->parser->get().keep_alive(),
+    this->forms = {Persists(this->parser->get()),
                    this->parser->get().version() >= 11};
   }
   if (head.error) {
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -397,6 +397,37 @@
   });
 }
 
+// Guards against a connection that goes on although the caller asked for its
+// end (RFC 9112, section 9.3).
+Test(http_server, a_close_in_any_connection_field_ends_the_connection) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(34);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, ""});
+    });
+    const struct {
+      std::string bytes;
+      bool persists;
+    } rows[] = {
+        {"1.1\r\n", true},
+        {"1.1\r\nConnection: X-A\r\n", true},
+        {"1.1\r\nConnection: Close\r\n", false},
+        {"1.1\r\nConnection: X-A\r\nConnection: close\r\n", false},
+        {"1.1\r\nConnection: keep-alive, close\r\n", false},
+        {"1.0\r\n", false},
+        {"1.0\r\nConnection: keep-alive\r\n", true},
+        {"1.0\r\nConnection: keep-alive, close\r\n", false},
+        {"1.0\r\nConnection: close\r\nConnection: keep-alive\r\n", false}};
+    for (const auto& row : rows) {
+      Caller caller(listen);
+      caller.Send("GET / HTTP/" + row.bytes + "Host: a\r\n\r\n");
+      runtime.SleepFor(kTransfer);
+      cr_expect(caller.Receive().starts_with("HTTP/1.1 200"));
+      cr_expect_eq(caller.Closed(), !row.persists, "%s", row.bytes.c_str());
+    }
+  });
+}
+
 // Guards against callers whose connections are closed without a word at the
 // limit.
 Test(http_server, a_connection_over_the_limit_gets_a_complete_refusal) {
