Stand-in worker: says when it was at work

/admin/work_log gives the begin and the end of each run, for rules that ask whether a server was still at work.

--- a/stand_ins/worker/main.cc
+++ b/stand_ins/worker/main.cc
@@ -104,6 +104,14 @@
   std::string peer;  // IP address of the sender
 };
 
+// A run of a request on this worker as the first one, by times of the steady
+// clock.
+struct WorkSpan {
+  std::string request_id;
+  std::int64_t begin_ms = 0;
+  std::int64_t end_ms = 0;  // 0: it goes on
+};
+
 // An answer that asks for rest or says that this worker leaves.
 struct MarkedAnswer {
   std::int64_t at_ms = 0;  // steady clock
@@ -161,6 +169,9 @@
     if (request.path == "/admin/arrival_log") {
       return exchange.Respond({200, {}, json::serialize(this->ArrivalLog())});
     }
+    if (request.path == "/admin/work_log") {
+      return exchange.Respond({200, {}, json::serialize(this->WorkLog())});
+    }
     if (request.path == "/admin/faults") {
       return this->SetFaults(exchange);
     }
@@ -300,6 +311,20 @@
     return {{"arrivals", std::move(arrivals)}, {"answers", std::move(answers)}};
   }
 
+  json::array WorkLog() const {
+    json::array spans;
+    for (const WorkSpan& span : this->work) {
+      spans.push_back(json::object{{"id", span.request_id},
+                                   {"begin", span.begin_ms},
+                                   {"end", span.end_ms}});
+    }
+    return spans;
+  }
+
+  std::int64_t NowMs() const {
+    return ToMilliseconds(this->runtime->Now().time_since_epoch());
+  }
+
   // `rest` holds the values of Retry-After, where "left" stands for the seconds
   // until the end of the rest; `rest_every` and `rest_for_ms` bound it.
   void SetRest(const json::object& fields) {
@@ -647,13 +672,23 @@
     });
   }
 
+  // Returns the index of the run in `work`.
+  std::size_t BeginRun(const std::string& id) {
+    ++this->runs[id];
+    this->work.push_back({id, this->NowMs(), 0});
+    return this->work.size() - 1;
+  }
+
+  void EndRun(std::size_t span) { this->work[span].end_ms = this->NowMs(); }
+
   // Counted at the start: an aborted call has been executed, too. `work_ms` in
   // the query replaces the usual time of work.
   void Execute(io::HttpExchange& exchange, const std::string& id) {
-    ++this->runs[id];
+    const std::size_t span = this->BeginRun(id);
     const auto work_ms = exchange.Request().QueryParameter("work_ms");
     this->runtime->SleepFor(work_ms ? milliseconds(std::stoi(*work_ms))
                                     : this->WorkTime());
+    this->EndRun(span);
     if (this->responses_to_drop > 0) {
       --this->responses_to_drop;
       return exchange.Abort();
@@ -798,7 +833,7 @@
       }
     }
     this->active_runs.push_back(run);
-    ++this->runs[id];
+    const std::size_t span = this->BeginRun(id);
     const auto counts = SplitText(
         request.headers.Find("Chervilpass-Token-Counts").value_or("1,8"), ',');
     // `events` in the query: the answer ends before its limit.
@@ -832,6 +867,7 @@
         complete = false;
       }
     }
+    this->EndRun(span);
     std::erase(this->active_runs, run);
     this->stalled.erase(run->key);
     this->LeaveStages(run->path, run->key);
@@ -912,6 +948,7 @@
   int break_after_events = 0;       // 0: no stream is broken
   std::map<std::string, int> runs;  // by request id
   std::vector<Arrival> arrivals;    // oldest first
+  std::vector<WorkSpan> work;       // oldest first
   std::vector<MarkedAnswer> marked_answers;  // oldest first
   Rest rest;
   StreamBreaks breaks;
