HTTP server: a refusal holds until it is sent, and is logged then

A request of which the head had just arrived as a leaving VM ended got no answer: the server's question about its head took the place of the refusal, and the reader had been told to stop. Its log line, written as the refusal was prepared, had no id, and stood there even if the request was served after all.

A refusal at the end of a process is made on the connection's fiber when it is sent, with the head if that has arrived. response.unsent names the latest request also between two of a kept connection.

http_server_test: the new test fails without the change (no response, no target). Found by review.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -98,8 +98,10 @@
     RequestReader* reader;
     // Set while a request is being read of which a part has arrived.
     std::optional<Instant> reading_since = std::nullopt;
-    // The response to that request, which is not read to its end.
+    // The response to that request, which is not read to its end, by its head.
     std::optional<HttpResponse> refusal = std::nullopt;
+    // Makes such a response; set by RefuseUnread.
+    std::function<HttpResponse(const HttpRequest&)> refuse = nullptr;
   };
 
   // What follows on a connection.
@@ -306,8 +308,12 @@
         this->ReadRequest(stream, reader, connection, first);
     connection->reading_since.reset();
     const auto refusal = std::exchange(connection->refusal, std::nullopt);
-    if (read.error && refusal) {
-      this->RespondUnread(stream, reader, *refusal);
+    const auto refuse = std::exchange(connection->refuse, nullptr);
+    if (read.error && (refusal || refuse)) {
+      this->RespondUnread(
+          stream, reader,
+          refusal ? *refusal
+                  : refuse(reader->HasHead() ? reader->Head() : HttpRequest{}));
       return AfterRequest::kDiscardAndClose;
     }
     if (read.error == http::error::end_of_stream ||
@@ -516,10 +522,8 @@
 void HttpServer::RefuseUnread(
     const std::function<HttpResponse(const HttpRequest& head)>& respond) {
   for (State::Connection& connection : this->state->open) {
-    if (connection.reading_since && !connection.refusal) {
-      connection.refusal =
-          respond(connection.reader->HasHead() ? connection.reader->Head()
-                                               : HttpRequest{});
+    if (connection.reading_since && !connection.refuse) {
+      connection.refuse = respond;
       connection.reader->Stop();
     }
   }
@@ -577,9 +581,7 @@
     UnsentResponse& response = unsent.emplace_back();
     response.peer = PeerOf(*connection.stream);
     response.bytes = bytes;
-    if (connection.reader->HasHead()) {
-      response.head = connection.reader->Head();
-    }
+    response.head = connection.reader->Head();
   }
   return unsent;
 }
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -172,9 +172,9 @@
   /// closes each after its next response.
   void DisableKeepAlive();
 
-  /// Responds to all requests that have arrived in part, and closes their
-  /// connections. `respond` gets the head, which is empty if it is not
-  /// complete.
+  /// Responds to all requests that have arrived in part, unless the rest has
+  /// arrived by then, and closes their connections. `respond` is called, on
+  /// their fibers, with the head, which is empty if it is not complete.
   void RefuseUnread(
       const std::function<HttpResponse(const HttpRequest& head)>& respond);
 
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -78,7 +78,8 @@
     return this->parser && this->parser->is_header_done();
   }
 
-  /// The request without its body and trailer; after ReadHead.
+  /// The request without its body and trailer; before ReadHead, the request
+  /// before it.
   const HttpRequest& Head() const { return this->head; }
 
   /// Bytes that have arrived since Begin, and before it.
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -816,11 +816,12 @@
     cr_assert_eq(unsent.size(), 1);
     cr_expect_gt(unsent[0].bytes, 0);
     cr_expect_eq(unsent[0].head.target, "/unread");
-    while (!server->Unsent().empty()) {
+    for (int i = 0; i < 4000 && !server->Unsent().empty(); ++i) {
       while (!caller.Receive().empty()) {
       }
       runtime.SleepFor(milliseconds(1));
     }
+    cr_expect(server->Unsent().empty());
   });
 }
 
@@ -931,3 +932,34 @@
     cr_expect(caller.Receive().ends_with("ok"));
   });
 }
+
+// The same if it is the head that has just arrived: what is asked about the
+// head takes the place of no refusal.
+Test(http_server, a_request_whose_head_has_just_arrived_is_refused) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(29);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    server->OnHead([](const HttpRequest&) { return std::nullopt; });
+    std::string refused;
+    const auto refuse = [&] {
+      server->RefuseUnread([&refused](const HttpRequest& head) {
+        refused = head.target;
+        return HttpResponse{503, {}, "leaving"};
+      });
+    };
+    Caller caller(listen);
+    caller.Send("POST /late HTTP/1.1\r\nHost: a\r\n");
+    runtime.SleepFor(kTransfer);
+    caller.Send("Content-Length: 9\r\n\r\n");
+    // The poller runs all of these before the fiber of the connection.
+    runtime.Post([&] {
+      runtime.Post([&] { runtime.Post([&] { runtime.Post(refuse); }); });
+    });
+    runtime.SleepFor(kTransfer);
+    const std::string reply = caller.Receive();
+    cr_expect(reply.starts_with("HTTP/1.1 503"), "%s", reply.c_str());
+    cr_expect_eq(refused, "/late");
+  });
+}
