Router: a stop tells other VMs to close their connections, and names more

Other VMs kept using connections that a leaving VM would shut down; a request that crosses that close has an unknown outcome. Responses to them say that the connection closes from SIGTERM on, as callers' do.

Refusals of forwarded requests that had arrived in part were logged as those of a caller. request.cut and the like name 500 requests in place of 50.

--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -22,7 +22,7 @@
 constexpr Duration kNoRoomRetryAfter = seconds(1);
 constexpr Duration kStartupPollInterval = milliseconds(20);
 // Log lines about requests that are in progress when the process ends.
-constexpr std::size_t kMaxUnfinishedLogged = 50;
+constexpr std::size_t kMaxUnfinishedLogged = 500;
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -410,9 +410,10 @@
                                    forwarded);
 }
 
-io::HttpResponse Router::LeavingResponse(const io::HttpRequest& head) const {
+io::HttpResponse Router::LeavingResponse(const io::HttpRequest& head,
+                                         bool forwarded) const {
   return this->state->RefuseUnread(this->state->LeavingRefusal(),
-                                   platform::RequestIdOf(head), false);
+                                   platform::RequestIdOf(head), forwarded);
 }
 
 bool Router::MustRespond() const {
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -58,7 +58,8 @@
                                                bool forwarded);
 
   /// The response to a request that has arrived in part as this VM leaves.
-  io::HttpResponse LeavingResponse(const io::HttpRequest& head) const;
+  io::HttpResponse LeavingResponse(const io::HttpRequest& head,
+                                   bool forwarded) const;
 
   /// True once requests in progress get their final response.
   bool MustRespond() const;
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -51,6 +51,7 @@
       {{"in_flight", this->parts.router->InFlight()},
        {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
   this->parts.callers->DisableKeepAlive();
+  this->parts.forwarded->DisableKeepAlive();
   this->ServeUntilEnd();
   this->ServeEstablished();
   this->Sleep(kFinalWriteTime);
@@ -134,11 +135,12 @@
 
 // Also in time for callers that are still sending to read the response.
 void ShutdownSequence::RefuseUnread() {
-  for (io::HttpServer* server : {this->parts.callers, this->parts.forwarded}) {
-    server->RefuseUnread([this](const io::HttpRequest& head) {
-      return this->parts.router->LeavingResponse(head);
-    });
-  }
+  this->parts.callers->RefuseUnread([this](const io::HttpRequest& head) {
+    return this->parts.router->LeavingResponse(head, false);
+  });
+  this->parts.forwarded->RefuseUnread([this](const io::HttpRequest& head) {
+    return this->parts.router->LeavingResponse(head, true);
+  });
 }
 
 Duration ShutdownSequence::Sleep(Duration duration) {
