Shutdown: late streams leave time for a silent server whoever else is ready

A stream that a leaving VM accepted after its callers' addresses had expired, while fewer than half of the other VMs were ready, had no time to spare: a server that fell silent, or fibers that ran late and brought the end nearer, cut it. In a rolling stop with overlaps, as in the users' record, two or three of six VMs are not ready.

A refusal says that the stream was not run and when to retry; a cut stream is lost. So the reserve of 2 s no longer depends on the share of ready VMs, also where no other VM is ready.

serving_test: late_streams_leave_time_for_a_silent_server asked that a stream is sent without the reserve if one in five VMs is ready; that is the fault. It now asks for a refusal at each moment from 4.45 s to the end. Three tests of other properties kept the expired addresses out of their way by that exception; they state valid addresses, or no silence, instead, with the same bounds.

--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -58,7 +58,6 @@
 ShutdownVerdict ShutdownGate::JudgeStream(
     const std::string& service,
     const std::optional<GenerationSize>& size,
-    double ready_share,
     Instant now,
     const std::vector<Duration>& intervals) const {
   const bool expired = this->AddressesExpired(now);
@@ -75,7 +74,7 @@
         "this VM is leaving, and the stream's duration is not known";
     return verdict;
   }
-  if (expired && ready_share >= this->settings.min_ready_share) {
+  if (expired) {
     *verdict.expected += this->settings.max_silence;
   }
   if (*verdict.expected > verdict.left || this->MustRespond(now)) {
@@ -96,13 +95,10 @@
 std::optional<std::string> ShutdownGate::ObjectionToStream(
     const std::string& service,
     const std::optional<GenerationSize>& size,
-    double ready_share,
     Instant now,
     const std::vector<Duration>& intervals) const {
-  return this->end
-             ? this->JudgeStream(service, size, ready_share, now, intervals)
-                   .objection
-             : std::nullopt;
+  return this->end ? this->JudgeStream(service, size, now, intervals).objection
+                   : std::nullopt;
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -31,9 +31,9 @@
   /// Before the end of the process, requests without a response get one. Longer
   /// than a connection to a backend server may take, which cannot be cancelled.
   Duration final_response_time = milliseconds(500);
-  /// A backend server may be silent for so long and go on. Streams that are
-  /// begun once callers can know of the shutdown end in time all the same, if
-  /// another VM would serve them.
+  /// A backend server may be silent for so long and go on, and the end of the
+  /// process may come nearer. Streams that are begun once callers can know of
+  /// the shutdown end in time all the same.
   Duration max_silence = seconds(2);
   /// Callers are told to retry at once if at least this share of the other VMs
   /// is ready.
@@ -83,13 +83,12 @@
                             Instant now) const;
 
   /// Whether to send a stream. A stream that has begun and outlasts the process
-  /// is lost, so that one of which nothing is known is not sent. `ready_share`
-  /// of the other VMs is ready; `intervals` are the present times between
-  /// events of the service's streams. This VM leaves.
+  /// is lost, so that one of which nothing is known is not sent. `intervals`
+  /// are the present times between events of the service's streams. This VM
+  /// leaves.
   ShutdownVerdict JudgeStream(
       const std::string& service,
       const std::optional<GenerationSize>& size,
-      double ready_share,
       Instant now,
       const std::vector<Duration>& intervals = {}) const;
 
@@ -102,7 +101,6 @@
   std::optional<std::string> ObjectionToStream(
       const std::string& service,
       const std::optional<GenerationSize>& size,
-      double ready_share,
       Instant now,
       const std::vector<Duration>& intervals = {}) const;
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -473,7 +473,7 @@
     }
     const ShutdownVerdict verdict = shutdown.JudgeStream(
         this->context.service, this->context.metadata.generation,
-        this->dependencies.ready_share(), this->dependencies.runtime->Now(),
+        this->dependencies.runtime->Now(),
         this->registry->EventIntervals(this->context.service));
     if (!verdict.objection && check == Check::kAtSend) {
       LogSentWhileLeaving(this->dependencies, this->context, verdict);
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -669,11 +669,11 @@
 Test(shutdown_gate, requests_are_accepted_if_they_end_before_the_process) {
   ShutdownGate gate({});
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
-  cr_assert(!gate.ObjectionToStream("llm", size, 0, kStart));
+  cr_assert(!gate.ObjectionToStream("llm", size, kStart));
   cr_assert(
       !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
-  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
-  cr_assert(gate.ObjectionToStream("llm", size, 0, kStart), "nothing is known");
+  gate.SetEnd(kStart, kStart + seconds(8), seconds(8));
+  cr_assert(gate.ObjectionToStream("llm", size, kStart), "nothing is known");
   cr_assert(
       !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
   ServeStreams(&gate.RunTimes(), 8);
@@ -683,8 +683,7 @@
   for (Duration at{0}; at <= seconds(8); at += milliseconds(10)) {
     const bool stream_fits = at <= seconds(8) - milliseconds(1800);
     const bool stream_cut = at > seconds(8) - milliseconds(1600);
-    const bool stream_sent =
-        !gate.ObjectionToStream("llm", size, 0, kStart + at);
+    const bool stream_sent = !gate.ObjectionToStream("llm", size, kStart + at);
     cr_assert(!stream_fits || stream_sent);
     cr_assert(!stream_cut || !stream_sent);
     const bool call_fits = at <= seconds(8) - milliseconds(1650);
@@ -694,22 +693,22 @@
     cr_assert(!call_fits || call_sent);
     cr_assert(!call_cut || !call_sent);
   }
-  cr_assert(gate.ObjectionToStream("llm", std::nullopt, 0, kStart), "no size");
+  cr_assert(gate.ObjectionToStream("llm", std::nullopt, kStart), "no size");
 }
 
 // The estimates in the log explain the decision.
 Test(shutdown_gate, a_verdict_has_the_estimates_that_it_rests_on) {
   ShutdownGate gate({});
   ServeStreams(&gate.RunTimes(), 8);
-  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
+  gate.SetEnd(kStart, kStart + seconds(8), seconds(8));
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   const ShutdownVerdict stream =
-      gate.JudgeStream("llm", size, 0, kStart + seconds(6));
+      gate.JudgeStream("llm", size, kStart + seconds(6));
   cr_assert(stream.expected && *stream.expected >= milliseconds(1600));
   cr_assert(stream.left == seconds(2));
   cr_assert(!stream.objection);
   const ShutdownVerdict unknown =
-      gate.JudgeStream("other", size, 0, kStart + seconds(6));
+      gate.JudgeStream("other", size, kStart + seconds(6));
   cr_assert(!unknown.expected && unknown.objection);
   const ShutdownVerdict call = gate.JudgeCall("lookup", milliseconds(100),
                                               seconds(60), kStart + seconds(7));
@@ -719,30 +718,32 @@
 
 // A refusal costs a caller that could not know of the shutdown a retry.
 Test(shutdown_gate, more_streams_are_accepted_while_addresses_are_valid) {
-  ShutdownGate gate({});
+  ShutdownGateSettings settings;
+  settings.max_silence = Duration::zero();
+  ShutdownGate gate(settings);
   ServeStreams(&gate.RunTimes(), 64);
   gate.SetEnd(kStart, kStart + seconds(3), milliseconds(500));
   const GenerationSize size{100, 200, 50};
-  cr_assert(!gate.ObjectionToStream("llm", size, 0, kStart));
-  cr_assert(gate.ObjectionToStream("llm", size, 0, kStart + milliseconds(500)));
+  cr_assert(!gate.ObjectionToStream("llm", size, kStart));
+  cr_assert(gate.ObjectionToStream("llm", size, kStart + milliseconds(500)));
 }
 
 // Guards against streams that are cut when the process ends because their
-// backend server was silent for a while.
+// backend server was silent for a while, also while few other VMs are ready.
 Test(shutdown_gate, late_streams_leave_time_for_a_silent_server) {
   ShutdownGate gate({});
   ServeStreams(&gate.RunTimes(), 8);
   gate.SetEnd(kStart, kStart + seconds(8), seconds(2));
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
-  const auto sent = [&](Duration at, double ready_share) {
-    return !gate.ObjectionToStream("llm", size, ready_share, kStart + at);
+  const auto sent = [&](Duration at) {
+    return !gate.ObjectionToStream("llm", size, kStart + at);
   };
-  cr_assert(sent(milliseconds(1990), 1));
-  cr_assert(sent(milliseconds(4100), 1));
-  cr_assert(!sent(milliseconds(4450), 1));
-  // No other VM would serve it.
-  cr_assert(sent(milliseconds(6100), 0.2));
-  cr_assert(!sent(milliseconds(6450), 0.2));
+  cr_assert(sent(milliseconds(1990)));
+  cr_assert(sent(milliseconds(4100)));
+  for (Duration at = milliseconds(4450); at < seconds(8);
+       at += milliseconds(10)) {
+    cr_assert(!sent(at));
+  }
 }
 
 // Guards against streams that are cut because the runs that have ended lately
@@ -753,7 +754,7 @@
   gate.SetEnd(kStart, kStart + seconds(8), seconds(2));
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   const auto sent = [&](Duration at, const std::vector<Duration>& intervals) {
-    return !gate.ObjectionToStream("llm", size, 1, kStart + at, intervals);
+    return !gate.ObjectionToStream("llm", size, kStart + at, intervals);
   };
   const std::vector<Duration> usual(10, milliseconds(30));
   const std::vector<Duration> slow(10, milliseconds(90));
