HTTP server: input of refused callers takes a quarter of the thread's time

A refused caller's input is read and discarded so that the refusal is not lost, 16 MiB and half a second each, and as fast as it came: eight such callers took all of the thread's time. The reads now take turns, spaced so that they use a quarter of it. One read takes up to 256 KiB, with a buffer shared by the connections of a listener in place of 64 KiB each; of the sizes tried, 64 KiB left half of the time to the turns' own overhead.

http_server_test: the new test fails without the change (257 to 400 of 400 ms of processor time, asked at most half; 141 to 149 ms now). The failure itself was not reproduced here: at most 0.02 s, also with all processes on one core.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -11,10 +11,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
 
+#include "chervilpass/core/time_share.h"
 #include "chervilpass/io/address_wait.h"
 #include "chervilpass/io/await.h"
 #include "chervilpass/io/request_reader.h"
@@ -30,7 +32,7 @@
 
 constexpr Duration kAcceptRetryDelay = milliseconds(10);
 constexpr Duration kDiscardTimeout = milliseconds(500);
-constexpr std::size_t kDiscardBufferSize = 64 * 1024;    // bytes
+constexpr std::size_t kDiscardBufferSize = 256 * 1024;   // bytes
 constexpr std::size_t kDiscardLimit = 16 * 1024 * 1024;  // bytes
 // A connection with a request more recently than this is in use: closing it
 // would likely cross the next one.
@@ -436,23 +438,35 @@
 
   // Closing a socket with unread input resets the connection, and the peer may
   // lose the response. Therefore reads and discards further input, up to a
-  // limit.
+  // limit. All connections together leave most of the thread's time to
+  // requests.
   void DiscardInput(beast::tcp_stream* stream) {
-    boost::system::error_code ignored;
-    stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    std::vector<char> piece(kDiscardBufferSize);
+    boost::system::error_code error;
+    stream->socket().shutdown(Tcp::socket::shutdown_send, error);
     // The stream's own timer would close the socket.
     stream->expires_never();
     const ReadTimer timer(this->runtime, stream, kDiscardTimeout);
     for (std::size_t discarded = 0;
          discarded < kDiscardLimit && !timer.Expired();) {
-      const Completion read = Await([&](auto handler) {
-        stream->async_read_some(asio::buffer(piece), std::move(handler));
+      const Completion ready = Await([&](auto handler) {
+        stream->socket().async_wait(Tcp::socket::wait_read, std::move(handler));
       });
-      if (read.error) {
+      if (ready.error) {
+        return;
+      }
+      const Instant turn = this->discards.Reserve(this->runtime->Now());
+      if (turn > this->runtime->Now()) {
+        this->runtime->SleepFor(turn - this->runtime->Now());
+      }
+      const Instant begun = this->runtime->Now();
+      stream->socket().non_blocking(true, error);
+      const std::size_t bytes = stream->socket().read_some(
+          asio::buffer(this->discard_buffer.get(), kDiscardBufferSize), error);
+      this->discards.OnTurn(this->runtime->Now() - begun);
+      if (error && error != asio::error::would_block) {
         return;
       }
-      discarded += read.bytes;
+      discarded += bytes;
     }
   }
 
@@ -471,6 +485,10 @@
   std::size_t connections = 0;
   std::size_t replaced = 0;  // of these, closed by MakeRoom
   std::size_t in_flight = 0;
+  TimeShare discards{TimeShareSettings{}};
+  // Its pages are in memory once they are used.
+  std::unique_ptr<char[]> discard_buffer =
+      std::make_unique_for_overwrite<char[]>(kDiscardBufferSize);
   HttpServerCounts counts;
   PeerEndCounts peer_ends;
   std::function<void(std::string_view)> on_exception;
--- a/unit_tests/core_test.cc
+++ b/unit_tests/core_test.cc
@@ -9,6 +9,7 @@
 #include "chervilpass/core/random.h"
 #include "chervilpass/core/recent_delays.h"
 #include "chervilpass/core/text.h"
+#include "chervilpass/core/time_share.h"
 #include "chervilpass/core/token_bucket.h"
 
 using namespace chervilpass;
@@ -121,3 +122,23 @@
   add(milliseconds(1), 5);
   cr_expect(delays.Lasting() == milliseconds(1));
 }
+
+Test(time_share, turns_are_spaced_by_their_duration) {
+  const Instant start{seconds(100)};
+  TimeShareSettings settings;
+  settings.share = 0.25;
+  settings.max_turn = milliseconds(2);
+  TimeShare share(settings);
+  cr_assert(share.Reserve(start) == start);
+  share.OnTurn(milliseconds(1));
+  // The turn that was reserved before has no spacing yet.
+  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(1));
+  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(5));
+  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(9));
+  // Time without turns is not made up for.
+  cr_assert(share.Reserve(start + seconds(1)) == start + seconds(1));
+  share.OnTurn(seconds(1));
+  cr_assert(share.Reserve(start + seconds(2)) == start + seconds(2));
+  cr_assert(share.Reserve(start + seconds(2)) ==
+            start + seconds(2) + milliseconds(8));
+}
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -1,10 +1,13 @@
 // Tests of the HTTP server on loopback sockets: connections that end while
 // requests are on their way, and handlers that fail.
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <ctime>
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "chervilpass/io/http_client.h"
@@ -49,9 +52,11 @@
     this->socket.connect({boost::asio::ip::make_address(to.ip), to.port});
   }
 
-  void Send(const std::string& bytes) {
+  // False if the connection is broken.
+  bool Send(const std::string& bytes) {
     boost::system::error_code error;
     boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
+    return !error;
   }
 
   void CloseSendingSide() { this->socket.shutdown(Tcp::socket::shutdown_send); }
@@ -83,6 +88,13 @@
   Tcp::socket socket;
 };
 
+// Processor time of this thread.
+Duration ThreadTime() {
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 // Part of a request: its body does not follow.
 constexpr std::string_view kPart =
@@ -963,3 +975,53 @@
     cr_expect_eq(refused, "/late");
   });
 }
+
+// Guards against refused callers whose input takes the thread's time from
+// requests.
+Test(http_server, input_of_refused_callers_takes_a_share_of_the_time) {
+  OnRuntime([](Runtime& runtime) {
+    constexpr int kCallers = 8;
+    constexpr Duration kPushTime = milliseconds(400);
+    const Endpoint listen = TestEndpoint(35);
+    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
+      exchange.Respond({200, {}, "ok"});
+    });
+    server->OnHead([](const HttpRequest&) {
+      return std::optional(HttpResponse{401, {}, "no key"});
+    });
+    std::atomic<bool> ended = false;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&] {
+        const std::string piece(64 * 1024, 'a');
+        while (!ended) {
+          Caller caller(listen);
+          caller.Send(
+              "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n");
+          while (!ended && caller.Send(piece)) {
+          }
+        }
+      });
+    }
+    runtime.SleepFor(kPushTime / 4);
+    const Duration used_before = ThreadTime();
+    const Instant begun = runtime.Now();
+    runtime.SleepFor(kPushTime);
+    const Duration used = ThreadTime() - used_before;
+    const Duration elapsed = runtime.Now() - begun;
+    ended = true;
+    // Their last writes may wait for the server.
+    std::atomic<int> joined = 0;
+    std::thread joiner([&] {
+      for (std::thread& caller : callers) {
+        caller.join();
+        ++joined;
+      }
+    });
+    while (joined < kCallers) {
+      runtime.SleepFor(milliseconds(10));
+    }
+    joiner.join();
+    cr_assert_leq(ToMilliseconds(used), ToMilliseconds(elapsed / 2));
+  });
+}
