endless_bytes.py: sound callers have a process of their own

They shared an interpreter with the senders, so that the time of a request held their wait for it. The bounds and the requests are as before.

--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -9,6 +9,7 @@
 
 import argparse
 import http.client
+import multiprocessing
 import os
 import socket
 import sys
@@ -115,6 +116,58 @@
         return config
 
 
+class SoundCallers:
+    """Callers in a process of their own: in that of the senders they would wait for its interpreter."""
+
+    def __init__(self, ip, name):
+        context = multiprocessing.get_context("spawn")
+        self.results, sender = context.Pipe(duplex=False)
+        self.stopped = context.Event()
+        self.process = context.Process(target=call_until_stopped, args=(ip, name, self.stopped, sender), daemon=True)
+        self.process.start()
+        self.results.recv()  # they have begun
+
+    def stop(self):
+        """Whether each request was served, and its seconds."""
+        self.stopped.set()
+        served = self.results.recv()
+        self.process.join()
+        return served
+
+
+def call_until_stopped(ip, name, stopped, results):
+    served = []
+    threads = [threading.Thread(target=call_sound, args=(ip, "%s-%d" % (name, number), stopped, served))
+               for number in range(SOUND_THREADS)]
+    for thread in threads:
+        thread.start()
+    results.send("begun")
+    for thread in threads:
+        thread.join()
+    results.send(served)
+
+
+def call_sound(ip, name, stopped, served):
+    connection = None
+    count = 0
+    while not stopped.is_set():
+        count += 1
+        connection = connection or http.client.HTTPConnection(ip, platform_fleet.CALLER_PORT, timeout=3)
+        begun = time.monotonic()
+        try:
+            connection.request("GET", "/lookup/x", headers={
+                "Host": platform_fleet.HOST, "Chervilpass-Request-Id": "%s-%d" % (name, count),
+                "Authorization": "Token key-skagen", "Chervilpass-Deadline-Ms": "3000"})
+            response = connection.getresponse()
+            response.read()
+            served.append((response.status == 200, time.monotonic() - begun))
+        except (OSError, http.client.HTTPException):
+            served.append((False, time.monotonic() - begun))
+            connection.close()
+            connection = None
+        time.sleep(0.02)
+
+
 class Row:
     def __init__(self, fleet, server, name, senders, seconds):
         self.fleet, self.server, self.name, self.senders, self.seconds = fleet, server, name, senders, seconds
@@ -127,26 +180,6 @@
         except (OSError, StopIteration):
             return GIVE_UP_MB
 
-    def send_sound(self, number):
-        connection = None
-        count = 0
-        while not self.stopped:
-            count += 1
-            connection = connection or http.client.HTTPConnection(self.router.ip, platform_fleet.CALLER_PORT, timeout=3)
-            begun = time.monotonic()
-            try:
-                connection.request("GET", "/lookup/x", headers={
-                    "Host": platform_fleet.HOST, "Chervilpass-Request-Id": "%s-%d-%d" % (self.name, number, count),
-                    "Authorization": "Token key-skagen", "Chervilpass-Deadline-Ms": "3000"})
-                response = connection.getresponse()
-                response.read()
-                self.served.append((response.status == 200, time.monotonic() - begun))
-            except (OSError, http.client.HTTPException):
-                self.served.append((False, time.monotonic() - begun))
-                connection.close()
-                connection = None
-            time.sleep(0.02)
-
     def send_endless(self, number):
         """As a caller, or as one whose request is answered without end."""
         count = 0
@@ -179,16 +212,16 @@
         before_mb = self.status_mb("VmRSS")
         if self.name.startswith("server-"):
             self.server.form, self.server.stopped = self.name.split("-", 1)[1], False
-        threads = [threading.Thread(target=self.send_sound, args=(number,), daemon=True)
-                   for number in range(SOUND_THREADS)]
-        threads += [threading.Thread(target=self.send_endless, args=(number,), daemon=True)
-                    for number in range(self.senders)]
+        sound_callers = SoundCallers(self.router.ip, self.name)
+        threads = [threading.Thread(target=self.send_endless, args=(number,), daemon=True)
+                   for number in range(self.senders)]
         for thread in threads:
             thread.start()
         until = time.monotonic() + self.seconds
         while time.monotonic() < until and self.status_mb("VmRSS") < GIVE_UP_MB:
             time.sleep(0.05)
         peak_mb = self.status_mb("VmHWM")
+        self.served = sound_callers.stop()
         self.stopped = self.server.stopped = True
         until = time.monotonic() + 6
         for thread in threads:
