endless_bytes.py: the store, reports of workers and the other ports

Bytes without end came from callers and servers only. 27 rows more: answers of the store (behind a proxy that turns endless), reports of a model worker, and requests to the ports for other VMs, forwarded requests, readiness, the directory and metrics. A row in which the router meets no sender fails.

--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -1,11 +1,12 @@
-"""Sends a router bytes without end, from callers and from a backend server, and bodies that are
-held back, and looks at the router's memory and at sound requests beside them. Real processes on
-loopback.
+"""Sends a router bytes without end, from callers, a backend server, the store and to its other
+ports, and bodies that are held back, and looks at the router's memory and at sound requests beside
+them. Real processes on loopback.
 
-    endless_bytes.py [--row NAME]... [--senders N]... [--seconds S] [--subnet N]
+    endless_bytes.py [--row NAME]... [--side NAME]... [--senders N]... [--seconds S] [--subnet N]
 
-A row fails if the router's resident memory passes MEMORY_SHARE of its limit, if it ends, or if
-sound requests are served less often than SOUND_SHARE or later than SOUND_S."""
+A row fails if the router's resident memory passes MEMORY_SHARE of its limit, if it ends, if it has
+met no sender, or if sound requests are served less often than SOUND_SHARE or later than SOUND_S.
+A side is the first part of a row's name."""
 
 import argparse
 import http.client
@@ -47,6 +48,12 @@
     "held-body": (HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES, HELD_BODY),
     "held-body-with-key": (HEAD + KEY + b"Content-Length: %d\r\n\r\n" % BODY_BYTES, HELD_BODY),
 }
+# To other ports than the callers'.
+PORT_FORMS = {form: CALLER_FORMS[form] for form in ("extension", "fields")}
+PORT_FORMS["body"] = (HEAD + CHUNKED, b"10000\r\n" + PIECE + b"\r\n")
+PORTS = {"peers": platform_fleet.STATE_PORT, "forwarded": platform_fleet.STATE_PORT + 1,
+         "readiness": platform_fleet.READINESS_PORT, "directory": platform_fleet.DIRECTORY_PORT,
+         "metrics": platform_fleet.METRICS}
 SERVER_FORMS = {
     "extension": (SEALED + CHUNKED + b"5;a=", PIECE),
     "trailer": (SEALED + CHUNKED + b"1\r\na\r\n0\r\nX-A: ", PIECE),
@@ -55,7 +62,10 @@
     "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024),
     "body": (SEALED + b"\r\n", PIECE),
 }
-ROWS = ["caller-" + form for form in CALLER_FORMS] + ["server-" + form for form in SERVER_FORMS]
+ROWS = (["caller-" + form for form in CALLER_FORMS] + ["server-" + form for form in SERVER_FORMS]
+        + ["%s-%s" % (port, form) for port in PORTS for form in PORT_FORMS]
+        + ["%s-%s" % (side, form) for side in ("store", "report") for form in SERVER_FORMS])
+STORE_PROXY_PORT = 9001
 
 
 def check(what, condition, seen=""):
@@ -64,11 +74,23 @@
         FAILED.append(what)
 
 
+def read_head(connection):
+    """The bytes of a request up to the end of its head; empty if there is none."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return b""
+        data += piece
+    return data
+
+
 class EndlessServer:
-    """A backend server of the service register-2, whose answers have the form that is set."""
+    """A backend server of the service register-2 and of the model service, whose answers and
+    reports have the form that is set."""
 
     def __init__(self, ip):
-        self.form, self.stopped = None, False
+        self.form, self.report_form, self.stopped, self.met = None, None, False, 0
         self.listener = socket.create_server((ip, platform_fleet.WORKER_PORT), backlog=512)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -80,24 +102,74 @@
     def serve(self, connection):
         connection.settimeout(10)
         try:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                piece = connection.recv(65536)
-                if not piece:
-                    return
-                data += piece
+            data = read_head(connection)
             if data.startswith(b"GET /health"):
                 connection.sendall(b"HTTP/1.1 200 OK\r\nChervilpass-Instance-Id: endless\r\nContent-Length: 0\r\n\r\n")
                 return
+            form = self.report_form if data.startswith(b"GET /v1/report") else self.form
+            if form is None:
+                return
+            self.met += 1
             request = next((line.split(b": ", 1)[1] for line in data.split(b"\r\n")
                             if line.lower().startswith(b"chervilpass-request-id: ")), b"")
-            send_form(connection, SERVER_FORMS[self.form], request, lambda: self.stopped)
+            send_form(connection, SERVER_FORMS[form], request, lambda: self.stopped)
         except OSError:
             pass
         finally:
             connection.close()
 
 
+class StoreProxy:
+    """Stands between a router and the store; while a form is set, its answers are of that form."""
+
+    def __init__(self, ip, store):
+        self.form, self.store, self.met, self.open = None, store, 0, []
+        self.listener = socket.create_server((ip, STORE_PROXY_PORT), backlog=512)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def set_form(self, form):
+        self.form, self.met = form, 0
+        for connection in self.open:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.open = []
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        form = self.form
+        try:
+            if form is not None:
+                read_head(connection)
+                self.met += 1
+                send_form(connection, SERVER_FORMS[form], b"", lambda: self.form != form)
+                return
+            with socket.create_connection(self.store) as upstream:
+                self.open += [connection, upstream]
+                back = threading.Thread(target=pump, args=(upstream, connection), daemon=True)
+                back.start()
+                pump(connection, upstream)
+                back.join()
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+
+def pump(source, target):
+    try:
+        while data := source.recv(65536):
+            target.sendall(data)
+        target.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass
+
+
 def send_form(connection, form, request, stopped):
     first, again = form
     connection.sendall(first.replace(b"%s", request))
@@ -108,6 +180,17 @@
 
 
 class EndlessFleet(platform_fleet.PlatformFleet):
+    store_port = platform_fleet.STORE_PORT
+
+    def store_address(self):
+        return "127.0.%d.200:%d" % (self.subnet, self.store_port)
+
+    def add_router(self, data_centre, ip):
+        self.store_port = STORE_PROXY_PORT
+        router = super().add_router(data_centre, ip)
+        self.store_port = platform_fleet.STORE_PORT
+        return router
+
     def config(self):
         config = super().config()
         config["routes"].append({"name": "noise", "host": platform_fleet.HOST, "pathPrefix": "/noise/",
@@ -169,9 +252,11 @@
 
 
 class Row:
-    def __init__(self, fleet, server, name, senders, seconds):
-        self.fleet, self.server, self.name, self.senders, self.seconds = fleet, server, name, senders, seconds
-        self.router, self.stopped, self.served = fleet.routers[0], False, []
+    def __init__(self, fleet, server, store, name, senders, seconds):
+        self.fleet, self.server, self.store = fleet, server, store
+        self.name, self.senders, self.seconds = name, senders, seconds
+        self.side, self.form = name.split("-", 1)
+        self.router, self.stopped, self.served, self.met = fleet.routers[0], False, [], 0
 
     def status_mb(self, field):
         try:
@@ -182,27 +267,56 @@
 
     def send_endless(self, number):
         """As a caller, or as one whose request is answered without end."""
+        port = PORTS.get(self.side, platform_fleet.CALLER_PORT)
         count = 0
         while not self.stopped:
             count += 1
             request = b"%s-e-%d-%d" % (self.name.encode(), number, count)
-            side, form = self.name.split("-", 1)
             try:
-                with socket.create_connection((self.router.ip, platform_fleet.CALLER_PORT), 3) as connection:
+                with socket.create_connection((self.router.ip, port), 3) as connection:
                     connection.settimeout(3)
-                    if side == "caller":
-                        first, again = CALLER_FORMS[form]
-                        send_form(connection, (first.replace(b"/%s/", b"/lookup/"), again), request,
-                                  lambda: self.stopped)
-                    else:
+                    self.met += 1
+                    if self.side == "server":
                         connection.sendall((HEAD + KEY + b"Content-Length: 0\r\n\r\n").replace(
                             b"/%s/", b"/noise/").replace(b"%s", request))
+                    else:
+                        first, again = CALLER_FORMS[self.form] if self.side == "caller" else PORT_FORMS[self.form]
+                        send_form(connection, (first.replace(b"/%s/", b"/lookup/"), again), request,
+                                  lambda: self.stopped)
                     while not self.stopped and connection.recv(65536):
                         pass
             except OSError:
                 pass
             time.sleep(max(MIN_RECONNECT_S, self.senders / RECONNECTS_PER_S))
 
+    def begin(self):
+        """Starts the senders; returns their threads. A store or a report has one sender a connection."""
+        self.server.stopped = False
+        self.server.met = 0
+        if self.side == "server":
+            self.server.form = self.form
+        elif self.side == "report":
+            self.server.report_form = self.form
+        elif self.side == "store":
+            self.store.set_form(self.form)
+        senders = 0 if self.side in ("store", "report") else self.senders
+        threads = [threading.Thread(target=self.send_endless, args=(number,), daemon=True) for number in range(senders)]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def end(self, threads):
+        self.stopped = self.server.stopped = True
+        if self.side in ("server", "report"):
+            self.met = self.server.met
+        elif self.side == "store":
+            self.met = self.store.met
+        self.server.form = self.server.report_form = None
+        self.store.set_form(None)
+        until = time.monotonic() + 6
+        for thread in threads:
+            thread.join(max(0.0, until - time.monotonic()))
+
     def play(self):
         if not self.router.process.running():
             self.router.process.start()
@@ -210,27 +324,20 @@
         with open("/proc/%d/clear_refs" % self.router.process.child.pid, "w") as peaks:
             peaks.write("5")  # resets VmHWM
         before_mb = self.status_mb("VmRSS")
-        if self.name.startswith("server-"):
-            self.server.form, self.server.stopped = self.name.split("-", 1)[1], False
         sound_callers = SoundCallers(self.router.ip, self.name)
-        threads = [threading.Thread(target=self.send_endless, args=(number,), daemon=True)
-                   for number in range(self.senders)]
-        for thread in threads:
-            thread.start()
+        threads = self.begin()
         until = time.monotonic() + self.seconds
         while time.monotonic() < until and self.status_mb("VmRSS") < GIVE_UP_MB:
             time.sleep(0.05)
         peak_mb = self.status_mb("VmHWM")
         self.served = sound_callers.stop()
-        self.stopped = self.server.stopped = True
-        until = time.monotonic() + 6
-        for thread in threads:
-            thread.join(max(0.0, until - time.monotonic()))
+        self.end(threads)
         self.report(before_mb, peak_mb)
 
     def report(self, before_mb, peak_mb):
         name = "%s, %d senders" % (self.name, self.senders)
         check("%s: the router goes on" % name, self.router.process.running())
+        check("%s: it has met senders" % name, self.met > 0, "%d connections" % self.met)
         check("%s: its memory stays within %.0f MB" % (name, MEMORY_SHARE * MEMORY_LIMIT_MB),
               peak_mb <= MEMORY_SHARE * MEMORY_LIMIT_MB, "%d MB before, at most %d MB" % (before_mb, peak_mb))
         good = sum(ok for ok, _ in self.served)
@@ -245,6 +352,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--row", action="append", choices=ROWS)
+    parser.add_argument("--side", action="append", choices=sorted({row.split("-", 1)[0] for row in ROWS}))
     parser.add_argument("--senders", action="append", type=int)
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--subnet", type=int, default=86)
@@ -254,16 +362,23 @@
     fleet.max_body_bytes = BODY_BYTES
     ip = "127.0.%d.190" % arguments.subnet
     server = EndlessServer(ip)
+    store = StoreProxy("127.0.%d.200" % arguments.subnet,
+                       ("127.0.%d.200" % arguments.subnet, platform_fleet.STORE_PORT))
+    rows = arguments.row or [row for row in ROWS if row.split("-", 1)[0] in (arguments.side or ["caller", "server"])]
     try:
         fleet.start()
         fleet.put_object("servers", "endless", {
             "service": "register-2", "address": "%s:%d" % (ip, platform_fleet.WORKER_PORT), "zone": "hal-1",
             "version": "1", "slots": 500, "state": "ready", "warmupLeftMs": 0, "seq": 1,
             "born": int(time.time() * 1000)})
+        fleet.put_object("servers", "endless-model", {
+            "service": "llm", "address": "%s:%d" % (ip, platform_fleet.WORKER_PORT), "zone": "hal-1",
+            "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1,
+            "born": int(time.time() * 1000), "kind": "small", "layers": {"from": 0, "target": 0, "version": 1}})
         time.sleep(0.5)
         for senders in arguments.senders or [8]:
-            for name in arguments.row or ROWS:
-                Row(fleet, server, name, senders, arguments.seconds).play()
+            for name in rows:
+                Row(fleet, server, store, name, senders, arguments.seconds).play()
     finally:
         fleet.stop()
 
