Shutdown: the caution of a stop begins after 3 s at the latest

A leaving VM accepts streams by the usual pace, without time to spare, while callers may still use addresses that they were given before. Found by review.

The first phase ends after the lifetime or 3 s, whichever is shorter. The time to spare is taken from the time left in place of added to the estimate, so that expected_ms in request.sent_while_leaving is the estimate again.

serving_test: long_lived_addresses_do_not_delay_the_caution fails without the change (a stream of 4 s is accepted at 3 s). Two tests that had moved to the first phase's estimates look at the later ones again, with no silence, with their bounds of before; the verdict with the time to spare has checks of its own.

--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -60,11 +60,12 @@
     const std::optional<GenerationSize>& size,
     Instant now,
     const std::vector<Duration>& intervals) const {
-  const bool expired = this->AddressesExpired(now);
+  const bool late = this->NoticeEnded(now);
   const EstimateCaution& caution =
-      expired ? this->settings.later : this->settings.at_first;
+      late ? this->settings.later : this->settings.at_first;
   ShutdownVerdict verdict;
-  verdict.left = *this->end - now;
+  verdict.left =
+      *this->end - now - (late ? this->settings.max_silence : Duration::zero());
   if (size) {
     verdict.expected =
         this->run_times.StreamTime(service, *size, caution, intervals);
@@ -74,9 +75,6 @@
         "this VM is leaving, and the stream's duration is not known";
     return verdict;
   }
-  if (expired) {
-    *verdict.expected += this->settings.max_silence;
-  }
   if (*verdict.expected > verdict.left || this->MustRespond(now)) {
     verdict.objection = TooLong(*verdict.expected, verdict.left);
   }
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -1,6 +1,7 @@
 // Decides which requests a leaving VM still sends to backend servers.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
                            .time_margin = 1.05,
                            .length_deviations = 1.3,
                            .present_quantile = 0.5};
+  /// Callers have this long to learn of the shutdown, or the lifetime of their
+  /// addresses if that is shorter.
+  Duration max_notice = seconds(3);
   /// Afterwards hardly any may be.
   EstimateCaution later{.time_quantile = 0.95,
                         .time_margin = 1.1,
@@ -65,7 +69,8 @@
   void SetEnd(Instant start, Instant end, Duration address_lifetime) {
     this->end = end;
     this->address_lifetime = address_lifetime;
-    this->addresses_expire = start + address_lifetime;
+    this->notice_ends =
+        start + std::min(address_lifetime, this->settings.max_notice);
   }
 
   bool Leaving() const { return this->end.has_value(); }
@@ -112,16 +117,14 @@
   RunTimeEstimator& RunTimes() { return this->run_times; }
 
  private:
-  /// True once callers can have learnt of the shutdown from address lists.
-  bool AddressesExpired(Instant now) const {
-    return now >= this->addresses_expire;
-  }
+  /// True once callers should have learnt of the shutdown from address lists.
+  bool NoticeEnded(Instant now) const { return now >= this->notice_ends; }
 
   ShutdownGateSettings settings;
   RunTimeEstimator run_times;
   std::optional<Instant> end;
   Duration address_lifetime{0};
-  Instant addresses_expire{};
+  Instant notice_ends{};
 };
 
 }  // namespace chervilpass::serving
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -667,12 +667,14 @@
 // Guards against requests that a leaving VM accepts and then cuts, and against
 // short ones that it refuses although they would end.
 Test(shutdown_gate, requests_are_accepted_if_they_end_before_the_process) {
-  ShutdownGate gate({});
+  ShutdownGateSettings settings;
+  settings.max_silence = Duration::zero();
+  ShutdownGate gate(settings);
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   cr_assert(!gate.ObjectionToStream("llm", size, kStart));
   cr_assert(
       !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
-  gate.SetEnd(kStart, kStart + seconds(8), seconds(8));
+  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
   cr_assert(gate.ObjectionToStream("llm", size, kStart), "nothing is known");
   cr_assert(
       !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
@@ -698,9 +700,11 @@
 
 // The estimates in the log explain the decision.
 Test(shutdown_gate, a_verdict_has_the_estimates_that_it_rests_on) {
-  ShutdownGate gate({});
+  ShutdownGateSettings settings;
+  settings.max_silence = Duration::zero();
+  ShutdownGate gate(settings);
   ServeStreams(&gate.RunTimes(), 8);
-  gate.SetEnd(kStart, kStart + seconds(8), seconds(8));
+  gate.SetEnd(kStart, kStart + seconds(8), Duration::zero());
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   const ShutdownVerdict stream =
       gate.JudgeStream("llm", size, kStart + seconds(6));
@@ -744,6 +748,24 @@
        at += milliseconds(10)) {
     cr_assert(!sent(at));
   }
+  const ShutdownVerdict verdict =
+      gate.JudgeStream("llm", size, kStart + milliseconds(4100));
+  cr_assert(*verdict.expected >= milliseconds(1600) &&
+            *verdict.expected <= milliseconds(1900));
+  cr_assert(verdict.left == milliseconds(1900), "without the time to spare");
+}
+
+// Guards against streams that are cut because callers keep addresses for long:
+// the cautious estimates begin 3 s after the signal at the latest.
+Test(shutdown_gate, long_lived_addresses_do_not_delay_the_caution) {
+  ShutdownGate gate({});
+  ServeStreams(&gate.RunTimes(), 8);
+  gate.SetEnd(kStart, kStart + seconds(8), seconds(60));
+  const GenerationSize size{100, 130, std::nullopt};  // 4 to 4.5 s
+  cr_assert(!gate.ObjectionToStream("llm", size, kStart + milliseconds(2900)));
+  for (Duration at = seconds(3); at < seconds(8); at += milliseconds(10)) {
+    cr_assert(gate.ObjectionToStream("llm", size, kStart + at));
+  }
 }
 
 // Guards against streams that are cut because the runs that have ended lately
