HTTP server: discarded input gives up turns that would come too late

A refused connection slept until its turn also beyond the half second that it has, and reservations of connections that had ended moved the turns of others away, without a bound if more came than there was time for. A connection whose peer had just closed waited for a turn as well, sound ones included. Reads above 2 ms counted as 2 ms, so that slow ones took more than their quarter.

A turn is reserved only if it begins in time; without one the connection waits out its half second, in which the peer can read the response. The end of input needs no turn. Reads count up to 10 ms.

core_test: a_turn_that_would_be_too_late_is_not_reserved (does not build before). The test in http_server_test stated a length over the limit, so that its callers were refused by the parser and not by their head; they are now, and one that reads after 4 MiB gets its status beside them. endless_bytes.py: the end of the sound callers' process is noticed.

--- a/chervilpass/core/time_share.h
+++ b/chervilpass/core/time_share.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include "chervilpass/core/time.h"
 
@@ -11,7 +12,7 @@
 struct TimeShareSettings {
   double share = 0.25;  ///< of the thread's time
   /// A turn that takes longer was interrupted.
-  Duration max_turn = milliseconds(2);
+  Duration max_turn = milliseconds(10);
 
   bool operator==(const TimeShareSettings&) const = default;
 };
@@ -23,9 +24,13 @@
  public:
   explicit TimeShare(const TimeShareSettings& settings) : settings(settings) {}
 
-  /// Reserves the next turn; returns when it may begin, not before `now`.
-  Instant Reserve(Instant now) {
+  /// Reserves the next turn; returns when it may begin, not before `now`. Empty
+  /// if that would be after `latest`.
+  std::optional<Instant> Reserve(Instant now, Instant latest) {
     const Instant begin = std::max(now, this->next);
+    if (begin > latest) {
+      return std::nullopt;
+    }
     this->next = begin + this->spacing;
     return begin;
   }
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -438,25 +438,32 @@
 
   // Closing a socket with unread input resets the connection, and the peer may
   // lose the response. Therefore reads and discards further input, up to a
-  // limit. All connections together leave most of the thread's time to
-  // requests.
+  // limit. The reads of all connections together leave most of the thread's
+  // time to requests.
   void DiscardInput(beast::tcp_stream* stream) {
     boost::system::error_code error;
     stream->socket().shutdown(Tcp::socket::shutdown_send, error);
     // The stream's own timer would close the socket.
     stream->expires_never();
+    const Instant until = this->runtime->Now() + kDiscardTimeout;
     const ReadTimer timer(this->runtime, stream, kDiscardTimeout);
     for (std::size_t discarded = 0;
          discarded < kDiscardLimit && !timer.Expired();) {
       const Completion ready = Await([&](auto handler) {
         stream->socket().async_wait(Tcp::socket::wait_read, std::move(handler));
       });
-      if (ready.error) {
+      const InputState input = PendingInput(*stream);
+      if (ready.error || input == InputState::kEnded ||
+          input == InputState::kBroken) {
         return;
       }
-      const Instant turn = this->discards.Reserve(this->runtime->Now());
-      if (turn > this->runtime->Now()) {
-        this->runtime->SleepFor(turn - this->runtime->Now());
+      const Instant now = this->runtime->Now();
+      const auto turn = this->discards.Reserve(now, until);
+      if (turn.value_or(until) > now) {
+        this->runtime->SleepFor(turn.value_or(until) - now);
+      }
+      if (!turn) {
+        return;
       }
       const Instant begun = this->runtime->Now();
       stream->socket().non_blocking(true, error);
--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -208,6 +208,7 @@
         self.stopped = context.Event()
         self.process = context.Process(target=call_until_stopped, args=(ip, name, self.stopped, sender), daemon=True)
         self.process.start()
+        sender.close()  # so that its end is noticed
         self.results.recv()  # they have begun
 
     def stop(self):
--- a/unit_tests/core_test.cc
+++ b/unit_tests/core_test.cc
@@ -129,16 +129,32 @@
   settings.share = 0.25;
   settings.max_turn = milliseconds(2);
   TimeShare share(settings);
-  cr_assert(share.Reserve(start) == start);
+  const auto reserve = [&share, start](Duration at) {
+    return *share.Reserve(start + at, Instant::max()) - start;
+  };
+  cr_assert(reserve(milliseconds(0)) == milliseconds(0));
   share.OnTurn(milliseconds(1));
   // The turn that was reserved before has no spacing yet.
-  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(1));
-  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(5));
-  cr_assert(share.Reserve(start + milliseconds(1)) == start + milliseconds(9));
+  cr_assert(reserve(milliseconds(1)) == milliseconds(1));
+  cr_assert(reserve(milliseconds(1)) == milliseconds(5));
+  cr_assert(reserve(milliseconds(1)) == milliseconds(9));
   // Time without turns is not made up for.
-  cr_assert(share.Reserve(start + seconds(1)) == start + seconds(1));
+  cr_assert(reserve(seconds(1)) == seconds(1));
   share.OnTurn(seconds(1));
-  cr_assert(share.Reserve(start + seconds(2)) == start + seconds(2));
-  cr_assert(share.Reserve(start + seconds(2)) ==
-            start + seconds(2) + milliseconds(8));
+  cr_assert(reserve(seconds(2)) == seconds(2));
+  cr_assert(reserve(seconds(2)) == seconds(2) + milliseconds(8));
+}
+
+// Guards against turns that move away without end while more are wanted than
+// there is time for.
+Test(time_share, a_turn_that_would_be_too_late_is_not_reserved) {
+  const Instant start{seconds(100)};
+  TimeShare share(TimeShareSettings{});
+  share.OnTurn(milliseconds(1));
+  for (int i = 0; i < 1000; ++i) {
+    share.Reserve(start, start + milliseconds(10));
+  }
+  cr_assert(!share.Reserve(start, start + milliseconds(10)));
+  cr_assert(share.Reserve(start + milliseconds(10), start + milliseconds(20)) ==
+            start + milliseconds(12));
 }
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -982,13 +982,21 @@
   OnRuntime([](Runtime& runtime) {
     constexpr int kCallers = 8;
     constexpr Duration kPushTime = milliseconds(400);
+    constexpr std::size_t kBody = 4 * 1024 * 1024;
     const Endpoint listen = TestEndpoint(35);
-    const auto server = Serve(runtime, listen, [](HttpExchange& exchange) {
-      exchange.Respond({200, {}, "ok"});
-    });
+    HttpServerSettings settings;
+    settings.limits.body_bytes = 100 * 1024 * 1024;
+    const auto server = Serve(
+        runtime, listen,
+        [](HttpExchange& exchange) {
+          exchange.Respond({200, {}, "ok"});
+        },
+        settings);
     server->OnHead([](const HttpRequest&) {
       return std::optional(HttpResponse{401, {}, "no key"});
     });
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n";
     std::atomic<bool> ended = false;
     std::vector<std::thread> callers;
     for (int i = 0; i < kCallers; ++i) {
@@ -996,8 +1004,7 @@
         const std::string piece(64 * 1024, 'a');
         while (!ended) {
           Caller caller(listen);
-          caller.Send(
-              "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n");
+          caller.Send(head);
           while (!ended && caller.Send(piece)) {
           }
         }
@@ -1009,12 +1016,17 @@
     runtime.SleepFor(kPushTime);
     const Duration used = ThreadTime() - used_before;
     const Duration elapsed = runtime.Now() - begun;
-    ended = true;
-    // Their last writes may wait for the server.
+    // One that reads only once it has sent its whole body.
+    std::string refusal;
     std::atomic<int> joined = 0;
     std::thread joiner([&] {
-      for (std::thread& caller : callers) {
-        caller.join();
+      Caller caller(listen);
+      caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                  std::to_string(kBody) + "\r\n\r\n" + std::string(kBody, 'a'));
+      refusal = caller.Receive();
+      ended = true;
+      for (std::thread& other : callers) {
+        other.join();
         ++joined;
       }
     });
@@ -1022,6 +1034,7 @@
       runtime.SleepFor(milliseconds(10));
     }
     joiner.join();
-    cr_assert_leq(ToMilliseconds(used), ToMilliseconds(elapsed / 2));
+    cr_expect_leq(ToMilliseconds(used), ToMilliseconds(elapsed / 2));
+    cr_expect(refusal.starts_with("HTTP/1.1 401"), "%s", refusal.c_str());
   });
 }
