--- a/fault_tests/endless_bytes.py
+++ b/fault_tests/endless_bytes.py
@@ -86,11 +86,10 @@
 
 
 class EndlessServer:
-    """A backend server of the service register-2 and of the model service, whose answers and
-    reports have the form that is set."""
+    """A backend server whose answers have the form that is set."""
 
     def __init__(self, ip):
-        self.form, self.report_form, self.stopped, self.met = None, None, False, 0
+        self.form, self.stopped, self.met = None, False, 0
         self.listener = socket.create_server((ip, platform_fleet.WORKER_PORT), backlog=512)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -106,7 +105,7 @@
             if data.startswith(b"GET /health"):
                 connection.sendall(b"HTTP/1.1 200 OK\r\nChervilpass-Instance-Id: endless\r\nContent-Length: 0\r\n\r\n")
                 return
-            form = self.report_form if data.startswith(b"GET /v1/report") else self.form
+            form = self.form
             if form is None:
                 return
             self.met += 1
@@ -253,8 +252,8 @@
 
 
 class Row:
-    def __init__(self, fleet, server, store, name, senders, seconds):
-        self.fleet, self.server, self.store = fleet, server, store
+    def __init__(self, fleet, server, model_server, store, name, senders, seconds):
+        self.fleet, self.server, self.model_server, self.store = fleet, server, model_server, store
         self.name, self.senders, self.seconds = name, senders, seconds
         self.side, self.form = name.split("-", 1)
         self.router, self.stopped, self.served, self.met = fleet.routers[0], False, [], 0
@@ -292,13 +291,9 @@
 
     def begin(self):
         """Starts the senders; returns their threads. A store or a report has one sender a connection."""
-        self.server.stopped = False
-        self.server.met = 0
-        if self.side == "server":
-            self.server.form = self.form
-        elif self.side == "report":
-            self.server.report_form = self.form
-        elif self.side == "store":
+        for side, server in (("server", self.server), ("report", self.model_server)):
+            server.form, server.stopped, server.met = self.form if side == self.side else None, False, 0
+        if self.side == "store":
             self.store.set_form(self.form)
         senders = 0 if self.side in ("store", "report") else self.senders
         threads = [threading.Thread(target=self.send_endless, args=(number,), daemon=True) for number in range(senders)]
@@ -307,12 +302,11 @@
         return threads
 
     def end(self, threads):
-        self.stopped = self.server.stopped = True
-        if self.side in ("server", "report"):
-            self.met = self.server.met
-        elif self.side == "store":
-            self.met = self.store.met
-        self.server.form = self.server.report_form = None
+        self.stopped = self.server.stopped = self.model_server.stopped = True
+        other = {"server": self.server, "report": self.model_server, "store": self.store}.get(self.side)
+        if other:
+            self.met = other.met
+        self.server.form = self.model_server.form = None
         self.store.set_form(None)
         until = time.monotonic() + 6
         for thread in threads:
@@ -361,8 +355,8 @@
     folder = os.path.join(fleets.BUILD, "endless-bytes-%d" % arguments.subnet)
     fleet = EndlessFleet(folder, arguments.subnet, ("hal-1",), routers_each=1, workers_each=2)
     fleet.max_body_bytes = BODY_BYTES
-    ip = "127.0.%d.190" % arguments.subnet
-    server = EndlessServer(ip)
+    ip, model_ip = "127.0.%d.190" % arguments.subnet, "127.0.%d.191" % arguments.subnet
+    server, model_server = EndlessServer(ip), EndlessServer(model_ip)
     store = StoreProxy("127.0.%d.200" % arguments.subnet,
                        ("127.0.%d.200" % arguments.subnet, platform_fleet.STORE_PORT))
     rows = arguments.row or [row for row in ROWS if row.split("-", 1)[0] in (arguments.side or ["caller", "server"])]
@@ -373,13 +367,13 @@
             "version": "1", "slots": 500, "state": "ready", "warmupLeftMs": 0, "seq": 1,
             "born": int(time.time() * 1000)})
         fleet.put_object("servers", "endless-model", {
-            "service": "llm", "address": "%s:%d" % (ip, platform_fleet.WORKER_PORT), "zone": "hal-1",
+            "service": "llm", "address": "%s:%d" % (model_ip, platform_fleet.WORKER_PORT), "zone": "hal-1",
             "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1,
             "born": int(time.time() * 1000), "kind": "small", "layers": {"from": 0, "target": 0, "version": 1}})
         time.sleep(0.5)
         for senders in arguments.senders or [8]:
             for name in rows:
-                Row(fleet, server, store, name, senders, arguments.seconds).play()
+                Row(fleet, server, model_server, store, name, senders, arguments.seconds).play()
     finally:
         fleet.stop()
 
