--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -837,8 +837,8 @@
   });
 }
 
-// Guards against responses whose end is in the send buffer of a VM whose
-// process has ended: it no longer sees them once their connections are closed.
+// Guards against a process that exits while the end of a response is in a send
+// buffer: the connection counted as closed as soon as it was written.
 Test(http_server, a_connection_counts_until_its_last_response_is_received) {
   OnRuntime([](Runtime& runtime) {
     const Endpoint listen = TestEndpoint(20);
