Logs: which build, and when the process before had started

From the record it could not be told which landing had written it, nor whether the process after a stop had been killed: a killed process writes nothing, and its successor did not know of it.

- member.changed has the boot id; router.leaving the uptime.

No decision is changed.

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -1,59 +1,23 @@
 #include "chervilpass/fleet/peer_group.h"
 
-#include <boost/json.hpp>
 #include <utility>
 
 #include "chervilpass/core/hash.h"
 #include "chervilpass/core/token_bucket.h"
 #include "chervilpass/rpc/gossip_codec.h"
-#include "platform/json_fields.h"
 
 namespace chervilpass::fleet {
 namespace {
 
-namespace json = boost::json;
 using membership::Member;
 using membership::Status;
 
 constexpr std::uint32_t kAnnounceFanout = 3;  // receivers of an announcement
-constexpr Duration kRegisterRetryDelay = milliseconds(500);
+constexpr Duration kListRetryDelay = milliseconds(500);
 // Lines about changed members: per second, and at once.
 constexpr double kChangeLogRate = 5;
 constexpr double kChangeLogBurst = 40;
 
-json::value EncodeMember(const Member& member) {
-  json::object body;
-  body["ip"] = member.ip;
-  body["data_centre"] = member.data_centre;
-  body["region"] = member.region;
-  body["http_port"] = member.http_port;
-  body["control_port"] = member.control_port;
-  body["gossip_port"] = member.gossip_port;
-  body["forward_port"] = member.forward_port;
-  body["boot_id"] = member.boot_id;
-  return body;
-}
-
-std::optional<Member> DecodeMember(const std::string& name,
-                                   const json::value& body) {
-  platform::JsonFields fields(body, name);
-  Member member;
-  member.vm = name;
-  member.ip = fields.Text("ip");
-  member.data_centre = fields.Text("data_centre");
-  member.region = fields.Text("region");
-  member.http_port = static_cast<std::uint16_t>(fields.Integer("http_port"));
-  member.control_port =
-      static_cast<std::uint16_t>(fields.Integer("control_port"));
-  member.gossip_port =
-      static_cast<std::uint16_t>(fields.Integer("gossip_port"));
-  // Earlier builds do not store the port.
-  member.forward_port =
-      static_cast<std::uint16_t>(fields.IntegerOr("forward_port", 0));
-  member.boot_id = fields.Integer("boot_id");
-  return fields.FirstError() ? std::nullopt : std::optional<Member>(member);
-}
-
 }  // namespace
 
 struct PeerGroup::State : std::enable_shared_from_this<PeerGroup::State> {
@@ -71,6 +35,10 @@
         settings(std::move(settings)),
         events(std::move(events)),
         socket(std::move(socket)),
+        registration(EntryRegistration::Create(runtime,
+                                               store,
+                                               log,
+                                               {this->settings.self})),
         detector(this->settings.detector,
                  this->settings.self,
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
@@ -173,51 +141,23 @@
 
   // Registers this VM in the store and lists the other VMs periodically.
   void RegisterAndList() {
-    const json::value body = EncodeMember(this->settings.self);
-    while (!this->stopped && !this->Register(body)) {
-      this->runtime->SleepFor(kRegisterRetryDelay);
-    }
+    this->registration->Register();
     while (!this->stopped) {
       const auto listing = this->store->List(platform::StoreKind::kEntries);
       if (listing.has_value()) {
         this->ApplyListing(listing.value());
         this->runtime->SleepFor(this->settings.list_period);
       } else {
-        this->runtime->SleepFor(kRegisterRetryDelay);
+        this->runtime->SleepFor(kListRetryDelay);
       }
     }
   }
 
-  bool Register(const json::value& body) {
-    const std::string& name = this->settings.self.vm;
-    const auto created =
-        this->store->Create(platform::StoreKind::kEntries, name, body);
-    if (created.has_value()) {
-      return true;
-    }
-    if (created.error().code != platform::StoreErrorCode::kConflict) {
-      this->log->Info("entry.register_failed",
-                      {{"detail", created.error().detail}});
-      return false;
-    }
-    const auto known = this->store->Get(platform::StoreKind::kEntries, name);
-    if (known.has_error()) {
-      return false;
-    }
-    if (known.value().spec == body) {
-      return true;
-    }
-    return this->store
-        ->Replace(platform::StoreKind::kEntries, name, known.value().revision,
-                  body)
-        .has_value();
-  }
-
   void ApplyListing(const platform::Listing& listing) {
     std::vector<Member> listed;
     for (const platform::StoredObject& object : listing.objects) {
-      if (const auto member = DecodeMember(object.name, object.spec)) {
-        listed.push_back(*member);
+      if (const auto entry = DecodeEntry(object.name, object.spec)) {
+        listed.push_back(entry->member);
       } else {
         this->log->Warning("entry.unreadable", {{"entry", object.name}});
       }
@@ -269,6 +209,7 @@
         "member.changed",
         {{"member", member.vm},
          {"status", static_cast<int>(member.status)},
+         {"boot_id", member.boot_id},
          {"incarnation", member.incarnation},
          {"own", change.origin == membership::ChangeOrigin::kOwn},
          {"entry_up", member.entry_up},
@@ -319,6 +260,7 @@
   PeerGroupSettings settings;
   PeerGroupEvents events;
   std::unique_ptr<io::UdpSocket> socket;
+  std::unique_ptr<EntryRegistration> registration;
   membership::Detector detector;
   membership::GossipMessage last_message;  ///< encoded in `last_datagram`
   std::string last_datagram;
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -9,6 +9,7 @@
 
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
+#include "chervilpass/fleet/entry_registration.h"
 #include "chervilpass/fleet/load_gossip_schedule.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/udp_socket.h"
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "chervilpass/core/build_id.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/serving/call_proxy.h"
 #include "chervilpass/serving/forwarded_methods.h"
@@ -512,6 +513,7 @@
         {{"request", context->metadata.request_id},
          {"route", context->route == nullptr ? "" : context->route->name},
          {"service", context->service},
+         {"build", BuildId()},
          {"forwarded", context->forwarded},
          {"begun", context->exchange->ResponseBegun()},
          {"reason", cut ? "the process ends" : "the process ends soon"},
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "chervilpass/app/program.h"
+#include "chervilpass/core/build_id.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/fleet/address_list.h"
 #include "chervilpass/fleet/peer_group.h"
@@ -116,6 +117,7 @@
     }
     this->log.Info("router.started",
                    {{"version", CHERVILPASS_VERSION},
+                    {"build", BuildId()},
                     {"callers", this->settings.callers.ToText()},
                     {"descriptors", this->descriptors},
                     {"caller_connections", this->shares.callers.connections},
@@ -414,6 +416,12 @@
   }
 
   void AnswerMetrics(io::HttpExchange& exchange) {
+    this->metrics.Set("chervil_build_info",
+                      fmt::format("version=\"{}\",build=\"{}\"",
+                                  CHERVILPASS_VERSION, BuildId()),
+                      1);
+    this->metrics.Set("chervil_uptime_seconds", "",
+                      ToSeconds(this->runtime.Now() - this->started));
     this->metrics.Set("chervil_log_lines_dropped", "",
                       static_cast<double>(DroppedLogLines()));
     this->metrics.Set("chervil_requests_in_flight", "",
@@ -858,6 +866,7 @@
     parts.callers = this->caller_server.get();
     parts.forwarded = this->forwarded_server.get();
     parts.settings = &this->settings;
+    parts.started = this->started;
     parts.refresh_settings = [this] { this->PollSettings(); };
     ShutdownSequence(parts).Run();
   }
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "chervilpass/core/build_id.h"
+
 namespace chervilpass {
 namespace {
 
@@ -50,7 +52,9 @@
   this->RefreshSettings();
   this->parts.log->Info(
       "router.leaving",
-      {{"in_flight", this->parts.router->InFlight()},
+      {{"build", BuildId()},
+       {"uptime_ms", ToMilliseconds(this->start - this->parts.started)},
+       {"in_flight", this->parts.router->InFlight()},
        {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
   this->parts.callers->DisableKeepAlive();
   this->parts.forwarded->DisableKeepAlive();
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -22,6 +22,7 @@
   io::HttpServer* forwarded = nullptr;
   /// In force.
   const RouterProgramSettings* settings = nullptr;
+  Instant started{};  ///< the process
   /// Reads the settings again if they have changed.
   std::function<void()> refresh_settings;
 };
--- a/unit_tests/suspect_sync_test.cc
+++ b/unit_tests/suspect_sync_test.cc
@@ -1,12 +1,10 @@
 // Tests of the stored strikes, with a store in memory on loopback.
 #include <fmt/format.h>
 
-#include <boost/json.hpp>
 #include <functional>
-#include <map>
 
 #include "chervilpass/fleet/suspect_sync.h"
-#include "chervilpass/io/http_server.h"
+#include "unit_tests/memory_store.h"
 
 // Last: its macros clash with headers of Boost.
 #include <criterion/criterion.h>
@@ -18,106 +16,9 @@
 
 namespace json = boost::json;
 
-constexpr const char* kIp = "127.0.203.1";
+constexpr const char* kIp = kMemoryStoreIp;
 constexpr std::uint64_t kFingerprint = 0xab;
 
-// Keeps objects of one kind; a watch returns all changes since its revision.
-class MemoryStore {
- public:
-  MemoryStore(io::Runtime& runtime, std::uint16_t port) : runtime(runtime) {
-    io::HttpServerSettings settings;
-    settings.listen = {kIp, port};
-    auto created = io::HttpServer::Create(
-        &runtime, settings,
-        [this](io::HttpExchange& exchange) { this->Handle(exchange); },
-        [](unsigned status, std::string_view) {
-          return io::HttpResponse{status, {}, ""};
-        });
-    cr_assert(created.has_value());
-    this->server = std::move(created).value();
-  }
-
-  std::map<std::string, json::object> objects;  // by name
-  bool available = true;
-  int writes = 0;
-
- private:
-  void Handle(io::HttpExchange& exchange) {
-    if (!this->available) {
-      return exchange.Respond({503, {}, ""});
-    }
-    const io::HttpRequest& request = exchange.Request();
-    const std::string name = request.path.substr(request.path.rfind('/') + 1);
-    if (request.method == "GET") {
-      return request.QueryParameter("watch") ? this->Watch(exchange)
-                                             : this->List(exchange);
-    }
-    ++this->writes;
-    if (request.method == "DELETE") {
-      this->Record(this->objects.at(name), true);
-      this->objects.erase(name);
-      return exchange.Respond({200, {}, "{}"});
-    }
-    json::object object = json::parse(request.body).as_object();
-    json::object& metadata = object.at("metadata").as_object();
-    const std::string key(metadata.at("name").as_string());
-    const auto known = this->objects.find(key);
-    const bool conflict =
-        known != this->objects.end() &&
-        (request.method == "POST" ||
-         metadata.at("rev") != known->second.at("metadata").at("rev"));
-    if (conflict) {
-      return exchange.Respond({409, {}, json::serialize(known->second)});
-    }
-    metadata["rev"] = ++this->revision;
-    this->objects[key] = object;
-    this->Record(object, false);
-    exchange.Respond({200, {}, json::serialize(object)});
-  }
-
-  void Record(const json::object& object, bool deleted) {
-    this->revision += deleted ? 1 : 0;
-    this->events.emplace_back(
-        this->revision, json::object{{"object", object}, {"deleted", deleted}});
-  }
-
-  void List(io::HttpExchange& exchange) const {
-    json::array items;
-    for (const auto& [name, object] : this->objects) {
-      items.push_back(object);
-    }
-    exchange.Respond(
-        {200,
-         {},
-         json::serialize(json::object{{"items", items},
-                                      {"storeRevision", this->revision}})});
-  }
-
-  void Watch(io::HttpExchange& exchange) const {
-    const std::uint64_t since =
-        std::stoull(exchange.Request().QueryParameter("watch").value());
-    for (int i = 0; i < 20 && this->revision <= since; ++i) {
-      this->runtime.SleepFor(milliseconds(5));
-    }
-    json::array newer;
-    for (const auto& [at, event] : this->events) {
-      if (at > since) {
-        newer.push_back(event);
-      }
-    }
-    exchange.Respond(
-        {200,
-         {},
-         json::serialize(json::object{{"events", newer},
-                                      {"storeRevision", this->revision}})});
-  }
-
-  io::Runtime& runtime;
-  std::uint64_t revision = 1;
-  std::vector<std::pair<std::uint64_t, json::object>> events;
-  std::unique_ptr<io::HttpServer> server;
-};
-
 // One VM under test.
 class Vm {
  public:
