--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -2,11 +2,16 @@
 use all of them; one of them can get further signals while it leaves. Real processes on loopback.
 
     rolling_stops.py [--seeds FIRST LAST] [--stops N] [--at N] [--further SIGNAL@S]... [--router FILE]
-                     [--late-streams N] [--gap S] [--list] [--subnet N]
+                     [--late-streams N] [--gap S] [--long-share X] [--kills-next]
+                     [--restart-after S] [--list] [--subnet N]
     rolling_stops.py --cell NAME [--router FILE] [--subnet N]
 
 `--further TERM@6.5` sends SIGTERM 6.5 s after the first one to the router that is stopped as number `--at`.
 `--late-streams` sends it so many streams 5 s after the first signal, which take about 1.9 s.
+`--long-share` is the share of streams that take 5 to 10 s.
+With `--kills-next` the SIGKILL at the end of a grace period reaches whichever process the VM runs then,
+also the next one, and callers are sent to that one as soon as it is ready. `--restart-after` is the time
+from the end of a process to the start of the next one.
 `--router` names the program to run as routers, of an older version for instance. `--list` prints each
 request that ended without a complete answer: when it was sent and ended, counted from its router's SIGTERM,
 its events, and the log lines that name it.
@@ -43,6 +48,7 @@
 STREAM_CALLERS, CALL_CALLERS = 8, 3  # of each router
 LATE_SENT_S, LATE_EVENTS = 5.0, (58, 66)
 LONG_SHARE, LONG_EVENTS = 0.15, (170, 330)  # of 30 ms: 5 to 10 s
+MAX_EVENTS = 182                   # of the others
 NOTED = ("request.cut", "request.unfinished", "request.unread", "response.unsent")
 FAILED = []
 
@@ -55,10 +61,10 @@
         FAILED.append(what)
 
 
-def draw_events(draw):
-    if draw.random() < LONG_SHARE:
+def draw_events(draw, long_share):
+    if draw.random() < long_share:
         return draw.randrange(*LONG_EVENTS)
-    return min(182, max(3, int(draw.lognormvariate(3.97, 0.8))))
+    return min(MAX_EVENTS, max(3, int(draw.lognormvariate(3.97, 0.8))))
 
 
 def draw_work_ms(draw):
@@ -68,9 +74,11 @@
 class Stop:
     """A stop of one router, in order as far as its process does that."""
 
-    def __init__(self, number, router, further):
+    def __init__(self, number, router, further, arguments):
         self.number, self.router, self.further = number, router, further
+        self.kills_next, self.restart_after_s = arguments.kills_next, arguments.restart_after
         self.begun, self.code, self.ended_s, self.events = time.monotonic(), None, None, []
+        self.next_killed_s = None  # age of the next process, if it was killed
         with open(router.process.log) as log:
             self.log_begin = log.seek(0, os.SEEK_END)
         router.process.send(signal.SIGTERM)
@@ -89,6 +97,17 @@
         with open(self.router.process.log) as log:
             log.seek(self.log_begin)
             self.events = [json.loads(line) for line in log if line.startswith("{")]
+        time.sleep(self.restart_after_s)
+        self.router.process.start()
+        if self.kills_next and time.monotonic() - self.begun < GRACE_S:
+            self.kill_next()
+
+    def kill_next(self):
+        started = time.monotonic()
+        self.wait(GRACE_S)
+        self.next_killed_s = time.monotonic() - started
+        self.router.process.kill()
+        time.sleep(self.restart_after_s)
         self.router.process.start()
 
     def wait(self, after_s):
@@ -157,7 +176,7 @@
 
     def send(self, connection, request, router, streams, draw, events=0):
         """Returns True if the connection can be used again."""
-        events = events or (draw_events(draw) if streams else 0)
+        events = events or (draw_events(draw, self.arguments.long_share) if streams else 0)
         route = draw.choice(("draft", "draft", "once") if streams else ("file", "lookup"))
         path = "/%s/x" % route + ("" if streams else "?work_ms=%d" % draw_work_ms(draw))
         form = draw.choice(("length", "chunks"))
@@ -205,7 +224,7 @@
         for number in range(1, self.arguments.stops + 1):
             time.sleep(max(0.0, begun + (number - 1) * self.arguments.gap - time.monotonic()))
             stop = Stop(number, order[(number - 1) % len(order)],
-                        self.arguments.further if number == self.arguments.at else [])
+                        self.arguments.further if number == self.arguments.at else [], self.arguments)
             self.stops.append(stop)
             for late in range(self.arguments.late_streams if number == self.arguments.at else 0):
                 self.spawn(self.send_late, late, stop, random.Random(self.draw.random()))
@@ -256,9 +275,11 @@
             further = ["%s@%.1f" % (signal.Signals(number).name, after_s) for after_s, number in stop.further]
             check("%s: stop %d, %s ends in order" % (name, stop.number, stop.router.name),
                   stop.code == 0 and stop.count("router.stopped") == 1,
-                  "code %s after %.2f s, router.stopped %d, %s; LOST %d streams, %d calls (%d named in a log); allowed "
+                  "code %s after %.2f s, next process killed %s; router.stopped %d, %s; LOST %d streams, %d calls (%d named in a log); allowed "
                   "%d, %d; unread %d; wake delay %s ms; further %s" % (
-                      stop.code, stop.ended_s, stop.count("router.stopped"),
+                      stop.code, stop.ended_s,
+                      "after %.2f s" % stop.next_killed_s if stop.next_killed_s is not None else "-",
+                      stop.count("router.stopped"),
                       ", ".join("%s %d" % (event, stop.count(event)) for event in NOTED),
                       counts["LOST", True], counts["LOST", False], named, counts["allowed", True],
                       counts["allowed", False], counts["unread", True] + counts["unread", False],
@@ -289,7 +310,8 @@
 # Options of the cells. In late-delay most VMs leave, so that one of them takes streams while it leaves;
 # it gets no processor for a moment after that.
 CELLS = {"late-order": "--seeds 1 1 --stops 2 --at 1 --further TERM@4.5 --further INT@5.5 --further TERM@6.4",
-         "late-delay": "--seeds 1 1 --stops 5 --at 1 --gap 0.7 --late-streams 12 --further STOP@5.6 --further CONT@5.9"}
+         "late-delay": "--seeds 1 1 --stops 5 --at 1 --gap 0.7 --late-streams 12 --further STOP@5.6 --further CONT@5.9",
+         "next-process": "--seeds 1 1 --stops 4 --long-share 0 --kills-next"}
 
 
 def main():
@@ -302,6 +324,9 @@
     parser.add_argument("--late-streams", type=int, default=0)
     parser.add_argument("--gap", type=float, default=GAP_S)
     parser.add_argument("--router", metavar="FILE", type=os.path.abspath)
+    parser.add_argument("--long-share", type=float, default=LONG_SHARE)
+    parser.add_argument("--kills-next", action="store_true")
+    parser.add_argument("--restart-after", type=float, default=0.0, metavar="S")
     parser.add_argument("--list", action="store_true")
     parser.add_argument("--subnet", type=int, default=110)
     arguments = parser.parse_args()
