Shutdown: the kill of a stop finds no request at the next process

What callers saw: answers that had begun, and calls, closed at a VM about 8 s after its SIGTERM, with no line in any log.

Cause: a stop ended as soon as callers' addresses had expired and nothing was in progress (6.05 s at the earliest). The platform starts the next process, which takes requests and is killed at the end of the grace period ("SIGTERM, and then SIGKILL after the grace period").

Records without the field are read as before, and earlier builds ignore it. The setting is off by default, where a platform ends only the process that it has told to stop.

--- a/chervilpass/fleet/entry_record.cc
+++ b/chervilpass/fleet/entry_record.cc
@@ -15,6 +15,9 @@
   body["gossip_port"] = member.gossip_port;
   body["forward_port"] = member.forward_port;
   body["boot_id"] = member.boot_id;
+  if (record.stop_ends) {
+    body["stop_ends_ms"] = record.stop_ends->milliseconds;
+  }
   return body;
 }
 
@@ -32,9 +35,13 @@
       static_cast<std::uint16_t>(fields.Integer("control_port"));
   member.gossip_port =
       static_cast<std::uint16_t>(fields.Integer("gossip_port"));
-  // Earlier builds do not store the port.
+  // Earlier builds store neither of the following two.
   member.forward_port =
       static_cast<std::uint16_t>(fields.IntegerOr("forward_port", 0));
+  if (fields.Find("stop_ends_ms") != nullptr) {
+    record.stop_ends =
+        WallTime{static_cast<std::int64_t>(fields.Integer("stop_ends_ms"))};
+  }
   member.boot_id = fields.Integer("boot_id");
   return fields.FirstError() ? std::nullopt : std::optional(record);
 }
--- a/chervilpass/fleet/entry_record.h
+++ b/chervilpass/fleet/entry_record.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "chervilpass/core/time.h"
 #include "chervilpass/membership/member.h"
 
 namespace chervilpass::fleet {
@@ -13,6 +14,10 @@
 struct EntryRecord {
   /// Its addresses and boot id; state that changes is left out.
   membership::Member member;
+  /// The latest end of a grace period: until then the platform may still end
+  /// whichever process the VM runs. Empty if none of its processes was ordered
+  /// to stop.
+  std::optional<WallTime> stop_ends;
 
   bool operator==(const EntryRecord&) const = default;
 };
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -35,16 +35,25 @@
         settings(std::move(settings)),
         events(std::move(events)),
         socket(std::move(socket)),
-        registration(EntryRegistration::Create(runtime,
-                                               store,
-                                               log,
-                                               {this->settings.self})),
+        registration(
+            EntryRegistration::Create(runtime,
+                                      store,
+                                      log,
+                                      RegistrationSettings(this->settings))),
         detector(this->settings.detector,
                  this->settings.self,
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
                  runtime->Now()),
         change_log_rate(kChangeLogRate, kChangeLogBurst, runtime->Now()) {}
 
+  static EntryRegistrationSettings RegistrationSettings(
+      const PeerGroupSettings& settings) {
+    EntryRegistrationSettings registration;
+    registration.self = settings.self;
+    registration.max_hold = settings.max_hold;
+    return registration;
+  }
+
   void Start() {
     const auto self = this->shared_from_this();
     this->runtime->Spawn([self] { self->ReceiveLoop(); });
@@ -317,6 +326,14 @@
   });
 }
 
+void PeerGroup::AnnounceStop(WallTime ends) {
+  this->state->registration->AnnounceStop(ends);
+}
+
+std::optional<Duration> PeerGroup::HoldLeft() const {
+  return this->state->registration->HoldLeft();
+}
+
 void PeerGroup::BroadcastStrikes(
     const std::vector<quarantine::Strike>& strikes) {
   this->state->Apply(this->state->detector.AddStrikes(strikes));
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   Duration seed_period = seconds(1);   ///< between pings to unknown seeds
   Duration list_period = seconds(60);  ///< between reads of the store's list
   LoadGossipScheduleSettings loads;
+  /// Longest time for which requests are held back after a stop of an earlier
+  /// process; zero: they are not.
+  Duration max_hold{0};
 
   bool operator==(const PeerGroupSettings&) const = default;
 };
@@ -72,6 +76,14 @@
   void SetCutOff(bool cut_off);
   void SetLeaving();
 
+  /// This process was ordered to stop; the platform may end what the VM runs
+  /// until `ends`, which its next process learns from the store.
+  void AnnounceStop(WallTime ends);
+
+  /// How much longer requests are to be held back because an earlier process
+  /// was ordered to stop; empty while that is not known.
+  std::optional<Duration> HoldLeft() const;
+
   /// Disseminate events to all VMs.
   void BroadcastStrikes(const std::vector<quarantine::Strike>& strikes);
   void BroadcastClearance(const quarantine::Clearance& clearance);
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,11 @@
       acquire_permit;
   /// Share of the other VMs that are ready for requests.
   std::function<double()> ready_share;
+  /// How much longer this process takes no requests, because the platform may
+  /// end it; empty while that is not known.
+  std::function<std::optional<Duration>()> hold_left = [] {
+    return Duration::zero();
+  };
   /// Addresses at which other VMs, which are not cut off, take forwarded
   /// requests.
   std::function<std::vector<io::Endpoint>()> forward_targets;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -118,6 +118,10 @@
                     kNotReadyRetryAfter, "too many forwarded requests", 0);
     }
     this->AwaitRoutingState(*context);
+    if (const auto refusal = this->ObjectionByHold()) {
+      return Refuse(*context, refusal->code, refusal->executed,
+                    refusal->retry_after, refusal->detail, 0);
+    }
     context->table = this->dependencies.routing_state->Table();
     if (!context->table) {
       return Refuse(*context, RefusalCode::kNotReady, Executed::kNo,
@@ -131,6 +135,20 @@
     return this->ServeRouted(context);
   }
 
+  // Until the grace period of an earlier process has ended, the platform may
+  // end this one.
+  std::optional<Refusal> ObjectionByHold() const {
+    const Duration left =
+        this->dependencies.hold_left().value_or(Duration::zero());
+    if (left <= Duration::zero()) {
+      return std::nullopt;
+    }
+    const bool others = this->dependencies.ready_share() > 0;
+    return Refusal{RefusalCode::kNotReady, Executed::kNo,
+                   others ? this->settings.shutdown.retry_delay : left,
+                   "an earlier process of this VM is being stopped"};
+  }
+
   // Finds the route and the organisation of a request.
   std::optional<Refusal> ObjectionByConfig(const io::HttpRequest& request,
                                            RequestContext* context) const {
@@ -220,7 +238,8 @@
         std::min(this->started + this->settings.startup_grace,
                  context.received + max_wait);
     while ((!routing_state.Table() || routing_state.Servers().Empty() ||
-            !routing_state.StrikesLoaded()) &&
+            !routing_state.StrikesLoaded() ||
+            !this->dependencies.hold_left()) &&
            this->dependencies.runtime->Now() < wait_until) {
       this->dependencies.runtime->SleepFor(kStartupPollInterval);
     }
--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -127,6 +127,9 @@
                                                   workers_each=3)
         self.fleet.call_timeout_ms = 10000
         self.fleet.stream_timeout_ms = int(DEADLINE_S * 1000)
+        if arguments.kills_next and not arguments.router:
+            self.fleet.whole_grace = True
+            self.fleet.build_routers()
         for router in self.fleet.routers:
             router.process.binary = arguments.router or router.process.binary
         self.outcomes, self.stops, self.threads, self.stopped = [], [], [], False
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -164,6 +164,9 @@
     group.seed_ips = this->settings.seed_ips;
     std::erase(group.seed_ips, this->settings.ip);
     group.detector = fleet::RouterDetectorSettings();
+    if (this->settings.whole_grace) {
+      group.max_hold = this->settings.shutdown_grace;
+    }
     fleet::PeerGroupEvents events;
     events.strike = [this](const quarantine::Strike& strike) {
       this->OnPeerStrike(strike);
@@ -312,6 +315,7 @@
                                          Duration max_wait) {
       return this->permits->Acquire(server, max_wait);
     };
+    dependencies.hold_left = [this] { return this->peers->HoldLeft(); };
     dependencies.ready_share = [this] { return this->ReadyShare(); };
     this->router = serving::Router::Create(std::move(dependencies), {});
     this->caller_server = this->Listen(
@@ -387,7 +391,10 @@
 
   // ---- requests ----
 
-  bool Ready() const { return !this->leaving && this->sync->IsSynced(); }
+  bool Ready() const {
+    return !this->leaving && this->sync->IsSynced() &&
+           this->peers->HoldLeft() == Duration::zero();
+  }
 
   void Answer(io::HttpExchange& exchange, const platform::ReadinessRequest&) {
     exchange.Respond(platform::ReadinessResponse(this->Ready()));
@@ -851,14 +858,17 @@
     // All other changes take effect at the next start.
     this->settings.address_ttl = new_settings->address_ttl;
     this->settings.shutdown_grace = new_settings->shutdown_grace;
+    this->settings.whole_grace = new_settings->whole_grace;
     this->settings.retry_reserve = new_settings->retry_reserve;
     this->log.Info("settings.reloaded", {{"why", reason}});
   }
 
   // Leaves the address lists and ends the work of this VM.
   void Leave() {
+    const WallTime ordered = this->runtime.WallNow();
     this->leaving = true;
     this->peers->SetLeaving();
+    this->AnnounceStop(ordered);
     ShutdownParts parts;
     parts.runtime = &this->runtime;
     parts.log = &this->log;
@@ -867,10 +877,24 @@
     parts.forwarded = this->forwarded_server.get();
     parts.settings = &this->settings;
     parts.started = this->started;
-    parts.refresh_settings = [this] { this->PollSettings(); };
+    parts.refresh_settings = [this, ordered] {
+      this->PollSettings();
+      this->AnnounceStop(ordered);
+    };
     ShutdownSequence(parts).Run();
   }
 
+  // Also if the grace period changes during the stop.
+  void AnnounceStop(WallTime ordered) {
+    if (!this->settings.whole_grace ||
+        this->settings.shutdown_grace == this->announced_grace) {
+      return;
+    }
+    this->announced_grace = this->settings.shutdown_grace;
+    this->peers->AnnounceStop(
+        {ordered.milliseconds + ToMilliseconds(this->announced_grace)});
+  }
+
   io::Runtime& runtime;
   RouterProgramSettings settings;
   std::string settings_text;  // of the file, at the last poll
@@ -884,6 +908,7 @@
   std::uint64_t boot_id;
   serving::RoutingState routing_state;
   bool leaving = false;
+  Duration announced_grace{0};  // of this process's stop, to the next process
   std::set<memory::Owner> short_owners;
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -62,6 +62,7 @@
   settings.shutdown_grace =
       duration_cast<Duration>(std::chrono::duration<double>(
           limits.Double("grace_seconds", 0.5, 3600, 8.0)));
+  settings.whole_grace = limits.Bool("whole_grace", false);
   settings.retry_share = limits.Double("retry_share", 0, 10, 0.2);
   settings.retry_reserve = limits.Double("retry_reserve", 0, 1e6, 100);
   settings.memory_mb = static_cast<std::uint32_t>(
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -27,8 +27,12 @@
   io::Endpoint store;
   Duration address_ttl{0};     ///< lifetime stated in address lists
   Duration shutdown_grace{0};  ///< from SIGTERM to the exit
-  double retry_share = 0;      ///< retries per first attempt
-  double retry_reserve = 0;    ///< maximum balance of the fleet, in retries
+  /// The platform's kill at the end of a grace period ends whichever process
+  /// the VM runs then: a stop takes the whole grace period, and the next
+  /// process takes no requests before its end.
+  bool whole_grace = false;
+  double retry_share = 0;    ///< retries per first attempt
+  double retry_reserve = 0;  ///< maximum balance of the fleet, in retries
   std::uint32_t memory_mb = 0;
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
   LogSettings log;
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -77,7 +77,8 @@
     if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
       this->parts.callers->CloseIdle();
     }
-    if (now > addresses_expired && this->parts.router->InFlight() == 0) {
+    if (now > addresses_expired && this->parts.router->InFlight() == 0 &&
+        !this->parts.settings->whole_grace) {
       return;
     }
   }
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -44,6 +44,7 @@
         self.call_timeout_ms = 3000
         self.stream_timeout_ms = 20000
         self.retry_share, self.retry_reserve = 0.2, 200
+        self.whole_grace = False  # of stops; earlier builds do not know the setting
         self.store = fleets.Process("store", "fake-store", "listen: '%s'\n" % self.store_address(), folder)
         self.routers, self.workers, self.plain = [], [], []
         self.data_centres, self.routers_each = data_centres, routers_each
@@ -76,10 +77,11 @@
 listen: {callers: '%s:%d', readiness: '%s:%d', directory: '%s:%d', metrics_port: %d}
 peers: {gossip_port: %d, state_port: %d, seeds: '%s'}
 store: {address: '%s'}
-limits: {grace_seconds: 8, retry_share: %s, retry_reserve: %s}
+limits: {grace_seconds: 8%s, retry_share: %s, retry_reserve: %s}
 log: {format: json}
 """ % (router.name, ip, data_centre, ip, CALLER_PORT, ip, READINESS_PORT, ip, DIRECTORY_PORT, METRICS, GOSSIP_PORT,
-            STATE_PORT, seeds, self.store_address(), self.retry_share, self.retry_reserve), self.folder)
+            STATE_PORT, seeds, self.store_address(), ", whole_grace: true" if self.whole_grace else "",
+            self.retry_share, self.retry_reserve), self.folder)
         self.routers.append(router)
         return router
 
--- a/unit_tests/router_fixture.h
+++ b/unit_tests/router_fixture.h
@@ -56,7 +56,8 @@
                             &this->metrics, &this->log, {}, [](bool) {});
     dependencies.links = this->links.get();
     dependencies.forward_targets = [this] { return this->forward_targets; };
-    dependencies.ready_share = [] { return 1.0; };
+    dependencies.ready_share = [this] { return this->ready_share; };
+    dependencies.hold_left = [this] { return this->hold_left; };
     dependencies.report_clearance = [](const quarantine::Clearance&) {};
     this->router = Router::Create(std::move(dependencies), {});
     if (has_configuration) {
@@ -180,6 +181,8 @@
   std::unique_ptr<io::HttpClient> caller;
   std::unique_ptr<LinkMonitor> links;
   std::vector<io::Endpoint> forward_targets;
+  double ready_share = 1;  ///< of the other VMs
+  std::optional<Duration> hold_left = Duration::zero();
   std::unique_ptr<Router> router;
   std::unique_ptr<io::HttpServer> router_server;
   std::vector<std::unique_ptr<io::HttpServer>> servers;
--- a/unit_tests/router_test.cc
+++ b/unit_tests/router_test.cc
@@ -794,6 +794,49 @@
 }
 
 // Guards against calls that the exit of a leaving VM cuts without an answer.
+// Guards against requests that are lost because the platform's kill reaches the
+// process after the one that was ordered to stop.
+Test(router, a_process_takes_no_requests_until_an_earlier_stop_ends) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 23990);
+    int runs = 0;
+    fixture.AddServer(2, "app", {}, [&runs](io::HttpExchange& exchange) {
+      ++runs;
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    });
+    const auto retry_after = [&](const std::string& id) {
+      const auto response = fixture.Call(fixture.Request("/file/x", id));
+      cr_assert_eq(response.value().status, 503);
+      return std::stod(response.value().headers.Find("Retry-After").value());
+    };
+    fixture.hold_left = seconds(2);
+    // Other VMs are ready.
+    cr_assert_lt(retry_after("r1"), 0.2);
+    fixture.ready_share = 0;
+    cr_assert_geq(retry_after("r2"), 2);
+    cr_assert_eq(runs, 0);
+    fixture.hold_left = Duration::zero();
+    cr_assert_eq(fixture.Call(fixture.Request("/file/x", "r3")).value().status,
+                 200);
+  });
+}
+
+Test(router, a_request_waits_until_earlier_stops_are_known) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 23994);
+    fixture.AddServer(2, "app", {}, [](io::HttpExchange& exchange) {
+      exchange.Respond(MakeResponse(exchange, 200, "ok"));
+    });
+    fixture.hold_left = std::nullopt;
+    runtime.Spawn([&] {
+      runtime.SleepFor(milliseconds(100));
+      fixture.hold_left = seconds(2);
+    });
+    cr_assert_eq(fixture.Call(fixture.Request("/file/x", "r1")).value().status,
+                 503);
+  });
+}
+
 Test(router, a_call_in_flight_gets_an_answer_before_the_process_ends) {
   OnRuntime([](io::Runtime& runtime) {
     RouterFixture fixture(runtime, 22800);
