stop_series.py: stops whose kill may reach the next process

--whole-grace sets limits.whole_grace, and the SIGKILL at the end of a grace period ends the next process if that has started: beside workers that leave, changed grace periods, slow-downs and readers that rest.

--- a/fault_tests/stop_series.py
+++ b/fault_tests/stop_series.py
@@ -2,15 +2,16 @@
 trouble of the workers, and checks that each request that ends without a complete answer is named by a
 log line of its router. Real processes on loopback.
 
-    stop_series.py [--seeds FIRST LAST | --seed N] [--seconds S] [--subnet N] [--dense]
+    stop_series.py [--seeds FIRST LAST | --seed N] [--seconds S] [--subnet N] [--dense] [--whole-grace]
 
 Beside the stops, drawn by the seed: workers that leave or are ordered to give up layers; workers that
 are silent, or slow from a SIGTERM on; routers that are cut off from the workers, so that others serve
 their requests; grace periods that differ and change, with and without a signal; a router whose output
 nobody reads. Callers send streams of several lengths, bodies in pieces, two requests at once, the next
 request at the end of a stream; some read slowly or rest while they read. With --dense up to five of six
-routers leave at once, while answers become slower, as beside more load; all of it is planned work. A
-seed fails if
+routers leave at once, while answers become slower, as beside more load; all of it is planned work. With
+--whole-grace stops take their whole grace period, and the SIGKILL at its end reaches the next process if that
+has started. A seed fails if
 
  - LOST: a request that has run, or whose connection ends later than 0.2 s after it, gets no complete
    answer. Not counted are those that were sent no later than 3 s after SIGTERM and at which a worker is
@@ -120,10 +121,14 @@
 
 
 class StopSeries(soak.Soak):
-    def __init__(self, seed, folder, subnet, seconds, dense):
+    def __init__(self, seed, folder, subnet, seconds, dense, whole_grace):
         self.draw, self.seconds = random.Random(seed), seconds
         self.fleet = platform_fleet.PlatformFleet(folder, subnet, ("hal-1", "hal-2", "hal-3"), routers_each=2,
                                                   workers_each=2)
+        self.whole_grace = whole_grace
+        if whole_grace:
+            self.fleet.whole_grace = True
+            self.fleet.build_routers()
         self.fleet.call_timeout_ms, self.fleet.stream_timeout_ms = int(CALL_S * 1000), int(STREAM_S * 1000)
         self.record = open(os.path.join(folder, "soak.txt"), "w", buffering=1)
         self.found, self.counts, self.lock = collections.Counter(), collections.Counter(), threading.Lock()
@@ -167,7 +172,8 @@
         self.grace[router.name] = seconds
         with open(router.process.config) as file:
             lines = [line for line in file.read().splitlines() if not line.startswith("limits:")]
-        lines.append("limits: {grace_seconds: %s, retry_share: 0.2, retry_reserve: 200}" % seconds)
+        lines.append("limits: {grace_seconds: %s, whole_grace: %s, retry_share: 0.2, retry_reserve: 200}" % (
+            seconds, str(self.whole_grace).lower()))
         new = "%s.%d" % (router.process.config, threading.get_ident())
         with open(new, "w") as file:
             file.write("\n".join(lines) + "\n")
@@ -213,12 +219,24 @@
             self.fail("ENDED", "%s after SIGTERM: %s after %.2f s of %s s" % (
                 router.name, code, stop[1] - begun, stop[2]))
         self.start_process(process)
+        if self.whole_grace and code == 0:
+            self.kill_next(process, begun + stop[2])
         self.busy.discard(process.name)
         self.counts["stops"] += 1
         if again and draw.random() < 0.25:
             time.sleep(draw.uniform(1.0, 2.5))
             self.stop_router(router, draw, False)
 
+    def kill_next(self, process, at):
+        """The kill of a stop ends the next process, if that has started by then."""
+        if time.monotonic() >= at:
+            return
+        time.sleep(at - time.monotonic())
+        process.kill()
+        self.note("%s: the next process is killed" % process.name)
+        self.counts["next processes killed"] += 1
+        self.start_process(process)
+
     def beside_stop(self, draw):
         """Other work at some time of a stop."""
         kinds = [self.worker_leaves, self.give_up_layers, self.give_up_layers]
@@ -550,9 +568,9 @@
             "%s %d" % item for item in sorted(self.counts.items()))), flush=True)
 
 
-def play_seed(seed, subnet, seconds, dense):
+def play_seed(seed, subnet, seconds, dense, whole_grace):
     folder = os.path.join(fleets.ROOT, "run", "stops-%d" % subnet, "seed-%d" % seed)
-    series = StopSeries(seed, folder, subnet, seconds, dense)
+    series = StopSeries(seed, folder, subnet, seconds, dense, whole_grace)
     try:
         series.play()
     finally:
@@ -571,10 +589,11 @@
     parser.add_argument("--seconds", type=float, default=25.0)
     parser.add_argument("--subnet", type=int, default=92)
     parser.add_argument("--dense", action="store_true")
+    parser.add_argument("--whole-grace", action="store_true")
     arguments = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # and stop the fleet
     first, last = (arguments.seed, arguments.seed) if arguments.seed is not None else arguments.seeds
-    failed = sum(play_seed(seed, arguments.subnet, arguments.seconds, arguments.dense)
+    failed = sum(play_seed(seed, arguments.subnet, arguments.seconds, arguments.dense, arguments.whole_grace)
                  for seed in range(first, last + 1))
     print("stop_series: %d seeds, %d failed checks" % (last - first + 1, failed))
     return 1 if failed else 0
