--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -16,8 +16,8 @@
 request that ended without a complete answer: when it was sent and ended, counted from its router's SIGTERM,
 its events, and the log lines that name it.
 
-A play fails if a router does not end in order within its grace period, writes no router.stopped, or
-if a request that it has read ends without a complete answer. Not counted is one that is sent no later
+A play fails if a router does not end in order within its grace period, writes no router.stopped, does not
+name its sources or a killed predecessor, or if a request that it has read ends without a complete answer. Not counted is one that is sent no later
 than 3 s after SIGTERM and in progress at its server in the last sixth of the grace period."""
 
 import argparse
@@ -46,6 +46,7 @@
 DEADLINE_S = 20.0
 WARM_UP_S = 2.0
 STREAM_CALLERS, CALL_CALLERS = 8, 3  # of each router
+SHORT_LIFE_MS = 3000               # of a process that was killed right after its start
 LATE_SENT_S, LATE_EVENTS = 5.0, (58, 66)
 LONG_SHARE, LONG_EVENTS = 0.15, (170, 330)  # of 30 ms: 5 to 10 s
 MAX_EVENTS = 182                   # of the others
@@ -241,13 +242,33 @@
             thread.join(max(0.0, DEADLINE_S))
         self.runs = self.fleet.runs()
         self.lines = collections.defaultdict(list)
+        self.builds, self.short_lives = set(), 0
         for router in self.fleet.routers:
             with open(router.process.log) as log:
                 for line in log:
+                    self.read_start(line)
                     if '"request":"r%d-' % self.seed in line:
                         fields = json.loads(line)
                         self.lines[fields["request"]].append("%s %s" % (router.name, fields["event"]))
 
+    def read_start(self, line):
+        if '"event":"router.started"' in line:
+            self.builds.add(json.loads(line).get("build", "-"))
+        elif '"event":"router.predecessor"' in line:
+            self.short_lives += int(json.loads(line)["started_before_ms"]) < SHORT_LIFE_MS
+
+    def report_starts(self, name):
+        """What the logs of the next processes say of their builds and of those that were killed."""
+        killed = sum(stop.next_killed_s is not None for stop in self.stops)
+        check("%s: each next process that was killed is told by the one after" % name, self.short_lives == killed,
+              "%d of %d" % (self.short_lives, killed))
+        here = subprocess.run(["cmake", "-DSOURCE=" + fleets.ROOT, "-P",
+                               os.path.join(fleets.ROOT, "scripts", "build_id.cmake")],
+                              stdout=subprocess.PIPE, check=True).stdout.decode().strip()
+        # The commit may be made after the build.
+        check("%s: all routers name the sources that they were built from" % name,
+              {build.split("-")[1] for build in self.builds} == {here.split("-")[1]}, "%s, here %s" % (self.builds, here))
+
     def stop_of(self, outcome):
         """The stop of its router in which a request ended, or None."""
         found = [stop for stop in self.stops if stop.router is outcome.router and
@@ -291,6 +312,8 @@
         check("%s: no request is lost" % name, not lost, "%d of %d requests" % (len(lost), len(self.outcomes)))
         beside = sum(verdict == "beside no stop" for _, verdict, _ in failed)
         check("%s: no request ends without an answer beside no stop" % name, not beside, beside)
+        if not self.arguments.router:  # earlier versions do not write these lines
+            self.report_starts(name)
         statuses = collections.Counter(outcome.status for outcome in self.outcomes if outcome.kind == "answered")
         print("%s: answers by status %s" % (name, sorted(statuses.items())))
         for outcome, verdict, stop in failed if self.arguments.list or lost else []:
