--- a/unit_tests/entry_registration_test.cc
+++ b/unit_tests/entry_registration_test.cc
@@ -84,6 +84,20 @@
   cr_assert(!record->stop_ends);
 }
 
+// Guards against fleets of two builds whose VMs do not find each other.
+Test(entry_registration, an_earlier_build_reads_a_record_that_names_a_stop) {
+  const boost::json::object body =
+      EncodeEntry(RecordOf(5, WallTime{1700000000123})).as_object();
+  // It requires these fields and ignores others.
+  for (const char* name : {"ip", "data_centre", "region"}) {
+    cr_assert(body.at(name).is_string(), "%s", name);
+  }
+  for (const char* name : {"http_port", "control_port", "gossip_port",
+                           "forward_port", "boot_id"}) {
+    cr_assert(body.at(name).is_number(), "%s", name);
+  }
+}
+
 Test(entry_registration, a_process_holds_back_until_an_earlier_stop_ends) {
   const WallTime now{1700000000000};
   const EntryRegistrationSettings settings = SettingsOf(2);
