--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -317,7 +317,11 @@
     };
     dependencies.hold_left = [this] { return this->peers->HoldLeft(); };
     dependencies.ready_share = [this] { return this->ReadyShare(); };
-    this->router = serving::Router::Create(std::move(dependencies), {});
+    serving::RouterSettings router_settings;
+    router_settings.served_requests_per_log_line =
+        this->settings.served_requests_per_log_line;
+    this->router =
+        serving::Router::Create(std::move(dependencies), router_settings);
     this->caller_server = this->Listen(
         this->settings.callers, this->shares.callers,
         memory::Owner::kCallerRequests,
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "chervilpass/core/text.h"
+#include "chervilpass/serving/router.h"
 
 namespace chervilpass {
 namespace {
@@ -69,6 +70,9 @@
       limits.Integer("memory_mb", {16, 1 << 20}, 256));
   settings.descriptors = static_cast<std::uint32_t>(
       limits.Integer("descriptors", {64, 1 << 24}, 4096));
+  settings.served_requests_per_log_line = static_cast<std::uint32_t>(
+      limits.Integer("served_requests_per_log_line", {1, 1000000},
+                     serving::RouterSettings().served_requests_per_log_line));
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import re
 import signal
 import sys
 import threading
@@ -14,12 +15,26 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import fleet as fleets  # noqa: E402
 
+TEMPLATE = os.path.join(fleets.ROOT, "deploy", "router.yaml.in")
 CALLER_PORT, READINESS_PORT, DIRECTORY_PORT, STATE_PORT, GOSSIP_PORT, METRICS = 7000, 7001, 7002, 7003, 7004, 7005
+FORWARD_PORT = 7006
 WORKER_PORT, STORE_PORT = 8000, 9000
 LAYERS = 8
 HOST = "app.example"
 
 
+def render(template, fields):
+    """Fills in the placeholders {{a}}, {{a.b}}, {{a.0}} and {{a|json}} of a settings template."""
+    def fill(match):
+        value = fields
+        for step in match.group(1).split("."):
+            value = value[int(step)] if isinstance(value, list) else value[step]
+        if match.group(2):
+            return json.dumps(value)
+        return ",".join(value) if isinstance(value, list) else str(value)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, template)
+
+
 class Router:
     def __init__(self, name, data_centre, ip):
         self.name, self.data_centre, self.ip = name, data_centre, ip
@@ -85,6 +100,23 @@
         self.routers.append(router)
         return router
 
+    def use_deployed_settings(self, extra_limits):
+        """Gives all routers the settings that the platform renders from the deploy file's template, and further
+        lines of its section `limits`; before the start."""
+        with open(TEMPLATE) as file:
+            template = file.read().replace("limits:\n", "limits:\n" + "".join("  %s\n" % line for line in extra_limits))
+        for router in self.routers:
+            address = {"front": CALLER_PORT, "ready": READINESS_PORT, "directory": DIRECTORY_PORT}
+            fields = {"node": router.name, "ip": router.ip, "zone": router.data_centre, "region": "dk-sjaelland",
+                      "listen": {name: "%s:%d" % (router.ip, port) for name, port in address.items()},
+                      "portRange": [GOSSIP_PORT, STATE_PORT, FORWARD_PORT],
+                      "seeds": ["%s:%d" % (other.ip, STATE_PORT) for other in self.routers[:3]],
+                      "platform": {"address": self.store_address()},
+                      "bounds": {"graceS": 8, "budgetRatio": self.retry_share, "retrySlack": self.retry_reserve},
+                      "limits": {"memoryMb": 260, "maxFds": 4200}}
+            with open(router.process.config, "w") as file:
+                file.write(render(template, fields))
+
     def add_process(self, name, extra, data_centre, service, group):
         # Workers have last octets from 100 on, plain servers from 150 on.
         address = "127.0.%d.%d:%d" % (self.subnet, 100 + len(self.workers) + 50 * (group is self.plain) +
