Drain: the order of a stop is decided without I/O

ShutdownSequence mixed decisions (when the process ends, which phase follows, when idle connections are closed and what arrives in part is refused) with sleeps, servers and the log, so that only plays of real processes could test them. drain::DrainController decides by what it is shown, in virtual time as well; ShutdownSequence carries it out.

No decision changes.

--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -10,43 +10,14 @@
 namespace chervilpass {
 namespace {
 
-constexpr Duration kDrainPollInterval = milliseconds(50);
-// Idle connections are closed at the latest this long before the exit.
-constexpr Duration kCloseIdleMargin = milliseconds(900);
-// How long requests are read once no connections are accepted any more.
-constexpr Duration kLastReadTime = milliseconds(100);
-constexpr Duration kLastReadPollInterval = milliseconds(5);
-// The part of it that callers have to read a refusal of what is still arriving.
-constexpr Duration kRefusalReadTime = milliseconds(60);
-// For the responses that are given at the end.
-constexpr Duration kFinalWriteTime = milliseconds(20);
 // The grace period may change without a signal.
 constexpr Duration kSettingsPollInterval = milliseconds(200);
-// Peers that have received nothing for so long may have vanished.
-constexpr Duration kMaxReceiveSilence = seconds(1);
 constexpr Duration kDrainLogInterval = seconds(1);
-// The process exits at least this long before the end of the grace period.
-constexpr Duration kExitMargin = milliseconds(350);
-// Of SIGTERM, of the end, and of the waits for the last requests and writes:
-// each may be noticed as late as a sleep was before.
-constexpr int kLateSteps = 4;
-// Work that goes on in the last sixth of a grace period may be cut.
-constexpr int kMaxMarginDivisor = 6;
-// Callers may keep using addresses for three times their stated lifetime.
-constexpr int kAddressLifetimeFactor = 3;
 
 }  // namespace
 
 ShutdownSequence::ShutdownSequence(const ShutdownParts& parts)
-    : parts(parts), start(parts.runtime->Now()) {}
-
-Instant ShutdownSequence::End() const {
-  const Duration grace = this->parts.settings->shutdown_grace;
-  const Duration margin =
-      std::min(kExitMargin + kLateSteps * this->wake_delays.Lasting(),
-               std::max(kExitMargin, grace / kMaxMarginDivisor));
-  return this->start + grace - margin - kLastReadTime - kFinalWriteTime;
-}
+    : parts(parts), start(parts.runtime->Now()), controller(this->start) {}
 
 void ShutdownSequence::Run() {
   this->RefreshSettings();
@@ -58,79 +29,60 @@
        {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
   this->parts.callers->DisableKeepAlive();
   this->parts.forwarded->DisableKeepAlive();
-  this->ServeUntilEnd();
-  this->ServeEstablished();
-  this->Sleep(kFinalWriteTime);
-  this->LogStopped();
-}
-
-void ShutdownSequence::ServeUntilEnd() {
-  const Instant addresses_expired =
-      this->start + kAddressLifetimeFactor * this->parts.settings->address_ttl;
-  while (this->parts.runtime->Now() < this->End()) {
-    this->RespondBeforeEnd();
-    this->LogDraining();
-    this->wake_delays.Add(this->Sleep(std::min(
-        kDrainPollInterval, this->End() - this->parts.runtime->Now())));
-    this->RefreshSettings();
-    const Instant now = this->parts.runtime->Now();
-    if (now > this->End() - kCloseIdleMargin || now > addresses_expired) {
-      this->parts.callers->CloseIdle();
-    }
-    if (now > addresses_expired && this->parts.router->InFlight() == 0 &&
-        !this->parts.settings->whole_grace) {
-      return;
-    }
-  }
-}
-
-// Responds to requests that arrive on connections which are open already, and
-// waits for callers and other VMs that are still receiving.
-void ShutdownSequence::ServeEstablished() {
-  this->RespondBeforeEnd();
-  // A VM that cannot connect any more knows that its request was not run.
-  this->parts.callers->StopAccepting();
-  this->parts.forwarded->StopAccepting();
-  const Instant until = this->parts.runtime->Now() + kLastReadTime;
-  this->received_at = until;
-  while (this->parts.runtime->Now() < until
-             ? this->Connections() > 0 || this->Unfinished()
-             : this->parts.runtime->Now() < this->End() && this->Unfinished()) {
-    this->LogDraining();
-    this->parts.callers->CloseIdle();
-    this->parts.forwarded->CloseIdle();
-    this->Sleep(kLastReadPollInterval);
-    this->RefreshSettings();
+  std::optional<Duration> wake_delay;
+  while (this->controller.Phase() != drain::DrainPhase::kEnded) {
     this->RespondBeforeEnd();
-    if (this->parts.runtime->Now() >= until - kRefusalReadTime) {
-      this->RefuseUnread();
+    const drain::DrainStep step =
+        this->controller.Next(this->Settings(), this->Observe(wake_delay));
+    this->CarryOut(step);
+    this->LogDraining(step);
+    if (step.wait > Duration::zero()) {
+      wake_delay = this->Sleep(step.wait);
+      this->RefreshSettings();
     }
   }
+  this->LogStopped();
 }
 
-std::size_t ShutdownSequence::Connections() const {
-  return this->parts.callers->Connections() +
-         this->parts.forwarded->Connections();
+drain::DrainSettings ShutdownSequence::Settings() const {
+  const RouterProgramSettings& settings = *this->parts.settings;
+  return {settings.shutdown_grace, settings.address_ttl, settings.whole_grace};
 }
 
-bool ShutdownSequence::Unfinished() {
-  const Instant now = this->parts.runtime->Now();
-  if (this->parts.router->InFlight() > 0) {
-    this->received_at = now;
-    return true;
-  }
-  std::size_t bytes = 0;
+drain::DrainObservation ShutdownSequence::Observe(
+    std::optional<Duration> wake_delay) const {
+  drain::DrainObservation observation;
+  observation.now = this->parts.runtime->Now();
+  observation.in_flight = this->parts.router->InFlight();
+  observation.wake_delay = wake_delay;
   for (const io::HttpServer* server :
        {this->parts.callers, this->parts.forwarded}) {
-    for (const io::UnsentResponse& response : server->Unsent()) {
-      bytes += response.bytes;
+    observation.connections += server->Connections();
+    // Two system calls a connection; earlier phases do not depend on them.
+    if (this->controller.Phase() == drain::DrainPhase::kEstablished) {
+      for (const io::UnsentResponse& response : server->Unsent()) {
+        observation.unsent_bytes += response.bytes;
+      }
     }
   }
-  if (bytes != this->unsent_bytes) {
-    this->received_at = now;
+  return observation;
+}
+
+void ShutdownSequence::CarryOut(const drain::DrainStep& step) {
+  if (step.refuse_unread) {
+    this->RefuseUnread();
+  }
+  if (step.stop_accepting) {
+    // A VM that cannot connect any more knows that its request was not run.
+    this->parts.callers->StopAccepting();
+    this->parts.forwarded->StopAccepting();
+  }
+  if (step.close_idle_callers) {
+    this->parts.callers->CloseIdle();
+  }
+  if (step.close_idle_peers) {
+    this->parts.forwarded->CloseIdle();
   }
-  this->unsent_bytes = bytes;
-  return bytes > 0 && now - this->received_at < kMaxReceiveSilence;
 }
 
 void ShutdownSequence::RefreshSettings() {
@@ -142,15 +94,15 @@
 }
 
 void ShutdownSequence::RespondBeforeEnd() {
-  this->parts.router->SetShutdown(this->start, this->End(),
+  const Instant end = this->controller.End(this->Settings());
+  this->parts.router->SetShutdown(this->start, end,
                                   this->parts.settings->address_ttl);
   this->parts.router->RespondBeforeShutdown();
   if (this->parts.router->MustRespond()) {
     this->RefuseUnread();
     if (!std::exchange(this->unfinished_logged, true)) {
       // What a process that is killed from now on leaves of them.
-      this->parts.router->LogUnfinished(this->End() -
-                                        this->parts.runtime->Now());
+      this->parts.router->LogUnfinished(end - this->parts.runtime->Now());
     }
   }
 }
@@ -174,18 +126,19 @@
 }
 
 // Lines of a leaving process are written out at once: it may be killed.
-void ShutdownSequence::LogDraining() {
+void ShutdownSequence::LogDraining(const drain::DrainStep& step) {
   const Instant now = this->parts.runtime->Now();
   if (now - this->draining_logged_at >= kDrainLogInterval) {
     this->draining_logged_at = now;
     this->parts.log->Info(
         "router.draining",
-        {{"in_flight", this->parts.router->InFlight()},
+        {{"phase", drain::DrainPhaseName(step.phase)},
+         {"in_flight", this->parts.router->InFlight()},
          {"connections", this->parts.callers->Connections()},
          {"unsent_connections", this->parts.callers->Unsent().size()},
          {"max_wake_delay_ms", ToMilliseconds(this->max_wake_delay)},
          {"after_ms", ToMilliseconds(now - this->start)},
-         {"left_ms", ToMilliseconds(this->End() - now)}});
+         {"left_ms", ToMilliseconds(step.end - now)}});
   }
   FlushLog();
 }
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -2,10 +2,11 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "chervilpass/core/log.h"
-#include "chervilpass/core/recent_delays.h"
 #include "chervilpass/core/time.h"
+#include "chervilpass/drain/drain_controller.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/serving/router.h"
@@ -27,8 +28,7 @@
   std::function<void()> refresh_settings;
 };
 
-/// Refuses work that would not end in time, and waits for requests in progress
-/// until shortly before the end of the grace period. Fiber thread only.
+/// Carries out what a DrainController decides. Fiber thread only.
 class ShutdownSequence {
  public:
   explicit ShutdownSequence(const ShutdownParts& parts);
@@ -37,35 +37,24 @@
   void Run();
 
  private:
-  /// When the last responses are sent, by the settings in force. Comes nearer
-  /// while the process's fibers run late.
-  Instant End() const;
-
-  /// Open ones of callers and of other VMs.
-  std::size_t Connections() const;
-
-  /// True while a request is in progress or a peer is receiving a response.
-  bool Unfinished();
+  drain::DrainSettings Settings() const;
+  drain::DrainObservation Observe(std::optional<Duration> wake_delay) const;
+  void CarryOut(const drain::DrainStep& step);
 
   void RefreshSettings();
-
-  void ServeUntilEnd();
-  void ServeEstablished();
   void RespondBeforeEnd();
   void RefuseUnread();
   /// Returns how much longer than `duration` it took.
   Duration Sleep(Duration duration);
-  void LogDraining();
+  void LogDraining(const drain::DrainStep& step);
   void LogStopped() const;
 
   ShutdownParts parts;
   Instant start;
+  drain::DrainController controller;
   Instant settings_read_at{};
   Instant draining_logged_at{};
   bool unfinished_logged = false;
-  std::size_t unsent_bytes = 0;
-  Instant received_at{};       ///< when peers last received a part of them
-  RecentDelays wake_delays;    ///< while requests are served
   Duration max_wake_delay{0};  ///< of a sleep beyond its duration
 };
 
