Drain: a late wait leaves callers time to read the refusal of what still arrives

Callers saw: a request of which a part had arrived was refused as the process ended, and the process was gone 20 ms later, although its end was half a second away. With input unread, its exit resets the connection, and the refusal is lost.

Cause: the last reads end 100 ms after they begin, and refusals are due 60 ms before that. A wait that is late by more than that finds both due at once, and ends the reads in the same step.

Change: the first refusals of a drain are followed by 60 ms of reads, unless that could outlast the grace period (100 ms and two late waits are kept).

--- a/chervilpass/drain/drain_controller.cc
+++ b/chervilpass/drain/drain_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace chervilpass::drain {
 namespace {
@@ -23,6 +24,10 @@
 // Of the order to stop, of the end, and of the waits for the last requests and
 // writes: each may be noticed as late as a wait was before.
 constexpr int kLateSteps = 4;
+// After requests have been read: of the last such wait, and of final writes.
+constexpr int kLateStepsAfterReads = 2;
+// What callers that read a refusal leave of kExitMargin.
+constexpr Duration kMinExitMargin = milliseconds(100);
 // Work that goes on in the last sixth of a grace period may be cut.
 constexpr int kMaxMarginDivisor = 6;
 // Callers may keep using addresses for three times their stated lifetime.
@@ -74,6 +79,9 @@
       break;
     case DrainPhase::kEstablished: {
       step.refuse_unread = now >= this->reads_until - kRefusalReadTime;
+      if (step.refuse_unread && !std::exchange(this->unread_refused, true)) {
+        this->ExtendReads(settings, now);
+      }
       const bool unfinished = this->Unfinished(observation);
       if (now < this->reads_until ? observation.connections > 0 || unfinished
                                   : now < this->End(settings) && unfinished) {
@@ -108,6 +116,17 @@
   return step;
 }
 
+// A late wait leaves callers no less time to read a refusal, unless the process
+// would be killed.
+void DrainController::ExtendReads(const DrainSettings& settings, Instant now) {
+  const Instant latest = this->start + settings.grace - kMinExitMargin -
+                         kFinalWriteTime -
+                         kLateStepsAfterReads * this->wake_delays.Lasting();
+  if (now + kRefusalReadTime <= latest) {
+    this->reads_until = std::max(this->reads_until, now + kRefusalReadTime);
+  }
+}
+
 bool DrainController::MayEndEarly(const DrainSettings& settings,
                                   const DrainObservation& observation) const {
   return !settings.whole_grace && observation.in_flight == 0 &&
--- a/chervilpass/drain/drain_controller.h
+++ b/chervilpass/drain/drain_controller.h
@@ -84,12 +84,15 @@
   /// True while a request is in progress or a peer is receiving a response.
   bool Unfinished(const DrainObservation& observation);
 
+  void ExtendReads(const DrainSettings& settings, Instant now);
+
   DrainStep ServingStep(const DrainSettings& settings, Instant now) const;
 
   Instant start;
   DrainPhase phase = DrainPhase::kServing;
   RecentDelays wake_delays;  ///< of phase kServing
   Instant reads_until{};     ///< at least, of phase kEstablished
+  bool unread_refused = false;
   std::size_t unsent_bytes = 0;
   Instant received_at{};  ///< when peers last received a part of them
 };
--- a/unit_tests/drain_test.cc
+++ b/unit_tests/drain_test.cc
@@ -135,4 +135,23 @@
   }
 }
 
+// Guards against callers that cannot read the refusal of a request that is
+// still arriving, because a wait was late and the process ends right after.
+Test(drain, a_late_wait_leaves_callers_time_to_read_a_refusal) {
+  Drain drain;
+  drain.settings.whole_grace = false;
+  drain.observation.connections = 1;
+  drain.AdvanceUntil(milliseconds(6010));
+  while (drain.steps.back().phase == DrainPhase::kServing) {
+    drain.Advance();
+  }
+  drain.Advance(milliseconds(300));
+  drain.Advance();
+  cr_assert(drain.steps.back().refuse_unread);
+  cr_assert(drain.steps.back().phase == DrainPhase::kEstablished);
+  const Instant refused = drain.observation.now;
+  drain.Finish();
+  cr_assert(drain.observation.now - refused >= milliseconds(60));
+}
+
 }  // namespace chervilpass::drain
