HTTP server: probes of callers that have closed their sending side are part of the response

Callers of HTTP/1.0, which knows no interim responses, were taken for ones that have left, and got no answer at all.

Cause: the probe that tells a caller that still receives from one that has left was a message of its own. The state of the socket alone does not tell: both look the same until bytes are sent.

Change: before the response the probes are the bytes of "HTTP/1.1 " one by one, with which each response begins, and the response leaves them out; after the ninth (5.5 s) none follow until the response. So nothing foreign is sent, and HTTP/1.0 is served. Within a stream they are leading zeros of the next chunk's size, as before.

Tests: a_peer_that_closes_its_sending_side_gets_its_response asked for the interim response and now forbids any; an_old_peer_that_closes_its_sending_side_has_left described the fault, and is replaced by one that asks for the response and that a caller that leaves is noticed; probes_are_part_of_each_form_of_response is new.

--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -276,8 +276,7 @@
       Input::kAwaited, [this] { return this->parser->is_header_done(); });
   if (this->parser->is_header_done()) {
     this->head = HeadFromBeast(this->parser->get());
-    this->forms = {Persists(this->parser->get()),
-                   this->parser->get().version() >= 11};
+    this->forms = {Persists(this->parser->get())};
   }
   if (head.error) {
     return head;
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cassert>
 #include <sstream>
 #include <utility>
 
@@ -24,9 +25,9 @@
 // half second after which work for callers that have left counts as wasted.
 constexpr Duration kFirstProbeDelay = milliseconds(50);
 constexpr Duration kMaxProbeInterval = seconds(1);
-// Clients discard interim responses that they did not ask for (RFC 9110,
-// section 15.2).
-constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// With this each response begins. Its bytes are sent one by one as probes, and
+// left out of the response.
+constexpr std::string_view kStatusLineBegin = "HTTP/1.1 ";
 // The size of the next chunk may begin with zeros (RFC 9112, section 7.1).
 // Parsers limit the number of digits.
 constexpr std::string_view kLeadingZero = "0";
@@ -122,7 +123,15 @@
       this->forms.keep_alive && *this->connection.keep_alive_allowed;
   http::response<http::span_body<const char>> message =
       ToBeast(response, this->forms.keep_alive, this->IsHead());
-  if (this->IsHead()) {
+  if (this->begin_sent > 0) {
+    std::ostringstream text;
+    if (this->IsHead()) {
+      text << message.base();
+    } else {
+      text << message;
+    }
+    this->WriteRest(text.str());
+  } else if (this->IsHead()) {
     http::response_serializer<http::span_body<const char>> serializer(message);
     this->Write([&](auto handler) {
       http::async_write_header(*this->connection.stream, serializer,
@@ -144,6 +153,12 @@
   CopyHeaders(head.headers, &message);
   message.chunked(true);
   message.keep_alive(this->forms.keep_alive);
+  if (this->begin_sent > 0) {
+    std::ostringstream text;
+    text << message.base();
+    this->streaming = this->WriteRest(text.str());
+    return this->streaming;
+  }
   http::response_serializer<http::empty_body> serializer(message);
   this->streaming = this->Write([&](auto handler) {
     http::async_write_header(*this->connection.stream, serializer,
@@ -152,6 +167,16 @@
   return this->streaming;
 }
 
+bool ServerExchange::WriteRest(std::string_view text) {
+  assert(text.starts_with(kStatusLineBegin));
+  text.remove_prefix(this->begin_sent);
+  return this->Write([&](auto handler) {
+    asio::async_write(*this->connection.stream,
+                      asio::buffer(text.data(), text.size()),
+                      std::move(handler));
+  });
+}
+
 bool ServerExchange::WriteChunk(std::string_view data) {
   if (this->broken || data.empty() || this->IsHead()) {
     return !this->broken;
@@ -187,9 +212,7 @@
     this->SetPeerEnd(PeerEnd::kReset);
     this->broken = true;
   } else if (input == InputState::kEnded) {
-    const bool may_wait =
-        this->connection.settings->half_closed_peers && this->forms.interim;
-    if (!may_wait || !this->ProbeIfDue()) {
+    if (!this->connection.settings->half_closed_peers || !this->ProbeIfDue()) {
       this->SetPeerEnd(PeerEnd::kInputEnded);
       this->broken = true;
     }
@@ -225,16 +248,18 @@
   if ((state.revents & POLLOUT) == 0 || this->writing || text.empty()) {
     return true;
   }
-  this->chunk_probes += this->streaming ? 1 : 0;
   const ssize_t size =
       ::send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  return size == static_cast<ssize_t>(text.size()) ||
-         (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  if (size < 0) {
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+  }
+  (this->responded ? this->chunk_probes : this->begin_sent) += text.size();
+  return true;
 }
 
 std::string_view ServerExchange::ProbeText() const {
   if (!this->responded) {
-    return kContinue;
+    return kStatusLineBegin.substr(this->begin_sent, 1);
   }
   return this->streaming && !this->IsHead() &&
                  this->chunk_probes < kMaxChunkProbes
--- a/chervilpass/io/server_exchange.h
+++ b/chervilpass/io/server_exchange.h
@@ -39,7 +39,6 @@
 /// What a request allows for its response.
 struct ResponseForms {
   bool keep_alive = false;
-  bool interim = false;  ///< HTTP/1.1 (RFC 9110, section 15.2)
 };
 
 /// See HttpExchange.
@@ -85,10 +84,15 @@
   // Probes a peer whose input has ended, if that is due; false if it has left.
   bool ProbeIfDue();
 
-  // Writes what the peer ignores, but answers with a reset if it has left.
+  // Writes a byte of the response, which a peer that has left answers with a
+  // reset.
   bool WriteProbe();
 
-  // Bytes that may be written now without a meaning to the peer.
+  // Writes a response's text but for what has been sent as probes.
+  bool WriteRest(std::string_view text);
+
+  // A byte that belongs to the response whatever follows; empty if there is
+  // none.
   std::string_view ProbeText() const;
 
   void WatchEndedInput(std::function<void()> on_gone);
@@ -103,6 +107,7 @@
   PeerEnd peer_end = PeerEnd::kNone;
   Instant next_probe = Instant::min();
   Duration probe_interval;
+  std::size_t begin_sent = 0;    ///< bytes of the response, as probes
   std::size_t chunk_probes = 0;  ///< since the last chunk
   std::optional<Alarm> probe_alarm;
   // Shared with the handler of WatchPeer, which may outlive the exchange.
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -595,9 +595,8 @@
     runtime.SleepFor(kProbedTime + kTransfer);
     const std::string reply = caller.Receive();
     cr_expect_not(gone);
-    cr_expect(reply.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "), "%s",
-              reply.c_str());
-    cr_expect_neq(reply.find("HTTP/1.1 200 OK\r\n"), std::string::npos);
+    cr_expect(reply.starts_with("HTTP/1.1 200 OK\r\n"), "%s", reply.c_str());
+    cr_expect_eq(reply.find("HTTP/", 1), std::string::npos);
     cr_expect(reply.ends_with("\r\n\r\nok"), "%s", reply.c_str());
     cr_expect(caller.Closed());
   });
@@ -679,8 +678,9 @@
   });
 }
 
-// HTTP/1.0 has no interim responses to probe with.
-Test(http_server, an_old_peer_that_closes_its_sending_side_has_left) {
+// Guards against callers of an old version that get no response, or bytes that
+// belong to none: they know no interim responses.
+Test(http_server, an_old_peer_that_closes_its_sending_side_gets_its_response) {
   OnRuntime([](Runtime& runtime) {
     const Endpoint listen = TestEndpoint(15);
     bool gone = false;
@@ -689,14 +689,73 @@
         [&](HttpExchange& exchange) {
           exchange.WatchPeer([&gone] { gone = true; });
           runtime.SleepFor(kProbedTime);
+          exchange.Respond({200, {}, "ok"});
         },
         HalfClosedPeers());
     Caller caller(listen);
     caller.Send("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
     caller.CloseSendingSide();
     runtime.SleepFor(kProbedTime + kTransfer);
-    cr_expect(gone);
-    cr_expect(caller.Receive().empty());
+    cr_expect_not(gone);
+    const std::string reply = caller.Receive();
+    cr_expect(reply.starts_with("HTTP/1.1 200 OK\r\n"), "%s", reply.c_str());
+    cr_expect(reply.ends_with("\r\n\r\nok"), "%s", reply.c_str());
+    Caller left(listen);
+    left.Send("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+    runtime.SleepFor(kTransfer);
+    left.Close();
+    runtime.SleepFor(kProbedTime - kTransfer);
+    cr_expect(gone, "a caller that has left is noticed");
+  });
+}
+
+// Guards against responses whose begin is sent twice or is missing, if it has
+// been sent in part before the status is known.
+Test(http_server, probes_are_part_of_each_form_of_response) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(31);
+    const std::string body(40 * 1024, 'b');
+    const auto server = Serve(
+        runtime, listen,
+        [&](HttpExchange& exchange) {
+          exchange.WatchPeer([] {});
+          const std::string path = exchange.Request().path;
+          // Longer than there are probes.
+          runtime.SleepFor(path == "/long" ? seconds(6) : kProbedTime);
+          if (path == "/stream") {
+            exchange.BeginStream({200, {}, ""});
+            exchange.WriteChunk("event");
+            exchange.EndStream();
+          } else {
+            exchange.Respond({path == "/refused" ? 503U : 200U, {}, body});
+          }
+        },
+        HalfClosedPeers());
+    const std::string requests[] = {"GET /long", "GET /refused", "HEAD /head",
+                                    "GET /stream"};
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (const std::string& request : requests) {
+      callers.push_back(std::make_unique<Caller>(listen));
+      callers.back()->Send(request + " HTTP/1.1\r\nHost: a\r\n\r\n");
+      callers.back()->CloseSendingSide();
+    }
+    std::vector<std::string> replies(callers.size());
+    for (int i = 0; i < 80; ++i) {
+      runtime.SleepFor(milliseconds(100));
+      for (std::size_t caller = 0; caller < callers.size(); ++caller) {
+        replies[caller] += callers[caller]->Receive();
+      }
+    }
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+      const std::string& reply = replies[i];
+      cr_expect(reply.starts_with(i == 1 ? "HTTP/1.1 503" : "HTTP/1.1 200 OK"),
+                "%s: %s", requests[i].c_str(), reply.substr(0, 80).c_str());
+      cr_expect_eq(reply.find("HTTP/", 1), std::string::npos);
+    }
+    cr_expect(replies[0].ends_with("\r\n\r\n" + body));
+    cr_expect(replies[1].ends_with("\r\n\r\n" + body));
+    cr_expect(replies[2].ends_with("\r\n\r\n"));
+    cr_expect(replies[3].ends_with("\r\n\r\n5\r\nevent\r\n0\r\n\r\n"));
   });
 }
 
