Router: an answer that its caller has not received does not count as served

What nobody saw: a call whose answer cannot be written to the end, because its caller leaves or takes too long while it receives, counted as served. 19 of 20 such requests had no log line, and the metrics had them among the served ones; so what a router takes for served says less than it seems when requests are reported as lost.

Cause: Respond tells nothing, and the result was made before. Streams say so (EndStream), calls did not.

Change: the outcome is "left", with how the caller's side ended, which always has a line. Answers that are in the send buffer when their caller resets the connection still count as served: the system drops them without a word.

an_answer_that_is_not_received_is_not_served failed before.

--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -72,7 +72,13 @@
     context->received = this->dependencies.runtime->Now();
     const InProgress in_progress(&this->in_flight, &this->forwarded_in_flight,
                                  context);
-    const RequestResult result = this->ServeOrFail(exchange, context);
+    RequestResult result = this->ServeOrFail(exchange, context);
+    if (result.outcome == "served" &&
+        exchange.HowPeerEnded() == io::PeerEnd::kWriteFailed) {
+      result.status = 0;
+      result.outcome = "left";
+      result.reason = CallerGone(*context);
+    }
     this->RecordResult(*context, result);
   }
 
--- a/unit_tests/request_forms_test.cc
+++ b/unit_tests/request_forms_test.cc
@@ -107,6 +107,30 @@
   io::HttpRequest request;
 };
 
+// An exchange whose peer leaves while it receives a response.
+class CutExchange final : public io::HttpExchange {
+ public:
+  explicit CutExchange(io::HttpRequest request) : request(std::move(request)) {}
+
+  const io::HttpRequest& Request() const override { return this->request; }
+  io::Endpoint Peer() const override { return {}; }
+  bool ResponseBegun() const override { return this->responded; }
+  void Respond(const io::HttpResponse&) override { this->responded = true; }
+  bool BeginStream(const io::HttpResponse&) override { return false; }
+  bool WriteChunk(std::string_view) override { return false; }
+  bool EndStream() override { return false; }
+  void Abort() override {}
+  bool PeerClosed() override { return false; }
+  io::PeerEnd HowPeerEnded() const override {
+    return this->responded ? io::PeerEnd::kWriteFailed : io::PeerEnd::kNone;
+  }
+  void WatchPeer(std::function<void()>) override {}
+
+ private:
+  io::HttpRequest request;
+  bool responded = false;
+};
+
 // A router with a plain server that records the bodies of its runs.
 struct Fixture {
   Fixture(io::Runtime& runtime, std::uint16_t port)
@@ -355,3 +379,24 @@
     cr_expect_eq(router.InFlight(), 0);
   });
 }
+
+// Guards against answers that count as served, and mostly have no log line,
+// although their callers have not received them.
+Test(request_forms, an_answer_that_is_not_received_is_not_served) {
+  OnRuntime([](io::Runtime& runtime) {
+    Fixture fixture(runtime, 29100);
+    io::HttpRequest request = fixture.router.Request("/lookup/x", "r1");
+    request.path = request.target;
+    CutExchange exchange(request);
+    fixture.router.router->Handle(exchange);
+    cr_expect(exchange.ResponseBegun());
+    cr_expect_eq(fixture.requests.size(), 1);
+    const MetricsRegistry& metrics = fixture.router.metrics;
+    cr_expect_eq(metrics.CounterValue("chervil_requests_total",
+                                      "outcome=\"left\",code=\"0\""),
+                 1);
+    cr_expect_eq(metrics.CounterValue("chervil_requests_total",
+                                      "outcome=\"served\",code=\"200\""),
+                 0);
+  });
+}
