--- a/fault_tests/lost_requests.py
+++ b/fault_tests/lost_requests.py
@@ -23,7 +23,8 @@
 
 With --sabotage a relay between some callers and one router, or a kill, breaks a rule on purpose; the cell then fails
 unless the rule is found broken: "vanish" kills each router 5.5 s after its SIGTERM, "close" closes a kept connection
-under a request, "reload" closes the connections of a router at its SIGHUP."""
+under a request, "reload" closes the connections of a router at its SIGHUP, "closing" ends the play by a kill of all
+routers 4 s after the last SIGTERM, which a judge that does not know of it takes for the stop's fault."""
 
 import argparse
 import bisect
@@ -52,6 +53,7 @@
 ADDRESS_LIFETIME_S = 2.0
 RESTART_S = 0.7                    # from the end of a process to the start of the next one
 GAP_S = 3.5
+CLOSING_S = 4.0                    # from the last SIGTERM
 LOG_DELAY_S = 1.0                  # a line is written out this late at most
 DEADLINE_S, CALL_TIMEOUT_S = 20.0, 10.0
 IDLE_LIMITS_MS = (15000, 4000, 2500)
@@ -60,7 +62,8 @@
 RULES = ("KEPT", "SIGTERM", "SIGHUP", "CONFIG", "SERVED", "FOREIGN", "SCRIPT")
 KINDS = {"sigterm": ("stops",), "sighup": ("reloads",), "config": ("configs",), "kept": (),
          "all": ("stops", "reloads", "configs")}
-SABOTAGES = {"vanish": ("sigterm", "SIGTERM"), "close": ("kept", "KEPT"), "reload": ("sighup", "SIGHUP")}
+SABOTAGES = {"vanish": ("sigterm", "SIGTERM"), "close": ("kept", "KEPT"), "reload": ("sighup", "SIGHUP"),
+             "closing": ("sigterm", "SIGTERM")}
 
 Outcome = collections.namedtuple("Outcome", "request route form router reused sent ended kind status whole detail")
 
@@ -347,6 +350,8 @@
         for kind in KINDS[self.cell]:
             self.spawn(getattr(self, "play_" + kind), random.Random(self.draw.random()), until)
         time.sleep(max(0.0, until - time.monotonic()))
+        if self.sabotage == "closing":
+            self.close_play()
         fleets.wait_until(lambda: not self.leaving, 2 * GRACE_S, "all stops are over")
         self.stopped = True
         for thread in list(self.threads):
@@ -368,6 +373,15 @@
                         if fields["forwarded"] == "false":
                             self.logged[router.name, fields["request"]].append((fields["outcome"], fields["status"]))
 
+    def close_play(self):
+        """Ends the play within a stop, as a day ends that closes with a fault of all VMs."""
+        fleets.wait_until(lambda: not self.leaving, 2 * GRACE_S, "all stops are over")
+        time.sleep(LATEST_SENT_S)
+        self.spawn(self.stop, self.fleet.routers[0])
+        time.sleep(CLOSING_S)
+        for router in self.fleet.routers:
+            router.process.kill()
+
     # ---- the judge ----
 
     def read(self, outcome):
@@ -433,7 +447,7 @@
         for outcome in self.outcomes:
             lines = self.logged.get((outcome.router, outcome.request), [])
             served = ("served", "200") in lines
-            if self.sabotage != "vanish" and served != (outcome.whole and outcome.status == 200) and (lines or outcome.kind == "answered"):
+            if self.sabotage not in ("vanish", "closing") and served != (outcome.whole and outcome.status == 200) and (lines or outcome.kind == "answered"):
                 self.found["SERVED"].append(self.describe(outcome))
         return cut
 
