--- a/fault_tests/drain_model.cc
+++ b/fault_tests/drain_model.cc
@@ -78,9 +78,9 @@
         const std::vector<RequestPlan>& plans,
         DrainFlaw flaw)
       : process(process), flaw(flaw), gate(GateSettings(flaw)) {
-    static const serving::RunTimeEstimator run_times =
+    static const serving::RunTimeEstimator kRunTimes =
         Trained(serving::RunTimeEstimator({}));
-    this->gate.RunTimes() = run_times;
+    this->gate.RunTimes() = kRunTimes;
     for (const RequestPlan& plan : plans) {
       this->requests.emplace_back().plan = plan;
     }
