planned_work.py: each kind is warmed up with more requests than an estimate needs

Cause: the warm-up sent eight calls of each kind, all kinds at once, as many as there are slots; estimates need eight that were served by their first send. One that is sent twice under load leaves the router without an estimate.

Twelve of each kind, one kind after the other. The checks are as they were.

--- a/fault_tests/planned_work.py
+++ b/fault_tests/planned_work.py
@@ -42,6 +42,7 @@
 CONFIG_CHANGES_S = 15.0
 IDLE_LIMITS_MS = (15000, 1500, 4000)
 IDLE_SHARE = 0.8           # callers reuse connections that were idle for this share of the last limit
+WARM_UP_REQUESTS = 12      # of each kind; estimates need eight
 FAILED = []
 
 
@@ -156,14 +157,16 @@
 
 
 def warm_up(fleet, router, requests):
-    """The router sees each kind of request before it is stopped."""
-    threads = [threading.Thread(target=ask, args=(router.ip, method, path, "warm-%s-%d" % (name, copy), 0.0, seconds,
-                                                  timeout, headers))
-               for copy in range(8) for name, method, path, seconds, timeout, headers in requests]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    """The router sees each kind of request before it is stopped, more often than its estimates need: a request that
+    is sent twice does not count in them."""
+    for name, method, path, seconds, timeout, headers in requests:
+        threads = [threading.Thread(target=ask, args=(router.ip, method, path, "warm-%s-%d" % (name, copy), 0.0, seconds,
+                                                      timeout, headers))
+                   for copy in range(WARM_UP_REQUESTS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
 
 
 # Per cell: the requests, and the seconds from one of each to the next.
