Entry registration: a line names the end that a stop has written to the store

The logs of a process that a platform's kill ends are empty, and those of the process before it did not say until when requests are held back after it, nor whether the store has taken that. entry.stop_written says both. No decision changes.

--- a/chervilpass/fleet/entry_registration.cc
+++ b/chervilpass/fleet/entry_registration.cc
@@ -114,6 +114,7 @@
                                this->revision, EncodeEntry(this->record));
       if (written.has_value()) {
         this->revision = written.value().revision;
+        this->LogStopWritten();
         return;
       }
       this->log->Info("entry.stop_not_written",
@@ -126,6 +127,13 @@
     }
   }
 
+  void LogStopWritten() const {
+    const WallTime now = this->runtime->WallNow();
+    this->log->Info("entry.stop_written",
+                    {{"ends_in_ms", this->record.stop_ends->milliseconds -
+                                        now.milliseconds}});
+  }
+
   // An earlier write of this process may have taken effect without an answer.
   // False if another process has written the record.
   bool TakeOver(const platform::StoreError& error) {
