Entry registration: a stop that is ordered before the registration is not forgotten

Callers can lose requests at a process that a platform's kill ends: it does not hold them back, because the record in the store names an earlier end than the one that is due.

Cause: a process that is ordered to stop before it has found the record of the earlier process, which was ordered to stop as well, replaces its own end by that of the earlier one when it finds it.

--- a/chervilpass/fleet/entry_registration.cc
+++ b/chervilpass/fleet/entry_registration.cc
@@ -74,7 +74,9 @@
       this->hold_until = this->runtime->Now() + hold;
       if (hold > Duration::zero()) {
         // Should this process end at once, the next one has to know as well.
-        this->record.stop_ends = earlier->stop_ends;
+        // A stop of this process may have been announced already.
+        this->record.stop_ends =
+            std::max(this->record.stop_ends, earlier->stop_ends);
       }
       this->LogEarlier(*earlier, hold);
     }
--- a/unit_tests/entry_registration_test.cc
+++ b/unit_tests/entry_registration_test.cc
@@ -210,3 +210,24 @@
     cr_assert(third.registration->HoldLeft() == Duration::zero());
   });
 }
+
+// Guards against a stop that is forgotten because it was ordered before the
+// process had found the record of an earlier one.
+Test(entry_registration, a_stop_before_the_registration_is_written) {
+  OnRuntime([](io::Runtime& runtime) {
+    MemoryStore store(runtime, 22772);
+    Process first(runtime, 22772, 1);
+    first.registration->Register();
+    first.registration->AnnounceStop(After(runtime.WallNow(), seconds(1)));
+    runtime.SleepFor(milliseconds(100));
+    Process second(runtime, 22772, 2);
+    second.registration->AnnounceStop(After(runtime.WallNow(), seconds(3)));
+    second.registration->Register();
+    runtime.SleepFor(milliseconds(100));
+    Process third(runtime, 22772, 3);
+    third.registration->Register();
+    const Duration hold = *third.registration->HoldLeft();
+    cr_assert(hold > seconds(2) && hold < milliseconds(3200), "%ld ms",
+              static_cast<long>(ToMilliseconds(hold)));
+  });
+}
