Router: a further order to stop prolongs the time for which its next process holds requests back

Cause: an order to stop sets an end that the platform enforces by SIGKILL. Since the leaving process names that end in the store, and the next process holds requests back until then, for the case that the kill reaches whichever process the VM runs. It named the end of the first order only: further ones had no effect. With the second order 5 s after the first, the next process takes requests from 8.3 s on and is killed at 13 s.

Change: each order names its own end, and the last one counts. The stop itself does not change: it still has to end by the grace period of the first order.

Price: the VM is away for longer by the time between the orders.

--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -142,7 +142,7 @@
     if (reload) {
       effect = this->on_reload ? "reload" : "none";
     } else if (this->stop_requested) {
-      effect = "none, is stopping";
+      effect = this->on_further_stop ? "stop, again" : "none, is stopping";
     }
     if (this->signal_log != nullptr) {
       this->signal_log->Info("signal.received",
@@ -154,9 +154,11 @@
       }
       return;
     }
-    this->stop_requested = true;
+    const bool further = std::exchange(this->stop_requested, true);
     if (this->on_stop) {
       std::exchange(this->on_stop, nullptr)();
+    } else if (further && this->on_further_stop) {
+      boost::fibers::fiber(this->on_further_stop).detach();
     }
   }
 
@@ -166,6 +168,7 @@
   const Logger* signal_log = nullptr;
   bool stop_requested = false;
   std::function<void()> on_stop;
+  std::function<void()> on_further_stop;
   std::function<void()> on_reload;
 };
 
@@ -245,6 +248,10 @@
   }
 }
 
+void Runtime::OnFurtherStopSignal(std::function<void()> on_stop) {
+  this->state->on_further_stop = std::move(on_stop);
+}
+
 void Runtime::OnReloadSignal(std::function<void()> on_reload) {
   this->state->on_reload = std::move(on_reload);
   this->state->WatchSignals();
--- a/chervilpass/io/runtime.h
+++ b/chervilpass/io/runtime.h
@@ -44,10 +44,14 @@
   /// Reads the wall clock.
   WallTime WallNow() const;
 
-  /// Suspends the calling fiber until SIGTERM or SIGINT arrives. Further ones
-  /// have no effect; without OnReloadSignal, SIGHUP has none either.
+  /// Suspends the calling fiber until SIGTERM or SIGINT arrives. Without
+  /// OnFurtherStopSignal, further ones have no effect; without OnReloadSignal,
+  /// SIGHUP has none either.
   void WaitForStopSignal();
 
+  /// Calls `on_stop` on a fiber at each SIGTERM or SIGINT after the first one.
+  void OnFurtherStopSignal(std::function<void()> on_stop);
+
   /// Calls `on_reload` on a fiber at each SIGHUP.
   void OnReloadSignal(std::function<void()> on_reload);
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -869,10 +869,10 @@
 
   // Leaves the address lists and ends the work of this VM.
   void Leave() {
-    const WallTime ordered = this->runtime.WallNow();
     this->leaving = true;
     this->peers->SetLeaving();
-    this->AnnounceStop(ordered);
+    this->OnStopOrdered();
+    this->runtime.OnFurtherStopSignal([this] { this->OnStopOrdered(); });
     ShutdownParts parts;
     parts.runtime = &this->runtime;
     parts.log = &this->log;
@@ -881,22 +881,28 @@
     parts.forwarded = this->forwarded_server.get();
     parts.settings = &this->settings;
     parts.started = this->started;
-    parts.refresh_settings = [this, ordered] {
+    parts.refresh_settings = [this] {
       this->PollSettings();
-      this->AnnounceStop(ordered);
+      this->AnnounceStop();
     };
     ShutdownSequence(parts).Run();
   }
 
+  // Each order has a grace period of its own, at whose end the platform ends
+  // whichever process the VM runs then.
+  void OnStopOrdered() {
+    this->stop_ordered = this->runtime.WallNow();
+    this->AnnounceStop();
+  }
+
   // Also if the grace period changes during the stop.
-  void AnnounceStop(WallTime ordered) {
-    if (!this->settings.whole_grace ||
-        this->settings.shutdown_grace == this->announced_grace) {
-      return;
+  void AnnounceStop() {
+    const WallTime ends{this->stop_ordered.milliseconds +
+                        ToMilliseconds(this->settings.shutdown_grace)};
+    if (this->settings.whole_grace && ends != this->announced_end) {
+      this->announced_end = ends;
+      this->peers->AnnounceStop(ends);
     }
-    this->announced_grace = this->settings.shutdown_grace;
-    this->peers->AnnounceStop(
-        {ordered.milliseconds + ToMilliseconds(this->announced_grace)});
   }
 
   io::Runtime& runtime;
@@ -912,7 +918,8 @@
   std::uint64_t boot_id;
   serving::RoutingState routing_state;
   bool leaving = false;
-  Duration announced_grace{0};  // of this process's stop, to the next process
+  WallTime stop_ordered;   // by the latest order
+  WallTime announced_end;  // of its grace period, to the next process
   std::set<memory::Owner> short_owners;
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
