rolling_stops.py: killed processes are matched with what their successors say, and must serve again

Both are checks of their own now. Whether a killed process is told by its successor was counted by a limit of 9.5 s on its life, which a regular stop could come under; now each killed process needs a successor that says that it had started as long before as it did, within 0.5 s.

--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -47,7 +47,7 @@
 DEADLINE_S = 20.0
 WARM_UP_S = 2.0
 STREAM_CALLERS, CALL_CALLERS = 8, 3  # of each router
-SHORT_LIFE_MS = 9500               # of a process that was killed by the end of an earlier one's grace period
+START_SLACK_S = 0.5                # from one start to the next, beside what is known of it
 LATE_SENT_S, LATE_EVENTS = 5.0, (58, 66)
 LONG_SHARE, LONG_EVENTS = 0.15, (170, 330)  # of 30 ms: 5 to 10 s
 MAX_EVENTS = 182                   # of the others
@@ -252,7 +252,7 @@
             thread.join(max(0.0, DEADLINE_S))
         self.runs = self.fleet.runs()
         self.lines = collections.defaultdict(list)
-        self.builds, self.short_lives = set(), 0
+        self.builds, self.lives_s = set(), []
         for router in self.fleet.routers:
             with open(router.process.log) as log:
                 for line in log:
@@ -265,13 +265,25 @@
         if '"event":"router.started"' in line:
             self.builds.add(json.loads(line).get("build", "-"))
         elif '"event":"router.predecessor"' in line:
-            self.short_lives += int(json.loads(line)["started_before_ms"]) < SHORT_LIFE_MS
+            self.lives_s.append(int(json.loads(line)["started_before_ms"]) / 1000)
 
     def report_starts(self, name):
         """What the logs of the next processes say of their builds and of those that were killed."""
-        killed = sum(len(stop.next_killed_s) for stop in self.stops)
-        check("%s: each next process that was killed is told by the one after" % name, self.short_lives == killed,
-              "%d of %d" % (self.short_lives, killed))
+        killed, told, left = [age_s for stop in self.stops for age_s in stop.next_killed_s], 0, list(self.lives_s)
+        for age_s in killed:
+            expected_s = age_s + self.arguments.restart_after
+            found = next((life_s for life_s in left if abs(life_s - expected_s) <= START_SLACK_S), None)
+            if found is not None:
+                told += 1
+                left.remove(found)
+        check("%s: each next process that was killed is told by the one after" % name, told == len(killed),
+              "%d of %d, lives %s" % (told, len(killed), ["%.2f" % life_s for life_s in self.lives_s]))
+        if self.arguments.kills_next:
+            check("%s: next processes were killed" % name, killed, len(killed))
+            for stop in self.stops:
+                served = sum(outcome.router is stop.router and outcome.sent > stop.last_kill() and
+                             outcome.status == 200 and outcome.kind == "answered" for outcome in self.outcomes)
+                check("%s: %s serves again after its stop" % (name, stop.router.name), served, served)
         here = subprocess.run(["cmake", "-DSOURCE=" + fleets.ROOT, "-P",
                                os.path.join(fleets.ROOT, "scripts", "build_id.cmake")],
                               stdout=subprocess.PIPE, check=True).stdout.decode().strip()
