HTTP client: an answer whose status is none of HTTP is an error at once

Callers got no answer until their time was over, then 504 (calls after the route's timeout, streams after their deadline), where a backend server answered with a status of 000, 001, 099 or 101, or with an interim one and a body; a resumable stream ran twice on the way. Where the body of such an answer read like an answer, its bytes were taken for the next one: callers got 200 with the inner body and the seal, on all four kinds of request. 600 and 999 were passed on as they were.

Cause: every status below 200 was taken for that of an interim response, which has no body, and what follows for the final one. No status was too large.

Change: RFC 9110 knows 100 to 599, and 101 only after an Upgrade, which this client never sends. All else, and an interim response that states a body, is an invalid answer: the call fails at once, its connection is not used again, what may be repeated goes to another server, and the line that tells of it has the status as sent. The client is the one of all callers: servers, other VMs, the store, reports, orders and probes.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -1,5 +1,6 @@
 #include "chervilpass/io/http_client.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 #include <cstdlib>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "chervilpass/io/await.h"
@@ -94,6 +96,31 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
+
+// Why no response with this head can follow a request of this client (RFC 9110,
+// section 15; RFC 9112, section 6.3); empty if one can.
+template <class Message>
+std::string ObjectionToHead(const Message& head) {
+  const unsigned status = head.result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    return fmt::format("status {:03} is none of HTTP", status);
+  }
+  if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+    return fmt::format("status {:03}, but no upgrade was asked for", status);
+  }
+  const auto length = head.find(http::field::content_length);
+  const bool has_body = head.count(http::field::transfer_encoding) > 0 ||
+                        (length != head.end() && length->value() != "0");
+  if (status < kMinFinalStatus && has_body) {
+    return fmt::format("an interim response, status {:03}, with a body",
+                       status);
+  }
+  return "";
+}
+
 bool IsWantOfDescriptors(const boost::system::error_code& error) {
   return error == asio::error::no_descriptors ||
          error == boost::system::errc::too_many_files_open_in_system;
@@ -366,8 +393,12 @@
     if (head.error) {
       return call.ToHttpError(head.error);
     }
+    if (std::string objection = ObjectionToHead(call.parser->get());
+        !objection.empty()) {
+      return HttpError{HttpErrorCode::kProtocol, std::move(objection)};
+    }
     // Interim responses (RFC 9110, section 15.2) precede the final one.
-    if (call.parser->get().result_int() >= 200) {
+    if (call.parser->get().result_int() >= kMinFinalStatus) {
       break;
     }
   }
