Streams: a worker whose answer cannot be read has not crashed

Callers could be refused for a crash that did not happen: a stream whose worker sent an answer that cannot be read (a status that is none of HTTP, an oversized head) counted as a run whose connection broke. If the worker's reports could not be read either, the probe confirmed its end: a strike for the request and the parts of its prompt, two of which refuse other requests with the same prompt, and a further attempt beyond the route's limit.

Cause: stream runs did not tell errors of the protocol from broken connections, as calls do.

Change: only a reset or a timeout is a lost run. The worker is left alone for the cooldown of a full one, as it was after a broken connection. Found by review.

--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -73,9 +73,19 @@
   run->response.body = std::move(body).value();
 }
 
-BegunStreamRun Lost(BegunStreamRun run, const io::HttpError& error) {
-  run.lost = true;
+// A response that cannot be read is no sign of a lost run: the worker lives,
+// but is not asked again at once.
+BegunStreamRun WithoutHead(const RouterDependencies& dependencies,
+                           BegunStreamRun run,
+                           const io::HttpError& error) {
+  run.lost = error.code == io::HttpErrorCode::kReset ||
+             error.code == io::HttpErrorCode::kTimeout;
   run.detail = error.detail;
+  if (!run.lost) {
+    dependencies.routing_state->StartCooldown(run.path.front().worker,
+                                              routing::CooldownReason::kFull,
+                                              dependencies.runtime->Now());
+  }
   return run;
 }
 
@@ -97,12 +107,12 @@
           call->Send(platform::ForwardedRequest(*request.request, metadata),
                      request.time_left);
       sent.has_error()) {
-    return Lost(std::move(run), sent.error());
+    return WithoutHead(dependencies, std::move(run), sent.error());
   }
   auto head =
       ReadMatchingHead(call.get(), request.context->metadata.request_id);
   if (head.has_error()) {
-    return Lost(std::move(run), head.error());
+    return WithoutHead(dependencies, std::move(run), head.error());
   }
   dependencies.links->OnReached(first);
   const ResponseMetadata response = platform::ReadResponse(head.value());
--- a/unit_tests/answer_status_test.cc
+++ b/unit_tests/answer_status_test.cc
@@ -149,6 +149,27 @@
   });
 }
 
+// Guards against a worker that counts as crashed, and a prompt that is refused
+// for it, because its answers cannot be read: it lives.
+Test(answer_status, an_odd_worker_has_not_crashed) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 28360);
+    const auto server =
+        AddRawServer(&fixture, 1, "llm", {0, 4}, [](const RawRequest& request) {
+          return RawAnswer{Answer("000", request.id, "odd")};
+        });
+    int failed = 0;
+    for (int number = 1; number <= 8; ++number) {
+      const auto response =
+          fixture.Call(fixture.Request("/draft/x", fmt::format("r{}", number)));
+      failed += response.value().status == 502 ? 1 : 0;
+      runtime.SleepFor(milliseconds(150));
+    }
+    cr_expect_geq(failed, 2, "%d of 8", failed);
+    cr_expect_eq(fixture.strikes, 0, "%d strikes", fixture.strikes);
+  });
+}
+
 // Guards against a connection that is used again after such an answer.
 Test(answer_status, its_connection_is_not_used_again) {
   OnRuntime([](io::Runtime& runtime) {
