Router: a process that is told to stop while it waits for its ports outlasts the grace period

Callers can lose requests at the process after one that was told to stop while it waited for the ports of an earlier process: it ended at once, the platform's kill at the end of the grace period reaches its successor, and nobody had told that one.

Cause: the end that an order sets is named in the store by the process that the record belongs to. Here that is the earlier process.

Change: with limits.whole_grace the process takes the kill itself, or ends 0.1 s before it; it has served nothing. A successor would have to hold requests back for as long.

--- a/fault_tests/process_life.py
+++ b/fault_tests/process_life.py
@@ -200,6 +200,35 @@
     router.process.child = first
 
 
+def play_order_beside_predecessor(name, platform):
+    """A process is told to stop while it waits for the ports: the kill at the end of that grace period must not
+    reach the process after it."""
+    folder = os.path.join(fleets.BUILD, "process-life-%d-whole-grace" % platform.subnet)
+    fleet = platform_fleet.PlatformFleet(folder, platform.subnet + 1, routers_each=1, workers_each=1)
+    fleet.whole_grace = True
+    fleet.build_routers()
+    try:
+        fleet.start()
+        router = fleet.routers[0]
+        first = router.process.child
+        router.process.start()
+        time.sleep(1)
+        ordered = time.monotonic()
+        router.process.send(signal.SIGTERM)
+        try:
+            code = router.process.child.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            code = "none"
+        ended_s = time.monotonic() - ordered
+        check("%s: it ends in order at the end of the grace period" % name, code == 0 and ended_s > GRACE_S - 0.3,
+              "exit code %s after %.2f s" % (code, ended_s))
+        router.process.kill()
+        router.process.child = first
+        check("%s: the process that has the ports serves on" % name, fleet.stream_whole(router, 10))
+    finally:
+        fleet.stop()
+
+
 def play_fatal_signals(name, fleet):
     router = fleet.routers[0]
     for number in FATAL:
@@ -334,7 +363,8 @@
 
 CELLS = {"repeated-stop": play_repeated_stop, "stray-signals": play_stray_signals, "output-gone": play_output_gone,
          "early-signals": play_early_signals, "other-daemons": play_other_daemons,
-         "restart-beside-predecessor": play_restart_beside_predecessor, "fatal-signals": play_fatal_signals,
+         "restart-beside-predecessor": play_restart_beside_predecessor,
+         "order-beside-predecessor": play_order_beside_predecessor, "fatal-signals": play_fatal_signals,
          "entry-slow-readers": play_entry_slow_readers, "dispatch-answers": play_dispatch_answers}
 
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -46,6 +46,8 @@
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
 constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
+// Of a process that has served nothing.
+constexpr Duration kUnusedExitMargin = milliseconds(100);
 constexpr Duration kTcpUserTimeout = seconds(3);
 constexpr std::size_t kIdleConnectionsPerServer = 64;
 // Of a server's answer to a probe, a question for its report, or an order.
@@ -113,7 +115,11 @@
     this->runtime.LogTo(&this->log);
     this->CreateClients();
     if (!this->CreatePeers() || !this->CreateServers()) {
-      return io::StopSignalPending() ? app::kExitOk : app::kExitFailure;
+      if (!io::StopSignalPending()) {
+        return app::kExitFailure;
+      }
+      this->OutlastGrace();
+      return app::kExitOk;
     }
     this->log.Info("router.started",
                    {{"version", CHERVILPASS_VERSION},
@@ -888,6 +894,17 @@
     ShutdownSequence(parts).Run();
   }
 
+  // While an earlier process has the ports, the record in the store is its own:
+  // the next process would not learn of the end that an order to this one sets.
+  void OutlastGrace() {
+    if (this->settings.whole_grace) {
+      this->log.Info(
+          "router.outlasting_grace",
+          {{"grace_ms", ToMilliseconds(this->settings.shutdown_grace)}});
+      this->runtime.SleepFor(this->settings.shutdown_grace - kUnusedExitMargin);
+    }
+  }
+
   // Each order has a grace period of its own, at whose end the platform ends
   // whichever process the VM runs then.
   void OnStopOrdered() {
