HTTP server: a chunk counts as a probe of a caller that has closed its sending side

Cause: the probe that tells such a caller from one that has left was sent by the clock, whether or not something else had been written.

Change: a chunk postpones the next probe by its interval (50 ms at first): the peer answers either in the same way. Silent streams are probed as before. a_stream_that_flows_is_not_probed failed before.

--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -182,12 +182,19 @@
     return !this->broken;
   }
   this->chunk_probes = 0;
-  return this->Write([&](auto handler) {
+  const bool written = this->Write([&](auto handler) {
     asio::async_write(
         *this->connection.stream,
         http::make_chunk(asio::const_buffer(data.data(), data.size())),
         std::move(handler));
   });
+  // A peer that has left answers a chunk as it answers a probe.
+  if (this->next_probe != Instant::min()) {
+    this->next_probe =
+        std::max(this->next_probe,
+                 this->connection.runtime->Now() + this->probe_interval);
+  }
+  return written;
 }
 
 bool ServerExchange::EndStream() {
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -637,6 +637,36 @@
   });
 }
 
+// Guards against streams whose chunks are stated in a form that hardly anybody
+// sends, for callers that have closed their sending side.
+Test(http_server, a_stream_that_flows_is_not_probed) {
+  OnRuntime([](Runtime& runtime) {
+    const Endpoint listen = TestEndpoint(32);
+    const auto server = Serve(
+        runtime, listen,
+        [&](HttpExchange& exchange) {
+          exchange.WatchPeer([] {});
+          exchange.BeginStream({200, {}, ""});
+          for (int i = 0; i < 60; ++i) {
+            exchange.WriteChunk("event\n");
+            runtime.SleepFor(milliseconds(15));
+          }
+          exchange.EndStream();
+        },
+        HalfClosedPeers());
+    Caller caller(listen);
+    caller.Send(std::string(kGet));
+    caller.CloseSendingSide();
+    std::string reply;
+    for (int i = 0; i < 13; ++i) {
+      runtime.SleepFor(milliseconds(100));
+      reply += caller.Receive();
+    }
+    cr_assert(reply.ends_with("0\r\n\r\n"), "%s", reply.c_str());
+    cr_expect_eq(reply.find("\r\n0"), reply.size() - 7, "%s", reply.c_str());
+  });
+}
+
 // Guards against work that goes on for callers that have left.
 Test(http_server, a_peer_that_has_left_is_noticed_in_each_phase) {
   OnRuntime([](Runtime& runtime) {
