HTTP server: a request that has arrived behind another one is answered although the server leaves

Callers that send their next request without waiting for the answer before it got no answer to it from a leaving VM, and no log named it.

Cause: while a VM leaves, each response said that the connection closes, and the bytes behind the request were discarded with it, although a whole request may be among them. A stream that had begun before says nothing of the kind; it ended, after the listener had been closed, in the same way. What the server had received was not looked at.

Change: as long as a next request has begun to arrive, a response does not end its connection; the next request is answered as any other is at that time, served or refused.

pipelined_requests_are_answered_as_the_server_leaves failed before. Found by comparing answers byte for byte around SIGTERM.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -278,8 +278,9 @@
       bool first = true;
       AfterRequest after = AfterRequest::kReadNext;
       // A connection that is accepted as the server stops gets a response.
+      // So does a request that arrived before the one before it was answered.
       while (!this->destroyed && after == AfterRequest::kReadNext &&
-             (first || !this->stopped)) {
+             (first || !this->stopped || reader.NextHasBegun())) {
         after = this->ServeRequest(&stream, &reader, &*connection, first);
         first = false;
       }
@@ -330,7 +331,8 @@
       return AfterRequest::kDiscardAndClose;
     }
     const ResponseForms forms = reader->Forms();
-    ServerExchange exchange(this->Shared(stream), reader->Take(), forms);
+    ServerExchange exchange(this->Shared(stream, reader), reader->Take(),
+                            forms);
     boost::system::error_code ignored;
     stream->expires_never();
     {
@@ -378,8 +380,13 @@
     return reader->ReadBody();
   }
 
-  ServerConnection Shared(beast::tcp_stream* stream) {
-    return {this->runtime, stream, &this->settings, &this->keep_alive_allowed,
+  ServerConnection Shared(beast::tcp_stream* stream,
+                          const RequestReader* reader) {
+    return {this->runtime,
+            stream,
+            &this->settings,
+            reader,
+            &this->keep_alive_allowed,
             &this->peer_ends};
   }
 
@@ -415,7 +422,8 @@
     if (reader->HasHead()) {
       request = reader->Head();
     }
-    ServerExchange exchange(this->Shared(stream), std::move(request), {});
+    ServerExchange exchange(this->Shared(stream, reader), std::move(request),
+                            {});
     exchange.Respond(response);
   }
 
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -1,6 +1,9 @@
 #include "chervilpass/io/request_reader.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -26,6 +29,7 @@
 constexpr std::size_t kMaxReadSize = 64 * 1024;  // bytes
 // Before one request.
 constexpr std::size_t kMaxEmptyLineBytes = 4096;
+constexpr std::size_t kPeekedBytes = 64;
 // A body is held once as it was received and once as it is sent on.
 constexpr std::size_t kBodyCopies = 2;
 // A body is not read on for so long before its request is refused.
@@ -252,6 +256,21 @@
   this->stream->cancel();
 }
 
+bool RequestReader::NextHasBegun() const {
+  const auto is_begun = [](const void* bytes, std::size_t size) {
+    return std::string_view(static_cast<const char*>(bytes), size)
+               .find_first_not_of("\r\n") != std::string_view::npos;
+  };
+  if (is_begun(this->buffer.data().data(), this->buffer.size())) {
+    return true;
+  }
+  std::array<char, kPeekedBytes> arrived;
+  const ssize_t size =
+      ::recv(this->stream->socket().native_handle(), arrived.data(),
+             arrived.size(), MSG_PEEK | MSG_DONTWAIT);
+  return size > 0 && is_begun(arrived.data(), static_cast<std::size_t>(size));
+}
+
 bool RequestReader::DropEmptyLines() {
   const std::string_view input(
       static_cast<const char*>(this->buffer.data().data()),
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -58,6 +58,9 @@
   /// 2.2); true if nothing is left.
   bool DropEmptyLines();
 
+  /// True if some of the next request has arrived, empty lines left aside.
+  bool NextHasBegun() const;
+
   /// Reads some bytes of the request; end_of_stream if there are no more.
   Completion ReadSome();
 
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "chervilpass/io/await.h"
+#include "chervilpass/io/request_reader.h"
 
 namespace chervilpass::io {
 namespace {
@@ -119,8 +120,7 @@
     return;
   }
   this->responded = true;
-  this->forms.keep_alive =
-      this->forms.keep_alive && *this->connection.keep_alive_allowed;
+  this->forms.keep_alive = this->MayKeepAlive();
   http::response<http::span_body<const char>> message =
       ToBeast(response, this->forms.keep_alive, this->IsHead());
   if (this->begin_sent > 0) {
@@ -146,8 +146,7 @@
 
 bool ServerExchange::BeginStream(const HttpResponse& head) {
   this->responded = true;
-  this->forms.keep_alive =
-      this->forms.keep_alive && *this->connection.keep_alive_allowed;
+  this->forms.keep_alive = this->MayKeepAlive();
   http::response<http::empty_body> message(
       static_cast<http::status>(head.status), 11);
   CopyHeaders(head.headers, &message);
@@ -167,6 +166,12 @@
   return this->streaming;
 }
 
+// A next request that has arrived already gets its response, too.
+bool ServerExchange::MayKeepAlive() const {
+  return this->forms.keep_alive && (*this->connection.keep_alive_allowed ||
+                                    this->connection.reader->NextHasBegun());
+}
+
 bool ServerExchange::WriteRest(std::string_view text) {
   assert(text.starts_with(kStatusLineBegin));
   text.remove_prefix(this->begin_sent);
--- a/chervilpass/io/server_exchange.h
+++ b/chervilpass/io/server_exchange.h
@@ -27,11 +27,14 @@
 /// The text of a complete response after which the connection is closed.
 std::string ClosingResponseText(const HttpResponse& response);
 
+class RequestReader;
+
 /// What the exchanges of a connection share. All pointers outlive them.
 struct ServerConnection {
   Runtime* runtime;
   boost::beast::tcp_stream* stream;
   const HttpServerSettings* settings;
+  const RequestReader* reader;
   const bool* keep_alive_allowed;  ///< false after DisableKeepAlive
   PeerEndCounts* peer_ends;
 };
@@ -88,6 +91,8 @@
   // reset.
   bool WriteProbe();
 
+  bool MayKeepAlive() const;
+
   // Writes a response's text but for what has been sent as probes.
   bool WriteRest(std::string_view text);
 
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -637,6 +637,50 @@
   });
 }
 
+// Guards against requests that have arrived behind another one and are dropped
+// without a word, because the server begins to leave.
+Test(http_server, pipelined_requests_are_answered_as_the_server_leaves) {
+  OnRuntime([](Runtime& runtime) {
+    for (const bool stops : {false, true}) {
+      const Endpoint listen = TestEndpoint(stops ? 34 : 33);
+      int handled = 0;
+      const auto server = Serve(runtime, listen, [&](HttpExchange& exchange) {
+        ++handled;
+        if (exchange.Request().path == "/stream") {
+          exchange.BeginStream({200, {}, ""});
+          exchange.WriteChunk("event");
+          runtime.SleepFor(milliseconds(200));
+          exchange.EndStream();
+        } else {
+          runtime.SleepFor(milliseconds(50));
+          exchange.Respond({200, {}, "ok"});
+        }
+      });
+      Caller caller(listen);
+      caller.Send(
+          "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n"
+          "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+      runtime.SleepFor(milliseconds(50));
+      server->DisableKeepAlive();
+      if (stops) {
+        server->StopAccepting();
+      }
+      caller.Send("GET /third HTTP/1.1\r\nHost: a\r\n\r\n\r\n");
+      runtime.SleepFor(milliseconds(500));
+      const std::string reply = caller.Receive();
+      cr_expect_eq(handled, 3, "%d handled", handled);
+      const std::size_t close = reply.find("Connection: close");
+      cr_expect_eq(close, reply.rfind("Connection: close"), "%s",
+                   reply.c_str());
+      cr_expect(close > reply.rfind("HTTP/1.1 200 OK"), "%s", reply.c_str());
+      cr_expect(reply.ends_with("\r\n\r\nok"), "%s", reply.c_str());
+      caller.Close();
+      runtime.SleepFor(kTransfer);
+      cr_expect_eq(server->Connections(), 0);
+    }
+  });
+}
+
 // Guards against streams whose chunks are stated in a form that hardly anybody
 // sends, for callers that have closed their sending side.
 Test(http_server, a_stream_that_flows_is_not_probed) {
