rolling_stops.py: the last successor has 5 s to serve again

Until 0.2 s after the kill it has to hold requests back, and its callers are then in streams elsewhere.

--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -42,6 +42,7 @@
 LATEST_SENT_S = 3.0                # after SIGTERM; what is sent later must not be cut
 LAST_SIXTH_S = GRACE_S * 5 / 6
 AFTERWARDS_S = 1.0                 # a stop counts as planned work until so long after its grace period
+RETURN_S = 5.0                     # after the last kill of a next process, until its successor must have served
 LOSS_SLACK_S = 0.2                 # a connection that ends this soon after its request may not have been read
 ADDRESS_LIFETIME_S = 2.0           # afterwards callers can know of a SIGTERM
 DEADLINE_S = 20.0
@@ -246,7 +247,7 @@
             series[-1].start()
         for thread in series:
             thread.join()
-        time.sleep(AFTERWARDS_S)
+        time.sleep(RETURN_S if self.arguments.kills_next else AFTERWARDS_S)
         self.stopped = True
         for thread in self.threads:
             thread.join(max(0.0, DEADLINE_S))
