Gossip: notices of full workers, loads of organisations and paces of servers

Three lists for messages of kind kLoads, which builds without them ignore.

codec_test: the round trip covers the new lists.

--- a/chervilpass/membership/gossip_message.h
+++ b/chervilpass/membership/gossip_message.h
@@ -61,6 +61,31 @@
   auto operator<=>(const DepartureNotice&) const = default;
 };
 
+/// Reports that a worker has just refused a request for lack of capacity.
+struct FullWorkerNotice {
+  std::uint32_t worker = 0;        ///< hash of the worker's id
+  std::uint16_t milliseconds = 0;  ///< for so long it should get no request
+
+  auto operator<=>(const FullWorkerNotice&) const = default;
+};
+
+/// Tokens of an organisation's requests that a VM has in flight.
+struct OrganisationLoadNotice {
+  std::uint32_t organisation = 0;  ///< hash of its name
+  std::uint32_t tokens = 0;
+
+  auto operator<=>(const OrganisationLoadNotice&) const = default;
+};
+
+/// The share of its full load that a start of a backend server is given.
+struct ServerPaceNotice {
+  std::uint64_t start = 0;  ///< hash of the server's id and start
+  std::uint8_t share = 0;   ///< of 255
+  std::uint16_t age = 0;    ///< of the statement, 1/100 s
+
+  auto operator<=>(const ServerPaceNotice&) const = default;
+};
+
 /// Contents of one datagram. The first member is the sender itself, with two
 /// exceptions: messages of kind kLoads have no members, and the list of members
 /// sent in answer to a join request continues in further datagrams.
@@ -79,6 +104,10 @@
   /// True if the loads are totals of the sender's data centre, not of the
   /// sender alone.
   bool loads_of_data_centre = false;
+  /// In messages of kind kLoads, as the following two.
+  std::vector<FullWorkerNotice> full_workers;
+  std::vector<OrganisationLoadNotice> organisation_loads;
+  std::vector<ServerPaceNotice> server_paces;
   /// Changes of members that the receiver is taken to know.
   std::vector<MemberUpdate> updates;
   /// Digest of the sender's table; 0: its build does not compare tables.
--- a/chervilpass/placement/model_profile.h
+++ b/chervilpass/placement/model_profile.h
@@ -47,7 +47,9 @@
   Duration step_per_sequence{0};
   Duration step_per_1000_context_tokens{0};
   double prefill_tokens_per_second = 0;
-  Duration load_time{0};               ///< all layers, from the weight store
+  std::uint32_t prefill_chunk_tokens = 0;  ///< per forward pass; 0: unknown
+  std::uint32_t steps_per_pass = 1;  ///< decode steps of a pass, if any decode
+  Duration load_time{0};             ///< all layers, from the weight store
   std::uint32_t concurrent_loads = 1;  ///< workers that load layers at a time
   std::uint32_t batch_limit = 0;     ///< requests, on the first stage of a path
   double activation_bytes = 0;       ///< per token, between two workers
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -193,6 +193,28 @@
   listedBuckets @15 :UInt64;    # bit set: `updates` has the whole bucket
   wanted @16 :List(UInt64);     # keys of VMs
   passOn @17 :Bool;
+  fullWorkers @18 :List(FullWorker);
+  organisationLoads @19 :List(OrganisationLoad);
+  serverPaces @20 :List(ServerPace);
+}
+
+# States that a worker has just refused a request for lack of capacity.
+struct FullWorker {
+  worker @0 :UInt32;            # hash of the worker's id
+  leftMs @1 :UInt16;            # for so long it should get no request
+}
+
+# The tokens of an organisation's requests that a VM has in flight.
+struct OrganisationLoad {
+  organisation @0 :UInt32;      # hash of its name
+  tokens @1 :UInt32;
+}
+
+# The share of its full load that a start of a backend server is given.
+struct ServerPace {
+  start @0 :UInt64;             # hash of the server's id and start
+  share @1 :UInt8;              # of 255
+  ageCs @2 :UInt16;             # of the statement, hundredths of a second
 }
 
 # The parts of a Member that change while the VM runs.
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -34,6 +34,21 @@
   return update;
 }
 
+void ReadLoadNotices(schema::Gossip::Reader from,
+                     membership::GossipMessage* message) {
+  for (const auto notice : from.getFullWorkers()) {
+    message->full_workers.push_back({notice.getWorker(), notice.getLeftMs()});
+  }
+  for (const auto notice : from.getOrganisationLoads()) {
+    message->organisation_loads.push_back(
+        {notice.getOrganisation(), notice.getTokens()});
+  }
+  for (const auto notice : from.getServerPaces()) {
+    message->server_paces.push_back(
+        {notice.getStart(), notice.getShare(), notice.getAgeCs()});
+  }
+}
+
 membership::GossipMessage ReadMessage(schema::Gossip::Reader from) {
   membership::GossipMessage message;
   message.kind =
@@ -70,6 +85,7 @@
                              load.getRateLimitAge()});
   }
   message.loads_of_data_centre = from.getLoadsOfDataCentre();
+  ReadLoadNotices(from, &message);
   for (const auto update : from.getUpdates()) {
     message.updates.push_back(ReadUpdate(update));
   }
@@ -123,6 +139,29 @@
   root.setPassOn(message.pass_on);
 }
 
+// Fields that older builds do not know.
+void WriteLoadNotices(const membership::GossipMessage& message,
+                      schema::Gossip::Builder root) {
+  auto full_workers = root.initFullWorkers(message.full_workers.size());
+  for (unsigned i = 0; i < message.full_workers.size(); ++i) {
+    full_workers[i].setWorker(message.full_workers[i].worker);
+    full_workers[i].setLeftMs(message.full_workers[i].milliseconds);
+  }
+  auto organisations =
+      root.initOrganisationLoads(message.organisation_loads.size());
+  for (unsigned i = 0; i < message.organisation_loads.size(); ++i) {
+    organisations[i].setOrganisation(
+        message.organisation_loads[i].organisation);
+    organisations[i].setTokens(message.organisation_loads[i].tokens);
+  }
+  auto paces = root.initServerPaces(message.server_paces.size());
+  for (unsigned i = 0; i < message.server_paces.size(); ++i) {
+    paces[i].setStart(message.server_paces[i].start);
+    paces[i].setShare(message.server_paces[i].share);
+    paces[i].setAgeCs(message.server_paces[i].age);
+  }
+}
+
 template <class Notice>
 void WriteNotices(const std::vector<Notice>& notices,
                   capnp::List<schema::LeavingNotice>::Builder to) {
@@ -172,6 +211,7 @@
     loads[i].setRateLimitAge(message.loads[i].rate_limit_age);
   }
   root.setLoadsOfDataCentre(message.loads_of_data_centre);
+  WriteLoadNotices(message, root);
   WriteTables(message, root);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, builder);
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -26,6 +26,9 @@
   message.departures = {{"worker", {1012}, {1013}}};
   message.loads = {{7, 3, 1200, 11102, 250}};
   message.loads_of_data_centre = true;
+  message.full_workers = {{7, 250}};
+  message.organisation_loads = {{11, 42000}};
+  message.server_paces = {{13, 64, 30}};
   return message;
 }
 
