Streams: recovery within the pause objective after workers end together

Callers of the 88-VM deployment saw pauses of 270 to 1,260 ms (p10, p90) when four workers crashed together.

With limits.early_recovery, SilenceBeforeRecovery decides when a stream goes on elsewhere: after 1.25 intervals without an event, one if the worker has ended, and later for each more urgent stream that waits at this VM. New paths are probed first; workers that do not answer within 25 ms are avoided.

Tests: recovery_schedule in routing_test.

--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -288,12 +288,12 @@
     Random* random) {
   std::map<std::string, std::vector<UsableWorker>> by_data_centre;
   std::vector<UsableWorker> all;
+  const double jitter = query.cost_spread.value_or(settings.jitter);
   for (const PathCandidate& candidate : candidates) {
     if (candidate.layers.Empty() || query.excluded.contains(candidate.worker)) {
       continue;
     }
-    all.push_back(
-        {&candidate, candidate.layers, 1 + settings.jitter * random->Unit()});
+    all.push_back({&candidate, candidate.layers, 1 + jitter * random->Unit()});
     by_data_centre[candidate.data_centre].push_back(all.back());
   }
   // Paths within one data centre come first: bandwidth between data centres is
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,9 @@
   /// requests.
   std::function<std::vector<io::Endpoint>()> forward_targets;
   LinkMonitor* links = nullptr;
+  /// Workers of a path that do not answer; set by the router.
+  std::function<std::set<std::string>(const placement::Path&)>
+      unanswered_workers;
   /// Set by the router.
   CrashMonitor* crashes = nullptr;
   ShutdownGate* shutdown = nullptr;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -409,6 +409,10 @@
   state->dependencies.scopes = &state->scopes;
   state->streams =
       StreamRegistry::Create(&state->dependencies, settings.streams);
+  state->dependencies.unanswered_workers =
+      [streams = state->streams.get()](const placement::Path& path) {
+        return streams->UnansweredWorkers(path);
+      };
   return std::unique_ptr<Router>(new Router(std::move(state)));
 }
 
--- a/chervilpass/serving/standby_run.cc
+++ b/chervilpass/serving/standby_run.cc
@@ -15,6 +15,7 @@
 
 // A standby run counts as one attempt, also if another VM runs it.
 constexpr std::uint32_t kAttemptsOfPeer = 1;
+constexpr int kMaxProbeRounds = 3;  // of paths
 
 }  // namespace
 
@@ -115,23 +116,42 @@
                   this->request.deadline - this->dependencies->runtime->Now());
 }
 
+std::optional<Path> StandbyRun::FindPath() {
+  placement::PathQuery& query = this->request.query;
+  std::optional<Path> path;
+  // Workers that ended with the one that the run waits for are not known yet.
+  for (int round = 0; round < kMaxProbeRounds; ++round) {
+    const auto found = this->dependencies->routing_state->FindPath(
+        this->request.context.service, *this->request.model, query,
+        this->dependencies->runtime->Now());
+    if (found.has_error()) {
+      return path;
+    }
+    path = found.value().path;
+    std::set<std::string> unanswered =
+        this->dependencies->unanswered_workers(*path);
+    if (unanswered.empty()) {
+      return path;
+    }
+    query.avoided.merge(unanswered);
+  }
+  return path;
+}
+
 BegunStreamRun StandbyRun::BeginOnPath() {
   BegunStreamRun run;
   run.outcome = SendOutcome::kNotSent;
   const Duration max_wait =
       MaxSendWait(this->request.context, this->TimeLeft());
   this->request.query.max_send_wait = max_wait;
-  const auto found = this->dependencies->routing_state->FindPath(
-      this->request.context.service, *this->request.model, this->request.query,
-      this->dependencies->runtime->Now());
-  if (found.has_error()) {
+  const auto path = this->FindPath();
+  if (!path) {
     run.detail = "no other path";
     return run;
   }
-  const Path path = found.value().path;
-  this->Reserve(path);
+  this->Reserve(*path);
   if (!AwaitPermit(*this->dependencies, this->request.context,
-                   path.front().worker, max_wait, nullptr) ||
+                   path->front().worker, max_wait, nullptr) ||
       !this->MayBeSent()) {
     run.detail = "not sent in time";
     return run;
@@ -140,7 +160,7 @@
   begin.request = &this->request.request;
   begin.context = &this->request.context;
   begin.model = this->request.model;
-  begin.path = path;
+  begin.path = *path;
   begin.time_left = this->TimeLeft();
   begin.last_event_id = this->request.sequence.Last();
   begin.earlier_sends = 1;  // the first run
--- a/chervilpass/serving/standby_run.h
+++ b/chervilpass/serving/standby_run.h
@@ -91,6 +91,8 @@
 
   void Run();
   BegunStreamRun Begin();
+  // A path whose workers answer, as far as one is found; none without a path.
+  std::optional<placement::Path> FindPath();
   BegunStreamRun BeginOnPath();
   BegunStreamRun BeginThroughPeer();
   void AwaitFirstEvent(BegunStreamRun* run);
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -37,6 +37,7 @@
 // intervals after the begin of its answer.
 constexpr Duration kMinProvenTime = milliseconds(500);
 constexpr Duration kPathPollInterval = milliseconds(50);
+constexpr int kMaxProbeRounds = 3;  // of paths after a lost run
 constexpr Duration kStandbyPollInterval = milliseconds(2);
 // Longest wait for the first event of a standby run once the first run has
 // ended. Callers leave after two seconds without an event.
@@ -76,6 +77,7 @@
     this->stream.service = context.service;
     this->stream.model = &model;
     this->stream.scope = &this->scope;
+    this->stream.priority = context.priority;
     this->stream.run = {context.fingerprint, context.metadata.request_id, 0};
     for (const std::uint64_t part : context.prompt_parts) {
       this->stream.run.parts.push_back({part, 0});
@@ -139,6 +141,9 @@
         }
         return this->EndWithoutPath(path.error());
       }
+      if (this->after_loss && !this->ProbeNewPath(path.value().path)) {
+        continue;
+      }
       if (!AwaitPermit(this->dependencies, this->context,
                        path.value().path.front().worker, this->MaxWaitToSend(),
                        &this->scope)) {
@@ -161,6 +166,19 @@
   // The wait for a permit lies between the two.
   enum class Check { kInAdvance, kAtSend };
 
+  // False if a worker of the path does not answer, and others may be tried.
+  // Workers that ended with the one that was lost are not known yet.
+  bool ProbeNewPath(const Path& path) {
+    if (this->probe_rounds >= kMaxProbeRounds) {
+      return true;
+    }
+    ++this->probe_rounds;
+    std::set<std::string> unanswered = this->registry->UnansweredWorkers(path);
+    const bool all_answer = unanswered.empty();
+    this->unanswered_workers.merge(unanswered);
+    return all_answer;
+  }
+
   // The result of the request after this run; none if another run follows.
   std::optional<RequestResult> EndAfter(const RunResult& result) {
     if (result.outcome == SendOutcome::kResponse) {
@@ -169,6 +187,8 @@
     if (this->scope.Stopped()) {
       return this->EndStopped();
     }
+    this->after_loss = result.run_lost || result.worker_ended;
+    this->probe_rounds = 0;
     if (result.worker_ended) {
       this->GrantExtraAttempt("the worker has ended",
                               this->last_path.front().worker);
@@ -451,6 +471,8 @@
     query.excluded = this->refusing_workers;
     query.avoided =
         this->dependencies.crashes->WorkersOfOtherSuspects(this->stream.run);
+    query.avoided.insert(this->unanswered_workers.begin(),
+                         this->unanswered_workers.end());
     query.max_send_wait = this->MaxWaitToSend();
     return query;
   }
@@ -917,6 +939,10 @@
   Path last_path;
   /// Workers that refused this request or could not be connected to.
   std::set<std::string> refusing_workers;
+  /// Workers that did not answer a probe before a run.
+  std::set<std::string> unanswered_workers;
+  bool after_loss = false;    ///< the last run was lost
+  int probe_rounds = 0;       ///< before the next run
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
   bool stream_begun = false;  ///< the response head has been sent
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -21,6 +21,14 @@
 constexpr int kMaxMoveOrders = 3;  // orders for one move of one stream
 // Doublings of the interval between standby runs that fail.
 constexpr std::uint32_t kMaxIntervalDoublings = 4;
+// An answer or an event that shows that a worker of a new path lives.
+constexpr Duration kRecentAnswer = milliseconds(60);
+constexpr Duration kPathProbePollInterval = milliseconds(1);
+// Workers that end together are found one after the other within this time.
+constexpr Duration kJointLossTime = milliseconds(500);
+// Streams that lose their workers together spread over the workers that are
+// left: each VM knows the new loads of the others only later.
+constexpr double kRecoveryCostSpread = 0.5;
 // How long the result of a probe is used as evidence for lost runs.
 constexpr Duration kFindingLifetime = seconds(2);
 
@@ -128,7 +136,10 @@
       RecordRestarts(*this->dependencies, stream);
     }
     const Duration silence = now - stream->last_progress;
-    const Duration min_stall = this->MinStall(*stream);
+    if (this->RecoverEarly(stream, silence, now)) {
+      return;
+    }
+    const Duration min_stall = this->MinStall(*stream, now);
     if (silence < std::max(min_stall, this->settings.probe_threshold)) {
       return;
     }
@@ -175,8 +186,84 @@
     return stream.first_event_seen && !stream.moved;
   }
 
-  // The shortest silence that counts as a stall of this stream.
-  Duration MinStall(const ActiveStream& stream) const {
+  bool HasLostStage(const ActiveStream& stream, Instant now) const {
+    return this->HasEndedStage(stream) ||
+           this->HasUnreachableStage(stream, now);
+  }
+
+  // Lets a stream go on elsewhere whose worker is known to be gone; false if it
+  // is not to, or not yet.
+  bool RecoverEarly(ActiveStream* stream, Duration silence, Instant now) {
+    if (!this->settings.early_recovery || stream->standby != nullptr ||
+        !ExpectsEvent(*stream) || this->dependencies->links->CutOff() ||
+        !this->HasLostStage(*stream, now)) {
+      return false;
+    }
+    this->last_loss = now;
+    routing::LostStream lost;
+    lost.smoothed_event_interval = stream->smoothed_event_interval;
+    lost.ended = this->HasEndedStage(*stream);
+    lost.more_urgent = static_cast<std::size_t>(std::count_if(
+        this->streams.begin(), this->streams.end(),
+        [&](const ActiveStream* other) {
+          return other->priority < stream->priority && !other->path.empty() &&
+                 !other->moving && this->HasLostStage(*other, now);
+        }));
+    if (silence <
+        routing::SilenceBeforeRecovery(lost, this->settings.recovery)) {
+      return false;
+    }
+    this->dependencies->metrics->Increment("chervil_early_recoveries_total");
+    this->ReportLostStages(stream, now);
+    if (!this->TryResume(stream, "a worker of its path is gone", {})) {
+      this->StartMove(stream, {});
+    }
+    return true;
+  }
+
+  std::set<std::string> UnansweredWorkers(const Path& path) {
+    std::set<std::string> unanswered;
+    if (!this->settings.early_recovery) {
+      return unanswered;
+    }
+    const Instant start = this->dependencies->runtime->Now();
+    const std::set<std::string> active = this->RecentlyActiveWorkers(start);
+    const auto lives = [&](const PathStage& stage) {
+      const auto answered = this->probes_answered.find(stage.worker);
+      return active.contains(stage.worker) ||
+             (answered != this->probes_answered.end() &&
+              start - answered->second < kRecentAnswer);
+    };
+    for (const PathStage& stage : path) {
+      if (!lives(stage)) {
+        this->StartProbe(stage);
+      }
+    }
+    const auto waits = [&](const PathStage& stage) {
+      return !lives(stage) && this->pending_reports.contains(stage.worker);
+    };
+    const Instant until = start + this->settings.path_probe_wait;
+    while (this->dependencies->runtime->Now() < until &&
+           std::any_of(path.begin(), path.end(), waits)) {
+      this->dependencies->runtime->SleepFor(kPathProbePollInterval);
+    }
+    for (const PathStage& stage : path) {
+      if (!lives(stage)) {
+        unanswered.insert(stage.worker);
+      }
+    }
+    return unanswered;
+  }
+
+  // The shortest silence that counts as a stall of this stream. Shorter right
+  // after the loss of a worker: others may have ended with it.
+  Duration MinStall(const ActiveStream& stream, Instant now) const {
+    if (this->settings.early_recovery &&
+        now - this->last_loss < kJointLossTime) {
+      return duration_cast<Duration>(
+          this->settings.recovery.confirming_intervals *
+          stream.smoothed_event_interval);
+    }
     return duration_cast<Duration>(this->settings.stall_interval_factor *
                                    stream.smoothed_event_interval);
   }
@@ -608,6 +695,9 @@
       query.avoided =
           this->dependencies->crashes->WorkersOfOtherSuspects(stream.run);
       query.includes_first_stage = false;
+      if (this->settings.early_recovery) {
+        query.cost_spread = kRecoveryCostSpread;
+      }
       const auto found =
           routing_state.FindPath(stream.service, *stream.model, query, now);
       if (found.has_error()) {
@@ -702,6 +792,12 @@
         stream->moving = false;
         return;
       }
+      if (!this->ProbeNewStages(*stream, path, &refusing)) {
+        continue;
+      }
+      if (!this->InProgress(stream, run)) {
+        return;
+      }
       // Reserved before the order is sent, so that other streams that are moved
       // at the same time do not all choose the same workers.
       const Path previous = stream->path;
@@ -759,6 +855,27 @@
     }
   }
 
+  // Adds the new workers of the path that do not answer to `refusing`; true if
+  // all answer.
+  bool ProbeNewStages(const ActiveStream& stream,
+                      const Path& path,
+                      std::set<std::string>* refusing) {
+    const Path previous = stream.path;
+    Path added;
+    for (const PathStage& stage : path) {
+      if (std::none_of(previous.begin(), previous.end(),
+                       [&stage](const PathStage& kept) {
+                         return kept.worker == stage.worker;
+                       })) {
+        added.push_back(stage);
+      }
+    }
+    std::set<std::string> unanswered = this->UnansweredWorkers(added);
+    const bool all_answer = unanswered.empty();
+    refusing->merge(unanswered);
+    return all_answer;
+  }
+
   void Reserve(ActiveStream* stream, const Path& path) {
     this->dependencies->routing_state->Loads().Remove(stream->path,
                                                       stream->tokens);
@@ -800,6 +917,7 @@
   /// When first workers were asked, within the last `examine_interval`.
   std::map<std::string, Instant> last_examined;
   Instant last_check{};
+  Instant last_loss{};         ///< a stream was found with a lost worker
   Instant last_local_stall{};  ///< end of this VM's last stall
   bool stopped = false;
 };
@@ -842,6 +960,11 @@
   return intervals;
 }
 
+std::set<std::string> StreamRegistry::UnansweredWorkers(
+    const placement::Path& path) {
+  return this->state->UnansweredWorkers(path);
+}
+
 void StreamRegistry::OnPeerFoundUnreachable(const std::string& worker) {
   this->state->OnPeerFoundUnreachable(worker);
 }
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "chervilpass/routing/recovery_schedule.h"
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "chervilpass/serving/request_context.h"
@@ -53,6 +54,15 @@
   /// timeouts of probes meanwhile are not counted.
   Duration local_stall_threshold = milliseconds(60);
 
+  /// Streams whose workers are known to be gone go on elsewhere by `recovery`,
+  /// on paths whose workers have answered a probe; otherwise they wait as long
+  /// as for a stall.
+  bool early_recovery = false;
+  routing::RecoveryScheduleSettings recovery;
+  /// Longest wait for the probes of a path before a lost run goes on there: a
+  /// worker that lives answers within a few milliseconds.
+  Duration path_probe_wait = milliseconds(25);
+
   bool operator==(const StreamRegistrySettings&) const = default;
 };
 
@@ -64,7 +74,8 @@
   std::string service;
   const placement::ModelProfile* model = nullptr;
   CallScope* scope = nullptr;
-  bool may_resume = false;  ///< another run may follow this one
+  std::uint32_t priority = 0;  ///< 0 is first
+  bool may_resume = false;     ///< another run may follow this one
   /// Another run may follow if the first worker of this one has ended.
   bool may_replace_ended = false;
   bool may_forward = false;  ///< another run may go through another VM
@@ -122,6 +133,10 @@
   void Add(ActiveStream* stream);
   void Remove(ActiveStream* stream);
 
+  /// Probes the workers of the path that have not shown lately that they live.
+  /// Returns those that do not answer; none without `early_recovery`.
+  std::set<std::string> UnansweredWorkers(const placement::Path& path);
+
   /// The present times between events of the service's streams, of those that
   /// have written some.
   std::vector<Duration> EventIntervals(const std::string& service) const;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -326,6 +326,7 @@
     serving::RouterSettings router_settings;
     router_settings.served_requests_per_log_line =
         this->settings.served_requests_per_log_line;
+    router_settings.streams.early_recovery = this->settings.early_recovery;
     this->router =
         serving::Router::Create(std::move(dependencies), router_settings);
     this->caller_server = this->Listen(
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -35,6 +35,8 @@
   double retry_reserve = 0;  ///< maximum balance of the fleet, in retries
   std::uint32_t memory_mb = 0;
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
+  /// Streams whose workers are known to be gone go on elsewhere at once.
+  bool early_recovery = false;
   /// One of this many requests that were served in time has a log line.
   std::uint32_t served_requests_per_log_line = 0;
   LogSettings log;
--- a/unit_tests/routing_test.cc
+++ b/unit_tests/routing_test.cc
@@ -12,6 +12,7 @@
 #include "chervilpass/routing/completion_flow.h"
 #include "chervilpass/routing/rate_limit_tracker.h"
 #include "chervilpass/routing/rate_scheduler.h"
+#include "chervilpass/routing/recovery_schedule.h"
 #include "chervilpass/routing/rest_tracker.h"
 #include "chervilpass/routing/retry_budget.h"
 #include "chervilpass/routing/worker_health.h"
@@ -404,3 +405,33 @@
   tracker.Expire(start + seconds(5));
   cr_assert(tracker.Empty());
 }
+
+// Guards against streams that wait for a stall although their worker is known
+// to be gone: with events each 75 ms and a pause objective of 250 ms, a wait of
+// 2.5 intervals leaves too little time for the workers that take over.
+Test(recovery_schedule, a_lost_worker_is_replaced_within_the_objective) {
+  const RecoveryScheduleSettings settings;
+  const LostStream suspected{milliseconds(75), false, 0};
+  cr_assert(SilenceBeforeRecovery(suspected, settings) <= milliseconds(100));
+  // An event that is late by a quarter of its interval is no sign of a loss.
+  cr_assert(SilenceBeforeRecovery(suspected, settings) > milliseconds(90));
+  const LostStream ended{milliseconds(75), true, 0};
+  cr_assert(SilenceBeforeRecovery(ended, settings) == milliseconds(75));
+  const LostStream fast{milliseconds(5), true, 0};
+  cr_assert(SilenceBeforeRecovery(fast, settings) == settings.min_silence);
+}
+
+// Guards against a joint crash in which the streams of all priorities share the
+// delay, so that the urgent ones miss their objective with the others.
+Test(recovery_schedule, joint_crash_lets_urgent_streams_go_first) {
+  const RecoveryScheduleSettings settings;
+  LostStream stream{milliseconds(75), true, 0};
+  const Duration first = SilenceBeforeRecovery(stream, settings);
+  stream.more_urgent = 4;
+  cr_assert(SilenceBeforeRecovery(stream, settings) ==
+            first + 4 * settings.spacing);
+  // Callers leave after two seconds, whatever goes first.
+  stream.more_urgent = 100000;
+  cr_assert(SilenceBeforeRecovery(stream, settings) ==
+            first + settings.max_delay);
+}
