Priority classes: urgency, headroom and weight of added delay by priority

Requests of all priorities were treated alike apart from their wait for rate limits, and the most urgent kind earned the smallest share of its credit. Where a service is used with several priorities, each gets an urgency for the servers, a bound on the utilisation of workers and a weight of the delay that it adds to others. The bound is lifted while no more urgent request was refused for lack of capacity in the last second. With a single priority the cost of a stage is the same bit for bit (test).

--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -47,6 +47,10 @@
   bool includes_first_stage = true;  ///< that stage needs a batch slot
   /// Longest useful delay of the request by the rate limit of its first worker.
   Duration max_send_wait{0};
+  /// Replaces PathChooserSettings::max_utilisation.
+  std::optional<double> max_utilisation;
+  /// Weight of the delay that the request adds to others, relative to its own.
+  double added_delay_weight = 1;
 
   bool operator==(const PathQuery&) const = default;
 };
--- a/chervilpass/placement/stage_cost.cc
+++ b/chervilpass/placement/stage_cost.cc
@@ -62,7 +62,9 @@
   const double utilisation =
       std::max(this->KvUtilisation(candidate, layers),
                first ? this->BatchUtilisation(candidate) : 0);
-  if (this->check_capacity && utilisation > this->settings.max_utilisation) {
+  if (this->check_capacity &&
+      utilisation > this->query.max_utilisation.value_or(
+                        this->settings.max_utilisation)) {
     return kNoCapacityCost;
   }
   const double layer_share =
@@ -99,15 +101,20 @@
 }
 
 // Seconds that the request takes through all layers on this worker, plus the
-// time that it adds to the steps of the other requests in the batch.
+// weighted time that it adds to the steps of the other requests in the batch.
+// A step of the request takes the time of 1 + sequences requests, and each of
+// the others gets longer by the time of one.
 double StageCost::ServiceSeconds(const PathCandidate& candidate) const {
   const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
   const double sequences = candidate.load.sequences;
-  const double step =
-      ToSeconds(this->model.step_time) +
-      ToSeconds(this->model.step_per_sequence) * (1 + 2 * sequences) +
-      ToSeconds(this->model.step_per_1000_context_tokens) / 1000 *
-          (tokens * (1 + sequences) + candidate.load.context_tokens);
+  const double added_weight = this->query.added_delay_weight;
+  const double step = ToSeconds(this->model.step_time) +
+                      ToSeconds(this->model.step_per_sequence) *
+                          (1 + (1 + added_weight) * sequences) +
+                      ToSeconds(this->model.step_per_1000_context_tokens) /
+                          1000 *
+                          (tokens * (1 + added_weight * sequences) +
+                           candidate.load.context_tokens);
   const double pass_wait_factor =
       1 + kPassWait * std::min(1.0, sequences / kBusySequences);
   const double decode = this->query.answer_tokens * pass_wait_factor *
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -227,6 +227,7 @@
     forward_metadata.organisation = this->context.organisation;
     forward_metadata.time_left = this->scope.TimeLeft();
     forward_metadata.last_event_id = this->context.metadata.last_event_id;
+    forward_metadata.urgency = UrgencyOf(this->context);
     const auto request = platform::ForwardedRequest(
         this->context.exchange->Request(), forward_metadata);
     if (auto done = call->Send(request, forward_metadata.time_left);
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -284,4 +284,10 @@
   return text;
 }
 
+std::optional<std::uint32_t> UrgencyOf(const RequestContext& context) {
+  return context.priority_class
+             ? std::optional<std::uint32_t>(context.priority_class->urgency)
+             : std::nullopt;
+}
+
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -136,12 +136,18 @@
   std::string organisation;
   std::uint32_t priority = 0;  ///< of the organisation or the route; 0 is first
   std::string service;
+  /// Of its priority among those that use the service; none if there is one.
+  std::optional<admission::PriorityClass> priority_class;
   std::uint64_t fingerprint = 0;
   /// Fingerprints of the parts of the prompt; none on plain services.
   std::vector<std::uint64_t> prompt_parts;
   Instant received{};
 };
 
+/// The urgency of a request that is stated to its server; none if all requests
+/// to its service have the same priority.
+std::optional<std::uint32_t> UrgencyOf(const RequestContext& context);
+
 /// How a request ended, for the log and the metrics.
 struct RequestResult {
   unsigned status = 0;  ///< 0: the response was not completed
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -287,6 +287,8 @@
     }
     context->service =
         std::string(context->route->PickService(routing_state.Rng().Unit()));
+    context->priority_class =
+        routing_state.ClassesOf(context->service).Of(context->priority);
     const auto* service = context->table->Service(context->service);
     if (service == nullptr) {
       return Refuse(*context, RefusalCode::kNoBackend, Executed::kNo,
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -69,9 +69,17 @@
     }
   }
   this->servers.SetServices(std::move(services));
+  this->classes = admission::ActiveClasses(*this->table);
   return true;
 }
 
+const admission::PriorityClasses& RoutingState::ClassesOf(
+    const std::string& service) const {
+  static const admission::PriorityClasses kInactive;
+  const auto found = this->classes.find(service);
+  return found == this->classes.end() ? kInactive : found->second;
+}
+
 std::string RoutingState::Incarnation(const std::string& worker) const {
   const routing::BackendServer* server = this->servers.Find(worker);
   return server == nullptr ? worker : IncarnationOf(worker, server->started);
@@ -389,6 +397,7 @@
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
   this->rests.Expire(now);
+  this->shortages.Expire(now);
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
     return entry.second.local == 0 &&
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "chervilpass/admission/capacity_shortage.h"
+#include "chervilpass/admission/priority_classes.h"
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/core/random.h"
@@ -74,6 +76,17 @@
                : std::nullopt;
   }
 
+  /// The classes of requests to a service, from the configuration.
+  const admission::PriorityClasses& ClassesOf(const std::string& service) const;
+
+  /// Active classes of all services.
+  const std::map<std::string, admission::PriorityClasses>& Classes() const {
+    return this->classes;
+  }
+
+  /// Services in which requests lacked capacity lately.
+  admission::CapacityShortage& Shortages() { return this->shortages; }
+
   /// Finds a path for the query without workers in cooldown; fails with the
   /// reason why there is none.
   Result<placement::ChosenPath, placement::NoPathReason> FindPath(
@@ -215,6 +228,8 @@
   RoutingStateSettings settings;
   std::shared_ptr<const routing::RouteTable> table;
   std::optional<Instant> config_confirmed;  ///< null until known
+  std::map<std::string, admission::PriorityClasses> classes;  ///< by service
+  admission::CapacityShortage shortages;
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -452,13 +452,58 @@
     query.avoided =
         this->dependencies.crashes->WorkersOfOtherSuspects(this->stream.run);
     query.max_send_wait = this->MaxWaitToSend();
+    if (this->context.priority_class) {
+      query.added_delay_weight =
+          this->context.priority_class->added_delay_weight;
+    }
     return query;
   }
 
   Result<placement::ChosenPath, NoPathReason> FindPath() {
-    return this->dependencies.routing_state->FindPath(
-        this->context.service, this->model, this->Query(),
+    RoutingState& routing_state = *this->dependencies.routing_state;
+    const Instant now = this->dependencies.runtime->Now();
+    placement::PathQuery query = this->Query();
+    if (this->BoundedByClass()) {
+      query.max_utilisation = this->context.priority_class->max_utilisation;
+      auto found = routing_state.FindPath(this->context.service, this->model,
+                                          query, now);
+      if (found.has_value() || found.error() != NoPathReason::kNoCapacity ||
+          routing_state.Shortages().ShortFor(this->context.service,
+                                             this->context.priority, now)) {
+        return found;
+      }
+      // No more urgent request needs the headroom.
+      query.max_utilisation.reset();
+      found = routing_state.FindPath(this->context.service, this->model, query,
+                                     now);
+      if (found.has_value()) {
+        this->dependencies.metrics->Increment(
+            "chervil_class_headroom_lent_total",
+            fmt::format("priority=\"{}\"", this->context.priority));
+      }
+      return found;
+    }
+    return routing_state.FindPath(this->context.service, this->model, query,
+                                  now);
+  }
+
+  // A request that may have run must be completed: its run is not given up in
+  // favour of others.
+  bool BoundedByClass() const {
+    return this->context.priority_class && !this->stream_begun &&
+           this->policy.Executed() == Executed::kNo &&
+           !this->dependencies.routing_state->ClassesOf(this->context.service)
+                .MostUrgent(this->context.priority);
+  }
+
+  // Lets less urgent requests leave headroom.
+  void RecordShortage() const {
+    this->dependencies.routing_state->Shortages().OnRefused(
+        this->context.service, this->context.priority,
         this->dependencies.runtime->Now());
+    this->dependencies.metrics->Increment(
+        "chervil_capacity_refusals_total",
+        fmt::format("priority=\"{}\"", this->context.priority));
   }
 
   Duration MaxWaitToSend() const {
@@ -826,6 +871,9 @@
       this->context.exchange->Abort();
       return this->MakeResult(0, "broken", detail);
     }
+    if (no_capacity) {
+      this->RecordShortage();
+    }
     if (this->policy.Executed() != Executed::kNo) {
       return Refuse(this->context, RefusalCode::kBackendFailed,
                     Executed::kUnknown, Duration::zero(), detail,
@@ -869,6 +917,9 @@
       return this->MakeResult(result.response.status, "failed", result.detail);
     }
     if (decision == RetryDecision::kRefuse) {
+      if (result.outcome == SendOutcome::kNotExecuted) {
+        this->RecordShortage();
+      }
       return this->Refused(RefusalCode::kNoBackend, kRetryAfterNoCapacity,
                            result.detail);
     }
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -102,6 +102,7 @@
   metadata.time_left = request.time_left;
   metadata.last_event_id = request.last_event_id;
   metadata.path = request.path;
+  metadata.urgency = UrgencyOf(*request.context);
   const WallTime started = dependencies.routing_state->StartedOf(first);
   if (auto sent =
           call->Send(platform::ForwardedRequest(*request.request, metadata),
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -592,6 +592,7 @@
   void OnConfigChanged() {
     const auto table = this->routing_state.Table();
     this->peers->SetConfigVersion(table->Version());
+    this->LogPriorityClasses();
     const routing::CallerLimits& limits = table->Limits();
     io::HttpServerLimits server_limits;
     server_limits.header_bytes = limits.header_bytes;
@@ -607,6 +608,19 @@
     }
   }
 
+  // One line for each service whose requests have different priorities.
+  void LogPriorityClasses() {
+    for (const auto& [service, classes] : this->routing_state.Classes()) {
+      if (this->logged_classes[service] == classes) {
+        continue;
+      }
+      this->log.Info("priority.classes",
+                     {{"service", service},
+                      {"classes", admission::DescribeClasses(classes)}});
+    }
+    this->logged_classes = this->routing_state.Classes();
+  }
+
   void OnPeerStrike(const quarantine::Strike& strike) {
     const WallTime now = this->runtime.WallNow();
     quarantine::StrikeTracker& tracker = this->routing_state.Strikes();
@@ -938,6 +952,7 @@
   WallTime stop_ordered;   // by the latest order
   WallTime announced_end;  // of its grace period, to the next process
   std::set<memory::Owner> short_owners;
+  std::map<std::string, admission::PriorityClasses> logged_classes;
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
   std::unique_ptr<platform::StoreClient> store;
--- /dev/null
+++ b/unit_tests/priorities_test.cc
@@ -0,0 +1,215 @@
+// Tests of what sets requests of different priorities and organisations apart.
+#include <criterion/criterion.h>
+
+#include <cmath>
+
+#include "chervilpass/admission/capacity_shortage.h"
+#include "chervilpass/admission/priority_classes.h"
+#include "chervilpass/placement/stage_cost.h"
+
+using namespace chervilpass;
+using namespace chervilpass::admission;
+
+namespace {
+
+routing::Route MakeRoute(const std::string& name, std::uint32_t priority) {
+  routing::Route route;
+  route.name = name;
+  route.host = name;
+  route.path_prefix = "/";
+  route.priority = priority;
+  route.shares = {{"chat", 1}};
+  return route;
+}
+
+routing::RouteTableData TableData(
+    const std::vector<std::uint32_t>& priorities) {
+  routing::RouteTableData data;
+  data.version = 1;
+  data.services.push_back({"chat", "/", 1, std::nullopt});
+  for (const std::uint32_t priority : priorities) {
+    data.routes.push_back(
+        MakeRoute("route" + std::to_string(data.routes.size()), priority));
+  }
+  return data;
+}
+
+PriorityClasses ClassesOf(const routing::RouteTableData& data) {
+  return PriorityClasses(
+      PrioritiesOf(*routing::RouteTable::Create(data), "chat"));
+}
+
+placement::ModelProfile Model() {
+  placement::ModelProfile model;
+  model.layers = 80;
+  model.layer_mb = 1750;
+  model.kv_bytes_per_token = 426000;
+  model.step_time = microseconds(850);
+  model.step_per_sequence = microseconds(3);
+  model.step_per_1000_context_tokens = microseconds(4);
+  model.prefill_tokens_per_second = 272000;
+  model.batch_limit = 192;
+  model.typical_prompt_tokens = 772;
+  model.typical_answer_tokens = 145;
+  model.accelerator_kinds["middle"] = {21600, 16, 8.2};
+  return model;
+}
+
+placement::PathCandidate Worker(const placement::ModelProfile& model,
+                                double sequences) {
+  placement::PathCandidate worker;
+  worker.worker = "w";
+  worker.layers = {0, 10};
+  worker.kind = model.accelerator_kinds.at("middle");
+  worker.load.sequences = sequences;
+  worker.load.context_tokens = sequences * 813;
+  return worker;
+}
+
+}  // namespace
+
+// Guards against a change for deployments whose requests all have one priority.
+Test(priority_classes, one_priority_changes_nothing) {
+  const PriorityClasses classes = ClassesOf(TableData({2, 2, 2}));
+  cr_assert(!classes.Active());
+  cr_assert(!classes.Of(2).has_value());
+  cr_assert(classes.MostUrgent(2));
+  cr_assert(!PriorityClasses().Of(0).has_value());
+}
+
+// Load: three kinds of streams on one service; the most urgent kind earned the
+// smallest share of its credit.
+Test(priority_classes, less_urgent_requests_leave_headroom) {
+  const PriorityClasses classes = ClassesOf(TableData({1, 0, 2}));
+  cr_assert(classes.Active());
+  const auto first = *classes.Of(0);
+  const auto middle = *classes.Of(1);
+  const auto last = *classes.Of(2);
+  cr_assert_eq(first.urgency, 0);
+  cr_assert_eq(last.urgency, 9);
+  cr_assert_float_eq(first.max_utilisation, 0.95, 1e-12);
+  cr_assert_float_eq(middle.max_utilisation, 0.9, 1e-12);
+  cr_assert_float_eq(last.max_utilisation, 0.85, 1e-12);
+  cr_assert_float_eq(first.added_delay_weight, 0.5, 1e-12);
+  cr_assert_float_eq(middle.added_delay_weight, 1, 1e-12);
+  cr_assert_float_eq(last.added_delay_weight, 2, 1e-12);
+  cr_assert(classes.MostUrgent(0) && !classes.MostUrgent(1));
+}
+
+// Load: many priorities; none may be left without capacity.
+Test(priority_classes, many_priorities_stay_within_the_bounds) {
+  std::vector<std::uint32_t> priorities;
+  for (std::uint32_t i = 0; i < 30; ++i) {
+    priorities.push_back(7 * i);
+  }
+  const PriorityClasses classes = ClassesOf(TableData(priorities));
+  double utilisation = 1;
+  double weight = 0;
+  std::uint32_t urgency = 0;
+  for (const auto& [priority, found] : classes.All()) {
+    cr_assert(found.urgency >= urgency && found.urgency <= 9);
+    cr_assert(found.max_utilisation < utilisation &&
+              found.max_utilisation >= 0.8 - 1e-12);
+    cr_assert(found.added_delay_weight > weight &&
+              found.added_delay_weight <= 2 + 1e-12);
+    urgency = found.urgency;
+    utilisation = found.max_utilisation;
+    weight = found.added_delay_weight;
+  }
+  // Received under another configuration.
+  cr_assert(classes.Of(8) == classes.Of(14));
+  cr_assert(classes.Of(1000) == classes.Of(7 * 29));
+}
+
+// Guards against classes of priorities that no request has: an organisation's
+// priority takes precedence, and unused shares and keys do not count.
+Test(priority_classes, priorities_are_those_of_possible_requests) {
+  auto data = TableData({1, 3});
+  data.keys_required = true;
+  data.organisations = {
+      {"a", {"k1"}, 2}, {"b", {"k2"}, 2}, {"without keys", {}, 0}};
+  cr_assert(!ClassesOf(data).Active());
+  data.organisations.push_back({"c", {"k3"}, std::nullopt});
+  cr_assert(PrioritiesOf(*routing::RouteTable::Create(data), "chat") ==
+            (std::set<std::uint32_t>{1, 2, 3}));
+  data.organisations.pop_back();
+  data.routes[1].open = true;
+  cr_assert(PrioritiesOf(*routing::RouteTable::Create(data), "chat") ==
+            (std::set<std::uint32_t>{2, 3}));
+  data.routes[1].shares = {{"chat", 0}, {"other", 1}};
+  cr_assert(!ClassesOf(data).Active());
+  cr_assert(ActiveClasses(*routing::RouteTable::Create(data)).empty());
+}
+
+// Load: a burst that is over. The least urgent requests get all free capacity
+// again a second later.
+Test(capacity_shortage, ends_after_its_lifetime_and_for_less_urgent_only) {
+  CapacityShortage shortage;
+  const Instant start{};
+  shortage.OnRefused("chat", 1, start);
+  cr_assert(shortage.ShortFor("chat", 2, start + milliseconds(900)));
+  cr_assert(!shortage.ShortFor("chat", 1, start));
+  cr_assert(!shortage.ShortFor("chat", 0, start));
+  cr_assert(!shortage.ShortFor("other", 2, start));
+  cr_assert(!shortage.ShortFor("chat", 2, start + seconds(1)));
+  shortage.Expire(start + seconds(1));
+  cr_assert(!shortage.ShortFor("chat", 2, start));
+}
+
+// Guards against another choice of paths while classes are inactive: the cost
+// is the one of the earlier formula, bit for bit.
+Test(stage_cost, without_classes_the_cost_is_as_before) {
+  const placement::ModelProfile model = Model();
+  const placement::PathChooserSettings settings;
+  placement::PathQuery query;
+  query.layers = {0, 80};
+  for (double sequences = 0; sequences < 190; sequences += 0.37) {
+    query.prompt_tokens = 100 + 13.7 * sequences;
+    query.answer_tokens = 145 + 0.3 * sequences;
+    const auto worker = Worker(model, sequences);
+    const double tokens = query.prompt_tokens + query.answer_tokens;
+    const double step =
+        ToSeconds(model.step_time) +
+        ToSeconds(model.step_per_sequence) * (1 + 2 * sequences) +
+        ToSeconds(model.step_per_1000_context_tokens) / 1000 *
+            (tokens * (1 + sequences) + worker.load.context_tokens);
+    const double decode = query.answer_tokens *
+                          (1 + 0.5 * std::min(1.0, sequences / 8)) *
+                          worker.kind.step_factor * step;
+    const double service =
+        decode + query.prompt_tokens * (worker.kind.prefill_factor /
+                                        model.prefill_tokens_per_second);
+    const double expected = 10.0 / 80 * 1 * service * 1 +
+                            query.answer_tokens * ToSeconds(settings.hop_delay);
+    const placement::StageCost cost(model, query, settings, true);
+    cr_assert_eq(cost.Seconds(worker, 10, false), expected);
+  }
+}
+
+// Load: workers fuller than the bound of a less urgent class.
+Test(stage_cost, bound_and_weight_follow_the_query) {
+  const placement::ModelProfile model = Model();
+  const placement::PathChooserSettings settings;
+  placement::PathQuery query;
+  query.layers = {0, 80};
+  query.prompt_tokens = 700;
+  query.answer_tokens = 145;
+  const auto nearly_full = Worker(model, 0.9 * model.batch_limit);
+  const auto seconds = [&](const placement::PathCandidate& worker) {
+    return placement::StageCost(model, query, settings, true)
+        .Seconds(worker, 10, true);
+  };
+  cr_assert(std::isfinite(seconds(nearly_full)));
+  query.max_utilisation = 0.85;
+  cr_assert_eq(seconds(nearly_full), placement::kNoCapacityCost);
+  query.max_utilisation.reset();
+  const double even = seconds(nearly_full);
+  query.added_delay_weight = 0.5;
+  cr_assert_lt(seconds(nearly_full), even);
+  query.added_delay_weight = 2;
+  cr_assert_gt(seconds(nearly_full), even);
+  // An idle worker has nobody to delay.
+  const double idle = seconds(Worker(model, 0));
+  query.added_delay_weight = 1;
+  cr_assert_eq(seconds(Worker(model, 0)), idle);
+}
