--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -13,6 +13,7 @@
 #include "chervilpass/config/table_csv.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/rpc/control_rpc.h"
+#include "programs/ctl/log_report.h"
 
 namespace chervilpass {
 namespace {
@@ -34,6 +35,7 @@
   organisation key NAME           create another key; prints it once
   organisation revoke NAME        revoke all keys of an organisation
   explain REQUEST LOG...          print the lines of a request from log files
+  report LOG...                   count requests by kind from log files (JSON)
 )";
 
 using Arguments = std::vector<std::string>;
@@ -386,6 +388,11 @@
   if (arguments.front() == "explain") {
     return Explain(arguments);
   }
+  if (arguments.front() == "report") {
+    return arguments.size() < 2
+               ? BadUsage("report LOG...")
+               : ctl::Report({arguments.begin() + 1, arguments.end()});
+  }
   const auto address = io::Endpoint::Parse(address_text);
   if (!address) {
     return BadUsage("--control: IP:PORT is expected");
