Loads are corrected by refusals, stated counts and growth; notices of full workers

With limits.load_correction (off by default) a refusal for lack of capacity raises the estimate to the capacity for a decaying time, the count that a worker states replaces an older gossiped one, and the growth of peers' loads since their last datagram is extrapolated, within bounds.

The effect on the share of sends that come back not run has not been measured.

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -44,6 +44,7 @@
                  this->settings.self,
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
                  runtime->Now()),
+        full_workers(this->settings.full_workers, runtime->Now()),
         change_log_rate(kChangeLogRate, kChangeLogBurst, runtime->Now()) {}
 
   static EntryRegistrationSettings RegistrationSettings(
@@ -68,11 +69,7 @@
       const std::string datagram = this->socket->Receive();
       const auto message = rpc::DecodeGossip(datagram);
       if (message && message->kind == membership::MessageKind::kLoads) {
-        this->events.loads(message->from,
-                           message->loads_of_data_centre
-                               ? LoadScope::kDataCentre
-                               : LoadScope::kVm,
-                           message->loads);
+        this->OnLoads(*message);
       } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
@@ -81,6 +78,55 @@
     }
   }
 
+  // A message that carries notices only says nothing about loads.
+  void OnLoads(const membership::GossipMessage& message) {
+    if (!message.loads.empty() || message.full_workers.empty()) {
+      this->events.loads(message.from,
+                         message.loads_of_data_centre ? LoadScope::kDataCentre
+                                                      : LoadScope::kVm,
+                         message.loads);
+    }
+    const auto applied = this->full_workers.OnReceived(message.full_workers,
+                                                       this->runtime->Now());
+    if (!applied.empty()) {
+      this->metrics->Increment("chervil_full_worker_notices_applied_total", "",
+                               applied.size());
+      this->events.full_workers(message.from, applied);
+    }
+  }
+
+  // Builds that do not know notices take the message for this VM's loads, so
+  // it carries them as well.
+  void BroadcastFull(std::uint32_t worker, Duration left) {
+    const Instant now = this->runtime->Now();
+    if (!this->full_workers.OnRefused(worker, left, now)) {
+      this->metrics->Increment("chervil_full_worker_notices_withheld_total");
+      return;
+    }
+    this->metrics->Increment("chervil_full_worker_notices_sent_total");
+    std::vector<Member> receivers;
+    for (const Member& member : this->detector.Members()) {
+      if (member.vm != this->settings.self.vm &&
+          member.data_centre == this->settings.self.data_centre &&
+          member.status != Status::kDead) {
+        receivers.push_back(member);
+      }
+    }
+    if (receivers.empty()) {
+      return;
+    }
+    const std::string datagram = this->EncodeLoads(LoadScope::kVm);
+    const std::size_t taken = this->full_workers.TakeReceivers(
+        receivers.size(), datagram.size(), now);
+    this->metrics->Increment("chervil_full_worker_datagrams_unsent_total", "",
+                             receivers.size() - taken);
+    for (std::size_t i = 0; i < taken; ++i) {
+      const Member& peer =
+          receivers[this->next_notice_receiver++ % receivers.size()];
+      this->socket->Send({peer.ip, peer.gossip_port}, datagram);
+    }
+  }
+
   void LoadLoop() {
     LoadGossipSchedule schedule(this->settings.loads,
                                 HashText(this->settings.self.vm));
@@ -103,12 +149,13 @@
     }
   }
 
-  std::string EncodeLoads(LoadScope scope) const {
+  std::string EncodeLoads(LoadScope scope) {
     membership::GossipMessage message;
     message.kind = membership::MessageKind::kLoads;
     message.from = this->settings.self.vm;
     message.loads = this->events.collect_loads(scope);
     message.loads_of_data_centre = scope == LoadScope::kDataCentre;
+    message.full_workers = this->full_workers.InForce(this->runtime->Now());
     return rpc::EncodeGossip(message);
   }
 
@@ -273,6 +320,8 @@
   membership::Detector detector;
   membership::GossipMessage last_message;  ///< encoded in `last_datagram`
   std::string last_datagram;
+  FullWorkerNotices full_workers;
+  std::size_t next_notice_receiver = 0;
   TokenBucket change_log_rate;
   std::uint64_t unlogged_changes = 0;  ///< since the last line
   std::size_t max_alive = 1;
@@ -359,6 +408,10 @@
       {backend, started, this->state->runtime->WallNow()}));
 }
 
+void PeerGroup::BroadcastFull(std::uint32_t worker, Duration left) {
+  this->state->BroadcastFull(worker, left);
+}
+
 const std::vector<Member>& PeerGroup::Members() const {
   return this->state->detector.Members();
 }
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -11,6 +11,7 @@
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/fleet/entry_registration.h"
+#include "chervilpass/fleet/full_worker_notices.h"
 #include "chervilpass/fleet/load_gossip_schedule.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/udp_socket.h"
@@ -27,6 +28,7 @@
   Duration seed_period = seconds(1);   ///< between pings to unknown seeds
   Duration list_period = seconds(60);  ///< between reads of the store's list
   LoadGossipScheduleSettings loads;
+  FullWorkerNoticesSettings full_workers;
   /// Longest time for which requests are held back after a stop of an earlier
   /// process; zero: they are not.
   Duration max_hold{0};
@@ -51,6 +53,10 @@
                      LoadScope scope,
                      const std::vector<membership::WorkerLoadNotice>&)>
       loads;
+  /// Another VM reports full workers that were not known to be full.
+  std::function<void(const std::string& peer,
+                     const std::vector<membership::FullWorkerNotice>&)>
+      full_workers;
   /// Returns the loads of this VM, or the known sums of its data centre.
   std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
       collect_loads;
@@ -91,6 +97,11 @@
   void BroadcastRefusing(const std::string& backend);
   void BroadcastDeparture(const std::string& backend, WallTime started);
 
+  /// Tells the VMs of this data centre at once, and other VMs with the next
+  /// loads, that a worker has refused a request for lack of capacity and should
+  /// get none for `left`. Not sent if they know, see FullWorkerNotices.
+  void BroadcastFull(std::uint32_t worker, Duration left);
+
   /// All known members, this VM first, dead ones included. The reference stays
   /// valid; its contents change while a fiber waits.
   const std::vector<membership::Member>& Members() const;
--- a/chervilpass/placement/load_tracker.cc
+++ b/chervilpass/placement/load_tracker.cc
@@ -64,9 +64,7 @@
                                     const std::string& data_centre,
                                     std::uint32_t running,
                                     Instant now) {
-  const auto found = this->records.find(worker);
-  const double local =
-      found == this->records.end() ? 0 : found->second.first_stage_requests;
+  const double local = this->LocalFirstStageRequests(worker);
   std::erase_if(this->reported, [now](const auto& entry) {
     return now - entry.second.at > kReportedLifetime;
   });
@@ -78,6 +76,11 @@
   return found == this->records.end() ? WorkerLoad{} : found->second.load;
 }
 
+double LoadTracker::LocalFirstStageRequests(const std::string& worker) const {
+  const auto found = this->records.find(worker);
+  return found == this->records.end() ? 0 : found->second.first_stage_requests;
+}
+
 std::uint32_t WorkerKey(const std::string& worker) {
   return static_cast<std::uint32_t>(HashText(worker));
 }
@@ -122,17 +125,22 @@
   return totals;
 }
 
-void LoadTracker::AddPeerLoads(LoadsByKey* totals, Instant now) const {
+double LoadTracker::PeerScale(Instant now) const {
   const auto recent_peers = std::count_if(
       this->peers.begin(), this->peers.end(), [now](const auto& entry) {
         return now - entry.second.at <= kPeerLoadLifetime;
       });
-  if (recent_peers == 0) {
+  return recent_peers == 0
+             ? 0
+             : std::max(1.0, static_cast<double>(this->data_centre_peer_count) /
+                                 static_cast<double>(recent_peers));
+}
+
+void LoadTracker::AddPeerLoads(LoadsByKey* totals, Instant now) const {
+  const double scale = this->PeerScale(now);
+  if (scale == 0) {
     return;
   }
-  const double scale =
-      std::max(1.0, static_cast<double>(this->data_centre_peer_count) /
-                        static_cast<double>(recent_peers));
   for (const auto& [peer, received] : this->peers) {
     if (now - received.at <= kPeerLoadLifetime) {
       AddLoads(received.loads, scale, totals);
--- a/chervilpass/placement/load_tracker.h
+++ b/chervilpass/placement/load_tracker.h
@@ -48,6 +48,9 @@
   /// Returns this entry's load on a worker; zero if it has none.
   WorkerLoad LocalLoad(const std::string& worker) const;
 
+  /// Returns the number of this entry's requests whose path begins at a worker.
+  double LocalFirstStageRequests(const std::string& worker) const;
+
   /// Returns this entry's loads on all workers that it uses.
   LoadsByKey LocalLoadsByKey() const;
 
@@ -72,6 +75,10 @@
   /// Returns the known load of all other entries.
   LoadsByKey TotalsExcludingLocal(Instant now) const;
 
+  /// Returns the number of this data centre's peers for each one whose loads
+  /// are recent; 0 if there are none.
+  double PeerScale(Instant now) const;
+
   /// True if the loads of any other entry or data centre are recent.
   bool HasRecentPeerLoads(Instant now) const;
 
--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -85,6 +85,25 @@
     return found != this->records.end() && found->second.full.consecutive > 1;
   }
 
+  /// Another VM has found the worker full: starts or extends its cooldown for
+  /// `length`, at most max_full_cooldown. Does not count as a refusal.
+  void OnFullElsewhere(const std::string& incarnation,
+                       Duration length,
+                       Instant now) {
+    Cooldown& full = this->records[incarnation].full;
+    full.until = std::max(
+        full.until, now + std::min(length, this->settings.max_full_cooldown));
+  }
+
+  /// Time until the cooldown for lack of capacity ends; zero if there is none.
+  Duration FullLeft(const std::string& incarnation, Instant now) const {
+    const auto found = this->records.find(incarnation);
+    return found == this->records.end()
+               ? Duration::zero()
+               : std::max(Duration::zero(),
+                          Duration(found->second.full.until - now));
+  }
+
   /// Ends the cooldowns after refusals: the worker holds other layers now, so
   /// earlier refusals do not apply.
   void ClearRefusals(const std::string& incarnation) {
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -43,6 +43,9 @@
   std::function<void(const std::string& worker)> report_unreachable;
   /// Reports to peers a worker that refuses new work although it has capacity.
   std::function<void(const std::string& worker)> report_refusing;
+  /// Reports to peers that a worker has refused a request for lack of capacity;
+  /// may be empty.
+  std::function<void(const std::string& worker)> report_full;
   /// Reports to peers that a start of a worker has said that it leaves.
   std::function<void(const std::string& worker, WallTime started)>
       report_departure;
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -91,11 +91,51 @@
                                  const placement::ModelProfile& model,
                                  Instant now) {
   this->StartCooldown(worker, routing::CooldownReason::kFull, now);
+  if (this->settings.load_correction) {
+    this->correction.OnFull(placement::WorkerKey(worker), now);
+  }
   return this->cooldowns.RefusedRepeatedly(this->Incarnation(worker)) &&
          !this->LooksFull(worker, model, now) &&
          this->StartCooldown(worker, routing::CooldownReason::kRefusing, now);
 }
 
+void RoutingState::RecordStatedLoad(const std::string& worker,
+                                    std::uint32_t running,
+                                    std::uint32_t waiting,
+                                    Instant now) {
+  const routing::BackendServer* server = this->servers.Find(worker);
+  if (server == nullptr) {
+    return;
+  }
+  this->loads.OnReportedRunning(server->id, server->data_centre, running, now);
+  if (this->settings.load_correction) {
+    this->correction.OnStated(placement::WorkerKey(worker),
+                              static_cast<double>(running) + waiting,
+                              this->loads.LocalFirstStageRequests(worker), now);
+  }
+}
+
+void RoutingState::OnPeerLoads(const std::string& peer,
+                               placement::LoadsByKey peer_loads,
+                               Instant now) {
+  if (this->settings.load_correction) {
+    this->correction.OnPeerLoads(peer, peer_loads, now);
+  }
+  this->loads.OnPeerLoads(peer, std::move(peer_loads), now);
+}
+
+Duration RoutingState::FullCooldownLeft(const std::string& worker,
+                                        Instant now) const {
+  return this->cooldowns.FullLeft(this->Incarnation(worker), now);
+}
+
+void RoutingState::OnFullNotice(const std::string& worker,
+                                Duration left,
+                                Instant now) {
+  this->cooldowns.OnFullElsewhere(this->Incarnation(worker), left, now);
+  this->correction.OnFull(placement::WorkerKey(worker), now);
+}
+
 bool RoutingState::LooksFull(const std::string& worker,
                              const placement::ModelProfile& model,
                              Instant now) const {
@@ -289,6 +329,7 @@
       candidate.load.context_tokens +=
           peer_total->second.kv_token_layers / candidate.layers.Size();
     }
+    this->CorrectLoads(model, now, &candidates);
     return candidates;
   }
   // Without recent reports, requests of other entry VMs are assumed to be
@@ -305,9 +346,36 @@
     candidate.load.kv_token_layers +=
         peer_requests * typical_tokens * candidate.layers.Size();
   }
+  this->CorrectLoads(model, now, &candidates);
   return candidates;
 }
 
+void RoutingState::CorrectLoads(
+    const placement::ModelProfile& model,
+    Instant now,
+    std::vector<placement::PathCandidate>* candidates) const {
+  if (!this->settings.load_correction) {
+    return;
+  }
+  const double peer_scale = this->loads.PeerScale(now);
+  for (placement::PathCandidate& candidate : *candidates) {
+    placement::CorrectedWorker worker;
+    worker.key = placement::WorkerKey(candidate.worker);
+    worker.first_stage = candidate.layers.from == 0;
+    worker.layers = candidate.layers.Size();
+    worker.slots = model.batch_limit;
+    worker.kv_capacity =
+        model.KvCapacityTokenLayers(candidate.kind, candidate.layers.Size());
+    worker.typical_tokens =
+        model.typical_prompt_tokens + model.typical_answer_tokens / 2.0;
+    candidate.load = this->correction.Correct(
+        worker, candidate.load,
+        {this->loads.LocalLoad(candidate.worker),
+         this->loads.LocalFirstStageRequests(candidate.worker)},
+        peer_scale, now);
+  }
+}
+
 Result<placement::ChosenPath, placement::NoPathReason> RoutingState::FindPath(
     const std::string& service,
     const placement::ModelProfile& model,
@@ -388,6 +456,7 @@
 void RoutingState::Expire(Instant now, WallTime wall) {
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
+  this->correction.Expire(now);
   this->rests.Expire(now);
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -12,6 +12,7 @@
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/core/random.h"
+#include "chervilpass/placement/load_correction.h"
 #include "chervilpass/placement/load_tracker.h"
 #include "chervilpass/placement/path_chooser.h"
 #include "chervilpass/quarantine/prompt_part_evidence.h"
@@ -39,6 +40,8 @@
   quarantine::PromptPartEvidenceSettings prompt_parts;
   /// True if strikes are restored from the store after the start.
   bool strikes_are_stored = false;
+  /// True if estimates of loads are corrected and full workers are announced.
+  bool load_correction = false;
 
   bool operator==(const RoutingStateSettings&) const = default;
 };
@@ -111,6 +114,26 @@
                      const placement::ModelProfile& model,
                      Instant now);
 
+  /// Records the number of requests, from all VMs, that a worker states with a
+  /// response: those whose path begins there.
+  void RecordStatedLoad(const std::string& worker,
+                        std::uint32_t running,
+                        std::uint32_t waiting,
+                        Instant now);
+
+  /// Records the loads received from another VM of this data centre.
+  void OnPeerLoads(const std::string& peer,
+                   placement::LoadsByKey peer_loads,
+                   Instant now);
+
+  /// Time until the cooldown of a worker for lack of capacity ends; zero if
+  /// there is none.
+  Duration FullCooldownLeft(const std::string& worker, Instant now) const;
+
+  /// Another VM reports that a worker has refused a request for lack of
+  /// capacity and should get none for `left`.
+  void OnFullNotice(const std::string& worker, Duration left, Instant now);
+
   /// A worker holds other layers than before: clears its earlier refusals.
   void OnLayersChanged(const std::string& worker);
 
@@ -179,6 +202,9 @@
   routing::ServerRegistry& Servers() { return this->servers; }
   const routing::ServerRegistry& Servers() const { return this->servers; }
   placement::LoadTracker& Loads() { return this->loads; }
+  const placement::LoadCorrection& Correction() const {
+    return this->correction;
+  }
   std::map<std::string, ServerLoad>& ServerLoads() {
     return this->server_loads;
   }
@@ -206,6 +232,11 @@
   // Id and start time of the worker: a restarted worker has no cooldowns.
   std::string Incarnation(const std::string& worker) const;
 
+  // Corrects the loads of candidates, if the settings say so.
+  void CorrectLoads(const placement::ModelProfile& model,
+                    Instant now,
+                    std::vector<placement::PathCandidate>* candidates) const;
+
   // True if the worker is nearly full by the loads of this VM and those that
   // other entry VMs report.
   bool LooksFull(const std::string& worker,
@@ -220,6 +251,7 @@
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
   routing::RestTracker rests;
   placement::LoadTracker loads;
+  placement::LoadCorrection correction{placement::LoadCorrectionSettings{}};
   /// Times of recent refusals because of rate limits, by service.
   std::map<std::string, std::deque<Instant>> rate_limit_refusals;
   std::size_t fleet_size = 1;
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -35,21 +35,24 @@
   if (status == 421) {
     dependencies.routing_state->StartCooldown(
         worker, routing::CooldownReason::kNotHolding, now);
-  } else if (dependencies.routing_state->RecordRefusal(worker, model, now)) {
+    return;
+  }
+  if (dependencies.routing_state->RecordRefusal(worker, model, now)) {
     dependencies.log->Info("worker.refusing",
                            {{"worker", worker}, {"status", status}});
     dependencies.report_refusing(worker);
   }
+  if (dependencies.report_full) {
+    dependencies.report_full(worker);
+  }
 }
 
 void RecordLoad(const RouterDependencies& dependencies,
                 const std::string& worker,
                 const std::optional<ReportedLoad>& load) {
-  const auto* server = dependencies.routing_state->Servers().Find(worker);
-  if (load && server != nullptr) {
-    dependencies.routing_state->Loads().OnReportedRunning(
-        server->id, server->data_centre, load->running,
-        dependencies.runtime->Now());
+  if (load) {
+    dependencies.routing_state->RecordStatedLoad(
+        worker, load->running, load->waiting, dependencies.runtime->Now());
   }
 }
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -24,6 +24,7 @@
 #include "chervilpass/serving/link_monitor.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
+#include "programs/router/load_report.h"
 #include "programs/router/settings.h"
 #include "programs/router/shutdown_sequence.h"
 
@@ -108,8 +109,12 @@
         budget(memory::DivideMemory(this->settings.memory_mb * kBytesPerMb)),
         boot_id(BootId(runtime)),
         routing_state(this->RoutingSettings(),
-                      HashCombine(HashText(this->settings.ip), this->boot_id)) {
-  }
+                      HashCombine(HashText(this->settings.ip), this->boot_id)),
+        load_report(&this->routing_state,
+                    &this->metrics,
+                    &this->log,
+                    {},
+                    runtime.Now()) {}
 
   int Run() {
     this->runtime.LogTo(&this->log);
@@ -144,6 +149,7 @@
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
+    routing.load_correction = this->settings.load_correction;
     return routing;
   }
 
@@ -170,6 +176,7 @@
     group.seed_ips = this->settings.seed_ips;
     std::erase(group.seed_ips, this->settings.ip);
     group.detector = fleet::RouterDetectorSettings();
+    group.full_workers.enabled = this->settings.load_correction;
     if (this->settings.whole_grace) {
       group.max_hold = this->settings.shutdown_grace;
     }
@@ -201,6 +208,9 @@
                           const auto& notices) {
       this->OnPeerLoads(peer, scope, notices);
     };
+    events.full_workers = [this](const std::string& peer, const auto& notices) {
+      this->OnFullWorkers(peer, notices);
+    };
     events.collect_loads = [this](fleet::LoadScope scope) {
       return this->CollectLoads(scope);
     };
@@ -299,6 +309,13 @@
     dependencies.report_refusing = [this](const std::string& worker) {
       this->peers->BroadcastRefusing(worker);
     };
+    if (this->settings.load_correction) {
+      dependencies.report_full = [this](const std::string& worker) {
+        this->peers->BroadcastFull(
+            placement::WorkerKey(worker),
+            this->routing_state.FullCooldownLeft(worker, this->runtime.Now()));
+      };
+    }
     dependencies.report_departure = [this](const std::string& worker,
                                            WallTime started) {
       this->peers->BroadcastDeparture(worker, started);
@@ -447,6 +464,7 @@
                       static_cast<double>(this->http->ConnectionsMade()));
     this->ExportConnectionCounts();
     this->ExportConfigAge();
+    this->load_report.Export(this->runtime.Now());
     this->ExportMemory();
     this->metrics.Set("chervil_members_alive", "",
                       static_cast<double>(this->peers->AliveCount()));
@@ -665,13 +683,32 @@
     }
     placement::LoadTracker& tracker = this->routing_state.Loads();
     if (scope == fleet::LoadScope::kVm) {
-      tracker.OnPeerLoads(peer, std::move(loads), this->runtime.Now());
+      this->routing_state.OnPeerLoads(peer, std::move(loads),
+                                      this->runtime.Now());
     } else if (const auto data_centre = this->DataCentreOf(peer)) {
       tracker.OnDataCentreLoads(*data_centre, std::move(loads),
                                 this->runtime.Now());
     }
   }
 
+  void OnFullWorkers(const std::string& peer,
+                     const std::vector<membership::FullWorkerNotice>& notices) {
+    std::map<std::uint32_t, Duration> left_by_key;
+    for (const membership::FullWorkerNotice& notice : notices) {
+      left_by_key[notice.worker] = milliseconds(notice.milliseconds);
+    }
+    const Instant now = this->runtime.Now();
+    for (const routing::BackendServer* server :
+         this->routing_state.Servers().All()) {
+      const auto found = left_by_key.find(placement::WorkerKey(server->id));
+      if (found == left_by_key.end()) {
+        continue;
+      }
+      this->routing_state.OnFullNotice(server->id, found->second, now);
+      this->load_report.OnFullLearned(server->id, peer, found->second, now);
+    }
+  }
+
   void RecordRateLimits(
       const std::vector<membership::WorkerLoadNotice>& notices) {
     std::map<std::uint32_t, const membership::WorkerLoadNotice*> by_worker;
@@ -815,6 +852,7 @@
           this->ReserveFor(this->peers->MaxAlive()));
       this->LogConnections();
       this->LogMemory();
+      this->load_report.LogChanges(this->runtime.Now());
       if (this->Ready() != was_ready) {
         was_ready = this->Ready();
         this->log.Info("router.ready", {{"ready", was_ready}});
@@ -940,6 +978,7 @@
   std::set<memory::Owner> short_owners;
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
+  LoadReport load_report;
   std::unique_ptr<platform::StoreClient> store;
   std::unique_ptr<io::HttpClient> http;
   std::unique_ptr<fleet::PeerGroup> peers;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -37,6 +37,8 @@
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
   /// One of this many requests that were served in time has a log line.
   std::uint32_t served_requests_per_log_line = 0;
+  /// Estimates of loads are corrected, and full workers are announced.
+  bool load_correction = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
--- a/unit_tests/codec_test.cc
+++ b/unit_tests/codec_test.cc
@@ -1,5 +1,9 @@
 // Tests of the gossip codec.
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <criterion/criterion.h>
+#include <kj/io.h>
 
 #include "chervilpass/core/random.h"
 #include "chervilpass/rpc/gossip_codec.h"
@@ -32,6 +36,31 @@
   return message;
 }
 
+// Pointer fields of a gossip message in builds without notices of full workers.
+constexpr unsigned kPointersOfPreviousBuild = 12;
+
+// The datagram as such a build sees it.
+std::string WithoutNewFields(const std::string& bytes) {
+  kj::ArrayInputStream input(
+      {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()});
+  capnp::PackedMessageReader reader(input);
+  const auto whole = reader.getRoot<capnp::AnyStruct>();
+  const auto pointers = whole.getPointerSection();
+  capnp::MallocMessageBuilder builder;
+  auto seen = builder.getRoot<capnp::AnyPointer>().initAsAnyStruct(
+      whole.getDataSection().size() / 8, kPointersOfPreviousBuild);
+  std::copy(whole.getDataSection().begin(), whole.getDataSection().end(),
+            seen.getDataSection().begin());
+  for (unsigned i = 0; i < kPointersOfPreviousBuild && i < pointers.size();
+       ++i) {
+    seen.getPointerSection()[i].set(pointers[i]);
+  }
+  kj::VectorOutputStream output;
+  capnp::writePackedMessage(output, builder);
+  const auto array = output.getArray();
+  return {reinterpret_cast<const char*>(array.begin()), array.size()};
+}
+
 }  // namespace
 
 Test(gossip_codec, round_trip_preserves_the_message) {
@@ -39,6 +68,31 @@
   cr_assert(rpc::DecodeGossip(rpc::EncodeGossip(message)) == message);
 }
 
+// VMs of two builds share a data centre during an upgrade. An older one
+// replaces the sender's loads by those of the notice, so that they must be in
+// it.
+Test(gossip_codec, notice_of_a_full_worker_is_read_as_loads_by_older_builds) {
+  GossipMessage notice;
+  notice.kind = MessageKind::kLoads;
+  notice.from = "vm-1";
+  notice.loads = {{7, 190, 1200, 0, 0}, {8, 3, 40, 0, 0}};
+  notice.full_workers = {{7, 250}};
+  const auto seen =
+      rpc::DecodeGossip(WithoutNewFields(rpc::EncodeGossip(notice)));
+  cr_assert(seen.has_value());
+  GossipMessage loads = notice;
+  loads.full_workers.clear();
+  cr_assert(*seen == loads);
+  // All fields of the previous build are seen.
+  GossipMessage sample = SampleMessage();
+  const auto sample_seen =
+      rpc::DecodeGossip(WithoutNewFields(rpc::EncodeGossip(sample)));
+  sample.full_workers.clear();
+  sample.organisation_loads.clear();
+  sample.server_paces.clear();
+  cr_assert(sample_seen && *sample_seen == sample);
+}
+
 Test(gossip_codec, message_with_six_members_fits_into_one_packet) {
   GossipMessage message = SampleMessage();
   message.members.resize(6, message.members.front());
