--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -74,6 +74,7 @@
       limits.Integer("served_requests_per_log_line", {1, 1000000},
                      serving::RouterSettings().served_requests_per_log_line));
   settings.early_recovery = limits.Bool("early_recovery", false);
+  settings.load_correction = limits.Bool("load_correction", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -39,6 +39,8 @@
   bool early_recovery = false;
   /// One of this many requests that were served in time has a log line.
   std::uint32_t served_requests_per_log_line = 0;
+  /// Estimates of loads are corrected, and full workers are announced.
+  bool load_correction = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
