Workers: a lost worker answers a probe before it gets requests again

On the 88-VM deployment four silent workers made some 250 requests wait for over 500 ms at each end of their cooldowns (p50 1,018 ms): each VM found out anew, by a request, that they were still gone, and VMs that had heard of the loss from a peer did so after 1.2 s.

With limits.early_recovery the end of such a cooldown starts a probe (half-open circuit breaker). The worker stays out for 0.5 s more at most, until it has answered; without an answer the next cooldown, twice as long, begins, and no other VM is told.

Tests: cooldown_tracker in serving_test.

--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "chervilpass/core/time.h"
 
@@ -17,6 +18,7 @@
   kFull,         ///< Refused for lack of capacity.
   kNotHolding,   ///< Does not hold the layers it is registered with.
   kRefusing,     ///< Keeps refusing despite free capacity: is leaving.
+  kSuspected,    ///< A peer has found it unreachable.
 };
 
 /// Settings of a CooldownTracker.
@@ -41,6 +43,12 @@
   Duration refusing_cooldown = milliseconds(1000);
   Duration max_refusing_cooldown = seconds(4);
 
+  /// For a worker that a peer has found unreachable.
+  Duration suspected_cooldown = milliseconds(1200);
+  /// An unreachable or suspected worker stays out for so much longer at most,
+  /// until it has answered a probe. Zero: no probe is needed.
+  Duration proof_time{0};
+
   bool operator==(const CooldownTrackerSettings&) const = default;
 };
 
@@ -74,10 +82,36 @@
         return Extend(&record.refusing, now, this->settings.refusing_cooldown,
                       this->settings.max_refusing_cooldown,
                       this->settings.max_refusing_cooldown);
+      case CooldownReason::kSuspected:
+        return Extend(&record.suspected, now, this->settings.suspected_cooldown,
+                      this->settings.suspected_cooldown, Duration::zero());
     }
     return false;
   }
 
+  /// True if the worker's cooldown as unreachable or suspected has ended, and
+  /// it has to answer a probe before it gets requests again.
+  bool NeedsProof(const std::string& incarnation, Instant now) const {
+    const auto found = this->records.find(incarnation);
+    if (found == this->records.end()) {
+      return false;
+    }
+    const Instant until = found->second.LostUntil();
+    return until != Instant{} && now >= until &&
+           now < until + this->settings.proof_time;
+  }
+
+  /// Incarnations of which NeedsProof is true.
+  std::vector<std::string> ToProve(Instant now) const {
+    std::vector<std::string> incarnations;
+    for (const auto& [incarnation, record] : this->records) {
+      if (this->NeedsProof(incarnation, now)) {
+        incarnations.push_back(incarnation);
+      }
+    }
+    return incarnations;
+  }
+
   /// True if the worker has refused for lack of capacity more than once in a
   /// row.
   bool RefusedRepeatedly(const std::string& incarnation) const {
@@ -122,6 +156,7 @@
     const auto found = this->records.find(incarnation);
     if (found != this->records.end()) {
       found->second.unreachable = Cooldown{};
+      found->second.suspected = Cooldown{};
     }
   }
 
@@ -129,12 +164,14 @@
   void ClearAllUnreachable() {
     for (auto& [incarnation, record] : this->records) {
       record.unreachable = Cooldown{};
+      record.suspected = Cooldown{};
     }
   }
 
   bool InCooldown(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
-    return found != this->records.end() && now < found->second.Until();
+    return found != this->records.end() &&
+           (now < found->second.Until() || this->NeedsProof(incarnation, now));
   }
 
   /// True if the worker is in cooldown as unreachable.
@@ -171,11 +208,16 @@
     Cooldown full;
     Cooldown not_holding;
     Cooldown refusing;
+    Cooldown suspected;
 
     Instant Until() const {
-      return std::max({this->unreachable.until, this->full.until,
+      return std::max({this->LostUntil(), this->full.until,
                        this->not_holding.until, this->refusing.until});
     }
+
+    Instant LostUntil() const {
+      return std::max(this->unreachable.until, this->suspected.until);
+    }
   };
 
   // Each consecutive cooldown is twice as long as the one before, up to
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -47,6 +47,7 @@
 
 RoutingState::RoutingState(RoutingStateSettings settings, std::uint64_t seed)
     : settings(std::move(settings)),
+      cooldowns(this->settings.cooldowns),
       retries(this->settings.retries),
       strikes(this->settings.strikes),
       prompt_parts(this->settings.prompt_parts),
@@ -179,6 +180,19 @@
   return this->cooldowns.IsUnreachable(this->Incarnation(worker), now);
 }
 
+std::vector<routing::BackendServer> RoutingState::WorkersToProve(
+    Instant now) const {
+  std::vector<routing::BackendServer> workers;
+  for (const std::string& incarnation : this->cooldowns.ToProve(now)) {
+    const std::string id = incarnation.substr(0, incarnation.rfind('@'));
+    const routing::BackendServer* server = this->servers.Find(id);
+    if (server != nullptr && this->Incarnation(id) == incarnation) {
+      workers.push_back(*server);
+    }
+  }
+  return workers;
+}
+
 bool RoutingState::HasUnreachable(const std::string& service,
                                   Instant now) const {
   const auto usable = this->servers.Usable(service);
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -45,6 +45,8 @@
   /// True if estimates of loads are corrected and full workers are announced.
   bool load_correction = false;
 
+  routing::CooldownTrackerSettings cooldowns;
+
   bool operator==(const RoutingStateSettings&) const = default;
 };
 
@@ -154,6 +156,10 @@
   bool IsRefusing(const std::string& worker, Instant now) const;
   bool IsUnreachable(const std::string& worker, Instant now) const;
 
+  /// Registered workers that have to answer a probe before they get requests
+  /// again: their cooldown after a loss has ended.
+  std::vector<routing::BackendServer> WorkersToProve(Instant now) const;
+
   /// True if this VM cannot reach some worker of the service.
   bool HasUnreachable(const std::string& service, Instant now) const;
 
@@ -262,7 +268,7 @@
   std::map<std::string, admission::PriorityClasses> classes;  ///< by service
   admission::CapacityShortage shortages;
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
-  routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
+  routing::CooldownTracker cooldowns;
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
   routing::RestTracker rests;
   placement::LoadTracker loads;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -119,6 +119,39 @@
     for (ActiveStream* stream : this->streams) {
       this->CheckStream(stream, active, now);
     }
+    this->ProveWorkers(now);
+  }
+
+  // Probes workers whose cooldown after a loss has ended. A request that found
+  // out that such a worker is still gone would be late.
+  void ProveWorkers(Instant now) {
+    for (const routing::BackendServer& worker :
+         this->dependencies->routing_state->WorkersToProve(now)) {
+      if (!this->pending_reports.insert(worker.id).second) {
+        continue;
+      }
+      this->dependencies->metrics->Increment("chervil_proof_probes_total");
+      this->dependencies->runtime->Spawn(
+          [self = this->shared_from_this(), worker] { self->Prove(worker); });
+    }
+  }
+
+  // Other VMs are not told of a failure: they ask for themselves.
+  void Prove(const routing::BackendServer& worker) {
+    const Instant start = this->dependencies->runtime->Now();
+    const ProbeResult result = this->ProbeWorker(worker.id, worker.address,
+                                                 this->settings.verify_timeout);
+    this->pending_reports.erase(worker.id);
+    RoutingState& routing_state = *this->dependencies->routing_state;
+    if (IsAnswer(result)) {
+      this->probes_answered[worker.id] = this->dependencies->runtime->Now();
+      routing_state.OnAnswered(worker.id);
+    } else if (this->last_local_stall < start &&
+               !this->dependencies->links->CutOff()) {
+      routing_state.StartCooldown(worker.id,
+                                  routing::CooldownReason::kUnreachable,
+                                  this->dependencies->runtime->Now());
+    }
   }
 
   // `active` are workers that have served events just now.
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -63,6 +63,9 @@
 // A worker that has answered this VM so recently is not avoided because of a
 // peer's report.
 constexpr Duration kReachedEvidenceTime = milliseconds(500);
+// A lost worker that has not answered a probe gets requests again after this
+// time at the latest: a probe times out within 100 ms.
+constexpr Duration kMaxProofTime = milliseconds(500);
 // Rate limits in load gossip: see membership::WorkerLoadNotice.
 constexpr std::uint32_t kNoRateLimitStatement = 0;
 constexpr std::uint32_t kUnlimited = 1;
@@ -149,6 +152,9 @@
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
+    if (this->settings.early_recovery) {
+      routing.cooldowns.proof_time = kMaxProofTime;
+    }
     routing.load_correction = this->settings.load_correction;
     return routing;
   }
@@ -679,7 +685,10 @@
     // A peer's report only starts a cooldown for new requests. Streams and
     // layers are moved only if this VM's own observations confirm the report.
     this->routing_state.StartCooldown(
-        worker, routing::CooldownReason::kNotHolding, this->runtime.Now());
+        worker,
+        this->settings.early_recovery ? routing::CooldownReason::kSuspected
+                                      : routing::CooldownReason::kNotHolding,
+        this->runtime.Now());
     if (this->router) {
       this->router->OnPeerFoundUnreachable(worker);
     }
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -270,6 +270,27 @@
   cr_assert_null(registry.Find("a"));
 }
 
+// Guards against requests that find out, late, that a worker is still gone: on
+// a fleet of 88 VMs each VM sent some to a silent worker after each cooldown.
+Test(cooldown_tracker, lost_worker_has_to_answer_a_probe_before_its_return) {
+  CooldownTrackerSettings settings;
+  settings.proof_time = milliseconds(500);
+  CooldownTracker tracker{settings};
+  const Instant start{seconds(10)};
+  tracker.StartCooldown("w", CooldownReason::kUnreachable, start);
+  tracker.StartCooldown("suspect", CooldownReason::kSuspected, start);
+  tracker.StartCooldown("full", CooldownReason::kFull, start);
+  const Instant after = start + settings.unreachable_cooldown;
+  cr_assert(tracker.ToProve(start).empty());
+  cr_assert_eq(tracker.ToProve(after).size(), 2);
+  cr_assert(tracker.InCooldown("w", after));
+  cr_assert_not(tracker.InCooldown("full", after));
+  tracker.ClearUnreachable("w");
+  cr_assert_not(tracker.InCooldown("w", after));
+  // Without an answer or a new cooldown it is not left out for ever.
+  cr_assert_not(tracker.InCooldown("suspect", after + settings.proof_time));
+}
+
 Test(cooldown_tracker, the_unreachable_cooldown_grows_with_each_repetition) {
   CooldownTracker tracker{CooldownTrackerSettings{}};
   cr_assert(tracker.StartCooldown("w", CooldownReason::kUnreachable, kStart));
