Capacity by organisation, and refusals that say when there is room

Organisations had no share of scarce capacity, and the Retry-After of refused requests was a constant. An organisation over its max-min fair share of the tokens in flight (own, of peers by gossip) leaves a twentieth of the workers' capacity to those under theirs, while one of them was refused in the last second (limits.organisation_shares, off by default). Where priorities or shares apply, the time to retry follows from the streams in progress, their mean duration and the refusals of the last two seconds, the urgent ones first. request.ended has priority, organisation, data_centre, returned and weight; a request that this VM refused less than 30 s ago is not bound by its class.

--- /dev/null
+++ b/chervilpass/admission/capacity_policy.cc
@@ -0,0 +1,80 @@
+#include "chervilpass/admission/capacity_policy.h"
+
+#include <algorithm>
+
+namespace chervilpass::admission {
+namespace {
+
+// Lowers a bound, which is the common maximum if it has no value.
+void Lower(std::optional<double>* bound, double maximum, double step) {
+  *bound = bound->value_or(maximum) - step;
+}
+
+}  // namespace
+
+CapacityPolicy::CapacityPolicy(CapacityPolicySettings settings)
+    : settings(settings), shares(settings.shares) {}
+
+void CapacityPolicy::ApplyConfig(const routing::RouteTable& table) {
+  this->classes = ActiveClasses(table, this->settings.classes);
+  const auto& organisations = table.Data().organisations;
+  this->shares.SetOrganisations(table.KeysRequired() ? organisations.size()
+                                                     : 0);
+  std::erase_if(this->rooms, [&](const auto& entry) {
+    return table.Service(entry.first) == nullptr;
+  });
+}
+
+const PriorityClasses& CapacityPolicy::ClassesOf(
+    const std::string& service) const {
+  static const PriorityClasses kInactive;
+  const auto found = this->classes.find(service);
+  return found == this->classes.end() ? kInactive : found->second;
+}
+
+UtilisationBounds CapacityPolicy::BoundsFor(const CapacityClaim& claim,
+                                            Instant now) {
+  UtilisationBounds bounds;
+  const PriorityClasses& of_service = this->ClassesOf(claim.service);
+  if (!claim.returned && !of_service.MostUrgent(claim.priority)) {
+    const auto of_request = of_service.Of(claim.priority);
+    bounds.preferred = of_request->max_utilisation;
+    if (this->shortage.ShortFor(claim.service, claim.priority, now)) {
+      bounds.limit = bounds.preferred;
+    }
+  }
+  if (this->shares.OverShare(claim.organisation, now)) {
+    const double maximum = this->settings.classes.max_utilisation;
+    const double step = this->shares.UtilisationStep();
+    Lower(&bounds.preferred, maximum, step);
+    if (this->shares.OthersShort(claim.organisation, now)) {
+      Lower(&bounds.limit, maximum, step);
+    }
+  }
+  return bounds;
+}
+
+void CapacityPolicy::OnLacked(const CapacityClaim& claim, Instant now) {
+  this->shortage.OnRefused(claim.service, claim.priority, now);
+  this->shares.OnRefused(claim.organisation, now);
+}
+
+Duration CapacityPolicy::OnRefused(const CapacityClaim& claim,
+                                   Instant now,
+                                   double draw) {
+  RoomEstimator& room = this->RoomOf(claim.service);
+  room.OnRefused(claim.priority, now);
+  const auto bound = this->BoundsFor(claim, now).limit;
+  const double maximum = this->settings.classes.max_utilisation;
+  const double headroom =
+      std::max(0.0, maximum - bound.value_or(maximum)) / maximum;
+  return room.RetryAfter(claim.priority, headroom, now, draw);
+}
+
+void CapacityPolicy::Expire(Instant now) {
+  this->shortage.Expire(now);
+  this->shares.Expire(now);
+  this->refusals.Expire(now);
+}
+
+}  // namespace chervilpass::admission
--- /dev/null
+++ b/chervilpass/admission/capacity_policy.h
@@ -0,0 +1,126 @@
+// Decides how much of the workers' capacity a request may use, and when its
+// caller should retry if there is none: by its priority, by its organisation's
+// share, and by the requests that lacked capacity lately.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "chervilpass/admission/capacity_shortage.h"
+#include "chervilpass/admission/organisation_shares.h"
+#include "chervilpass/admission/priority_classes.h"
+#include "chervilpass/admission/recent_refusals.h"
+#include "chervilpass/admission/room_estimator.h"
+
+namespace chervilpass::admission {
+
+/// Settings of a CapacityPolicy.
+struct CapacityPolicySettings {
+  PriorityClassSettings classes;
+  OrganisationSharesSettings shares;
+
+  bool operator==(const CapacityPolicySettings&) const = default;
+};
+
+/// A request that asks for capacity.
+struct CapacityClaim {
+  std::string service;
+  std::uint32_t priority = 0;
+  std::string organisation;  ///< empty if it has none
+  bool returned = false;     ///< this VM has refused it lately
+
+  bool operator==(const CapacityClaim&) const = default;
+};
+
+/// Maximum utilisation of workers for a request; none is the common maximum.
+struct UtilisationBounds {
+  std::optional<double> preferred;  ///< leaves headroom to others
+  /// If nothing is free under the preferred one: without the headroom that
+  /// nobody has lacked lately.
+  std::optional<double> limit;
+
+  bool operator==(const UtilisationBounds&) const = default;
+};
+
+/// Not thread-safe.
+class CapacityPolicy {
+ public:
+  explicit CapacityPolicy(CapacityPolicySettings settings = {});
+
+  /// Derives the classes and the number of organisations.
+  void ApplyConfig(const routing::RouteTable& table);
+
+  /// The classes of requests to a service.
+  const PriorityClasses& ClassesOf(const std::string& service) const;
+
+  /// Active classes of all services.
+  const std::map<std::string, PriorityClasses>& Classes() const {
+    return this->classes;
+  }
+
+  /// False if all requests to the service are treated alike.
+  bool ActiveFor(const std::string& service) const {
+    return this->ClassesOf(service).Active() || this->shares.Active();
+  }
+
+  /// The bounds for a request that has not run. A request that returned is not
+  /// bound by its class: newer ones of its priority may have been served.
+  UtilisationBounds BoundsFor(const CapacityClaim& claim, Instant now);
+
+  /// The request found no capacity within its bounds: less urgent ones and
+  /// organisations over their share leave headroom from now on.
+  void OnLacked(const CapacityClaim& claim, Instant now);
+
+  /// The request is refused for lack of capacity. Returns when its caller
+  /// should retry; `draw` is uniform in [0, 1).
+  Duration OnRefused(const CapacityClaim& claim, Instant now, double draw);
+
+  /// Services in which a request lacked capacity lately.
+  std::set<std::string> ShortServices(Instant now) const {
+    return this->shortage.Services(now);
+  }
+
+  OrganisationShares& Shares() { return this->shares; }
+  RoomEstimator& RoomOf(const std::string& service) {
+    return this->rooms[service];
+  }
+  RecentRefusals& Refusals() { return this->refusals; }
+
+  void Expire(Instant now);
+
+ private:
+  CapacityPolicySettings settings;
+  std::map<std::string, PriorityClasses> classes;  ///< by service
+  CapacityShortage shortage;
+  OrganisationShares shares;
+  std::map<std::string, RoomEstimator> rooms;  ///< by service
+  RecentRefusals refusals;
+};
+
+/// Counts a run of a stream as in progress during its lifetime.
+class CountedRun {
+ public:
+  CountedRun(CapacityPolicy* policy,
+             std::string service,
+             std::string organisation,
+             double tokens)
+      : policy(policy),
+        service(std::move(service)),
+        tokens(&policy->Shares(), std::move(organisation), tokens) {
+    this->policy->RoomOf(this->service).OnStreamBegun();
+  }
+  ~CountedRun() { this->policy->RoomOf(this->service).OnStreamEnded(); }
+  CountedRun(const CountedRun&) = delete;
+  CountedRun& operator=(const CountedRun&) = delete;
+
+ private:
+  CapacityPolicy* policy;
+  std::string service;
+  TokensInFlight tokens;
+};
+
+}  // namespace chervilpass::admission
--- a/chervilpass/admission/capacity_shortage.h
+++ b/chervilpass/admission/capacity_shortage.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "chervilpass/core/time.h"
@@ -47,6 +48,19 @@
     return false;
   }
 
+  /// Services with a request that lacked capacity lately.
+  std::set<std::string> Services(Instant now) const {
+    std::set<std::string> services;
+    for (const auto& [service, times] : this->refused) {
+      for (const auto& [priority, at] : times) {
+        if (now - at < this->settings.lifetime) {
+          services.insert(service);
+        }
+      }
+    }
+    return services;
+  }
+
   /// Removes expired times.
   void Expire(Instant now) {
     for (auto& [service, times] : this->refused) {
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -68,11 +68,15 @@
       const std::string datagram = this->socket->Receive();
       const auto message = rpc::DecodeGossip(datagram);
       if (message && message->kind == membership::MessageKind::kLoads) {
-        this->events.loads(message->from,
-                           message->loads_of_data_centre
-                               ? LoadScope::kDataCentre
-                               : LoadScope::kVm,
-                           message->loads);
+        const LoadScope scope = message->loads_of_data_centre
+                                    ? LoadScope::kDataCentre
+                                    : LoadScope::kVm;
+        this->events.loads(message->from, scope, message->loads);
+        if (!message->organisation_loads.empty() &&
+            this->events.organisation_loads) {
+          this->events.organisation_loads(message->from, scope,
+                                          message->organisation_loads);
+        }
       } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
@@ -109,6 +113,10 @@
     message.from = this->settings.self.vm;
     message.loads = this->events.collect_loads(scope);
     message.loads_of_data_centre = scope == LoadScope::kDataCentre;
+    if (this->events.collect_organisation_loads) {
+      message.organisation_loads =
+          this->events.collect_organisation_loads(scope);
+    }
     return rpc::EncodeGossip(message);
   }
 
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -54,6 +54,15 @@
   /// Returns the loads of this VM, or the known sums of its data centre.
   std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
       collect_loads;
+  /// The same of the tokens that organisations have in flight. Optional; not
+  /// called for messages without such loads.
+  std::function<void(const std::string& peer,
+                     LoadScope scope,
+                     const std::vector<membership::OrganisationLoadNotice>&)>
+      organisation_loads;
+  std::function<std::vector<membership::OrganisationLoadNotice>(
+      LoadScope scope)>
+      collect_organisation_loads;
 };
 
 /// Runs the gossip of this VM. Fiber thread only.
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -507,7 +507,10 @@
         "request.retry", {{"request", this->context.metadata.request_id},
                           {"worker", this->last_server},
                           {"reason", result.detail},
-                          {"sends", this->policy.Sends()}});
+                          {"sends", this->policy.Sends()},
+                          {"route", this->context.route->name},
+                          {"priority", this->context.priority},
+                          {"organisation", this->context.organisation}});
   }
 
   const RouterDependencies& dependencies;
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -290,4 +290,9 @@
              : std::nullopt;
 }
 
+admission::CapacityClaim ClaimOf(const RequestContext& context) {
+  return {context.service, context.priority, context.organisation,
+          context.returned};
+}
+
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -139,6 +139,7 @@
   /// Of its priority among those that use the service; none if there is one.
   std::optional<admission::PriorityClass> priority_class;
   std::uint64_t fingerprint = 0;
+  bool returned = false;  ///< this VM has refused it lately
   /// Fingerprints of the parts of the prompt; none on plain services.
   std::vector<std::uint64_t> prompt_parts;
   Instant received{};
@@ -148,6 +149,9 @@
 /// to its service have the same priority.
 std::optional<std::uint32_t> UrgencyOf(const RequestContext& context);
 
+/// What the request asks of the capacity of its service.
+admission::CapacityClaim ClaimOf(const RequestContext& context);
+
 /// How a request ended, for the log and the metrics.
 struct RequestResult {
   unsigned status = 0;  ///< 0: the response was not completed
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -277,6 +277,8 @@
     context->fingerprint = HashCombine(
         HashText(context->organisation),
         HashCombine(HashText(request.target), HashText(request.body)));
+    context->returned = routing_state.Capacity().Refusals().Contains(
+        context->fingerprint, context->received);
     if (this->crashes->IsQuarantined(context->fingerprint)) {
       return RefuseQuarantined(this->dependencies, *context, Executed::kNo, 0);
     }
@@ -287,8 +289,9 @@
     }
     context->service =
         std::string(context->route->PickService(routing_state.Rng().Unit()));
-    context->priority_class =
-        routing_state.ClassesOf(context->service).Of(context->priority);
+    context->priority_class = routing_state.Capacity()
+                                  .ClassesOf(context->service)
+                                  .Of(context->priority);
     const auto* service = context->table->Service(context->service);
     if (service == nullptr) {
       return Refuse(*context, RefusalCode::kNoBackend, Executed::kNo,
@@ -344,6 +347,10 @@
     const Duration elapsed =
         this->dependencies.runtime->Now() - context.received;
     this->RecordRunTime(context, result, elapsed);
+    if (result.outcome == "refused" && context.fingerprint != 0) {
+      this->dependencies.routing_state->Capacity().Refusals().OnRefused(
+          context.fingerprint, this->dependencies.runtime->Now());
+    }
     this->dependencies.metrics->Increment(
         "chervil_requests_total", fmt::format("outcome=\"{}\",code=\"{}\"",
                                               result.outcome, result.status));
@@ -363,6 +370,8 @@
             0) {
       return;
     }
+    const std::uint32_t weight =
+        served ? this->settings.served_requests_per_log_line : 1;
     const std::uint64_t version = context.table ? context.table->Version() : 0;
     const auto unconfirmed =
         this->dependencies.routing_state->ConfigUnconfirmedFor(
@@ -374,7 +383,13 @@
         {{"request", context.metadata.request_id},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
+         {"priority", context.priority},
+         {"organisation", context.organisation},
+         {"data_centre",
+          this->dependencies.routing_state->Settings().data_centre},
          {"forwarded", context.forwarded},
+         {"returned", context.returned},
+         {"weight", weight},
          {"outcome", result.outcome},
          {"status", result.status},
          {"reason", result.reason},
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -47,6 +47,7 @@
 
 RoutingState::RoutingState(RoutingStateSettings settings, std::uint64_t seed)
     : settings(std::move(settings)),
+      capacity(this->settings.capacity),
       retries(this->settings.retries),
       strikes(this->settings.strikes),
       prompt_parts(this->settings.prompt_parts),
@@ -69,17 +70,10 @@
     }
   }
   this->servers.SetServices(std::move(services));
-  this->classes = admission::ActiveClasses(*this->table);
+  this->capacity.ApplyConfig(*this->table);
   return true;
 }
 
-const admission::PriorityClasses& RoutingState::ClassesOf(
-    const std::string& service) const {
-  static const admission::PriorityClasses kInactive;
-  const auto found = this->classes.find(service);
-  return found == this->classes.end() ? kInactive : found->second;
-}
-
 std::string RoutingState::Incarnation(const std::string& worker) const {
   const routing::BackendServer* server = this->servers.Find(worker);
   return server == nullptr ? worker : IncarnationOf(worker, server->started);
@@ -397,7 +391,7 @@
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
   this->rests.Expire(now);
-  this->shortages.Expire(now);
+  this->capacity.Expire(now);
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
     return entry.second.local == 0 &&
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "chervilpass/admission/capacity_shortage.h"
-#include "chervilpass/admission/priority_classes.h"
+#include "chervilpass/admission/capacity_policy.h"
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/core/random.h"
@@ -34,6 +33,7 @@
   std::string data_centre;
   routing::RetryBudgetSettings retries;
   placement::PathChooserSettings paths;
+  admission::CapacityPolicySettings capacity;
   /// One more than the three ends after which retries are limited: a harmless
   /// request may be beside three ends in a row, and a few retries are allowed.
   quarantine::StrikeTrackerSettings strikes{4, std::chrono::minutes(10),
@@ -76,16 +76,8 @@
                : std::nullopt;
   }
 
-  /// The classes of requests to a service, from the configuration.
-  const admission::PriorityClasses& ClassesOf(const std::string& service) const;
-
-  /// Active classes of all services.
-  const std::map<std::string, admission::PriorityClasses>& Classes() const {
-    return this->classes;
-  }
-
-  /// Services in which requests lacked capacity lately.
-  admission::CapacityShortage& Shortages() { return this->shortages; }
+  /// Which requests may use how much of the workers' capacity.
+  admission::CapacityPolicy& Capacity() { return this->capacity; }
 
   /// Finds a path for the query without workers in cooldown; fails with the
   /// reason why there is none.
@@ -228,8 +220,7 @@
   RoutingStateSettings settings;
   std::shared_ptr<const routing::RouteTable> table;
   std::optional<Instant> config_confirmed;  ///< null until known
-  std::map<std::string, admission::PriorityClasses> classes;  ///< by service
-  admission::CapacityShortage shortages;
+  admission::CapacityPolicy capacity;
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -462,48 +462,53 @@
   Result<placement::ChosenPath, NoPathReason> FindPath() {
     RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
-    placement::PathQuery query = this->Query();
-    if (this->BoundedByClass()) {
-      query.max_utilisation = this->context.priority_class->max_utilisation;
-      auto found = routing_state.FindPath(this->context.service, this->model,
-                                          query, now);
-      if (found.has_value() || found.error() != NoPathReason::kNoCapacity ||
-          routing_state.Shortages().ShortFor(this->context.service,
-                                             this->context.priority, now)) {
-        return found;
-      }
-      // No more urgent request needs the headroom.
-      query.max_utilisation.reset();
-      found = routing_state.FindPath(this->context.service, this->model, query,
-                                     now);
+    const auto find = [&](const std::optional<double>& max_utilisation) {
+      placement::PathQuery query = this->Query();
+      query.max_utilisation = max_utilisation;
+      return routing_state.FindPath(this->context.service, this->model, query,
+                                    now);
+    };
+    this->bounds = {};
+    // A request that may have run must be completed: its run is not given up in
+    // favour of others.
+    if (!this->stream_begun && this->policy.Executed() == Executed::kNo) {
+      this->bounds =
+          routing_state.Capacity().BoundsFor(ClaimOf(this->context), now);
+    }
+    auto found = find(this->bounds.preferred);
+    if (found.has_error() && found.error() == NoPathReason::kNoCapacity &&
+        this->bounds.limit != this->bounds.preferred) {
+      found = find(this->bounds.limit);
       if (found.has_value()) {
-        this->dependencies.metrics->Increment(
-            "chervil_class_headroom_lent_total",
-            fmt::format("priority=\"{}\"", this->context.priority));
+        this->Count("chervil_capacity_headroom_lent_total");
       }
-      return found;
     }
-    return routing_state.FindPath(this->context.service, this->model, query,
-                                  now);
+    return found;
   }
 
-  // A request that may have run must be completed: its run is not given up in
-  // favour of others.
-  bool BoundedByClass() const {
-    return this->context.priority_class && !this->stream_begun &&
-           this->policy.Executed() == Executed::kNo &&
-           !this->dependencies.routing_state->ClassesOf(this->context.service)
-                .MostUrgent(this->context.priority);
+  void Count(const std::string& counter) const {
+    this->dependencies.metrics->Increment(
+        counter, fmt::format("priority=\"{}\"", this->context.priority));
   }
 
-  // Lets less urgent requests leave headroom.
-  void RecordShortage() const {
-    this->dependencies.routing_state->Shortages().OnRefused(
-        this->context.service, this->context.priority,
-        this->dependencies.runtime->Now());
-    this->dependencies.metrics->Increment(
-        "chervil_capacity_refusals_total",
-        fmt::format("priority=\"{}\"", this->context.priority));
+  // Less urgent requests leave headroom for some time.
+  void RecordLackOfCapacity() const {
+    this->dependencies.routing_state->Capacity().OnLacked(
+        ClaimOf(this->context), this->dependencies.runtime->Now());
+  }
+
+  // When the caller should retry; none if all requests to the service are
+  // treated alike.
+  std::optional<Duration> RetryAfterLackOfCapacity() const {
+    RoutingState& routing_state = *this->dependencies.routing_state;
+    admission::CapacityPolicy& capacity = routing_state.Capacity();
+    this->Count("chervil_capacity_refusals_total");
+    if (!capacity.ActiveFor(this->context.service)) {
+      return std::nullopt;
+    }
+    return capacity.OnRefused(ClaimOf(this->context),
+                              this->dependencies.runtime->Now(),
+                              routing_state.Rng().Unit());
   }
 
   Duration MaxWaitToSend() const {
@@ -544,9 +549,14 @@
     RecordWorkers(this->dependencies, &this->stream, {});
     this->last_path = path;
     this->dependencies.routing_state->Loads().Add(path, this->stream.tokens);
+    this->run_begun = this->stream.last_progress;
+    this->counted_run.emplace(&this->dependencies.routing_state->Capacity(),
+                              this->context.service, this->context.organisation,
+                              this->stream.tokens);
   }
 
   void EndRun() {
+    this->counted_run.reset();
     ForgetWorkers(this->dependencies, &this->stream);
     // A move may have changed the path.
     this->last_path = this->stream.path;
@@ -807,6 +817,9 @@
     if (through_peer) {
       return this->MakeResult(200, "served", "through another VM");
     }
+    this->dependencies.routing_state->Capacity()
+        .RoomOf(this->context.service)
+        .OnCompleted(this->dependencies.runtime->Now() - this->run_begun);
     this->dependencies.crashes->OnRunCompleted(this->context.fingerprint);
     if (!this->stream.run.proven) {
       this->RecordProof();
@@ -865,14 +878,18 @@
 
   RequestResult EndWithoutPath(NoPathReason reason) {
     const bool no_capacity = reason == NoPathReason::kNoCapacity;
-    const std::string detail =
+    std::string detail =
         no_capacity ? "no path has room" : "some layers have no usable worker";
+    if (no_capacity && this->bounds.limit) {
+      detail +=
+          fmt::format(" up to a utilisation of {:.2f}", *this->bounds.limit);
+    }
     if (this->stream_begun) {
       this->context.exchange->Abort();
       return this->MakeResult(0, "broken", detail);
     }
     if (no_capacity) {
-      this->RecordShortage();
+      this->RecordLackOfCapacity();
     }
     if (this->policy.Executed() != Executed::kNo) {
       return Refuse(this->context, RefusalCode::kBackendFailed,
@@ -888,9 +905,23 @@
       return Refuse(this->context, RefusalCode::kOverloaded, Executed::kNo,
                     retry_after, detail, this->policy.Sends());
     }
-    return this->Refused(
-        no_capacity ? RefusalCode::kOverloaded : RefusalCode::kNoBackend,
-        no_capacity ? kRetryAfterNoCapacity : kRetryAfterRepair, detail);
+    return no_capacity ? this->RefusedForCapacity(RefusalCode::kOverloaded,
+                                                  std::move(detail))
+                       : this->Refused(RefusalCode::kNoBackend,
+                                       kRetryAfterRepair, std::move(detail));
+  }
+
+  RequestResult RefusedForCapacity(RefusalCode code, std::string detail) {
+    const auto retry_after = this->RetryAfterLackOfCapacity();
+    if (!retry_after) {
+      return this->Refused(code, kRetryAfterNoCapacity, std::move(detail));
+    }
+    return Refuse(
+        this->context, code, Executed::kNo,
+        std::max(*retry_after,
+                 this->dependencies.routing_state->RetryAfterRests(
+                     this->context.service, this->dependencies.runtime->Now())),
+        std::move(detail), this->policy.Sends());
   }
 
   RequestResult Refused(RefusalCode code,
@@ -918,7 +949,8 @@
     }
     if (decision == RetryDecision::kRefuse) {
       if (result.outcome == SendOutcome::kNotExecuted) {
-        this->RecordShortage();
+        this->RecordLackOfCapacity();
+        return this->RefusedForCapacity(RefusalCode::kNoBackend, result.detail);
       }
       return this->Refused(RefusalCode::kNoBackend, kRetryAfterNoCapacity,
                            result.detail);
@@ -952,7 +984,10 @@
                           {"path", DescribePath(this->last_path)},
                           {"reason", result.detail},
                           {"sends", this->policy.Sends()},
-                          {"resume_after", this->sequence.Last().value_or(0)}});
+                          {"resume_after", this->sequence.Last().value_or(0)},
+                          {"route", this->context.route->name},
+                          {"priority", this->context.priority},
+                          {"organisation", this->context.organisation}});
   }
 
   const RouterDependencies& dependencies;
@@ -966,8 +1001,13 @@
   ActiveStream stream;
   std::shared_ptr<StandbyRun> standby;  ///< null if none is in progress
   Path last_path;
+  Instant run_begun{};  ///< of the last run
+  /// Ends with the run, also if that ends by an exception.
+  std::optional<admission::CountedRun> counted_run;
   /// Workers that refused this request or could not be connected to.
   std::set<std::string> refusing_workers;
+  /// Within which the latest path was looked for.
+  admission::UtilisationBounds bounds;
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
   bool stream_begun = false;  ///< the response head has been sent
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -10,6 +10,7 @@
 #include "chervilpass/core/build_id.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/fleet/address_list.h"
+#include "chervilpass/fleet/organisation_loads.h"
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
@@ -144,6 +145,7 @@
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
+    routing.capacity.shares.enabled = this->settings.organisation_shares;
     return routing;
   }
 
@@ -204,6 +206,14 @@
     events.collect_loads = [this](fleet::LoadScope scope) {
       return this->CollectLoads(scope);
     };
+    events.organisation_loads = [this](const std::string& peer,
+                                       fleet::LoadScope scope,
+                                       const auto& notices) {
+      this->OnOrganisationLoads(peer, scope, notices);
+    };
+    events.collect_organisation_loads = [this](fleet::LoadScope scope) {
+      return this->CollectOrganisationLoads(scope);
+    };
     auto created = fleet::PeerGroup::Create(
         &this->runtime, this->store.get(), &this->metrics, &this->log,
         std::move(group), std::move(events));
@@ -610,7 +620,8 @@
 
   // One line for each service whose requests have different priorities.
   void LogPriorityClasses() {
-    for (const auto& [service, classes] : this->routing_state.Classes()) {
+    for (const auto& [service, classes] :
+         this->routing_state.Capacity().Classes()) {
       if (this->logged_classes[service] == classes) {
         continue;
       }
@@ -618,7 +629,41 @@
                      {{"service", service},
                       {"classes", admission::DescribeClasses(classes)}});
     }
-    this->logged_classes = this->routing_state.Classes();
+    this->logged_classes = this->routing_state.Capacity().Classes();
+  }
+
+  // One line as requests of a service begin to lack capacity, and one as they
+  // cease to.
+  void LogShortages() {
+    const Instant now = this->runtime.Now();
+    admission::CapacityPolicy& capacity = this->routing_state.Capacity();
+    std::set<std::string> services = capacity.ShortServices(now);
+    std::erase_if(services, [&](const std::string& service) {
+      return !capacity.ActiveFor(service);
+    });
+    for (const std::string& service : services) {
+      if (!this->short_services.contains(service)) {
+        this->LogShortage(service, true);
+      }
+    }
+    for (const std::string& service : this->short_services) {
+      if (!services.contains(service)) {
+        this->LogShortage(service, false);
+      }
+    }
+    this->short_services = std::move(services);
+  }
+
+  void LogShortage(const std::string& service, bool is_short) {
+    admission::CapacityPolicy& capacity = this->routing_state.Capacity();
+    const admission::RoomState room =
+        capacity.RoomOf(service).StateFor(0, 0, this->runtime.Now());
+    this->log.Info("capacity.shortage",
+                   {{"service", service},
+                    {"short", is_short},
+                    {"streams", room.streams},
+                    {"mean_ms", ToMilliseconds(room.mean_duration)},
+                    {"shares", capacity.Shares().Active()}});
   }
 
   void OnPeerStrike(const quarantine::Strike& strike) {
@@ -783,6 +828,34 @@
     return notices;
   }
 
+  void OnOrganisationLoads(
+      const std::string& peer,
+      fleet::LoadScope scope,
+      const std::vector<membership::OrganisationLoadNotice>& notices) {
+    admission::OrganisationShares& shares =
+        this->routing_state.Capacity().Shares();
+    auto tokens = fleet::OrganisationTokensOf(notices);
+    if (scope == fleet::LoadScope::kVm) {
+      shares.OnPeerLoads(peer, std::move(tokens), this->runtime.Now());
+    } else if (const auto data_centre = this->DataCentreOf(peer)) {
+      shares.OnDataCentreLoads(*data_centre, std::move(tokens),
+                               this->runtime.Now());
+    }
+  }
+
+  std::vector<membership::OrganisationLoadNotice> CollectOrganisationLoads(
+      fleet::LoadScope scope) {
+    admission::OrganisationShares& shares =
+        this->routing_state.Capacity().Shares();
+    if (!shares.Active()) {
+      return {};
+    }
+    return fleet::OrganisationNotices(
+        scope == fleet::LoadScope::kVm
+            ? shares.LocalTokens()
+            : shares.DataCentreTokens(this->runtime.Now()));
+  }
+
   // The share of the other VMs of the fleet to which callers can go.
   double ReadyShare() const {
     const auto& members = this->peers->Members();
@@ -825,6 +898,11 @@
       this->routing_state.Loads().SetDataCentrePeerCount(
           this->DataCentrePeerCount());
       this->routing_state.SetFleetSize(this->peers->AliveCount());
+      admission::OrganisationShares& shares =
+          this->routing_state.Capacity().Shares();
+      shares.SetVms(this->peers->AliveCount());
+      shares.SetDataCentrePeers(this->DataCentrePeerCount());
+      this->LogShortages();
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       this->LogConnections();
@@ -953,6 +1031,7 @@
   WallTime announced_end;  // of its grace period, to the next process
   std::set<memory::Owner> short_owners;
   std::map<std::string, admission::PriorityClasses> logged_classes;
+  std::set<std::string> short_services;  // as logged
   ConnectionCounts logged_connections;
   Instant connections_logged_at{};
   std::unique_ptr<platform::StoreClient> store;
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -66,6 +66,7 @@
   settings.whole_grace = limits.Bool("whole_grace", false);
   settings.retry_share = limits.Double("retry_share", 0, 10, 0.2);
   settings.retry_reserve = limits.Double("retry_reserve", 0, 1e6, 100);
+  settings.organisation_shares = limits.Bool("organisation_shares", false);
   settings.memory_mb = static_cast<std::uint32_t>(
       limits.Integer("memory_mb", {16, 1 << 20}, 256));
   settings.descriptors = static_cast<std::uint32_t>(
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -33,6 +33,8 @@
   bool whole_grace = false;
   double retry_share = 0;    ///< retries per first attempt
   double retry_reserve = 0;  ///< maximum balance of the fleet, in retries
+  /// Organisations leave headroom to those under their fair share.
+  bool organisation_shares = false;
   std::uint32_t memory_mb = 0;
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
   /// One of this many requests that were served in time has a log line.
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -2,9 +2,9 @@
 #include <criterion/criterion.h>
 
 #include <cmath>
+#include <stdexcept>
 
-#include "chervilpass/admission/capacity_shortage.h"
-#include "chervilpass/admission/priority_classes.h"
+#include "chervilpass/admission/capacity_policy.h"
 #include "chervilpass/placement/stage_cost.h"
 
 using namespace chervilpass;
@@ -213,3 +213,178 @@
   query.added_delay_weight = 1;
   cr_assert_eq(seconds(Worker(model, 0)), idle);
 }
+
+namespace {
+
+// Two organisations, which send to a service with priorities 0 and 2.
+CapacityPolicy Policy(bool shares) {
+  CapacityPolicySettings settings;
+  settings.shares.enabled = shares;
+  CapacityPolicy policy(settings);
+  auto data = TableData({0, 2});
+  data.keys_required = true;
+  data.organisations = {{"large", {"k1"}, std::nullopt},
+                        {"small", {"k2"}, std::nullopt}};
+  policy.ApplyConfig(*routing::RouteTable::Create(data));
+  return policy;
+}
+
+CapacityClaim Claim(std::uint32_t priority,
+                    const std::string& organisation = "large") {
+  return {"chat", priority, organisation, false};
+}
+
+}  // namespace
+
+// Load: urgent requests lack capacity while the least urgent ones are
+// resubmitted.
+Test(capacity_policy, headroom_is_kept_while_it_is_needed) {
+  CapacityPolicy policy = Policy(false);
+  const Instant now{};
+  cr_assert(policy.BoundsFor(Claim(0), now) == UtilisationBounds{});
+  const double lowered = policy.ClassesOf("chat").Of(2)->max_utilisation;
+  const UtilisationBounds lent = {lowered, std::nullopt};
+  cr_assert(policy.BoundsFor(Claim(2), now) == lent);
+  policy.OnLacked(Claim(0), now);
+  const UtilisationBounds kept = {lowered, lowered};
+  cr_assert(policy.BoundsFor(Claim(2), now) == kept);
+  cr_assert(policy.BoundsFor(Claim(0), now) == UtilisationBounds{});
+  cr_assert(policy.BoundsFor(Claim(2), now + seconds(1)) == lent);
+  CapacityClaim returned = Claim(2);
+  returned.returned = true;
+  cr_assert(policy.BoundsFor(returned, now) == UtilisationBounds{});
+}
+
+// Guards against organisations that wait for each other: a large one that is
+// refused under its lowered bound does not make others leave headroom.
+Test(capacity_policy, only_organisations_over_their_share_leave_headroom) {
+  CapacityPolicy policy = Policy(true);
+  const Instant now{};
+  policy.Shares().Add("large", 90000);
+  policy.Shares().Add("small", 5000);
+  policy.OnLacked(Claim(0, "large"), now);
+  cr_assert(!policy.Shares().OthersShort("small", now));
+  policy.OnLacked(Claim(0, "small"), now);
+  const auto bounds = policy.BoundsFor(Claim(0, "large"), now);
+  cr_assert_float_eq(*bounds.preferred, 0.9, 1e-12);
+  cr_assert_float_eq(*bounds.limit, 0.9, 1e-12);
+  cr_assert(policy.BoundsFor(Claim(0, "small"), now) == UtilisationBounds{});
+  const auto later = policy.BoundsFor(Claim(0, "large"), now + seconds(1));
+  cr_assert(!later.limit.has_value());
+  cr_assert(Policy(false).BoundsFor(Claim(0, "large"), now) ==
+            UtilisationBounds{});
+}
+
+Test(organisation_shares, level_is_max_min_fair) {
+  cr_assert_float_eq(FairLevel({80, 10, 10}, 60), 40, 1e-9);
+  cr_assert_float_eq(FairLevel({80, 30, 10}, 60), 25, 1e-9);
+  cr_assert_float_eq(FairLevel({INFINITY, INFINITY}, 10), 5, 1e-9);
+  cr_assert(std::isinf(FairLevel({1, 2}, 3)));
+  cr_assert(std::isinf(FairLevel({}, 0)));
+}
+
+// Load: one of 24 organisations alone at night, and another one that begins.
+Test(organisation_shares, unused_shares_are_lent_and_come_back_at_once) {
+  OrganisationSharesSettings settings;
+  settings.enabled = true;
+  OrganisationShares shares(settings);
+  shares.SetOrganisations(24);
+  const Instant now{};
+  shares.Add("large", 100000);
+  cr_assert(!shares.OverShare("large", now));
+  // It has nothing in flight yet.
+  shares.OnRefused("small", now);
+  cr_assert(shares.OverShare("large", now));
+  cr_assert(shares.OthersShort("large", now));
+  cr_assert(!shares.OverShare("small", now));
+  cr_assert(!shares.OverShare("large", now + seconds(2)));
+  cr_assert(!shares.OverShare("", now));
+  shares.SetOrganisations(1);
+  shares.OnRefused("small", now);
+  cr_assert(!shares.OverShare("large", now));
+}
+
+// Guards against streams that end by an exception and count for ever.
+Test(organisation_shares, tokens_end_with_their_stream) {
+  OrganisationShares shares;
+  try {
+    const TokensInFlight tokens(&shares, "a", 812.3);
+    const TokensInFlight none(&shares, "", 100);
+    cr_assert_eq(shares.LocalTokens().size(), 1);
+    throw std::runtime_error("lost");
+  } catch (const std::runtime_error&) {
+  }
+  cr_assert(shares.LocalTokens().empty());
+}
+
+// Load: gossip of all peers is lost.
+Test(organisation_shares, outdated_loads_give_way_to_local_ones) {
+  OrganisationShares shares;
+  const Instant now{};
+  const std::uint32_t a = OrganisationKey("a");
+  const std::uint32_t b = OrganisationKey("b");
+  shares.SetVms(10);
+  shares.SetDataCentrePeers(4);
+  shares.Add("a", 100);
+  cr_assert_float_eq(shares.FleetTokens(now)[a], 1000, 1e-9);
+  cr_assert_float_eq(shares.DataCentreTokens(now)[a], 500, 1e-9);
+  // Two of four peers have reported.
+  shares.OnPeerLoads("vm2", {{a, 100}, {b, 50}}, now);
+  shares.OnPeerLoads("vm3", {{b, 50}}, now);
+  shares.OnDataCentreLoads("other", {{a, 30}}, now);
+  cr_assert_float_eq(shares.DataCentreTokens(now)[a], 300, 1e-9);
+  cr_assert_float_eq(shares.FleetTokens(now)[a], 330, 1e-9);
+  cr_assert_float_eq(shares.FleetTokens(now)[b], 200, 1e-9);
+  cr_assert_float_eq(shares.FleetTokens(now + seconds(3))[a], 1000, 1e-9);
+  shares.Expire(now + seconds(3));
+  cr_assert(!shares.FleetTokens(now).contains(b));
+}
+
+// Load: many callers refused at once. They return over the time in which the
+// streams in progress free capacity, the urgent ones first.
+Test(room_estimator, retries_are_spread_by_priority) {
+  const RoomEstimatorSettings settings;
+  RoomEstimator room(settings);
+  const Instant now{};
+  for (int i = 0; i < 20; ++i) {
+    room.OnStreamBegun();
+  }
+  cr_assert(room.RetryAfter(0, 0, now, 0) == settings.min_wait);
+  cr_assert(room.RetryAfter(0, 0, now, 1) ==
+            settings.min_wait + settings.min_spread);
+  for (int i = 0; i < 10; ++i) {
+    room.OnRefused(0, now);
+    room.OnRefused(1, now);
+  }
+  // A stream ends each 100 ms: ten refused callers take a second.
+  cr_assert_float_eq(ToSeconds(room.RetryAfter(0, 0, now, 1)), 1.3, 1e-6);
+  cr_assert_float_eq(ToSeconds(room.RetryAfter(1, 0, now, 0)), 1, 1e-6);
+  cr_assert_gt(room.RetryAfter(1, 0.1, now, 0), room.RetryAfter(1, 0, now, 0));
+  cr_assert(room.RetryAfter(0, 0, now + seconds(2), 1) ==
+            settings.min_wait + settings.min_spread);
+  for (int i = 0; i < 5000; ++i) {
+    room.OnRefused(0, now);
+  }
+  cr_assert_leq(room.RetryAfter(2, 0.1, now, 1), settings.max_wait);
+  cr_assert_lt(room.RetryAfter(2, 0.1, now, 0), settings.max_wait);
+}
+
+// Load: more refused requests than are kept.
+Test(recent_refusals, are_bounded_and_expire) {
+  RecentRefusalsSettings settings;
+  settings.max_requests = 10;
+  RecentRefusals refusals(settings);
+  const Instant now{};
+  refusals.OnRefused(1, now);
+  cr_assert(refusals.Contains(1, now + milliseconds(29999)));
+  cr_assert(!refusals.Contains(1, now + seconds(30)));
+  cr_assert(!refusals.Contains(2, now));
+  for (std::uint64_t i = 1; i <= 12; ++i) {
+    refusals.OnRefused(i, now + seconds(1));
+  }
+  cr_assert_eq(refusals.Size(), 10);
+  cr_assert(!refusals.Contains(2, now + seconds(1)));
+  cr_assert(refusals.Contains(12, now + seconds(1)));
+  refusals.Expire(now + seconds(31));
+  cr_assert_eq(refusals.Size(), 0);
+}
