Streams rejected by full workers wait for capacity

Requests were refused after a few responses of full workers with most of their time left. Where a service is used with several priorities, a stream of which no send has run waits instead and is sent again: 20 ms at first, doubling, at most a quarter of the time to its objective, later an eighth of the time left and half a second.

--- a/chervilpass/serving/retry_policy.h
+++ b/chervilpass/serving/retry_policy.h
@@ -24,6 +24,7 @@
 enum class RetryDecision {
   kForward,  ///< Forward the response.
   kRetry,    ///< Retry on another backend server at once.
+  kWait,     ///< Retry after RetryPolicy::NextWait, once capacity may be free.
   kRefuse,   ///< Refuse, stating that the request has not run.
   kFail,     ///< Fail, stating that the request may have run.
 };
@@ -35,6 +36,18 @@
   std::uint32_t max_rejected_sends = 4;
   /// With less time left there is no retry, since no response could arrive.
   Duration min_time_left = milliseconds(15);
+  /// Waits for capacity: the first one, which doubles with each further one,
+  /// and the longest. About as long as the time between two ends of streams on
+  /// a full worker, and half a second, so that a caller sees a response soon
+  /// after capacity is free.
+  Duration first_wait = milliseconds(20);
+  Duration max_wait = milliseconds(500);
+  /// Share of the time to the response objective, and later of the time left,
+  /// that one wait takes at most.
+  double max_wait_of_objective = 0.25;
+  double max_wait_of_time_left = 0.125;
+  /// With less time left there is no wait: a response would hardly arrive.
+  Duration min_time_left_to_wait = milliseconds(250);
 
   bool operator==(const RetryPolicySettings&) const = default;
 };
@@ -68,6 +81,7 @@
       case SendOutcome::kNotSent:
       case SendOutcome::kNotExecuted:
         ++this->rejected_sends;
+        this->server_rejections += outcome == SendOutcome::kNotExecuted ? 1 : 0;
         break;
       case SendOutcome::kFailed:
       case SendOutcome::kUnknown:
@@ -85,12 +99,46 @@
         (outcome == SendOutcome::kNotSent || budget())) {
       return RetryDecision::kRetry;
     }
+    const bool rejections_used_up =
+        this->rejected_sends >= this->settings.max_rejected_sends;
+    if (outcome == SendOutcome::kNotExecuted && rejections_used_up &&
+        this->MayWait(time_left) && budget()) {
+      return RetryDecision::kWait;
+    }
     if (outcome == SendOutcome::kFailed) {
       return RetryDecision::kForward;
     }
     return rejected_only ? RetryDecision::kRefuse : RetryDecision::kFail;
   }
 
+  /// Lets the request wait for capacity.
+  void AllowWaits() { this->waits_allowed = true; }
+
+  /// True if the request may wait for capacity instead of being refused:
+  /// servers have rejected it, and no send has run.
+  bool MayWait(Duration time_left) const {
+    return this->waits_allowed && this->may_have_run == 0 &&
+           !this->response_begun && this->server_rejections > 0 &&
+           time_left >= this->settings.min_time_left_to_wait;
+  }
+
+  /// The next wait for capacity; `draw` is uniform in [0, 1). `objective_left`
+  /// is the time to the response objective, negative if there is none any more.
+  Duration NextWait(Duration time_left, Duration objective_left, double draw) {
+    const auto share = [](double of, Duration time) {
+      return duration_cast<Duration>(of * time);
+    };
+    const Duration limit =
+        objective_left > this->settings.first_wait
+            ? share(this->settings.max_wait_of_objective, objective_left)
+            : share(this->settings.max_wait_of_time_left, time_left);
+    const Duration doubled =
+        this->settings.first_wait * (1 << std::min(this->waits, 10U));
+    ++this->waits;
+    return share(0.5 + draw / 2,
+                 std::min({doubled, limit, this->settings.max_wait}));
+  }
+
   /// Allows one more attempt after a run whose server is known to have ended,
   /// at most `kMaxExtraAttempts` times. False if there were as many before.
   bool GrantExtraAttempt() {
@@ -144,6 +192,9 @@
   bool may_repeat;
   std::uint32_t attempts;
   std::uint32_t rejected_sends = 0;
+  std::uint32_t server_rejections = 0;  ///< of these, by a server
+  std::uint32_t waits = 0;
+  bool waits_allowed = false;
   std::uint32_t may_have_run = 0;
   std::uint32_t extra_attempts = 0;
   bool response_begun = false;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -81,6 +81,9 @@
       this->stream.run.parts.push_back({part, 0});
     }
     this->EstimateSize();
+    if (context.priority_class) {
+      this->policy.AllowWaits();
+    }
     this->stream.start_standby = [this](const std::set<std::string>& excluded) {
       this->StartStandby(excluded);
     };
@@ -137,6 +140,11 @@
           this->dependencies.runtime->SleepFor(kPathPollInterval);
           continue;
         }
+        // Workers that have just refused it count as unusable.
+        if (this->policy.MayWait(this->scope.TimeLeft())) {
+          this->WaitForCapacity();
+          continue;
+        }
         return this->EndWithoutPath(path.error());
       }
       if (!AwaitPermit(this->dependencies, this->context,
@@ -196,6 +204,11 @@
         return served;
       }
     }
+    if (decision == RetryDecision::kWait) {
+      this->LogRetry(result);
+      this->WaitForCapacity();
+      return std::nullopt;
+    }
     if (decision != RetryDecision::kRetry && !standby_ready) {
       this->LogNoRetry(result);
       return this->Finish(decision, result);
@@ -204,6 +217,37 @@
     return std::nullopt;
   }
 
+  // Lets capacity become free. Then the workers that refused the request are
+  // used again, unless they are still in cooldown.
+  void WaitForCapacity() {
+    const Instant now = this->dependencies.runtime->Now();
+    this->RecordLackOfCapacity();
+    const Duration objective_left = this->context.route->response_objective -
+                                    (now - this->context.received);
+    const Duration wait =
+        this->policy.NextWait(this->scope.TimeLeft(), objective_left,
+                              this->dependencies.routing_state->Rng().Unit());
+    this->Count("chervil_capacity_waits_total");
+    if (!std::exchange(this->has_waited, true)) {
+      this->dependencies.log->Info(
+          "request.waits_for_capacity",
+          {{"request", this->context.metadata.request_id},
+           {"service", this->context.service},
+           {"priority", this->context.priority},
+           {"sends", this->policy.Sends()},
+           {"first_wait_ms", ToMilliseconds(wait)},
+           {"objective_left_ms", ToMilliseconds(objective_left)},
+           {"time_left_ms", ToMilliseconds(this->scope.TimeLeft())}});
+    }
+    const Instant until = now + wait;
+    while (!this->scope.Stopped() &&
+           this->dependencies.runtime->Now() < until) {
+      this->dependencies.runtime->SleepFor(std::min(
+          until - this->dependencies.runtime->Now(), kPathPollInterval));
+    }
+    this->refusing_workers.clear();
+  }
+
   // Takes a retry from the budget. An answer that has begun cannot be refused
   // any more, so it waits for the budget.
   bool TakeRetry() {
@@ -1010,6 +1054,7 @@
   admission::UtilisationBounds bounds;
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
+  bool has_waited = false;    ///< for capacity
   bool stream_begun = false;  ///< the response head has been sent
   std::string content_type;   ///< of the response head
   bool event_seen = false;
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -6,6 +6,7 @@
 
 #include "chervilpass/admission/capacity_policy.h"
 #include "chervilpass/placement/stage_cost.h"
+#include "chervilpass/serving/retry_policy.h"
 
 using namespace chervilpass;
 using namespace chervilpass::admission;
@@ -388,3 +389,79 @@
   refusals.Expire(now + seconds(31));
   cr_assert_eq(refusals.Size(), 0);
 }
+
+namespace {
+
+using serving::RetryDecision;
+using serving::RetryPolicy;
+using serving::SendOutcome;
+
+RetryDecision AfterRejections(RetryPolicy* policy,
+                              int rejections,
+                              Duration time_left,
+                              bool budget = true) {
+  RetryDecision decision = RetryDecision::kRetry;
+  for (int i = 0; i < rejections; ++i) {
+    decision = policy->OnSendEnded(SendOutcome::kNotExecuted, time_left,
+                                   [budget] { return budget; });
+  }
+  return decision;
+}
+
+}  // namespace
+
+// Load: 244 requests that were refused after one or two full workers, with 20 s
+// left and other workers free.
+Test(retry_policy, waits_for_capacity_once_servers_have_rejected) {
+  const routing::Route route = MakeRoute("chat", 0);
+  const auto left = seconds(20);
+  RetryPolicy before({}, route);
+  cr_assert(AfterRejections(&before, 4, left) == RetryDecision::kRefuse);
+  RetryPolicy policy({}, route);
+  policy.AllowWaits();
+  cr_assert(!policy.MayWait(left));
+  cr_assert(AfterRejections(&policy, 3, left) == RetryDecision::kRetry);
+  cr_assert(policy.MayWait(left));
+  cr_assert(AfterRejections(&policy, 20, left) == RetryDecision::kWait);
+  cr_assert(AfterRejections(&policy, 1, left, false) == RetryDecision::kRefuse);
+  cr_assert(AfterRejections(&policy, 1, milliseconds(249)) ==
+            RetryDecision::kRefuse);
+  // Servers that cannot be connected to are no full ones.
+  cr_assert(policy.OnSendEnded(SendOutcome::kNotSent, left,
+                               [] { return true; }) == RetryDecision::kRefuse);
+}
+
+// Guards against a request that is sent again after it may have run.
+Test(retry_policy, does_not_wait_after_a_send_that_may_have_run) {
+  routing::Route route = MakeRoute("chat", 0);
+  route.kind = routing::RouteKind::kStream;
+  route.resumable = true;
+  route.attempts = 3;
+  RetryPolicy policy({}, route);
+  policy.AllowWaits();
+  cr_assert(policy.OnSendEnded(SendOutcome::kUnknown, seconds(20),
+                               [] { return true; }) == RetryDecision::kRetry);
+  cr_assert(!policy.MayWait(seconds(20)));
+  cr_assert(AfterRejections(&policy, 5, seconds(20)) == RetryDecision::kFail);
+}
+
+// Load: workers that stay full. The waits grow, stay well inside the objective
+// first, and end before the time left does.
+Test(retry_policy, waits_are_bounded) {
+  RetryPolicy policy({}, MakeRoute("chat", 0));
+  policy.AllowWaits();
+  Duration left = seconds(20);
+  Duration objective = milliseconds(500);
+  AfterRejections(&policy, 4, left);
+  int waits = 0;
+  while (policy.MayWait(left)) {
+    const Duration wait = policy.NextWait(left, objective, 0.5);
+    cr_assert(wait > Duration::zero() && wait <= milliseconds(500));
+    cr_assert_leq(wait, left / 8);
+    cr_assert(objective <= milliseconds(20) || wait <= objective / 4);
+    left -= wait;
+    objective -= wait;
+    cr_assert_lt(++waits, 200);
+  }
+  cr_assert_gt(left, milliseconds(150));
+}
