--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -86,6 +86,14 @@
                                                       : LoadScope::kVm,
                          message.loads);
     }
+    if (!message.organisation_loads.empty() &&
+        this->events.organisation_loads) {
+      this->events.organisation_loads(message.from,
+                                      message.loads_of_data_centre
+                                          ? LoadScope::kDataCentre
+                                          : LoadScope::kVm,
+                                      message.organisation_loads);
+    }
     const auto applied = this->full_workers.OnReceived(message.full_workers,
                                                        this->runtime->Now());
     if (!applied.empty()) {
@@ -156,6 +164,10 @@
     message.loads = this->events.collect_loads(scope);
     message.loads_of_data_centre = scope == LoadScope::kDataCentre;
     message.full_workers = this->full_workers.InForce(this->runtime->Now());
+    if (this->events.collect_organisation_loads) {
+      message.organisation_loads =
+          this->events.collect_organisation_loads(scope);
+    }
     return rpc::EncodeGossip(message);
   }
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -83,6 +83,9 @@
       this->stream.run.parts.push_back({part, 0});
     }
     this->EstimateSize();
+    if (context.priority_class) {
+      this->policy.AllowWaits();
+    }
     this->stream.start_standby = [this](const std::set<std::string>& excluded) {
       this->StartStandby(excluded);
     };
@@ -139,6 +142,11 @@
           this->dependencies.runtime->SleepFor(kPathPollInterval);
           continue;
         }
+        // Workers that have just refused it count as unusable.
+        if (this->policy.MayWait(this->scope.TimeLeft())) {
+          this->WaitForCapacity();
+          continue;
+        }
         return this->EndWithoutPath(path.error());
       }
       if (this->after_loss && !this->ProbeNewPath(path.value().path)) {
@@ -216,6 +224,11 @@
         return served;
       }
     }
+    if (decision == RetryDecision::kWait) {
+      this->LogRetry(result);
+      this->WaitForCapacity();
+      return std::nullopt;
+    }
     if (decision != RetryDecision::kRetry && !standby_ready) {
       this->LogNoRetry(result);
       return this->Finish(decision, result);
@@ -224,6 +237,37 @@
     return std::nullopt;
   }
 
+  // Lets capacity become free. Then the workers that refused the request are
+  // used again, unless they are still in cooldown.
+  void WaitForCapacity() {
+    const Instant now = this->dependencies.runtime->Now();
+    this->RecordLackOfCapacity();
+    const Duration objective_left = this->context.route->response_objective -
+                                    (now - this->context.received);
+    const Duration wait =
+        this->policy.NextWait(this->scope.TimeLeft(), objective_left,
+                              this->dependencies.routing_state->Rng().Unit());
+    this->Count("chervil_capacity_waits_total");
+    if (!std::exchange(this->has_waited, true)) {
+      this->dependencies.log->Info(
+          "request.waits_for_capacity",
+          {{"request", this->context.metadata.request_id},
+           {"service", this->context.service},
+           {"priority", this->context.priority},
+           {"sends", this->policy.Sends()},
+           {"first_wait_ms", ToMilliseconds(wait)},
+           {"objective_left_ms", ToMilliseconds(objective_left)},
+           {"time_left_ms", ToMilliseconds(this->scope.TimeLeft())}});
+    }
+    const Instant until = now + wait;
+    while (!this->scope.Stopped() &&
+           this->dependencies.runtime->Now() < until) {
+      this->dependencies.runtime->SleepFor(std::min(
+          until - this->dependencies.runtime->Now(), kPathPollInterval));
+    }
+    this->refusing_workers.clear();
+  }
+
   // Takes a retry from the budget. An answer that has begun cannot be refused
   // any more, so it waits for the budget.
   bool TakeRetry() {
@@ -484,48 +528,53 @@
   Result<placement::ChosenPath, NoPathReason> FindPath() {
     RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
-    placement::PathQuery query = this->Query();
-    if (this->BoundedByClass()) {
-      query.max_utilisation = this->context.priority_class->max_utilisation;
-      auto found = routing_state.FindPath(this->context.service, this->model,
-                                          query, now);
-      if (found.has_value() || found.error() != NoPathReason::kNoCapacity ||
-          routing_state.Shortages().ShortFor(this->context.service,
-                                             this->context.priority, now)) {
-        return found;
-      }
-      // No more urgent request needs the headroom.
-      query.max_utilisation.reset();
-      found = routing_state.FindPath(this->context.service, this->model, query,
-                                     now);
+    const auto find = [&](const std::optional<double>& max_utilisation) {
+      placement::PathQuery query = this->Query();
+      query.max_utilisation = max_utilisation;
+      return routing_state.FindPath(this->context.service, this->model, query,
+                                    now);
+    };
+    this->bounds = {};
+    // A request that may have run must be completed: its run is not given up in
+    // favour of others.
+    if (!this->stream_begun && this->policy.Executed() == Executed::kNo) {
+      this->bounds =
+          routing_state.Capacity().BoundsFor(ClaimOf(this->context), now);
+    }
+    auto found = find(this->bounds.preferred);
+    if (found.has_error() && found.error() == NoPathReason::kNoCapacity &&
+        this->bounds.limit != this->bounds.preferred) {
+      found = find(this->bounds.limit);
       if (found.has_value()) {
-        this->dependencies.metrics->Increment(
-            "chervil_class_headroom_lent_total",
-            fmt::format("priority=\"{}\"", this->context.priority));
+        this->Count("chervil_capacity_headroom_lent_total");
       }
-      return found;
     }
-    return routing_state.FindPath(this->context.service, this->model, query,
-                                  now);
+    return found;
+  }
+
+  void Count(const std::string& counter) const {
+    this->dependencies.metrics->Increment(
+        counter, fmt::format("priority=\"{}\"", this->context.priority));
   }
 
-  // A request that may have run must be completed: its run is not given up in
-  // favour of others.
-  bool BoundedByClass() const {
-    return this->context.priority_class && !this->stream_begun &&
-           this->policy.Executed() == Executed::kNo &&
-           !this->dependencies.routing_state->ClassesOf(this->context.service)
-                .MostUrgent(this->context.priority);
+  // Less urgent requests leave headroom for some time.
+  void RecordLackOfCapacity() const {
+    this->dependencies.routing_state->Capacity().OnLacked(
+        ClaimOf(this->context), this->dependencies.runtime->Now());
   }
 
-  // Lets less urgent requests leave headroom.
-  void RecordShortage() const {
-    this->dependencies.routing_state->Shortages().OnRefused(
-        this->context.service, this->context.priority,
-        this->dependencies.runtime->Now());
-    this->dependencies.metrics->Increment(
-        "chervil_capacity_refusals_total",
-        fmt::format("priority=\"{}\"", this->context.priority));
+  // When the caller should retry; none if all requests to the service are
+  // treated alike.
+  std::optional<Duration> RetryAfterLackOfCapacity() const {
+    RoutingState& routing_state = *this->dependencies.routing_state;
+    admission::CapacityPolicy& capacity = routing_state.Capacity();
+    this->Count("chervil_capacity_refusals_total");
+    if (!capacity.ActiveFor(this->context.service)) {
+      return std::nullopt;
+    }
+    return capacity.OnRefused(ClaimOf(this->context),
+                              this->dependencies.runtime->Now(),
+                              routing_state.Rng().Unit());
   }
 
   Duration MaxWaitToSend() const {
@@ -566,9 +615,14 @@
     RecordWorkers(this->dependencies, &this->stream, {});
     this->last_path = path;
     this->dependencies.routing_state->Loads().Add(path, this->stream.tokens);
+    this->run_begun = this->stream.last_progress;
+    this->counted_run.emplace(&this->dependencies.routing_state->Capacity(),
+                              this->context.service, this->context.organisation,
+                              this->stream.tokens);
   }
 
   void EndRun() {
+    this->counted_run.reset();
     ForgetWorkers(this->dependencies, &this->stream);
     // A move may have changed the path.
     this->last_path = this->stream.path;
@@ -829,6 +883,9 @@
     if (through_peer) {
       return this->MakeResult(200, "served", "through another VM");
     }
+    this->dependencies.routing_state->Capacity()
+        .RoomOf(this->context.service)
+        .OnCompleted(this->dependencies.runtime->Now() - this->run_begun);
     this->dependencies.crashes->OnRunCompleted(this->context.fingerprint);
     if (!this->stream.run.proven) {
       this->RecordProof();
@@ -887,14 +944,18 @@
 
   RequestResult EndWithoutPath(NoPathReason reason) {
     const bool no_capacity = reason == NoPathReason::kNoCapacity;
-    const std::string detail =
+    std::string detail =
         no_capacity ? "no path has room" : "some layers have no usable worker";
+    if (no_capacity && this->bounds.limit) {
+      detail +=
+          fmt::format(" up to a utilisation of {:.2f}", *this->bounds.limit);
+    }
     if (this->stream_begun) {
       this->context.exchange->Abort();
       return this->MakeResult(0, "broken", detail);
     }
     if (no_capacity) {
-      this->RecordShortage();
+      this->RecordLackOfCapacity();
     }
     if (this->policy.Executed() != Executed::kNo) {
       return Refuse(this->context, RefusalCode::kBackendFailed,
@@ -910,9 +971,23 @@
       return Refuse(this->context, RefusalCode::kOverloaded, Executed::kNo,
                     retry_after, detail, this->policy.Sends());
     }
-    return this->Refused(
-        no_capacity ? RefusalCode::kOverloaded : RefusalCode::kNoBackend,
-        no_capacity ? kRetryAfterNoCapacity : kRetryAfterRepair, detail);
+    return no_capacity ? this->RefusedForCapacity(RefusalCode::kOverloaded,
+                                                  std::move(detail))
+                       : this->Refused(RefusalCode::kNoBackend,
+                                       kRetryAfterRepair, std::move(detail));
+  }
+
+  RequestResult RefusedForCapacity(RefusalCode code, std::string detail) {
+    const auto retry_after = this->RetryAfterLackOfCapacity();
+    if (!retry_after) {
+      return this->Refused(code, kRetryAfterNoCapacity, std::move(detail));
+    }
+    return Refuse(
+        this->context, code, Executed::kNo,
+        std::max(*retry_after,
+                 this->dependencies.routing_state->RetryAfterRests(
+                     this->context.service, this->dependencies.runtime->Now())),
+        std::move(detail), this->policy.Sends());
   }
 
   RequestResult Refused(RefusalCode code,
@@ -940,7 +1015,8 @@
     }
     if (decision == RetryDecision::kRefuse) {
       if (result.outcome == SendOutcome::kNotExecuted) {
-        this->RecordShortage();
+        this->RecordLackOfCapacity();
+        return this->RefusedForCapacity(RefusalCode::kNoBackend, result.detail);
       }
       return this->Refused(RefusalCode::kNoBackend, kRetryAfterNoCapacity,
                            result.detail);
@@ -974,7 +1050,10 @@
                           {"path", DescribePath(this->last_path)},
                           {"reason", result.detail},
                           {"sends", this->policy.Sends()},
-                          {"resume_after", this->sequence.Last().value_or(0)}});
+                          {"resume_after", this->sequence.Last().value_or(0)},
+                          {"route", this->context.route->name},
+                          {"priority", this->context.priority},
+                          {"organisation", this->context.organisation}});
   }
 
   const RouterDependencies& dependencies;
@@ -988,14 +1067,20 @@
   ActiveStream stream;
   std::shared_ptr<StandbyRun> standby;  ///< null if none is in progress
   Path last_path;
+  Instant run_begun{};  ///< of the last run
+  /// Ends with the run, also if that ends by an exception.
+  std::optional<admission::CountedRun> counted_run;
   /// Workers that refused this request or could not be connected to.
   std::set<std::string> refusing_workers;
   /// Workers that did not answer a probe before a run.
   std::set<std::string> unanswered_workers;
-  bool after_loss = false;    ///< the last run was lost
-  int probe_rounds = 0;       ///< before the next run
+  bool after_loss = false;  ///< the last run was lost
+  int probe_rounds = 0;     ///< before the next run
+  /// Within which the latest path was looked for.
+  admission::UtilisationBounds bounds;
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
+  bool has_waited = false;    ///< for capacity
   bool stream_begun = false;  ///< the response head has been sent
   std::string content_type;   ///< of the response head
   bool event_seen = false;
