Server pacing: use by paths, calls and placement; exchange between VMs

limits.server_pacing (default off) turns it on. Path selection divides a paced worker's utilisation by its share and leaves out those over this VM's part, calls to plain services do the same, and placement prefers other spares. Statements go with the load datagrams (serverPaces).

--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -73,6 +73,9 @@
                                ? LoadScope::kDataCentre
                                : LoadScope::kVm,
                            message->loads);
+        if (this->events.paces) {
+          this->events.paces(message->from, message->server_paces);
+        }
       } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
@@ -109,6 +112,9 @@
     message.from = this->settings.self.vm;
     message.loads = this->events.collect_loads(scope);
     message.loads_of_data_centre = scope == LoadScope::kDataCentre;
+    if (this->events.collect_paces) {
+      message.server_paces = this->events.collect_paces();
+    }
     return rpc::EncodeGossip(message);
   }
 
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -54,6 +54,12 @@
   /// Returns the loads of this VM, or the known sums of its data centre.
   std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
       collect_loads;
+  /// What a VM states about the paces of servers, and what this VM states. They
+  /// may be empty.
+  std::function<void(const std::string& peer,
+                     const std::vector<membership::ServerPaceNotice>&)>
+      paces;
+  std::function<std::vector<membership::ServerPaceNotice>()> collect_paces;
 };
 
 /// Runs the gossip of this VM. Fiber thread only.
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -296,6 +296,7 @@
       worker.usable = !this->routing_state->IsUnreachable(server->id, now) &&
                       (worker.order_open ||
                        !this->routing_state->IsRefusing(server->id, now));
+      worker.paced = this->routing_state->PaceShareOf(server->id) < 1;
       workers.push_back(std::move(worker));
     }
     return workers;
--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -32,6 +32,10 @@
   WorkerLoad load;  ///< estimate over all entries
   /// Time for which its rate limit delays a request that is sent to it.
   Duration send_wait{0};
+  /// Share of its capacity that it is given; below 1 while it is paced.
+  double capacity_share = 1;
+  /// It is paced, and this VM has its part of that share in flight.
+  bool over_own_part = false;
 
   bool operator==(const PathCandidate&) const = default;
 };
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -175,9 +175,10 @@
   }
 
   // Moves a spare, a worker whose layers are all held by others as well.
-  // Prefers the spare that covers most of the uncovered range, then the
-  // smallest, since larger ones can cover longer ranges, then the one whose
-  // present layers retain the most KV cache capacity without it.
+  // Prefers the spare that covers most of the uncovered range, then those that
+  // are not paced, then the smallest, since larger ones can cover longer
+  // ranges, then the one whose present layers retain the most KV cache capacity
+  // without it.
   bool MoveSpare(const LayerRange& uncovered) {
     PlannedWorker* best = nullptr;
     std::uint32_t best_covered = 0;
@@ -199,10 +200,14 @@
           std::min(uncovered.Size(), this->SizeOf(worker));
       const std::uint32_t size = this->SizeOf(worker);
       const double kv_tokens = this->KvTokensWithout(worker);
-      const bool better = covered > best_covered ||
-                          (covered == best_covered && size < best_size) ||
-                          (covered == best_covered && size == best_size &&
-                           kv_tokens > best_kv_tokens);
+      const bool as_good = covered == best_covered && best != nullptr &&
+                           worker.paced == best->paced;
+      const bool better =
+          covered > best_covered ||
+          (covered == best_covered && best != nullptr && best->paced &&
+           !worker.paced) ||
+          (as_good && size < best_size) ||
+          (as_good && size == best_size && kv_tokens > best_kv_tokens);
       if (better) {
         best = &worker;
         best_covered = covered;
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -24,6 +24,9 @@
   bool usable = true;
   /// Factor of its times; 1 is the speed of its kind.
   double slowdown_factor = 1;
+  /// It takes only part of its load now: of several spares that are as good
+  /// for a repair the others come first.
+  bool paced = false;
 
   bool operator==(const PlannedWorker&) const = default;
 };
--- a/chervilpass/placement/stage_cost.cc
+++ b/chervilpass/placement/stage_cost.cc
@@ -61,7 +61,8 @@
                           bool first) const {
   const double utilisation =
       std::max(this->KvUtilisation(candidate, layers),
-               first ? this->BatchUtilisation(candidate) : 0);
+               first ? this->BatchUtilisation(candidate) : 0) /
+      candidate.capacity_share;
   if (this->check_capacity && utilisation > this->settings.max_utilisation) {
     return kNoCapacityCost;
   }
@@ -73,7 +74,8 @@
       this->query.answer_tokens * ToSeconds(this->settings.hop_delay);
   return (layer_share * candidate.slowdown_factor *
               this->ServiceSeconds(candidate) *
-              QueueingFactor(this->PromptUtilisation(candidate)) +
+              QueueingFactor(this->PromptUtilisation(candidate) /
+                             candidate.capacity_share) +
           hop_seconds) *
          (1 + kHighUtilisationWeight * excess_utilisation * excess_utilisation);
 }
--- a/chervilpass/routing/server_pace.cc
+++ b/chervilpass/routing/server_pace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "chervilpass/routing/pace_parts.h"
 
@@ -58,7 +59,10 @@
     const auto record = this->records.find(seen.start);
     if (record != this->records.end()) {
       record->second.registered = true;
-      record->second.warm_until = now + seen.warm_up_left;
+      if (std::exchange(record->second.stated_warm_up, seen.warm_up_left) !=
+          seen.warm_up_left) {
+        record->second.warm_until = now + seen.warm_up_left;
+      }
     }
   }
   std::erase_if(this->known, [&](const auto& entry) {
@@ -72,9 +76,13 @@
   this->CountPaced();
 }
 
-void ServerPace::SetFleet(std::vector<std::uint64_t> vms) {
-  if (!vms.empty()) {
-    this->fleet = std::move(vms);
+void ServerPace::SetFleet(std::vector<std::uint64_t> vms, Instant now) {
+  if (vms.size() < 2 || vms == this->fleet) {
+    return;
+  }
+  this->fleet = std::move(vms);
+  for (Entry& entry : this->records) {
+    this->UpdateRank(&entry, now);
   }
 }
 
--- a/chervilpass/routing/server_pace.h
+++ b/chervilpass/routing/server_pace.h
@@ -164,8 +164,9 @@
   /// are gone are forgotten.
   void OnStarts(const std::vector<PacedStart>& starts, Instant now);
 
-  /// Sets the keys of the VMs that are alive, this one included.
-  void SetFleet(std::vector<std::uint64_t> vms);
+  /// Sets the keys of the VMs that are alive, this one included. A VM that
+  /// hears no other keeps the last list: the others still send.
+  void SetFleet(std::vector<std::uint64_t> vms, Instant now);
 
   /// The server could not be used for some time: it is paced once it is back.
   void OnOutage(const std::string& start, Instant now);
@@ -220,6 +221,7 @@
     bool registered = true;
     Instant begun{};
     Instant warm_until{};
+    Duration stated_warm_up{0};
     Instant judged_from{};  ///< requests that were sent before do not count
     std::optional<Instant> observed;  ///< latest answer to this VM
     std::optional<Instant> judged;    ///< end of the latest round of this VM
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -296,6 +296,24 @@
     return result;
   }
 
+  void RecordPace(RoutingState& routing_state,
+                  ServerPacing* pacing,
+                  const routing::BackendServer& server,
+                  SendOutcome outcome,
+                  Duration elapsed) const {
+    if (outcome == SendOutcome::kNotSent) {
+      return;
+    }
+    const routing::PaceEvidence evidence =
+        outcome == SendOutcome::kResponse
+            ? routing::PaceEvidence::kAnswered
+            : (outcome == SendOutcome::kNotExecuted
+                   ? routing::PaceEvidence::kRefused
+                   : routing::PaceEvidence::kFailed);
+    pacing->RecordCall(routing_state, server, evidence, elapsed,
+                       this->dependencies.runtime->Now());
+  }
+
   // Updates the server's health and cooldown after a send.
   void RecordSendOutcome(const routing::BackendServer& server,
                          const SendResult& result,
@@ -305,6 +323,11 @@
     // The call was cancelled here, which says nothing about the server.
     const bool cancelled = this->scope.Reason() == StopReason::kCallerGone ||
                            this->scope.Reason() == StopReason::kStalled;
+    if (ServerPacing* pacing = routing_state.Pacing();
+        pacing != nullptr && !cancelled) {
+      this->RecordPace(routing_state, pacing, server, result.outcome,
+                       now - start);
+    }
     switch (result.outcome) {
       case SendOutcome::kResponse:
         routing_state.ServerHealth().OnSuccess(server.id, now - start, now);
@@ -519,6 +542,10 @@
 
 }  // namespace
 
+Duration LeastCallRetryAfter() {
+  return kRetryAfter;
+}
+
 io::ConnectionUse ConnectionFor(std::uint32_t earlier_sends) {
   return earlier_sends == 0 ? io::ConnectionUse::kPooled
                             : io::ConnectionUse::kFresh;
--- a/chervilpass/serving/call_proxy.h
+++ b/chervilpass/serving/call_proxy.h
@@ -26,6 +26,9 @@
                                 admission::Executed executed,
                                 std::uint32_t sends);
 
+/// Least time after which callers retry a call for which there was no server.
+Duration LeastCallRetryAfter();
+
 /// Serves one request, including the response; returns how it ended.
 RequestResult ProxyCall(const RouterDependencies& dependencies,
                         const RequestContext& context,
--- a/chervilpass/serving/link_monitor.cc
+++ b/chervilpass/serving/link_monitor.cc
@@ -136,7 +136,7 @@
     } else {
       // Failures that this VM saw while its links were lost say nothing about
       // the servers.
-      this->routing_state->ClearUnreachable();
+      this->routing_state->ClearUnreachable(this->runtime->Now());
     }
     this->on_change(now_cut_off);
   }
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <limits>
 
+#include "chervilpass/placement/paced_path.h"
+
 namespace chervilpass::serving {
 namespace {
 
@@ -51,7 +53,11 @@
       strikes(this->settings.strikes),
       prompt_parts(this->settings.prompt_parts),
       strikes_loaded(!this->settings.strikes_are_stored),
-      random(seed) {}
+      random(seed) {
+  if (this->settings.server_pacing) {
+    this->pacing.emplace(*this->settings.server_pacing, this->settings.vm);
+  }
+}
 
 bool RoutingState::ApplyConfig(
     std::shared_ptr<const routing::RouteTable> newer) {
@@ -91,6 +97,15 @@
                                  const placement::ModelProfile& model,
                                  Instant now) {
   this->StartCooldown(worker, routing::CooldownReason::kFull, now);
+  if (const auto* server = this->servers.Find(worker);
+      this->pacing && server != nullptr) {
+    const auto kind = model.accelerator_kinds.find(server->accelerator_kind);
+    if (kind != model.accelerator_kinds.end()) {
+      this->pacing->RecordRefusal(
+          this->Incarnation(worker),
+          placement::RequestSlots(model, kind->second, server->layers), now);
+    }
+  }
   return this->cooldowns.RefusedRepeatedly(this->Incarnation(worker)) &&
          !this->LooksFull(worker, model, now) &&
          this->StartCooldown(worker, routing::CooldownReason::kRefusing, now);
@@ -140,7 +155,10 @@
                      });
 }
 
-void RoutingState::ClearUnreachable() {
+void RoutingState::ClearUnreachable(Instant now) {
+  if (this->pacing) {
+    this->pacing->OnLinksRegained(now);
+  }
   this->cooldowns.ClearAllUnreachable();
   this->server_health.ClearRefusedConnections();
 }
@@ -272,6 +290,9 @@
                           server->layers, kind->second, 1,
                           this->loads.LocalLoad(server->id),
                           this->SendWait(server->id, now)});
+    if (this->pacing && this->pacing->Active()) {
+      this->pacing->Limit(*this, model, &candidates.back());
+    }
     layers_in[server->data_centre] += server->layers.Size();
   }
   if (this->loads.HasRecentPeerLoads(now)) {
@@ -314,9 +335,20 @@
     const placement::PathQuery& query,
     Instant now) {
   const auto candidates = this->PathCandidates(service, model, now);
+  const bool paced = std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const auto& candidate) { return candidate.capacity_share < 1; });
+  if (std::any_of(
+          candidates.begin(), candidates.end(),
+          [](const auto& candidate) { return candidate.over_own_part; })) {
+    this->pacing->CountHeldBack();
+  }
   const auto choose = [&](const placement::PathQuery& wanted) {
-    return placement::ChoosePath(model, candidates, wanted,
-                                 this->settings.paths, &this->random);
+    return paced
+               ? placement::ChoosePacedPath(model, candidates, wanted,
+                                            this->settings.paths, &this->random)
+               : placement::ChoosePath(model, candidates, wanted,
+                                       this->settings.paths, &this->random);
   };
   if (!query.avoided.empty()) {
     placement::PathQuery apart = query;
@@ -342,22 +374,11 @@
   }
   const routing::BackendServer* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
-  for (const std::string& id : this->server_health.Usable(ids, now)) {
+  for (const std::string& id :
+       this->WithinPace(this->server_health.Usable(ids, now))) {
     const routing::BackendServer* server = this->servers.Find(id);
-    const auto found = this->server_loads.find(id);
-    const ServerLoad load =
-        found == this->server_loads.end() ? ServerLoad{} : found->second;
-    const bool fresh = now - load.reported_at < kReportedLoadLifetime;
-    const double running = load.local + (fresh ? load.from_peers : 0);
-    const double remote_penalty =
-        server->data_centre == this->settings.data_centre
-            ? 0
-            : kRemoteServerPenalty;
-    const double cooldown_penalty = this->InCooldown(id, now) ? 10 : 0;
-    const double cost = running / std::max(1U, server->slots) + remote_penalty +
-                        cooldown_penalty +
-                        kSendWaitWeight * ToSeconds(this->SendWait(id, now)) +
-                        0.01 * this->random.Unit();
+    const double cost =
+        this->CallCost(*server, now) + 0.01 * this->random.Unit();
     if (cost < best_cost) {
       best = server;
       best_cost = cost;
@@ -367,6 +388,58 @@
                          : std::optional<routing::BackendServer>(*best);
 }
 
+double RoutingState::CallCost(const routing::BackendServer& server,
+                              Instant now) const {
+  const auto found = this->server_loads.find(server.id);
+  const ServerLoad load =
+      found == this->server_loads.end() ? ServerLoad{} : found->second;
+  const bool fresh = now - load.reported_at < kReportedLoadLifetime;
+  const double running = load.local + (fresh ? load.from_peers : 0);
+  const double remote_penalty = server.data_centre == this->settings.data_centre
+                                    ? 0
+                                    : kRemoteServerPenalty;
+  const double cooldown_penalty = this->InCooldown(server.id, now) ? 10 : 0;
+  const double slots =
+      std::max(1U, server.slots) * this->PaceShareOf(server.id);
+  return running / slots + remote_penalty + cooldown_penalty +
+         kSendWaitWeight * ToSeconds(this->SendWait(server.id, now));
+}
+
+// Without the paced servers at which this VM has its part in flight, unless
+// only such are left.
+std::vector<std::string> RoutingState::WithinPace(
+    std::vector<std::string> ids) {
+  if (!this->pacing || !this->pacing->Active()) {
+    return ids;
+  }
+  std::vector<std::string> within;
+  for (const std::string& id : ids) {
+    const routing::BackendServer* server = this->servers.Find(id);
+    const auto load = this->server_loads.find(id);
+    if (this->pacing->MayCall(
+            this->Incarnation(id), std::max(1U, server->slots),
+            load == this->server_loads.end() ? 0 : load->second.local)) {
+      within.push_back(id);
+    }
+  }
+  if (within.size() < ids.size()) {
+    this->pacing->CountHeldBack();
+  }
+  return within.empty() ? ids : within;
+}
+
+double RoutingState::PaceShareOf(const std::string& server) const {
+  return this->pacing && this->pacing->Active()
+             ? this->pacing->Pace().ShareOf(this->Incarnation(server))
+             : 1;
+}
+
+bool RoutingState::IsAway(const std::string& server, Instant now) const {
+  return this->IsUnreachable(server, now) ||
+         this->server_health.IsEjected(server, now) ||
+         this->RestLeft(server, now) > Duration::zero();
+}
+
 void RoutingState::OnServerEnded(const std::string& start) {
   const std::size_t mark = start.find('#');
   const std::uint32_t earlier =
@@ -387,6 +460,9 @@
 
 void RoutingState::Expire(Instant now, WallTime wall) {
   this->servers.Expire(now);
+  if (this->pacing) {
+    this->pacing->Update(*this, now);
+  }
   this->cooldowns.Expire(now);
   this->rests.Expire(now);
   this->strikes.Expire(wall);
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -23,6 +23,7 @@
 #include "chervilpass/routing/route_table.h"
 #include "chervilpass/routing/server_registry.h"
 #include "chervilpass/routing/worker_health.h"
+#include "chervilpass/serving/server_pacing.h"
 
 namespace chervilpass::serving {
 
@@ -39,6 +40,8 @@
   quarantine::PromptPartEvidenceSettings prompt_parts;
   /// True if strikes are restored from the store after the start.
   bool strikes_are_stored = false;
+  /// Paces servers that start or come back; none: they get all load at once.
+  std::optional<routing::ServerPaceSettings> server_pacing;
 
   bool operator==(const RoutingStateSettings&) const = default;
 };
@@ -98,6 +101,9 @@
       Instant now,
       Duration max_send_wait = Duration::zero());
 
+  /// Cost by which PickServer compares servers, in shares of their slots.
+  double CallCost(const routing::BackendServer& server, Instant now) const;
+
   /// Starts a cooldown of a worker; false if one for this reason is in
   /// progress.
   bool StartCooldown(const std::string& worker,
@@ -122,7 +128,7 @@
   bool HasUnreachable(const std::string& service, Instant now) const;
 
   /// Forgets which servers could not be reached.
-  void ClearUnreachable();
+  void ClearUnreachable(Instant now);
 
   /// A worker has completed a request or answered a probe: ends its unreachable
   /// cooldown.
@@ -182,7 +188,13 @@
   std::map<std::string, ServerLoad>& ServerLoads() {
     return this->server_loads;
   }
+  const std::map<std::string, ServerLoad>& ServerLoads() const {
+    return this->server_loads;
+  }
   routing::WorkerHealth& ServerHealth() { return this->server_health; }
+  const routing::WorkerHealth& ServerHealth() const {
+    return this->server_health;
+  }
   routing::RetryBudget& Retries() { return this->retries; }
   quarantine::StrikeTracker& Strikes() { return this->strikes; }
   quarantine::PromptPartEvidence& PromptParts() { return this->prompt_parts; }
@@ -199,19 +211,34 @@
   Random& Rng() { return this->random; }
   const RoutingStateSettings& Settings() const { return this->settings; }
 
+  /// Null unless servers are paced.
+  ServerPacing* Pacing() { return this->pacing ? &*this->pacing : nullptr; }
+  const ServerPacing* Pacing() const {
+    return this->pacing ? &*this->pacing : nullptr;
+  }
+
+  /// Share of its full load that a server is given.
+  double PaceShareOf(const std::string& server) const;
+
+  /// True during an outage of a server: it is ejected, rests or cannot be
+  /// reached.
+  bool IsAway(const std::string& server, Instant now) const;
+
+  /// Id and start time of the worker: a restarted worker has no cooldowns.
+  std::string Incarnation(const std::string& worker) const;
+
   /// Removes expired records; to be called a few times a second.
   void Expire(Instant now, WallTime wall);
 
  private:
-  // Id and start time of the worker: a restarted worker has no cooldowns.
-  std::string Incarnation(const std::string& worker) const;
-
   // True if the worker is nearly full by the loads of this VM and those that
   // other entry VMs report.
   bool LooksFull(const std::string& worker,
                  const placement::ModelProfile& model,
                  Instant now) const;
 
+  std::vector<std::string> WithinPace(std::vector<std::string> ids);
+
   RoutingStateSettings settings;
   std::shared_ptr<const routing::RouteTable> table;
   std::optional<Instant> config_confirmed;  ///< null until known
@@ -231,6 +258,7 @@
   bool strikes_loaded = false;
   std::map<std::string, std::uint32_t> server_ends;  ///< by start
   Random random;
+  std::optional<ServerPacing> pacing;
 };
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -71,7 +71,8 @@
               dependencies.scopes),
         policy(dependencies.retry_policy, *context.route, context.max_attempts),
         forwarder(dependencies, context),
-        sequence(context.metadata.last_event_id) {
+        sequence(context.metadata.last_event_id),
+        pace(dependencies.routing_state) {
     this->stream.request_id = context.metadata.request_id;
     this->stream.service = context.service;
     this->stream.model = &model;
@@ -513,7 +514,11 @@
 
   RunResult RunOn(const Path& path) {
     this->StartRun(path);
+    this->pace.OnRunBegun(this->context.service, this->model, path,
+                          this->stream.prompt_tokens,
+                          this->dependencies.runtime->Now());
     RunResult result = this->Send(path);
+    this->pace.OnRunEnded();
     this->EndRun();
     return result;
   }
@@ -684,6 +689,7 @@
       this->stream.smoothed_event_interval += duration_cast<Duration>(
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
+    this->pace.OnEvents(events, this->stream.moved, now);
     this->last_event = now;
     this->stream.last_event = now;
     this->CancelStandby();
@@ -842,7 +848,7 @@
     }
     return this->Refused(
         no_capacity ? RefusalCode::kOverloaded : RefusalCode::kNoBackend,
-        no_capacity ? kRetryAfterNoCapacity : kRetryAfterRepair, detail);
+        LeastRetryAfter(reason), detail);
   }
 
   RequestResult Refused(RefusalCode code,
@@ -912,6 +918,7 @@
   RetryPolicy policy;
   PeerForwarder forwarder;
   EventSequence sequence;
+  StreamPaceRecorder pace;
   ActiveStream stream;
   std::shared_ptr<StandbyRun> standby;  ///< null if none is in progress
   Path last_path;
@@ -930,6 +937,11 @@
 
 }  // namespace
 
+Duration LeastRetryAfter(NoPathReason reason) {
+  return reason == NoPathReason::kNoCapacity ? kRetryAfterNoCapacity
+                                             : kRetryAfterRepair;
+}
+
 RequestResult ProxyStream(const RouterDependencies& dependencies,
                           StreamRegistry* registry,
                           const RequestContext& context,
--- a/chervilpass/serving/stream_proxy.h
+++ b/chervilpass/serving/stream_proxy.h
@@ -15,4 +15,8 @@
                           const placement::ModelProfile& model,
                           Duration time_left);
 
+/// Least time after which callers retry a request that was refused for lack of
+/// a path.
+Duration LeastRetryAfter(placement::NoPathReason reason);
+
 }  // namespace chervilpass::serving
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -10,6 +10,7 @@
 #include "chervilpass/core/build_id.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/fleet/address_list.h"
+#include "chervilpass/fleet/pace_exchange.h"
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
@@ -144,6 +145,9 @@
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
+    if (this->settings.server_pacing) {
+      routing.server_pacing = routing::ServerPaceSettings();
+    }
     return routing;
   }
 
@@ -204,6 +208,13 @@
     events.collect_loads = [this](fleet::LoadScope scope) {
       return this->CollectLoads(scope);
     };
+    events.paces = [this](const std::string& peer, const auto& notices) {
+      fleet::ApplyPaces(this->routing_state, peer, notices,
+                        this->runtime.Now());
+    };
+    events.collect_paces = [this] {
+      return fleet::CollectPaces(this->routing_state, this->runtime.Now());
+    };
     auto created = fleet::PeerGroup::Create(
         &this->runtime, this->store.get(), &this->metrics, &this->log,
         std::move(group), std::move(events));
@@ -811,6 +822,9 @@
       this->routing_state.Loads().SetDataCentrePeerCount(
           this->DataCentrePeerCount());
       this->routing_state.SetFleetSize(this->peers->AliveCount());
+      fleet::SetPacingVms(this->routing_state, this->peers->Members(),
+                          this->runtime.Now());
+      fleet::ReportPaces(this->routing_state, this->log, this->metrics);
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       this->LogConnections();
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -37,6 +37,9 @@
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
   /// One of this many requests that were served in time has a log line.
   std::uint32_t served_requests_per_log_line = 0;
+  /// Servers that start or come back get a share of their load that grows with
+  /// their answers.
+  bool server_pacing = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
--- a/unit_tests/server_pace_test.cc
+++ b/unit_tests/server_pace_test.cc
@@ -55,7 +55,7 @@
     }
     for (std::size_t i = 0; i < vms; ++i) {
       this->paces.push_back(std::make_unique<ServerPace>(settings, keys[i]));
-      this->paces[i]->SetFleet(keys);
+      this->paces[i]->SetFleet(keys, kStart);
       this->paces[i]->OnStarts({{kOld, {}}}, kStart);
     }
     this->now = kStart + seconds(10);
@@ -230,7 +230,7 @@
     keys.push_back(PaceVmKey(VmName(i)));
   }
   ServerPace pace({}, keys[5]);
-  pace.SetFleet(keys);
+  pace.SetFleet(keys, kStart);
   pace.OnStarts({{kOld, {}}}, kStart);
   pace.OnStarts({{kServer, {}}}, kStart + seconds(10));
   int turns = 0;
@@ -425,7 +425,7 @@
   // Guards against a VM that states a full share in each datagram.
   const ServerPaceSettings settings;
   ServerPace pace(settings, 1);
-  pace.SetFleet({1, 2, 3, 4});
+  pace.SetFleet({1, 2, 3, 4}, kStart);
   pace.OnStarts({{kOld, {}}}, kStart);
   Instant now = kStart + seconds(10);
   pace.OnStarts({{kServer, {}}}, now);
