--- a/unit_tests/server_pacing_test.cc
+++ b/unit_tests/server_pacing_test.cc
@@ -148,9 +148,10 @@
     for (std::size_t j = 0; j < 88; ++j) {
       vms.push_back(routing::PaceVmKey(fmt::format("vm{}", j)));
     }
-    sending += OwnPart(routing::FleetPart(0.1, 4), 88,
-                       routing::PaceRank(routing::PaceVmKey(settings.vm), vms,
-                                         routing::PaceStartKey("new@0"), 0));
+    sending +=
+        routing::OwnPart(routing::FleetPart(0.1, 4), 88,
+                         routing::PaceRank(routing::PaceVmKey(settings.vm), vms,
+                                           routing::PaceStartKey("new@0"), 0));
   }
   cr_assert(sending == 1, "%zu VMs", sending);
   paced.state.ServerLoads()["new"].local = 1;
