--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -13,6 +13,7 @@
 #include "chervilpass/config/table_csv.h"
 #include "chervilpass/core/hash.h"
 #include "chervilpass/rpc/control_rpc.h"
+#include "programs/ctl/where.h"
 
 namespace chervilpass {
 namespace {
@@ -34,6 +35,9 @@
   organisation key NAME           create another key; prints it once
   organisation revoke NAME        revoke all keys of an organisation
   explain REQUEST LOG...          print the lines of a request from log files
+  where ROUTER HOST PATH [organisation=NAME] [prompt_tokens=N] [answer_tokens=N]
+                                  show where a request would be sent now, by the
+                                  metrics port (IP:PORT) of a chervil-router
 )";
 
 using Arguments = std::vector<std::string>;
@@ -356,6 +360,10 @@
   TCLAP::ValueArg<std::string> level("l", "log-level",
                                      "debug, info, warning or error", false,
                                      "warning", "LEVEL", command);
+  TCLAP::ValueArg<std::string> key_file(
+      "", "key-file", "file with the operators' key of a chervil-router", false,
+      "", "FILE", command);
+  TCLAP::SwitchArg as_json("", "json", "print JSON", command);
   TCLAP::UnlabeledMultiArg<std::string> words("command", kUsage, false,
                                               "COMMAND", command);
   command.setExceptionHandling(false);
@@ -386,6 +394,10 @@
   if (arguments.front() == "explain") {
     return Explain(arguments);
   }
+  if (arguments.front() == "where") {
+    return Where({arguments.begin() + 1, arguments.end()}, key_file.getValue(),
+                 as_json.getValue());
+  }
   const auto address = io::Endpoint::Parse(address_text);
   if (!address) {
     return BadUsage("--control: IP:PORT is expected");
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -23,6 +23,7 @@
 #include "chervilpass/memory/allocator.h"
 #include "chervilpass/memory/memory_budget.h"
 #include "chervilpass/serving/link_monitor.h"
+#include "chervilpass/serving/route_preview.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
 #include "programs/router/settings.h"
@@ -44,6 +45,8 @@
 constexpr double kAmpleShare = 0.6;
 // Of requests that have no body, or hardly any.
 constexpr std::uint64_t kMaxControlBodyBytes = 16 * 1024;
+// On the metrics port: where a request would be sent now.
+constexpr std::string_view kPreviewPath = "/v1/where";
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
 constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
@@ -444,6 +447,12 @@
   }
 
   void AnswerMetrics(io::HttpExchange& exchange) {
+    if (exchange.Request().path == kPreviewPath) {
+      exchange.Respond(serving::AnswerPreview(
+          this->routing_state, exchange.Request(), this->settings.operator_key,
+          this->runtime.Now()));
+      return;
+    }
     this->metrics.Set("chervil_build_info",
                       fmt::format("version=\"{}\",build=\"{}\"",
                                   CHERVILPASS_VERSION, BuildId()),
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -73,6 +73,7 @@
   settings.served_requests_per_log_line = static_cast<std::uint32_t>(
       limits.Integer("served_requests_per_log_line", {1, 1000000},
                      serving::RouterSettings().served_requests_per_log_line));
+  settings.operator_key = limits.OptionalText("operator_key");
   settings.server_pacing = limits.Bool("server_pacing", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -40,6 +40,8 @@
   /// Servers that start or come back get a share of their load that grows with
   /// their answers.
   bool server_pacing = false;
+  std::string
+      operator_key;  ///< of operators' requests; empty: none are allowed
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
