--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -94,6 +94,9 @@
                                           : LoadScope::kVm,
                                       message.organisation_loads);
     }
+    if (!message.server_paces.empty() && this->events.paces) {
+      this->events.paces(message.from, message.server_paces);
+    }
     const auto applied = this->full_workers.OnReceived(message.full_workers,
                                                        this->runtime->Now());
     if (!applied.empty()) {
@@ -168,6 +171,9 @@
       message.organisation_loads =
           this->events.collect_organisation_loads(scope);
     }
+    if (this->events.collect_paces) {
+      message.server_paces = this->events.collect_paces();
+    }
     return rpc::EncodeGossip(message);
   }
 
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -69,6 +69,12 @@
   std::function<std::vector<membership::OrganisationLoadNotice>(
       LoadScope scope)>
       collect_organisation_loads;
+  /// What a VM states about the paces of servers, and what this VM states. They
+  /// may be empty.
+  std::function<void(const std::string& peer,
+                     const std::vector<membership::ServerPaceNotice>&)>
+      paces;
+  std::function<std::vector<membership::ServerPaceNotice>()> collect_paces;
 };
 
 /// Runs the gossip of this VM. Fiber thread only.
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -72,7 +72,8 @@
               dependencies.scopes),
         policy(dependencies.retry_policy, *context.route, context.max_attempts),
         forwarder(dependencies, context),
-        sequence(context.metadata.last_event_id) {
+        sequence(context.metadata.last_event_id),
+        pace(dependencies.routing_state) {
     this->stream.request_id = context.metadata.request_id;
     this->stream.service = context.service;
     this->stream.model = &model;
@@ -634,7 +635,11 @@
 
   RunResult RunOn(const Path& path) {
     this->StartRun(path);
+    this->pace.OnRunBegun(this->context.service, this->model, path,
+                          this->stream.prompt_tokens,
+                          this->dependencies.runtime->Now());
     RunResult result = this->Send(path);
+    this->pace.OnRunEnded();
     this->EndRun();
     return result;
   }
@@ -805,6 +810,7 @@
       this->stream.smoothed_event_interval += duration_cast<Duration>(
           kIntervalWeight * (interval - this->stream.smoothed_event_interval));
     }
+    this->pace.OnEvents(events, this->stream.moved, now);
     this->last_event = now;
     this->stream.last_event = now;
     this->CancelStandby();
@@ -971,16 +977,18 @@
       return Refuse(this->context, RefusalCode::kOverloaded, Executed::kNo,
                     retry_after, detail, this->policy.Sends());
     }
-    return no_capacity ? this->RefusedForCapacity(RefusalCode::kOverloaded,
-                                                  std::move(detail))
-                       : this->Refused(RefusalCode::kNoBackend,
-                                       kRetryAfterRepair, std::move(detail));
+    return no_capacity
+               ? this->RefusedForCapacity(RefusalCode::kOverloaded,
+                                          std::move(detail))
+               : this->Refused(RefusalCode::kNoBackend, LeastRetryAfter(reason),
+                               std::move(detail));
   }
 
   RequestResult RefusedForCapacity(RefusalCode code, std::string detail) {
     const auto retry_after = this->RetryAfterLackOfCapacity();
     if (!retry_after) {
-      return this->Refused(code, kRetryAfterNoCapacity, std::move(detail));
+      return this->Refused(code, LeastRetryAfter(NoPathReason::kNoCapacity),
+                           std::move(detail));
     }
     return Refuse(
         this->context, code, Executed::kNo,
@@ -1064,6 +1072,7 @@
   RetryPolicy policy;
   PeerForwarder forwarder;
   EventSequence sequence;
+  StreamPaceRecorder pace;
   ActiveStream stream;
   std::shared_ptr<StandbyRun> standby;  ///< null if none is in progress
   Path last_path;
@@ -1092,6 +1101,11 @@
 
 }  // namespace
 
+Duration LeastRetryAfter(NoPathReason reason) {
+  return reason == NoPathReason::kNoCapacity ? kRetryAfterNoCapacity
+                                             : kRetryAfterRepair;
+}
+
 RequestResult ProxyStream(const RouterDependencies& dependencies,
                           StreamRegistry* registry,
                           const RequestContext& context,
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -11,6 +11,7 @@
 #include "chervilpass/core/hash.h"
 #include "chervilpass/fleet/address_list.h"
 #include "chervilpass/fleet/organisation_loads.h"
+#include "chervilpass/fleet/pace_exchange.h"
 #include "chervilpass/fleet/peer_group.h"
 #include "chervilpass/fleet/placement_controller.h"
 #include "chervilpass/fleet/relays.h"
@@ -23,6 +24,7 @@
 #include "chervilpass/memory/allocator.h"
 #include "chervilpass/memory/memory_budget.h"
 #include "chervilpass/serving/link_monitor.h"
+#include "chervilpass/serving/route_preview.h"
 #include "chervilpass/serving/router.h"
 #include "platform/entry_calls.h"
 #include "programs/router/load_report.h"
@@ -45,6 +47,8 @@
 constexpr double kAmpleShare = 0.6;
 // Of requests that have no body, or hardly any.
 constexpr std::uint64_t kMaxControlBodyBytes = 16 * 1024;
+// On the metrics port: where a request would be sent now.
+constexpr std::string_view kPreviewPath = "/v1/where";
 constexpr Duration kHousekeepingPeriod = milliseconds(250);
 constexpr Duration kConnectionLogInterval = seconds(1);
 constexpr Duration kSettingsPollInterval = seconds(3);
@@ -158,6 +162,9 @@
     }
     routing.load_correction = this->settings.load_correction;
     routing.capacity.shares.enabled = this->settings.organisation_shares;
+    if (this->settings.server_pacing) {
+      routing.server_pacing = routing::ServerPaceSettings();
+    }
     return routing;
   }
 
@@ -230,6 +237,13 @@
     events.collect_organisation_loads = [this](fleet::LoadScope scope) {
       return this->CollectOrganisationLoads(scope);
     };
+    events.paces = [this](const std::string& peer, const auto& notices) {
+      fleet::ApplyPaces(this->routing_state, peer, notices,
+                        this->runtime.Now());
+    };
+    events.collect_paces = [this] {
+      return fleet::CollectPaces(this->routing_state, this->runtime.Now());
+    };
     auto created = fleet::PeerGroup::Create(
         &this->runtime, this->store.get(), &this->metrics, &this->log,
         std::move(group), std::move(events));
@@ -467,6 +481,12 @@
   }
 
   void AnswerMetrics(io::HttpExchange& exchange) {
+    if (exchange.Request().path == kPreviewPath) {
+      exchange.Respond(serving::AnswerPreview(
+          this->routing_state, exchange.Request(), this->settings.operator_key,
+          this->runtime.Now()));
+      return;
+    }
     this->metrics.Set("chervil_build_info",
                       fmt::format("version=\"{}\",build=\"{}\"",
                                   CHERVILPASS_VERSION, BuildId()),
@@ -950,6 +970,9 @@
       shares.SetVms(this->peers->AliveCount());
       shares.SetDataCentrePeers(this->DataCentrePeerCount());
       this->LogShortages();
+      fleet::SetPacingVms(this->routing_state, this->peers->Members(),
+                          this->runtime.Now());
+      fleet::ReportPaces(this->routing_state, this->log, this->metrics);
       this->routing_state.Retries().SetReserve(
           this->ReserveFor(this->peers->MaxAlive()));
       this->LogConnections();
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -76,6 +76,8 @@
                      serving::RouterSettings().served_requests_per_log_line));
   settings.early_recovery = limits.Bool("early_recovery", false);
   settings.load_correction = limits.Bool("load_correction", false);
+  settings.operator_key = limits.OptionalText("operator_key");
+  settings.server_pacing = limits.Bool("server_pacing", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -43,6 +43,11 @@
   std::uint32_t served_requests_per_log_line = 0;
   /// Estimates of loads are corrected, and full workers are announced.
   bool load_correction = false;
+  /// Servers that start or come back get a share of their load that grows with
+  /// their answers.
+  bool server_pacing = false;
+  std::string
+      operator_key;  ///< of operators' requests; empty: none are allowed
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
