Path selection prices a sample of the workers of large data centres

Each request built candidates of all workers, with copies of their strings, and summed the loads of all peers. Candidates are kept until the registry or the model changes, sums until loads change. Smaller fleets are priced as before, with the same random numbers.

--- a/chervilpass/placement/load_tracker.cc
+++ b/chervilpass/placement/load_tracker.cc
@@ -67,9 +67,13 @@
   const auto found = this->records.find(worker);
   const double local =
       found == this->records.end() ? 0 : found->second.first_stage_requests;
-  std::erase_if(this->reported, [now](const auto& entry) {
-    return now - entry.second.at > kReportedLifetime;
-  });
+  // At most once in their lifetime: there may be a report for each worker.
+  if (now - this->reported_pruned > kReportedLifetime) {
+    this->reported_pruned = now;
+    std::erase_if(this->reported, [now](const auto& entry) {
+      return now - entry.second.at > kReportedLifetime;
+    });
+  }
   this->reported[worker] = {data_centre, std::max(0.0, running - local), now};
 }
 
@@ -93,16 +97,51 @@
 void LoadTracker::OnPeerLoads(const std::string& peer,
                               LoadsByKey peer_loads,
                               Instant now) {
-  std::erase_if(this->peers, [now](const auto& entry) {
-    return now - entry.second.at > kPeerLoadLifetime;
+  this->DropExpired(now);
+  ReceivedLoads& received = this->peers[peer];
+  this->SubtractFromSums(received.loads);
+  received = {std::move(peer_loads), now};
+  AddLoads(received.loads, 1, &this->peer_sums);
+  this->excluding_local.reset();
+}
+
+void LoadTracker::DropExpired(Instant now) {
+  std::erase_if(this->peers, [this, now](const auto& entry) {
+    const bool expired = now - entry.second.at > kPeerLoadLifetime;
+    if (expired) {
+      this->SubtractFromSums(entry.second.loads);
+    }
+    return expired;
   });
-  this->peers[peer] = {std::move(peer_loads), now};
+}
+
+void LoadTracker::SubtractFromSums(const LoadsByKey& loads) {
+  for (const auto& [worker, load] : loads) {
+    const auto sum = this->peer_sums.find(worker);
+    if (sum == this->peer_sums.end()) {
+      continue;  // without load, as its notice was
+    }
+    sum->second.sequences -= load.sequences;
+    sum->second.kv_token_layers -= load.kv_token_layers;
+    if (sum->second.sequences <= 0 && sum->second.kv_token_layers <= 0) {
+      this->peer_sums.erase(sum);
+    }
+  }
+}
+
+void LoadTracker::OnRestOfDataCentreLoads(const std::string& data_centre,
+                                          const WorkerLoad& rest) {
+  const auto found = this->data_centres.find(data_centre);
+  if (found != this->data_centres.end()) {
+    found->second.rest = rest;
+  }
 }
 
 void LoadTracker::OnDataCentreLoads(const std::string& data_centre,
                                     LoadsByKey loads,
                                     Instant now) {
   this->data_centres[data_centre] = {std::move(loads), now};
+  this->excluding_local.reset();
 }
 
 LoadsByKey LoadTracker::DataCentreTotals(Instant now) const {
@@ -111,15 +150,56 @@
   return totals;
 }
 
-LoadsByKey LoadTracker::TotalsExcludingLocal(Instant now) const {
-  LoadsByKey totals;
-  this->AddPeerLoads(&totals, now);
+const LoadsByKey& LoadTracker::TotalsExcludingLocal(Instant now) const {
+  if (this->excluding_local && this->excluding_local->since <= now &&
+      now <= this->excluding_local->until) {
+    return this->excluding_local->totals;
+  }
+  CachedTotals& cached = this->excluding_local.emplace();
+  cached.since = now;
+  cached.until = Instant::max();
+  const auto expires = [&cached, now](const ReceivedLoads& received) {
+    if (now - received.at <= kPeerLoadLifetime) {
+      cached.until = std::min(cached.until, received.at + kPeerLoadLifetime);
+    }
+  };
+  this->AddPeerLoads(&cached.totals, now);
+  for (const auto& [peer, received] : this->peers) {
+    expires(received);
+  }
   for (const auto& [data_centre, received] : this->data_centres) {
     if (now - received.at <= kPeerLoadLifetime) {
-      AddLoads(received.loads, 1, &totals);
+      AddLoads(received.loads, 1, &cached.totals);
+      expires(received);
     }
   }
-  return totals;
+  return cached.totals;
+}
+
+WorkerLoad LoadTracker::LoadExcludingLocal(std::uint32_t worker,
+                                           const std::string& data_centre,
+                                           Instant now) const {
+  WorkerLoad load;
+  const auto sum = this->peer_sums.find(worker);
+  if (sum != this->peer_sums.end()) {
+    const double scale =
+        std::max(1.0, static_cast<double>(this->data_centre_peer_count) /
+                          static_cast<double>(this->peers.size()));
+    load.sequences = scale * sum->second.sequences;
+    load.kv_token_layers = scale * sum->second.kv_token_layers;
+  }
+  for (const auto& [name, received] : this->data_centres) {
+    if (now - received.at > kPeerLoadLifetime) {
+      continue;
+    }
+    const auto found = received.loads.find(worker);
+    const WorkerLoad other = found != received.loads.end() ? found->second
+                             : name == data_centre         ? received.rest
+                                                           : WorkerLoad{};
+    load.sequences += other.sequences;
+    load.kv_token_layers += other.kv_token_layers;
+  }
+  return load;
 }
 
 void LoadTracker::AddPeerLoads(LoadsByKey* totals, Instant now) const {
--- a/chervilpass/placement/load_tracker.h
+++ b/chervilpass/placement/load_tracker.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -60,8 +61,16 @@
                          LoadsByKey loads,
                          Instant now);
 
+  /// Sets the average load of the workers of another data centre that its last
+  /// loads do not list.
+  void OnRestOfDataCentreLoads(const std::string& data_centre,
+                               const WorkerLoad& rest);
+
   /// Sets the number of other entries of this data centre that are alive.
   void SetDataCentrePeerCount(std::size_t count) {
+    if (this->data_centre_peer_count != count) {
+      this->excluding_local.reset();
+    }
     this->data_centre_peer_count = count;
   }
 
@@ -69,8 +78,20 @@
   /// without recent loads count with the average of the others.
   LoadsByKey DataCentreTotals(Instant now) const;
 
-  /// Returns the known load of all other entries.
-  LoadsByKey TotalsExcludingLocal(Instant now) const;
+  /// Returns the known load of all other entries, valid until the next call of
+  /// a method. Summed again only after loads have arrived or expired.
+  const LoadsByKey& TotalsExcludingLocal(Instant now) const;
+
+  /// Returns the known load of all other entries on one worker, as
+  /// TotalsExcludingLocal up to rounding and the rest of partial loads. Its
+  /// cost does not depend on the number of workers or entries. Call DropExpired
+  /// before.
+  WorkerLoad LoadExcludingLocal(std::uint32_t worker,
+                                const std::string& data_centre,
+                                Instant now) const;
+
+  /// Drops the loads of entries that have not been heard for a while.
+  void DropExpired(Instant now);
 
   /// True if the loads of any other entry or data centre are recent.
   bool HasRecentPeerLoads(Instant now) const;
@@ -93,15 +114,28 @@
   struct ReceivedLoads {
     LoadsByKey loads;
     Instant at;
+    WorkerLoad rest{};  ///< of each worker of the data centre without a load
+  };
+
+  // Sums of other entries; valid in [since, until].
+  struct CachedTotals {
+    LoadsByKey totals;
+    Instant since{};
+    Instant until{};
   };
 
   void AddPeerLoads(LoadsByKey* totals, Instant now) const;
+  void SubtractFromSums(const LoadsByKey& loads);
 
   std::map<std::string, Record> records;       ///< of this entry, by worker
   std::map<std::string, ReceivedLoads> peers;  ///< by VM, of this data centre
   std::map<std::string, ReceivedLoads> data_centres;  ///< other ones, by name
+  /// Sums over `peers`. Exact, since the loads in datagrams are integers.
+  LoadsByKey peer_sums;
   std::size_t data_centre_peer_count = 0;
+  mutable std::optional<CachedTotals> excluding_local;
   std::map<std::string, ReportedRequests> reported;  ///< by worker
+  Instant reported_pruned{};
 };
 
 }  // namespace chervilpass::placement
--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -113,6 +113,9 @@
     }
   }
 
+  /// True if no worker is in cooldown.
+  bool Empty() const { return this->records.empty(); }
+
   bool InCooldown(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
     return found != this->records.end() && now < found->second.Until();
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <limits>
 
 namespace chervilpass::serving {
@@ -43,6 +44,19 @@
   return plain || (!server.layers.Empty() && server.layers.from == 0);
 }
 
+void AddPeerLoad(const placement::WorkerLoad& load,
+                 placement::PathCandidate* candidate) {
+  if (candidate->layers.Empty()) {
+    return;
+  }
+  candidate->load.sequences += load.sequences;
+  candidate->load.kv_token_layers += load.kv_token_layers;
+  // Entry VMs do not report contexts to each other, so the length of a context
+  // is estimated from the KV capacity that is reserved for it.
+  candidate->load.context_tokens +=
+      load.kv_token_layers / candidate->layers.Size();
+}
+
 }  // namespace
 
 RoutingState::RoutingState(RoutingStateSettings settings, std::uint64_t seed)
@@ -104,7 +118,7 @@
     return false;
   }
   placement::WorkerLoad load = this->loads.LocalLoad(worker);
-  const auto peer_totals = this->loads.TotalsExcludingLocal(now);
+  const auto& peer_totals = this->loads.TotalsExcludingLocal(now);
   const auto found = peer_totals.find(placement::WorkerKey(worker));
   if (found != peer_totals.end()) {
     load.sequences += found->second.sequences;
@@ -256,67 +270,213 @@
       kMaxRateLimitRetryAfter);
 }
 
-std::vector<placement::PathCandidate> RoutingState::PathCandidates(
+RoutingState::Workers& RoutingState::WorkersOf(
     const std::string& service,
-    const placement::ModelProfile& model,
-    Instant now) const {
-  std::vector<placement::PathCandidate> candidates;
-  std::map<std::string, double> layers_in;
+    const placement::ModelProfile& model) const {
+  Workers& cached = this->workers[service];
+  if (cached.generation == this->servers.Generation() &&
+      cached.model == model) {
+    return cached;
+  }
+  Workers built;
+  built.generation = this->servers.Generation();
+  built.model = model;
+  std::vector<placement::CandidateSampler::Worker> sampled;
   for (const routing::BackendServer* server : this->servers.Usable(service)) {
     const auto kind = model.accelerator_kinds.find(server->accelerator_kind);
-    if (server->layers.Empty() || kind == model.accelerator_kinds.end() ||
-        this->InCooldown(server->id, now)) {
+    if (server->layers.Empty() || kind == model.accelerator_kinds.end()) {
+      continue;
+    }
+    built.candidates.push_back({server->id,
+                                server->address,
+                                server->data_centre,
+                                server->layers,
+                                kind->second,
+                                1,
+                                {},
+                                Duration::zero()});
+    built.layers.push_back(server->layers);
+    built.incarnations.push_back(IncarnationOf(server->id, server->started));
+    built.keys.push_back(placement::WorkerKey(server->id));
+    built.layers_in[server->data_centre] += server->layers.Size();
+    sampled.push_back({server->data_centre, server->layers});
+  }
+  built.sampler = placement::CandidateSampler(this->settings.samples,
+                                              model.layers, sampled);
+  cached = std::move(built);
+  return cached;
+}
+
+void RoutingState::Estimate(Workers* workers, Instant now) const {
+  std::map<std::string, double> layers_in;
+  const bool cooling = !this->cooldowns.Empty();
+  for (std::size_t i = 0; i < workers->candidates.size(); ++i) {
+    placement::PathCandidate& candidate = workers->candidates[i];
+    if (cooling && this->cooldowns.InCooldown(workers->incarnations[i], now)) {
+      candidate.layers = {};
       continue;
     }
-    candidates.push_back({server->id, server->address, server->data_centre,
-                          server->layers, kind->second, 1,
-                          this->loads.LocalLoad(server->id),
-                          this->SendWait(server->id, now)});
-    layers_in[server->data_centre] += server->layers.Size();
+    candidate.layers = workers->layers[i];
+    candidate.load = this->loads.LocalLoad(candidate.worker);
+    candidate.send_wait = this->SendWait(candidate.worker, now);
+    layers_in[candidate.data_centre] += candidate.layers.Size();
   }
   if (this->loads.HasRecentPeerLoads(now)) {
-    const auto totals = this->loads.TotalsExcludingLocal(now);
-    for (placement::PathCandidate& candidate : candidates) {
-      const auto peer_total =
-          totals.find(placement::WorkerKey(candidate.worker));
-      if (peer_total == totals.end()) {
-        continue;
+    const auto& totals = this->loads.TotalsExcludingLocal(now);
+    for (std::size_t i = 0; i < workers->candidates.size(); ++i) {
+      const auto peer_total = totals.find(workers->keys[i]);
+      if (peer_total != totals.end()) {
+        AddPeerLoad(peer_total->second, &workers->candidates[i]);
       }
-      candidate.load.sequences += peer_total->second.sequences;
-      candidate.load.kv_token_layers += peer_total->second.kv_token_layers;
-      // Entry VMs do not report contexts to each other, so the length of a
-      // context is estimated from the KV capacity that is reserved for it.
-      candidate.load.context_tokens +=
-          peer_total->second.kv_token_layers / candidate.layers.Size();
     }
-    return candidates;
+    return;
   }
-  // Without recent reports, requests of other entry VMs are assumed to be
-  // spread evenly over the workers that hold a layer.
+  this->AddAssumedLoads(workers->model, layers_in, now, &workers->candidates);
+}
+
+void RoutingState::AddAssumedLoads(
+    const placement::ModelProfile& model,
+    const std::map<std::string, double>& layers_in,
+    Instant now,
+    std::vector<placement::PathCandidate>* candidates) const {
   const double typical_tokens =
       model.typical_prompt_tokens + model.typical_answer_tokens / 2.0;
-  for (placement::PathCandidate& candidate : candidates) {
-    const double replicas = std::max(
-        1.0, layers_in[candidate.data_centre] / std::max(1U, model.layers));
-    const double peer_requests =
-        this->loads.PeerRequestsIn(candidate.data_centre, now) / replicas;
+  std::map<std::string, double> requests_in;
+  for (const auto& [data_centre, layers] : layers_in) {
+    const double replicas = std::max(1.0, layers / std::max(1U, model.layers));
+    requests_in[data_centre] =
+        this->loads.PeerRequestsIn(data_centre, now) / replicas;
+  }
+  for (placement::PathCandidate& candidate : *candidates) {
+    if (candidate.layers.Empty()) {
+      continue;
+    }
+    const double peer_requests = requests_in.at(candidate.data_centre);
     candidate.load.sequences += peer_requests;
     candidate.load.context_tokens += peer_requests * typical_tokens;
     candidate.load.kv_token_layers +=
         peer_requests * typical_tokens * candidate.layers.Size();
   }
+}
+
+void RoutingState::EstimateSample(Workers* workers,
+                                  const std::vector<std::uint32_t>& indices,
+                                  Instant now) const {
+  const bool has_peer_loads = this->loads.HasRecentPeerLoads(now);
+  workers->sample.resize(indices.size());
+  for (std::size_t i = 0; i < indices.size(); ++i) {
+    placement::PathCandidate& candidate = workers->sample[i];
+    candidate = workers->candidates[indices[i]];
+    candidate.layers = workers->layers[indices[i]];
+    candidate.load = this->loads.LocalLoad(candidate.worker);
+    candidate.send_wait = this->SendWait(candidate.worker, now);
+    if (has_peer_loads) {
+      AddPeerLoad(this->loads.LoadExcludingLocal(workers->keys[indices[i]],
+                                                 candidate.data_centre, now),
+                  &candidate);
+    }
+  }
+  if (!has_peer_loads) {
+    this->AddAssumedLoads(workers->model, workers->layers_in, now,
+                          &workers->sample);
+  }
+}
+
+std::vector<placement::PathCandidate> RoutingState::PathCandidates(
+    const std::string& service,
+    const placement::ModelProfile& model,
+    Instant now) const {
+  Workers& workers = this->WorkersOf(service, model);
+  this->Estimate(&workers, now);
+  std::vector<placement::PathCandidate> candidates;
+  std::copy_if(workers.candidates.begin(), workers.candidates.end(),
+               std::back_inserter(candidates),
+               [](const placement::PathCandidate& candidate) {
+                 return !candidate.layers.Empty();
+               });
   return candidates;
 }
 
+bool RoutingState::IsCrowded(const Workers& workers,
+                             const placement::Path& path) const {
+  const double limit = this->settings.paths.high_utilisation;
+  return std::any_of(
+      workers.sample.begin(), workers.sample.end(),
+      [&](const placement::PathCandidate& candidate) {
+        const auto stage =
+            std::find_if(path.begin(), path.end(),
+                         [&candidate](const placement::PathStage& other) {
+                           return other.worker == candidate.worker;
+                         });
+        if (stage == path.end()) {
+          return false;
+        }
+        const double kv_capacity = workers.model.KvCapacityTokenLayers(
+            candidate.kind, candidate.layers.Size());
+        return candidate.load.kv_token_layers > limit * kv_capacity ||
+               (stage == path.begin() &&
+                candidate.load.sequences > limit * workers.model.batch_limit);
+      });
+}
+
+// Workers of the data centre of the entry, or of the previous stage, come
+// first. Those of others are priced as well only if there is no path there, or
+// if its workers are crowded. The work does not depend on the number of
+// workers.
+Result<placement::ChosenPath, placement::NoPathReason>
+RoutingState::FindSampledPath(Workers* workers,
+                              const placement::PathQuery& query,
+                              Instant now) {
+  ++this->sampled_paths;
+  const bool cooling = !this->cooldowns.Empty();
+  const auto usable = [&](std::uint32_t index) {
+    return !query.excluded.contains(workers->candidates[index].worker) &&
+           !(cooling &&
+             this->cooldowns.InCooldown(workers->incarnations[index], now));
+  };
+  const auto choose = [&](const std::vector<std::string>& data_centres,
+                          std::size_t per_layer) {
+    std::vector<std::uint32_t> indices;
+    for (const std::string& data_centre : data_centres) {
+      workers->sampler.Sample(data_centre, query.layers, per_layer, usable,
+                              &this->random, &indices);
+    }
+    this->EstimateSample(workers, indices, now);
+    return placement::ChoosePath(workers->model, workers->sample, query,
+                                 this->settings.paths, &this->random);
+  };
+  this->loads.DropExpired(now);
+  const placement::CandidateSamplerSettings& samples = this->settings.samples;
+  auto own = choose({query.from_data_centre}, samples.workers_per_layer);
+  if (own.has_value() && !this->IsCrowded(*workers, own.value().path)) {
+    return own;
+  }
+  const auto everywhere = workers->sampler.DataCentres();
+  const auto all = choose(everywhere, samples.workers_per_layer);
+  if (all.has_value()) {
+    return own.has_value() && own.value().cost <= all.value().cost ? own : all;
+  }
+  if (own.has_value()) {
+    return own;
+  }
+  ++this->widely_sampled_paths;
+  return choose(everywhere, samples.wide_workers_per_layer);
+}
+
 Result<placement::ChosenPath, placement::NoPathReason> RoutingState::FindPath(
     const std::string& service,
     const placement::ModelProfile& model,
     const placement::PathQuery& query,
     Instant now) {
-  const auto candidates = this->PathCandidates(service, model, now);
+  Workers& workers = this->WorkersOf(service, model);
+  const bool sampled = workers.sampler.Samples();
+  if (!sampled) {
+    this->Estimate(&workers, now);
+  }
   const auto choose = [&](const placement::PathQuery& wanted) {
-    return placement::ChoosePath(model, candidates, wanted,
-                                 this->settings.paths, &this->random);
+    return sampled ? this->FindSampledPath(&workers, wanted, now)
+                   : placement::ChoosePath(model, workers.candidates, wanted,
+                                           this->settings.paths, &this->random);
   };
   if (!query.avoided.empty()) {
     placement::PathQuery apart = query;
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -12,6 +12,8 @@
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/core/random.h"
+#include "chervilpass/core/stall_clock.h"
+#include "chervilpass/placement/candidate_sampler.h"
 #include "chervilpass/placement/load_tracker.h"
 #include "chervilpass/placement/path_chooser.h"
 #include "chervilpass/quarantine/prompt_part_evidence.h"
@@ -26,12 +28,16 @@
 
 namespace chervilpass::serving {
 
+/// Time without a tick of RoutingState::Stalls that counts as a stall.
+inline constexpr Duration kStallThreshold = milliseconds(60);
+
 /// Settings of a RoutingState.
 struct RoutingStateSettings {
   std::string vm;
   std::string data_centre;
   routing::RetryBudgetSettings retries;
   placement::PathChooserSettings paths;
+  placement::CandidateSamplerSettings samples;
   /// One more than the three ends after which retries are limited: a harmless
   /// request may be beside three ends in a row, and a few retries are allowed.
   quarantine::StrikeTrackerSettings strikes{4, std::chrono::minutes(10),
@@ -74,6 +80,19 @@
                : std::nullopt;
   }
 
+  /// The store or a relay has stated the registered servers.
+  void OnServersConfirmed(Instant now) { this->servers_confirmed = now; }
+
+  /// Time since that; none if it has not been said yet.
+  std::optional<Duration> ServersUnconfirmedFor(Instant now) const {
+    return this->servers_confirmed
+               ? std::optional<Duration>(now - *this->servers_confirmed)
+               : std::nullopt;
+  }
+
+  /// Delays of this process, which make its own time-outs worthless.
+  StallClock& Stalls() { return this->stalls; }
+
   /// Finds a path for the query without workers in cooldown; fails with the
   /// reason why there is none.
   Result<placement::ChosenPath, placement::NoPathReason> FindPath(
@@ -89,6 +108,13 @@
       const placement::ModelProfile& model,
       Instant now) const;
 
+  /// Number of paths that were chosen from a sample of the workers, and of
+  /// those that needed a wider sample.
+  std::uint64_t SampledPaths() const { return this->sampled_paths; }
+  std::uint64_t WidelySampledPaths() const {
+    return this->widely_sampled_paths;
+  }
+
   /// Chooses a server of a plain service; empty if none is usable. A request
   /// may wait for `max_send_wait` until the server's rate limit and rest let it
   /// be sent.
@@ -212,9 +238,56 @@
                  const placement::ModelProfile& model,
                  Instant now) const;
 
+  // The workers of a service that hold layers, as of a generation of the
+  // registry.
+  struct Workers {
+    std::uint64_t generation = 0;
+    placement::ModelProfile model;
+    /// With their layers, and with the load of an earlier request.
+    std::vector<placement::PathCandidate> candidates;
+    std::vector<placement::LayerRange> layers;
+    std::vector<std::string> incarnations;
+    std::vector<std::uint32_t> keys;  ///< WorkerKey of each
+    /// Layers that the workers of each data centre hold together.
+    std::map<std::string, double> layers_in;
+    placement::CandidateSampler sampler{{}, 0, {}};
+    /// Reused, so that a request copies no strings into new memory.
+    std::vector<placement::PathCandidate> sample;
+  };
+
+  // Built anew only if the registry or the model has changed.
+  Workers& WorkersOf(const std::string& service,
+                     const placement::ModelProfile& model) const;
+
+  // Sets the loads and waits of all candidates. Those in cooldown have no
+  // layers then.
+  void Estimate(Workers* workers, Instant now) const;
+
+  // Adds the requests of other VMs, without recent reports of theirs: they are
+  // assumed to be spread evenly over the workers that hold a layer.
+  void AddAssumedLoads(const placement::ModelProfile& model,
+                       const std::map<std::string, double>& layers_in,
+                       Instant now,
+                       std::vector<placement::PathCandidate>* candidates) const;
+
+  // Copies the candidates of `indices`, with their loads, to `sample`.
+  void EstimateSample(Workers* workers,
+                      const std::vector<std::uint32_t>& indices,
+                      Instant now) const;
+
+  Result<placement::ChosenPath, placement::NoPathReason> FindSampledPath(
+      Workers* workers,
+      const placement::PathQuery& query,
+      Instant now);
+
+  // True if some stage of the path is on a worker of high utilisation.
+  bool IsCrowded(const Workers& workers, const placement::Path& path) const;
+
   RoutingStateSettings settings;
   std::shared_ptr<const routing::RouteTable> table;
   std::optional<Instant> config_confirmed;  ///< null until known
+  std::optional<Instant> servers_confirmed;
+  StallClock stalls{kStallThreshold};
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
   routing::CooldownTracker cooldowns{routing::CooldownTrackerSettings{}};
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
@@ -231,6 +304,9 @@
   bool strikes_loaded = false;
   std::map<std::string, std::uint32_t> server_ends;  ///< by start
   Random random;
+  mutable std::map<std::string, Workers> workers;  ///< by service
+  std::uint64_t sampled_paths = 0;
+  std::uint64_t widely_sampled_paths = 0;
 };
 
 }  // namespace chervilpass::serving
