A decider that is behind does less; lost workers are replaced sooner

OrderGovernor between planner and controller holds orders that are no repairs while the loop, the registry or reports lag or the claim is not confirmed, bounds weight loads a minute, and lets no worker have two orders.

The holder of the claim goes on with repairs in an outage of the store while no VM can have taken over, and a new holder waits for the former one: two deciders gave the same orders within 80 ms after an outage.

Time-outs while this process stalled are no evidence, in StreamRegistry, CrashMonitor, LinkMonitor and CheckSuspect alike.

A worker that has not responded for 4 s, or 1.2 s while no path of all layers is left, no longer keeps others from being moved.

--- a/chervilpass/fleet/decider_claim.cc
+++ b/chervilpass/fleet/decider_claim.cc
@@ -8,9 +8,18 @@
 using membership::Member;
 using membership::Status;
 
+bool IsPresent(const Member& member) {
+  return member.status == Status::kAlive || member.status == Status::kSuspect;
+}
+
+// Without this VM, the first member.
+std::size_t CountOthers(const std::vector<Member>& members) {
+  return static_cast<std::size_t>(
+      std::count_if(members.begin() + 1, members.end(), IsPresent));
+}
+
 bool CanDecide(const Member& member) {
-  return member.store_up && !member.cut_off &&
-         (member.status == Status::kAlive || member.status == Status::kSuspect);
+  return member.store_up && !member.cut_off && IsPresent(member);
 }
 
 }  // namespace
@@ -20,9 +29,16 @@
   if (read != this->record) {
     this->holder_missing_since.reset();
   }
-  this->store_read = true;
+  const auto former = this->record;
   this->record = read;
+  if (this->Holds() && former && former->vm != this->vm) {
+    this->may_act_from =
+        now + (this->holder_alive ? this->settings.alive_handover_delay
+                                  : this->settings.handover_delay);
+  }
+  this->store_read = true;
   this->read_at = now;
+  this->contested = false;
 }
 
 bool DeciderClaim::Holds() const {
@@ -30,6 +46,30 @@
          this->record->boot_id == this->boot_id;
 }
 
+bool DeciderClaim::IsContested(const std::vector<Member>& members) const {
+  if (2 * CountOthers(members) < this->heard_when_read) {
+    return true;
+  }
+  return !CanDecide(members.front()) &&
+         std::any_of(members.begin() + 1, members.end(),
+                     [](const Member& other) {
+                       return IsPresent(other) && other.store_up;
+                     });
+}
+
+ClaimStanding DeciderClaim::Standing(const std::vector<Member>& members,
+                                     Instant now) const {
+  if (!this->Holds() || now < this->may_act_from) {
+    return ClaimStanding::kNone;
+  }
+  if (now - this->read_at < this->settings.confirmed_for) {
+    return ClaimStanding::kConfirmed;
+  }
+  return this->contested || this->IsContested(members)
+             ? ClaimStanding::kNone
+             : ClaimStanding::kUncontested;
+}
+
 DeciderRecord DeciderClaim::Proposal() const {
   return {this->vm, this->boot_id, this->record ? this->record->term + 1 : 1};
 }
@@ -51,6 +91,10 @@
   const Member* candidate = Candidate(members);
   const bool is_candidate = candidate != nullptr && candidate->vm == this->vm;
   if (this->Holds()) {
+    this->contested = this->contested || this->IsContested(members);
+    if (now - this->read_at < this->settings.confirmed_for) {
+      this->heard_when_read = CountOthers(members);
+    }
     return ClaimAction::kRead;  // detects a takeover
   }
   if (!is_candidate) {
@@ -63,6 +107,11 @@
   if (!this->record) {
     return ClaimAction::kCreate;
   }
+  this->holder_alive =
+      std::any_of(members.begin(), members.end(), [this](const Member& member) {
+        return member.vm == this->record->vm &&
+               member.boot_id == this->record->boot_id && IsPresent(member);
+      });
   const bool holder_present =
       std::any_of(members.begin(), members.end(), [this](const Member& member) {
         return member.vm == this->record->vm &&
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -1,9 +1,12 @@
 #include "chervilpass/fleet/placement_controller.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "platform/worker_decoder.h"
 
@@ -21,6 +24,8 @@
 // Reports take precedence over registrations for this long: a registration lags
 // behind the worker's report by up to one heartbeat.
 constexpr Duration kReportLifetime = seconds(4);
+// A lateness counts less by the time since, divided by this.
+constexpr int kLatenessDecay = 4;
 
 json::value EncodeRecord(const DeciderRecord& record) {
   json::object body;
@@ -74,7 +79,8 @@
         settings(settings),
         members(std::move(members)),
         cut_off(std::move(cut_off)),
-        claim(std::move(claim)) {}
+        claim(std::move(claim)),
+        governor(settings.governor) {}
 
   io::Runtime* runtime;
   platform::StoreClient* store;
@@ -88,9 +94,18 @@
   DeciderClaim claim;
 
   std::uint64_t claim_revision = 0;
+  bool claim_read_failed = false;  ///< the last one
+  bool reading_claim = false;      ///< on a fiber of its own
+  placement::OrderGovernor governor;
+  /// Of the control loop, less a share of the time since.
+  Duration lateness{0};
+  std::map<placement::HoldReason, std::size_t> held;  ///< since the last line
+  Instant held_logged_at{};
   std::map<std::string, OpenOrder> open_orders;      ///< by worker
   std::map<std::string, ConfirmedLayers> confirmed;  ///< by worker
   std::set<std::string> suspects;  ///< polled until they respond
+  /// Registered workers that are not usable for planning.
+  std::map<std::string, Instant> unusable_since;
   std::size_t last_worker_count = 0;
   Instant last_worker_count_change{};
   std::optional<Instant> first_worker_at;
@@ -99,7 +114,10 @@
 
   void Loop() {
     while (!this->stopped) {
+      const Instant slept = this->runtime->Now();
       this->runtime->SleepFor(this->settings.check_interval);
+      this->RecordLateness(this->runtime->Now() - slept -
+                           this->settings.check_interval);
       this->UpdateClaim();
       if (this->claim.Holds() != this->is_decider) {
         this->is_decider = this->claim.Holds();
@@ -114,6 +132,13 @@
     }
   }
 
+  // Only of the processor: waits for the store are no lateness.
+  void RecordLateness(Duration late) {
+    this->lateness = std::max(
+        {Duration::zero(), late,
+         this->lateness - this->settings.check_interval / kLatenessDecay});
+  }
+
   // ---- the claim ----
 
   void UpdateClaim() {
@@ -125,18 +150,21 @@
       case ClaimAction::kRead:
         if (now - this->claim.LastReadAt() >=
             this->settings.idle_read_interval) {
-          this->ReadClaim();
+          this->RefreshClaim();
         }
         return;
       case ClaimAction::kCreate:
         this->OnClaimWritten(
             this->store->Create(StoreKind::kControl, std::string(kClaimName),
-                                EncodeRecord(this->claim.Proposal())));
+                                EncodeRecord(this->claim.Proposal())),
+            now);
         return;
       case ClaimAction::kTakeOver:
-        this->OnClaimWritten(this->store->Replace(
-            StoreKind::kControl, std::string(kClaimName), this->claim_revision,
-            EncodeRecord(this->claim.Proposal())));
+        this->OnClaimWritten(
+            this->store->Replace(StoreKind::kControl, std::string(kClaimName),
+                                 this->claim_revision,
+                                 EncodeRecord(this->claim.Proposal())),
+            now);
         return;
     }
   }
@@ -144,29 +172,46 @@
   // Reads the claim after a failed write that the store did not refuse, since
   // this write or another VM's may have been applied.
   void OnClaimWritten(
-      const Result<platform::StoredObject, platform::StoreError>& written) {
+      const Result<platform::StoredObject, platform::StoreError>& written,
+      Instant asked) {
     if (written.has_value()) {
-      this->ApplyClaim(written.value());
+      this->ApplyClaim(written.value(), asked);
     } else if (written.error().code != StoreErrorCode::kRefused) {
       this->ReadClaim();
     }
   }
 
-  bool ReadClaim() {
+  // After a failure the loop does not wait for the store: repairs continue
+  // while it is unavailable.
+  void RefreshClaim() {
+    if (!this->claim_read_failed) {
+      this->ReadClaim();
+    } else if (!std::exchange(this->reading_claim, true)) {
+      this->runtime->Spawn([self = this->shared_from_this()] {
+        self->ReadClaim();
+        self->reading_claim = false;
+      });
+    }
+  }
+
+  void ReadClaim() {
+    const Instant asked = this->runtime->Now();
     const auto read =
         this->store->Get(StoreKind::kControl, std::string(kClaimName));
-    if (read.has_value()) {
-      this->ApplyClaim(read.value());
-      return true;
-    }
-    if (read.error().code == StoreErrorCode::kNotFound) {
-      this->claim.OnRead(std::nullopt, this->runtime->Now());
-      return true;
+    const bool found = read.has_value();
+    this->claim_read_failed =
+        !found && read.error().code != StoreErrorCode::kNotFound;
+    if (found) {
+      this->ApplyClaim(read.value(), asked);
+    } else if (!this->claim_read_failed) {
+      this->claim.OnRead(std::nullopt, asked);
     }
-    return false;
   }
 
-  void ApplyClaim(const platform::StoredObject& object) {
+  void ApplyClaim(const platform::StoredObject& object, Instant asked) {
+    if (asked < this->claim.LastReadAt()) {
+      return;  // overtaken by a later read or write
+    }
     const auto record = DecodeRecord(object.spec);
     if (!record) {
       this->log->Warning("placement.claim_unreadable",
@@ -174,29 +219,16 @@
     }
     this->claim_revision = object.revision;
     // An unreadable record is replaced as if its holder were gone.
-    this->claim.OnRead(record.value_or(DeciderRecord{}), this->runtime->Now());
+    this->claim.OnRead(record.value_or(DeciderRecord{}), asked);
   }
 
-  bool ConfirmClaim() {
-    const Instant now = this->runtime->Now();
-    if (now - this->claim.LastReadAt() <
+  // How far this VM may act now; reads the claim if the last read is too old.
+  ClaimStanding ConfirmClaim() {
+    if (this->runtime->Now() - this->claim.LastReadAt() >=
         this->settings.claim_confirm_interval) {
-      return this->claim.Holds();
+      this->RefreshClaim();
     }
-    if (this->ReadClaim()) {
-      return this->claim.Holds();
-    }
-    // While no member reaches the store, none can take over the claim.
-    return this->claim.Holds() && !this->AnyMemberReachesStore();
-  }
-
-  bool AnyMemberReachesStore() const {
-    const auto& known_members = this->members();
-    return std::any_of(known_members.begin(), known_members.end(),
-                       [](const membership::Member& member) {
-                         return member.store_up &&
-                                member.status != membership::Status::kDead;
-                       });
+    return this->claim.Standing(this->members(), this->runtime->Now());
   }
 
   // ---- planning ----
@@ -226,17 +258,77 @@
     if (mostly_empty && !this->HasSettled(workers.size())) {
       return;
     }
+    const Instant begun = this->runtime->Now();
     const auto orders =
         placement::PlanPlacement(model, workers, this->settings.planner);
-    if (orders.empty() || !this->ConfirmClaim()) {
+    this->RecordLateness(this->runtime->Now() - begun);
+    if (orders.empty()) {
+      return;
+    }
+    const ClaimStanding standing = this->ConfirmClaim();
+    if (standing == ClaimStanding::kNone) {
       return;
     }
+    const placement::PlanBasis basis =
+        this->BasisOfPlan(standing == ClaimStanding::kConfirmed, mostly_empty);
     for (const PlacementOrder& order : orders) {
       if (!mostly_empty && !order.urgent &&
           this->open_orders.size() >= model.concurrent_loads) {
         break;
       }
-      this->StartOrder(order);
+      if (const auto reason = this->governor.Admit(order, basis)) {
+        this->Hold(*reason);
+      } else {
+        this->StartOrder(order);
+      }
+    }
+    this->LogHeldOrders(basis);
+  }
+
+  placement::PlanBasis BasisOfPlan(bool claim_confirmed, bool starting) const {
+    const Instant now = this->runtime->Now();
+    placement::PlanBasis basis;
+    basis.now = now;
+    basis.claim_confirmed = claim_confirmed;
+    basis.registry_age =
+        this->routing_state->ServersUnconfirmedFor(now).value_or(
+            Duration::zero());
+    for (const auto& [worker, order] : this->open_orders) {
+      const auto report = this->confirmed.find(worker);
+      const Instant known = report == this->confirmed.end()
+                                ? order.since
+                                : std::max(order.since, report->second.at);
+      basis.report_age = std::max(basis.report_age, now - known);
+    }
+    basis.lateness = this->lateness;
+    basis.starting = starting;
+    return basis;
+  }
+
+  void Hold(placement::HoldReason reason) {
+    ++this->held[reason];
+    this->metrics->Increment(
+        "chervil_placement_orders_held_total",
+        fmt::format("reason=\"{}\"", placement::NameOf(reason)));
+  }
+
+  // A plan repeats its orders until they are carried out, so a held one counts
+  // once in each round.
+  void LogHeldOrders(const placement::PlanBasis& basis) {
+    if (this->held.empty() ||
+        basis.now - this->held_logged_at < this->settings.held_log_interval) {
+      return;
+    }
+    this->held_logged_at = basis.now;
+    for (const auto& [reason, count] : std::exchange(this->held, {})) {
+      this->log->Warning(
+          "placement.orders_held",
+          {{"reason", placement::NameOf(reason)},
+           {"rounds_and_orders", count},
+           {"registry_age_ms", ToMilliseconds(basis.registry_age)},
+           {"report_age_ms", ToMilliseconds(basis.report_age)},
+           {"lateness_ms", ToMilliseconds(basis.lateness)},
+           {"open", this->governor.OpenOrders()}});
     }
   }
 
@@ -260,6 +352,9 @@
 
   void DropExpiredReports() {
     const Instant now = this->runtime->Now();
+    std::erase_if(this->unusable_since, [this](const auto& entry) {
+      return this->routing_state->Servers().Find(entry.first) == nullptr;
+    });
     std::erase_if(this->confirmed, [now](const auto& entry) {
       return now - entry.second.at > kReportLifetime;
     });
@@ -296,6 +391,13 @@
       worker.usable = !this->routing_state->IsUnreachable(server->id, now) &&
                       (worker.order_open ||
                        !this->routing_state->IsRefusing(server->id, now));
+      if (worker.usable) {
+        this->unusable_since.erase(server->id);
+      } else {
+        worker.unusable_for =
+            now -
+            this->unusable_since.try_emplace(server->id, now).first->second;
+      }
       workers.push_back(std::move(worker));
     }
     return workers;
@@ -313,6 +415,7 @@
     this->runtime->Spawn([self = this->shared_from_this(), order] {
       self->RunOrder(order);
       self->open_orders.erase(order.worker);
+      self->governor.OnEnded(order.worker);
     });
   }
 
@@ -320,9 +423,15 @@
   // number of orders that the worker has accepted so far, so a delayed order
   // cannot undo a newer one.
   void RunOrder(const PlacementOrder& order) {
-    const Instant deadline =
-        this->runtime->Now() + this->settings.order_timeout;
-    while (!this->stopped && this->runtime->Now() < deadline) {
+    const Instant begun = this->runtime->Now();
+    // A worker that still carries out the order gets no other one.
+    bool in_progress = false;
+    const auto expired = [&] {
+      return this->runtime->Now() - begun >=
+             (in_progress ? this->settings.max_order_time
+                          : this->settings.order_timeout);
+    };
+    while (!this->stopped && !expired()) {
       const auto* server = this->routing_state->Servers().Find(order.worker);
       if (server == nullptr || server->leaving) {
         return;
@@ -339,6 +448,7 @@
       }
       this->confirmed[worker.id] = {report->layers, this->runtime->Now(),
                                     worker.started};
+      in_progress = report->order_in_progress;
       if (!report->order_in_progress && report->layers == order.layers) {
         this->log->Info("placement.placed",
                         {{"worker", worker.id},
@@ -349,7 +459,9 @@
         return;
       }
       if (!report->order_in_progress) {
-        if (!this->ConfirmClaim()) {
+        const ClaimStanding standing = this->ConfirmClaim();
+        if (standing == ClaimStanding::kNone ||
+            (standing == ClaimStanding::kUncontested && !order.urgent)) {
           return;
         }
         if (this->SendOrder(worker, order, report->orders_accepted) ==
@@ -430,10 +542,17 @@
         break;
       }
       const routing::BackendServer backend = *server;
+      const Instant asked = this->runtime->Now();
       const auto report = this->FetchReport(backend);
       if (report || this->cut_off()) {
         break;
       }
+      if (this->routing_state->Stalls().VoidsTimeout(
+              asked, this->runtime->Now(), this->settings.report_timeout)) {
+        this->metrics->Increment("chervil_timeouts_void_total");
+        this->runtime->SleepFor(this->settings.load_poll_interval);
+        continue;
+      }
       this->routing_state->StartCooldown(
           worker, routing::CooldownReason::kUnreachable, this->runtime->Now());
       this->runtime->SleepFor(seconds(1));
--- a/chervilpass/fleet/placement_controller.h
+++ b/chervilpass/fleet/placement_controller.h
@@ -12,6 +12,7 @@
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/fleet/decider_claim.h"
 #include "chervilpass/io/http_client.h"
+#include "chervilpass/placement/order_governor.h"
 #include "chervilpass/placement/planner.h"
 #include "chervilpass/serving/routing_state.h"
 #include "platform/store_client.h"
@@ -22,6 +23,7 @@
 struct PlacementControllerSettings {
   Duration check_interval = milliseconds(200);  ///< of the control loop
   /// Before orders the claim is read again if the last read is older than this.
+  /// Not longer than DeciderClaimSettings::confirmed_for.
   Duration claim_confirm_interval = milliseconds(400);
   /// Interval of reads of the claim while there are no orders.
   Duration idle_read_interval = milliseconds(2000);
@@ -36,7 +38,13 @@
   /// An order that has not taken effect after this time is dropped and planned
   /// again.
   Duration order_timeout = seconds(20);
+  /// An order that its worker reports as in progress is waited for up to this
+  /// time.
+  Duration max_order_time = seconds(120);
+  /// Between two log lines about orders that are held.
+  Duration held_log_interval = seconds(10);
   placement::PlannerSettings planner;
+  placement::OrderGovernorSettings governor;
 
   bool operator==(const PlacementControllerSettings&) const = default;
 };
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -303,6 +303,7 @@
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
+    this->routing_state->OnServersConfirmed(this->runtime->Now());
     this->ApplyAllWorkers(listing.objects, listing.revision);
   }
 
@@ -319,6 +320,7 @@
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
+    this->routing_state->OnServersConfirmed(this->runtime->Now());
     this->ApplyWorkerChanges(changes.changes, since, changes.revision);
   }
 
@@ -509,6 +511,7 @@
       this->ApplyConfig(*received->config, relay.ToText());
     }
     this->routing_state->OnConfigConfirmed(now);
+    this->routing_state->OnServersConfirmed(now);
     if (received->is_full) {
       std::vector<StoredObject> objects;
       for (const ObjectChange& change : received->workers) {
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -15,9 +15,11 @@
  public:
   GroupPlan(const ModelProfile& model,
             std::vector<PlannedWorker> workers,
-            const PlannerSettings& settings)
+            const PlannerSettings& settings,
+            Duration return_time)
       : model(model),
         settings(settings),
+        return_time(return_time),
         sizes(ChooseSizes(model, workers, settings)),
         workers(std::move(workers)) {}
 
@@ -378,13 +380,16 @@
     return remaining_range;
   }
 
-  // False while a worker does not respond but is still registered: it often
-  // returns within the seconds that moving serving workers takes, since
-  // releasing layers waits for the requests that pass through them.
+  // False while a worker has not responded for a short time but is still
+  // registered: it often returns within the seconds that moving serving workers
+  // takes, since releasing layers waits for the requests that pass through
+  // them.
   bool MayRearrange() const {
-    return std::all_of(
-        this->workers.begin(), this->workers.end(),
-        [](const PlannedWorker& worker) { return worker.usable; });
+    return std::all_of(this->workers.begin(), this->workers.end(),
+                       [this](const PlannedWorker& worker) {
+                         return worker.usable ||
+                                worker.unusable_for >= this->return_time;
+                       });
   }
 
   bool NoOrderOpen() const {
@@ -463,6 +468,7 @@
 
   const ModelProfile& model;
   const PlannerSettings& settings;
+  Duration return_time;
   RangeSizes sizes;
   std::vector<PlannedWorker> workers;
   std::vector<PlacementOrder> orders;
@@ -554,10 +560,14 @@
       groups[worker.data_centre].push_back(worker);
     }
   }
+  const Duration return_time = UncoveredLayers(model, workers).empty()
+                                   ? settings.return_time
+                                   : settings.return_time_without_path;
   std::vector<PlannedWorker> too_small;
   std::vector<PlacementOrder> orders;
   const auto plan = [&](const std::vector<PlannedWorker>& group) {
-    const auto group_orders = GroupPlan(model, group, settings).Run();
+    const auto group_orders =
+        GroupPlan(model, group, settings, return_time).Run();
     orders.insert(orders.end(), group_orders.begin(), group_orders.end());
   };
   for (const auto& [data_centre, group] : groups) {
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -22,6 +22,8 @@
   /// False while the worker does not respond: its layers don't count, but it
   /// may return soon. Workers that are leaving or gone are not in the input.
   bool usable = true;
+  /// For so long it has not been usable.
+  Duration unusable_for{0};
   /// Factor of its times; 1 is the speed of its kind.
   double slowdown_factor = 1;
 
@@ -56,6 +58,12 @@
   /// KV cache capacity that a range must keep when it is extended over
   /// uncovered layers, in tokens of each layer.
   double repair_min_kv_tokens = 12000;
+  /// A worker that does not respond for this long, though it is still
+  /// registered, is not expected back: serving workers may be moved to cover
+  /// its layers. Registrations of crashed workers last up to 15 s.
+  Duration return_time = seconds(4);
+  /// The same while no path of all layers is left: waiting has no use then.
+  Duration return_time_without_path = milliseconds(1200);
 
   bool operator==(const PlannerSettings&) const = default;
 };
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -318,14 +318,15 @@
       return answer;
     }
     const Duration elapsed = runtime.Now() - start;
-    if (elapsed > kLocalStallFactor * timeout) {
+    const bool early =
+        elapsed < duration_cast<Duration>(kRefusedWithin * timeout);
+    if (elapsed > kLocalStallFactor * timeout ||
+        (!early && VoidsTimeout(*this->dependencies, start, timeout))) {
       return ProbeResult::kUnknown;
     }
     if (!this->dependencies->links->ConfirmFailure(server.id, start)) {
       return ProbeResult::kUnknown;
     }
-    const bool early =
-        elapsed < duration_cast<Duration>(kRefusedWithin * timeout);
     if (error->code == io::HttpErrorCode::kConnect) {
       return early ? ProbeResult::kRefused : ProbeResult::kSilent;
     }
@@ -721,17 +722,17 @@
   this->state->dependencies->routing_state->StartCooldown(
       server.id, routing::CooldownReason::kFull,
       this->state->dependencies->runtime->Now());
-  this->state->dependencies->runtime->Spawn(
-      [state = this->state, server, evidence = std::move(evidence)] {
-        const ProbeResult result =
-            state->Probe(server, state->settings.probe_timeout);
-        const bool departs =
-            result == ProbeResult::kNotAccepting && state->IsDeparting(server);
-        if (result != ProbeResult::kAnswers &&
-            result != ProbeResult::kRestarted && !departs && !state->stopped) {
-          MarkUnreachable(*state->dependencies, server.id, evidence);
-        }
-      });
+  this->state->dependencies->runtime->Spawn([state = this->state, server,
+                                             evidence = std::move(evidence)] {
+    const ProbeResult result =
+        state->Probe(server, state->settings.probe_timeout);
+    const bool departs =
+        result == ProbeResult::kNotAccepting && state->IsDeparting(server);
+    if (result != ProbeResult::kAnswers && result != ProbeResult::kRestarted &&
+        result != ProbeResult::kUnknown && !departs && !state->stopped) {
+      MarkUnreachable(*state->dependencies, server.id, evidence);
+    }
+  });
 }
 
 void CrashMonitor::OnPartsProven(const TrackedRun& run) {
--- a/chervilpass/serving/link_monitor.cc
+++ b/chervilpass/serving/link_monitor.cc
@@ -68,7 +68,8 @@
     while (this->checking && !this->OtherReachedSince(server, since)) {
       this->runtime->SleepFor(kPollInterval);
     }
-    return !this->cut_off;
+    return !this->cut_off &&
+           (!this->check_void || this->OtherReachedSince(server, since));
   }
 
   // Random servers of all configured services, without `except`.
@@ -97,20 +98,28 @@
       return;
     }
     this->checking = true;
+    this->check_void = false;
     const Instant start = this->runtime->Now();
     const auto pending = std::make_shared<std::size_t>(servers.size());
     for (const routing::BackendServer& server : servers) {
-      this->runtime->Spawn(
-          [self = this->shared_from_this(), server, start, pending] {
-            self->Connect(server);
-            if (--*pending > 0) {
-              return;
-            }
-            self->checking = false;
-            if (self->latest < start && !self->stopped) {
-              self->SetCutOff(true);
-            }
-          });
+      this->runtime->Spawn([self = this->shared_from_this(), server, start,
+                            pending] {
+        self->Connect(server);
+        if (--*pending > 0) {
+          return;
+        }
+        self->checking = false;
+        if (self->latest >= start || self->stopped) {
+          return;
+        }
+        if (self->routing_state->Stalls().VoidsTimeout(
+                start, self->runtime->Now(), self->settings.connect_timeout)) {
+          self->check_void = true;  // this VM was late itself
+          self->metrics->Increment("chervil_timeouts_void_total");
+          return;
+        }
+        self->SetCutOff(true);
+      });
     }
   }
 
@@ -164,6 +173,7 @@
   std::string latest_server;
   Instant latest{};
   bool checking = false;
+  bool check_void = false;  ///< the last check proved nothing
   bool cut_off = false;
   bool stopped = false;
 };
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -177,6 +177,17 @@
   }
 }
 
+bool VoidsTimeout(const RouterDependencies& dependencies,
+                  Instant start,
+                  Duration timeout) {
+  const bool voids = dependencies.routing_state->Stalls().VoidsTimeout(
+      start, dependencies.runtime->Now(), timeout);
+  if (voids) {
+    dependencies.metrics->Increment("chervil_timeouts_void_total");
+  }
+  return voids;
+}
+
 void RecordServerStatements(const RouterDependencies& dependencies,
                             const RequestContext& context,
                             const std::string& server,
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -78,6 +78,12 @@
                      const std::string& worker,
                      std::string_view evidence);
 
+/// True if a wait of `timeout` since `start` without an answer proves nothing,
+/// since this VM itself was late.
+bool VoidsTimeout(const RouterDependencies& dependencies,
+                  Instant start,
+                  Duration timeout);
+
 /// Records what a server's response states about requests to the server: its
 /// rate limit, a rest, and that it is leaving. `started` is the start of the
 /// server when the request was sent.
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -75,6 +75,15 @@
   stream->workers.clear();
 }
 
+namespace {
+
+bool IsTimeout(const Result<io::HttpResponse, io::HttpError>& response) {
+  return response.has_error() &&
+         response.error().code == io::HttpErrorCode::kTimeout;
+}
+
+}  // namespace
+
 struct StreamRegistry::State
     : std::enable_shared_from_this<StreamRegistry::State> {
   State(const RouterDependencies* dependencies, StreamRegistrySettings settings)
@@ -94,10 +103,7 @@
 
   void CheckStreams() {
     const Instant now = this->dependencies->runtime->Now();
-    if (now - this->last_check > this->settings.local_stall_threshold) {
-      this->last_local_stall = now;
-    }
-    this->last_check = now;
+    this->dependencies->routing_state->Stalls().OnTick(now);
     std::erase_if(this->probes_answered, [&](const auto& entry) {
       return now - entry.second > this->settings.probe_interval;
     });
@@ -222,7 +228,10 @@
                          this->IsDeparting(stage.worker, stage.address);
     if (IsAnswer(result) || departs) {
       this->probes_answered[stage.worker] = this->dependencies->runtime->Now();
-    } else if (this->last_local_stall < start && !this->stopped) {
+    } else if (!this->stopped &&
+               (result == ProbeResult::kRefused ||
+                !VoidsTimeout(*this->dependencies, start,
+                              this->settings.verify_timeout))) {
       MarkUnreachable(*this->dependencies, stage.worker,
                       "no answer while a stream waits");
       this->CheckStreams();
@@ -420,6 +429,7 @@
   }
 
   void Examine(const PathStage& first) {
+    const Instant start = this->dependencies->runtime->Now();
     const auto response =
         this->dependencies->http->Call(first.address, platform::ReportRequest(),
                                        this->settings.report_timeout);
@@ -430,6 +440,10 @@
         this->IsDeparting(first.worker, first.address)) {
       return;
     }
+    if (IsTimeout(response) && VoidsTimeout(*this->dependencies, start,
+                                            this->settings.report_timeout)) {
+      return;
+    }
     if (response.has_error() || response.value().status != 200) {
       MarkUnreachable(*this->dependencies, first.worker,
                       response.has_error()
@@ -503,6 +517,9 @@
           this->dependencies->crashes->StartOf(worker, requests.address, true),
           LossEvidence::kEnded);
     }
+    if (result == ProbeResult::kUnknown) {
+      return;
+    }
     if (!IsAnswer(result)) {
       MarkUnreachable(*this->dependencies, worker, "requests stall there");
       return;
@@ -707,6 +724,7 @@
       const Path previous = stream->path;
       this->Reserve(stream, path);
       const PathStage first = path.front();
+      const Instant sent = this->dependencies->runtime->Now();
       const auto response = this->dependencies->http->Call(
           first.address,
           platform::OrderRequest(
@@ -717,8 +735,12 @@
       }
       if (response.has_error()) {
         this->Reserve(stream, previous);
-        MarkUnreachable(*this->dependencies, first.worker,
-                        response.error().detail);
+        if (!IsTimeout(response) ||
+            !VoidsTimeout(*this->dependencies, sent,
+                          this->settings.report_timeout)) {
+          MarkUnreachable(*this->dependencies, first.worker,
+                          response.error().detail);
+        }
         break;
       }
       const auto outcome = platform::OrderOutcomeOf(response.value().status);
@@ -799,8 +821,6 @@
   std::map<std::string, Finding> findings;
   /// When first workers were asked, within the last `examine_interval`.
   std::map<std::string, Instant> last_examined;
-  Instant last_check{};
-  Instant last_local_stall{};  ///< end of this VM's last stall
   bool stopped = false;
 };
 
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -49,9 +49,6 @@
   Duration report_timeout = milliseconds(250);
   /// Timeout for a probe; a report takes a few milliseconds and no slot.
   Duration verify_timeout = milliseconds(100);
-  /// A longer interval between two checks means that this VM was stalled:
-  /// timeouts of probes meanwhile are not counted.
-  Duration local_stall_threshold = milliseconds(60);
 
   bool operator==(const StreamRegistrySettings&) const = default;
 };
