Load datagrams are bounded

The sums of a data centre with 333 workers took a datagram of 8,093 bytes. Lists of more than 160 loads are sent in part: a sample of a VM's own loads, scaled by the receiver, and the largest sums with the average of the rest. Builds without the field ignore them and count the sender with the average of the others.

Settings limits.priced_workers, limits.weight_loads_per_minute and limits.lost_worker_ms.

--- a/chervilpass/fleet/load_gossip_schedule.cc
+++ b/chervilpass/fleet/load_gossip_schedule.cc
@@ -10,14 +10,17 @@
 
 // Returns the next `count` members of the ring sorted by VM and advances
 // `*next`.
-std::vector<Member> NextFromRing(std::vector<Member> ring,
+std::vector<Member> NextFromRing(std::vector<const Member*> ring,
                                  std::size_t count,
                                  std::uint64_t* next) {
+  if (count == 0) {
+    return {};
+  }
   std::sort(ring.begin(), ring.end(),
-            [](const Member& a, const Member& b) { return a.vm < b.vm; });
+            [](const Member* a, const Member* b) { return a->vm < b->vm; });
   std::vector<Member> selected;
   for (std::size_t i = 0; i < std::min(count, ring.size()); ++i) {
-    selected.push_back(ring[(*next)++ % ring.size()]);
+    selected.push_back(*ring[(*next)++ % ring.size()]);
   }
   return selected;
 }
@@ -27,13 +30,13 @@
 LoadGossipRound LoadGossipSchedule::Next(const std::vector<Member>& members,
                                          const Member& self,
                                          std::size_t datagram_bytes) {
-  std::vector<Member> same_data_centre;
-  std::vector<Member> other_data_centres;
+  std::vector<const Member*> same_data_centre;
+  std::vector<const Member*> other_data_centres;
   for (const Member& member : members) {
     if (member.vm != self.vm && member.status != Status::kDead) {
       (member.data_centre == self.data_centre ? same_data_centre
                                               : other_data_centres)
-          .push_back(member);
+          .push_back(&member);
     }
   }
   const double max_datagrams = this->settings.bytes_per_second *
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -3,7 +3,9 @@
 #include <utility>
 
 #include "chervilpass/core/hash.h"
+#include "chervilpass/core/random.h"
 #include "chervilpass/core/token_bucket.h"
+#include "chervilpass/fleet/load_digest.h"
 #include "chervilpass/rpc/gossip_codec.h"
 
 namespace chervilpass::fleet {
@@ -44,6 +46,7 @@
                  this->settings.self,
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
                  runtime->Now()),
+        random(HashText(this->settings.self.vm)),
         change_log_rate(kChangeLogRate, kChangeLogBurst, runtime->Now()) {}
 
   static EntryRegistrationSettings RegistrationSettings(
@@ -66,13 +69,17 @@
   void ReceiveLoop() {
     while (!this->stopped) {
       const std::string datagram = this->socket->Receive();
-      const auto message = rpc::DecodeGossip(datagram);
+      auto message = rpc::DecodeGossip(datagram);
       if (message && message->kind == membership::MessageKind::kLoads) {
+        ScaleSample(&*message);
         this->events.loads(message->from,
                            message->loads_of_data_centre
                                ? LoadScope::kDataCentre
                                : LoadScope::kVm,
                            message->loads);
+        if (message->partial_loads && message->loads_of_data_centre) {
+          this->events.rest_of_loads(message->from, *message->partial_loads);
+        }
       } else if (message) {
         this->Apply(this->detector.OnMessage(*message, this->runtime->Now()));
       } else {
@@ -103,13 +110,22 @@
     }
   }
 
-  std::string EncodeLoads(LoadScope scope) const {
+  std::string EncodeLoads(LoadScope scope) {
     membership::GossipMessage message;
     message.kind = membership::MessageKind::kLoads;
     message.from = this->settings.self.vm;
     message.loads = this->events.collect_loads(scope);
     message.loads_of_data_centre = scope == LoadScope::kDataCentre;
-    return rpc::EncodeGossip(message);
+    BoundLoads(this->settings.load_digest, &this->random, &message);
+    std::string datagram = rpc::EncodeGossip(message);
+    if (message.partial_loads) {
+      this->metrics->Increment("chervil_partial_load_datagrams_total");
+    }
+    this->metrics->Set(
+        "chervil_load_datagram_bytes",
+        scope == LoadScope::kVm ? "scope=\"vm\"" : "scope=\"data_centre\"",
+        static_cast<double>(datagram.size()));
+    return datagram;
   }
 
   void TickLoop() {
@@ -273,6 +289,7 @@
   membership::Detector detector;
   membership::GossipMessage last_message;  ///< encoded in `last_datagram`
   std::string last_datagram;
+  Random random;  ///< for samples of loads
   TokenBucket change_log_rate;
   std::uint64_t unlogged_changes = 0;  ///< since the last line
   std::size_t max_alive = 1;
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -11,6 +11,7 @@
 #include "chervilpass/core/log.h"
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/fleet/entry_registration.h"
+#include "chervilpass/fleet/load_digest.h"
 #include "chervilpass/fleet/load_gossip_schedule.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/udp_socket.h"
@@ -27,6 +28,7 @@
   Duration seed_period = seconds(1);   ///< between pings to unknown seeds
   Duration list_period = seconds(60);  ///< between reads of the store's list
   LoadGossipScheduleSettings loads;
+  LoadDigestSettings load_digest;
   /// Longest time for which requests are held back after a stop of an earlier
   /// process; zero: they are not.
   Duration max_hold{0};
@@ -51,6 +53,9 @@
                      LoadScope scope,
                      const std::vector<membership::WorkerLoadNotice>&)>
       loads;
+  /// Follows `loads` if these were only the largest of a data centre.
+  std::function<void(const std::string& peer, const membership::PartialLoads&)>
+      rest_of_loads;
   /// Returns the loads of this VM, or the known sums of its data centre.
   std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
       collect_loads;
--- a/chervilpass/membership/gossip_message.h
+++ b/chervilpass/membership/gossip_message.h
@@ -86,6 +86,18 @@
   auto operator<=>(const ServerPaceNotice&) const = default;
 };
 
+/// What a list of loads that is not whole says of the loads that it lacks.
+struct PartialLoads {
+  /// Of a VM's own loads: the list is a random sample, this share of 65535 of
+  /// all. 0 for sums of a data centre.
+  std::uint16_t share = 0;
+  /// Of a data centre's sums: the average of the workers that are not listed.
+  std::uint32_t rest_sequences_hundredths = 0;
+  std::uint32_t rest_kv_kilo_token_layers = 0;
+
+  auto operator<=>(const PartialLoads&) const = default;
+};
+
 /// Contents of one datagram. The first member is the sender itself, with two
 /// exceptions: messages of kind kLoads have no members, and the list of members
 /// sent in answer to a join request continues in further datagrams.
@@ -104,6 +116,9 @@
   /// True if the loads are totals of the sender's data centre, not of the
   /// sender alone.
   bool loads_of_data_centre = false;
+  /// Set if `loads` is not the whole list. Builds without the field ignore
+  /// such messages: they carry no sender that these know.
+  std::optional<PartialLoads> partial_loads;
   /// In messages of kind kLoads, as the following two.
   std::vector<FullWorkerNotice> full_workers;
   std::vector<OrganisationLoadNotice> organisation_loads;
--- a/chervilpass/rpc/chervil.capnp
+++ b/chervilpass/rpc/chervil.capnp
@@ -196,6 +196,17 @@
   fullWorkers @18 :List(FullWorker);
   organisationLoads @19 :List(OrganisationLoad);
   serverPaces @20 :List(ServerPace);
+  partialLoads @21 :PartialLoads;   # null: `loads` is the whole list
+}
+
+# States that `loads` is not the whole list. `from` is empty then and
+# `loadsOfDataCentre` set, so that builds without this field ignore the message.
+struct PartialLoads {
+  from @0 :Text;
+  ofDataCentre @1 :Bool;
+  share @2 :UInt16;             # membership::PartialLoads
+  restSequencesHundredths @3 :UInt32;
+  restKvKiloTokenLayers @4 :UInt32;
 }
 
 # States that a worker has just refused a request for lack of capacity.
--- a/chervilpass/rpc/gossip_codec.cc
+++ b/chervilpass/rpc/gossip_codec.cc
@@ -49,6 +49,19 @@
   }
 }
 
+void ReadPartialLoads(schema::Gossip::Reader from,
+                      membership::GossipMessage* message) {
+  if (!from.hasPartialLoads()) {
+    return;
+  }
+  const auto partial = from.getPartialLoads();
+  message->from = partial.getFrom().cStr();
+  message->loads_of_data_centre = partial.getOfDataCentre();
+  message->partial_loads = {partial.getShare(),
+                            partial.getRestSequencesHundredths(),
+                            partial.getRestKvKiloTokenLayers()};
+}
+
 membership::GossipMessage ReadMessage(schema::Gossip::Reader from) {
   membership::GossipMessage message;
   message.kind =
@@ -85,6 +98,7 @@
                              load.getRateLimitAge()});
   }
   message.loads_of_data_centre = from.getLoadsOfDataCentre();
+  ReadPartialLoads(from, &message);
   ReadLoadNotices(from, &message);
   for (const auto update : from.getUpdates()) {
     message.updates.push_back(ReadUpdate(update));
@@ -139,6 +153,21 @@
   root.setPassOn(message.pass_on);
 }
 
+// Older builds ignore sums of a data centre from a VM that they do not know.
+void WritePartialLoads(const membership::GossipMessage& message,
+                       schema::Gossip::Builder root) {
+  root.setFrom("");
+  root.setLoadsOfDataCentre(true);
+  auto partial = root.initPartialLoads();
+  partial.setFrom(message.from);
+  partial.setOfDataCentre(message.loads_of_data_centre);
+  partial.setShare(message.partial_loads->share);
+  partial.setRestSequencesHundredths(
+      message.partial_loads->rest_sequences_hundredths);
+  partial.setRestKvKiloTokenLayers(
+      message.partial_loads->rest_kv_kilo_token_layers);
+}
+
 // Fields that older builds do not know.
 void WriteLoadNotices(const membership::GossipMessage& message,
                       schema::Gossip::Builder root) {
@@ -211,6 +240,9 @@
     loads[i].setRateLimitAge(message.loads[i].rate_limit_age);
   }
   root.setLoadsOfDataCentre(message.loads_of_data_centre);
+  if (message.partial_loads) {
+    WritePartialLoads(message, root);
+  }
   WriteLoadNotices(message, root);
   WriteTables(message, root);
   kj::VectorOutputStream stream;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -144,6 +144,7 @@
     routing.retries = {this->settings.retry_share,
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
+    routing.samples.max_priced_workers = this->settings.priced_workers;
     return routing;
   }
 
@@ -201,6 +202,10 @@
                           const auto& notices) {
       this->OnPeerLoads(peer, scope, notices);
     };
+    events.rest_of_loads = [this](const std::string& peer,
+                                  const membership::PartialLoads& partial) {
+      this->OnRestOfLoads(peer, partial);
+    };
     events.collect_loads = [this](fleet::LoadScope scope) {
       return this->CollectLoads(scope);
     };
@@ -232,9 +237,13 @@
         &this->log, {},
         [this](bool cut_off) { this->OnLinksChanged(cut_off); });
     this->CreateSync();
+    fleet::PlacementControllerSettings placement;
+    placement.governor.loads_per_minute =
+        this->settings.weight_loads_per_minute;
+    placement.planner.return_time = this->settings.lost_worker_time;
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
-        &this->routing_state, &this->metrics, &this->log, {},
+        &this->routing_state, &this->metrics, &this->log, placement,
         SelfOf(this->settings, this->boot_id), members,
         [this] { return this->links->CutOff(); });
     return true;
@@ -672,6 +681,15 @@
     }
   }
 
+  void OnRestOfLoads(const std::string& peer,
+                     const membership::PartialLoads& partial) {
+    if (const auto data_centre = this->DataCentreOf(peer)) {
+      this->routing_state.Loads().OnRestOfDataCentreLoads(
+          *data_centre, {partial.rest_sequences_hundredths / 100.0, 0,
+                         1000.0 * partial.rest_kv_kilo_token_layers});
+    }
+  }
+
   void RecordRateLimits(
       const std::vector<membership::WorkerLoadNotice>& notices) {
     std::map<std::uint32_t, const membership::WorkerLoadNotice*> by_worker;
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 
 #include "chervilpass/core/text.h"
+#include "chervilpass/placement/candidate_sampler.h"
+#include "chervilpass/placement/order_governor.h"
 #include "chervilpass/serving/router.h"
 
 namespace chervilpass {
@@ -73,6 +75,16 @@
   settings.served_requests_per_log_line = static_cast<std::uint32_t>(
       limits.Integer("served_requests_per_log_line", {1, 1000000},
                      serving::RouterSettings().served_requests_per_log_line));
+  settings.priced_workers = static_cast<std::uint32_t>(limits.Integer(
+      "priced_workers", {16, 100000},
+      static_cast<std::int64_t>(
+          placement::CandidateSamplerSettings().max_priced_workers)));
+  settings.weight_loads_per_minute = static_cast<std::uint32_t>(
+      limits.Integer("weight_loads_per_minute", {1, 100000},
+                     placement::OrderGovernorSettings().loads_per_minute));
+  settings.lost_worker_time = limits.Milliseconds(
+      "lost_worker_ms", {200, 600000},
+      ToMilliseconds(placement::PlannerSettings().return_time));
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -37,6 +37,13 @@
   std::uint32_t descriptors = 0;  ///< limit of open file descriptors
   /// One of this many requests that were served in time has a log line.
   std::uint32_t served_requests_per_log_line = 0;
+  /// Workers of a data centre up to which all are priced for each path.
+  std::uint32_t priced_workers = 0;
+  /// Weight loads that a decider orders in any minute.
+  std::uint32_t weight_loads_per_minute = 0;
+  /// Time without a response after which a registered worker no longer keeps
+  /// others from being moved.
+  Duration lost_worker_time{0};
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
