Small fleets without a whole replica rearrange after 1.2 s; tests of load digests

The shorter time applied only while no path of all layers was left. Paths across data centres carry few requests, so it applies while no data centre has a whole replica.

--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -560,9 +560,12 @@
       groups[worker.data_centre].push_back(worker);
     }
   }
-  const Duration return_time = UncoveredLayers(model, workers).empty()
-                                   ? settings.return_time
-                                   : settings.return_time_without_path;
+  const bool has_replica =
+      std::any_of(groups.begin(), groups.end(), [&](const auto& group) {
+        return UncoveredLayers(model, group.second).empty();
+      });
+  const Duration return_time =
+      has_replica ? settings.return_time : settings.return_time_without_replica;
   std::vector<PlannedWorker> too_small;
   std::vector<PlacementOrder> orders;
   const auto plan = [&](const std::vector<PlannedWorker>& group) {
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -62,8 +62,9 @@
   /// registered, is not expected back: serving workers may be moved to cover
   /// its layers. Registrations of crashed workers last up to 15 s.
   Duration return_time = seconds(4);
-  /// The same while no path of all layers is left: waiting has no use then.
-  Duration return_time_without_path = milliseconds(1200);
+  /// The same while no data centre has a whole replica: paths across data
+  /// centres, if there are any, carry only a few requests.
+  Duration return_time_without_replica = milliseconds(1200);
 
   bool operator==(const PlannerSettings&) const = default;
 };
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -456,6 +456,7 @@
                       static_cast<double>(this->http->ConnectionsMade()));
     this->ExportConnectionCounts();
     this->ExportConfigAge();
+    this->ExportPathSamples();
     this->ExportMemory();
     this->metrics.Set("chervil_members_alive", "",
                       static_cast<double>(this->peers->AliveCount()));
@@ -496,6 +497,14 @@
                       static_cast<double>(this->caller_server->Connections()));
   }
 
+  void ExportPathSamples() {
+    this->metrics.Set("chervil_sampled_paths", "",
+                      static_cast<double>(this->routing_state.SampledPaths()));
+    this->metrics.Set(
+        "chervil_widely_sampled_paths", "",
+        static_cast<double>(this->routing_state.WidelySampledPaths()));
+  }
+
   void ExportConfigAge() {
     const auto table = this->routing_state.Table();
     this->metrics.Set("chervil_config_version", "",
--- a/unit_tests/large_fleet_test.cc
+++ b/unit_tests/large_fleet_test.cc
@@ -190,6 +190,51 @@
                ToSeconds(priced_cost));
 }
 
+// Today's largest data centres have 130 workers: guards against any change of
+// their paths, of the random numbers drawn included.
+Test(large_fleet, smaller_fleets_price_all_workers_as_before) {
+  const ModelProfile model = Model();
+  const auto workers = PlacedWorkers(390);
+  const auto found = RoutingStateOf(workers, {});
+  const auto priced = RoutingStateOf(workers, {});
+  for (int i = 0; i < 30; ++i) {
+    const Instant now = kStart + milliseconds(100 * i);
+    for (const auto& state : {found.get(), priced.get()}) {
+      state->Loads().SetDataCentrePeerCount(5);
+      state->Loads().OnPeerLoads(
+          fmt::format("vm{}", i % 4),
+          {{WorkerKey(workers[static_cast<std::size_t>(3 * i)].worker),
+            {4.0 + i, 0, 50000}}},
+          now);
+      state->StartCooldown(workers[static_cast<std::size_t>(7 * i)].worker,
+                           routing::CooldownReason::kFull, now);
+    }
+    const auto path = found->FindPath("app", model, Query(), now);
+    const auto expected =
+        ChoosePath(model, priced->PathCandidates("app", model, now), Query(),
+                   priced->Settings().paths, &priced->Rng());
+    cr_assert(path.has_value() && path.value() == expected.value());
+    cr_assert_eq(found->Rng().Next(), priced->Rng().Next());
+  }
+  cr_assert_eq(found->SampledPaths(), 0);
+}
+
+// The kept candidates: guards against a path over a worker that has left, or
+// by layers that it no longer holds.
+Test(large_fleet, kept_candidates_follow_the_registry) {
+  const ModelProfile model = Model();
+  const auto workers = PlacedWorkers(900);
+  const auto routing_state = RoutingStateOf(workers, {});
+  cr_assert(routing_state->FindPath("app", model, Query(), kStart).has_value());
+  for (const PlannedWorker& worker : workers) {
+    if (worker.layers.Contains(40)) {
+      routing_state->Servers().MarkLeaving(worker.worker, {});
+    }
+  }
+  const auto none = routing_state->FindPath("app", model, Query(), kStart);
+  cr_assert(none.has_error() && none.error() == NoPathReason::kNoCover);
+}
+
 // All workers of a layer in the own data centre are unreachable.
 Test(large_fleet, samples_use_other_data_centres_if_the_own_has_no_path) {
   const ModelProfile model = Model();
--- a/unit_tests/small_fleet_test.cc
+++ b/unit_tests/small_fleet_test.cc
@@ -194,7 +194,7 @@
 
 PlannerSettings WaitingForAll() {
   PlannerSettings settings;
-  settings.return_time = settings.return_time_without_path = hours(1);
+  settings.return_time = settings.return_time_without_replica = hours(1);
   return settings;
 }
 
