--- a/chervilpass/fleet/decider_claim.h
+++ b/chervilpass/fleet/decider_claim.h
@@ -27,11 +27,11 @@
   /// For this long after its start a VM does not take over the claim of another
   /// VM: gossip about the holder may not have reached it yet.
   Duration missing_holder_grace = milliseconds(1500);
-  /// A read confirms the claim for this long.
-  Duration confirmed_for = milliseconds(400);
+  /// A read confirms the claim for this long: the time-out of a read.
+  Duration confirmed_for = milliseconds(800);
   /// After a takeover the new holder sends nothing for this long: the former
   /// one may act until its last confirmation has aged and its last call ended.
-  Duration handover_delay = milliseconds(700);
+  Duration handover_delay = milliseconds(1100);
   /// The same if the former holder is known to be alive: during an outage of
   /// the store it acts until it hears that another VM reaches the store again.
   Duration alive_handover_delay = milliseconds(1500);
