--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -3,7 +3,9 @@
 #include <utility>
 
 #include "chervilpass/core/hash.h"
+#include "chervilpass/core/random.h"
 #include "chervilpass/core/token_bucket.h"
+#include "chervilpass/fleet/load_digest.h"
 #include "chervilpass/rpc/gossip_codec.h"
 
 namespace chervilpass::fleet {
@@ -45,6 +47,7 @@
                  HashText(this->settings.self.vm) ^ this->settings.self.boot_id,
                  runtime->Now()),
         full_workers(this->settings.full_workers, runtime->Now()),
+        random(HashText(this->settings.self.vm)),
         change_log_rate(kChangeLogRate, kChangeLogBurst, runtime->Now()) {}
 
   static EntryRegistrationSettings RegistrationSettings(
@@ -67,7 +70,7 @@
   void ReceiveLoop() {
     while (!this->stopped) {
       const std::string datagram = this->socket->Receive();
-      const auto message = rpc::DecodeGossip(datagram);
+      auto message = rpc::DecodeGossip(datagram);
       if (message && message->kind == membership::MessageKind::kLoads) {
         this->OnLoads(*message);
       } else if (message) {
@@ -79,12 +82,16 @@
   }
 
   // A message that carries notices only says nothing about loads.
-  void OnLoads(const membership::GossipMessage& message) {
+  void OnLoads(membership::GossipMessage message) {
+    ScaleSample(&message);
     if (!message.loads.empty() || message.full_workers.empty()) {
       this->events.loads(message.from,
                          message.loads_of_data_centre ? LoadScope::kDataCentre
                                                       : LoadScope::kVm,
                          message.loads);
+      if (message.partial_loads && message.loads_of_data_centre) {
+        this->events.rest_of_loads(message.from, *message.partial_loads);
+      }
     }
     if (!message.organisation_loads.empty() &&
         this->events.organisation_loads) {
@@ -174,7 +181,16 @@
     if (this->events.collect_paces) {
       message.server_paces = this->events.collect_paces();
     }
-    return rpc::EncodeGossip(message);
+    BoundLoads(this->settings.load_digest, &this->random, &message);
+    std::string datagram = rpc::EncodeGossip(message);
+    if (message.partial_loads) {
+      this->metrics->Increment("chervil_partial_load_datagrams_total");
+    }
+    this->metrics->Set(
+        "chervil_load_datagram_bytes",
+        scope == LoadScope::kVm ? "scope=\"vm\"" : "scope=\"data_centre\"",
+        static_cast<double>(datagram.size()));
+    return datagram;
   }
 
   void TickLoop() {
@@ -340,6 +356,7 @@
   std::string last_datagram;
   FullWorkerNotices full_workers;
   std::size_t next_notice_receiver = 0;
+  Random random;  ///< for samples of loads
   TokenBucket change_log_rate;
   std::uint64_t unlogged_changes = 0;  ///< since the last line
   std::size_t max_alive = 1;
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -12,6 +12,7 @@
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/fleet/entry_registration.h"
 #include "chervilpass/fleet/full_worker_notices.h"
+#include "chervilpass/fleet/load_digest.h"
 #include "chervilpass/fleet/load_gossip_schedule.h"
 #include "chervilpass/io/runtime.h"
 #include "chervilpass/io/udp_socket.h"
@@ -29,6 +30,7 @@
   Duration list_period = seconds(60);  ///< between reads of the store's list
   LoadGossipScheduleSettings loads;
   FullWorkerNoticesSettings full_workers;
+  LoadDigestSettings load_digest;
   /// Longest time for which requests are held back after a stop of an earlier
   /// process; zero: they are not.
   Duration max_hold{0};
@@ -57,6 +59,9 @@
   std::function<void(const std::string& peer,
                      const std::vector<membership::FullWorkerNotice>&)>
       full_workers;
+  /// Follows `loads` if these were only the largest of a data centre.
+  std::function<void(const std::string& peer, const membership::PartialLoads&)>
+      rest_of_loads;
   /// Returns the loads of this VM, or the known sums of its data centre.
   std::function<std::vector<membership::WorkerLoadNotice>(LoadScope scope)>
       collect_loads;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -165,6 +165,7 @@
     if (this->settings.server_pacing) {
       routing.server_pacing = routing::ServerPaceSettings();
     }
+    routing.samples.max_priced_workers = this->settings.priced_workers;
     return routing;
   }
 
@@ -226,6 +227,10 @@
     events.full_workers = [this](const std::string& peer, const auto& notices) {
       this->OnFullWorkers(peer, notices);
     };
+    events.rest_of_loads = [this](const std::string& peer,
+                                  const membership::PartialLoads& partial) {
+      this->OnRestOfLoads(peer, partial);
+    };
     events.collect_loads = [this](fleet::LoadScope scope) {
       return this->CollectLoads(scope);
     };
@@ -272,9 +277,13 @@
         &this->log, {},
         [this](bool cut_off) { this->OnLinksChanged(cut_off); });
     this->CreateSync();
+    fleet::PlacementControllerSettings placement;
+    placement.governor.loads_per_minute =
+        this->settings.weight_loads_per_minute;
+    placement.planner.return_time = this->settings.lost_worker_time;
     this->placement = fleet::PlacementController::Create(
         &this->runtime, this->store.get(), this->http.get(),
-        &this->routing_state, &this->metrics, &this->log, {},
+        &this->routing_state, &this->metrics, &this->log, placement,
         SelfOf(this->settings, this->boot_id), members,
         [this] { return this->links->CutOff(); });
     return true;
@@ -502,6 +511,7 @@
     this->ExportConnectionCounts();
     this->ExportConfigAge();
     this->load_report.Export(this->runtime.Now());
+    this->ExportPathSamples();
     this->ExportMemory();
     this->metrics.Set("chervil_members_alive", "",
                       static_cast<double>(this->peers->AliveCount()));
@@ -542,6 +552,14 @@
                       static_cast<double>(this->caller_server->Connections()));
   }
 
+  void ExportPathSamples() {
+    this->metrics.Set("chervil_sampled_paths", "",
+                      static_cast<double>(this->routing_state.SampledPaths()));
+    this->metrics.Set(
+        "chervil_widely_sampled_paths", "",
+        static_cast<double>(this->routing_state.WidelySampledPaths()));
+  }
+
   void ExportConfigAge() {
     const auto table = this->routing_state.Table();
     this->metrics.Set("chervil_config_version", "",
@@ -798,6 +816,15 @@
     }
   }
 
+  void OnRestOfLoads(const std::string& peer,
+                     const membership::PartialLoads& partial) {
+    if (const auto data_centre = this->DataCentreOf(peer)) {
+      this->routing_state.Loads().OnRestOfDataCentreLoads(
+          *data_centre, {partial.rest_sequences_hundredths / 100.0, 0,
+                         1000.0 * partial.rest_kv_kilo_token_layers});
+    }
+  }
+
   void RecordRateLimits(
       const std::vector<membership::WorkerLoadNotice>& notices) {
     std::map<std::uint32_t, const membership::WorkerLoadNotice*> by_worker;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -48,6 +48,13 @@
   bool server_pacing = false;
   std::string
       operator_key;  ///< of operators' requests; empty: none are allowed
+  /// Workers of a data centre up to which all are priced for each path.
+  std::uint32_t priced_workers = 0;
+  /// Weight loads that a decider orders in any minute.
+  std::uint32_t weight_loads_per_minute = 0;
+  /// Time without a response after which a registered worker no longer keeps
+  /// others from being moved.
+  Duration lost_worker_time{0};
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
