--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -63,8 +63,8 @@
 
 RoutingState::RoutingState(RoutingStateSettings settings, std::uint64_t seed)
     : settings(std::move(settings)),
-      cooldowns(this->settings.cooldowns),
       capacity(this->settings.capacity),
+      cooldowns(this->settings.cooldowns),
       retries(this->settings.retries),
       strikes(this->settings.strikes),
       prompt_parts(this->settings.prompt_parts),
@@ -404,10 +404,10 @@
         AddPeerLoad(peer_total->second, &workers->candidates[i]);
       }
     }
-    this->CorrectLoads(workers->model, now, &workers->candidates);
-    return;
+  } else {
+    this->AddAssumedLoads(workers->model, layers_in, now, &workers->candidates);
   }
-  this->AddAssumedLoads(workers->model, layers_in, now, &workers->candidates);
+  this->CorrectLoads(workers->model, now, &workers->candidates);
 }
 
 void RoutingState::AddAssumedLoads(
@@ -433,7 +433,6 @@
     candidate.load.kv_token_layers +=
         peer_requests * typical_tokens * candidate.layers.Size();
   }
-  this->CorrectLoads(workers->model, now, &workers->candidates);
 }
 
 void RoutingState::LimitByPace(const placement::ModelProfile& model,
