Cost of losses in the choice of paths; sooner continuation after a loss; strikes

Streams that stalled ran on 8 to 20 workers, and their pauses had a p50 of 432 ms. With limits.loss_cost each stage of a path costs the rate of losses that this VM knows of, times the duration of the stream, times the cost of a pause. With limits.pause_objective, for streams of routes with an objective for pauses that may run again, workers are probed after a fifth of the objective instead of 90 ms (at most 10 streams a second), and a run whose worker this VM has seen to have ended is given up as soon as its next event is overdue.

1,809 strikes led to 146,270 lines strike.received, one by each VM. They are now logged up to one in 5 s and VM with the number of those left out; chervil_strikes_received_total counts all.

--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -45,6 +45,8 @@
   std::set<std::string> excluded;    ///< ids of workers not to use
   std::set<std::string> avoided;     ///< used only if there is no other path
   bool includes_first_stage = true;  ///< that stage needs a batch slot
+  /// Expected cost of the loss of a stage's worker, for each stage.
+  Duration stage_loss_cost{0};
   /// Longest useful delay of the request by the rate limit of its first worker.
   Duration max_send_wait{0};
 
--- a/chervilpass/placement/stage_cost.cc
+++ b/chervilpass/placement/stage_cost.cc
@@ -75,7 +75,9 @@
               this->ServiceSeconds(candidate) *
               QueueingFactor(this->PromptUtilisation(candidate)) +
           hop_seconds) *
-         (1 + kHighUtilisationWeight * excess_utilisation * excess_utilisation);
+             (1 + kHighUtilisationWeight * excess_utilisation *
+                      excess_utilisation) +
+         ToSeconds(this->query.stage_loss_cost);
 }
 
 // Share of the worker's KV cache in use with the request added.
--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -406,6 +406,7 @@
                      std::string_view detail) {
     const auto found = this->watched.find(key);
     const std::string id = found->second.server.id;
+    const bool model_worker = found->second.server.model_worker;
     std::vector<WatchedRun> runs = std::move(found->second.runs);
     this->watched_runs -= runs.size();
     this->watched.erase(found);
@@ -417,6 +418,10 @@
       });
     }
     this->dependencies->routing_state->OnServerEnded(key);
+    if (model_worker) {
+      this->dependencies->routing_state->RecordLoss(
+          id, this->dependencies->runtime->Now());
+    }
     this->concurrent_ends.OnServerEnded(id, this->dependencies->runtime->Now());
     quarantine::StrikeTracker& tracker =
         this->dependencies->routing_state->Strikes();
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -171,6 +171,7 @@
   const Instant now = dependencies.runtime->Now();
   if (dependencies.routing_state->StartCooldown(
           worker, routing::CooldownReason::kUnreachable, now)) {
+    dependencies.routing_state->RecordLoss(worker, now);
     dependencies.log->Warning("worker.unreachable",
                               {{"worker", worker}, {"evidence", evidence}});
     dependencies.report_unreachable(worker);
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -136,6 +136,17 @@
   this->correction.OnFull(placement::WorkerKey(worker), now);
 }
 
+Duration RoutingState::StageLossCost(const placement::ModelProfile& model,
+                                     double answer_tokens,
+                                     Duration objective,
+                                     Instant now) const {
+  return this->settings.loss_cost
+             ? this->losses.StageCost(
+                   placement::StreamExposure(model, answer_tokens), objective,
+                   now)
+             : Duration::zero();
+}
+
 bool RoutingState::LooksFull(const std::string& worker,
                              const placement::ModelProfile& model,
                              Instant now) const {
@@ -457,6 +468,13 @@
   this->servers.Expire(now);
   this->cooldowns.Expire(now);
   this->correction.Expire(now);
+  const auto registered_servers = this->servers.All();
+  this->losses.SetWorkers(
+      static_cast<std::size_t>(std::count_if(
+          registered_servers.begin(), registered_servers.end(),
+          [](const auto* server) { return !server->layers.Empty(); })),
+      now);
+  this->losses.Expire(now);
   this->rests.Expire(now);
   this->strikes.Expire(wall);
   std::erase_if(this->server_loads, [&](const auto& entry) {
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -14,6 +14,7 @@
 #include "chervilpass/core/random.h"
 #include "chervilpass/placement/load_correction.h"
 #include "chervilpass/placement/load_tracker.h"
+#include "chervilpass/placement/loss_cost.h"
 #include "chervilpass/placement/path_chooser.h"
 #include "chervilpass/quarantine/prompt_part_evidence.h"
 #include "chervilpass/quarantine/strike_tracker.h"
@@ -42,6 +43,8 @@
   bool strikes_are_stored = false;
   /// True if estimates of loads are corrected and full workers are announced.
   bool load_correction = false;
+  /// True if paths take the cost of losses of workers into account.
+  bool loss_cost = false;
 
   bool operator==(const RoutingStateSettings&) const = default;
 };
@@ -134,6 +137,18 @@
   /// capacity and should get none for `left`.
   void OnFullNotice(const std::string& worker, Duration left, Instant now);
 
+  /// A worker of a model has ended or does not respond.
+  void RecordLoss(const std::string& worker, Instant now) {
+    this->losses.OnLost(worker, now);
+  }
+
+  /// Cost of each stage of a path for the losses of its worker; zero if the
+  /// settings do not say so. `objective` is that of the route for pauses.
+  Duration StageLossCost(const placement::ModelProfile& model,
+                         double answer_tokens,
+                         Duration objective,
+                         Instant now) const;
+
   /// A worker holds other layers than before: clears its earlier refusals.
   void OnLayersChanged(const std::string& worker);
 
@@ -205,6 +220,7 @@
   const placement::LoadCorrection& Correction() const {
     return this->correction;
   }
+  const placement::LossCost& Losses() const { return this->losses; }
   std::map<std::string, ServerLoad>& ServerLoads() {
     return this->server_loads;
   }
@@ -252,6 +268,7 @@
   routing::RestTracker rests;
   placement::LoadTracker loads;
   placement::LoadCorrection correction{placement::LoadCorrectionSettings{}};
+  placement::LossCost losses{placement::LossCostSettings{}};
   /// Times of recent refusals because of rate limits, by service.
   std::map<std::string, std::deque<Instant>> rate_limit_refusals;
   std::size_t fleet_size = 1;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -76,6 +76,7 @@
     this->stream.service = context.service;
     this->stream.model = &model;
     this->stream.scope = &this->scope;
+    this->stream.pause_objective = context.route->event_interval_objective;
     this->stream.run = {context.fingerprint, context.metadata.request_id, 0};
     for (const std::uint64_t part : context.prompt_parts) {
       this->stream.run.parts.push_back({part, 0});
@@ -452,6 +453,9 @@
     query.avoided =
         this->dependencies.crashes->WorkersOfOtherSuspects(this->stream.run);
     query.max_send_wait = this->MaxWaitToSend();
+    query.stage_loss_cost = this->dependencies.routing_state->StageLossCost(
+        this->model, this->stream.answer_tokens, this->stream.pause_objective,
+        this->dependencies.runtime->Now());
     return query;
   }
 
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kMaxIntervalDoublings = 4;
 // How long the result of a probe is used as evidence for lost runs.
 constexpr Duration kFindingLifetime = seconds(2);
+// A run whose worker has ended is silent for less time than this when it is
+// noticed; else all silent streams need not be looked at.
+constexpr Duration kRecentLoss = seconds(2);
 
 }  // namespace
 
@@ -78,7 +81,9 @@
 struct StreamRegistry::State
     : std::enable_shared_from_this<StreamRegistry::State> {
   State(const RouterDependencies* dependencies, StreamRegistrySettings settings)
-      : dependencies(dependencies), settings(settings) {}
+      : dependencies(dependencies),
+        settings(settings),
+        thresholds(settings.silence, dependencies->runtime->Now()) {}
 
   void Watch() {
     while (!this->stopped) {
@@ -128,8 +133,9 @@
       RecordRestarts(*this->dependencies, stream);
     }
     const Duration silence = now - stream->last_progress;
-    const Duration min_stall = this->MinStall(*stream);
-    if (silence < std::max(min_stall, this->settings.probe_threshold)) {
+    const routing::StreamSilence facts = SilenceOf(*stream, silence);
+    if (!this->thresholds.Counts(facts)) {
+      this->CheckEarly(stream, facts, active, now);
       return;
     }
     if (stream->standby != nullptr) {
@@ -157,9 +163,10 @@
     if (expects_event) {
       this->ProbePath(stream->path, active);
     }
-    if (silence < (expects_event
-                       ? std::max(min_stall, this->settings.stall_threshold)
-                       : this->settings.first_event_stall_threshold)) {
+    if (silence <
+        (expects_event
+             ? std::max(this->MinStall(*stream), this->settings.stall_threshold)
+             : this->settings.first_event_stall_threshold)) {
       return;
     }
     if (silence < this->settings.stall_timeout ||
@@ -169,6 +176,62 @@
     }
   }
 
+  static routing::StreamSilence SilenceOf(const ActiveStream& stream,
+                                          Duration silence) {
+    return {silence, stream.smoothed_event_interval, stream.pause_objective,
+            stream.may_resume, ExpectsEvent(stream)};
+  }
+
+  // Before the silence of a stream counts. Gives up a run only if this VM has
+  // seen that a worker of its path has ended.
+  void CheckEarly(ActiveStream* stream,
+                  const routing::StreamSilence& facts,
+                  const std::set<std::string>& active,
+                  Instant now) {
+    if (stream->standby != nullptr || this->dependencies->links->CutOff()) {
+      return;
+    }
+    if (this->thresholds.EndedRunIsGivenUp(facts) &&
+        this->dependencies->routing_state->Losses().ReportedWithin(kRecentLoss,
+                                                                   now) &&
+        this->HasVerifiedEndedStage(*stream) &&
+        (this->HasEndedStage(*stream) ||
+         this->HasUnreachableStage(*stream, now))) {
+      this->ReportLostStages(stream, now);
+      this->dependencies->metrics->Increment(
+          "chervil_streams_given_up_early_total");
+      if (!this->TryResume(stream, "a worker of its path has ended", {})) {
+        this->StartMove(stream, {});
+      }
+      return;
+    }
+    if (this->thresholds.WantsEarlyProbe(facts) &&
+        this->HasUnprobedStage(stream->path, active) &&
+        this->thresholds.TakeEarlyProbe(now)) {
+      this->dependencies->metrics->Increment(
+          "chervil_streams_probed_early_total");
+      this->ProbePath(stream->path, active);
+    }
+  }
+
+  bool HasVerifiedEndedStage(const ActiveStream& stream) const {
+    return std::any_of(
+        stream.path.begin(), stream.path.end(), [&](const PathStage& stage) {
+          const auto start = stream.workers.find(stage.worker);
+          return start != stream.workers.end() &&
+                 this->dependencies->crashes->HasVerifiedEnd(start->second);
+        });
+  }
+
+  bool HasUnprobedStage(const Path& path,
+                        const std::set<std::string>& active) const {
+    return std::any_of(path.begin(), path.end(), [&](const PathStage& stage) {
+      return !active.contains(stage.worker) &&
+             !this->probes_answered.contains(stage.worker) &&
+             !this->pending_reports.contains(stage.worker);
+    });
+  }
+
   // False while prompts may be queued: before the first event, and after a move
   // until the next event.
   static bool ExpectsEvent(const ActiveStream& stream) {
@@ -177,8 +240,9 @@
 
   // The shortest silence that counts as a stall of this stream.
   Duration MinStall(const ActiveStream& stream) const {
-    return duration_cast<Duration>(this->settings.stall_interval_factor *
-                                   stream.smoothed_event_interval);
+    return duration_cast<Duration>(
+        this->settings.silence.stall_interval_factor *
+        stream.smoothed_event_interval);
   }
 
   std::set<std::string> RecentlyActiveWorkers(Instant now) const {
@@ -241,7 +305,7 @@
             silence < this->settings.recent_event_window) {
           continue;
         }
-        if (silence < this->settings.probe_threshold) {
+        if (silence < this->settings.silence.probe_threshold) {
           this->StartProbe(stage);
           continue;
         }
@@ -608,6 +672,8 @@
       query.avoided =
           this->dependencies->crashes->WorkersOfOtherSuspects(stream.run);
       query.includes_first_stage = false;
+      query.stage_loss_cost = routing_state.StageLossCost(
+          *stream.model, stream.answer_tokens, stream.pause_objective, now);
       const auto found =
           routing_state.FindPath(stream.service, *stream.model, query, now);
       if (found.has_error()) {
@@ -790,6 +856,7 @@
 
   const RouterDependencies* dependencies;
   StreamRegistrySettings settings;
+  routing::SilenceThresholds thresholds;
   std::set<ActiveStream*> streams;
   /// Workers with a report request in flight.
   std::set<std::string> pending_reports;
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "chervilpass/routing/silence_thresholds.h"
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/crash_monitor.h"
 #include "chervilpass/serving/request_context.h"
@@ -20,12 +21,8 @@
   /// Interval between checks of all streams.
   Duration check_interval = milliseconds(20);
   /// Silence of a running stream after which the workers of its path are
-  /// probed. Events come every few tens of milliseconds; routes allow intervals
-  /// of some 200 ms, half of which a move to other workers takes.
-  Duration probe_threshold = milliseconds(90);
-  /// For streams with slow events, silence counts as a stall only from this
-  /// multiple of the smoothed event interval.
-  double stall_interval_factor = 2.5;
+  /// probed.
+  routing::SilenceThresholdsSettings silence;
   /// Workers of a stream with an event this recent are not probed.
   Duration recent_event_window = milliseconds(50);
   /// A worker that has answered a probe is not probed again for this long.
@@ -84,6 +81,7 @@
   double tokens = 0;  ///< KV tokens reserved on the path
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  Duration pause_objective{0};  ///< of its route; zero: none
   Instant last_progress{};
   Duration smoothed_event_interval{0};
   EventPace pace;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -150,6 +150,7 @@
                        this->ReserveFor(kMinFleetSize)};
     routing.strikes_are_stored = true;
     routing.load_correction = this->settings.load_correction;
+    routing.loss_cost = this->settings.loss_cost;
     return routing;
   }
 
@@ -343,6 +344,8 @@
     serving::RouterSettings router_settings;
     router_settings.served_requests_per_log_line =
         this->settings.served_requests_per_log_line;
+    router_settings.streams.silence.by_objective =
+        this->settings.pause_objective;
     this->router =
         serving::Router::Create(std::move(dependencies), router_settings);
     this->caller_server = this->Listen(
@@ -641,13 +644,8 @@
       return;
     }
     if (tracker.Add(strike, now)) {
-      this->log.Info(
-          "strike.received",
-          {{"fingerprint", fmt::format("{:016x}", strike.fingerprint)},
-           {"worker", strike.worker},
-           {"age_ms", now.milliseconds - strike.at.milliseconds},
-           {"prior", strike.prior},
-           {"strikes", tracker.Count(strike.fingerprint, now)}});
+      this->load_report.OnStrike(strike, tracker.Count(strike.fingerprint, now),
+                                 now, this->runtime.Now());
       // The VM that added the strike may not know the earlier ones.
       if (this->IsRelay()) {
         this->suspects->OnStrike(strike.fingerprint);
@@ -661,6 +659,7 @@
         this->links->ReachedWithin(worker, kReachedEvidenceTime)) {
       return;
     }
+    this->routing_state.RecordLoss(worker, this->runtime.Now());
     // A peer's report only starts a cooldown for new requests. Streams and
     // layers are moved only if this VM's own observations confirm the report.
     this->routing_state.StartCooldown(
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -74,6 +74,8 @@
       limits.Integer("served_requests_per_log_line", {1, 1000000},
                      serving::RouterSettings().served_requests_per_log_line));
   settings.load_correction = limits.Bool("load_correction", false);
+  settings.loss_cost = limits.Bool("loss_cost", false);
+  settings.pause_objective = limits.Bool("pause_objective", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -39,6 +39,10 @@
   std::uint32_t served_requests_per_log_line = 0;
   /// Estimates of loads are corrected, and full workers are announced.
   bool load_correction = false;
+  /// Paths take the cost of losses of workers into account.
+  bool loss_cost = false;
+  /// Streams with an objective for pauses go on sooner after a loss.
+  bool pause_objective = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
