Load correction: refusals and growth leave room for a further request

Refusals and growth now raise an estimate to 0.85 of the capacity at most, and so that one more request fits.

--- a/chervilpass/placement/load_correction.cc
+++ b/chervilpass/placement/load_correction.cc
@@ -173,21 +173,48 @@
       this->counts.by_statement += from_peers != estimated ? 1 : 0;
     }
   }
-  const double bound = std::max(
-      this->settings.min_growth_bound,
-      this->settings.max_growth_share * (from_peers + local.load.sequences));
-  const double grown =
-      std::min(bound, peer_scale * this->GrowthOf(worker.key, age, now));
-  this->counts.by_growth += grown > 0 ? 1 : 0;
-  if (from_peers + grown != estimated) {
-    AddRequests(worker, local.load, from_peers + grown - estimated, &corrected);
+  if (from_peers != estimated) {
+    AddRequests(worker, local.load, from_peers - estimated, &corrected);
+  }
+  const double grown = this->BoundedGrowth(
+      worker, peer_scale * this->GrowthOf(worker.key, age, now), corrected);
+  if (grown > 0) {
+    ++this->counts.by_growth;
+    AddRequests(worker, local.load, grown, &corrected);
   }
   this->RaiseToFull(worker, &corrected, now);
   return corrected;
 }
 
+// The load up to which an estimate is raised: one more request fits.
+double LoadCorrection::NearlyFull(double capacity, double request) const {
+  return std::max(
+      0.0, std::min(this->settings.nearly_full_utilisation * capacity,
+                    this->settings.further_request_utilisation * capacity -
+                        request));
+}
+
+double LoadCorrection::BoundedGrowth(const CorrectedWorker& worker,
+                                     double grown,
+                                     const WorkerLoad& load) const {
+  double bound = std::max(this->settings.min_growth_bound,
+                          this->settings.max_growth_share * load.sequences);
+  if (worker.first_stage && worker.slots > 0) {
+    bound = std::min(bound, this->NearlyFull(worker.slots, 1) - load.sequences);
+  }
+  const double kv = load.sequences >= 1 ? load.kv_token_layers / load.sequences
+                                        : worker.typical_tokens * worker.layers;
+  if (kv > 0) {
+    bound = std::min(
+        bound,
+        (this->NearlyFull(worker.kv_capacity, kv) - load.kv_token_layers) / kv);
+  }
+  return std::max(0.0, std::min(grown, bound));
+}
+
 // It is not known whether slots or KV cache were lacking: the resource that the
-// estimate has closer to its capacity is the likelier one.
+// estimate has closer to its capacity is the likelier one. The other one is
+// raised along, but not beyond its own bound.
 void LoadCorrection::RaiseToFull(const CorrectedWorker& worker,
                                  WorkerLoad* load,
                                  Instant now) const {
@@ -195,36 +222,27 @@
   if (found == this->refused.end()) {
     return;
   }
-  const double age_share =
-      ToSeconds(now - found->second) / ToSeconds(this->settings.full_lifetime);
-  const double floor = this->settings.full_utilisation * (1 - age_share);
-  const double slots_used = worker.first_stage && worker.slots > 0
-                                ? load->sequences / worker.slots
-                                : 0;
-  const double kv_used =
-      worker.kv_capacity > 0 ? load->kv_token_layers / worker.kv_capacity : 0;
-  if (std::max(slots_used, kv_used) >= floor) {
+  const double left =
+      std::max(0.0, 1 - ToSeconds(now - found->second) /
+                            ToSeconds(this->settings.full_lifetime));
+  const bool has_slots = worker.first_stage && worker.slots > 0;
+  const double slots = has_slots ? left * this->NearlyFull(worker.slots, 1) : 0;
+  const double request_kv = worker.typical_tokens * worker.layers;
+  const double kv = left * this->NearlyFull(worker.kv_capacity, request_kv);
+  if ((has_slots && load->sequences >= slots) || load->kv_token_layers >= kv ||
+      request_kv <= 0) {
     return;
   }
   ++this->counts.raised_as_full;
-  const double typical_kv = worker.typical_tokens * worker.layers;
-  double missing = 0;  // requests
-  if (slots_used > kv_used) {
-    missing = floor * worker.slots - load->sequences;
-    load->kv_token_layers =
-        std::max(load->kv_token_layers,
-                 std::min(load->kv_token_layers + missing * typical_kv,
-                          floor * worker.kv_capacity));
-  } else if (worker.kv_capacity > 0) {
-    const double kv = floor * worker.kv_capacity - load->kv_token_layers;
-    missing = typical_kv > 0 ? kv / typical_kv : 0;
-    if (worker.first_stage && worker.slots > 0) {
-      missing = std::clamp(
-          missing, 0.0, std::max(0.0, floor * worker.slots - load->sequences));
-    }
-    load->kv_token_layers += kv;
-  }
-  load->sequences += missing;
+  const bool lacks_slots =
+      has_slots && load->sequences * kv > load->kv_token_layers * slots;
+  const double missing = lacks_slots
+                             ? slots - load->sequences
+                             : (kv - load->kv_token_layers) / request_kv;
+  load->sequences = has_slots ? std::min(load->sequences + missing, slots)
+                              : load->sequences + missing;
+  load->kv_token_layers =
+      std::min(load->kv_token_layers + missing * request_kv, kv);
   load->context_tokens += missing * worker.typical_tokens;
 }
 
--- a/chervilpass/placement/load_correction.h
+++ b/chervilpass/placement/load_correction.h
@@ -19,9 +19,12 @@
 
 /// Settings of a LoadCorrection.
 struct LoadCorrectionSettings {
-  /// Utilisation of a worker at the time of a refusal for lack of capacity. It
-  /// is the utilisation above which PathChooserSettings uses no worker.
-  double full_utilisation = 0.95;
+  /// Utilisation to which refusals and growth raise an estimate at most, and
+  /// the one that a further typical request may then reach. Both are below the
+  /// 0.95 from which PathChooserSettings uses no worker: such a worker is the
+  /// last choice, but no request is refused because of an extrapolation.
+  double nearly_full_utilisation = 0.85;
+  double further_request_utilisation = 0.9;
   /// Time in which that evidence decays to nothing, linearly. Shorter than a
   /// stream, since a tenth of the worker's requests end in it.
   Duration full_lifetime = seconds(2);
@@ -34,7 +37,7 @@
   /// Bounds of the requests added for growth: a share of those known, and a
   /// number that is allowed in any case.
   double max_growth_share = 1;
-  double min_growth_bound = 4;
+  double min_growth_bound = 2;
   /// Peers whose last loads are older do not count.
   Duration peer_lifetime = seconds(3);
 
@@ -142,6 +145,10 @@
   double GrowthOf(std::uint32_t worker,
                   std::optional<Duration> age,
                   Instant now) const;
+  double NearlyFull(double capacity, double request) const;
+  double BoundedGrowth(const CorrectedWorker& worker,
+                       double grown,
+                       const WorkerLoad& load) const;
   void RaiseToFull(const CorrectedWorker& worker,
                    WorkerLoad* load,
                    Instant now) const;
