--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -51,6 +51,8 @@
   bool includes_first_stage = true;  ///< that stage needs a batch slot
   /// Replaces PathChooserSettings::jitter.
   std::optional<double> cost_spread;
+  /// Expected cost of the loss of a stage's worker, for each stage.
+  Duration stage_loss_cost{0};
   /// Longest useful delay of the request by the rate limit of its first worker.
   Duration max_send_wait{0};
   /// Replaces PathChooserSettings::max_utilisation.
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -168,6 +168,17 @@
   this->correction.OnFull(placement::WorkerKey(worker), now);
 }
 
+Duration RoutingState::StageLossCost(const placement::ModelProfile& model,
+                                     double answer_tokens,
+                                     Duration objective,
+                                     Instant now) const {
+  return this->settings.loss_cost
+             ? this->losses.StageCost(
+                   placement::StreamExposure(model, answer_tokens), objective,
+                   now)
+             : Duration::zero();
+}
+
 bool RoutingState::LooksFull(const std::string& worker,
                              const placement::ModelProfile& model,
                              Instant now) const {
@@ -728,6 +739,13 @@
   }
   this->cooldowns.Expire(now);
   this->correction.Expire(now);
+  const auto registered_servers = this->servers.All();
+  this->losses.SetWorkers(
+      static_cast<std::size_t>(std::count_if(
+          registered_servers.begin(), registered_servers.end(),
+          [](const auto* server) { return !server->layers.Empty(); })),
+      now);
+  this->losses.Expire(now);
   this->rests.Expire(now);
   this->capacity.Expire(now);
   this->strikes.Expire(wall);
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -79,6 +79,7 @@
     this->stream.model = &model;
     this->stream.scope = &this->scope;
     this->stream.priority = context.priority;
+    this->stream.pause_objective = context.route->event_interval_objective;
     this->stream.run = {context.fingerprint, context.metadata.request_id, 0};
     for (const std::uint64_t part : context.prompt_parts) {
       this->stream.run.parts.push_back({part, 0});
@@ -523,6 +524,9 @@
       query.added_delay_weight =
           this->context.priority_class->added_delay_weight;
     }
+    query.stage_loss_cost = this->dependencies.routing_state->StageLossCost(
+        this->model, this->stream.answer_tokens, this->stream.pause_objective,
+        this->dependencies.runtime->Now());
     return query;
   }
 
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -750,6 +750,8 @@
       if (this->settings.early_recovery) {
         query.cost_spread = kRecoveryCostSpread;
       }
+      query.stage_loss_cost = routing_state.StageLossCost(
+          *stream.model, stream.answer_tokens, stream.pause_objective, now);
       const auto found =
           routing_state.FindPath(stream.service, *stream.model, query, now);
       if (found.has_error()) {
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -92,6 +92,7 @@
   double tokens = 0;  ///< KV tokens reserved on the path
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  Duration pause_objective{0};  ///< of its route; zero: none
   Instant last_progress{};
   Duration smoothed_event_interval{0};
   EventPace pace;
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -166,6 +166,7 @@
       routing.server_pacing = routing::ServerPaceSettings();
     }
     routing.samples.max_priced_workers = this->settings.priced_workers;
+    routing.loss_cost = this->settings.loss_cost;
     return routing;
   }
 
@@ -745,13 +746,8 @@
       return;
     }
     if (tracker.Add(strike, now)) {
-      this->log.Info(
-          "strike.received",
-          {{"fingerprint", fmt::format("{:016x}", strike.fingerprint)},
-           {"worker", strike.worker},
-           {"age_ms", now.milliseconds - strike.at.milliseconds},
-           {"prior", strike.prior},
-           {"strikes", tracker.Count(strike.fingerprint, now)}});
+      this->load_report.OnStrike(strike, tracker.Count(strike.fingerprint, now),
+                                 now, this->runtime.Now());
       // The VM that added the strike may not know the earlier ones.
       if (this->IsRelay()) {
         this->suspects->OnStrike(strike.fingerprint);
@@ -765,6 +761,7 @@
         this->links->ReachedWithin(worker, kReachedEvidenceTime)) {
       return;
     }
+    this->routing_state.RecordLoss(worker, this->runtime.Now());
     // A peer's report only starts a cooldown for new requests. Streams and
     // layers are moved only if this VM's own observations confirm the report.
     this->routing_state.StartCooldown(
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -90,6 +90,7 @@
   settings.lost_worker_time = limits.Milliseconds(
       "lost_worker_ms", {200, 600000},
       ToMilliseconds(placement::PlannerSettings().return_time));
+  settings.loss_cost = limits.Bool("loss_cost", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -55,6 +55,8 @@
   /// Time without a response after which a registered worker no longer keeps
   /// others from being moved.
   Duration lost_worker_time{0};
+  /// Paths take the cost of losses of workers into account.
+  bool loss_cost = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
