--- a/chervilpass/admission/capacity_policy.cc
+++ b/chervilpass/admission/capacity_policy.cc
@@ -1,5 +1,7 @@
 #include "chervilpass/admission/capacity_policy.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace chervilpass::admission {
@@ -10,6 +12,14 @@
   *bound = bound->value_or(maximum) - step;
 }
 
+std::string PriorityKind(const CapacityClaim& claim) {
+  return fmt::format("{} {}", claim.service, claim.priority);
+}
+
+std::string OrganisationKind(const CapacityClaim& claim) {
+  return claim.service + " " + claim.organisation;
+}
+
 }  // namespace
 
 CapacityPolicy::CapacityPolicy(CapacityPolicySettings settings)
@@ -39,7 +49,8 @@
   if (!claim.returned && !of_service.MostUrgent(claim.priority)) {
     const auto of_request = of_service.Of(claim.priority);
     bounds.preferred = of_request->max_utilisation;
-    if (this->shortage.ShortFor(claim.service, claim.priority, now)) {
+    if (this->shortage.ShortFor(claim.service, claim.priority, now) &&
+        !this->by_priority.Below(PriorityKind(claim), now)) {
       bounds.limit = bounds.preferred;
     }
   }
@@ -47,7 +58,8 @@
     const double maximum = this->settings.classes.max_utilisation;
     const double step = this->shares.UtilisationStep();
     Lower(&bounds.preferred, maximum, step);
-    if (this->shares.OthersShort(claim.organisation, now)) {
+    if (this->shares.OthersShort(claim.organisation, now) &&
+        !this->by_organisation.Below(OrganisationKind(claim), now)) {
       Lower(&bounds.limit, maximum, step);
     }
   }
@@ -59,9 +71,18 @@
   this->shares.OnRefused(claim.organisation, now);
 }
 
+void CapacityPolicy::OnServed(const CapacityClaim& claim, Instant now) {
+  if (this->ActiveFor(claim.service)) {
+    this->by_priority.OnEnded(PriorityKind(claim), true, now);
+    this->by_organisation.OnEnded(OrganisationKind(claim), true, now);
+  }
+}
+
 Duration CapacityPolicy::OnRefused(const CapacityClaim& claim,
                                    Instant now,
                                    double draw) {
+  this->by_priority.OnEnded(PriorityKind(claim), false, now);
+  this->by_organisation.OnEnded(OrganisationKind(claim), false, now);
   RoomEstimator& room = this->RoomOf(claim.service);
   room.OnRefused(claim.priority, now);
   const auto bound = this->BoundsFor(claim, now).limit;
@@ -75,6 +96,8 @@
   this->shortage.Expire(now);
   this->shares.Expire(now);
   this->refusals.Expire(now);
+  this->by_priority.Expire(now);
+  this->by_organisation.Expire(now);
 }
 
 }  // namespace chervilpass::admission
--- a/chervilpass/admission/capacity_policy.h
+++ b/chervilpass/admission/capacity_policy.h
@@ -15,6 +15,7 @@
 #include "chervilpass/admission/priority_classes.h"
 #include "chervilpass/admission/recent_refusals.h"
 #include "chervilpass/admission/room_estimator.h"
+#include "chervilpass/admission/served_floor.h"
 
 namespace chervilpass::admission {
 
@@ -68,13 +69,18 @@
   }
 
   /// The bounds for a request that has not run. A request that returned is not
-  /// bound by its class: newer ones of its priority may have been served.
+  /// bound by its class: newer ones of its priority may have been served. A
+  /// priority or organisation that is served far less often than all requests
+  /// is not bound while that is so.
   UtilisationBounds BoundsFor(const CapacityClaim& claim, Instant now);
 
   /// The request found no capacity within its bounds: less urgent ones and
   /// organisations over their share leave headroom from now on.
   void OnLacked(const CapacityClaim& claim, Instant now);
 
+  /// A server has begun to respond to the request.
+  void OnServed(const CapacityClaim& claim, Instant now);
+
   /// The request is refused for lack of capacity. Returns when its caller
   /// should retry; `draw` is uniform in [0, 1).
   Duration OnRefused(const CapacityClaim& claim, Instant now, double draw);
@@ -99,6 +105,8 @@
   OrganisationShares shares;
   std::map<std::string, RoomEstimator> rooms;  ///< by service
   RecentRefusals refusals;
+  ServedFloor by_priority;      ///< of each service
+  ServedFloor by_organisation;  ///< of each service
 };
 
 /// Counts a run of a stream as in progress during its lifetime.
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -687,6 +687,8 @@
     }
     if (!this->stream_begun) {
       this->stream_begun = true;
+      this->dependencies.routing_state->Capacity().OnServed(
+          ClaimOf(this->context), this->dependencies.runtime->Now());
       this->content_type = content_type;
       this->policy.OnResponseBegun();
       this->scope.SetResponseBegun();
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -465,3 +465,31 @@
   }
   cr_assert_gt(left, milliseconds(150));
 }
+
+// Load: urgent requests that lack capacity without end. The least urgent ones
+// are still served at least a quarter as often as all.
+Test(capacity_policy, no_priority_or_organisation_is_left_unserved) {
+  CapacityPolicy policy = Policy(true);
+  Instant now{};
+  policy.Shares().Add("large", 90000);
+  policy.Shares().Add("small", 5000);
+  int served = 0;
+  constexpr int kSteps = 400;
+  for (int i = 0; i < kSteps; ++i) {
+    now += milliseconds(50);
+    policy.OnLacked(Claim(0, "small"), now);
+    policy.OnServed(Claim(0, "small"), now);
+    // No worker has room below the lowered bounds.
+    if (policy.BoundsFor(Claim(2), now).limit) {
+      policy.OnLacked(Claim(2), now);
+      policy.OnRefused(Claim(2), now, 0.5);
+    } else {
+      policy.OnServed(Claim(2), now);
+      ++served;
+    }
+  }
+  // Of all requests (kSteps + served) / (2 * kSteps) are served.
+  const double all = (kSteps + served) / (2.0 * kSteps);
+  cr_assert_geq(served, 0.25 * all * kSteps, "%d served", served);
+  cr_assert_lt(served, kSteps / 2, "%d served: no headroom is left", served);
+}
