--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -144,8 +144,12 @@
           this->dependencies.runtime->SleepFor(kPathPollInterval);
           continue;
         }
-        // Workers that have just refused it count as unusable.
-        if (this->policy.MayWait(this->scope.TimeLeft())) {
+        // Workers that have just refused it count as unusable. Rests have a
+        // known end, with which the caller is told to retry.
+        if (this->policy.MayWait(this->scope.TimeLeft()) &&
+            this->dependencies.routing_state->RetryAfterRests(
+                this->context.service, this->dependencies.runtime->Now()) ==
+                Duration::zero()) {
           this->WaitForCapacity();
           continue;
         }
@@ -714,6 +718,8 @@
     }
     if (!this->stream_begun) {
       this->stream_begun = true;
+      this->dependencies.routing_state->Capacity().OnServed(
+          ClaimOf(this->context), this->dependencies.runtime->Now());
       this->content_type = content_type;
       this->policy.OnResponseBegun();
       this->scope.SetResponseBegun();
