No orders while the registry fills

A VM that knows a part of the servers takes the layers of the others for uncovered. Planning waited for the number of workers to settle only while most of them held no layers. Orders are now held for 1 s after the number of servers has grown by 8 and 5 % within a second.

--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -118,6 +118,8 @@
       this->runtime->SleepFor(this->settings.check_interval);
       this->RecordLateness(this->runtime->Now() - slept -
                            this->settings.check_interval);
+      this->governor.OnRound(this->routing_state->Servers().All().size(),
+                             this->runtime->Now());
       this->UpdateClaim();
       if (this->claim.Holds() != this->is_decider) {
         this->is_decider = this->claim.Holds();
--- a/chervilpass/placement/order_governor.cc
+++ b/chervilpass/placement/order_governor.cc
@@ -1,5 +1,7 @@
 #include "chervilpass/placement/order_governor.h"
 
+#include <algorithm>
+
 namespace chervilpass::placement {
 namespace {
 
@@ -11,6 +13,8 @@
   switch (reason) {
     case HoldReason::kClaimUnconfirmed:
       return "claim_unconfirmed";
+    case HoldReason::kRegistryFilling:
+      return "registry_filling";
     case HoldReason::kRegistryOld:
       return "registry_old";
     case HoldReason::kReportsOld:
@@ -25,6 +29,22 @@
   return "unknown";
 }
 
+void OrderGovernor::OnRound(std::size_t servers, Instant now) {
+  const double growth = std::max(
+      static_cast<double>(this->settings.fill_servers),
+      this->settings.fill_share * static_cast<double>(this->base_servers));
+  const bool grows = static_cast<double>(servers) >=
+                     static_cast<double>(this->base_servers) + growth;
+  if (grows) {
+    this->filled_at = now + this->settings.fill_window;
+  }
+  if (grows || servers < this->base_servers ||
+      now - this->base_at >= this->settings.fill_window) {
+    this->base_servers = servers;
+    this->base_at = now;
+  }
+}
+
 std::optional<HoldReason> OrderGovernor::Admit(const PlacementOrder& order,
                                                const PlanBasis& basis) {
   while (!this->loads.empty() &&
@@ -53,6 +73,9 @@
   if (basis.starting) {
     return std::nullopt;
   }
+  if (this->filled_at && basis.now < *this->filled_at) {
+    return HoldReason::kRegistryFilling;
+  }
   if (!order.urgent) {
     if (basis.lateness > this->settings.max_lateness) {
       return HoldReason::kLoopLate;
--- a/chervilpass/placement/order_governor.h
+++ b/chervilpass/placement/order_governor.h
@@ -27,6 +27,12 @@
   Duration max_report_age = seconds(2);
   /// Lateness of the control loop beyond which only repairs are sent.
   Duration max_lateness = milliseconds(500);
+  /// While the number of servers has grown by this many and by this share
+  /// within `fill_window`, the registry is not complete: layers may seem to be
+  /// held by nobody.
+  std::size_t fill_servers = 8;
+  double fill_share = 0.05;
+  Duration fill_window = seconds(1);
   /// Weight loads that may be ordered in any minute. The repair of a few lost
   /// workers takes fewer than ten.
   std::uint32_t loads_per_minute = 120;
@@ -39,6 +45,7 @@
 /// Why an order is not sent.
 enum class HoldReason : std::uint8_t {
   kClaimUnconfirmed,
+  kRegistryFilling,
   kRegistryOld,
   kReportsOld,
   kLoopLate,
@@ -78,6 +85,10 @@
  public:
   explicit OrderGovernor(OrderGovernorSettings settings) : settings(settings) {}
 
+  /// Records the number of registered servers; to be called in each round of
+  /// the control loop, also while this VM does not decide.
+  void OnRound(std::size_t servers, Instant now);
+
   /// Checks one order of a plan. Urgent orders are repairs. An admitted order
   /// is open until OnEnded.
   std::optional<HoldReason> Admit(const PlacementOrder& order,
@@ -99,8 +110,11 @@
   bool ExceedsRate(const PlacementOrder& order) const;
 
   OrderGovernorSettings settings;
-  std::set<std::string> open;  ///< workers
-  std::deque<Instant> loads;   ///< ordered in the last minute
+  std::size_t base_servers = 0;  ///< at `base_at`
+  Instant base_at{};
+  std::optional<Instant> filled_at;  ///< the registry grows until then
+  std::set<std::string> open;        ///< workers
+  std::deque<Instant> loads;         ///< ordered in the last minute
 };
 
 }  // namespace chervilpass::placement
--- a/unit_tests/large_fleet_test.cc
+++ b/unit_tests/large_fleet_test.cc
@@ -329,6 +329,26 @@
   cr_assert(reason_of(basis) == HoldReason::kClaimUnconfirmed);
 }
 
+// A VM that has just started and knows 200 of 3,000 workers: guards against
+// repairs of layers that the others hold.
+Test(order_governor, nothing_is_ordered_while_the_registry_fills) {
+  OrderGovernor governor({});
+  Instant now = kStart;
+  for (const std::size_t servers : {0, 200, 900, 2000, 3000}) {
+    governor.OnRound(servers, now);
+    cr_assert(servers == 0 || governor.Admit(Order("w", true), BasisAt(now)) ==
+                                  HoldReason::kRegistryFilling);
+    now += milliseconds(200);
+  }
+  // Workers that are lost, or return one by one, delay nothing.
+  now += seconds(1);
+  for (const std::size_t servers : {3000, 2950, 2955, 2960}) {
+    governor.OnRound(servers, now);
+    now += milliseconds(200);
+  }
+  cr_assert(!governor.Admit(Order("w", true), BasisAt(now)));
+}
+
 // Guards against a worker that loads the layers of two orders in turn.
 Test(order_governor, worker_gets_no_second_order_before_the_first_has_ended) {
   OrderGovernor governor({});
--- a/unit_tests/placement_controller_test.cc
+++ b/unit_tests/placement_controller_test.cc
@@ -189,9 +189,9 @@
     const std::size_t before = fixture.orders.size();
     fixture.Register("w2");  // in place of the lost one
     runtime.SleepFor(seconds(2));
-    cr_assert(std::find(fixture.orders.begin() +
-                            static_cast<std::ptrdiff_t>(before),
-                        fixture.orders.end(), "w2") != fixture.orders.end());
+    cr_assert(
+        std::find(fixture.orders.begin() + static_cast<std::ptrdiff_t>(before),
+                  fixture.orders.end(), "w2") != fixture.orders.end());
   });
 }
 
