--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -133,6 +133,12 @@
   void ProveWorkers(Instant now) {
     for (const routing::BackendServer& worker :
          this->dependencies->routing_state->WorkersToProve(now)) {
+      // Events have passed through it during its cooldown.
+      if (this->dependencies->links->ReachedWithin(
+              worker.id, this->settings.probe_interval)) {
+        this->dependencies->routing_state->OnAnswered(worker.id);
+        continue;
+      }
       if (!this->pending_reports.insert(worker.id).second) {
         continue;
       }
