Findings of the review: requests in progress, shares of idle connections, probes of moves, claims

A request whose last bytes arrived as its connection was picked for refusal could be closed while it ran. An idle connection kept the share of its last large response. Each connection that waited for memory scanned all others every 10 ms. A move that got no answer to its probes was given up without an order. A stream whose standby run was ready could wait for capacity. A 429 or 408 was announced as a full worker. A takeover of the placement claim counted from the time of asking, not of the answer. Sampled loads counted as growth. Reports of unknown workers counted as losses.

--- a/chervilpass/admission/organisation_shares.cc
+++ b/chervilpass/admission/organisation_shares.cc
@@ -149,8 +149,9 @@
   if (!this->OverShare(organisation, now)) {
     this->refused_under[key] = now;
   }
+  // A new one is a new demand; others are found within `update_interval`.
+  this->computed = this->computed && this->refused.contains(key);
   this->refused[key] = now;
-  this->computed = false;
 }
 
 // All tokens in flight together are the capacity, which is exact only while it
--- a/chervilpass/fleet/decider_claim.cc
+++ b/chervilpass/fleet/decider_claim.cc
@@ -25,7 +25,8 @@
 }  // namespace
 
 void DeciderClaim::OnRead(const std::optional<DeciderRecord>& read,
-                          Instant now) {
+                          Instant asked,
+                          Instant answered) {
   if (read != this->record) {
     this->holder_missing_since.reset();
   }
@@ -33,11 +34,11 @@
   this->record = read;
   if (this->Holds() && former && former->vm != this->vm) {
     this->may_act_from =
-        now + (this->holder_alive ? this->settings.alive_handover_delay
-                                  : this->settings.handover_delay);
+        answered + (this->holder_alive ? this->settings.alive_handover_delay
+                                       : this->settings.handover_delay);
   }
   this->store_read = true;
-  this->read_at = now;
+  this->read_at = asked;
   this->contested = false;
 }
 
--- a/chervilpass/fleet/decider_claim.h
+++ b/chervilpass/fleet/decider_claim.h
@@ -66,9 +66,15 @@
                Instant now)
       : settings(settings), vm(std::move(vm)), boot_id(boot_id), started(now) {}
 
-  /// Handles a read or written record; none if the store has no record. `now`
-  /// is the time at which the store was asked.
-  void OnRead(const std::optional<DeciderRecord>& record, Instant now);
+  /// Handles a read or written record; none if the store has no record.
+  /// `asked` is the time of the call, `answered` that of its response: a write
+  /// may take effect as late as that.
+  void OnRead(const std::optional<DeciderRecord>& record,
+              Instant asked,
+              Instant answered);
+  void OnRead(const std::optional<DeciderRecord>& record, Instant now) {
+    this->OnRead(record, now, now);
+  }
 
   /// Returns what to do now. `members` has this VM first.
   ClaimAction Next(const std::vector<membership::Member>& members, Instant now);
--- a/chervilpass/fleet/peer_group.cc
+++ b/chervilpass/fleet/peer_group.cc
@@ -81,17 +81,15 @@
     }
   }
 
-  // A message that carries notices only says nothing about loads.
   void OnLoads(membership::GossipMessage message) {
     ScaleSample(&message);
-    if (!message.loads.empty() || message.full_workers.empty()) {
-      this->events.loads(message.from,
-                         message.loads_of_data_centre ? LoadScope::kDataCentre
-                                                      : LoadScope::kVm,
-                         message.loads);
-      if (message.partial_loads && message.loads_of_data_centre) {
-        this->events.rest_of_loads(message.from, *message.partial_loads);
-      }
+    const LoadScope scope = message.loads_of_data_centre
+                                ? LoadScope::kDataCentre
+                            : message.partial_loads ? LoadScope::kVmSample
+                                                    : LoadScope::kVm;
+    this->events.loads(message.from, scope, message.loads);
+    if (message.partial_loads && message.loads_of_data_centre) {
+      this->events.rest_of_loads(message.from, *message.partial_loads);
     }
     if (!message.organisation_loads.empty() &&
         this->events.organisation_loads) {
--- a/chervilpass/fleet/peer_group.h
+++ b/chervilpass/fleet/peer_group.h
@@ -39,7 +39,11 @@
 };
 
 /// Scope of load gossip: the loads of one VM, or their sums over a data centre.
-enum class LoadScope { kVm, kDataCentre };
+enum class LoadScope {
+  kVm,
+  kDataCentre,
+  kVmSample,  ///< A random sample of the loads of a VM, scaled up.
+};
 
 /// Callbacks for events from other VMs. Called on the fiber thread; must not
 /// wait.
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -130,6 +130,8 @@
       }
       if (this->is_decider && !this->cut_off()) {
         this->PlanAll();
+      } else {
+        this->unusable_since.clear();
       }
     }
   }
@@ -206,7 +208,9 @@
     if (found) {
       this->ApplyClaim(read.value(), asked);
     } else if (!this->claim_read_failed) {
-      this->claim.OnRead(std::nullopt, asked);
+      if (asked >= this->claim.LastReadAt()) {
+        this->claim.OnRead(std::nullopt, asked, this->runtime->Now());
+      }
     }
   }
 
@@ -221,7 +225,8 @@
     }
     this->claim_revision = object.revision;
     // An unreadable record is replaced as if its holder were gone.
-    this->claim.OnRead(record.value_or(DeciderRecord{}), asked);
+    this->claim.OnRead(record.value_or(DeciderRecord{}), asked,
+                       this->runtime->Now());
   }
 
   // How far this VM may act now; reads the claim if the last read is too old.
--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -40,6 +40,8 @@
 // A refused peer has this long to read the response.
 constexpr Duration kMinRefusalTime = milliseconds(100);
 constexpr Duration kRefusalPollInterval = milliseconds(5);
+constexpr Duration kMinDropInterval = milliseconds(10);
+constexpr Duration kSentPollInterval = milliseconds(100);
 constexpr Duration kAcknowledgementPollInterval = milliseconds(10);
 constexpr std::string_view kRetryAfterSeconds = "1";
 // A request of which nothing has arrived for so long is stalled. Above the
@@ -266,6 +268,13 @@
 
   // Called as the memory for a request is short.
   void DropStalled() {
+    // Each connection that waits for memory calls this again and again. The
+    // share of the last one is given back before the next one is dropped.
+    const Instant now = this->runtime->Now();
+    if (now - this->last_drop < kMinDropInterval) {
+      return;
+    }
+    this->last_drop = now;
     Connection* stalled = this->LargestStalled();
     if (stalled == nullptr || stalled->reader->HeldBytes() == 0) {
       return;
@@ -396,6 +405,11 @@
     connection->reading_since.reset();
     const auto refusal = std::exchange(connection->refusal, std::nullopt);
     const auto refuse = std::exchange(connection->refuse, nullptr);
+    // Its last bytes had arrived before the read could be stopped.
+    if (!read.error && std::exchange(connection->replaced, false)) {
+      this->EndRefusal(stream);
+      --this->replaced;
+    }
     if (read.error && (refusal || refuse)) {
       reader->ReleaseBody();
       this->RespondUnread(
@@ -439,7 +453,7 @@
     reader->Begin();
     while (reader->DropEmptyLines()) {
       if (!first) {
-        if (!this->WaitForNextRequest(stream)) {
+        if (!this->WaitForNextRequest(stream, connection)) {
           return {asio::error::operation_aborted};
         }
         reader->Begin();
@@ -487,16 +501,20 @@
     }
   }
 
-  bool WaitForNextRequest(beast::tcp_stream* stream) {
+  bool WaitForNextRequest(beast::tcp_stream* stream, Connection* open) {
     const Instant start = this->runtime->Now();
     const auto connection =
         this->idle.insert(this->idle.end(), {stream, start});
     Completion ready;
-    // The timeout may have been raised during the wait.
+    // The timeout may have been raised during the wait, and the share of a
+    // large response is given back once the peer has acknowledged it.
     do {
+      this->ReleaseSent(stream, open);
+      const Duration left =
+          start + this->settings.limits.idle_timeout - this->runtime->Now();
       const ReadTimer timer(
           this->runtime, stream,
-          start + this->settings.limits.idle_timeout - this->runtime->Now());
+          open->sent.Bytes() > 0 ? std::min(left, kSentPollInterval) : left);
       ready = Await([&](auto handler) {
         stream->socket().async_wait(Tcp::socket::wait_read, std::move(handler));
       });
@@ -598,6 +616,7 @@
   std::size_t connections = 0;
   std::size_t replaced = 0;  // of these, closed by MakeRoom
   std::size_t in_flight = 0;
+  Instant last_drop{};  // by DropStalled
   TimeShare discards{TimeShareSettings{}};
   // Its pages are in memory once they are used.
   std::unique_ptr<char[]> discard_buffer =
--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -124,9 +124,9 @@
   void OnFullElsewhere(const std::string& incarnation,
                        Duration length,
                        Instant now) {
-    Cooldown& full = this->records[incarnation].full;
-    full.until = std::max(
-        full.until, now + std::min(length, this->settings.max_full_cooldown));
+    Instant& until = this->records[incarnation].full_elsewhere;
+    until = std::max(until,
+                     now + std::min(length, this->settings.max_full_cooldown));
   }
 
   /// Time until the cooldown for lack of capacity ends; zero if there is none.
@@ -144,6 +144,7 @@
     const auto found = this->records.find(incarnation);
     if (found != this->records.end()) {
       found->second.full = Cooldown{};
+      found->second.full_elsewhere = Instant{};
       found->second.not_holding = Cooldown{};
       found->second.refusing = Cooldown{};
     }
@@ -212,10 +213,12 @@
     Cooldown not_holding;
     Cooldown refusing;
     Cooldown suspected;
+    Instant full_elsewhere{};  ///< end of the cooldown that other VMs state
 
     Instant Until() const {
       return std::max({this->LostUntil(), this->full.until,
-                       this->not_holding.until, this->refusing.until});
+                       this->full_elsewhere, this->not_holding.until,
+                       this->refusing.until});
     }
 
     Instant LostUntil() const {
--- a/chervilpass/serving/link_monitor.cc
+++ b/chervilpass/serving/link_monitor.cc
@@ -93,12 +93,12 @@
   // Connects to a sample of servers at once; this VM is cut off if none can be
   // reached. Without other servers nothing can be said.
   void StartCheck(const std::string& except) {
+    this->check_void = false;
     const auto servers = this->Sample(except, this->settings.sample_size);
     if (servers.empty()) {
       return;
     }
     this->checking = true;
-    this->check_void = false;
     const Instant start = this->runtime->Now();
     const auto pending = std::make_shared<std::size_t>(servers.size());
     for (const routing::BackendServer& server : servers) {
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -399,6 +399,8 @@
     placement::PathCandidate& candidate = workers->candidates[i];
     if (cooling && this->cooldowns.InCooldown(workers->incarnations[i], now)) {
       candidate.layers = {};
+      candidate.capacity_share = 1;
+      candidate.over_own_part = false;
       continue;
     }
     candidate.layers = workers->layers[i];
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -177,6 +177,10 @@
 
   /// A worker of a model has ended or does not respond.
   void RecordLoss(const std::string& worker, Instant now) {
+    // A peer may name a worker that is gone.
+    if (this->servers.Find(worker) == nullptr) {
+      return;
+    }
     this->losses.OnLost(worker, now);
   }
 
--- a/chervilpass/serving/server_pacing.cc
+++ b/chervilpass/serving/server_pacing.cc
@@ -181,7 +181,7 @@
   }
   this->service = new_service;
   this->paced.clear();
-  const auto totals = this->state->Loads().TotalsExcludingLocal(now);
+  const auto& totals = this->state->Loads().TotalsExcludingLocal(now);
   std::vector<placement::StageLoad> all;
   std::vector<placement::StageLoad> others;  // that are not paced
   std::vector<std::size_t> paced_stages;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -230,7 +230,7 @@
         return served;
       }
     }
-    if (decision == RetryDecision::kWait) {
+    if (decision == RetryDecision::kWait && !standby_ready) {
       this->LogRetry(result);
       this->WaitForCapacity();
       return std::nullopt;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -23,6 +23,7 @@
 constexpr std::uint32_t kMaxIntervalDoublings = 4;
 // An answer or an event that shows that a worker of a new path lives.
 constexpr Duration kRecentAnswer = milliseconds(60);
+constexpr int kMaxProbeRounds = 2;  // of paths, in one move
 constexpr Duration kPathProbePollInterval = milliseconds(1);
 // Workers that end together are found one after the other within this time.
 constexpr Duration kJointLossTime = milliseconds(500);
@@ -294,6 +295,10 @@
            std::any_of(path.begin(), path.end(), waits)) {
       this->dependencies->runtime->SleepFor(kPathProbePollInterval);
     }
+    if (VoidsTimeout(*this->dependencies, start,
+                     this->settings.path_probe_wait)) {
+      return unanswered;
+    }
     for (const PathStage& stage : path) {
       if (!lives(stage)) {
         unanswered.insert(stage.worker);
@@ -579,6 +584,7 @@
                           : fmt::format("status {}", response.value().status));
       return;
     }
+    this->probes_answered[first.worker] = this->dependencies->runtime->Now();
     const auto report = platform::DecodeReport(response.value().body);
     if (report.has_error()) {
       this->dependencies->log->Warning(
@@ -652,6 +658,7 @@
       MarkUnreachable(*this->dependencies, worker, "requests stall there");
       return;
     }
+    this->probes_answered[worker] = this->dependencies->runtime->Now();
     this->StartFullCooldown(worker);
     for (ActiveStream* stream : this->streams) {
       if (requests.ids.contains(stream->request_id) && !stream->moving &&
@@ -724,11 +731,13 @@
   // The path with unreachable, ended and refusing workers replaced; empty if
   // that is impossible.
   Path ReplacementPath(const ActiveStream& stream,
-                       const std::set<std::string>& refusing) const {
+                       const std::set<std::string>& refusing,
+                       const std::set<std::string>& unanswered) const {
     RoutingState& routing_state = *this->dependencies->routing_state;
     const Instant now = this->dependencies->runtime->Now();
     Path path;
     std::set<std::string> excluded = refusing;
+    excluded.insert(unanswered.begin(), unanswered.end());
     for (const PathStage& stage : stream.path) {
       excluded.insert(stage.worker);
     }
@@ -784,6 +793,7 @@
                                                  this->settings.verify_timeout);
     this->pending_reports.erase(stage.worker);
     if (IsAnswer(result)) {
+      this->probes_answered[stage.worker] = this->dependencies->runtime->Now();
       routing_state.OnAnswered(stage.worker);
     }
   }
@@ -829,6 +839,8 @@
     if (this->InProgress(stream, run)) {
       this->RecheckWorker(PathStage(stream->path.front()));
     }
+    std::set<std::string> unanswered;  // probes of new workers
+    int probe_rounds = 0;
     for (int i = 0; i < kMaxMoveOrders; ++i) {
       if (!this->InProgress(stream, run)) {
         return;
@@ -844,7 +856,11 @@
       if (crashes.MustNotRepeat(stream->run)) {
         break;
       }
-      const Path path = this->ReplacementPath(*stream, refusing);
+      Path path = this->ReplacementPath(*stream, refusing, unanswered);
+      if (path.empty() && !unanswered.empty()) {
+        path = this->ReplacementPath(*stream, refusing, {});
+        probe_rounds = kMaxProbeRounds;
+      }
       if (path.empty()) {
         break;
       }
@@ -852,8 +868,14 @@
         stream->moving = false;
         return;
       }
-      if (!this->ProbeNewStages(*stream, path, &refusing)) {
-        continue;
+      // Without an answer in time the order is sent after all: a late VM gets
+      // none, and nothing else may complete the request.
+      if (probe_rounds < kMaxProbeRounds) {
+        ++probe_rounds;
+        if (!this->ProbeNewStages(*stream, path, &unanswered)) {
+          --i;
+          continue;
+        }
       }
       if (!this->InProgress(stream, run)) {
         return;
@@ -920,11 +942,11 @@
     }
   }
 
-  // Adds the new workers of the path that do not answer to `refusing`; true if
-  // all answer.
+  // Adds the new workers of the path that do not answer to `unanswered`; true
+  // if all answer.
   bool ProbeNewStages(const ActiveStream& stream,
                       const Path& path,
-                      std::set<std::string>* refusing) {
+                      std::set<std::string>* unanswered) {
     const Path previous = stream.path;
     Path added;
     for (const PathStage& stage : path) {
@@ -935,9 +957,9 @@
         added.push_back(stage);
       }
     }
-    std::set<std::string> unanswered = this->UnansweredWorkers(added);
-    const bool all_answer = unanswered.empty();
-    refusing->merge(unanswered);
+    std::set<std::string> silent = this->UnansweredWorkers(added);
+    const bool all_answer = silent.empty();
+    unanswered->merge(silent);
     return all_answer;
   }
 
--- a/chervilpass/serving/stream_run.cc
+++ b/chervilpass/serving/stream_run.cc
@@ -42,7 +42,10 @@
                            {{"worker", worker}, {"status", status}});
     dependencies.report_refusing(worker);
   }
-  if (dependencies.report_full) {
+  // Other statuses, and workers that leave, say nothing about capacity.
+  const auto* server = dependencies.routing_state->Servers().Find(worker);
+  if (dependencies.report_full && status == 503 && server != nullptr &&
+      !server->leaving) {
     dependencies.report_full(worker);
   }
 }
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -838,6 +838,8 @@
     if (scope == fleet::LoadScope::kVm) {
       this->routing_state.OnPeerLoads(peer, std::move(loads),
                                       this->runtime.Now());
+    } else if (scope == fleet::LoadScope::kVmSample) {
+      tracker.OnPeerLoads(peer, std::move(loads), this->runtime.Now());
     } else if (const auto data_centre = this->DataCentreOf(peer)) {
       tracker.OnDataCentreLoads(*data_centre, std::move(loads),
                                 this->runtime.Now());
