Server pacing: VMs keep their turn while they get answers; failed streams count

Where a share allows one request only, a single VM had news, which counts for one step without a second VM's. A failure that a stream's first worker answers with is bad.

--- a/chervilpass/routing/server_pace.cc
+++ b/chervilpass/routing/server_pace.cc
@@ -131,6 +131,7 @@
   record.share = share;
   record.begun = now;
   record.judged_from = now;
+  record.turn_at = now;
   record.base_share = share;
   record.base_at = now;
   record.probing_step = this->settings.probing_step;
@@ -162,7 +163,11 @@
   if (found == this->records.end() || found->second.ended) {
     return UINT32_MAX;
   }
-  return OwnPart(FleetPart(this->Effective(found->second), slots),
+  // A single VM's good news has no effect without a second one, which then has
+  // to have its turn as well.
+  const bool unconfirmed = found->second.step > 1;
+  return OwnPart(std::max(FleetPart(this->Effective(found->second), slots),
+                          unconfirmed ? 2U : 1U),
                  this->fleet.size(), found->second.rank);
 }
 
@@ -365,17 +370,21 @@
 }
 
 // Without any news of a start the VMs that may send to it change: those whose
-// turn it is may have no requests for it.
+// turn it is may have no requests for it. The news of a single VM needs another
+// one's. A VM keeps its turn while it gets answers.
 void ServerPace::UpdateRank(Entry* entry, Instant now) const {
   Record& record = entry->second;
-  const Instant latest =
-      std::max({record.begun, record.observed.value_or(record.begun),
-                record.heard.value_or(record.begun)});
-  const auto turn = static_cast<std::uint64_t>(
-      std::max(Duration::zero(), Duration(now - latest)) /
-      this->settings.retry_interval);
+  Instant latest =
+      std::max(record.turn_at, record.observed.value_or(record.turn_at));
+  if (record.step <= 1) {
+    latest = std::max(latest, record.heard.value_or(latest));
+  }
+  if (now - latest >= this->settings.retry_interval) {
+    ++record.turn;
+    record.turn_at = now;
+  }
   record.rank =
-      PaceRank(this->vm, this->fleet, PaceStartKey(entry->first), turn);
+      PaceRank(this->vm, this->fleet, PaceStartKey(entry->first), record.turn);
 }
 
 void ServerPace::CountPaced() {
--- a/chervilpass/routing/server_pace.h
+++ b/chervilpass/routing/server_pace.h
@@ -236,6 +236,8 @@
     std::optional<Instant> last_outage;
     double share_before_outage = 1;
     double reported = 1;
+    std::uint64_t turn = 0;        ///< order of the VMs
+    Instant turn_at{};             ///< begin of the turn
     std::size_t rank = 0;          ///< of this VM
     std::uint32_t statements = 0;  ///< of other VMs, at the last merge
     Round round;
--- a/chervilpass/serving/server_pacing.cc
+++ b/chervilpass/serving/server_pacing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "chervilpass/placement/paced_path.h"
 #include "chervilpass/routing/pace_parts.h"
@@ -262,6 +263,25 @@
   }
 }
 
+void StreamPaceRecorder::OnRunEnded(const placement::Path& path,
+                                    bool failed,
+                                    Instant now) {
+  const bool was_recording = std::exchange(this->recording, false);
+  if (!failed || !was_recording || path.empty()) {
+    return;
+  }
+  const std::string first = this->state->Incarnation(path.front().worker);
+  for (const PacedStage& stage : this->paced) {
+    if (stage.start == first) {
+      routing::PaceObservation observation;
+      observation.evidence = PaceEvidence::kFailed;
+      observation.sent = this->begun;
+      observation.slots = stage.slots;
+      this->state->Pacing()->Pace().OnAnswer(first, observation, now);
+    }
+  }
+}
+
 void StreamPaceRecorder::Record(double observed,
                                 double expected,
                                 double* baseline,
--- a/chervilpass/serving/server_pacing.h
+++ b/chervilpass/serving/server_pacing.h
@@ -94,8 +94,8 @@
   /// times say nothing about it any more.
   void OnEvents(std::uint64_t events, bool moved, Instant now);
 
-  /// The run has ended.
-  void OnRunEnded() { this->recording = false; }
+  /// The run has ended. `failed`: its first worker has answered with a failure.
+  void OnRunEnded(const placement::Path& path, bool failed, Instant now);
 
  private:
   // A paced worker of the path.
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -518,7 +518,8 @@
                           this->stream.prompt_tokens,
                           this->dependencies.runtime->Now());
     RunResult result = this->Send(path);
-    this->pace.OnRunEnded();
+    this->pace.OnRunEnded(path, result.outcome == SendOutcome::kFailed,
+                          this->dependencies.runtime->Now());
     this->EndRun();
     return result;
   }
--- a/unit_tests/server_pace_test.cc
+++ b/unit_tests/server_pace_test.cc
@@ -104,6 +104,14 @@
     return shares[shares.size() / 2];
   }
 
+  double LowestShare() const {
+    double lowest = 1;
+    for (const auto& pace : this->paces) {
+      lowest = std::min(lowest, pace->ShareOf(kServer));
+    }
+    return lowest;
+  }
+
   double HighestShare() const {
     double highest = 0;
     for (const auto& pace : this->paces) {
@@ -300,6 +308,25 @@
   }
 }
 
+Test(server_pace, all_vms_use_a_server_with_few_slots_within_seconds) {
+  // Guards against VMs that leave a warm server aside since only one VM could
+  // send to it while it was paced.
+  for (const std::size_t vms : {2U, 4U, 26U}) {
+    Fleet fleet(vms, {8, 8, 0.1, 0.1});
+    fleet.StartServer();
+    const Instant begin = fleet.now;
+    while (fleet.LowestShare() < 0.9 && fleet.now - begin < seconds(60)) {
+      fleet.Run(kTick);
+    }
+    const Duration time = fleet.now - begin;
+    cr_log_info("%zu VMs: all at 90 %% after %lld ms, %zu of %zu refused", vms,
+                static_cast<long long>(ToMilliseconds(time)), fleet.refusals,
+                fleet.answers);
+    cr_expect(time < seconds(15), "%zu VMs: %lld ms", vms,
+              static_cast<long long>(ToMilliseconds(time)));
+  }
+}
+
 Test(server_pace,
      a_slow_healthy_server_ends_at_the_share_that_it_keeps_up_with) {
   // Guards against a slow server that is driven to its floor or flooded: its
--- a/unit_tests/server_pacing_test.cc
+++ b/unit_tests/server_pacing_test.cc
@@ -200,9 +200,17 @@
     recorder.OnRunBegun("orders", Model(), path, 0, now);
     now += milliseconds(i % 2 == 0 ? 100 : 90);
     recorder.OnEvents(1, false, now);
-    recorder.OnRunEnded();
+    recorder.OnRunEnded(path, false, now);
   }
-  cr_assert(paced.state.PaceShareOf("new") < first / 2);
+  const double slow = paced.state.PaceShareOf("new");
+  cr_assert(slow < first / 2);
+  for (int i = 0; i < 5; ++i) {
+    StreamPaceRecorder recorder(&paced.state);
+    now += milliseconds(10);
+    recorder.OnRunBegun("orders", Model(), path, 0, now);
+    recorder.OnRunEnded(path, true, now + milliseconds(5));
+  }
+  cr_assert(paced.state.PaceShareOf("new") < slow);
 }
 
 Test(paced_streams, quick_first_events_end_the_pacing_of_a_worker) {
