--- a/chervilpass/admission/recent_refusals.h
+++ b/chervilpass/admission/recent_refusals.h
@@ -20,9 +20,9 @@
   bool operator==(const RecentRefusalsSettings&) const = default;
 };
 
-/// Not thread-safe.
-/// Invariant: each fingerprint in `times` has an entry in `order` with its
-/// time.
+/// Not thread-safe. Each refusal stands for one return, so that requests that
+/// are alike by nature do not all count as returned.
+/// Invariant: each time in `times` has an entry in `order`.
 class RecentRefusals {
  public:
   explicit RecentRefusals(RecentRefusalsSettings settings = {})
@@ -30,18 +30,23 @@
 
   void OnRefused(std::uint64_t fingerprint, Instant now) {
     this->Expire(now);
-    this->times[fingerprint] = now;
+    this->times[fingerprint].push_back(now);
     this->order.emplace_back(now, fingerprint);
     while (this->order.size() > this->settings.max_requests) {
       this->RemoveOldest();
     }
   }
 
-  /// True if a request with this fingerprint was refused lately.
-  bool Contains(std::uint64_t fingerprint, Instant now) const {
+  /// True if a request with this fingerprint was refused lately and has not
+  /// returned since. It has now.
+  bool TakeReturn(std::uint64_t fingerprint, Instant now) {
+    this->Expire(now);
     const auto found = this->times.find(fingerprint);
-    return found != this->times.end() &&
-           now - found->second < this->settings.lifetime;
+    if (found == this->times.end()) {
+      return false;
+    }
+    this->RemoveFirst(found);
+    return true;
   }
 
   void Expire(Instant now) {
@@ -54,18 +59,27 @@
   std::size_t Size() const { return this->order.size(); }
 
  private:
-  // A fingerprint that was refused again keeps its later time.
+  using Times = std::unordered_map<std::uint64_t, std::deque<Instant>>;
+
+  // The entry of a refusal that has returned is removed from `order` only here.
   void RemoveOldest() {
     const auto [at, fingerprint] = this->order.front();
     this->order.pop_front();
     const auto found = this->times.find(fingerprint);
-    if (found != this->times.end() && found->second == at) {
+    if (found != this->times.end() && found->second.front() == at) {
+      this->RemoveFirst(found);
+    }
+  }
+
+  void RemoveFirst(Times::iterator found) {
+    found->second.pop_front();
+    if (found->second.empty()) {
       this->times.erase(found);
     }
   }
 
   RecentRefusalsSettings settings;
-  std::unordered_map<std::uint64_t, Instant> times;
+  Times times;  ///< of refusals without a return, the oldest first
   std::deque<std::pair<Instant, std::uint64_t>> order;
 };
 
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -277,7 +277,7 @@
     context->fingerprint = HashCombine(
         HashText(context->organisation),
         HashCombine(HashText(request.target), HashText(request.body)));
-    context->returned = routing_state.Capacity().Refusals().Contains(
+    context->returned = routing_state.Capacity().Refusals().TakeReturn(
         context->fingerprint, context->received);
     if (this->crashes->IsQuarantined(context->fingerprint)) {
       return RefuseQuarantined(this->dependencies, *context, Executed::kNo, 0);
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -377,17 +377,33 @@
   RecentRefusals refusals(settings);
   const Instant now{};
   refusals.OnRefused(1, now);
-  cr_assert(refusals.Contains(1, now + milliseconds(29999)));
-  cr_assert(!refusals.Contains(1, now + seconds(30)));
-  cr_assert(!refusals.Contains(2, now));
+  cr_assert(!refusals.TakeReturn(2, now));
+  cr_assert(refusals.TakeReturn(1, now + milliseconds(29999)));
+  refusals.OnRefused(1, now);
+  cr_assert(!refusals.TakeReturn(1, now + seconds(30)));
   for (std::uint64_t i = 1; i <= 12; ++i) {
-    refusals.OnRefused(i, now + seconds(1));
+    refusals.OnRefused(i, now + seconds(40));
   }
   cr_assert_eq(refusals.Size(), 10);
-  cr_assert(!refusals.Contains(2, now + seconds(1)));
-  cr_assert(refusals.Contains(12, now + seconds(1)));
-  refusals.Expire(now + seconds(31));
+  cr_assert(!refusals.TakeReturn(2, now + seconds(41)));
+  cr_assert(refusals.TakeReturn(12, now + seconds(41)));
+  refusals.Expire(now + seconds(70));
   cr_assert_eq(refusals.Size(), 0);
+  cr_assert(!refusals.TakeReturn(11, now + seconds(70)));
+}
+
+// Guards against a class without any bound: requests without a body that are
+// all alike, of which some are refused.
+Test(recent_refusals, each_refusal_stands_for_one_return) {
+  RecentRefusals refusals;
+  const Instant now{};
+  refusals.OnRefused(7, now);
+  refusals.OnRefused(7, now + seconds(1));
+  cr_assert(refusals.TakeReturn(7, now + seconds(2)));
+  // The first refusal, which has returned, expires.
+  refusals.Expire(now + seconds(30));
+  cr_assert(refusals.TakeReturn(7, now + milliseconds(30500)));
+  cr_assert(!refusals.TakeReturn(7, now + milliseconds(30500)));
 }
 
 namespace {
