--- a/chervilpass/admission/capacity_policy.cc
+++ b/chervilpass/admission/capacity_policy.cc
@@ -61,13 +61,20 @@
     if (this->shares.OthersShort(claim.organisation, now) &&
         !this->by_organisation.Below(OrganisationKind(claim), now)) {
       Lower(&bounds.limit, maximum, step);
+      bounds.limited_by_share = true;
     }
   }
   return bounds;
 }
 
-void CapacityPolicy::OnLacked(const CapacityClaim& claim, Instant now) {
-  this->shortage.OnRefused(claim.service, claim.priority, now);
+// Otherwise an organisation over its share would make the less urgent requests
+// of the others leave headroom, and their refusals would bind it in turn.
+void CapacityPolicy::OnLacked(const CapacityClaim& claim,
+                              const UtilisationBounds& bounds,
+                              Instant now) {
+  if (!bounds.limited_by_share) {
+    this->shortage.OnRefused(claim.service, claim.priority, now);
+  }
   this->shares.OnRefused(claim.organisation, now);
 }
 
--- a/chervilpass/admission/capacity_policy.h
+++ b/chervilpass/admission/capacity_policy.h
@@ -43,6 +43,8 @@
   /// If nothing is free under the preferred one: without the headroom that
   /// nobody has lacked lately.
   std::optional<double> limit;
+  /// `limit` leaves headroom to other organisations.
+  bool limited_by_share = false;
 
   bool operator==(const UtilisationBounds&) const = default;
 };
@@ -74,9 +76,12 @@
   /// is not bound while that is so.
   UtilisationBounds BoundsFor(const CapacityClaim& claim, Instant now);
 
-  /// The request found no capacity within its bounds: less urgent ones and
-  /// organisations over their share leave headroom from now on.
-  void OnLacked(const CapacityClaim& claim, Instant now);
+  /// The request found no capacity within its bounds: less urgent ones, unless
+  /// it left headroom to other organisations itself, and organisations over
+  /// their share leave headroom from now on.
+  void OnLacked(const CapacityClaim& claim,
+                const UtilisationBounds& bounds,
+                Instant now);
 
   /// A server has begun to respond to the request.
   void OnServed(const CapacityClaim& claim, Instant now);
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -542,7 +542,8 @@
   // Less urgent requests leave headroom for some time.
   void RecordLackOfCapacity() const {
     this->dependencies.routing_state->Capacity().OnLacked(
-        ClaimOf(this->context), this->dependencies.runtime->Now());
+        ClaimOf(this->context), this->bounds,
+        this->dependencies.runtime->Now());
   }
 
   // When the caller should retry; none if all requests to the service are
@@ -931,8 +932,10 @@
     std::string detail =
         no_capacity ? "no path has room" : "some layers have no usable worker";
     if (no_capacity && this->bounds.limit) {
-      detail +=
-          fmt::format(" up to a utilisation of {:.2f}", *this->bounds.limit);
+      detail += fmt::format(
+          " up to a utilisation of {:.2f}, beside {}", *this->bounds.limit,
+          this->bounds.limited_by_share ? "organisations under their share"
+                                        : "more urgent requests");
     }
     if (this->stream_begun) {
       this->context.exchange->Abort();
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -246,7 +246,7 @@
   const double lowered = policy.ClassesOf("chat").Of(2)->max_utilisation;
   const UtilisationBounds lent = {lowered, std::nullopt};
   cr_assert(policy.BoundsFor(Claim(2), now) == lent);
-  policy.OnLacked(Claim(0), now);
+  policy.OnLacked(Claim(0), {}, now);
   const UtilisationBounds kept = {lowered, lowered};
   cr_assert(policy.BoundsFor(Claim(2), now) == kept);
   cr_assert(policy.BoundsFor(Claim(0), now) == UtilisationBounds{});
@@ -263,9 +263,9 @@
   const Instant now{};
   policy.Shares().Add("large", 90000);
   policy.Shares().Add("small", 5000);
-  policy.OnLacked(Claim(0, "large"), now);
+  policy.OnLacked(Claim(0, "large"), {}, now);
   cr_assert(!policy.Shares().OthersShort("small", now));
-  policy.OnLacked(Claim(0, "small"), now);
+  policy.OnLacked(Claim(0, "small"), {}, now);
   const auto bounds = policy.BoundsFor(Claim(0, "large"), now);
   cr_assert_float_eq(*bounds.preferred, 0.9, 1e-12);
   cr_assert_float_eq(*bounds.limit, 0.9, 1e-12);
@@ -482,6 +482,30 @@
   cr_assert_gt(left, milliseconds(150));
 }
 
+// Load: two organisations, of which the small one sends the least urgent
+// requests. Guards against a shortage that goes on without end because each of
+// the two leaves headroom to the other, as a trial has shown.
+Test(capacity_policy, shares_and_priorities_do_not_bind_each_other) {
+  CapacityPolicy policy = Policy(true);
+  Instant now{};
+  policy.Shares().Add("large", 90000);
+  policy.Shares().Add("small", 5000);
+  policy.OnLacked(Claim(0, "large"), {}, now);
+  // No worker has room below the lowered bounds, all have within the full one.
+  Instant last_bound{};
+  for (int i = 0; i < 60; ++i) {
+    now += milliseconds(100);
+    for (const CapacityClaim& claim : {Claim(2, "small"), Claim(0, "large")}) {
+      const UtilisationBounds bounds = policy.BoundsFor(claim, now);
+      if (bounds.limit) {
+        policy.OnLacked(claim, bounds, now);
+        last_bound = now;
+      }
+    }
+  }
+  cr_assert_lt(last_bound - Instant{}, seconds(3));
+}
+
 // Load: urgent requests that lack capacity without end. The least urgent ones
 // are still served at least a quarter as often as all.
 Test(capacity_policy, no_priority_or_organisation_is_left_unserved) {
@@ -493,11 +517,11 @@
   constexpr int kSteps = 400;
   for (int i = 0; i < kSteps; ++i) {
     now += milliseconds(50);
-    policy.OnLacked(Claim(0, "small"), now);
+    policy.OnLacked(Claim(0, "small"), {}, now);
     policy.OnServed(Claim(0, "small"), now);
     // No worker has room below the lowered bounds.
     if (policy.BoundsFor(Claim(2), now).limit) {
-      policy.OnLacked(Claim(2), now);
+      policy.OnLacked(Claim(2), {}, now);
       policy.OnRefused(Claim(2), now, 0.5);
     } else {
       policy.OnServed(Claim(2), now);
