--- a/chervilpass/memory/connection_budget.h
+++ b/chervilpass/memory/connection_budget.h
@@ -17,8 +17,8 @@
   bool operator==(const ConnectionNumbers&) const = default;
 };
 
-/// What connections hold at most. The costs are resident memory at most seen in
-/// fault_tests/unfinished_bodies.py, rounded up.
+/// What connections hold at most. The costs are estimates; the sum of all is
+/// checked by fault_tests/unfinished_bodies.py.
 struct ConnectionBudgetSettings {
   /// Of the memory limit, for all that the process and the kernel hold.
   double bound_share = 0.8;
