--- a/unit_tests/server_pacing_test.cc
+++ b/unit_tests/server_pacing_test.cc
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "chervilpass/fleet/pace_exchange.h"
 #include "chervilpass/placement/paced_path.h"
 #include "chervilpass/placement/planner.h"
@@ -195,14 +197,22 @@
   cr_assert(refused <= first);
   const placement::Path path = {{"new", {}, {0, 8}}};
   Instant now = kLater + seconds(2);
+  for (int i = 0; i < 5; ++i) {
+    StreamPaceRecorder recorder(&paced.state);
+    now += milliseconds(10);
+    recorder.OnRunBegun("orders", Model(), path, 0, now);
+    recorder.OnRunEnded(path, true, now + milliseconds(5));
+  }
+  const double failed = paced.state.PaceShareOf("new");
+  cr_assert(failed < refused);
   for (int i = 0; i < 40; ++i) {
     StreamPaceRecorder recorder(&paced.state);
     recorder.OnRunBegun("orders", Model(), path, 0, now);
     now += milliseconds(i % 2 == 0 ? 100 : 90);
     recorder.OnEvents(1, false, now);
-    recorder.OnRunEnded();
+    recorder.OnRunEnded(path, false, now);
   }
-  cr_assert(paced.state.PaceShareOf("new") < first / 2);
+  cr_assert(paced.state.PaceShareOf("new") < std::min(failed, first / 2));
 }
 
 Test(paced_streams, quick_first_events_end_the_pacing_of_a_worker) {
