--- a/chervilpass/placement/load_tracker.cc
+++ b/chervilpass/placement/load_tracker.cc
@@ -158,7 +158,8 @@
       now <= this->excluding_local->until) {
     return this->excluding_local->totals;
   }
-  CachedTotals& cached = this->excluding_local.emplace();
+  this->excluding_local = CachedTotals{};
+  CachedTotals& cached = *this->excluding_local;
   cached.since = now;
   cached.until = Instant::max();
   const auto expires = [&cached, now](const ReceivedLoads& received) {
