--- a/chervilpass/admission/capacity_policy.h
+++ b/chervilpass/admission/capacity_policy.h
@@ -1,6 +1,6 @@
 // Decides how much of the workers' capacity a request may use, and when its
 // caller should retry if there is none: by its priority, by its organisation's
-// share, and by the requests that lacked capacity lately.
+// share, and by the requests that lacked capacity recently.
 #pragma once
 
 #include <cstdint>
@@ -41,7 +41,7 @@
 struct UtilisationBounds {
   std::optional<double> preferred;  ///< leaves headroom to others
   /// If nothing is free under the preferred one: without the headroom that
-  /// nobody has lacked lately.
+  /// nobody has lacked recently.
   std::optional<double> limit;
   /// `limit` leaves headroom to other organisations.
   bool limited_by_share = false;
@@ -90,7 +90,7 @@
   /// should retry; `draw` is uniform in [0, 1).
   Duration OnRefused(const CapacityClaim& claim, Instant now, double draw);
 
-  /// Services in which a request lacked capacity lately.
+  /// Services in which a request lacked capacity recently.
   std::set<std::string> ShortServices(Instant now) const {
     return this->shortage.Services(now);
   }
--- a/chervilpass/admission/capacity_shortage.h
+++ b/chervilpass/admission/capacity_shortage.h
@@ -32,7 +32,7 @@
     this->refused[service][priority] = now;
   }
 
-  /// True if a request more urgent than `priority` lacked capacity lately.
+  /// True if a request more urgent than `priority` lacked capacity recently.
   bool ShortFor(const std::string& service,
                 std::uint32_t priority,
                 Instant now) const {
@@ -48,7 +48,7 @@
     return false;
   }
 
-  /// Services with a request that lacked capacity lately.
+  /// Services with a request that lacked capacity recently.
   std::set<std::string> Services(Instant now) const {
     std::set<std::string> services;
     for (const auto& [service, times] : this->refused) {
--- a/chervilpass/admission/organisation_shares.h
+++ b/chervilpass/admission/organisation_shares.h
@@ -93,7 +93,7 @@
   bool OverShare(const std::string& organisation, Instant now);
 
   /// True if another organisation, which was not over its share, was refused
-  /// lately.
+  /// recently.
   bool OthersShort(const std::string& organisation, Instant now) const;
 
   double UtilisationStep() const { return this->settings.utilisation_step; }
--- a/chervilpass/admission/recent_refusals.h
+++ b/chervilpass/admission/recent_refusals.h
@@ -1,4 +1,4 @@
-// Remembers which requests were refused lately, to recognise those that their
+// Remembers which requests were refused recently, to recognise those that their
 // callers submit again.
 #pragma once
 
@@ -37,7 +37,7 @@
     }
   }
 
-  /// True if a request with this fingerprint was refused lately and has not
+  /// True if a request with this fingerprint was refused recently and has not
   /// returned since. It has now.
   bool TakeReturn(std::uint64_t fingerprint, Instant now) {
     this->Expire(now);
--- a/chervilpass/admission/served_floor.h
+++ b/chervilpass/admission/served_floor.h
@@ -17,7 +17,7 @@
   /// some seconds.
   double min_share = 0.4;
   Duration half_life = seconds(5);  ///< of what is counted
-  /// Fewer requests of a kind lately say nothing.
+  /// Fewer requests of a kind recently say nothing.
   double min_requests = 3;
   /// Kinds with fewer requests are forgotten.
   double negligible = 0.01;
--- a/chervilpass/routing/server_pace.h
+++ b/chervilpass/routing/server_pace.h
@@ -185,7 +185,7 @@
                     const std::vector<PaceStatement>& statements,
                     Instant now);
 
-  /// What this VM has observed itself lately, latest first.
+  /// What this VM has observed itself recently, latest first.
   std::vector<PaceStatement> Statements(std::size_t max, Instant now) const;
 
   /// To be called a few times a second.
--- a/chervilpass/serving/stream_registry.h
+++ b/chervilpass/serving/stream_registry.h
@@ -131,8 +131,8 @@
   void Add(ActiveStream* stream);
   void Remove(ActiveStream* stream);
 
-  /// Probes the workers of the path that have not shown lately that they live.
-  /// Returns those that do not answer; none without `early_recovery`.
+  /// Probes the workers of the path that have not shown recently that they
+  /// live. Returns those that do not answer; none without `early_recovery`.
   std::set<std::string> UnansweredWorkers(const placement::Path& path);
 
   /// The present times between events of the service's streams, of those that
