--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -132,10 +132,13 @@
   /// Time until the cooldown for lack of capacity ends; zero if there is none.
   Duration FullLeft(const std::string& incarnation, Instant now) const {
     const auto found = this->records.find(incarnation);
-    return found == this->records.end()
-               ? Duration::zero()
-               : std::max(Duration::zero(),
-                          Duration(found->second.full.until - now));
+    if (found == this->records.end()) {
+      return Duration::zero();
+    }
+    const Record& record = found->second;
+    return std::max(
+        Duration::zero(),
+        Duration(std::max(record.full.until, record.full_elsewhere) - now));
   }
 
   /// Ends the cooldowns after refusals: the worker holds other layers now, so
