--- a/chervilpass/routing/cooldown_tracker.h
+++ b/chervilpass/routing/cooldown_tracker.h
@@ -59,6 +59,10 @@
   explicit CooldownTracker(CooldownTrackerSettings settings)
       : settings(settings) {}
 
+  void SetProofTime(Duration proof_time) {
+    this->settings.proof_time = proof_time;
+  }
+
   /// Returns false if a cooldown for that reason is already running.
   bool StartCooldown(const std::string& incarnation,
                      CooldownReason reason,
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -108,6 +108,16 @@
   /// Delays of this process, which make its own time-outs worthless.
   StallClock& Stalls() { return this->stalls; }
 
+  /// Turns early recovery and the correction of loads on or off.
+  void SetProtection(bool early, bool corrected) {
+    this->early_recovery = early;
+    this->settings.load_correction = corrected;
+    this->cooldowns.SetProofTime(early ? this->settings.cooldowns.proof_time
+                                       : Duration::zero());
+  }
+  bool EarlyRecovery() const { return this->early_recovery; }
+  bool LoadCorrection() const { return this->settings.load_correction; }
+
   /// Finds a path for the query without workers in cooldown; fails with the
   /// reason why there is none.
   Result<placement::ChosenPath, placement::NoPathReason> FindPath(
@@ -386,6 +396,7 @@
   std::optional<Instant> servers_confirmed;
   StallClock stalls{kStallThreshold};
   routing::ServerRegistry servers{routing::ServerRegistrySettings{}};
+  bool early_recovery = true;
   routing::CooldownTracker cooldowns;
   routing::RateLimitTracker rate_limits{routing::RateLimitTrackerSettings{}};
   routing::RestTracker rests;
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -234,6 +234,11 @@
     return stream.first_event_seen && !stream.moved;
   }
 
+  bool RecoversEarly() const {
+    return this->settings.early_recovery &&
+           this->dependencies->routing_state->EarlyRecovery();
+  }
+
   bool HasLostStage(const ActiveStream& stream, Instant now) const {
     return this->HasEndedStage(stream) ||
            this->HasUnreachableStage(stream, now);
@@ -242,7 +247,7 @@
   // Lets a stream go on elsewhere whose worker is known to be gone; false if it
   // is not to, or not yet.
   bool RecoverEarly(ActiveStream* stream, Duration silence, Instant now) {
-    if (!this->settings.early_recovery || stream->standby != nullptr ||
+    if (!this->RecoversEarly() || stream->standby != nullptr ||
         !ExpectsEvent(*stream) || this->dependencies->links->CutOff() ||
         !this->HasLostStage(*stream, now)) {
       return false;
@@ -271,7 +276,7 @@
 
   std::set<std::string> UnansweredWorkers(const Path& path) {
     std::set<std::string> unanswered;
-    if (!this->settings.early_recovery) {
+    if (!this->RecoversEarly()) {
       return unanswered;
     }
     const Instant start = this->dependencies->runtime->Now();
@@ -310,8 +315,7 @@
   // The shortest silence that counts as a stall of this stream. Shorter right
   // after the loss of a worker: others may have ended with it.
   Duration MinStall(const ActiveStream& stream, Instant now) const {
-    if (this->settings.early_recovery &&
-        now - this->last_loss < kJointLossTime) {
+    if (this->RecoversEarly() && now - this->last_loss < kJointLossTime) {
       return duration_cast<Duration>(
           this->settings.recovery.confirming_intervals *
           stream.smoothed_event_interval);
@@ -762,7 +766,7 @@
       query.avoided =
           this->dependencies->crashes->WorkersOfOtherSuspects(stream.run);
       query.includes_first_stage = false;
-      if (this->settings.early_recovery) {
+      if (this->RecoversEarly()) {
         query.cost_spread = kRecoveryCostSpread;
       }
       query.stage_loss_cost = routing_state.StageLossCost(
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -370,6 +370,9 @@
     };
     if (this->settings.load_correction) {
       dependencies.report_full = [this](const std::string& worker) {
+        if (!this->routing_state.LoadCorrection()) {
+          return;
+        }
         this->peers->BroadcastFull(
             placement::WorkerKey(worker),
             this->routing_state.FullCooldownLeft(worker, this->runtime.Now()));
@@ -716,6 +719,12 @@
     const auto table = this->routing_state.Table();
     this->peers->SetConfigVersion(table->Version());
     this->LogPriorityClasses();
+    // Their probes and datagrams pay where urgent requests compete with others
+    // for the same workers.
+    const bool compete = !this->routing_state.Capacity().Classes().empty();
+    this->routing_state.SetProtection(
+        this->settings.early_recovery && compete,
+        this->settings.load_correction && compete);
     const routing::CallerLimits& limits = table->Limits();
     io::HttpServerLimits server_limits;
     server_limits.header_bytes = limits.header_bytes;
@@ -815,8 +824,9 @@
     // layers are moved only if this VM's own observations confirm the report.
     this->routing_state.StartCooldown(
         worker,
-        this->settings.early_recovery ? routing::CooldownReason::kSuspected
-                                      : routing::CooldownReason::kNotHolding,
+        this->settings.early_recovery && this->routing_state.EarlyRecovery()
+            ? routing::CooldownReason::kSuspected
+            : routing::CooldownReason::kNotHolding,
         this->runtime.Now());
     if (this->router) {
       this->router->OnPeerFoundUnreachable(worker);
@@ -848,6 +858,9 @@
 
   void OnFullWorkers(const std::string& peer,
                      const std::vector<membership::FullWorkerNotice>& notices) {
+    if (!this->routing_state.LoadCorrection()) {
+      return;
+    }
     std::map<std::uint32_t, Duration> left_by_key;
     for (const membership::FullWorkerNotice& notice : notices) {
       left_by_key[notice.worker] = milliseconds(notice.milliseconds);
