--- a/chervilpass/admission/priority_classes.cc
+++ b/chervilpass/admission/priority_classes.cc
@@ -17,6 +17,17 @@
                      });
 }
 
+bool HasRoutesOfSeveralPriorities(const routing::RouteTable& table,
+                                  std::string_view service) {
+  std::set<std::uint32_t> priorities;
+  for (const routing::Route& route : table.Data().routes) {
+    if (Uses(route, service)) {
+      priorities.insert(route.priority);
+    }
+  }
+  return priorities.size() > 1;
+}
+
 }  // namespace
 
 std::set<std::uint32_t> PrioritiesOf(const routing::RouteTable& table,
@@ -76,7 +87,7 @@
   std::map<std::string, PriorityClasses> active;
   for (const routing::ServiceProfile& service : table.Data().services) {
     PriorityClasses classes(PrioritiesOf(table, service.name), settings);
-    if (classes.Active()) {
+    if (classes.Active() && HasRoutesOfSeveralPriorities(table, service.name)) {
       active.emplace(service.name, std::move(classes));
     }
   }
--- a/chervilpass/admission/priority_classes.h
+++ b/chervilpass/admission/priority_classes.h
@@ -80,7 +80,9 @@
   std::map<std::uint32_t, PriorityClass> classes;  ///< by priority
 };
 
-/// Classes of the services of a configuration, by name: active ones only.
+/// Classes of the services of a configuration, by name: active ones only. A
+/// service has them if its routes differ in priority: organisations of
+/// different priorities that make the same requests are served alike.
 std::map<std::string, PriorityClasses> ActiveClasses(
     const routing::RouteTable& table,
     const PriorityClassSettings& settings = {});
