A stop no longer waits for callers that receive nothing while a response is written

Callers that stop receiving held up a stop until its last moment.

Cause: the limits on connection memory made send buffers small. A response of 600 KiB used to fit into the kernel's buffer, so its request had ended when the stop looked; with 192 KiB the request stays in progress while its response is written, and a stop waits for requests in progress without a limit of its own.

Change: an exchange tells how much of a whole response the system has not taken yet.

--- a/chervilpass/drain/drain_controller.h
+++ b/chervilpass/drain/drain_controller.h
@@ -23,9 +23,10 @@
 /// What a process owes at a moment.
 struct DrainObservation {
   Instant now{};
-  std::size_t in_flight = 0;    ///< requests without a whole response
+  std::size_t in_flight = 0;    ///< without a whole response to write
   std::size_t connections = 0;  ///< open, of callers and other VMs
-  /// Of responses, not acknowledged; 0 before phase kEstablished.
+  /// Of whole responses, not acknowledged. What has been written counts from
+  /// phase kEstablished on.
   std::size_t unsent_bytes = 0;
   /// By which the last wait was exceeded; none before the first one.
   std::optional<Duration> wake_delay;
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -122,6 +122,12 @@
   /// called.
   virtual void Respond(const HttpResponse& response) = 0;
 
+  /// Bytes of the response given to Respond that the system has not taken yet;
+  /// none while no such response is being written.
+  virtual std::optional<std::size_t> UnwrittenBytes() const {
+    return std::nullopt;
+  }
+
   /// Starts a chunked response; false if the connection is broken. The body of
   /// `head` is not sent.
   virtual bool BeginStream(const HttpResponse& head) = 0;
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -141,9 +141,13 @@
                                std::move(handler));
     });
   } else {
-    this->Write([&](auto handler) {
-      http::async_write(*this->connection.stream, message, std::move(handler));
-    });
+    http::response_serializer<http::span_body<const char>> serializer(message);
+    this->WriteWhole(
+        response.body.size(), [&] { return serializer.is_done(); },
+        [&](auto handler) {
+          http::async_write_some(*this->connection.stream, serializer,
+                                 std::move(handler));
+        });
   }
 }
 
@@ -178,11 +182,14 @@
 bool ServerExchange::WriteRest(std::string_view text) {
   assert(text.starts_with(kStatusLineBegin));
   text.remove_prefix(this->begin_sent);
-  return this->Write([&](auto handler) {
-    asio::async_write(*this->connection.stream,
-                      asio::buffer(text.data(), text.size()),
-                      std::move(handler));
-  });
+  return this->WriteWhole(
+      text.size(), [&] { return this->unwritten == 0; },
+      [&](auto handler) {
+        const std::string_view rest =
+            text.substr(text.size() - *this->unwritten);
+        this->connection.stream->async_write_some(
+            asio::buffer(rest.data(), rest.size()), std::move(handler));
+      });
 }
 
 bool ServerExchange::WriteChunk(std::string_view data) {
@@ -300,18 +307,40 @@
   }
 }
 
+template <class IsDone, class WriteSome>
+bool ServerExchange::WriteWhole(std::size_t body_bytes,
+                                IsDone&& is_done,
+                                WriteSome&& write_some) {
+  this->connection.stream->expires_after(
+      this->connection.settings->write_timeout);
+  this->unwritten = body_bytes;
+  while (!this->broken && !is_done()) {
+    const Completion written = this->AwaitWrite(write_some);
+    // The head is written first, and not counted.
+    *this->unwritten -= std::min(*this->unwritten, written.bytes);
+  }
+  this->unwritten.reset();
+  return !this->broken;
+}
+
 template <class Start>
 bool ServerExchange::Write(Start&& start) {
   this->connection.stream->expires_after(
       this->connection.settings->write_timeout);
+  this->AwaitWrite(start);
+  return !this->broken;
+}
+
+template <class Start>
+Completion ServerExchange::AwaitWrite(Start& start) {
   this->writing = true;
-  const Completion written = Await(std::forward<Start>(start));
+  const Completion written = Await(start);
   this->writing = false;
   if (written.error) {
     this->broken = true;
     this->SetPeerEnd(PeerEnd::kWriteFailed);
   }
-  return !this->broken;
+  return written;
 }
 
 // The first end that is seen counts.
--- a/chervilpass/io/server_exchange.h
+++ b/chervilpass/io/server_exchange.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "chervilpass/io/alarm.h"
+#include "chervilpass/io/await.h"
 #include "chervilpass/io/http_server.h"
 #include "chervilpass/memory/memory_share.h"
 
@@ -58,6 +59,9 @@
   Endpoint Peer() const override;
   bool ResponseBegun() const override { return this->responded; }
   void Respond(const HttpResponse& response) override;
+  std::optional<std::size_t> UnwrittenBytes() const override {
+    return this->unwritten;
+  }
   bool BeginStream(const HttpResponse& head) override;
   bool WriteChunk(std::string_view data) override;
   bool EndStream() override;
@@ -89,6 +93,10 @@
   template <class Start>
   bool Write(Start&& start);
 
+  // Sets `broken` if the write fails.
+  template <class Start>
+  Completion AwaitWrite(Start& start);
+
   // Probes a peer whose input has ended, if that is due; false if it has left.
   bool ProbeIfDue();
 
@@ -101,6 +109,13 @@
   // Writes a response's text but for what has been sent as probes.
   bool WriteRest(std::string_view text);
 
+  // Writes a whole response with a body of `body_bytes`. `write_some(handler)`
+  // starts to write what the system takes of the rest until `is_done()`.
+  template <class IsDone, class WriteSome>
+  bool WriteWhole(std::size_t body_bytes,
+                  IsDone&& is_done,
+                  WriteSome&& write_some);
+
   // A byte that belongs to the response whatever follows; empty if there is
   // none.
   std::string_view ProbeText() const;
@@ -114,6 +129,7 @@
   bool streaming = false;  ///< between the begin and the end of a stream
   bool writing = false;
   bool broken = false;
+  std::optional<std::size_t> unwritten;  ///< set during WriteWhole
   PeerEnd peer_end = PeerEnd::kNone;
   Instant next_probe = Instant::min();
   Duration probe_interval;
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -518,6 +518,17 @@
   return this->state->in_flight.size();
 }
 
+ResponseWrites Router::Writes() const {
+  ResponseWrites writes;
+  for (const RequestContext* context : this->state->in_flight) {
+    if (const auto unwritten = context->exchange->UnwrittenBytes()) {
+      ++writes.responses;
+      writes.bytes += *unwritten;
+    }
+  }
+  return writes;
+}
+
 void Router::LogUnread(const std::vector<io::UnreadRequest>& unread) const {
   std::size_t logged = 0;
   for (const io::UnreadRequest& request : unread) {
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -39,6 +39,14 @@
   bool operator==(const RouterSettings&) const = default;
 };
 
+/// Whole responses that connections are still taking.
+struct ResponseWrites {
+  std::size_t responses = 0;
+  std::size_t bytes = 0;  ///< that the system has not taken yet
+
+  bool operator==(const ResponseWrites&) const = default;
+};
+
 /// Serves callers' requests. Fiber thread only.
 class Router {
  public:
@@ -87,6 +95,9 @@
   /// Requests in progress.
   std::size_t InFlight() const;
 
+  /// Those of them whose whole response is being written.
+  ResponseWrites Writes() const;
+
   /// Logs requests that have arrived in part, as the process ends.
   void LogUnread(const std::vector<io::UnreadRequest>& unread) const;
 
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -53,7 +53,11 @@
     std::optional<Duration> wake_delay) const {
   drain::DrainObservation observation;
   observation.now = this->parts.runtime->Now();
-  observation.in_flight = this->parts.router->InFlight();
+  // Peers that have stopped receiving may have vanished: the rest of a response
+  // that awaits them is no work in progress, however small the send buffer is.
+  const serving::ResponseWrites writes = this->parts.router->Writes();
+  observation.in_flight = this->parts.router->InFlight() - writes.responses;
+  observation.unsent_bytes = writes.bytes;
   observation.wake_delay = wake_delay;
   for (const io::HttpServer* server :
        {this->parts.callers, this->parts.forwarded}) {
