--- a/fault_tests/unfinished_bodies.py
+++ b/fault_tests/unfinished_bodies.py
@@ -2,6 +2,9 @@
 the memory that the process and the kernel hold for it. Real processes on loopback.
 
     unfinished_bodies.py [--cell NAME]... [--group NAME]... [--subnet N]
+                         [--memory-mb N --descriptors N --callers N]
+
+The last three play the cells by hand with the limits of a VM and another crowd; the tests keep theirs.
 
 A cell fails if the router's process ends, if its resident memory and the kernel's queues of its
 sockets together pass MEMORY_SHARE of limits.memory_mb, if it opens more than limits.descriptors,
@@ -286,11 +289,16 @@
 
 
 def main():
+    global MEMORY_LIMIT_MB, DESCRIPTORS, CALLERS
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--cell", action="append", choices=CELLS, default=[])
     parser.add_argument("--group", action="append", choices=GROUPS, default=[])
     parser.add_argument("--subnet", type=int, default=200)
+    parser.add_argument("--memory-mb", type=int, default=MEMORY_LIMIT_MB)
+    parser.add_argument("--descriptors", type=int, default=DESCRIPTORS)
+    parser.add_argument("--callers", type=int, default=CALLERS)
     arguments = parser.parse_args()
+    MEMORY_LIMIT_MB, DESCRIPTORS, CALLERS = arguments.memory_mb, arguments.descriptors, arguments.callers
     cells = arguments.cell + [cell for group in arguments.group for cell in GROUPS[group]] or CELLS
     fleet = LimitedFleet(os.path.join(fleets.BUILD, "unfinished-bodies-%d" % arguments.subnet), arguments.subnet,
                          ("hal-1",), routers_each=1, workers_each=2)
