Paths by objective: requests with time to spare leave the fast workers to others

Callers saw large prompts and the most urgent kinds miss the objective for the first event most often, while requests with time to spare occupied the fastest workers.

Cause: path selection applied the same cost to all requests, the time of the whole stream and the delay that it adds to others.

Change: limits.objective_paths (off by default). A search predicts the times of the path that it finds; placement/objective_cost compares them with what is left of the objective and makes at most one further search with other weights. The cheapest path is used if that finds nothing better, so that nothing is refused because of it. Acts on services that are used with several priorities.

--- a/chervilpass/placement/path_chooser.cc
+++ b/chervilpass/placement/path_chooser.cc
@@ -8,6 +8,10 @@
 namespace chervilpass::placement {
 namespace {
 
+// How much earlier the first event must be for a search by the time to it to
+// use another data centre: links between them stay the exception.
+constexpr double kMinRemoteGainSeconds = 0.02;
+
 // A worker and those of its layers that a search may use.
 struct UsableWorker {
   const PathCandidate* candidate = nullptr;
@@ -81,9 +85,10 @@
           candidate.send_wait > this->query.max_send_wait) {
         continue;
       }
-      const double entry_cost = candidate.data_centre == data_centre
-                                    ? 0
-                                    : this->DataCentreCrossingCost(first);
+      const double entry_cost =
+          candidate.data_centre == data_centre
+              ? 0
+              : this->DataCentreCrossingCost(first) + this->RemoteGainCost();
       for (std::size_t end = start + 1;
            end < this->boundaries.size() &&
            this->boundaries[end] <= worker.layers.to;
@@ -113,17 +118,36 @@
       return ToSeconds(this->settings.remote_entry_delay);
     }
     const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
-    const double link_seconds_per_token =
-        this->model.data_centre_link_mbps <= 0
-            ? 0
-            : this->model.activation_bytes * 8 /
-                  (this->model.data_centre_link_mbps * 1e6);
-    return tokens * link_seconds_per_token *
+    return tokens * this->LinkSecondsPerToken() *
                this->settings.link_sharing_factor +
            2 * this->query.answer_tokens *
                ToSeconds(this->settings.data_centre_delay);
   }
 
+  double RemoteGainCost() const {
+    return this->query.weights
+               ? this->query.weights->first_event * kMinRemoteGainSeconds
+               : 0;
+  }
+
+  double LinkSecondsPerToken() const {
+    return this->model.data_centre_link_mbps <= 0
+               ? 0
+               : this->model.activation_bytes * 8 /
+                     (this->model.data_centre_link_mbps * 1e6);
+  }
+
+  // What the crossing adds to the times of the stream; the cost is higher,
+  // since all requests share the links.
+  StageSeconds DataCentreCrossingTimes(bool first) const {
+    const double delay = ToSeconds(this->settings.data_centre_delay);
+    const double transfer = first ? 0
+                                  : this->query.prompt_tokens *
+                                        this->LinkSecondsPerToken() *
+                                        this->settings.link_sharing_factor;
+    return {delay + transfer, delay};
+  }
+
   std::optional<ChosenPath> TracePath() const {
     const auto& ends = this->best.back();
     const auto last = std::min_element(ends.begin(), ends.end(),
@@ -136,17 +160,27 @@
     ChosenPath chosen;
     chosen.cost = duration_cast<Duration>(
         std::chrono::duration<double>(last->second.cost));
+    StageSeconds times;
     const PartialPath* partial_path = &last->second;
     std::size_t end = this->boundaries.size() - 1;
     while (partial_path->candidate != nullptr) {
+      const LayerRange layers = {this->boundaries[partial_path->from_boundary],
+                                 this->boundaries[end]};
       chosen.path.push_back({partial_path->candidate->worker,
-                             partial_path->candidate->address,
-                             {this->boundaries[partial_path->from_boundary],
-                              this->boundaries[end]}});
+                             partial_path->candidate->address, layers});
+      const bool first =
+          partial_path->from_boundary == 0 && this->query.includes_first_stage;
+      times +=
+          this->cost.Predict(*partial_path->candidate, layers.Size(), first);
+      if (partial_path->candidate->data_centre !=
+          partial_path->from_data_centre) {
+        times += this->DataCentreCrossingTimes(first);
+      }
       end = partial_path->from_boundary;
       partial_path = &this->best[end].at(partial_path->from_data_centre);
     }
     std::reverse(chosen.path.begin(), chosen.path.end());
+    chosen.times = times.ToTimes();
     return chosen;
   }
 
--- a/chervilpass/placement/path_chooser.h
+++ b/chervilpass/placement/path_chooser.h
@@ -17,6 +17,7 @@
 #include "chervilpass/placement/load_tracker.h"
 #include "chervilpass/placement/model_profile.h"
 #include "chervilpass/placement/path.h"
+#include "chervilpass/placement/stream_times.h"
 
 namespace chervilpass::placement {
 
@@ -40,6 +41,24 @@
   bool operator==(const PathCandidate&) const = default;
 };
 
+/// What is left of the objectives of a stream; not positive: none.
+struct StreamObjective {
+  Duration first_event_left{0};
+  Duration event_interval{0};
+
+  bool operator==(const StreamObjective&) const = default;
+};
+
+/// Weights of the parts of a stage's cost.
+struct CostWeights {
+  /// Of the time that the request itself takes.
+  double own_time = 1;
+  /// Of its predicted time to the first event, in addition.
+  double first_event = 0;
+
+  bool operator==(const CostWeights&) const = default;
+};
+
 /// Describes the path to find.
 struct PathQuery {
   LayerRange layers;             ///< all of the model, or the stages to replace
@@ -59,6 +78,10 @@
   std::optional<double> max_utilisation;
   /// Weight of the delay that the request adds to others, relative to its own.
   double added_delay_weight = 1;
+  /// For ChooseByObjective; ChoosePath does not use it.
+  StreamObjective objective;
+  /// None: those of a request without an objective.
+  std::optional<CostWeights> weights;
 
   bool operator==(const PathQuery&) const = default;
 };
@@ -97,6 +120,7 @@
 struct ChosenPath {
   Path path;
   Duration cost{0};
+  StreamTimes times;  ///< predicted, the wait for the first worker included
 
   bool operator==(const ChosenPath&) const = default;
 };
--- a/chervilpass/placement/stage_cost.cc
+++ b/chervilpass/placement/stage_cost.cc
@@ -28,6 +28,13 @@
   return 1 / (idle * idle) + slope * (utilisation - u);
 }
 
+// Delay of the request itself in that queue, without what it adds to others.
+double OwnQueueingFactor(double utilisation) {
+  const double u = std::min(utilisation, kTangentUtilisation);
+  const double idle = 1 - u;
+  return 1 / idle + (utilisation - u) / (idle * idle);
+}
+
 // Seconds that a typical request takes through all layers, averaged over the
 // kinds of accelerators; used to estimate the arrival rate of requests.
 double TypicalStreamSeconds(const ModelProfile& model) {
@@ -68,22 +75,67 @@
                         this->settings.max_utilisation)) {
     return kNoCapacityCost;
   }
-  const double layer_share =
-      static_cast<double>(layers) / std::max(1U, this->model.layers);
   const double excess_utilisation = std::max(
       0.0, std::min(utilisation, 2.0) - this->settings.high_utilisation);
+  const double high_utilisation_factor =
+      1 + kHighUtilisationWeight * excess_utilisation * excess_utilisation;
+  if (this->query.weights) {
+    const CostWeights& weights = *this->query.weights;
+    return this->WeightedSeconds(candidate, layers, weights) *
+               high_utilisation_factor +
+           ToSeconds(this->query.stage_loss_cost) +
+           weights.first_event *
+               this->Predict(candidate, layers, first).first_event;
+  }
   const double hop_seconds =
       this->query.answer_tokens * ToSeconds(this->settings.hop_delay);
-  return (layer_share * candidate.slowdown_factor *
-              this->ServiceSeconds(candidate) *
+  return (this->LayerShare(layers) * candidate.slowdown_factor *
+              this->ServiceSeconds(candidate, this->query.added_delay_weight) *
               QueueingFactor(this->PromptUtilisation(candidate) /
                              candidate.capacity_share) +
           hop_seconds) *
-             (1 + kHighUtilisationWeight * excess_utilisation *
-                      excess_utilisation) +
+             high_utilisation_factor +
          ToSeconds(this->query.stage_loss_cost);
 }
 
+StageSeconds StageCost::Predict(const PathCandidate& candidate,
+                                std::uint32_t layers,
+                                bool first) const {
+  StageSeconds seconds =
+      PredictStage(this->model, {candidate.kind, {0, layers}, candidate.load},
+                   this->query.prompt_tokens);
+  const double factor = candidate.slowdown_factor *
+                        OwnQueueingFactor(this->PromptUtilisation(candidate) /
+                                          candidate.capacity_share);
+  const double hop = ToSeconds(this->settings.hop_delay);
+  seconds.first_event = factor * seconds.first_event + hop +
+                        (first ? ToSeconds(candidate.send_wait) : 0);
+  seconds.event_interval = factor * seconds.event_interval + hop;
+  return seconds;
+}
+
+double StageCost::LayerShare(std::uint32_t layers) const {
+  return static_cast<double>(layers) / std::max(1U, this->model.layers);
+}
+
+// The request's own time and the delay that it adds to others, which Seconds
+// computes in one, with a weight of the first.
+double StageCost::WeightedSeconds(const PathCandidate& candidate,
+                                  std::uint32_t layers,
+                                  const CostWeights& weights) const {
+  const double share = this->LayerShare(layers) * candidate.slowdown_factor;
+  const double own = share * this->ServiceSeconds(candidate, 0);
+  const double with_added =
+      share * this->ServiceSeconds(candidate, this->query.added_delay_weight);
+  const double utilisation =
+      this->PromptUtilisation(candidate) / candidate.capacity_share;
+  const double own_delayed = own * OwnQueueingFactor(utilisation);
+  const double hop_seconds =
+      this->query.answer_tokens * ToSeconds(this->settings.hop_delay);
+  return weights.own_time * (own_delayed + hop_seconds) +
+         with_added * QueueingFactor(utilisation) - own_delayed;
+}
+
 // Share of the worker's KV cache in use with the request added.
 double StageCost::KvUtilisation(const PathCandidate& candidate,
                                 std::uint32_t layers) const {
@@ -108,10 +160,10 @@
 // weighted time that it adds to the steps of the other requests in the batch.
 // A step of the request takes the time of 1 + sequences requests, and each of
 // the others gets longer by the time of one.
-double StageCost::ServiceSeconds(const PathCandidate& candidate) const {
+double StageCost::ServiceSeconds(const PathCandidate& candidate,
+                                 double added_weight) const {
   const double tokens = this->query.prompt_tokens + this->query.answer_tokens;
   const double sequences = candidate.load.sequences;
-  const double added_weight = this->query.added_delay_weight;
   const double step = ToSeconds(this->model.step_time) +
                       ToSeconds(this->model.step_per_sequence) *
                           (1 + (1 + added_weight) * sequences) +
--- a/chervilpass/placement/stage_cost.h
+++ b/chervilpass/placement/stage_cost.h
@@ -30,11 +30,22 @@
                  std::uint32_t layers,
                  bool first) const;
 
+  /// Predicts the times of the request in a stage of `layers` layers, with the
+  /// queueing of prompts and, on the first stage, the wait for its rate limit.
+  StageSeconds Predict(const PathCandidate& candidate,
+                       std::uint32_t layers,
+                       bool first) const;
+
  private:
   double KvUtilisation(const PathCandidate& candidate,
                        std::uint32_t layers) const;
   double BatchUtilisation(const PathCandidate& candidate) const;
-  double ServiceSeconds(const PathCandidate& candidate) const;
+  double LayerShare(std::uint32_t layers) const;
+  double ServiceSeconds(const PathCandidate& candidate,
+                        double added_weight) const;
+  double WeightedSeconds(const PathCandidate& candidate,
+                         std::uint32_t layers,
+                         const CostWeights& weights) const;
   double PromptSeconds(const PathCandidate& candidate) const;
   double PromptUtilisation(const PathCandidate& candidate) const;
 
--- a/chervilpass/placement/stream_times.cc
+++ b/chervilpass/placement/stream_times.cc
@@ -32,30 +32,48 @@
                    model.prefill_tokens_per_second;
 }
 
+void AddStage(const ModelProfile& model,
+              const StageLoad& stage,
+              double prompt_tokens,
+              StageSeconds* seconds) {
+  const double chunks =
+      model.prefill_chunk_tokens == 0
+          ? 1
+          : std::ceil(prompt_tokens / model.prefill_chunk_tokens);
+  const double pass = PassSeconds(model, stage);
+  seconds->event_interval += pass;
+  seconds->first_event += PrefillSeconds(model, stage, prompt_tokens) + pass;
+  if (stage.load.sequences > 0) {
+    seconds->first_event += (chunks - 1 + kPassWait) * pass;
+  }
+}
+
 Duration FromSeconds(double value) {
   return duration_cast<Duration>(std::chrono::duration<double>(value));
 }
 
 }  // namespace
 
+StreamTimes StageSeconds::ToTimes() const {
+  return {FromSeconds(this->first_event), FromSeconds(this->event_interval)};
+}
+
+StageSeconds PredictStage(const ModelProfile& model,
+                          const StageLoad& stage,
+                          double prompt_tokens) {
+  StageSeconds seconds;
+  AddStage(model, stage, prompt_tokens, &seconds);
+  return seconds;
+}
+
 StreamTimes PredictStreamTimes(const ModelProfile& model,
                                const std::vector<StageLoad>& stages,
                                double prompt_tokens) {
-  const double chunks =
-      model.prefill_chunk_tokens == 0
-          ? 1
-          : std::ceil(prompt_tokens / model.prefill_chunk_tokens);
-  double first_event = 0;
-  double interval = 0;
+  StageSeconds seconds;
   for (const StageLoad& stage : stages) {
-    const double pass = PassSeconds(model, stage);
-    interval += pass;
-    first_event += PrefillSeconds(model, stage, prompt_tokens) + pass;
-    if (stage.load.sequences > 0) {
-      first_event += (chunks - 1 + kPassWait) * pass;
-    }
+    AddStage(model, stage, prompt_tokens, &seconds);
   }
-  return {FromSeconds(first_event), FromSeconds(interval)};
+  return seconds.ToTimes();
 }
 
 }  // namespace chervilpass::placement
--- a/chervilpass/placement/stream_times.h
+++ b/chervilpass/placement/stream_times.h
@@ -26,6 +26,26 @@
   bool operator==(const StreamTimes&) const = default;
 };
 
+/// Parts of the times of a stream that one stage takes, in seconds.
+struct StageSeconds {
+  double first_event = 0;
+  double event_interval = 0;
+
+  StageSeconds& operator+=(const StageSeconds& other) {
+    this->first_event += other.first_event;
+    this->event_interval += other.event_interval;
+    return *this;
+  }
+  StreamTimes ToTimes() const;
+
+  bool operator==(const StageSeconds&) const = default;
+};
+
+/// The times of one stage, without queueing.
+StageSeconds PredictStage(const ModelProfile& model,
+                          const StageLoad& stage,
+                          double prompt_tokens);
+
 /// Sums over the stages, without queueing: prefill in chunks, each in a pass
 /// that also decodes the requests in the batch.
 StreamTimes PredictStreamTimes(const ModelProfile& model,
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -175,6 +175,8 @@
   /// For streams: the path of the last run, the time until the first event and
   /// the longest time between two events.
   std::string path = {};
+  /// What that path was chosen by; empty: by cost alone.
+  std::string objective = {};
   Duration first_event{0};
   Duration max_event_interval{0};
   std::uint64_t events = 0;  ///< of a stream, forwarded to the caller
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -397,6 +397,7 @@
          {"sends", result.sends},
          {"late", late},
          {"path", result.path},
+         {"objective", result.objective},
          {"first_event_ms", ToMilliseconds(result.first_event)},
          {"longest_gap_ms", ToMilliseconds(result.max_event_interval)},
          {"events", result.events},
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -35,6 +35,24 @@
 constexpr Duration kMaxRestRetryAfter = seconds(10);  // without the spread
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
+bool IsPaced(const std::vector<placement::PathCandidate>& candidates) {
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const auto& candidate) { return candidate.capacity_share < 1; });
+}
+
+Result<placement::ChosenPath, placement::NoPathReason> SearchPath(
+    const placement::ModelProfile& model,
+    const std::vector<placement::PathCandidate>& candidates,
+    const placement::PathQuery& query,
+    const placement::PathChooserSettings& settings,
+    Random* random) {
+  return IsPaced(candidates) ? placement::ChoosePacedPath(
+                                   model, candidates, query, settings, random)
+                             : placement::ChoosePath(model, candidates, query,
+                                                     settings, random);
+}
+
 std::string IncarnationOf(const std::string& server, WallTime started) {
   return server + "@" + std::to_string(started.milliseconds);
 }
@@ -69,7 +87,8 @@
       strikes(this->settings.strikes),
       prompt_parts(this->settings.prompt_parts),
       strikes_loaded(!this->settings.strikes_are_stored),
-      random(seed) {
+      random(seed),
+      last_search_random(seed) {
   if (this->settings.server_pacing) {
     this->pacing.emplace(*this->settings.server_pacing, this->settings.vm);
   }
@@ -596,35 +615,56 @@
     const placement::ModelProfile& model,
     const std::vector<placement::PathCandidate>& candidates,
     const placement::PathQuery& query) {
-  const bool paced = std::any_of(
-      candidates.begin(), candidates.end(),
-      [](const auto& candidate) { return candidate.capacity_share < 1; });
-  if (!paced) {
-    return placement::ChoosePath(model, candidates, query, this->settings.paths,
-                                 &this->random);
-  }
-  if (std::any_of(
-          candidates.begin(), candidates.end(),
-          [](const auto& candidate) { return candidate.over_own_part; })) {
+  if (IsPaced(candidates) && std::any_of(candidates.begin(), candidates.end(),
+                                         [](const auto& candidate) {
+                                           return candidate.over_own_part;
+                                         })) {
     this->pacing->CountHeldBack();
   }
-  return placement::ChoosePacedPath(model, candidates, query,
-                                    this->settings.paths, &this->random);
+  this->last_search_random = this->random;
+  return SearchPath(model, candidates, query, this->settings.paths,
+                    &this->random);
 }
 
-Result<placement::ChosenPath, placement::NoPathReason> RoutingState::FindPath(
-    const std::string& service,
+placement::ObjectiveChoice RoutingState::ApplyObjective(
     const placement::ModelProfile& model,
-    const placement::PathQuery& query,
-    Instant now) {
+    const std::vector<placement::PathCandidate>& candidates,
+    const placement::ChosenPath& cheapest,
+    const placement::PathQuery& query) const {
+  if (!this->settings.objective_paths) {
+    return {cheapest, {}};
+  }
+  return placement::ChooseByObjective(
+      cheapest, query, *this->settings.objective_paths,
+      [&](const placement::PathQuery& weighted) {
+        // The same random costs as before: only the weights change the path.
+        Random random = this->last_search_random;
+        return SearchPath(model, candidates, weighted, this->settings.paths,
+                          &random);
+      });
+}
+
+Result<placement::ObjectiveChoice, placement::NoPathReason>
+RoutingState::FindPathByObjective(const std::string& service,
+                                  const placement::ModelProfile& model,
+                                  const placement::PathQuery& query,
+                                  Instant now) {
   Workers& workers = this->WorkersOf(service, model);
   const bool sampled = workers.sampler.Samples();
   if (!sampled) {
     this->Estimate(&workers, now);
   }
-  const auto choose = [&](const placement::PathQuery& wanted) {
-    return sampled ? this->FindSampledPath(&workers, wanted, now)
-                   : this->ChooseAmong(model, workers.candidates, wanted);
+  const auto choose = [&](const placement::PathQuery& wanted)
+      -> Result<placement::ObjectiveChoice, placement::NoPathReason> {
+    const auto found =
+        sampled ? this->FindSampledPath(&workers, wanted, now)
+                : this->ChooseAmong(model, workers.candidates, wanted);
+    if (found.has_error()) {
+      return found.error();
+    }
+    return this->ApplyObjective(model,
+                                sampled ? workers.sample : workers.candidates,
+                                found.value(), wanted);
   };
   if (!query.avoided.empty()) {
     placement::PathQuery apart = query;
@@ -636,6 +676,18 @@
   return choose(query);
 }
 
+Result<placement::ChosenPath, placement::NoPathReason> RoutingState::FindPath(
+    const std::string& service,
+    const placement::ModelProfile& model,
+    const placement::PathQuery& query,
+    Instant now) {
+  auto found = this->FindPathByObjective(service, model, query, now);
+  if (found.has_error()) {
+    return found.error();
+  }
+  return std::move(found).value().chosen;
+}
+
 std::optional<routing::BackendServer> RoutingState::PickServer(
     const std::string& service,
     const std::set<std::string>& excluded,
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -18,6 +18,7 @@
 #include "chervilpass/placement/load_correction.h"
 #include "chervilpass/placement/load_tracker.h"
 #include "chervilpass/placement/loss_cost.h"
+#include "chervilpass/placement/objective_cost.h"
 #include "chervilpass/placement/path_chooser.h"
 #include "chervilpass/quarantine/prompt_part_evidence.h"
 #include "chervilpass/quarantine/strike_tracker.h"
@@ -54,6 +55,8 @@
   bool load_correction = false;
   /// True if paths take the cost of losses of workers into account.
   bool loss_cost = false;
+  /// Paths are chosen by objective; none: by cost alone.
+  std::optional<placement::ObjectiveCostSettings> objective_paths;
 
   routing::CooldownTrackerSettings cooldowns;
   /// Paces servers that start or come back; none: they get all load at once.
@@ -126,6 +129,13 @@
       const placement::PathQuery& query,
       Instant now);
 
+  /// As FindPath, with what the path was chosen by.
+  Result<placement::ObjectiveChoice, placement::NoPathReason>
+  FindPathByObjective(const std::string& service,
+                      const placement::ModelProfile& model,
+                      const placement::PathQuery& query,
+                      Instant now);
+
   /// Usable workers for the stages of paths, with their estimated load and the
   /// wait that their rate limits and rests require.
   std::vector<placement::PathCandidate> PathCandidates(
@@ -328,6 +338,14 @@
       const std::vector<placement::PathCandidate>& candidates,
       const placement::PathQuery& query);
 
+  // Chooses by the objective of the query, if the settings say so, among the
+  // candidates from which `cheapest` was chosen last.
+  placement::ObjectiveChoice ApplyObjective(
+      const placement::ModelProfile& model,
+      const std::vector<placement::PathCandidate>& candidates,
+      const placement::ChosenPath& cheapest,
+      const placement::PathQuery& query) const;
+
   // Sets what a candidate may get while it is paced.
   void LimitByPace(const placement::ModelProfile& model,
                    placement::PathCandidate* candidate) const;
@@ -414,6 +432,7 @@
   bool strikes_loaded = false;
   std::map<std::string, std::uint32_t> server_ends;  ///< by start
   Random random;
+  Random last_search_random;  ///< `random` at the last search for a path
   std::optional<ServerPacing> pacing;
   mutable std::map<std::string, Workers> workers;  ///< by service
   std::uint64_t sampled_paths = 0;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -528,20 +528,34 @@
       query.added_delay_weight =
           this->context.priority_class->added_delay_weight;
     }
+    query.objective = this->Objective();
     query.stage_loss_cost = this->dependencies.routing_state->StageLossCost(
         this->model, this->stream.answer_tokens, this->stream.pause_objective,
         this->dependencies.runtime->Now());
     return query;
   }
 
+  // None if nothing competes with the request for fast workers, or once it has
+  // begun to write.
+  placement::StreamObjective Objective() const {
+    const routing::Route& route = *this->context.route;
+    if (!this->context.priority_class || this->event_seen ||
+        route.response_objective <= Duration::zero()) {
+      return {};
+    }
+    return {route.response_objective -
+                (this->dependencies.runtime->Now() - this->context.received),
+            route.event_interval_objective};
+  }
+
   Result<placement::ChosenPath, NoPathReason> FindPath() {
     RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
     const auto find = [&](const std::optional<double>& max_utilisation) {
       placement::PathQuery query = this->Query();
       query.max_utilisation = max_utilisation;
-      return routing_state.FindPath(this->context.service, this->model, query,
-                                    now);
+      return routing_state.FindPathByObjective(this->context.service,
+                                               this->model, query, now);
     };
     this->bounds = {};
     // A request that may have run must be completed: its run is not given up in
@@ -558,7 +572,24 @@
         this->Count("chervil_capacity_headroom_lent_total");
       }
     }
-    return found;
+    if (found.has_error()) {
+      return found.error();
+    }
+    this->RecordDecision(found.value().decision);
+    return std::move(found).value().chosen;
+  }
+
+  void RecordDecision(const placement::ObjectiveDecision& decision) {
+    if (decision.fit == placement::ObjectiveFit::kNoObjective) {
+      return;
+    }
+    this->objective_decision = Describe(decision);
+    if (decision.searched) {
+      this->dependencies.metrics->Increment(
+          "chervil_objective_paths_total",
+          fmt::format("fit=\"{}\",changed=\"{}\"", NameOf(decision.fit),
+                      decision.changed));
+    }
   }
 
   void Count(const std::string& counter) const {
@@ -888,6 +919,7 @@
         this->last_path.empty() ? "" : this->last_path[0].worker,
         this->policy.Sends()};
     result.path = DescribePath(this->last_path);
+    result.objective = this->objective_decision;
     result.first_event = this->first_event;
     result.max_event_interval = this->max_event_interval;
     result.events = this->events;
@@ -1101,6 +1133,8 @@
   int probe_rounds = 0;     ///< before the next run
   /// Within which the latest path was looked for.
   admission::UtilisationBounds bounds;
+  /// What the latest path was chosen by, for the log; empty: by cost alone.
+  std::string objective_decision;
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
   bool has_waited = false;    ///< for capacity
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -185,6 +185,9 @@
     }
     routing.samples.max_priced_workers = this->settings.priced_workers;
     routing.loss_cost = this->settings.loss_cost;
+    if (this->settings.objective_paths) {
+      routing.objective_paths = placement::ObjectiveCostSettings();
+    }
     return routing;
   }
 
--- a/programs/router/settings.cc
+++ b/programs/router/settings.cc
@@ -91,6 +91,7 @@
       "lost_worker_ms", {200, 600000},
       ToMilliseconds(placement::PlannerSettings().return_time));
   settings.loss_cost = limits.Bool("loss_cost", false);
+  settings.objective_paths = limits.Bool("objective_paths", false);
   settings.log =
       app::ReadLogSettings(reader, "chervil-router", settings.vm, command_line);
   return settings;
--- a/programs/router/settings.h
+++ b/programs/router/settings.h
@@ -57,6 +57,8 @@
   Duration lost_worker_time{0};
   /// Paths take the cost of losses of workers into account.
   bool loss_cost = false;
+  /// Paths are chosen by the objectives of requests.
+  bool objective_paths = false;
   LogSettings log;
 
   bool operator==(const RouterProgramSettings&) const = default;
