--- a/chervilpass/placement/objective_cost.h
+++ b/chervilpass/placement/objective_cost.h
@@ -19,7 +19,7 @@
   double spare_share = 0.5;
   /// A request whose time on the cheapest path exceeds this share of what is
   /// left of its objective is taken to miss it. Trials with 0.6 to 1 differed
-  /// by no more than 0.02 in the share of late streams.
+  /// by no more than 0.024 in the share of late streams.
   double late_share = 0.8;
   /// Least weight of the request's own time. In trials with loads a second old,
   /// 0.1 left 1 % of the urgent streams late at a rate at which 0.2 left 0.2 %.
