Routes rank the requests of organisations that have the same priority

Cause: the priority of the organisation replaced that of the route.

Change: the rank of a request is the pair (priority, route's priority) in lexicographic order. The priority is that of the organisation or, without one, that of the route. Requests that differed in priority before keep their order, and deployments without priorities of organisations keep their classes. Each rank is a class up to 10; beyond that, neighbouring ranks of one priority share a class. Shortages, floors and retry times are kept by class. A service whose organisations all have one priority and whose routes differ has classes now.

The last three requests of a class count for the floor for 300 s. A class that sends a VM one request in several seconds never had the three requests that the floor asks for.

Tests: priorities_are_those_of_possible_requests expected no classes for organisations of one priority; that was the fault. It checks the exact ranks now, as ranks_are_those_of_possible_requests.

--- a/chervilpass/admission/capacity_policy.cc
+++ b/chervilpass/admission/capacity_policy.cc
@@ -12,10 +12,6 @@
   *bound = bound->value_or(maximum) - step;
 }
 
-std::string PriorityKind(const CapacityClaim& claim) {
-  return fmt::format("{} {}", claim.service, claim.priority);
-}
-
 std::string OrganisationKind(const CapacityClaim& claim) {
   return claim.service + " " + claim.organisation;
 }
@@ -23,7 +19,7 @@
 }  // namespace
 
 CapacityPolicy::CapacityPolicy(CapacityPolicySettings settings)
-    : settings(settings), shares(settings.shares) {}
+    : settings(settings), shares(settings.shares), by_class(settings.floor) {}
 
 void CapacityPolicy::ApplyConfig(const routing::RouteTable& table) {
   this->classes = ActiveClasses(table, this->settings.classes);
@@ -42,15 +38,21 @@
   return found == this->classes.end() ? kInactive : found->second;
 }
 
+std::string CapacityPolicy::ClassKind(const CapacityClaim& claim) const {
+  const PriorityRank rank = this->ClassRankOf(claim);
+  return fmt::format("{} {}/{}", claim.service, rank.priority,
+                     rank.route_priority);
+}
+
 UtilisationBounds CapacityPolicy::BoundsFor(const CapacityClaim& claim,
                                             Instant now) {
   UtilisationBounds bounds;
   const PriorityClasses& of_service = this->ClassesOf(claim.service);
-  if (!claim.returned && !of_service.MostUrgent(claim.priority)) {
-    const auto of_request = of_service.Of(claim.priority);
+  if (!claim.returned && !of_service.MostUrgent(claim.rank)) {
+    const auto of_request = of_service.Of(claim.rank);
     bounds.preferred = of_request->max_utilisation;
-    if (this->shortage.ShortFor(claim.service, claim.priority, now) &&
-        !this->by_priority.Below(PriorityKind(claim), now)) {
+    if (this->shortage.ShortFor(claim.service, this->ClassRankOf(claim), now) &&
+        !this->by_class.Below(this->ClassKind(claim), now)) {
       bounds.limit = bounds.preferred;
     }
   }
@@ -73,14 +75,14 @@
                               const UtilisationBounds& bounds,
                               Instant now) {
   if (!bounds.limited_by_share) {
-    this->shortage.OnRefused(claim.service, claim.priority, now);
+    this->shortage.OnRefused(claim.service, this->ClassRankOf(claim), now);
   }
   this->shares.OnRefused(claim.organisation, now);
 }
 
 void CapacityPolicy::OnServed(const CapacityClaim& claim, Instant now) {
   if (this->ActiveFor(claim.service)) {
-    this->by_priority.OnEnded(PriorityKind(claim), true, now);
+    this->by_class.OnEnded(this->ClassKind(claim), true, now);
     this->by_organisation.OnEnded(OrganisationKind(claim), true, now);
   }
 }
@@ -88,22 +90,23 @@
 Duration CapacityPolicy::OnRefused(const CapacityClaim& claim,
                                    Instant now,
                                    double draw) {
-  this->by_priority.OnEnded(PriorityKind(claim), false, now);
+  this->by_class.OnEnded(this->ClassKind(claim), false, now);
   this->by_organisation.OnEnded(OrganisationKind(claim), false, now);
   RoomEstimator& room = this->RoomOf(claim.service);
-  room.OnRefused(claim.priority, now);
+  const PriorityRank rank = this->ClassRankOf(claim);
+  room.OnRefused(rank, now);
   const auto bound = this->BoundsFor(claim, now).limit;
   const double maximum = this->settings.classes.max_utilisation;
   const double headroom =
       std::max(0.0, maximum - bound.value_or(maximum)) / maximum;
-  return room.RetryAfter(claim.priority, headroom, now, draw);
+  return room.RetryAfter(rank, headroom, now, draw);
 }
 
 void CapacityPolicy::Expire(Instant now) {
   this->shortage.Expire(now);
   this->shares.Expire(now);
   this->refusals.Expire(now);
-  this->by_priority.Expire(now);
+  this->by_class.Expire(now);
   this->by_organisation.Expire(now);
 }
 
--- a/chervilpass/admission/capacity_policy.h
+++ b/chervilpass/admission/capacity_policy.h
@@ -3,7 +3,6 @@
 // share, and by the requests that lacked capacity recently.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +22,8 @@
 struct CapacityPolicySettings {
   PriorityClassSettings classes;
   OrganisationSharesSettings shares;
+  /// Of classes. With several classes many of them send few requests to a VM.
+  ServedFloorSettings floor{.retention = seconds(300)};
 
   bool operator==(const CapacityPolicySettings&) const = default;
 };
@@ -30,7 +31,7 @@
 /// A request that asks for capacity.
 struct CapacityClaim {
   std::string service;
-  std::uint32_t priority = 0;
+  PriorityRank rank;
   std::string organisation;  ///< empty if it has none
   bool returned = false;     ///< this VM has refused it lately
 
@@ -71,8 +72,8 @@
   }
 
   /// The bounds for a request that has not run. A request that returned is not
-  /// bound by its class: newer ones of its priority may have been served. A
-  /// priority or organisation that is served far less often than all requests
+  /// bound by its class: newer ones of its class may have been served. A
+  /// class or organisation that is served far less often than all requests
   /// is not bound while that is so.
   UtilisationBounds BoundsFor(const CapacityClaim& claim, Instant now);
 
@@ -104,13 +105,19 @@
   void Expire(Instant now);
 
  private:
+  // The same for all requests of a class.
+  PriorityRank ClassRankOf(const CapacityClaim& claim) const {
+    return this->ClassesOf(claim.service).LastRankOf(claim.rank);
+  }
+  std::string ClassKind(const CapacityClaim& claim) const;
+
   CapacityPolicySettings settings;
   std::map<std::string, PriorityClasses> classes;  ///< by service
   CapacityShortage shortage;
   OrganisationShares shares;
   std::map<std::string, RoomEstimator> rooms;  ///< by service
   RecentRefusals refusals;
-  ServedFloor by_priority;      ///< of each service
+  ServedFloor by_class;         ///< of each service
   ServedFloor by_organisation;  ///< of each service
 };
 
--- a/chervilpass/admission/capacity_shortage.h
+++ b/chervilpass/admission/capacity_shortage.h
@@ -1,12 +1,12 @@
 // Remembers for a short time that requests lacked capacity, by service and
-// priority. Less urgent requests leave headroom during that time only.
+// rank. Less urgent requests leave headroom during that time only.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 
+#include "chervilpass/admission/priority_rank.h"
 #include "chervilpass/core/time.h"
 
 namespace chervilpass::admission {
@@ -19,7 +19,7 @@
   bool operator==(const CapacityShortageSettings&) const = default;
 };
 
-/// Not thread-safe. Holds one time for each priority of a service.
+/// Not thread-safe. Holds one time for each rank of a service.
 class CapacityShortage {
  public:
   explicit CapacityShortage(CapacityShortageSettings settings = {})
@@ -27,21 +27,21 @@
 
   /// A request found no server with capacity and was refused or dropped.
   void OnRefused(const std::string& service,
-                 std::uint32_t priority,
+                 const PriorityRank& rank,
                  Instant now) {
-    this->refused[service][priority] = now;
+    this->refused[service][rank] = now;
   }
 
-  /// True if a request more urgent than `priority` lacked capacity recently.
+  /// True if a request more urgent than `rank` lacked capacity recently.
   bool ShortFor(const std::string& service,
-                std::uint32_t priority,
+                const PriorityRank& rank,
                 Instant now) const {
     const auto found = this->refused.find(service);
     if (found == this->refused.end()) {
       return false;
     }
-    for (const auto& [refused_priority, at] : found->second) {
-      if (refused_priority < priority && now - at < this->settings.lifetime) {
+    for (const auto& [refused_rank, at] : found->second) {
+      if (refused_rank < rank && now - at < this->settings.lifetime) {
         return true;
       }
     }
@@ -52,7 +52,7 @@
   std::set<std::string> Services(Instant now) const {
     std::set<std::string> services;
     for (const auto& [service, times] : this->refused) {
-      for (const auto& [priority, at] : times) {
+      for (const auto& [rank, at] : times) {
         if (now - at < this->settings.lifetime) {
           services.insert(service);
         }
@@ -74,7 +74,7 @@
 
  private:
   CapacityShortageSettings settings;
-  std::map<std::string, std::map<std::uint32_t, Instant>> refused;
+  std::map<std::string, std::map<PriorityRank, Instant>> refused;
 };
 
 }  // namespace chervilpass::admission
--- a/chervilpass/admission/priority_classes.cc
+++ b/chervilpass/admission/priority_classes.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <vector>
 
 namespace chervilpass::admission {
 namespace {
@@ -28,57 +30,89 @@
   return priorities.size() > 1;
 }
 
+// The least urgent rank of each class. Only neighbours of the same priority
+// share a class, so that requests that differ in priority always differ in
+// class.
+std::set<PriorityRank> LastRanks(const std::set<PriorityRank>& ranks,
+                                 std::size_t max_classes) {
+  if (ranks.size() <= max_classes) {
+    return ranks;
+  }
+  std::map<std::uint32_t, std::vector<PriorityRank>> by_priority;
+  for (const PriorityRank& rank : ranks) {
+    by_priority[rank.priority].push_back(rank);
+  }
+  const std::size_t max_groups =
+      std::max<std::size_t>(1, max_classes / by_priority.size());
+  std::set<PriorityRank> last;
+  for (const auto& [priority, grouped] : by_priority) {
+    const std::size_t groups = std::min(max_groups, grouped.size());
+    for (std::size_t i = 1; i <= groups; ++i) {
+      last.insert(grouped[i * grouped.size() / groups - 1]);
+    }
+  }
+  return last;
+}
+
 }  // namespace
 
-std::set<std::uint32_t> PrioritiesOf(const routing::RouteTable& table,
-                                     std::string_view service) {
-  std::set<std::uint32_t> priorities;
+std::set<PriorityRank> RanksOf(const routing::RouteTable& table,
+                               std::string_view service) {
+  std::set<PriorityRank> ranks;
   for (const routing::Route& route : table.Data().routes) {
     if (!Uses(route, service)) {
       continue;
     }
     if (route.open || !table.KeysRequired()) {
-      priorities.insert(route.priority);
+      ranks.insert(RankOf(std::nullopt, route.priority));
       continue;
     }
     for (const routing::OrganisationKeys& organisation :
          table.Data().organisations) {
       if (!organisation.keys.empty()) {
-        priorities.insert(organisation.priority.value_or(route.priority));
+        ranks.insert(RankOf(organisation.priority, route.priority));
       }
     }
   }
-  return priorities;
+  return ranks;
 }
 
-PriorityClasses::PriorityClasses(const std::set<std::uint32_t>& priorities,
+PriorityClasses::PriorityClasses(const std::set<PriorityRank>& ranks,
                                  const PriorityClassSettings& settings) {
-  const double last = std::max(1.0, static_cast<double>(priorities.size()) - 1);
+  const auto last_ranks = LastRanks(ranks, settings.max_classes);
+  const double last = std::max(1.0, static_cast<double>(last_ranks.size()) - 1);
   const double step =
       std::min(settings.utilisation_step,
                (settings.max_utilisation - settings.min_utilisation) / last);
-  double rank = 0;
-  for (const std::uint32_t priority : priorities) {
-    PriorityClass& added = this->classes[priority];
+  double position = 0;
+  for (const PriorityRank& rank : last_ranks) {
+    PriorityClass& added = this->classes[rank];
     added.urgency =
-        static_cast<std::uint32_t>(std::lround(kMaxUrgency * rank / last));
-    added.max_utilisation = std::max(settings.min_utilisation,
-                                     settings.max_utilisation - rank * step);
+        static_cast<std::uint32_t>(std::lround(kMaxUrgency * position / last));
+    added.max_utilisation = std::max(
+        settings.min_utilisation, settings.max_utilisation - position * step);
     added.added_delay_weight = settings.first_added_delay_weight *
                                std::pow(settings.last_added_delay_weight /
                                             settings.first_added_delay_weight,
-                                        rank / last);
-    ++rank;
+                                        position / last);
+    ++position;
   }
 }
 
-std::optional<PriorityClass> PriorityClasses::Of(std::uint32_t priority) const {
-  if (!this->Active()) {
-    return std::nullopt;
-  }
-  const auto found = this->classes.lower_bound(priority);
-  return found == this->classes.end() ? this->classes.rbegin()->second
-                                      : found->second;
+std::optional<PriorityClass> PriorityClasses::Of(
+    const PriorityRank& rank) const {
+  return this->Active() ? std::optional(this->Find(rank)->second)
+                        : std::nullopt;
+}
+
+PriorityRank PriorityClasses::LastRankOf(const PriorityRank& rank) const {
+  return this->Active() ? this->Find(rank)->first : rank;
+}
+
+std::map<PriorityRank, PriorityClass>::const_iterator PriorityClasses::Find(
+    const PriorityRank& rank) const {
+  const auto found = this->classes.lower_bound(rank);
+  return found == this->classes.end() ? std::prev(found) : found;
 }
 
 std::map<std::string, PriorityClasses> ActiveClasses(
@@ -86,7 +120,7 @@
     const PriorityClassSettings& settings) {
   std::map<std::string, PriorityClasses> active;
   for (const routing::ServiceProfile& service : table.Data().services) {
-    PriorityClasses classes(PrioritiesOf(table, service.name), settings);
+    PriorityClasses classes(RanksOf(table, service.name), settings);
     if (classes.Active() && HasRoutesOfSeveralPriorities(table, service.name)) {
       active.emplace(service.name, std::move(classes));
     }
@@ -94,13 +128,17 @@
   return active;
 }
 
+std::string Describe(const PriorityClass& described) {
+  return fmt::format("urgency {}, maximum utilisation {:.3f}, weight {:.2f}",
+                     described.urgency, described.max_utilisation,
+                     described.added_delay_weight);
+}
+
 std::string DescribeClasses(const PriorityClasses& classes) {
   std::string text;
-  for (const auto& [priority, described] : classes.All()) {
-    text += fmt::format(
-        "{}{}: urgency {}, maximum utilisation {:.3f}, weight {:.2f}",
-        text.empty() ? "" : "; ", priority, described.urgency,
-        described.max_utilisation, described.added_delay_weight);
+  for (const auto& [rank, described] : classes.All()) {
+    text += fmt::format("{}{}/{}: {}", text.empty() ? "" : "; ", rank.priority,
+                        rank.route_priority, Describe(described));
   }
   return text;
 }
--- a/chervilpass/admission/priority_classes.h
+++ b/chervilpass/admission/priority_classes.h
@@ -1,7 +1,8 @@
-// Classes of requests by priority: what sets a request of one priority apart
-// from requests of the others that use the same service.
+// Classes of requests by rank: what sets a request of one priority apart from
+// requests of the others that use the same service.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "chervilpass/admission/priority_rank.h"
 #include "chervilpass/core/time.h"
 #include "chervilpass/routing/route_table.h"
 
@@ -28,11 +30,15 @@
   /// the most and the least urgent class.
   double first_added_delay_weight = 0.5;
   double last_added_delay_weight = 2;
+  /// Ranks beyond this number are grouped, but never across priorities: there
+  /// are as many classes as priorities then, if those are more. One for each
+  /// urgency that servers distinguish.
+  std::size_t max_classes = 10;
 
   bool operator==(const PriorityClassSettings&) const = default;
 };
 
-/// How requests of one priority are treated.
+/// How requests of one class are treated.
 struct PriorityClass {
   std::uint32_t urgency = 0;  ///< stated to servers; 0 is the most urgent
   double max_utilisation = 0;
@@ -41,43 +47,51 @@
   bool operator==(const PriorityClass&) const = default;
 };
 
-/// The priorities with which requests can use a service. An organisation's
-/// priority takes precedence over that of the route.
-std::set<std::uint32_t> PrioritiesOf(const routing::RouteTable& table,
-                                     std::string_view service);
+/// The ranks with which requests can use a service.
+std::set<PriorityRank> RanksOf(const routing::RouteTable& table,
+                               std::string_view service);
 
 /// The classes of one service. Immutable.
 /// Invariant: a more urgent class has no higher urgency number, no lower
 /// maximum utilisation and no higher weight of the delay that it adds.
 class PriorityClasses {
  public:
-  /// Without any priority, as for a service that is not known.
+  /// Without any rank, as for a service that is not known.
   PriorityClasses() = default;
 
-  explicit PriorityClasses(const std::set<std::uint32_t>& priorities,
+  explicit PriorityClasses(const std::set<PriorityRank>& ranks,
                            const PriorityClassSettings& settings = {});
 
-  /// False if there are no two priorities: requests are treated alike then.
+  /// False if there are no two ranks: requests are treated alike then.
   bool Active() const { return this->classes.size() > 1; }
 
-  /// The class of a priority: of the next less urgent one if there is none, as
-  /// for a request that was received under another configuration. None if not
+  /// The class of a rank: of the next less urgent one if there is none, as for
+  /// a request that was received under another configuration. None if not
   /// active.
-  std::optional<PriorityClass> Of(std::uint32_t priority) const;
+  std::optional<PriorityClass> Of(const PriorityRank& rank) const;
 
-  /// True if no priority is more urgent.
-  bool MostUrgent(std::uint32_t priority) const {
-    return !this->Active() || priority <= this->classes.begin()->first;
+  /// The least urgent rank of the class that Of() returns: the same for all
+  /// requests of a class, and in the order of the classes. The rank itself if
+  /// not active.
+  PriorityRank LastRankOf(const PriorityRank& rank) const;
+
+  /// True if no class is more urgent.
+  bool MostUrgent(const PriorityRank& rank) const {
+    return !this->Active() || rank <= this->classes.begin()->first;
   }
 
-  const std::map<std::uint32_t, PriorityClass>& All() const {
+  /// By their least urgent ranks.
+  const std::map<PriorityRank, PriorityClass>& All() const {
     return this->classes;
   }
 
   bool operator==(const PriorityClasses&) const = default;
 
  private:
-  std::map<std::uint32_t, PriorityClass> classes;  ///< by priority
+  std::map<PriorityRank, PriorityClass>::const_iterator Find(
+      const PriorityRank& rank) const;
+
+  std::map<PriorityRank, PriorityClass> classes;  ///< by least urgent rank
 };
 
 /// Classes of the services of a configuration, by name: active ones only. A
@@ -87,8 +101,11 @@
     const routing::RouteTable& table,
     const PriorityClassSettings& settings = {});
 
-/// "PRIORITY: urgency U, maximum utilisation M, weight W" of each class, for
-/// the log.
+/// "urgency U, maximum utilisation M, weight W".
+std::string Describe(const PriorityClass& described);
+
+/// Each class with its least urgent rank, "PRIORITY/ROUTE PRIORITY", for the
+/// log.
 std::string DescribeClasses(const PriorityClasses& classes);
 
 }  // namespace chervilpass::admission
--- a/chervilpass/admission/room_estimator.cc
+++ b/chervilpass/admission/room_estimator.cc
@@ -27,16 +27,16 @@
       this->settings.duration_weight * (duration - this->mean_duration));
 }
 
-void RoomEstimator::OnRefused(std::uint32_t priority, Instant now) {
+void RoomEstimator::OnRefused(const PriorityRank& rank, Instant now) {
   while (!this->refusals.empty() &&
          (now - this->refusals.front().first >= this->settings.refusal_window ||
           this->refusals.size() >= this->settings.max_refusals)) {
     this->refusals.pop_front();
   }
-  this->refusals.emplace_back(now, priority);
+  this->refusals.emplace_back(now, rank);
 }
 
-RoomState RoomEstimator::StateFor(std::uint32_t priority,
+RoomState RoomEstimator::StateFor(const PriorityRank& rank,
                                   double headroom,
                                   Instant now) const {
   RoomState state;
@@ -45,8 +45,8 @@
   state.headroom = headroom;
   for (const auto& [at, refused] : this->refusals) {
     if (now - at < this->settings.refusal_window) {
-      state.refused_before += refused < priority ? 1 : 0;
-      state.refused_alike += refused == priority ? 1 : 0;
+      state.refused_before += refused < rank ? 1 : 0;
+      state.refused_alike += refused == rank ? 1 : 0;
     }
   }
   return state;
--- a/chervilpass/admission/room_estimator.h
+++ b/chervilpass/admission/room_estimator.h
@@ -1,11 +1,11 @@
-// Estimates when a service has capacity again for a request of some priority,
+// Estimates when a service has capacity again for a request of some rank,
 // from the streams that this VM has in progress and has refused.
 #pragma once
 
-#include <cstdint>
 #include <deque>
 #include <utility>
 
+#include "chervilpass/admission/priority_rank.h"
 #include "chervilpass/core/time.h"
 
 namespace chervilpass::admission {
@@ -31,8 +31,8 @@
   /// Streams of this VM in progress: their ends free capacity.
   double streams = 0;
   Duration mean_duration{0};
-  double refused_before = 0;  ///< lately, of more urgent priorities
-  double refused_alike = 0;   ///< lately, of the same priority
+  double refused_before = 0;  ///< lately, of more urgent ranks
+  double refused_alike = 0;   ///< lately, of the same rank
   /// Share of all capacity that the request leaves to more urgent ones.
   double headroom = 0;
 
@@ -42,8 +42,7 @@
 /// When a caller should retry, for `draw` uniform in [0, 1). Callers choose VMs
 /// at random, so all VMs have as many streams and refusals as this one on
 /// average: those that all VMs have refused are spread over the time in which
-/// the ends of all streams free capacity for them, in the order of their
-/// priorities.
+/// the ends of all streams free capacity for them, in the order of their ranks.
 Duration RetryAfterRoom(const RoomState& state,
                         const RoomEstimatorSettings& settings,
                         double draw);
@@ -61,27 +60,27 @@
   void OnCompleted(Duration duration);
 
   /// A request was refused for lack of capacity.
-  void OnRefused(std::uint32_t priority, Instant now);
+  void OnRefused(const PriorityRank& rank, Instant now);
 
-  /// `headroom` is the share of capacity that the priority leaves to others.
-  RoomState StateFor(std::uint32_t priority,
+  /// `headroom` is the share of capacity that the rank leaves to others.
+  RoomState StateFor(const PriorityRank& rank,
                      double headroom,
                      Instant now) const;
 
-  Duration RetryAfter(std::uint32_t priority,
+  Duration RetryAfter(const PriorityRank& rank,
                       double headroom,
                       Instant now,
                       double draw) const {
-    return RetryAfterRoom(this->StateFor(priority, headroom, now),
-                          this->settings, draw);
+    return RetryAfterRoom(this->StateFor(rank, headroom, now), this->settings,
+                          draw);
   }
 
  private:
   RoomEstimatorSettings settings;
   Duration mean_duration;
   std::size_t streams = 0;
-  /// Of recent refusals, with their priorities.
-  std::deque<std::pair<Instant, std::uint32_t>> refusals;
+  /// Of recent refusals, with their ranks.
+  std::deque<std::pair<Instant, PriorityRank>> refusals;
 };
 
 }  // namespace chervilpass::admission
--- a/chervilpass/admission/served_floor.h
+++ b/chervilpass/admission/served_floor.h
@@ -2,6 +2,7 @@
 // that they need not leave headroom any longer.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <string>
@@ -19,6 +20,10 @@
   Duration half_life = seconds(5);  ///< of what is counted
   /// Fewer requests of a kind recently say nothing.
   double min_requests = 3;
+  /// For so long after the last request of a kind, its last `min_requests` ones
+  /// count in any case: a kind that sends one request in a few seconds never
+  /// has as many within some half-lives.
+  Duration retention{0};
   /// Kinds with fewer requests are forgotten.
   double negligible = 0.01;
 
@@ -69,8 +74,17 @@
   };
 
   void Decay(Counts* counts, Instant now) const {
-    const double factor = std::exp2(-ToSeconds(now - counts->at) /
-                                    ToSeconds(this->settings.half_life));
+    double factor = std::exp2(-ToSeconds(now - counts->at) /
+                              ToSeconds(this->settings.half_life));
+    if (now - counts->at < this->settings.retention) {
+      const double kept =
+          std::min(counts->requests, this->settings.min_requests);
+      if (counts->requests * factor < kept) {
+        counts->served *= kept / counts->requests;
+        counts->requests = kept;
+        factor = 1;
+      }
+    }
     counts->requests *= factor;
     counts->served *= factor;
     counts->at = now;
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -532,7 +532,7 @@
                           {"reason", result.detail},
                           {"sends", this->policy.Sends()},
                           {"route", this->context.route->name},
-                          {"priority", this->context.priority},
+                          {"priority", this->context.rank.priority},
                           {"organisation", this->context.organisation}});
   }
 
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -232,7 +232,7 @@
       objective > Duration::zero()
           ? duration_cast<Duration>(kSendWaitObjectiveShare * objective)
           : kDefaultSendWait;
-  return std::min(useful / (1 + context.priority),
+  return std::min(useful / (1 + context.rank.priority),
                   duration_cast<Duration>(kSendWaitDeadlineShare * time_left));
 }
 
@@ -303,7 +303,7 @@
 }
 
 admission::CapacityClaim ClaimOf(const RequestContext& context) {
-  return {context.service, context.priority, context.organisation,
+  return {context.service, context.rank, context.organisation,
           context.returned};
 }
 
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -147,9 +147,9 @@
   /// Bounds the attempts of the route: other VMs have made some already.
   std::uint32_t max_attempts = UINT32_MAX;
   std::string organisation;
-  std::uint32_t priority = 0;  ///< of the organisation or the route; 0 is first
+  admission::PriorityRank rank;  ///< by organisation and route
   std::string service;
-  /// Of its priority among those that use the service; none if there is one.
+  /// Of its rank among those that use the service; none if there is one.
   std::optional<admission::PriorityClass> priority_class;
   std::uint64_t fingerprint = 0;
   bool returned = false;  ///< this VM has refused it lately
@@ -159,7 +159,7 @@
 };
 
 /// The urgency of a request that is stated to its server; none if all requests
-/// to its service have the same priority.
+/// to its service have the same rank.
 std::optional<std::uint32_t> UrgencyOf(const RequestContext& context);
 
 /// What the request asks of the capacity of its service.
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -253,7 +253,7 @@
 
   // Open routes accept any caller and forward no organisation.
   bool Authenticate(RequestContext* context) const {
-    context->priority = context->route->priority;
+    context->rank = admission::RankOf(std::nullopt, context->route->priority);
     if (context->route->open || !context->table->KeysRequired()) {
       return true;
     }
@@ -266,8 +266,8 @@
       return false;
     }
     context->organisation = organisation->name;
-    context->priority =
-        organisation->priority.value_or(context->route->priority);
+    context->rank =
+        admission::RankOf(organisation->priority, context->route->priority);
     return true;
   }
 
@@ -289,9 +289,8 @@
     }
     context->service =
         std::string(context->route->PickService(routing_state.Rng().Unit()));
-    context->priority_class = routing_state.Capacity()
-                                  .ClassesOf(context->service)
-                                  .Of(context->priority);
+    context->priority_class =
+        routing_state.Capacity().ClassesOf(context->service).Of(context->rank);
     const auto* service = context->table->Service(context->service);
     if (service == nullptr) {
       return Refuse(*context, RefusalCode::kNoBackend, Executed::kNo,
@@ -383,7 +382,7 @@
         {{"request", context.metadata.request_id},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
-         {"priority", context.priority},
+         {"priority", context.rank.priority},
          {"organisation", context.organisation},
          {"data_centre",
           this->dependencies.routing_state->Settings().data_centre},
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -78,7 +78,7 @@
     this->stream.service = context.service;
     this->stream.model = &model;
     this->stream.scope = &this->scope;
-    this->stream.priority = context.priority;
+    this->stream.priority = context.rank.priority;
     this->stream.pause_objective = context.route->event_interval_objective;
     this->stream.run = {context.fingerprint, context.metadata.request_id, 0};
     for (const std::uint64_t part : context.prompt_parts) {
@@ -259,7 +259,7 @@
           "request.waits_for_capacity",
           {{"request", this->context.metadata.request_id},
            {"service", this->context.service},
-           {"priority", this->context.priority},
+           {"priority", this->context.rank.priority},
            {"sends", this->policy.Sends()},
            {"first_wait_ms", ToMilliseconds(wait)},
            {"objective_left_ms", ToMilliseconds(objective_left)},
@@ -563,7 +563,7 @@
 
   void Count(const std::string& counter) const {
     this->dependencies.metrics->Increment(
-        counter, fmt::format("priority=\"{}\"", this->context.priority));
+        counter, fmt::format("priority=\"{}\"", this->context.rank.priority));
   }
 
   // Less urgent requests leave headroom for some time.
@@ -1074,7 +1074,7 @@
                           {"sends", this->policy.Sends()},
                           {"resume_after", this->sequence.Last().value_or(0)},
                           {"route", this->context.route->name},
-                          {"priority", this->context.priority},
+                          {"priority", this->context.rank.priority},
                           {"organisation", this->context.organisation}});
   }
 
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -779,7 +779,7 @@
   void LogShortage(const std::string& service, bool is_short) {
     admission::CapacityPolicy& capacity = this->routing_state.Capacity();
     const admission::RoomState room =
-        capacity.RoomOf(service).StateFor(0, 0, this->runtime.Now());
+        capacity.RoomOf(service).StateFor({}, 0, this->runtime.Now());
     this->log.Info("capacity.shortage",
                    {{"service", service},
                     {"short", is_short},
--- a/unit_tests/priorities_test.cc
+++ b/unit_tests/priorities_test.cc
@@ -2,9 +2,14 @@
 #include <criterion/criterion.h>
 
 #include <cmath>
+#include <optional>
+#include <set>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "chervilpass/admission/capacity_policy.h"
+#include "chervilpass/core/random.h"
 #include "chervilpass/placement/stage_cost.h"
 #include "chervilpass/serving/retry_policy.h"
 
@@ -36,8 +41,12 @@
 }
 
 PriorityClasses ClassesOf(const routing::RouteTableData& data) {
-  return PriorityClasses(
-      PrioritiesOf(*routing::RouteTable::Create(data), "chat"));
+  return PriorityClasses(RanksOf(*routing::RouteTable::Create(data), "chat"));
+}
+
+// Of requests without an organisation's priority.
+PriorityRank RouteRank(std::uint32_t priority) {
+  return RankOf(std::nullopt, priority);
 }
 
 placement::ModelProfile Model() {
@@ -73,9 +82,9 @@
 Test(priority_classes, one_priority_changes_nothing) {
   const PriorityClasses classes = ClassesOf(TableData({2, 2, 2}));
   cr_assert(!classes.Active());
-  cr_assert(!classes.Of(2).has_value());
-  cr_assert(classes.MostUrgent(2));
-  cr_assert(!PriorityClasses().Of(0).has_value());
+  cr_assert(!classes.Of(RouteRank(2)).has_value());
+  cr_assert(classes.MostUrgent(RouteRank(2)));
+  cr_assert(!PriorityClasses().Of(RouteRank(0)).has_value());
 }
 
 // Load: three kinds of streams on one service; the most urgent kind earned the
@@ -83,9 +92,9 @@
 Test(priority_classes, less_urgent_requests_leave_headroom) {
   const PriorityClasses classes = ClassesOf(TableData({1, 0, 2}));
   cr_assert(classes.Active());
-  const auto first = *classes.Of(0);
-  const auto middle = *classes.Of(1);
-  const auto last = *classes.Of(2);
+  const auto first = *classes.Of(RouteRank(0));
+  const auto middle = *classes.Of(RouteRank(1));
+  const auto last = *classes.Of(RouteRank(2));
   cr_assert_eq(first.urgency, 0);
   cr_assert_eq(last.urgency, 9);
   cr_assert_float_eq(first.max_utilisation, 0.95, 1e-12);
@@ -94,7 +103,8 @@
   cr_assert_float_eq(first.added_delay_weight, 0.5, 1e-12);
   cr_assert_float_eq(middle.added_delay_weight, 1, 1e-12);
   cr_assert_float_eq(last.added_delay_weight, 2, 1e-12);
-  cr_assert(classes.MostUrgent(0) && !classes.MostUrgent(1));
+  cr_assert(classes.MostUrgent(RouteRank(0)));
+  cr_assert(!classes.MostUrgent(RouteRank(1)));
 }
 
 // Load: many priorities; none may be left without capacity.
@@ -107,7 +117,7 @@
   double utilisation = 1;
   double weight = 0;
   std::uint32_t urgency = 0;
-  for (const auto& [priority, found] : classes.All()) {
+  for (const auto& [rank, found] : classes.All()) {
     cr_assert(found.urgency >= urgency && found.urgency <= 9);
     cr_assert(found.max_utilisation < utilisation &&
               found.max_utilisation >= 0.8 - 1e-12);
@@ -118,43 +128,146 @@
     weight = found.added_delay_weight;
   }
   // Received under another configuration.
-  cr_assert(classes.Of(8) == classes.Of(14));
-  cr_assert(classes.Of(1000) == classes.Of(7 * 29));
+  cr_assert_eq(classes.All().size(), 30);
+  cr_assert(classes.Of(RouteRank(8)) == classes.Of(RouteRank(14)));
+  cr_assert(classes.Of(RouteRank(1000)) == classes.Of(RouteRank(7 * 29)));
 }
 
-// Guards against classes of priorities that no request has: an organisation's
+// Guards against classes of ranks that no request has: an organisation's
 // priority takes precedence, and unused shares and keys do not count.
-Test(priority_classes, priorities_are_those_of_possible_requests) {
+Test(priority_classes, ranks_are_those_of_possible_requests) {
   auto data = TableData({1, 3});
   data.keys_required = true;
   data.organisations = {
       {"a", {"k1"}, 2}, {"b", {"k2"}, 2}, {"without keys", {}, 0}};
-  cr_assert(!ClassesOf(data).Active());
+  using Ranks = std::set<PriorityRank>;
+  const auto ranks = [&data] {
+    return RanksOf(*routing::RouteTable::Create(data), "chat");
+  };
+  cr_assert(ranks() == (Ranks{{2, 1}, {2, 3}}));
   data.organisations.push_back({"c", {"k3"}, std::nullopt});
-  cr_assert(PrioritiesOf(*routing::RouteTable::Create(data), "chat") ==
-            (std::set<std::uint32_t>{1, 2, 3}));
+  cr_assert(ranks() == (Ranks{{1, 1}, {2, 1}, {2, 3}, {3, 3}}));
   data.organisations.pop_back();
   data.routes[1].open = true;
-  cr_assert(PrioritiesOf(*routing::RouteTable::Create(data), "chat") ==
-            (std::set<std::uint32_t>{2, 3}));
+  cr_assert(ranks() == (Ranks{{2, 1}, {3, 3}}));
   data.routes[1].shares = {{"chat", 0}, {"other", 1}};
+  cr_assert(ranks() == (Ranks{{2, 1}}));
   cr_assert(!ClassesOf(data).Active());
   cr_assert(ActiveClasses(*routing::RouteTable::Create(data)).empty());
 }
 
+// Load: organisations that all have a priority of their own, and three kinds of
+// streams. The most urgent kind earned the smallest share of its credit, since
+// classes followed organisations alone.
+Test(priority_classes, routes_rank_requests_of_the_same_priority) {
+  auto data = TableData({0, 1, 2});
+  data.keys_required = true;
+  data.organisations = {{"a", {"k1"}, 0}, {"b", {"k2"}, 1}};
+  const PriorityClasses classes = ClassesOf(data);
+  cr_assert_eq(classes.All().size(), 6);
+  const std::vector<std::uint32_t> urgencies = {0, 2, 4, 5, 7, 9};
+  std::size_t next = 0;
+  for (const std::uint32_t organisation : {0, 1}) {
+    for (const std::uint32_t route : {0, 1, 2}) {
+      const auto found = classes.Of(RankOf(organisation, route));
+      cr_assert_eq(found->urgency, urgencies[next]);
+      cr_assert_float_eq(found->max_utilisation, 0.95 - 0.03 * next, 1e-12);
+      cr_assert_float_eq(found->added_delay_weight,
+                         0.5 * std::pow(4, next / 5.0), 1e-12);
+      ++next;
+    }
+  }
+  cr_assert_eq(ActiveClasses(*routing::RouteTable::Create(data)).size(), 1);
+  // Routes that do not differ give no classes, whatever the organisations.
+  for (routing::Route& route : data.routes) {
+    route.priority = 1;
+  }
+  cr_assert(ActiveClasses(*routing::RouteTable::Create(data)).empty());
+}
+
+// Guards against another order than before of requests that differed in
+// priority, with and without a priority of the organisation.
+Test(priority_classes, ranks_keep_the_order_of_priorities) {
+  const std::vector<std::optional<std::uint32_t>> organisations = {std::nullopt,
+                                                                   0, 1, 2};
+  for (const auto& a : organisations) {
+    for (const auto& b : organisations) {
+      for (const std::uint32_t route_a : {0, 1, 2}) {
+        for (const std::uint32_t route_b : {0, 1, 2}) {
+          const PriorityRank of_a = RankOf(a, route_a);
+          const PriorityRank of_b = RankOf(b, route_b);
+          const std::uint32_t before_a = a.value_or(route_a);
+          const std::uint32_t before_b = b.value_or(route_b);
+          cr_assert(before_a >= before_b || of_a < of_b);
+          // Among requests of the same priority the route decides.
+          cr_assert(before_a != before_b ||
+                    (of_a < of_b) == (route_a < route_b));
+        }
+      }
+    }
+  }
+  // Without priorities of organisations the classes are those of the routes.
+  auto data = TableData({1, 0, 2});
+  const PriorityClasses open = ClassesOf(data);
+  data.keys_required = true;
+  data.organisations = {{"a", {"k1"}, std::nullopt}};
+  cr_assert(ClassesOf(data) == open);
+  cr_assert_eq(open.All().size(), 3);
+}
+
+// Load: many priorities of organisations and routes. Guards against more
+// classes than urgencies; requests that differed in priority before still
+// differ.
+Test(priority_classes, ranks_are_grouped_within_a_priority) {
+  for (const std::uint32_t count : {2, 3, 4, 7, 10, 12}) {
+    auto data = TableData({0, 1, 2, 3, 4, 5});
+    data.keys_required = true;
+    for (std::uint32_t i = 0; i < count; ++i) {
+      const std::string name = "o" + std::to_string(i);
+      data.organisations.push_back({name, {name}, i});
+    }
+    const PriorityClasses classes = ClassesOf(data);
+    cr_assert_leq(classes.All().size(), std::max(10U, count));
+    cr_assert_geq(classes.All().size(), count);
+    std::optional<PriorityRank> last;
+    std::optional<PriorityClass> before;
+    for (std::uint32_t i = 0; i < count; ++i) {
+      for (std::uint32_t route = 0; route < 6; ++route) {
+        const PriorityRank rank = RankOf(i, route);
+        const PriorityClass found = *classes.Of(rank);
+        const PriorityRank found_last = classes.LastRankOf(rank);
+        cr_assert_eq(found_last.priority, i);
+        cr_assert(found_last >= rank && (!last || found_last >= *last));
+        cr_assert(found.urgency <= 9 && found.max_utilisation >= 0.8 - 1e-12);
+        cr_assert(!before ||
+                  (found.urgency >= before->urgency &&
+                   found.max_utilisation <= before->max_utilisation &&
+                   found.added_delay_weight >= before->added_delay_weight));
+        last = found_last;
+        before = found;
+      }
+      cr_assert(i == 0 ||
+                classes.Of(RankOf(i - 1, 5)) != classes.Of(RankOf(i, 0)));
+    }
+    if (count == 2) {
+      cr_assert_eq(classes.All().size(), 10);
+    }
+  }
+}
+
 // Load: a burst that is over. The least urgent requests get all free capacity
 // again a second later.
 Test(capacity_shortage, ends_after_its_lifetime_and_for_less_urgent_only) {
   CapacityShortage shortage;
   const Instant start{};
-  shortage.OnRefused("chat", 1, start);
-  cr_assert(shortage.ShortFor("chat", 2, start + milliseconds(900)));
-  cr_assert(!shortage.ShortFor("chat", 1, start));
-  cr_assert(!shortage.ShortFor("chat", 0, start));
-  cr_assert(!shortage.ShortFor("other", 2, start));
-  cr_assert(!shortage.ShortFor("chat", 2, start + seconds(1)));
+  shortage.OnRefused("chat", RouteRank(1), start);
+  cr_assert(shortage.ShortFor("chat", RouteRank(2), start + milliseconds(900)));
+  cr_assert(!shortage.ShortFor("chat", RouteRank(1), start));
+  cr_assert(!shortage.ShortFor("chat", RouteRank(0), start));
+  cr_assert(!shortage.ShortFor("other", RouteRank(2), start));
+  cr_assert(!shortage.ShortFor("chat", RouteRank(2), start + seconds(1)));
   shortage.Expire(start + seconds(1));
-  cr_assert(!shortage.ShortFor("chat", 2, start));
+  cr_assert(!shortage.ShortFor("chat", RouteRank(2), start));
 }
 
 // Guards against another choice of paths while classes are inactive: the cost
@@ -232,7 +345,7 @@
 
 CapacityClaim Claim(std::uint32_t priority,
                     const std::string& organisation = "large") {
-  return {"chat", priority, organisation, false};
+  return {"chat", RouteRank(priority), organisation, false};
 }
 
 }  // namespace
@@ -243,7 +356,8 @@
   CapacityPolicy policy = Policy(false);
   const Instant now{};
   cr_assert(policy.BoundsFor(Claim(0), now) == UtilisationBounds{});
-  const double lowered = policy.ClassesOf("chat").Of(2)->max_utilisation;
+  const double lowered =
+      policy.ClassesOf("chat").Of(RouteRank(2))->max_utilisation;
   const UtilisationBounds lent = {lowered, std::nullopt};
   cr_assert(policy.BoundsFor(Claim(2), now) == lent);
   policy.OnLacked(Claim(0), {}, now);
@@ -350,24 +464,27 @@
   for (int i = 0; i < 20; ++i) {
     room.OnStreamBegun();
   }
-  cr_assert(room.RetryAfter(0, 0, now, 0) == settings.min_wait);
-  cr_assert(room.RetryAfter(0, 0, now, 1) ==
+  cr_assert(room.RetryAfter(RouteRank(0), 0, now, 0) == settings.min_wait);
+  cr_assert(room.RetryAfter(RouteRank(0), 0, now, 1) ==
             settings.min_wait + settings.min_spread);
   for (int i = 0; i < 10; ++i) {
-    room.OnRefused(0, now);
-    room.OnRefused(1, now);
+    room.OnRefused(RouteRank(0), now);
+    room.OnRefused(RouteRank(1), now);
   }
   // A stream ends each 100 ms: ten refused callers take a second.
-  cr_assert_float_eq(ToSeconds(room.RetryAfter(0, 0, now, 1)), 1.3, 1e-6);
-  cr_assert_float_eq(ToSeconds(room.RetryAfter(1, 0, now, 0)), 1, 1e-6);
-  cr_assert_gt(room.RetryAfter(1, 0.1, now, 0), room.RetryAfter(1, 0, now, 0));
-  cr_assert(room.RetryAfter(0, 0, now + seconds(2), 1) ==
+  cr_assert_float_eq(ToSeconds(room.RetryAfter(RouteRank(0), 0, now, 1)), 1.3,
+                     1e-6);
+  cr_assert_float_eq(ToSeconds(room.RetryAfter(RouteRank(1), 0, now, 0)), 1,
+                     1e-6);
+  cr_assert_gt(room.RetryAfter(RouteRank(1), 0.1, now, 0),
+               room.RetryAfter(RouteRank(1), 0, now, 0));
+  cr_assert(room.RetryAfter(RouteRank(0), 0, now + seconds(2), 1) ==
             settings.min_wait + settings.min_spread);
   for (int i = 0; i < 5000; ++i) {
-    room.OnRefused(0, now);
+    room.OnRefused(RouteRank(0), now);
   }
-  cr_assert_leq(room.RetryAfter(2, 0.1, now, 1), settings.max_wait);
-  cr_assert_lt(room.RetryAfter(2, 0.1, now, 0), settings.max_wait);
+  cr_assert_leq(room.RetryAfter(RouteRank(2), 0.1, now, 1), settings.max_wait);
+  cr_assert_lt(room.RetryAfter(RouteRank(2), 0.1, now, 0), settings.max_wait);
 }
 
 // Load: more refused requests than are kept.
@@ -533,3 +650,108 @@
   cr_assert_geq(served, 0.25 * all * kSteps, "%d served", served);
   cr_assert_lt(served, kSteps / 2, "%d served: no headroom is left", served);
 }
+
+namespace {
+
+// Requests of one rank that arrive at random times.
+struct Arrivals {
+  PriorityRank rank;
+  double per_second = 0;
+  int requests = 0;
+  int served = 0;
+
+  double Share() const { return static_cast<double>(served) / requests; }
+};
+
+// Serves requests of ranks with as many streams as workers have room for, of a
+// mean second each; random times keep arrivals and ends out of step. Returns
+// the share of all requests that were served.
+double ServeFor(CapacityPolicy* policy,
+                Duration duration,
+                double slots,
+                std::vector<Arrivals>* arrivals) {
+  constexpr Duration kStep = milliseconds(10);
+  std::multiset<Instant> ends;
+  Random random(1);
+  int requests = 0;
+  int served = 0;
+  for (Instant now{}; now < Instant{} + duration; now += kStep) {
+    ends.erase(ends.begin(), ends.upper_bound(now));
+    for (Arrivals& of_rank : *arrivals) {
+      if (random.Unit() < of_rank.per_second * ToSeconds(kStep)) {
+        const CapacityClaim claim = {"chat", of_rank.rank, "", false};
+        const UtilisationBounds bounds = policy->BoundsFor(claim, now);
+        ++of_rank.requests;
+        ++requests;
+        const auto streams = static_cast<double>(ends.size());
+        if (streams + 1 <= bounds.limit.value_or(0.95) * slots) {
+          policy->OnServed(claim, now);
+          ends.insert(now +
+                      duration_cast<Duration>(std::chrono::duration<double>(
+                          -std::log(1 - random.Unit()))));
+          ++of_rank.served;
+          ++served;
+        } else {
+          policy->OnLacked(claim, bounds, now);
+          policy->OnRefused(claim, now, 0.5);
+        }
+      }
+    }
+  }
+  return static_cast<double>(served) / requests;
+}
+
+// Six classes: two priorities of organisations, three of routes.
+CapacityPolicy PolicyOfSixClasses() {
+  CapacityPolicy policy;
+  auto data = TableData({0, 1, 2});
+  data.keys_required = true;
+  data.organisations = {{"a", {"k1"}, 0}, {"b", {"k2"}, 1}};
+  policy.ApplyConfig(*routing::RouteTable::Create(data));
+  return policy;
+}
+
+std::vector<Arrivals> SixRanks(double per_second) {
+  std::vector<Arrivals> arrivals;
+  for (const std::uint32_t organisation : {1, 0}) {
+    for (const std::uint32_t route : {2, 1, 0}) {
+      arrivals.push_back({RankOf(organisation, route), per_second});
+    }
+  }
+  return arrivals;
+}
+
+}  // namespace
+
+// Load: twice as many requests as workers have room for, of six classes. Guards
+// against classes that more urgent ones leave nothing to.
+Test(capacity_policy, no_class_is_left_unserved) {
+  for (const double per_second : {20.0, 64.0}) {
+    CapacityPolicy policy = PolicyOfSixClasses();
+    std::vector<Arrivals> arrivals = SixRanks(per_second);
+    const double all =
+        ServeFor(&policy, seconds(120), 3 * per_second, &arrivals);
+    for (const Arrivals& of_rank : arrivals) {
+      cr_assert_geq(of_rank.Share(), 0.25 * all, "%u/%u: %.3f of %.3f",
+                    of_rank.rank.priority, of_rank.rank.route_priority,
+                    of_rank.Share(), all);
+      // The most urgent class is the last one.
+      cr_assert_leq(of_rank.Share(), arrivals.back().Share());
+    }
+    // Within an organisation's priority the urgent route is served most.
+    cr_assert_gt(arrivals.back().Share(), arrivals[3].Share() + 0.1);
+  }
+}
+
+// Load: a class that rarely sends requests to this VM, while others lack
+// capacity without end.
+Test(capacity_policy, a_rare_class_is_not_left_unserved) {
+  for (std::size_t rare = 0; rare < 6; ++rare) {
+    CapacityPolicy policy = PolicyOfSixClasses();
+    std::vector<Arrivals> arrivals = SixRanks(20);
+    arrivals[rare].per_second = 0.15;
+    const double all = ServeFor(&policy, seconds(600), 60, &arrivals);
+    cr_assert_geq(arrivals[rare].Share(), 0.25 * all, "%zu: %.3f of %.3f", rare,
+                  arrivals[rare].Share(), all);
+  }
+}
--- a/unit_tests/priority_router_test.cc
+++ b/unit_tests/priority_router_test.cc
@@ -36,6 +36,16 @@
       .value_or("none");
 }
 
+io::HttpRequest WithKey(io::HttpRequest request, const std::string& key) {
+  io::HttpHeaders headers;
+  for (const io::HttpHeader& header : request.headers.All()) {
+    const bool replaced = header.name == "Authorization";
+    headers.Add(header.name, replaced ? "Token " + key : header.value);
+  }
+  request.headers = headers;
+  return request;
+}
+
 }  // namespace
 
 // Load: requests of two priorities that wait at the same worker. Without
@@ -66,6 +76,35 @@
   });
 }
 
+// Load: two organisations with priorities of their own, which both use an
+// urgent and a less urgent route. Guards against servers that treat the
+// requests of one organisation alike.
+Test(priority_router, routes_rank_the_requests_of_an_organisation) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 27850);
+    SetPriorities(&fixture);
+    routing::RouteTableData data = fixture.routing_state.Table()->Data();
+    data.version = 3;
+    data.organisations = {{"first", {"key"}, 0}, {"second", {"other"}, 1}};
+    cr_assert(
+        fixture.routing_state.ApplyConfig(routing::RouteTable::Create(data)));
+    std::string seen;
+    fixture.AddServer(1, "llm", {0, 4}, [&](io::HttpExchange& exchange) {
+      seen = UrgencyOf(exchange);
+      Serve(exchange);
+    });
+    std::vector<std::string> urgencies;
+    for (const char* key : {"key", "other"}) {
+      for (const char* path : {"/draft/x", "/once/x"}) {
+        cr_assert(fixture.Stream(WithKey(fixture.Request(path, "r"), key))
+                      .has_value());
+        urgencies.push_back(seen);
+      }
+    }
+    cr_assert(urgencies == (std::vector<std::string>{"0", "3", "6", "9"}));
+  });
+}
+
 // Load: the only workers are full for a moment. Requests were refused after one
 // such response of each, with most of their time left.
 Test(priority_router, a_stream_waits_while_workers_are_full) {
