chervilctl where shows the class of the request

An operator could not see why a less urgent request is refused while workers have capacity: the preview left out the bounds of its class.

Change: for each service the text has a line "class: urgency U, maximum utilisation M, weight W", and the JSON an object "class", which is null where all requests are treated alike.

--- a/chervilpass/serving/route_preview.cc
+++ b/chervilpass/serving/route_preview.cc
@@ -292,13 +292,16 @@
     return preview;
   }
   preview.route = route->name;
-  preview.priority = organisation == organisations.end()
-                         ? route->priority
-                         : organisation->priority.value_or(route->priority);
+  const admission::PriorityRank rank = admission::RankOf(
+      organisation == organisations.end() ? std::nullopt
+                                          : organisation->priority,
+      route->priority);
+  preview.priority = rank.priority;
   for (const routing::ServiceShare& share : route->shares) {
     PreviewedService shown;
     shown.service = share.service;
     shown.weight = share.weight;
+    shown.priority_class = state.Capacity().ClassesOf(share.service).Of(rank);
     const routing::ServiceProfile* profile = table->Service(share.service);
     if (route->model_route && profile != nullptr && profile->model) {
       PreviewStream(state, *profile->model, query, now, &shown);
--- a/chervilpass/serving/route_preview.h
+++ b/chervilpass/serving/route_preview.h
@@ -50,6 +50,8 @@
 struct PreviewedService {
   std::string service;
   std::uint32_t weight = 0;
+  /// Of the request; none if all requests to the service are treated alike.
+  std::optional<admission::PriorityClass> priority_class;
   std::vector<PreviewCandidate> candidates;
   std::string destination;  ///< the path or server; empty if refused
   std::string refusal;      ///< empty: it would be sent
--- a/chervilpass/serving/route_preview_text.cc
+++ b/chervilpass/serving/route_preview_text.cc
@@ -26,6 +26,15 @@
   return value;
 }
 
+json::value ClassValue(const std::optional<admission::PriorityClass>& shown) {
+  if (!shown) {
+    return nullptr;
+  }
+  return json::object{{"urgency", shown->urgency},
+                      {"maximum_utilisation", shown->max_utilisation},
+                      {"weight", shown->added_delay_weight}};
+}
+
 }  // namespace
 
 std::string ToText(const RoutePreview& preview) {
@@ -43,6 +52,10 @@
             : fmt::format("refused: {}, Retry-After {} ms or more",
                           service.refusal,
                           ToMilliseconds(service.retry_after)));
+    text += fmt::format("  class: {}\n",
+                        service.priority_class
+                            ? admission::Describe(*service.priority_class)
+                            : "none, all requests are treated alike");
     for (const PreviewCandidate& candidate : service.candidates) {
       text += fmt::format(
           "  {} {} layers {}-{} pace {:.2f} requests {:.0f} of {:.0f} "
@@ -67,6 +80,7 @@
     services.push_back(
         json::object{{"service", service.service},
                      {"weight", service.weight},
+                     {"class", ClassValue(service.priority_class)},
                      {"destination", service.destination},
                      {"refusal", service.refusal},
                      {"retry_after_ms", ToMilliseconds(service.retry_after)},
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -95,6 +95,7 @@
 
   /// Which requests may use how much of the workers' capacity.
   admission::CapacityPolicy& Capacity() { return this->capacity; }
+  const admission::CapacityPolicy& Capacity() const { return this->capacity; }
   /// The store or a relay has stated the registered servers.
   void OnServersConfirmed(Instant now) { this->servers_confirmed = now; }
 
--- a/unit_tests/route_preview_test.cc
+++ b/unit_tests/route_preview_test.cc
@@ -1,8 +1,11 @@
 // Tests of what operators are shown of where a request would be sent.
-#include <criterion/criterion.h>
+#include <boost/json.hpp>
 
 #include "chervilpass/serving/route_preview.h"
 
+// Last: its macros clash with headers of Boost.
+#include <criterion/criterion.h>
+
 using namespace chervilpass;
 using namespace chervilpass::serving;
 
@@ -132,3 +135,37 @@
               other.PickServer("orders", {}, kStart)->id);
   }
 }
+
+Test(route_preview, the_bounds_of_the_class_are_shown) {
+  // Guards against an operator who cannot tell why a less urgent request is
+  // refused while workers have capacity.
+  RoutingState state = State();
+  AddServer(&state, "s0", 80);
+  const std::string json_query = kQuery + "&format=json";
+  cr_assert(Ask(state, kQuery).body.find("class: none") != std::string::npos);
+  cr_assert(Ask(state, json_query).body.find("\"class\":null") !=
+            std::string::npos);
+  // A second route with a more urgent priority gives the service classes.
+  routing::RouteTableData data = state.Table()->Data();
+  data.version = 8;
+  routing::Route urgent = data.routes.front();
+  urgent.name = "urgent";
+  urgent.path_prefix = "/urgent/";
+  urgent.priority = 0;
+  data.routes.push_back(urgent);
+  cr_assert(state.ApplyConfig(routing::RouteTable::Create(data)));
+  const std::string text = Ask(state, kQuery).body;
+  cr_assert(text.find("class: urgency 9, maximum utilisation 0.900, "
+                      "weight 2.00") != std::string::npos,
+            "%s", text.c_str());
+  const auto json = boost::json::parse(Ask(state, json_query).body);
+  const auto& shown = json.at("services").at(0).at("class");
+  cr_assert_eq(shown.at("urgency").to_number<int>(), 9);
+  cr_assert_float_eq(shown.at("maximum_utilisation").to_number<double>(), 0.9,
+                     1e-12);
+  cr_assert_float_eq(shown.at("weight").to_number<double>(), 2, 1e-12);
+  const std::string first = Ask(state, "host=h&path=%2Furgent%2F1").body;
+  cr_assert(first.find("class: urgency 0, maximum utilisation 0.950, "
+                       "weight 0.50") != std::string::npos,
+            "%s", first.c_str());
+}
