Memory of a request that is not read on is freed before its response

Refused with 503 for missing memory (or 408, 413, 431, 400), a request kept its share of the budget, its body and its receive buffer of 128 KiB while the response was written, its input discarded (0.5 s) and the response acknowledged (up to 10 s). Only requests that were ended as stalled gave them back before.

The read buffer of up to 64 KiB is freed as well.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -410,8 +410,12 @@
       this->EndRefusal(stream);
       --this->replaced;
     }
+    // Before the response is written: that, and the end of the connection, may
+    // take many seconds.
+    if (read.error) {
+      reader->ReleaseUnread();
+    }
     if (read.error && (refusal || refuse)) {
-      reader->ReleaseBody();
       this->RespondUnread(
           stream, reader, connection,
           refusal ? *refusal
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -32,8 +32,12 @@
 constexpr std::size_t kPeekedBytes = 64;
 // A body is held once as it was received and once as it is sent on.
 constexpr std::size_t kBodyCopies = 2;
-// A body is not read on for so long before its request is refused.
+// A body is not read on for so long, in several waits, before its request is
+// refused. With a limit for each wait, bodies that were granted some 100 bytes
+// at a time held their memory for up to a second beside others that waited.
 constexpr Duration kMaxMemoryWait = milliseconds(250);
+// So many further bytes renew the time to wait.
+constexpr std::size_t kRenewingBytes = 64 * 1024;
 // A head is held by the library, and as fields of the request and of its copy;
 // the library and both copies have some 160 bytes for a short field.
 constexpr std::size_t kHeadCopies = 3;
@@ -252,6 +256,8 @@
   this->until = this->runtime->Now() + this->settings->limits.read_timeout;
   this->stopped = false;
   this->received = this->buffer.size();
+  this->memory_wait = Duration{0};
+  this->wait_renewed_at = this->received;
   this->last_arrival = this->runtime->Now();
   this->ReleaseBody();
   this->head_lines = 0;
@@ -278,6 +284,12 @@
       memory::MemoryShare(this->settings->budget, this->settings->owner);
 }
 
+void RequestReader::ReleaseUnread() {
+  this->ReleaseBody();
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+}
+
 std::size_t RequestReader::HeadBytes() const {
   const std::size_t bytes =
       kHeadCopies * this->head_size + kFieldBytes * this->head_lines;
@@ -448,8 +460,13 @@
     this->EnlargeBuffer(bytes);
   }
   bytes += this->buffer_enlarged ? kEnlargedBuffer : 0;
+  if (this->received - this->wait_renewed_at >= kRenewingBytes) {
+    this->memory_wait = Duration{0};
+    this->wait_renewed_at = this->received;
+  }
+  const Instant begun = this->runtime->Now();
   const Instant latest =
-      std::min(this->until, this->runtime->Now() + kMaxMemoryWait);
+      std::min(this->until, begun + kMaxMemoryWait - this->memory_wait);
   while (!this->share.Resize(bytes)) {
     if (this->stopped) {
       return {asio::error::operation_aborted};
@@ -462,6 +479,7 @@
     this->runtime->SleepFor(kMemoryPollInterval);
     this->awaits_memory = false;
   }
+  this->memory_wait += this->runtime->Now() - begun;
   return {};
 }
 
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -95,8 +95,9 @@
   /// What the request holds of the budget.
   std::size_t HeldBytes() const { return this->share.Bytes(); }
 
-  /// Frees the body of a request that is not read on.
-  void ReleaseBody();
+  /// Frees what a request that is not read on holds, and drops the input that
+  /// has not been parsed. Nothing may be read after it.
+  void ReleaseUnread();
 
   /// Bytes that have arrived since Begin, and before it.
   std::size_t Received() const { return this->received; }
@@ -114,6 +115,9 @@
   Completion Parse(Input input, const std::function<bool()>& done);
   Completion ReadTimed(std::size_t size);
 
+  // Frees the body and the share, and resets the receive buffer in the kernel.
+  void ReleaseBody();
+
   // False while more has to arrive before the parser may be given it.
   bool MayParse();
 
@@ -121,7 +125,7 @@
   std::size_t HeadBytes() const;
 
   // Waits until the memory for `size` further bytes is granted;
-  // no_buffer_space if that takes too long.
+  // no_buffer_space if that takes too long, the waits before it included.
   Completion AwaitMemory(std::size_t size);
 
   // Enlarges the receive buffer in the kernel for a large body.
@@ -152,6 +156,8 @@
   std::size_t head_lines = 0;  ///< of the request
   std::size_t head_size = 0;   ///< bytes
   std::size_t received = 0;
+  Duration memory_wait{0};          ///< since `wait_renewed_at`
+  std::size_t wait_renewed_at = 0;  ///< of `received`
   std::size_t dropped = 0;  ///< bytes of empty lines since the last request
 };
 
--- a/unit_tests/connection_budget_test.cc
+++ b/unit_tests/connection_budget_test.cc
@@ -1,8 +1,11 @@
 // Tests of the division of memory among connections, and of the server's
 // connections that stall while memory is short.
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +74,26 @@
   Tcp::socket socket;
 };
 
+// The size of the receive buffer of the connection that `listen` has accepted.
+std::optional<std::size_t> ReceiveBufferAt(const io::Endpoint& listen) {
+  constexpr int kMaxDescriptor = 256;
+  for (int descriptor = 0; descriptor < kMaxDescriptor; ++descriptor) {
+    Tcp::endpoint local;
+    Tcp::endpoint peer;
+    auto local_size = static_cast<socklen_t>(local.capacity());
+    auto peer_size = static_cast<socklen_t>(peer.capacity());
+    int size = 0;
+    socklen_t length = sizeof(size);
+    if (::getsockname(descriptor, local.data(), &local_size) == 0 &&
+        ::getpeername(descriptor, peer.data(), &peer_size) == 0 &&
+        local.port() == listen.port &&
+        ::getsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &size, &length) == 0) {
+      return static_cast<std::size_t>(size);
+    }
+  }
+  return std::nullopt;
+}
+
 std::unique_ptr<io::HttpServer> Serve(io::Runtime& runtime,
                                       const io::HttpServerSettings& settings) {
   return io::HttpServer::Create(
@@ -210,3 +233,50 @@
     cr_expect(whole.Receive().starts_with("HTTP/1.1 200"));
   });
 }
+
+// Guards against refused bodies that hold their memory and their enlarged
+// receive buffer until their connections are closed, up to 10 s later.
+Test(connection_budget, a_body_without_memory_is_freed_before_its_refusal) {
+  io::Runtime::Run([](io::Runtime& runtime) {
+    constexpr std::size_t kBuffer = 16 * 1024;
+    constexpr std::size_t kLimit = 300'000;
+    memory::MemoryBudgetSettings limits;
+    limits.limits.fill(kLimit);
+    memory::MemoryBudget budget(limits);
+    const auto held = [&budget] {
+      return budget.UseOf(memory::Owner::kCallerRequests).held;
+    };
+    io::HttpServerSettings settings;
+    settings.listen = {"127.0.207.1", 23014};
+    settings.budget = &budget;
+    settings.buffers = {kBuffer, kBuffer};
+    std::optional<std::size_t> held_at_refusal;
+    std::optional<std::size_t> buffer_at_refusal;
+    const auto server =
+        io::HttpServer::Create(
+            &runtime, settings,
+            [](io::HttpExchange& exchange) {
+              exchange.Respond({200, {}, "ok"});
+            },
+            [&](unsigned status, std::string_view detail) {
+              held_at_refusal = held();
+              buffer_at_refusal = ReceiveBufferAt(settings.listen);
+              return io::HttpResponse{status, {}, std::string(detail)};
+            })
+            .value();
+    Caller caller(settings.listen);
+    caller.SendBody(250'000, 200'000);
+    runtime.SleepFor(milliseconds(50));
+    cr_expect_gt(held(), kLimit / 2);
+    cr_expect_gt(ReceiveBufferAt(settings.listen).value_or(0), kBuffer);
+    for (int i = 0; i < 100 && !held_at_refusal; ++i) {
+      runtime.SleepFor(milliseconds(10));
+    }
+    cr_assert(held_at_refusal.has_value());
+    cr_expect_eq(*held_at_refusal, 0);
+    cr_expect_eq(buffer_at_refusal.value_or(0), kBuffer);
+    runtime.SleepFor(milliseconds(20));
+    cr_expect(caller.Receive().starts_with("HTTP/1.1 503"));
+    cr_expect_eq(held(), 0);
+  });
+}
