A connection that has sent nothing for a second gives way to a new one

Peers that connected and sent nothing held a caller connection each for 10 s, until their 408; at the limit of connections new callers got 503 meanwhile. Only requests that had arrived in part gave way.

With all connections in use, such a connection is now ended with 503, as a stalled request is. One whose input has arrived, but has not been read, is kept; the time of the last arrival is taken as the read completes instead of as its fiber runs.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -44,8 +44,9 @@
 constexpr Duration kSentPollInterval = milliseconds(100);
 constexpr Duration kAcknowledgementPollInterval = milliseconds(10);
 constexpr std::string_view kRetryAfterSeconds = "1";
-// A request of which nothing has arrived for so long is stalled. Above the
-// retransmission timeout of TCP after a loss, 0.2 s at short round trips.
+// A request of which nothing has arrived for so long is stalled, and so is a
+// new connection without a request. Above the retransmission timeout of TCP
+// after a loss, 0.2 s at short round trips.
 constexpr Duration kStallTime = seconds(1);
 
 // Empty if the connection is broken.
@@ -103,6 +104,8 @@
   struct Connection {
     beast::tcp_stream* stream;
     RequestReader* reader;
+    // Set until a part of the first request arrives.
+    std::optional<Instant> silent_since = std::nullopt;
     // Set while a request is being read of which a part has arrived.
     std::optional<Instant> reading_since = std::nullopt;
     // The response to that request, which is not read to its end, by its head.
@@ -112,6 +115,11 @@
     // For the send buffer, while it holds a large response.
     memory::MemoryShare sent = {};
     bool replaced = false;  // by MakeRoom
+
+    // For a request, or the rest of it.
+    std::optional<Instant> WaitingSince() const {
+      return this->reading_since ? this->reading_since : this->silent_since;
+    }
   };
 
   // What follows on a connection.
@@ -245,21 +253,27 @@
   }
 
   // Of the connections that make no progress on the request that is being read,
-  // the one that holds most, and of these the oldest; null if there is none.
+  // or on their first one, the one that holds most, and of these the oldest;
+  // null if there is none.
   Connection* LargestStalled() {
     const Instant now = this->runtime->Now();
     Connection* largest = nullptr;
     for (Connection& connection : this->open) {
       const RequestReader& reader = *connection.reader;
-      if (!connection.reading_since || connection.refuse ||
-          connection.replaced || reader.AwaitsMemory() ||
+      if ((!connection.reading_since && !connection.silent_since) ||
+          connection.refuse || connection.replaced || reader.AwaitsMemory() ||
           now - reader.LastArrival() < kStallTime) {
         continue;
       }
+      // A request that has arrived, but has not been read yet, is served.
+      if (connection.silent_since &&
+          PendingInput(*connection.stream) != InputState::kNone) {
+        continue;
+      }
       if (largest == nullptr ||
           reader.HeldBytes() > largest->reader->HeldBytes() ||
           (reader.HeldBytes() == largest->reader->HeldBytes() &&
-           *connection.reading_since < *largest->reading_since)) {
+           connection.WaitingSince() < largest->WaitingSince())) {
         largest = &connection;
       }
     }
@@ -361,8 +375,8 @@
     beast::tcp_stream stream(std::move(socket));
     RequestReader reader(this->runtime, &stream, &this->settings,
                          [this] { this->DropStalled(); });
-    const auto connection = this->open.insert(
-        this->open.end(), Connection{&stream, &reader, std::nullopt});
+    const auto connection =
+        this->open.insert(this->open.end(), Connection{&stream, &reader});
     try {
       bool first = true;
       AfterRequest after = AfterRequest::kReadNext;
@@ -402,6 +416,7 @@
                             bool first) {
     const Completion read =
         this->ReadRequest(stream, reader, connection, first);
+    connection->silent_since.reset();
     connection->reading_since.reset();
     const auto refusal = std::exchange(connection->refusal, std::nullopt);
     const auto refuse = std::exchange(connection->refuse, nullptr);
@@ -455,6 +470,9 @@
                          bool first) {
     this->ReleaseSent(stream, connection);
     reader->Begin();
+    if (first) {
+      connection->silent_since = this->runtime->Now();
+    }
     while (reader->DropEmptyLines()) {
       if (!first) {
         if (!this->WaitForNextRequest(stream, connection)) {
@@ -467,6 +485,7 @@
         return read;
       }
     }
+    connection->silent_since.reset();
     connection->reading_since = this->runtime->Now();
     Completion read = reader->ReadHead();
     if (!read.error) {
--- a/chervilpass/io/http_server.h
+++ b/chervilpass/io/http_server.h
@@ -34,7 +34,8 @@
   HttpServerLimits limits;
   Duration write_timeout = seconds(10);  ///< for one write
   /// A further connection replaces the one that has been idle longest between
-  /// two requests. If there is none, it gets a response with status 503.
+  /// two requests; if there is none, one that has sent nothing, or no more of
+  /// its request, for a second. Otherwise it gets a response with status 503.
   std::size_t connection_limit = 8192;
   std::size_t refusal_limit = 16;  ///< connections being refused at a time
   /// Connections that have not been accepted; 0: as many as the system allows.
@@ -60,8 +61,8 @@
   std::uint64_t idle_replaced = 0;    ///< closed for the sake of new ones
   std::uint64_t accept_failures = 0;  ///< most likely out of descriptors
   std::uint64_t exceptions = 0;       ///< of handlers; the connection ended
-  /// Refused without progress on their requests, which have not run: others
-  /// needed the memory, or the connection.
+  /// Refused without progress on their requests, which have not run, or without
+  /// any request: others needed the memory, or the connection.
   std::uint64_t stalled_closed = 0;
   /// Listeners and connections whose buffers could not be set.
   std::uint64_t buffer_failures = 0;
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -510,8 +510,16 @@
   const ReadTimer timer(this->runtime, this->stream,
                         this->until - this->runtime->Now());
   Completion read = Await([&](auto handler) {
-    this->stream->async_read_some(this->buffer.prepare(size),
-                                  std::move(handler));
+    this->stream->async_read_some(
+        this->buffer.prepare(size),
+        [this, handler](const boost::system::error_code& error,
+                        std::size_t bytes) mutable {
+          // The fiber may run later, and the request is not stalled until then.
+          if (!error) {
+            this->last_arrival = this->runtime->Now();
+          }
+          handler(error, bytes);
+        });
   });
   if (timer.Expired()) {
     read.error = beast::error::timeout;
@@ -519,7 +527,6 @@
   if (!read.error) {
     this->buffer.commit(read.bytes);
     this->received += read.bytes;
-    this->last_arrival = this->runtime->Now();
   }
   return read;
 }
--- a/unit_tests/connection_budget_test.cc
+++ b/unit_tests/connection_budget_test.cc
@@ -280,3 +280,54 @@
     cr_expect_eq(held(), 0);
   });
 }
+
+// Guards against peers that take all connections and send nothing: each of
+// them was kept for 10 s while new ones were refused.
+Test(connection_budget, a_new_connection_replaces_one_that_has_sent_nothing) {
+  io::Runtime::Run([](io::Runtime& runtime) {
+    io::HttpServerSettings settings;
+    settings.listen = {"127.0.207.1", 23015};
+    settings.connection_limit = 3;
+    const auto server = Serve(runtime, settings);
+    Caller silent(settings.listen);
+    runtime.SleepFor(milliseconds(20));
+    Caller moving(settings.listen);
+    moving.SendBody(200'000, 100);
+    for (int i = 0; i < 12; ++i) {
+      runtime.SleepFor(milliseconds(100));
+      moving.Send("b");
+    }
+    Caller recent(settings.listen);
+    runtime.SleepFor(milliseconds(20));
+    Caller next(settings.listen);
+    next.SendBody(2, 2);
+    Caller refused(settings.listen);
+    runtime.SleepFor(milliseconds(50));
+    cr_expect(next.Receive().starts_with("HTTP/1.1 200"));
+    cr_expect(silent.Receive().starts_with("HTTP/1.1 503"));
+    // Neither a request in progress nor a connection that has just been made.
+    cr_expect_eq(moving.Receive(), "");
+    cr_expect_eq(recent.Receive(), "");
+    cr_expect(refused.Receive().starts_with("HTTP/1.1 503"));
+    cr_expect_eq(server->Counts().stalled_closed, 1);
+    cr_expect_eq(server->Counts().over_limit, 1);
+  });
+}
+
+// Guards against requests that are refused because the process was too busy to
+// read them within the time that a connection may be silent.
+Test(connection_budget, a_silent_connection_with_unread_input_is_served) {
+  io::Runtime::Run([](io::Runtime& runtime) {
+    io::HttpServerSettings settings;
+    settings.listen = {"127.0.207.1", 23016};
+    settings.connection_limit = 1;
+    const auto server = Serve(runtime, settings);
+    Caller late(settings.listen);
+    runtime.SleepFor(milliseconds(1100));
+    Caller next(settings.listen);
+    late.SendBody(2, 2);
+    runtime.SleepFor(milliseconds(50));
+    cr_expect(late.Receive().starts_with("HTTP/1.1 200"));
+    cr_expect_eq(server->Counts().stalled_closed, 0);
+  });
+}
