Control ports have a memory budget of their own

Requests to readiness, directory, other VMs' state and metrics were accounted to forwarded requests: a crowd on one of these ports could hold the whole budget of requests that other VMs forward.

They have an owner of their own, control_requests, with 0.005 of the memory limit and at least 1 MiB, enough for a head of 16 KiB with as many fields as it can have (690 KiB as counted).

--- a/chervilpass/memory/memory_budget.cc
+++ b/chervilpass/memory/memory_budget.cc
@@ -6,7 +6,10 @@
 namespace {
 
 // Shares of the memory limit, in the order of the owners.
-constexpr std::array<double, kOwnerCount> kLimitShares = {0.16, 0.06, 0.12};
+constexpr std::array<double, kOwnerCount> kLimitShares = {0.16, 0.06, 0.12,
+                                                          0.005};
+// A head of 16 KiB with as many fields as it can have counts with 690 KiB.
+constexpr std::size_t kMinControlLimit = 1024 * 1024;
 
 }  // namespace
 
@@ -18,6 +21,8 @@
       return "forwarded_requests";
     case Owner::kAnswers:
       return "answers";
+    case Owner::kControlRequests:
+      return "control_requests";
   }
   return "";
 }
@@ -28,6 +33,9 @@
     settings.limits[i] = static_cast<std::size_t>(
         kLimitShares[i] * static_cast<double>(limit_bytes));
   }
+  std::size_t& control =
+      settings.limits[static_cast<std::size_t>(Owner::kControlRequests)];
+  control = std::max(control, kMinControlLimit);
   return settings;
 }
 
--- a/chervilpass/memory/memory_budget.h
+++ b/chervilpass/memory/memory_budget.h
@@ -14,13 +14,15 @@
   kCallerRequests,     ///< Bodies of callers' requests, and their copies.
   kForwardedRequests,  ///< The same for requests of other VMs.
   kAnswers,            ///< Bodies of answers that are read whole.
+  kControlRequests,    ///< Requests to listeners that serve no callers.
 };
 
-inline constexpr std::size_t kOwnerCount = 3;
+inline constexpr std::size_t kOwnerCount = 4;
 inline constexpr std::array<Owner, kOwnerCount> kOwners = {
-    Owner::kCallerRequests, Owner::kForwardedRequests, Owner::kAnswers};
+    Owner::kCallerRequests, Owner::kForwardedRequests, Owner::kAnswers,
+    Owner::kControlRequests};
 
-/// "caller_requests", "forwarded_requests" or "answers".
+/// "caller_requests", "forwarded_requests", "answers" or "control_requests".
 std::string_view OwnerName(Owner owner);
 
 /// Bytes that each owner may hold.
--- a/programs/router/connection_limits.cc
+++ b/programs/router/connection_limits.cc
@@ -25,6 +25,21 @@
 
 }  // namespace
 
+memory::Owner RequestOwnerOf(Listener listener) {
+  switch (listener) {
+    case Listener::kCallers:
+      return memory::Owner::kCallerRequests;
+    case Listener::kForwarded:
+      return memory::Owner::kForwardedRequests;
+    case Listener::kReadiness:
+    case Listener::kDirectory:
+    case Listener::kPeers:
+    case Listener::kMetrics:
+      break;
+  }
+  return memory::Owner::kControlRequests;
+}
+
 ConnectionLimits LimitConnections(const io::DescriptorDivision& allowed,
                                   std::size_t memory_bytes,
                                   const memory::MemoryBudgetSettings& bodies) {
--- a/programs/router/connection_limits.h
+++ b/programs/router/connection_limits.h
@@ -16,6 +16,21 @@
   bool operator==(const ConnectionLimits&) const = default;
 };
 
+/// Listeners of a router.
+enum class Listener {
+  kCallers,
+  kForwarded,
+  kReadiness,
+  kDirectory,
+  kPeers,
+  kMetrics,
+};
+
+/// For what the requests to a listener hold memory. Listeners that serve no
+/// callers have a budget of their own, so that a crowd on one of them takes
+/// nothing from the requests that other VMs forward.
+memory::Owner RequestOwnerOf(Listener listener);
+
 /// Reduces what the limit of descriptors allows to what the memory limit does.
 ConnectionLimits LimitConnections(const io::DescriptorDivision& allowed,
                                   std::size_t memory_bytes,
--- a/programs/router/main.cc
+++ b/programs/router/main.cc
@@ -409,30 +409,28 @@
     this->router =
         serving::Router::Create(std::move(dependencies), router_settings);
     this->caller_server = this->Listen(
-        this->settings.callers, this->shares.callers,
-        memory::Owner::kCallerRequests,
+        this->settings.callers, this->shares.callers, Listener::kCallers,
         [this](io::HttpExchange& exchange) { this->router->Handle(exchange); });
     const auto handle_entry_request = [this](io::HttpExchange& exchange) {
       std::visit([&](const auto& request) { this->Answer(exchange, request); },
                  platform::ReadEntryRequest(exchange.Request()));
     };
     this->forwarded_server = this->Listen(
-        this->settings.forwarded, this->shares.forwarded,
-        memory::Owner::kForwardedRequests,
+        this->settings.forwarded, this->shares.forwarded, Listener::kForwarded,
         [this](auto& exchange) { this->router->HandleForwarded(exchange); });
     this->RefuseByHead(this->caller_server.get(), false);
     this->RefuseByHead(this->forwarded_server.get(), true);
     this->readiness_server =
         this->Listen(this->settings.readiness, this->shares.readiness,
-                     std::nullopt, handle_entry_request);
+                     Listener::kReadiness, handle_entry_request);
     this->directory_server =
         this->Listen(this->settings.directory, this->shares.directory,
-                     std::nullopt, handle_entry_request);
+                     Listener::kDirectory, handle_entry_request);
     this->peer_server = this->Listen(
-        this->settings.peers, this->shares.peers, std::nullopt,
+        this->settings.peers, this->shares.peers, Listener::kPeers,
         [this](io::HttpExchange& exchange) { this->AnswerPeer(exchange); });
     this->metrics_server = this->Listen(
-        this->settings.metrics, this->shares.metrics, std::nullopt,
+        this->settings.metrics, this->shares.metrics, Listener::kMetrics,
         [this](io::HttpExchange& exchange) { this->AnswerMetrics(exchange); });
     return this->caller_server && this->forwarded_server &&
            this->readiness_server && this->directory_server &&
@@ -445,7 +443,7 @@
 
   std::unique_ptr<io::HttpServer> Listen(const io::Endpoint& address,
                                          const io::ListenerShare& share,
-                                         std::optional<memory::Owner> owner,
+                                         Listener listener,
                                          io::HttpHandler handler) {
     io::HttpServerSettings server;
     server.listen = address;
@@ -454,10 +452,10 @@
     server.backlog = memory::BacklogOf(share.connections);
     server.buffers = this->Buffers();
     // Other VMs close a connection only if its caller has left.
-    server.half_closed_peers = owner == memory::Owner::kCallerRequests;
+    server.half_closed_peers = listener == Listener::kCallers;
     server.budget = &this->budget;
-    server.owner = owner.value_or(memory::Owner::kForwardedRequests);
-    if (!owner) {
+    server.owner = RequestOwnerOf(listener);
+    if (server.owner == memory::Owner::kControlRequests) {
       server.limits.body_bytes = kMaxControlBodyBytes;
     }
     auto created =
