Revert the changes of the placement decider: weight loads at 300 VMs

Weight loads are what the bound of 120 a minute is for, and the repairs of the first replica were exempt from it. Which of the three changes causes the loads is not traced.

Reverts the merge: takeover of a claim of an earlier start, first replica first, spaced calls and shared reads of the claim.

--- a/chervilpass/fleet/decider_claim.cc
+++ b/chervilpass/fleet/decider_claim.cc
@@ -33,19 +33,15 @@
   const auto former = this->record;
   this->record = read;
   if (this->Holds() && former && former->vm != this->vm) {
-    this->may_act_from = answered + this->HandoverDelay();
+    this->may_act_from =
+        answered + (this->holder_alive ? this->settings.alive_handover_delay
+                                       : this->settings.handover_delay);
   }
   this->store_read = true;
   this->read_at = asked;
   this->contested = false;
 }
 
-Duration DeciderClaim::HandoverDelay() const {
-  return this->holder_alive       ? this->settings.alive_handover_delay
-         : this->holder_restarted ? this->settings.restarted_handover_delay
-                                  : this->settings.handover_delay;
-}
-
 bool DeciderClaim::Holds() const {
   return this->record && this->record->vm == this->vm &&
          this->record->boot_id == this->boot_id;
@@ -122,13 +118,8 @@
         return member.vm == this->record->vm &&
                member.boot_id == this->record->boot_id && CanDecide(member);
       });
-  this->holder_restarted =
-      std::any_of(members.begin(), members.end(), [this](const Member& member) {
-        return member.vm == this->record->vm &&
-               member.boot_id > this->record->boot_id && IsPresent(member);
-      });
-  // An earlier start of a VM has ended.
-  if (this->record->vm == this->vm || this->holder_restarted) {
+  // An earlier start of this VM cannot act any longer.
+  if (this->record->vm == this->vm) {
     return ClaimAction::kTakeOver;
   }
   if (holder_present) {
--- a/chervilpass/fleet/decider_claim.h
+++ b/chervilpass/fleet/decider_claim.h
@@ -35,10 +35,6 @@
   /// The same if the former holder is known to be alive: during an outage of
   /// the store it acts until it hears that another VM reaches the store again.
   Duration alive_handover_delay = milliseconds(1500);
-  /// The same if the former holder's VM has a higher boot id since. A process
-  /// raises its own if the time of day was set back; it then stops within 200
-  /// ms, and its last call ends within 300 ms.
-  Duration restarted_handover_delay = milliseconds(500);
 
   bool operator==(const DeciderClaimSettings&) const = default;
 };
@@ -109,9 +105,6 @@
   static const membership::Member* Candidate(
       const std::vector<membership::Member>& members);
 
-  // Time for which this VM sends nothing after a takeover.
-  Duration HandoverDelay() const;
-
   // True if another VM may take over the claim now.
   bool IsContested(const std::vector<membership::Member>& members) const;
 
@@ -125,9 +118,8 @@
   std::optional<Instant> holder_missing_since;
   bool contested = false;           ///< at some time since the last read
   std::size_t heard_when_read = 0;  ///< other VMs that were present then
-  bool holder_alive = false;      ///< the one before this VM, at the last Next
-  bool holder_restarted = false;  ///< its boot id has risen, at the last Next
-  Instant may_act_from{};         ///< after a takeover
+  bool holder_alive = false;  ///< the one before this VM, at the last Next
+  Instant may_act_from{};     ///< after a takeover
 };
 
 }  // namespace chervilpass::fleet
--- a/chervilpass/fleet/placement_controller.cc
+++ b/chervilpass/fleet/placement_controller.cc
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
 #include <boost/json.hpp>
 #include <map>
 #include <set>
@@ -28,8 +26,6 @@
 constexpr Duration kReportLifetime = seconds(4);
 // A lateness counts less by the time since, divided by this.
 constexpr int kLatenessDecay = 4;
-// A report and the order itself.
-constexpr int kCallsOfOrder = 2;
 
 json::value EncodeRecord(const DeciderRecord& record) {
   json::object body;
@@ -84,8 +80,7 @@
         members(std::move(members)),
         cut_off(std::move(cut_off)),
         claim(std::move(claim)),
-        governor(settings.governor),
-        calls(settings.calls, runtime->Now()) {}
+        governor(settings.governor) {}
 
   io::Runtime* runtime;
   platform::StoreClient* store;
@@ -100,11 +95,8 @@
 
   std::uint64_t claim_revision = 0;
   bool claim_read_failed = false;  ///< the last one
-  bool reading_claim = false;      ///< by RefreshClaim
-  boost::fibers::mutex claim_mutex;
-  boost::fibers::condition_variable claim_was_read;
+  bool reading_claim = false;      ///< on a fiber of its own
   placement::OrderGovernor governor;
-  placement::CallPace calls;  ///< to workers with open orders
   /// Of the control loop, less a share of the time since.
   Duration lateness{0};
   std::map<placement::HoldReason, std::size_t> held;  ///< since the last line
@@ -126,7 +118,7 @@
       this->runtime->SleepFor(this->settings.check_interval);
       this->RecordLateness(this->runtime->Now() - slept -
                            this->settings.check_interval);
-      this->governor.OnRound(this->routing_state->Servers().Size(),
+      this->governor.OnRound(this->routing_state->Servers().All().size(),
                              this->runtime->Now());
       this->UpdateClaim();
       if (this->claim.Holds() != this->is_decider) {
@@ -193,29 +185,19 @@
     }
   }
 
-  // One read serves all fibers that need one: while a fleet of thousands of
-  // workers starts, each of as many orders does. After a failure no fiber waits
-  // for the store: repairs continue while it is unavailable.
+  // After a failure the loop does not wait for the store: repairs continue
+  // while it is unavailable.
   void RefreshClaim() {
-    if (this->claim_read_failed) {
-      if (!std::exchange(this->reading_claim, true)) {
-        this->runtime->Spawn(
-            [self = this->shared_from_this()] { self->ReadClaimForAll(); });
-      }
+    if (!this->claim_read_failed) {
+      this->ReadClaim();
     } else if (!std::exchange(this->reading_claim, true)) {
-      this->ReadClaimForAll();
-    } else {
-      std::unique_lock lock(this->claim_mutex);
-      this->claim_was_read.wait(lock, [this] { return !this->reading_claim; });
+      this->runtime->Spawn([self = this->shared_from_this()] {
+        self->ReadClaim();
+        self->reading_claim = false;
+      });
     }
   }
 
-  void ReadClaimForAll() {
-    this->ReadClaim();
-    this->reading_claim = false;
-    this->claim_was_read.notify_all();
-  }
-
   void ReadClaim() {
     const Instant asked = this->runtime->Now();
     const auto read =
@@ -449,9 +431,6 @@
   // number of orders that the worker has accepted so far, so a delayed order
   // cannot undo a newer one.
   void RunOrder(const PlacementOrder& order) {
-    this->AwaitTurn(order.urgent ? placement::CallKind::kRepair
-                                 : placement::CallKind::kOther,
-                    kCallsOfOrder);
     const Instant begun = this->runtime->Now();
     // A worker that still carries out the order gets no other one.
     bool in_progress = false;
@@ -468,7 +447,7 @@
       const routing::BackendServer worker = *server;
       const auto report = this->FetchReport(worker);
       if (!report) {
-        this->AwaitNextReport();
+        this->runtime->SleepFor(this->settings.load_poll_interval);
         if (this->routing_state->IsUnreachable(worker.id,
                                                this->runtime->Now())) {
           return;
@@ -498,24 +477,10 @@
           return;
         }
       }
-      this->AwaitNextReport();
+      this->runtime->SleepFor(this->settings.load_poll_interval);
     }
   }
 
-  void AwaitTurn(placement::CallKind kind, int number) {
-    const Duration wait =
-        this->calls.Reserve(kind, number, this->runtime->Now());
-    if (wait > Duration::zero()) {
-      this->runtime->SleepFor(wait);
-    }
-  }
-
-  // Between two reports of a worker with an open order.
-  void AwaitNextReport() {
-    this->runtime->SleepFor(this->settings.load_poll_interval);
-    this->AwaitTurn(placement::CallKind::kOther, 1);
-  }
-
   std::optional<platform::WorkerReport> FetchReport(
       const routing::BackendServer& worker) {
     this->metrics->Increment("chervil_reports_asked_total");
--- a/chervilpass/fleet/placement_controller.h
+++ b/chervilpass/fleet/placement_controller.h
@@ -12,7 +12,6 @@
 #include "chervilpass/core/metrics.h"
 #include "chervilpass/fleet/decider_claim.h"
 #include "chervilpass/io/http_client.h"
-#include "chervilpass/placement/call_pace.h"
 #include "chervilpass/placement/order_governor.h"
 #include "chervilpass/placement/planner.h"
 #include "chervilpass/serving/routing_state.h"
@@ -46,7 +45,6 @@
   Duration held_log_interval = seconds(10);
   placement::PlannerSettings planner;
   placement::OrderGovernorSettings governor;
-  placement::CallPaceSettings calls;  ///< to workers with open orders
 
   bool operator==(const PlacementControllerSettings&) const = default;
 };
--- a/chervilpass/placement/order_governor.cc
+++ b/chervilpass/placement/order_governor.cc
@@ -56,7 +56,7 @@
     return reason;
   }
   this->open.insert(order.worker);
-  if (!basis.starting && !order.first_replica) {
+  if (!basis.starting) {
     this->loads.push_back(basis.now);
   }
   return std::nullopt;
@@ -92,9 +92,6 @@
 }
 
 bool OrderGovernor::ExceedsRate(const PlacementOrder& order) const {
-  if (order.first_replica) {
-    return false;
-  }
   const double limit = order.urgent ? this->settings.loads_per_minute
                                     : this->settings.move_share *
                                           this->settings.loads_per_minute;
--- a/chervilpass/placement/order_governor.h
+++ b/chervilpass/placement/order_governor.h
@@ -34,8 +34,7 @@
   double fill_share = 0.05;
   Duration fill_window = seconds(1);
   /// Weight loads that may be ordered in any minute. The repair of a few lost
-  /// workers takes fewer than ten. Those that complete the first whole replica
-  /// are neither bounded nor counted.
+  /// workers takes fewer than ten.
   std::uint32_t loads_per_minute = 120;
   /// Share of them that orders other than repairs may use.
   double move_share = 0.5;
--- a/chervilpass/placement/planner.cc
+++ b/chervilpass/placement/planner.cc
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <limits>
 #include <map>
-#include <utility>
 
 namespace chervilpass::placement {
 namespace {
@@ -82,11 +81,11 @@
     worker->order_open = true;
     for (PlacementOrder& order : this->orders) {
       if (order.worker == worker->worker) {
-        order = {worker->worker, layers, urgent || order.urgent, false};
+        order = {worker->worker, layers, urgent || order.urgent};
         return;
       }
     }
-    this->orders.push_back({worker->worker, layers, urgent, false});
+    this->orders.push_back({worker->worker, layers, urgent});
   }
 
   // True if the worker has an open order that is not from this plan.
@@ -480,29 +479,6 @@
   std::vector<PlacementOrder> orders;
 };
 
-// True if the workers hold all layers once the orders have taken effect.
-bool Completes(const ModelProfile& model,
-               std::vector<PlannedWorker> workers,
-               const std::vector<PlacementOrder>& orders) {
-  std::map<std::string, LayerRange> ordered;
-  for (const PlacementOrder& order : orders) {
-    ordered[order.worker] = order.layers;
-  }
-  for (PlannedWorker& worker : workers) {
-    const auto found = ordered.find(worker.worker);
-    if (found != ordered.end()) {
-      worker.layers = found->second;
-    }
-  }
-  return UncoveredLayers(model, workers).empty();
-}
-
-std::size_t CountUrgent(const std::vector<PlacementOrder>& orders) {
-  return static_cast<std::size_t>(
-      std::count_if(orders.begin(), orders.end(),
-                    [](const PlacementOrder& order) { return order.urgent; }));
-}
-
 double TotalLayers(const ModelProfile& model,
                    const std::vector<PlannedWorker>& workers,
                    double kv_tokens) {
@@ -596,16 +572,11 @@
   const Duration return_time =
       has_replica ? settings.return_time : settings.return_time_without_replica;
   std::vector<PlannedWorker> too_small;
-  std::vector<std::vector<PlacementOrder>> plans;
-  std::vector<PlacementOrder>* soonest = nullptr;  // with the fewest repairs
-  plans.reserve(groups.size() + 1);
+  std::vector<PlacementOrder> orders;
   const auto plan = [&](const std::vector<PlannedWorker>& group) {
-    plans.push_back(GroupPlan(model, group, settings, return_time).Run());
-    if (!has_replica && Completes(model, group, plans.back()) &&
-        (soonest == nullptr ||
-         CountUrgent(plans.back()) < CountUrgent(*soonest))) {
-      soonest = &plans.back();
-    }
+    const auto group_orders =
+        GroupPlan(model, group, settings, return_time).Run();
+    orders.insert(orders.end(), group_orders.begin(), group_orders.end());
   };
   for (const auto& [data_centre, group] : groups) {
     if (TotalLayers(model, group, settings.min_kv_tokens) < model.layers) {
@@ -617,19 +588,9 @@
   if (!too_small.empty()) {
     plan(too_small);
   }
-  if (soonest != nullptr) {
-    for (PlacementOrder& order : *soonest) {
-      order.first_replica = order.urgent;
-    }
-  }
-  std::vector<PlacementOrder> orders;
-  for (const std::vector<PlacementOrder>& group_orders : plans) {
-    orders.insert(orders.end(), group_orders.begin(), group_orders.end());
-  }
   std::stable_sort(orders.begin(), orders.end(),
                    [](const PlacementOrder& a, const PlacementOrder& b) {
-                     return std::pair(a.first_replica, a.urgent) >
-                            std::pair(b.first_replica, b.urgent);
+                     return a.urgent && !b.urgent;
                    });
   return orders;
 }
--- a/chervilpass/placement/planner.h
+++ b/chervilpass/placement/planner.h
@@ -40,9 +40,6 @@
   /// True if the order covers layers that no worker holds: requests wait for
   /// it.
   bool urgent = false;
-  /// True if no data centre has a whole replica and the orders with this mark
-  /// complete one: until then hardly a request is served.
-  bool first_replica = false;
 
   auto operator<=>(const PlacementOrder&) const = default;
 };
@@ -93,10 +90,9 @@
                        const std::vector<PlannedWorker>& workers,
                        const PlannerSettings& settings);
 
-/// Returns the orders to send now: those of the first replica, other urgent
-/// ones, then the rest; none once nothing can be improved. No order exceeds a
-/// worker's memory, and each worker gets at most one. Data centres too small
-/// for a complete replica are planned together.
+/// Returns the orders to send now, urgent ones first; none once nothing can be
+/// improved. No order exceeds a worker's memory, and each worker gets at most
+/// one. Data centres too small for a complete replica are planned together.
 std::vector<PlacementOrder> PlanPlacement(
     const ModelProfile& model,
     const std::vector<PlannedWorker>& workers,
--- a/chervilpass/routing/server_registry.h
+++ b/chervilpass/routing/server_registry.h
@@ -95,9 +95,6 @@
   /// Servers of all services, leaving ones included.
   std::vector<const BackendServer*> All() const;
 
-  /// Number of servers in All.
-  std::size_t Size() const { return this->by_address.size(); }
-
   /// Those of them whose services are configured.
   std::vector<const BackendServer*> Configured() const;
 
