--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -144,8 +144,8 @@
           this->dependencies.runtime->SleepFor(kPathPollInterval);
           continue;
         }
-        // Workers that have just refused it count as unusable. Rests have a
-        // known end, with which the caller is told to retry.
+        // Workers that have just refused the request count as unusable. Where
+        // workers have told when to retry, the caller is told that instead.
         if (this->policy.MayWait(this->scope.TimeLeft()) &&
             this->dependencies.routing_state->RetryAfterRests(
                 this->context.service, this->dependencies.runtime->Now()) ==
