stop_ends: the time of an exit is taken when the process exits

stops_end_before_the_process_is_killed failed once in continuous integration: a router that must end within 7.7 s of an 8 s grace period was seen to end after 7.70 s.

Cause: Popen.wait() with a time-out polls every 50 ms. The schedule of a stop ends at 7.65 s, so the poll alone took the whole of what was left.

Change: the test waits on a process descriptor, which becomes readable when the process exits. The bounds are unchanged.

--- a/fault_tests/stop_ends.py
+++ b/fault_tests/stop_ends.py
@@ -9,9 +9,9 @@
 gets no whole answer; and if a call gets none at all."""
 
 import os
+import select
 import signal
 import socket
-import subprocess
 import sys
 import threading
 import time
@@ -50,6 +50,17 @@
         FAILED.append(what)
 
 
+def await_exit(child, timeout_s):
+    """Returns as soon as the process exits: Popen.wait() polls every 50 ms, the whole of what EXIT_MARGIN_S leaves a stop
+    that ends in time."""
+    descriptor = os.pidfd_open(child.pid)
+    try:
+        select.select([descriptor], [], [], max(0.0, timeout_s))
+    finally:
+        os.close(descriptor)
+    return child.poll()
+
+
 class Stop:
     """A router that has got SIGTERM."""
 
@@ -62,12 +73,11 @@
 
     def check_ended(self, name, grace_s):
         """Kills the process at the end of its grace period, as the platform does."""
-        try:
-            code = self.router.process.child.wait(max(0.0, self.begun + grace_s - time.monotonic()))
-        except subprocess.TimeoutExpired:
+        code = await_exit(self.router.process.child, self.begun + grace_s - time.monotonic())
+        self.ended_s = time.monotonic() - self.begun
+        if code is None:
             code = "killed"
             self.router.process.kill()
-        self.ended_s = time.monotonic() - self.begun
         check("%s: %s ends in order and within its grace period" % (name, self.router.name), code == 0,
               "%s after %.2f s" % (code, self.ended_s))
 
