Waiting streams go on after a send that was not sent

Cause: RetryPolicy waited for capacity only after a rejection by a server. A stream that had been rejected four times and whose next worker could not be connected to was refused with time left, against priority-classes.md ("Waiting").

Change: such a send leads to a further wait, which takes no retry from the budget. Without a rejection by a server there is no wait, as before.

--- a/chervilpass/serving/retry_policy.h
+++ b/chervilpass/serving/retry_policy.h
@@ -101,8 +101,10 @@
     }
     const bool rejections_used_up =
         this->rejected_sends >= this->settings.max_rejected_sends;
-    if (outcome == SendOutcome::kNotExecuted && rejections_used_up &&
-        this->MayWait(time_left) && budget()) {
+    const bool did_not_run = outcome == SendOutcome::kNotSent ||
+                             outcome == SendOutcome::kNotExecuted;
+    if (did_not_run && rejections_used_up && this->MayWait(time_left) &&
+        (outcome == SendOutcome::kNotSent || budget())) {
       return RetryDecision::kWait;
     }
     if (outcome == SendOutcome::kFailed) {
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -224,7 +224,9 @@
     if (this->scope.Stopped()) {
       return this->EndStopped();
     }
-    if (decision == RetryDecision::kRefuse && !standby_ready &&
+    const bool may_not_retry_now =
+        decision == RetryDecision::kRefuse || decision == RetryDecision::kWait;
+    if (may_not_retry_now && !standby_ready &&
         result.outcome == SendOutcome::kNotSent) {
       if (auto served = this->ServeThroughPeer()) {
         return served;
