Only refusals for lack of capacity exempt the next try from its class

Cause: each refusal was remembered, also one for a deadline, quarantine or workers that cannot be reached. The next try was then not bound by its class, although nothing newer had taken its place.

Change: a request is remembered if it found no room at some time, or was refused while a worker of its service was in cooldown because it was full.

Result: only_refusals_for_lack_of_room_are_remembered (priority_router_test) failed before and passes now.

--- a/chervilpass/admission/capacity_policy.h
+++ b/chervilpass/admission/capacity_policy.h
@@ -33,7 +33,8 @@
   std::string service;
   PriorityRank rank;
   std::string organisation;  ///< empty if it has none
-  bool returned = false;     ///< this VM has refused it lately
+  /// This VM has refused it lately for lack of capacity.
+  bool returned = false;
 
   bool operator==(const CapacityClaim&) const = default;
 };
--- a/chervilpass/admission/recent_refusals.h
+++ b/chervilpass/admission/recent_refusals.h
@@ -1,5 +1,5 @@
-// Remembers which requests were refused recently, to recognise those that their
-// callers submit again.
+// Remembers which requests were refused recently for lack of capacity, to
+// recognise those that their callers submit again.
 #pragma once
 
 #include <cstdint>
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -152,7 +152,8 @@
   /// Of its rank among those that use the service; none if there is one.
   std::optional<admission::PriorityClass> priority_class;
   std::uint64_t fingerprint = 0;
-  bool returned = false;  ///< this VM has refused it lately
+  /// This VM has refused it lately for lack of capacity.
+  bool returned = false;
   /// Fingerprints of the parts of the prompt; none on plain services.
   std::vector<std::uint64_t> prompt_parts;
   Instant received{};
@@ -179,7 +180,8 @@
   std::string objective = {};
   Duration first_event{0};
   Duration max_event_interval{0};
-  std::uint64_t events = 0;  ///< of a stream, forwarded to the caller
+  std::uint64_t events = 0;      ///< of a stream, forwarded to the caller
+  bool lacked_capacity = false;  ///< found no room on workers at some time
 };
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -346,7 +346,7 @@
     const Duration elapsed =
         this->dependencies.runtime->Now() - context.received;
     this->RecordRunTime(context, result, elapsed);
-    if (result.outcome == "refused" && context.fingerprint != 0) {
+    if (result.outcome == "refused" && result.lacked_capacity) {
       this->dependencies.routing_state->Capacity().Refusals().OnRefused(
           context.fingerprint, this->dependencies.runtime->Now());
     }
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -255,6 +255,14 @@
                      });
 }
 
+bool RoutingState::HasFull(const std::string& service, Instant now) const {
+  const auto usable = this->servers.Usable(service);
+  return std::any_of(
+      usable.begin(), usable.end(), [&](const routing::BackendServer* server) {
+        return this->FullCooldownLeft(server->id, now) > Duration::zero();
+      });
+}
+
 void RoutingState::ClearUnreachable(Instant now) {
   if (this->pacing) {
     this->pacing->OnLinksRegained(now);
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -226,6 +226,9 @@
   /// True if this VM cannot reach some worker of the service.
   bool HasUnreachable(const std::string& service, Instant now) const;
 
+  /// True if some worker of the service is in cooldown for lack of capacity.
+  bool HasFull(const std::string& service, Instant now) const;
+
   /// Forgets which servers could not be reached.
   void ClearUnreachable(Instant now);
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -176,6 +176,9 @@
     }
   }
 
+  /// True if the request found no room on workers at some time.
+  bool LackedCapacity() const { return this->lacked_capacity; }
+
  private:
   // The wait for a permit lies between the two.
   enum class Check { kInAdvance, kAtSend };
@@ -600,7 +603,8 @@
   }
 
   // Less urgent requests leave headroom for some time.
-  void RecordLackOfCapacity() const {
+  void RecordLackOfCapacity() {
+    this->lacked_capacity = true;
     this->dependencies.routing_state->Capacity().OnLacked(
         ClaimOf(this->context), this->bounds,
         this->dependencies.runtime->Now());
@@ -1010,6 +1014,10 @@
     }
     if (no_capacity) {
       this->RecordLackOfCapacity();
+    } else {
+      // Workers in cooldown are no candidates.
+      this->lacked_capacity |= this->dependencies.routing_state->HasFull(
+          this->context.service, this->dependencies.runtime->Now());
     }
     if (this->policy.Executed() != Executed::kNo) {
       return Refuse(this->context, RefusalCode::kBackendFailed,
@@ -1139,6 +1147,7 @@
   std::string objective_decision;
   std::string run_error;      ///< why the last run could not be used
   bool sent_to_peer = false;  ///< the request may have run at another VM
+  bool lacked_capacity = false;
   bool has_waited = false;    ///< for capacity
   bool stream_begun = false;  ///< the response head has been sent
   std::string content_type;   ///< of the response head
@@ -1161,7 +1170,10 @@
                           const RequestContext& context,
                           const placement::ModelProfile& model,
                           Duration time_left) {
-  return StreamProxy(dependencies, registry, context, model, time_left).Serve();
+  StreamProxy proxy(dependencies, registry, context, model, time_left);
+  RequestResult result = proxy.Serve();
+  result.lacked_capacity = proxy.LackedCapacity();
+  return result;
 }
 
 }  // namespace chervilpass::serving
--- a/unit_tests/priority_router_test.cc
+++ b/unit_tests/priority_router_test.cc
@@ -176,3 +176,18 @@
     cr_assert_lt(runtime.Now() - start, milliseconds(600));
   });
 }
+
+// Guards against headroom that is lent after a refusal for another reason.
+Test(priority_router, only_refusals_for_lack_of_room_are_remembered) {
+  OnRuntime([](io::Runtime& runtime) {
+    RouterFixture fixture(runtime, 27860);
+    SetPriorities(&fixture);
+    const auto& refusals = fixture.routing_state.Capacity().Refusals();
+    const io::HttpRequest request = fixture.Request("/once/x", "r", "600");
+    cr_assert_eq(fixture.Call(request).value().status, 503);  // no worker
+    cr_assert_eq(refusals.Size(), 0);
+    fixture.AddServer(1, "llm", {0, 4}, Reject);
+    cr_assert_eq(fixture.Call(request).value().status, 503);
+    cr_assert_eq(refusals.Size(), 1);
+  });
+}
