Workers left out of partial loads count with the average everywhere

Cause: only the sampled search read the average that a data centre sends for the workers its partial list leaves out. Where all workers are priced, and for the load that paced servers are compared with, these workers counted as idle.

Change: LoadTracker::RestLoad gives that average for one worker, by two look-ups. The estimate of candidates asks for it only while the recent loads of some data centre are partial; otherwise the sums are as before.

Result: workers_left_out_of_partial_loads_count_with_the_average (large_fleet_test) failed before and passes now. smaller_fleets_price_all_workers_as_before passes unchanged.

--- a/chervilpass/placement/load_tracker.cc
+++ b/chervilpass/placement/load_tracker.cc
@@ -180,6 +180,24 @@
   return cached.totals;
 }
 
+WorkerLoad LoadTracker::RestLoad(std::uint32_t worker,
+                                 const std::string& data_centre,
+                                 Instant now) const {
+  const auto found = this->data_centres.find(data_centre);
+  const bool left_out = found != this->data_centres.end() &&
+                        now - found->second.at <= kPeerLoadLifetime &&
+                        !found->second.loads.contains(worker);
+  return left_out ? found->second.rest : WorkerLoad{};
+}
+
+bool LoadTracker::HasRestLoads(Instant now) const {
+  return std::any_of(this->data_centres.begin(), this->data_centres.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.at <= kPeerLoadLifetime &&
+                              entry.second.rest != WorkerLoad{};
+                     });
+}
+
 WorkerLoad LoadTracker::LoadExcludingLocal(std::uint32_t worker,
                                            const std::string& data_centre,
                                            Instant now) const {
--- a/chervilpass/placement/load_tracker.h
+++ b/chervilpass/placement/load_tracker.h
@@ -81,14 +81,23 @@
   /// without recent loads count with the average of the others.
   LoadsByKey DataCentreTotals(Instant now) const;
 
-  /// Returns the known load of all other entries, valid until the next call of
-  /// a method. Summed again only after loads have arrived or expired.
+  /// Returns the known load of all other entries, without RestLoad, valid until
+  /// the next call of a method. Summed again only after loads have arrived or
+  /// expired.
   const LoadsByKey& TotalsExcludingLocal(Instant now) const;
 
+  /// Returns the average load to add to TotalsExcludingLocal for a worker that
+  /// the recent partial loads of its data centre do not list; zero for others.
+  WorkerLoad RestLoad(std::uint32_t worker,
+                      const std::string& data_centre,
+                      Instant now) const;
+
+  /// True if the recent loads of any data centre are partial.
+  bool HasRestLoads(Instant now) const;
+
   /// Returns the known load of all other entries on one worker, as
-  /// TotalsExcludingLocal up to rounding and the rest of partial loads. Its
-  /// cost does not depend on the number of workers or entries. Call DropExpired
-  /// before.
+  /// TotalsExcludingLocal with RestLoad, up to rounding. Its cost does not
+  /// depend on the number of workers or entries. Call DropExpired before.
   WorkerLoad LoadExcludingLocal(std::uint32_t worker,
                                 const std::string& data_centre,
                                 Instant now) const;
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -438,10 +438,17 @@
   }
   if (this->loads.HasRecentPeerLoads(now)) {
     const auto& totals = this->loads.TotalsExcludingLocal(now);
+    const bool has_rest_loads = this->loads.HasRestLoads(now);
     for (std::size_t i = 0; i < workers->candidates.size(); ++i) {
+      placement::PathCandidate& candidate = workers->candidates[i];
       const auto peer_total = totals.find(workers->keys[i]);
       if (peer_total != totals.end()) {
-        AddPeerLoad(peer_total->second, &workers->candidates[i]);
+        AddPeerLoad(peer_total->second, &candidate);
+      }
+      if (has_rest_loads) {
+        AddPeerLoad(
+            this->loads.RestLoad(workers->keys[i], candidate.data_centre, now),
+            &candidate);
       }
     }
   } else {
--- a/chervilpass/serving/server_pacing.cc
+++ b/chervilpass/serving/server_pacing.cc
@@ -198,12 +198,16 @@
       return;
     }
     placement::WorkerLoad load = this->state->Loads().LocalLoad(stage.worker);
-    const auto total = totals.find(placement::WorkerKey(stage.worker));
-    if (total != totals.end()) {
-      load.sequences += total->second.sequences;
-      load.context_tokens +=
-          total->second.kv_token_layers / std::max(1U, server->layers.Size());
+    const std::uint32_t key = placement::WorkerKey(stage.worker);
+    placement::WorkerLoad of_others =
+        this->state->Loads().RestLoad(key, server->data_centre, now);
+    if (const auto total = totals.find(key); total != totals.end()) {
+      of_others.sequences += total->second.sequences;
+      of_others.kv_token_layers += total->second.kv_token_layers;
     }
+    load.sequences += of_others.sequences;
+    load.context_tokens +=
+        of_others.kv_token_layers / std::max(1U, server->layers.Size());
     const double slots =
         placement::RequestSlots(model, kind->second, server->layers);
     const std::string start = this->state->Incarnation(stage.worker);
--- a/unit_tests/large_fleet_test.cc
+++ b/unit_tests/large_fleet_test.cc
@@ -281,6 +281,23 @@
   cr_assert(tracker.TotalsExcludingLocal(now).empty());
 }
 
+// Guards against streams that all go to the workers that the partial loads of
+// their data centre leave out, where paths are not sampled.
+Test(large_fleet, workers_left_out_of_partial_loads_count_with_the_average) {
+  const auto workers = PlacedWorkers(30);
+  const auto state = RoutingStateOf(workers, {});
+  const std::string listed = workers[1].worker;  // of "b"
+  state->Loads().OnDataCentreLoads("b", {{WorkerKey(listed), {9, 0, 50000}}},
+                                   kStart);
+  state->Loads().OnRestOfDataCentreLoads("b", {3, 0, 20000});
+  for (const PathCandidate& candidate :
+       state->PathCandidates("app", Model(), kStart)) {
+    const double left_out = candidate.data_centre == "b" ? 3 : 0;
+    cr_assert_eq(candidate.load.sequences,
+                 candidate.worker == listed ? 9 : left_out);
+  }
+}
+
 // Guards against weight loads in a large fleet although nothing is wrong.
 Test(large_fleet, calm_fleet_of_3000_workers_gets_no_orders) {
   cr_assert(PlanPlacement(Model(), PlacedWorkers(3000), {}).empty());
