A refusal reads the load of its worker only

Cause: LooksFull summed the loads of all peers to read one worker's, and missed the average of partial loads. The preview of a route searched all candidates for each server.

Change: LooksFull uses LoadExcludingLocal, after expired loads are dropped; the preview finds candidates by a map.

Result: a_full_worker_that_is_not_listed_does_not_count_as_refusing (large_fleet_test) failed before and passes now; route_preview_test passes unchanged. The cost was not measured.

--- a/chervilpass/serving/route_preview.cc
+++ b/chervilpass/serving/route_preview.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
+#include <unordered_map>
 
 #include "chervilpass/core/text.h"
 #include "chervilpass/placement/paced_path.h"
@@ -119,18 +121,18 @@
   query.answer_tokens =
       request.answer_tokens.value_or(model.typical_answer_tokens);
   const auto candidates = state.PathCandidates(shown->service, model, now);
+  std::unordered_map<std::string_view, const placement::PathCandidate*> by_id;
+  for (const placement::PathCandidate& candidate : candidates) {
+    by_id.emplace(candidate.worker, &candidate);
+  }
   const placement::StageCost cost(model, query, state.Settings().paths, true);
   for (const routing::BackendServer* server : state.Servers().All()) {
     if (server->service != shown->service) {
       continue;
     }
     PreviewCandidate candidate = Describe(state, *server, now);
-    const auto found =
-        std::find_if(candidates.begin(), candidates.end(),
-                     [server](const placement::PathCandidate& known) {
-                       return known.worker == server->id;
-                     });
-    if (found == candidates.end()) {
+    const auto entry = by_id.find(server->id);
+    if (entry == by_id.end()) {
       if (candidate.excluded_by.empty()) {
         candidate.excluded_by = server->layers.Empty() ? "holds no layers"
                                 : state.InCooldown(server->id, now)
@@ -138,6 +140,7 @@
                                     : "is of an unknown kind";
       }
     } else {
+      const placement::PathCandidate* found = entry->second;
       const bool first = found->layers.from == 0;
       const double seconds = cost.Seconds(*found, found->layers.Size(), first);
       candidate.requests = found->load.sequences;
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -145,6 +145,7 @@
           placement::RequestSlots(model, kind->second, server->layers), now);
     }
   }
+  this->loads.DropExpired(now);
   return this->cooldowns.RefusedRepeatedly(this->Incarnation(worker)) &&
          !this->LooksFull(worker, model, now) &&
          this->StartCooldown(worker, routing::CooldownReason::kRefusing, now);
@@ -206,12 +207,10 @@
     return false;
   }
   placement::WorkerLoad load = this->loads.LocalLoad(worker);
-  const auto& peer_totals = this->loads.TotalsExcludingLocal(now);
-  const auto found = peer_totals.find(placement::WorkerKey(worker));
-  if (found != peer_totals.end()) {
-    load.sequences += found->second.sequences;
-    load.kv_token_layers += found->second.kv_token_layers;
-  }
+  const placement::WorkerLoad of_others = this->loads.LoadExcludingLocal(
+      placement::WorkerKey(worker), server->data_centre, now);
+  load.sequences += of_others.sequences;
+  load.kv_token_layers += of_others.kv_token_layers;
   const auto kind = model.accelerator_kinds.find(server->accelerator_kind);
   const double kv_capacity =
       kind == model.accelerator_kinds.end()
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -360,7 +360,7 @@
                     std::vector<placement::PathCandidate>* candidates) const;
 
   // True if the worker is nearly full by the loads of this VM and those that
-  // other entry VMs report.
+  // other entry VMs report. Drop expired loads before.
   bool LooksFull(const std::string& worker,
                  const placement::ModelProfile& model,
                  Instant now) const;
--- a/unit_tests/large_fleet_test.cc
+++ b/unit_tests/large_fleet_test.cc
@@ -298,6 +298,21 @@
   }
 }
 
+// Guards against a full worker that is taken for one that refuses without
+// reason, since the partial loads of its data centre do not list it.
+Test(large_fleet, a_full_worker_that_is_not_listed_does_not_count_as_refusing) {
+  const auto workers = PlacedWorkers(30);
+  for (const double rest : {0.0, 192.0}) {
+    const auto state = RoutingStateOf(workers, {});
+    state->Loads().OnDataCentreLoads("b", {}, kStart);
+    state->Loads().OnRestOfDataCentreLoads("b", {rest, 0, 0});
+    state->RecordRefusal(workers[4].worker, Model(), kStart);
+    cr_assert_eq(
+        state->RecordRefusal(workers[4].worker, Model(), kStart + seconds(1)),
+        rest == 0);
+  }
+}
+
 // Guards against weight loads in a large fleet although nothing is wrong.
 Test(large_fleet, calm_fleet_of_3000_workers_gets_no_orders) {
   cr_assert(PlanPlacement(Model(), PlacedWorkers(3000), {}).empty());
