The search by objective uses the sample of the path it starts from

Cause: if the path of the own data centre's sample was kept after all data centres had been searched, the further search by objective ran on the sample of all, with the random costs of that search.

Change: FindSampledPath keeps the first sample and its random state, and restores both if it returns that path.

Result: no test of its own. Whether the first path is kept depends on random costs, so that a test would need a large set-up. large_fleet_test and objective_cost_test pass.

--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -613,13 +613,19 @@
     return own;
   }
   const auto everywhere = workers->sampler.DataCentres();
+  std::swap(workers->sample, workers->own_sample);
+  const Random own_search_random = this->last_search_random;
   const auto all = choose(everywhere, samples.workers_per_layer);
-  if (all.has_value()) {
-    return own.has_value() && own.value().cost <= all.value().cost ? own : all;
-  }
-  if (own.has_value()) {
+  if (own.has_value() &&
+      (all.has_error() || own.value().cost <= all.value().cost)) {
+    // A further search by objective uses the candidates of this path.
+    std::swap(workers->sample, workers->own_sample);
+    this->last_search_random = own_search_random;
     return own;
   }
+  if (all.has_value()) {
+    return all;
+  }
   ++this->widely_sampled_paths;
   return choose(everywhere, samples.wide_workers_per_layer);
 }
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -381,6 +381,8 @@
     placement::CandidateSampler sampler{{}, 0, {}};
     /// Reused, so that a request copies no strings into new memory.
     std::vector<placement::PathCandidate> sample;
+    /// The sample of the own data centre, while all are searched.
+    std::vector<placement::PathCandidate> own_sample;
   };
 
   // Built anew only if the registry or the model has changed.
