HTTP server: what a request holds is given back with its last response

Change: they are given back when no further request is read.

bodies_beyond_the_budget_are_refused_and_small_ones_served failed in its new part before, and passes.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -387,6 +387,8 @@
         after = this->ServeRequest(&stream, &reader, &*connection, first);
         first = false;
       }
+      // The end of the connection may take many seconds.
+      reader.Release();
       if (after == AfterRequest::kReadNext ||
           after == AfterRequest::kDiscardAndClose) {
         this->DiscardInput(&stream);
@@ -428,7 +430,7 @@
     // Before the response is written: that, and the end of the connection, may
     // take many seconds.
     if (read.error) {
-      reader->ReleaseUnread();
+      reader->Release();
     }
     if (read.error && (refusal || refuse)) {
       this->RespondUnread(
--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -284,7 +284,7 @@
       memory::MemoryShare(this->settings->budget, this->settings->owner);
 }
 
-void RequestReader::ReleaseUnread() {
+void RequestReader::Release() {
   this->ReleaseBody();
   this->buffer.clear();
   this->buffer.shrink_to_fit();
--- a/chervilpass/io/request_reader.h
+++ b/chervilpass/io/request_reader.h
@@ -95,9 +95,9 @@
   /// What the request holds of the budget.
   std::size_t HeldBytes() const { return this->share.Bytes(); }
 
-  /// Frees what a request that is not read on holds, and drops the input that
-  /// has not been parsed. Nothing may be read after it.
-  void ReleaseUnread();
+  /// Frees what a request that is not read on, or has been served, holds, and
+  /// drops the input that has not been parsed. Nothing may be read after it.
+  void Release();
 
   /// Bytes that have arrived since Begin, and before it.
   std::size_t Received() const { return this->received; }
--- a/unit_tests/memory_test.cc
+++ b/unit_tests/memory_test.cc
@@ -168,8 +168,12 @@
     cr_expect(small.Receive().starts_with("HTTP/1.1 200"));
     cr_expect_eq(budget.UseOf(Owner::kCallerRequests).held, 0);
     Caller large(settings.listen);
+    server->DisableKeepAlive();
     large.Send(Post(200'000, std::string(200'000, 'b')));
     runtime.SleepFor(milliseconds(50));
     cr_expect(large.Receive().starts_with("HTTP/1.1 200"));
+    // Given back although the callers keep their connections open.
+    cr_expect_eq(server->Connections(), 2);
+    cr_expect_eq(budget.UseOf(Owner::kCallerRequests).held, 0);
   });
 }
