Memory for answers: send buffers take half of it; a shortage is no failure

Cause: a large response took a send buffer of 256 KiB from the memory for answers without the guard that receive buffers have. Answers that then found no memory counted as failures of the servers that sent them.

Change: the same guard. An answer for which this process has no memory has an error code of its own and is no evidence for a server's health or pace.

bodies_beyond_the_budget_are_refused_and_small_ones_served (its last part) and a_want_of_memory_is_no_failure_of_the_server failed before, and pass.

--- a/chervilpass/io/http.h
+++ b/chervilpass/io/http.h
@@ -67,6 +67,7 @@
   kReset,     ///< The connection was closed before the message ended.
   kProtocol,  ///< The peer sent invalid HTTP.
   kTooLarge,  ///< A header or body exceeds its limit.
+  kNoMemory,  ///< This process has no memory for the body.
 };
 
 /// Error of the HTTP layer.
--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -483,7 +483,7 @@
     if (!this->state->AwaitMemory(body.size() + piece.size())) {
       return this->state->cancelled
                  ? HttpError{HttpErrorCode::kReset, "cancelled"}
-                 : HttpError{HttpErrorCode::kTooLarge,
+                 : HttpError{HttpErrorCode::kNoMemory,
                              "no memory for the response body"};
     }
     body.append(piece);
--- a/chervilpass/io/http_client.h
+++ b/chervilpass/io/http_client.h
@@ -62,9 +62,9 @@
   /// limit of heads.
   Result<std::string_view, HttpError> ReadPiece();
 
-  /// Reads the rest of the body; kTooLarge if it exceeds `limit` bytes, or if
-  /// the budget has no room for it for a while. It holds its share of the
-  /// budget until the call is destroyed or TakeShare.
+  /// Reads the rest of the body; kTooLarge if it exceeds `limit` bytes,
+  /// kNoMemory if the budget has no room for it for a while. It holds its share
+  /// of the budget until the call is destroyed or TakeShare.
   Result<std::string, HttpError> ReadBody(std::size_t limit);
 
   /// The share of the budget for the body, to be kept as long as the body.
--- a/chervilpass/io/server_exchange.cc
+++ b/chervilpass/io/server_exchange.cc
@@ -289,11 +289,14 @@
              : std::string_view();
 }
 
+// Not beyond half of the memory for answers: the rest is for their bodies.
 void ServerExchange::EnlargeSendBuffer(std::size_t response_bytes) {
   const HttpServerSettings& settings = *this->connection.settings;
   const std::size_t bytes = std::min(2 * response_bytes, kMaxSendBuffer);
   if (settings.budget == nullptr || settings.buffers.send == 0 ||
-      bytes <= settings.buffers.send) {
+      bytes <= settings.buffers.send ||
+      2 * (settings.budget->UseOf(memory::Owner::kAnswers).held + bytes) >
+          settings.budget->LimitOf(memory::Owner::kAnswers)) {
     return;
   }
   // It is given back once the peer has acknowledged the response.
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -31,6 +31,7 @@
   io::HttpResponse response;  ///< for kResponse and kFailed
   std::string detail;
   bool run_lost = false;           ///< sent, and no complete response arrived
+  bool no_memory = false;          ///< here, for the body of the response
   memory::MemoryShare share = {};  ///< for the body of `response`
 };
 
@@ -268,7 +269,11 @@
   static SendResult LostSend(const io::HttpError& error) {
     const bool run_lost = error.code == io::HttpErrorCode::kReset ||
                           error.code == io::HttpErrorCode::kTimeout;
-    return {SendOutcome::kUnknown, {}, error.detail, run_lost};
+    return {SendOutcome::kUnknown,
+            {},
+            error.detail,
+            run_lost,
+            error.code == io::HttpErrorCode::kNoMemory};
   }
 
   SendResult Classify(const ResponseMetadata& metadata,
@@ -321,11 +326,13 @@
                          Instant start) {
     RoutingState& routing_state = *this->dependencies.routing_state;
     const Instant now = this->dependencies.runtime->Now();
-    // The call was cancelled here, which says nothing about the server.
-    const bool cancelled = this->scope.Reason() == StopReason::kCallerGone ||
-                           this->scope.Reason() == StopReason::kStalled;
+    // The call was cancelled, or had no memory, here, which says nothing about
+    // the server.
+    const bool ended_here = this->scope.Reason() == StopReason::kCallerGone ||
+                            this->scope.Reason() == StopReason::kStalled ||
+                            result.no_memory;
     if (ServerPacing* pacing = routing_state.Pacing();
-        pacing != nullptr && !cancelled) {
+        pacing != nullptr && !ended_here) {
       this->RecordPace(routing_state, pacing, server, result.outcome,
                        now - start);
     }
@@ -340,7 +347,7 @@
         return;
       case SendOutcome::kFailed:
       case SendOutcome::kUnknown:
-        if (!cancelled) {
+        if (!ended_here) {
           routing_state.ServerHealth().OnFailure(server.id, now);
         }
         return;
--- a/unit_tests/faulty_server_test.cc
+++ b/unit_tests/faulty_server_test.cc
@@ -349,3 +349,23 @@
 Test(faulty_server, a_cut_head_of_a_stream_that_runs_once_is_no_success) {
   CheckCutHeads(27180, "/once/x", "llm", {0, 4});
 }
+
+// Guards against servers that are left out because this VM has no memory for
+// their answers.
+Test(faulty_server, a_want_of_memory_is_no_failure_of_the_server) {
+  OnRuntime([](io::Runtime& runtime) {
+    memory::MemoryBudget budget({{1000, 1000, 1000, 1000}, 100});
+    io::HttpClientSettings settings;
+    settings.budget = &budget;
+    RouterFixture fixture(runtime, 28560, true, settings);
+    fixture.AddServer(1, "app", {}, [](io::HttpExchange& exchange) {
+      exchange.Respond(MakeResponse(exchange, 200, std::string(5000, 'b')));
+    });
+    for (const char* id : {"r1", "r2", "r3", "r4"}) {
+      const auto response = fixture.Call(fixture.Request("/file/x", id));
+      cr_expect_eq(response.value().status, 502);
+    }
+    cr_expect_not(
+        fixture.routing_state.ServerHealth().IsEjected("s1", runtime.Now()));
+  });
+}
--- a/unit_tests/memory_test.cc
+++ b/unit_tests/memory_test.cc
@@ -135,11 +135,14 @@
     io::HttpServerSettings settings;
     settings.listen = {"127.0.207.1", 23001};
     settings.budget = &budget;
+    settings.buffers.send = 16 * 1024;
     auto server =
         io::HttpServer::Create(
             &runtime, settings,
             [](io::HttpExchange& exchange) {
-              exchange.Respond({200, {}, "ok"});
+              const bool is_post = exchange.Request().method == "POST";
+              exchange.Respond(
+                  {200, {}, is_post ? "ok" : std::string(1'000'000, 'b')});
             },
             [](unsigned status, std::string_view detail) {
               return io::HttpResponse{status, {}, std::string(detail)};
@@ -175,5 +178,13 @@
     // Given back although the callers keep their connections open.
     cr_expect_eq(server->Connections(), 2);
     cr_expect_eq(budget.UseOf(Owner::kCallerRequests).held, 0);
+    // Send buffers of unread responses leave half of the budget to answers.
+    for (int i = 0; i < 6; ++i) {
+      callers.push_back(std::make_unique<Caller>(settings.listen));
+      callers.back()->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    runtime.SleepFor(milliseconds(50));
+    cr_expect_gt(budget.UseOf(Owner::kAnswers).held, 0);
+    cr_expect_leq(budget.UseOf(Owner::kAnswers).peak, 500'000);
   });
 }
--- a/unit_tests/router_fixture.h
+++ b/unit_tests/router_fixture.h
@@ -26,12 +26,13 @@
  public:
   explicit RouterFixture(io::Runtime& runtime,
                          std::uint16_t base_port,
-                         bool has_configuration = true)
+                         bool has_configuration = true,
+                         const io::HttpClientSettings& to_servers = {})
       : runtime(runtime),
         base_port(base_port),
         log({"test", "vm", LogLevel::kError, LogFormat::kKeyValue}),
         routing_state(Settings(), 1),
-        http(io::HttpClient::Create(&runtime, {})),
+        http(io::HttpClient::Create(&runtime, to_servers)),
         caller(io::HttpClient::Create(&runtime, {})) {
     RouterDependencies dependencies;
     dependencies.runtime = &runtime;
