HTTP server: at a stop no refusal ends an earlier one

Cause: at a stop all connections that wait are accepted at once. Beyond the limit of refusals each further one closed the socket of an earlier one with unread input, and the reset could discard its response.

Change: at a stop earlier refusals are ended only if at most 64 descriptors are left.

more_refusals_than_at_a_time_are_given_one_after_another failed in its new part before (connections were reset), and passes.

--- a/chervilpass/io/http_server.cc
+++ b/chervilpass/io/http_server.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -43,6 +44,8 @@
 constexpr Duration kMinDropInterval = milliseconds(10);
 constexpr Duration kSentPollInterval = milliseconds(100);
 constexpr Duration kAcknowledgementPollInterval = milliseconds(10);
+// As many as a process keeps for what serves no requests.
+constexpr rlim_t kSpareDescriptors = 64;
 constexpr std::string_view kRetryAfterSeconds = "1";
 // A request of which nothing has arrived for so long is stalled, and so is a
 // new connection without a request. Above the retransmission timeout of TCP
@@ -71,6 +74,14 @@
              : 0;
 }
 
+// False if, after the newest descriptor, few are left for requests in progress.
+// The system gives the lowest number that is free.
+bool HasSpareDescriptors(int newest) {
+  rlimit limit{};
+  return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+         static_cast<rlim_t>(newest) + kSpareDescriptors < limit.rlim_cur;
+}
+
 // Counts a request as in progress during its lifetime.
 class InProgress {
  public:
@@ -308,7 +319,11 @@
     const std::string text = this->RefusalText();
     ::send(socket.native_handle(), text.data(), text.size(),
            MSG_DONTWAIT | MSG_NOSIGNAL);
-    this->MakeRoomToRefuse();
+    // At a stop, all connections that have not been accepted are refused at
+    // once. The end of an earlier one could discard its response.
+    if (!this->stopped || !HasSpareDescriptors(socket.native_handle())) {
+      this->MakeRoomToRefuse();
+    }
     auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
     this->refused.push_back({stream.get(), this->runtime->Now()});
     this->runtime->Spawn([self = this->shared_from_this(), stream] {
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -564,16 +564,28 @@
     served.Send(std::string(kPart));
     runtime.SleepFor(kTransfer);
     std::vector<std::unique_ptr<Caller>> refused;
-    for (int number = 0; number < 7; ++number) {
-      refused.push_back(std::make_unique<Caller>(listen));
-      refused.back()->Send(std::string(kPart));
-    }
+    const auto send = [&] {
+      refused.clear();
+      for (int number = 0; number < 7; ++number) {
+        refused.push_back(std::make_unique<Caller>(listen));
+        refused.back()->Send(std::string(kPart));
+      }
+    };
+    send();
     runtime.SleepFor(milliseconds(600));
     for (const auto& caller : refused) {
       cr_assert(caller->Receive().starts_with("HTTP/1.1 503"));
     }
     cr_assert_eq(server->Counts().over_limit, 7);
     cr_assert_eq(server->Connections(), 1);
+    // At a stop they are given at once, and none resets an earlier connection.
+    send();
+    server->StopAccepting();
+    runtime.SleepFor(kTransfer);
+    for (const auto& caller : refused) {
+      cr_expect(caller->Receive().starts_with("HTTP/1.1 503"));
+      cr_expect(caller->Closed(), "the connection was reset");
+    }
   });
 }
 
