HTTP client: a running count of idle connections

Cause: the pool kept an entry for each address that was ever called, and summed up all of them for each connection that was returned.

Change: a running count, and an entry goes with its last connection.

--- a/chervilpass/io/http_client.cc
+++ b/chervilpass/io/http_client.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -161,63 +162,68 @@
 
   Runtime* runtime;
   HttpClientSettings settings;
-  // The connection last used is the last one of its address.
+  // Addresses with idle connections; the one last used is the last one.
   std::map<Endpoint, std::vector<Idle>> idle = {};
+  std::size_t idle_count = 0;                 // over all addresses
   std::set<beast::tcp_stream*> calling = {};  // connections of calls
   std::uint64_t connections_made = 0;
   std::uint64_t local_failures = 0;
 
   StreamPtr TakeFromPool(const Endpoint& address) {
-    std::vector<Idle>& pool = this->idle[address];
+    const auto pool = this->idle.find(address);
+    if (pool == this->idle.end()) {
+      return nullptr;
+    }
     const Instant now = this->runtime->Now();
-    while (!pool.empty()) {
-      Idle connection = std::move(pool.back());
-      pool.pop_back();
+    StreamPtr usable;
+    while (!pool->second.empty() && usable == nullptr) {
+      Idle connection = std::move(pool->second.back());
+      pool->second.pop_back();
+      --this->idle_count;
       if (now < connection.expires_at && StillOpen(*connection.stream)) {
-        return std::move(connection.stream);
+        usable = std::move(connection.stream);
       }
     }
-    return nullptr;
+    if (pool->second.empty()) {
+      this->idle.erase(pool);
+    }
+    return usable;
   }
 
   void ReturnToPool(const Endpoint& address,
                     StreamPtr stream,
                     Duration keep_alive_time) {
-    std::vector<Idle>& pool = this->idle[address];
-    if (pool.size() < this->settings.idle_connections) {
+    const auto pool = this->idle.find(address);
+    const std::size_t size = pool == this->idle.end() ? 0 : pool->second.size();
+    if (size < this->settings.idle_connections) {
       stream->expires_never();
       const Duration limit =
           std::min(keep_alive_time, this->settings.idle_timeout);
       const Instant now = this->runtime->Now();
-      pool.push_back({std::move(stream), now + limit, now});
-      if (this->IdleCount() > this->settings.idle_connections_total) {
+      this->idle[address].push_back({std::move(stream), now + limit, now});
+      ++this->idle_count;
+      if (this->idle_count > this->settings.idle_connections_total) {
         this->DropOldestIdle();
       }
     }
   }
 
-  std::size_t IdleCount() const {
-    std::size_t count = 0;
-    for (const auto& [address, pool] : this->idle) {
-      count += pool.size();
-    }
-    return count;
-  }
-
   // False if no connection is idle.
   bool DropOldestIdle() {
-    std::vector<Idle>* oldest = nullptr;
-    for (auto& [address, pool] : this->idle) {
-      if (!pool.empty() &&
-          (oldest == nullptr ||
-           pool.front().last_used < oldest->front().last_used)) {
-        oldest = &pool;
-      }
-    }
-    if (oldest == nullptr) {
+    const auto oldest =
+        std::min_element(this->idle.begin(), this->idle.end(),
+                         [](const auto& first, const auto& second) {
+                           return first.second.front().last_used <
+                                  second.second.front().last_used;
+                         });
+    if (oldest == this->idle.end()) {
       return false;
     }
-    oldest->erase(oldest->begin());
+    oldest->second.erase(oldest->second.begin());
+    --this->idle_count;
+    if (oldest->second.empty()) {
+      this->idle.erase(oldest);
+    }
     return true;
   }
 
@@ -227,9 +233,13 @@
     if (pool == this->idle.end()) {
       return;
     }
-    std::erase_if(pool->second, [call_begin](const Idle& connection) {
-      return connection.last_used <= call_begin;
-    });
+    this->idle_count -=
+        std::erase_if(pool->second, [call_begin](const Idle& connection) {
+          return connection.last_used <= call_begin;
+        });
+    if (pool->second.empty()) {
+      this->idle.erase(pool);
+    }
   }
 
   Result<StreamPtr, HttpError> Connect(const Endpoint& address,
