--- a/chervilpass/io/request_reader.cc
+++ b/chervilpass/io/request_reader.cc
@@ -284,7 +284,7 @@
       memory::MemoryShare(this->settings->budget, this->settings->owner);
 }
 
-void RequestReader::ReleaseUnread() {
+void RequestReader::Release() {
   this->ReleaseBody();
   this->buffer.clear();
   this->buffer.shrink_to_fit();
@@ -388,6 +388,8 @@
   this->dropped = 0;
   HttpRequest request = this->head;
   request.body = std::move(this->parser->get().body());
+  // Those of a trailer are in no share of the budget.
+  this->parser->get().clear();
   return request;
 }
 
