Records of VMs survive builds that drop their new fields

A build without forwardPort and cutOff passes records on without them. The stripped record is equal to the VM's own in boot id, incarnation and status, so where its identity hash was the greater one all VMs kept it, and the VM's own record did not replace it: the VM got no forwarded requests.

A VM's own record now replaces an equal one. Of records that others pass on, the forward port of the same boot id and the flag of the same incarnation are kept if the record lacks them; an equal record that has more fields replaces the known one, so that all VMs still agree. Messages are unchanged.

fields_that_an_earlier_build_drops_are_kept_and_restored failed before ("restored, port 7000") and passes; membership_test (27 tests) and membership_scale_test pass.

--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -14,6 +14,22 @@
 // time for its refutation.
 constexpr int kTableSuspicionFactor = 5;
 
+// Builds drop the fields that they do not know from the records of other VMs
+// that they pass on. Returns `received` with what `known` has of them.
+Member WithKnownFields(const Member& received, const Member& known) {
+  Member member = received;
+  if (received.boot_id != known.boot_id) {
+    return member;
+  }
+  if (received.forward_port == 0) {
+    member.forward_port = known.forward_port;
+  }
+  if (received.incarnation == known.incarnation) {
+    member.cut_off = received.cut_off || known.cut_off;
+  }
+  return member;
+}
+
 }  // namespace
 
 Detector::Detector(DetectorSettings settings,
@@ -96,21 +112,23 @@
 
 // ---- records ----
 
-void Detector::Merge(const Member& received,
+void Detector::Merge(const Member& stated,
                      const Source& source,
                      Instant now,
                      DetectorActions* actions) {
-  if (received.vm == this->Self().vm) {
-    this->Refute(received, now, actions);
+  if (stated.vm == this->Self().vm) {
+    this->Refute(stated, now, actions);
     return;
   }
-  const Member* known = this->table.Find(received.vm);
+  const Member* known = this->table.Find(stated.vm);
   if (known == nullptr) {
-    if (received.status != Status::kDead) {
-      this->Accept(received, source, now, actions);
+    if (stated.status != Status::kDead) {
+      this->Accept(stated, source, now, actions);
     }
     return;
   }
+  const Member received =
+      source.first_hand ? stated : WithKnownFields(stated, *known);
   if (Supersedes(received, *known)) {
     const bool same_start = received.boot_id == known->boot_id;
     if (received.status == Status::kDead && source.from_table && same_start &&
@@ -131,8 +149,12 @@
     this->updates.Push(received.vm, UpdatePriority::kNormal);
   }
   // Of two records that differ only in what no update changes, all VMs keep the
-  // same one.
-  if (MemberIdentity(received) > this->table.IdentityOf(received.vm)) {
+  // same one: the VM's own, or else the one with more fields.
+  const bool completes =
+      (received.forward_port != 0 && known->forward_port == 0) ||
+      (received.cut_off && !known->cut_off);
+  if (source.first_hand || completes ||
+      MemberIdentity(received) > this->table.IdentityOf(received.vm)) {
     Member renamed = received;
     renamed.config_version =
         std::max(known->config_version, received.config_version);
@@ -253,8 +275,10 @@
   const bool from_table = message.sequence == kUnaskedSequence;
   for (const Member& member : message.members) {
     const bool first_hand = member.vm == message.from;
-    this->Merge(member, {ChangeOrigin::kGossip, 0, from_table && !first_hand},
-                now, &actions);
+    this->Merge(
+        member,
+        {ChangeOrigin::kGossip, 0, from_table && !first_hand, first_hand}, now,
+        &actions);
   }
   if (!message.members.empty() && message.members.front().vm == message.from) {
     this->UpdateSenderConfigVersion(message.members.front(), &actions);
--- a/chervilpass/membership/detector.h
+++ b/chervilpass/membership/detector.h
@@ -104,6 +104,7 @@
     /// The record is part of a comparison of tables: it is not passed on, and a
     /// death, which may be old news, counts as a suspicion.
     bool from_table = false;
+    bool first_hand = false;  ///< the VM itself has sent its record
   };
 
   std::uint32_t RetransmitLimit() const;
@@ -111,7 +112,7 @@
   std::uint32_t SelfKey() const;
 
   // Records.
-  void Merge(const Member& received,
+  void Merge(const Member& stated,
              const Source& source,
              Instant now,
              DetectorActions* actions);
--- a/unit_tests/membership_test.cc
+++ b/unit_tests/membership_test.cc
@@ -517,6 +517,32 @@
   cr_assert(Suspicion(settings, 0, 7, start).Deadline() == start + seconds(1));
 }
 
+// Guards against VMs that take no forwarded requests because an earlier build
+// has dropped fields of their records. Identities compare in both orders.
+Test(detector, fields_that_an_earlier_build_drops_are_kept_and_restored) {
+  for (std::uint16_t port = 7000; port < 7016; ++port) {
+    Member stripped = MakeMember(1);
+    Member own = stripped;
+    own.forward_port = port;
+    own.cut_off = true;
+    Detector node({}, MakeMember(0), 1, {});
+    const auto receive = [&](const char* from, const Member& record) {
+      GossipMessage message;
+      message.sequence = 1;
+      message.from = from;
+      message.members = {record};
+      node.OnMessage(message, {});
+      return *node.Table().Find(own.vm);
+    };
+    receive("vm-2", stripped);
+    cr_assert(receive("vm-1", own) == own, "restored, port %u", port);
+    cr_assert(receive("vm-2", stripped) == own, "kept, port %u", port);
+    stripped.incarnation = own.incarnation = 1;
+    cr_assert(receive("vm-2", stripped).forward_port == port);
+    cr_assert(receive("vm-3", own) == own, "completed, port %u", port);
+  }
+}
+
 // A VM that was stalled finds answers in its socket afterwards.
 Test(detector, a_stalled_node_suspects_no_one) {
   Network network(9);
