Paced workers with one slot count as paced; equal records are not stored again

Cause: the share of a worker with a single slot is rounded up to 1, and the fallback for layers that only paced workers hold took it for an unpaced one that is full. Records of senders, which arrive with each message, were stored each time since a VM's own record replaces an equal one.

Change: a worker that is over this VM's part counts as paced as well; a record is stored if it differs.

Result: callers_are_served_where_only_paced_workers_hold_a_layer failed in its new line before and passes; the membership tests pass.

--- a/chervilpass/membership/detector.cc
+++ b/chervilpass/membership/detector.cc
@@ -158,7 +158,10 @@
     Member renamed = received;
     renamed.config_version =
         std::max(known->config_version, received.config_version);
-    this->table.Put(renamed);
+    // Each message brings the record of its sender, mostly unchanged.
+    if (renamed != *known) {
+      this->table.Put(renamed);
+    }
   }
 }
 
--- a/chervilpass/placement/paced_path.cc
+++ b/chervilpass/placement/paced_path.cc
@@ -10,8 +10,9 @@
 // PathChooserSettings::max_utilisation.
 constexpr double kSingleRequestUtilisation = 0.9;
 
+// The share of a worker with a single slot is rounded up to 1.
 bool IsPaced(const PathCandidate& candidate) {
-  return candidate.capacity_share < 1;
+  return candidate.capacity_share < 1 || candidate.over_own_part;
 }
 
 // Layers of the query that no usable worker without pacing holds.
--- a/chervilpass/serving/routing_state.cc
+++ b/chervilpass/serving/routing_state.cc
@@ -36,9 +36,11 @@
 constexpr std::size_t kMaxServerEnds = 4096;  // starts whose ends are known
 
 bool IsPaced(const std::vector<placement::PathCandidate>& candidates) {
+  // The share of a worker with a single slot is rounded up to 1.
   return std::any_of(
-      candidates.begin(), candidates.end(),
-      [](const auto& candidate) { return candidate.capacity_share < 1; });
+      candidates.begin(), candidates.end(), [](const auto& candidate) {
+        return candidate.capacity_share < 1 || candidate.over_own_part;
+      });
 }
 
 Result<placement::ChosenPath, placement::NoPathReason> SearchPath(
--- a/unit_tests/server_pacing_test.cc
+++ b/unit_tests/server_pacing_test.cc
@@ -122,6 +122,8 @@
   PathCandidate cold = Candidate("cold", 0.1, true);
   cold.load.sequences = 50;
   cr_assert(Chosen({cold}) == "cold");
+  // With a single slot the share of the capacity is not below 1.
+  cr_assert(Chosen({Candidate("one slot", 1, true)}) == "one slot");
   PathCandidate other = Candidate("other", 1, false);
   other.layers = {0, 4};
   cr_assert(!Chosen({cold, other}).empty());
