stop_ends: a router that has exited before the wait for its exit

late_orders_to_stop_end_no_request failed with an error of pidfd_open: the last order to stop had found that the router had exited, and reaped it.

Change: the exit code is returned at once if it is known.

--- a/fault_tests/stop_ends.py
+++ b/fault_tests/stop_ends.py
@@ -53,6 +53,8 @@
 def await_exit(child, timeout_s):
     """Returns as soon as the process exits: Popen.wait() polls every 50 ms, the whole of what EXIT_MARGIN_S leaves a stop
     that ends in time."""
+    if child.poll() is not None:
+        return child.returncode
     descriptor = os.pidfd_open(child.pid)
     try:
         select.select([descriptor], [], [], max(0.0, timeout_s))
