Log: what keeps a request in progress stands first, at level warning

Nothing named what was in progress at a process that is killed more than 0.6 s before its end, and a response that ended before its last event had its line at level info.

- request.cut and request.unfinished begin with the present run (run_ms) or what keeps the request from going on (waits_for), the time since its latest event, its age, the time since SIGTERM and the estimate at its send.
- request.draining names the same each 2.5 s while the VM leaves.
- request.ended is a warning if the response had begun and got no end.
- Lines end with the program and the VM.
The tests that compare whole lines expect the new order.

--- a/chervilpass/core/log.cc
+++ b/chervilpass/core/log.cc
@@ -239,22 +239,23 @@
     boost::json::object line;
     line["time"] = time;
     line["level"] = LevelName(level);
-    line["program"] = settings.program;
-    line["vm"] = settings.vm;
     line["event"] = event;
     for (const LogField& field : fields) {
       line[FieldName(field.name)] = field.value;
     }
+    // Last: collectors that shorten lines know where a line is from.
+    line["program"] = settings.program;
+    line["vm"] = settings.vm;
     return boost::json::serialize(line);
   }
-  std::string line = fmt::format("time={} level={} program={} vm={} event={}",
-                                 time, LevelName(level), settings.program,
-                                 QuoteIfNeeded(settings.vm), event);
+  std::string line =
+      fmt::format("time={} level={} event={}", time, LevelName(level), event);
   for (const LogField& field : fields) {
     line += fmt::format(" {}={}", FieldName(field.name),
                         QuoteIfNeeded(field.value));
   }
-  return line;
+  return line + fmt::format(" program={} vm={}", settings.program,
+                            QuoteIfNeeded(settings.vm));
 }
 
 Logger::Logger(LogSettings settings) : settings(std::move(settings)) {
--- a/chervilpass/serving/call_proxy.cc
+++ b/chervilpass/serving/call_proxy.cc
@@ -202,7 +202,9 @@
     crashes.OnRunStarted(run, server_start);
     this->scope.SetCall(call.get());
     this->scope.SetRestartable(this->policy.MayRunAgain());
+    this->context.progress->BeginRun(server.id, start);
     SendResult result = this->Exchange(call.get(), server);
+    this->context.progress->EndRun(this->dependencies.runtime->Now());
     this->scope.SetRestartable(false);
     this->scope.SetCall(nullptr);
     crashes.OnRunEnded(run, server_start);
--- a/chervilpass/serving/request_context.cc
+++ b/chervilpass/serving/request_context.cc
@@ -241,6 +241,7 @@
                  const std::string& server,
                  Duration max_wait,
                  const CallScope* scope) {
+  const WaitLabel label(context.progress.get(), "permit");
   const Instant latest = dependencies.runtime->Now() + max_wait;
   // A rest may begin while the request waits for its permit, and the server may
   // begin to leave.
@@ -275,6 +276,8 @@
 void LogSentWhileLeaving(const RouterDependencies& dependencies,
                          const RequestContext& context,
                          const ShutdownVerdict& verdict) {
+  context.progress->sent_while_leaving = dependencies.runtime->Now();
+  context.progress->expected = verdict.expected;
   dependencies.log->Info(
       "request.sent_while_leaving",
       {{"request", context.metadata.request_id},
--- a/chervilpass/serving/request_context.h
+++ b/chervilpass/serving/request_context.h
@@ -18,6 +18,7 @@
 #include "chervilpass/routing/rate_scheduler.h"
 #include "chervilpass/serving/call_scope.h"
 #include "chervilpass/serving/request_metadata.h"
+#include "chervilpass/serving/request_progress.h"
 #include "chervilpass/serving/retry_policy.h"
 #include "chervilpass/serving/routing_state.h"
 #include "chervilpass/serving/shutdown_gate.h"
@@ -157,6 +158,9 @@
   /// Fingerprints of the parts of the prompt; none on plain services.
   std::vector<std::uint64_t> prompt_parts;
   Instant received{};
+  /// Kept up to date while the request is served.
+  std::shared_ptr<RequestProgress> progress =
+      std::make_shared<RequestProgress>();
 };
 
 /// The urgency of a request that is stated to its server; none if all requests
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -66,6 +66,7 @@
   std::set<const RequestContext*> in_flight;
   std::size_t forwarded_in_flight = 0;
   std::uint64_t served_count = 0;
+  std::optional<Instant> shutdown_start;
 
   void Handle(io::HttpExchange& exchange, RequestContext* context) {
     context->exchange = &exchange;
@@ -377,9 +378,16 @@
             this->dependencies.runtime->Now());
     const GenerationSize size = context.metadata.generation.value_or(
         GenerationSize{0, 0, std::nullopt});
-    this->dependencies.log->Info(
-        "request.ended",
+    // A response that has begun and gets no end cannot tell its caller why.
+    const bool unexplained =
+        result.outcome == "broken" ||
+        (result.outcome == "left" && this->shutdown->Leaving());
+    this->dependencies.log->Write(
+        unexplained ? LogLevel::kWarning : LogLevel::kInfo, "request.ended",
         {{"request", context.metadata.request_id},
+         {"outcome", result.outcome},
+         {"reason", result.reason},
+         {"elapsed_ms", ToMilliseconds(elapsed)},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
          {"priority", context.rank.priority},
@@ -389,9 +397,7 @@
          {"forwarded", context.forwarded},
          {"returned", context.returned},
          {"weight", weight},
-         {"outcome", result.outcome},
          {"status", result.status},
-         {"reason", result.reason},
          {"worker", result.worker},
          {"sends", result.sends},
          {"late", late},
@@ -405,8 +411,44 @@
          {"expected_answer_tokens", size.expected_answer_tokens.value_or(0)},
          {"config_version", version},
          {"config_unconfirmed_ms",
-          unconfirmed ? ToMilliseconds(*unconfirmed) : -1},
-         {"elapsed_ms", ToMilliseconds(elapsed)}});
+          unconfirmed ? ToMilliseconds(*unconfirmed) : -1}});
+  }
+
+  // Names each request in progress. The facts that tell why it is come first:
+  // collectors may shorten lines. A time of -1 means never.
+  void LogInFlight(std::string_view event, Duration left) const {
+    const Instant now = this->dependencies.runtime->Now();
+    const auto since = [now](const std::optional<Instant>& at) {
+      return at ? ToMilliseconds(now - *at) : -1;
+    };
+    std::size_t logged = 0;
+    for (const RequestContext* context : this->in_flight) {
+      if (++logged > kMaxUnfinishedLogged) {
+        return;
+      }
+      const RequestProgress& progress = *context->progress;
+      this->dependencies.log->Warning(
+          event,
+          {{"request", context->metadata.request_id},
+           progress.Runs() && progress.waits_for.empty()
+               ? LogField("run_ms", since(progress.run_changed))
+               : LogField("waits_for", progress.waits_for),
+           {"quiet_ms", since(progress.latest_event)},
+           {"age_ms", ToMilliseconds(now - context->received)},
+           {"leaving_ms", since(this->shutdown_start)},
+           {"expected_ms",
+            progress.expected ? ToMilliseconds(*progress.expected) : -1},
+           {"sent_while_leaving_ms", since(progress.sent_while_leaving)},
+           {"worker", progress.server},
+           {"run_changed_ms", since(progress.run_changed)},
+           {"events", progress.events},
+           {"begun", context->exchange->ResponseBegun()},
+           {"forwarded", context->forwarded},
+           {"left_ms", ToMilliseconds(left)},
+           {"route", context->route == nullptr ? "" : context->route->name},
+           {"service", context->service},
+           {"build", BuildId()}});
+    }
   }
 };
 
@@ -482,6 +524,7 @@
 void Router::SetShutdown(Instant start,
                          Instant end,
                          Duration address_lifetime) {
+  this->state->shutdown_start = start;
   this->state->shutdown->SetEnd(start, end, address_lifetime);
 }
 
@@ -558,25 +601,12 @@
 }
 
 void Router::LogUnfinished(Duration left) const {
-  const Instant now = this->state->dependencies.runtime->Now();
-  const bool cut = left <= Duration::zero();
-  std::size_t logged = 0;
-  for (const RequestContext* context : this->state->in_flight) {
-    if (++logged > kMaxUnfinishedLogged) {
-      return;
-    }
-    this->state->dependencies.log->Warning(
-        cut ? "request.cut" : "request.unfinished",
-        {{"request", context->metadata.request_id},
-         {"route", context->route == nullptr ? "" : context->route->name},
-         {"service", context->service},
-         {"build", BuildId()},
-         {"forwarded", context->forwarded},
-         {"begun", context->exchange->ResponseBegun()},
-         {"reason", cut ? "the process ends" : "the process ends soon"},
-         {"left_ms", ToMilliseconds(left)},
-         {"age_ms", ToMilliseconds(now - context->received)}});
-  }
+  this->state->LogInFlight(
+      left <= Duration::zero() ? "request.cut" : "request.unfinished", left);
+}
+
+void Router::LogDraining(Duration left) const {
+  this->state->LogInFlight("request.draining", left);
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -109,6 +109,10 @@
   /// end within `left`; zero as it ends.
   void LogUnfinished(Duration left) const;
 
+  /// The same while the end is further away, for a process that is killed
+  /// before it.
+  void LogDraining(Duration left) const;
+
  private:
   struct State;
   explicit Router(std::unique_ptr<State> state);
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -127,7 +127,7 @@
           return RefuseCutOff(this->dependencies, this->context,
                               this->policy.Executed(), this->policy.Sends());
         }
-        this->dependencies.runtime->SleepFor(kPathPollInterval);
+        this->AwaitPath();
         continue;
       }
       const auto path = this->FindPath();
@@ -141,7 +141,7 @@
           }
         }
         if (this->MayWaitForPath()) {
-          this->dependencies.runtime->SleepFor(kPathPollInterval);
+          this->AwaitPath();
           continue;
         }
         // Workers that have just refused the request count as unusable. Where
@@ -190,6 +190,7 @@
       return true;
     }
     ++this->probe_rounds;
+    const WaitLabel label(this->context.progress.get(), "probes of a path");
     std::set<std::string> unanswered = this->registry->UnansweredWorkers(path);
     const bool all_answer = unanswered.empty();
     this->unanswered_workers.merge(unanswered);
@@ -259,6 +260,7 @@
         this->policy.NextWait(this->scope.TimeLeft(), objective_left,
                               this->dependencies.routing_state->Rng().Unit());
     this->Count("chervil_capacity_waits_total");
+    const WaitLabel label(this->context.progress.get(), "capacity");
     if (!std::exchange(this->has_waited, true)) {
       this->dependencies.log->Info(
           "request.waits_for_capacity",
@@ -283,6 +285,7 @@
   // any more, so it waits for the budget.
   bool TakeRetry() {
     routing::RetryBudget& budget = this->dependencies.routing_state->Retries();
+    const WaitLabel label(this->context.progress.get(), "retry budget");
     while (!budget.TryRetry()) {
       if (!this->stream_begun || this->scope.Stopped()) {
         return false;
@@ -316,6 +319,7 @@
     StandbyRunRequest request;
     request.context = this->context;
     request.context.exchange = nullptr;
+    request.context.progress = std::make_shared<RequestProgress>();
     request.request = this->context.exchange->Request();
     request.model = &this->model;
     request.query = this->Query();
@@ -389,6 +393,7 @@
   // its workers may be silent as well.
   void AwaitStandby() {
     this->scope.ResumeAfterStall();
+    const WaitLabel label(this->context.progress.get(), "standby run");
     const Instant until = this->dependencies.runtime->Now() + kMaxStandbyWait;
     while (this->standby && !this->standby->Ready() && !this->scope.Stopped()) {
       if (this->dependencies.runtime->Now() >= until &&
@@ -421,6 +426,7 @@
   // request may still be sent. A stream that has begun goes on there.
   std::optional<RequestResult> ServeThroughPeer() {
     std::optional<io::HttpResponse> refusal;
+    const WaitLabel label(this->context.progress.get(), "another VM");
     while (this->forwarder.Possible()) {
       if (this->scope.Stopped()) {
         return this->EndStopped();
@@ -649,6 +655,11 @@
   // long.
   bool MayWaitForPath() const { return this->stream_begun; }
 
+  void AwaitPath() {
+    const WaitLabel label(this->context.progress.get(), "path");
+    this->dependencies.runtime->SleepFor(kPathPollInterval);
+  }
+
   void StartRun(const Path& path) {
     this->stream.path = path;
     ++this->stream.run_number;
@@ -663,6 +674,8 @@
     this->last_path = path;
     this->dependencies.routing_state->Loads().Add(path, this->stream.tokens);
     this->run_begun = this->stream.last_progress;
+    this->context.progress->BeginRun(
+        path.empty() ? "another VM" : path.front().worker, this->run_begun);
     this->counted_run.emplace(&this->dependencies.routing_state->Capacity(),
                               this->context.service, this->context.organisation,
                               this->stream.tokens);
@@ -670,6 +683,7 @@
 
   void EndRun() {
     this->counted_run.reset();
+    this->context.progress->EndRun(this->dependencies.runtime->Now());
     ForgetWorkers(this->dependencies, &this->stream);
     // A move may have changed the path.
     this->last_path = this->stream.path;
@@ -792,6 +806,7 @@
     if (splitter.HasPartial()) {
       return this->Broken(path, "ended within an event");
     }
+    this->context.progress->EndRun(this->dependencies.runtime->Now());
     call->ReturnToPool();
     for (const PathStage& stage : this->stream.path) {
       this->dependencies.routing_state->OnAnswered(stage.worker);
@@ -822,6 +837,7 @@
       if (order != EventOrder::kRepeated) {
         out += event->bytes;
         ++this->events;
+        ++this->context.progress->events;
       }
       // A worker that writes comments or repetitions only counts as silent.
       progress += order == EventOrder::kNext ||
@@ -834,6 +850,7 @@
       this->RecordProgress(progress);
     }
     if (!out.empty()) {
+      const WaitLabel label(this->context.progress.get(), "caller");
       if (!this->context.exchange->WriteChunk(out)) {
         this->scope.Stop(StopReason::kCallerGone);
         this->run_error = "the caller has gone";
@@ -862,6 +879,7 @@
     this->pace.OnEvents(events, this->stream.moved, now);
     this->last_event = now;
     this->stream.last_event = now;
+    this->context.progress->latest_event = now;
     this->CancelStandby();
     if (std::exchange(this->stream.worker_ended, false)) {
       RecordRestarts(this->dependencies, &this->stream);
@@ -909,6 +927,7 @@
       }
     }
     const bool taken_over = this->standby && this->standby->Ready();
+    const WaitLabel label(this->context.progress.get(), "crash verdict");
     if (!this->scope.Stopped() && !taken_over &&
         (connection_broke || crashes.HasStrikes(this->stream.run))) {
       for (const auto& [worker, start] : this->stream.workers) {
@@ -933,6 +952,7 @@
   }
 
   RequestResult EndServed(bool through_peer) {
+    const WaitLabel label(this->context.progress.get(), "caller");
     if (!this->context.exchange->EndStream()) {
       return this->MakeResult(0, "left", CallerGone(this->context));
     }
--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -53,6 +53,8 @@
 LONG_SHARE, LONG_EVENTS = 0.15, (170, 330)  # of 30 ms: 5 to 10 s
 MAX_EVENTS = 182                   # of the others
 STOP_ORDERS = (signal.SIGTERM, signal.SIGINT)
+FACTS = ("quiet_ms", "age_ms", "leaving_ms")  # in the part of a line that collectors keep
+KEPT_CHARACTERS = 200
 NOTED = ("request.cut", "request.unfinished", "request.unread", "response.unsent")
 FAILED = []
 
@@ -253,7 +255,7 @@
             thread.join(max(0.0, DEADLINE_S))
         self.runs = self.fleet.runs()
         self.lines = collections.defaultdict(list)
-        self.builds, self.lives_s = set(), []
+        self.builds, self.lives_s, self.late_facts = set(), [], []
         for router in self.fleet.routers:
             with open(router.process.log) as log:
                 for line in log:
@@ -261,6 +263,9 @@
                     if '"request":"r%d-' % self.seed in line:
                         fields = json.loads(line)
                         self.lines[fields["request"]].append("%s %s" % (router.name, fields["event"]))
+                        if fields["event"] in ("request.cut", "request.unfinished", "request.draining") and not all(
+                                '"%s"' % fact in line[:KEPT_CHARACTERS] for fact in FACTS):
+                            self.late_facts.append(line[:KEPT_CHARACTERS])
 
     def read_start(self, line):
         if '"event":"router.started"' in line:
@@ -333,6 +338,9 @@
                       delays[0] if delays else "-", " ".join(further) or "-"))
         lost = [outcome for outcome, verdict, _ in failed if verdict == "LOST"]
         check("%s: no request is lost" % name, not lost, "%d of %d requests" % (len(lost), len(self.outcomes)))
+        if not self.arguments.router:  # earlier versions state them later
+            check("%s: lines of requests in progress begin with what tells why" % name, not self.late_facts,
+                  self.late_facts[:3])
         beside = sum(verdict == "beside no stop" for _, verdict, _ in failed)
         check("%s: no request ends without an answer beside no stop" % name, not beside, beside)
         if not self.arguments.router:  # earlier versions do not write these lines
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -13,11 +13,16 @@
 // The grace period may change without a signal.
 constexpr Duration kSettingsPollInterval = milliseconds(200);
 constexpr Duration kDrainLogInterval = seconds(1);
+// What is in progress is named so often, should the process be killed.
+constexpr Duration kNameInProgressInterval = milliseconds(2500);
 
 }  // namespace
 
 ShutdownSequence::ShutdownSequence(const ShutdownParts& parts)
-    : parts(parts), start(parts.runtime->Now()), controller(this->start) {}
+    : parts(parts),
+      start(parts.runtime->Now()),
+      controller(this->start),
+      in_progress_named_at(this->start) {}
 
 void ShutdownSequence::Run() {
   this->RefreshSettings();
@@ -102,12 +107,16 @@
   this->parts.router->SetShutdown(this->start, end,
                                   this->parts.settings->address_ttl);
   this->parts.router->RespondBeforeShutdown();
+  const Instant now = this->parts.runtime->Now();
   if (this->parts.router->MustRespond()) {
     this->RefuseUnread();
     if (!std::exchange(this->unfinished_logged, true)) {
       // What a process that is killed from now on leaves of them.
-      this->parts.router->LogUnfinished(end - this->parts.runtime->Now());
+      this->parts.router->LogUnfinished(end - now);
     }
+  } else if (now >= this->in_progress_named_at + kNameInProgressInterval) {
+    this->in_progress_named_at = now;
+    this->parts.router->LogDraining(end - now);
   }
 }
 
--- a/unit_tests/core_test.cc
+++ b/unit_tests/core_test.cc
@@ -55,8 +55,8 @@
       LogLevel::kWarning, 1700000000123, "route.cell",
       {{"request", "r 1"}, {"count", 3}});
   cr_assert(line ==
-            "time=2023-11-14T22:13:20.123Z level=warning program=chervil-entry "
-            "vm=vm-1 event=route.cell request=\"r 1\" count=3");
+            "time=2023-11-14T22:13:20.123Z level=warning event=route.cell "
+            "request=\"r 1\" count=3 program=chervil-entry vm=vm-1");
 }
 
 Test(log, json_line_escapes_quotes) {
@@ -65,8 +65,8 @@
                     LogLevel::kInfo, 0, "e", {{"detail", "a \"quoted\" word"}});
   cr_assert(line ==
             "{\"time\":\"1970-01-01T00:00:00.000Z\",\"level\":\"info\","
-            "\"program\":\"p\",\"vm\":\"v\",\"event\":\"e\","
-            "\"detail\":\"a \\\"quoted\\\" word\"}");
+            "\"event\":\"e\",\"detail\":\"a \\\"quoted\\\" word\","
+            "\"program\":\"p\",\"vm\":\"v\"}");
 }
 
 Test(log, field_does_not_replace_the_writer_of_a_json_line) {
@@ -75,8 +75,8 @@
                     LogLevel::kInfo, 0, "e", {{"vm", "another"}, {"a", 1}});
   cr_assert(line ==
             "{\"time\":\"1970-01-01T00:00:00.000Z\",\"level\":\"info\","
-            "\"program\":\"p\",\"vm\":\"v\",\"event\":\"e\","
-            "\"field_vm\":\"another\",\"a\":\"1\"}");
+            "\"event\":\"e\",\"field_vm\":\"another\",\"a\":\"1\","
+            "\"program\":\"p\",\"vm\":\"v\"}");
 }
 
 Test(metrics, prometheus_text_has_counters_and_quantiles) {
