Log: runs through other VMs, late fibers and further orders to stop

A review of by reading: a stream that another VM serves for this one read as waiting for it; nothing told whether a router was behind with events that had arrived; request.cut came after the lines for unread requests and unsent responses, so that a reader that is too slow lost it first; a further SIGTERM, which has a grace period of its own, was told at level info.

Change: a run through another VM counts as one; only the wait for it is labelled. Lines of requests in progress state the longest delay of a fiber. request.cut comes first as the process ends. signal.received is a warning for a further order to stop. request.ended states the events before the route.

--- a/chervilpass/io/runtime.cc
+++ b/chervilpass/io/runtime.cc
@@ -145,8 +145,11 @@
       effect = this->on_further_stop ? "stop, again" : "none, is stopping";
     }
     if (this->signal_log != nullptr) {
-      this->signal_log->Info("signal.received",
-                             {{"number", number}, {"effect", effect}});
+      // A further order to stop has a grace period of its own.
+      this->signal_log->Write(
+          !reload && this->stop_requested ? LogLevel::kWarning
+                                          : LogLevel::kInfo,
+          "signal.received", {{"number", number}, {"effect", effect}});
     }
     if (reload) {
       if (this->on_reload) {
--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -378,7 +378,7 @@
             this->dependencies.runtime->Now());
     const GenerationSize size = context.metadata.generation.value_or(
         GenerationSize{0, 0, std::nullopt});
-    // A response that has begun and gets no end cannot tell its caller why.
+    // The caller got no response that tells why.
     const bool unexplained =
         result.outcome == "broken" ||
         (result.outcome == "left" && this->shutdown->Leaving());
@@ -388,6 +388,7 @@
          {"outcome", result.outcome},
          {"reason", result.reason},
          {"elapsed_ms", ToMilliseconds(elapsed)},
+         {"events", result.events},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
          {"priority", context.rank.priority},
@@ -405,7 +406,6 @@
          {"objective", result.objective},
          {"first_event_ms", ToMilliseconds(result.first_event)},
          {"longest_gap_ms", ToMilliseconds(result.max_event_interval)},
-         {"events", result.events},
          {"prompt_tokens", size.prompt_tokens},
          {"max_answer_tokens", size.max_answer_tokens},
          {"expected_answer_tokens", size.expected_answer_tokens.value_or(0)},
@@ -416,7 +416,9 @@
 
   // Names each request in progress. The facts that tell why it is come first:
   // collectors may shorten lines. A time of -1 means never.
-  void LogInFlight(std::string_view event, Duration left) const {
+  void LogInFlight(std::string_view event,
+                   Duration left,
+                   Duration wake_delay) const {
     const Instant now = this->dependencies.runtime->Now();
     const auto since = [now](const std::optional<Instant>& at) {
       return at ? ToMilliseconds(now - *at) : -1;
@@ -445,6 +447,7 @@
            {"begun", context->exchange->ResponseBegun()},
            {"forwarded", context->forwarded},
            {"left_ms", ToMilliseconds(left)},
+           {"max_wake_delay_ms", ToMilliseconds(wake_delay)},
            {"route", context->route == nullptr ? "" : context->route->name},
            {"service", context->service},
            {"build", BuildId()}});
@@ -600,13 +603,14 @@
   }
 }
 
-void Router::LogUnfinished(Duration left) const {
+void Router::LogUnfinished(Duration left, Duration wake_delay) const {
   this->state->LogInFlight(
-      left <= Duration::zero() ? "request.cut" : "request.unfinished", left);
+      left <= Duration::zero() ? "request.cut" : "request.unfinished", left,
+      wake_delay);
 }
 
-void Router::LogDraining(Duration left) const {
-  this->state->LogInFlight("request.draining", left);
+void Router::LogDraining(Duration left, Duration wake_delay) const {
+  this->state->LogInFlight("request.draining", left, wake_delay);
 }
 
 }  // namespace chervilpass::serving
--- a/chervilpass/serving/router.h
+++ b/chervilpass/serving/router.h
@@ -106,12 +106,13 @@
   void LogUnsent(const std::vector<io::UnsentResponse>& unsent) const;
 
   /// Logs the requests in progress, which end with the process if they do not
-  /// end within `left`; zero as it ends.
-  void LogUnfinished(Duration left) const;
+  /// end within `left`; zero as it ends. `wake_delay` is the longest one of the
+  /// fiber that calls this: events may wait as long in a socket.
+  void LogUnfinished(Duration left, Duration wake_delay) const;
 
   /// The same while the end is further away, for a process that is killed
   /// before it.
-  void LogDraining(Duration left) const;
+  void LogDraining(Duration left, Duration wake_delay) const;
 
  private:
   struct State;
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -426,16 +426,12 @@
   // request may still be sent. A stream that has begun goes on there.
   std::optional<RequestResult> ServeThroughPeer() {
     std::optional<io::HttpResponse> refusal;
-    const WaitLabel label(this->context.progress.get(), "another VM");
     while (this->forwarder.Possible()) {
       if (this->scope.Stopped()) {
         return this->EndStopped();
       }
       const std::uint32_t attempts = this->policy.AttemptsForPeer();
-      ForwardedCall forwarded = this->forwarder.Send(
-          this->context.exchange->Request(), this->scope.TimeLeft(), attempts,
-          this->sequence.Last(),
-          [this](io::HttpCall* call) { return this->SetCall(call); });
+      ForwardedCall forwarded = this->SendToPeer(attempts);
       if (forwarded.outcome == SendOutcome::kNotSent) {
         continue;
       }
@@ -477,10 +473,22 @@
                             "refused by another VM");
   }
 
+  ForwardedCall SendToPeer(std::uint32_t attempts) {
+    const WaitLabel label(this->context.progress.get(), "another VM");
+    return this->forwarder.Send(
+        this->context.exchange->Request(), this->scope.TimeLeft(), attempts,
+        this->sequence.Last(),
+        [this](io::HttpCall* call) { return this->SetCall(call); });
+  }
+
   // kNotExecuted: the other VM has refused the request.
   RunResult ReadFromPeer(io::HttpCall* call, const io::HttpResponse& head) {
     if (head.status == 200) {
-      return this->ForwardEvents(call, {}, head, "");
+      RequestProgress& progress = *this->context.progress;
+      progress.BeginRun("another VM", this->dependencies.runtime->Now());
+      RunResult result = this->ForwardEvents(call, {}, head, "");
+      progress.EndRun(this->dependencies.runtime->Now());
+      return result;
     }
     RunResult result{SendOutcome::kFailed, platform::ResponseOfPeer(head),
                      fmt::format("status {} of another VM", head.status)};
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -112,11 +112,11 @@
     this->RefuseUnread();
     if (!std::exchange(this->unfinished_logged, true)) {
       // What a process that is killed from now on leaves of them.
-      this->parts.router->LogUnfinished(end - now);
+      this->parts.router->LogUnfinished(end - now, this->max_wake_delay);
     }
   } else if (now >= this->in_progress_named_at + kNameInProgressInterval) {
     this->in_progress_named_at = now;
-    this->parts.router->LogDraining(end - now);
+    this->parts.router->LogDraining(end - now, this->max_wake_delay);
   }
 }
 
@@ -157,6 +157,7 @@
 }
 
 void ShutdownSequence::LogStopped() const {
+  this->parts.router->LogUnfinished(Duration::zero(), this->max_wake_delay);
   std::vector<io::UnreadRequest> unread = this->parts.callers->Unread();
   std::ranges::move(this->parts.forwarded->Unread(),
                     std::back_inserter(unread));
@@ -165,7 +166,6 @@
   std::ranges::move(this->parts.forwarded->Unsent(),
                     std::back_inserter(unsent));
   this->parts.router->LogUnsent(unsent);
-  this->parts.router->LogUnfinished(Duration::zero());
   std::size_t unsent_bytes = 0;
   for (const io::UnsentResponse& response : unsent) {
     unsent_bytes += response.bytes;
