Tests: what crowds with unfinished bodies leave open, cell by cell

Cause: the cells for crowds of callers that do not behave sent neither trailers nor one-byte chunks to the other listeners, no bodies that are finished, and no forms beside each other. No test held refusals under such a crowd against what the documentation promises, and none sent one request with the largest legal body, in each form, under the lowered limits.

Change: unfinished_bodies.py has the cells listeners-small-chunks, listeners-trailers, length-whole, chunks-whole, small-chunks-whole and mixed. Crowd, limits and bounds are as before, and so are the existing cells.

--- a/fault_tests/unfinished_bodies.py
+++ b/fault_tests/unfinished_bodies.py
@@ -8,9 +8,12 @@
 
 A cell fails if the router's process ends, if its resident memory and the kernel's queues of its
 sockets together pass MEMORY_SHARE of limits.memory_mb, if it opens more than limits.descriptors,
-or if no ordinary request is answered after the crowd has stopped sending."""
+or if no ordinary request is answered after the crowd has stopped sending. The cell "mixed" also fails
+if a refusal is not of the documented form, or if an unfinished request has run at a server."""
 
 import argparse
+import itertools
+import json
 import os
 import re
 import socket
@@ -78,15 +81,22 @@
     "small-chunks-pieces": body(KEY + CHUNKED, SMALL_CHUNKS, True),
     "trailers": (HEAD + KEY + CHUNKED + b"1\r\na\r\n0\r\n", lambda: again(b"X-A: b\r\n" * 2048)),
     "trailers-no-key": (HEAD + CHUNKED + b"1\r\na\r\n0\r\n", lambda: again(b"X-A: b\r\n" * 2048)),
+    "length-whole": body(KEY + LENGTH + b"\r\n", SHORT_BODY + b"a"),
+    "chunks-whole": body(KEY + CHUNKED, LARGE_CHUNKS + b"\r\n0\r\n\r\n"),
+    "small-chunks-whole": body(KEY + CHUNKED, SMALL_CHUNKS + b"0\r\n\r\n"),
     "pipelined": (b"", lambda: again(FILLED_GET)),
     "unread-answers": (GET + b"\r\n", lambda: []),
 }
+MAY_RUN = ("length-whole", "chunks-whole", "small-chunks-whole", "pipelined", "unread-answers")
 GROUPS = {
     "lengths": ["length", "length-pieces", "length-unknown-key", "length-no-key", "continue"],
     "chunks": ["chunks", "chunks-pieces", "chunks-unknown-key", "chunks-no-key", "small-chunks", "small-chunks-pieces",
                "trailers", "trailers-no-key"],
     "answers": ["pipelined", "unread-answers"],
-    "listeners": ["listeners-length", "listeners-chunks", "listeners-pipelined"],
+    "listeners": ["listeners-length", "listeners-chunks", "listeners-pipelined", "listeners-small-chunks",
+                  "listeners-trailers"],
+    "whole": ["length-whole", "chunks-whole", "small-chunks-whole"],
+    "mixed": ["mixed"],
 }
 CELLS = [cell for cells in GROUPS.values() for cell in cells]
 PORTS = endless_bytes.PORTS
@@ -94,6 +104,11 @@
               "metrics": b"/metrics", "peers": b"/v1/state", "forwarded": b"/lookup/x"}
 
 
+def make_answer(request, body):
+    return (b"HTTP/1.1 200 OK\r\nChervilpass-Instance-Id: large\r\nChervilpass-Request-Id: %s\r\n"
+            b"Chervilpass-Server-Seal: s\r\nContent-Length: %d\r\n\r\n" % (request, len(body)) + body)
+
+
 class LargeAnswers:
     """A backend server whose answers are large."""
 
@@ -113,9 +128,7 @@
                 while data := endless_bytes.read_head(connection):
                     request = re.search(rb"(?i)chervilpass-request-id: ([^\r]*)", data)
                     answer = b"" if data.startswith(b"GET /health") else b"a" * ANSWER_BYTES
-                    connection.sendall(b"HTTP/1.1 200 OK\r\nChervilpass-Instance-Id: large\r\nChervilpass-Request-Id: "
-                                       b"%s\r\nChervilpass-Server-Seal: s\r\nContent-Length: %d\r\n\r\n"
-                                       % (request[1] if request else b"", len(answer)) + answer)
+                    connection.sendall(make_answer(request[1] if request else b"", answer))
         except OSError:
             pass
 
@@ -141,12 +154,14 @@
 
 
 class Caller(threading.Thread):
-    """Sends one form on one connection after the other until `stopped`, and keeps the last one."""
+    """Sends one form on one connection after the other until `stopped`, and keeps the last one. If
+    `keeps_refusals`, it reads what it has got once the router has ended the connection."""
 
-    def __init__(self, ip, port, name, form, path):
+    def __init__(self, ip, port, name, form, path, keeps_refusals=False):
         super().__init__(daemon=True)
         self.address, self.name, self.form, self.path = (ip, port), name, form, path
         self.connection, self.stopped, self.connections = None, False, 0
+        self.keeps_refusals, self.refusals, self.first_bytes = keeps_refusals, [], b""
 
     def run(self):
         while not self.stopped:
@@ -160,6 +175,8 @@
             except OSError:
                 pass
             if not self.stopped:
+                if self.keeps_refusals:
+                    self.keep_refusal()
                 self.connection.close()
                 time.sleep(RECONNECT_S)
 
@@ -171,7 +188,7 @@
         first, pieces = self.form
         self.connection.sendall(self.fill(first))
         if b"100-continue" in first:
-            self.connection.recv(1024)
+            self.first_bytes = self.connection.recv(1024)
         for piece in pieces():
             if self.stopped:
                 return
@@ -179,6 +196,18 @@
         while not self.stopped and not self.ended():
             time.sleep(SAMPLE_S)
 
+    def keep_refusal(self):
+        data, self.first_bytes = self.first_bytes, b""
+        try:
+            self.connection.settimeout(0)
+            while piece := self.connection.recv(65536):
+                data += piece
+        except OSError:
+            pass
+        data = data.removeprefix(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if data:
+            self.refusals.append(data)
+
     def ended(self):
         """True once the router has closed the connection. Reads nothing."""
         info = self.connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
@@ -241,9 +270,13 @@
             form = (b"", lambda: again(FILLED_GET)) if shape == "pipelined" else FORMS[shape]
             crowd.append(Caller(router.ip, PORTS[port], "%s-%d" % (cell, number), form, path))
         return crowd
-    path = b"/noise/x" if cell == "unread-answers" else b"/lookup/x"
-    return [Caller(router.ip, platform_fleet.CALLER_PORT, "%s-%d" % (cell, number), FORMS[cell], path)
-            for number in range(CALLERS)]
+    forms = list(FORMS) if cell == "mixed" else [cell]
+    crowd = []
+    for number, form in zip(range(CALLERS), itertools.cycle(forms)):
+        path = b"/noise/x" if form == "unread-answers" else b"/lookup/x"
+        crowd.append(Caller(router.ip, platform_fleet.CALLER_PORT, "%s-%d" % (cell, number), FORMS[form], path,
+                            cell == "mixed" and form not in MAY_RUN))
+    return crowd
 
 
 def answered(fleet, cell):
@@ -256,11 +289,43 @@
     return False
 
 
-def play(fleet, cell):
+def refused_properly(data):
+    """The status of a whole response that keeps the promises for refusals, or None."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    try:
+        status = int(re.match(rb"HTTP/1.1 (\d{3}) ", head)[1])
+        whole = int(re.search(rb"(?i)\r\ncontent-length: (\d+)", head)[1]) == len(body)
+        executed = json.loads(body)["executed"]
+    except (TypeError, ValueError, KeyError):
+        return None
+    told = status != 503 or re.search(rb"(?i)\r\nretry-after: \d", head)
+    return status if whole and told and status in (401, 408, 413, 431, 503) and executed == "no" else None
+
+
+def check_refusals(fleet, cell, crowd):
+    crowd = [caller for caller in crowd if caller.keeps_refusals]
+    refusals = [(refused_properly(data), data) for caller in crowd for data in caller.refusals]
+    statuses = [status for status, _ in refusals]
+    check("%s: refusals have the documented form" % cell, 503 in statuses and None not in statuses,
+          "%s %s" % ({status: statuses.count(status) for status in set(statuses)},
+                     next((data for status, data in refusals if not status), b"")))
+    runs = fleet.runs()
+    check("%s: no unfinished request has run" % cell,
+          any(request.startswith("ordinary-%s-" % cell) for request in runs)
+          and not {request.rsplit("-", 1)[0] for request in runs} & {caller.name for caller in crowd},
+          "%d requests have run" % len(runs))
+
+
+def start_anew(fleet):
     router = fleet.routers[0]
     router.process.kill()  # each cell starts with a fresh process
     router.process.start()
     fleet.wait_ready()
+    return router
+
+
+def play(fleet, _, cell):
+    router = start_anew(fleet)
     usage = Usage(router)
     usage.sample()
     before = usage.peak
@@ -279,13 +344,19 @@
     check("%s: the router goes on" % cell, router.process.running())
     check("%s: it has met the crowd" % cell, all(caller.connections > 0 for caller in crowd),
           "%d connections" % sum(caller.connections for caller in crowd))
+    check_usage(cell, usage, before)
+    check("%s: an ordinary request is answered afterwards" % cell, served)
+    if cell == "mixed":
+        check_refusals(fleet, cell, crowd)
+
+
+def check_usage(cell, usage, before):
     check("%s: process and queues stay within %.0f MB" % (cell, MEMORY_SHARE * MEMORY_LIMIT_MB),
           usage.peak <= MEMORY_SHARE * MEMORY_LIMIT_MB,
           "%.0f MB before, at most %.0f: %.0f in the process, %.0f in queues" % (before, usage.peak, usage.resident,
                                                                                usage.queues))
     check("%s: it opens at most %d descriptors" % (cell, DESCRIPTORS), usage.descriptors <= DESCRIPTORS,
           "%d" % usage.descriptors)
-    check("%s: an ordinary request is answered afterwards" % cell, served)
 
 
 def main():
@@ -300,11 +371,16 @@
     arguments = parser.parse_args()
     MEMORY_LIMIT_MB, DESCRIPTORS, CALLERS = arguments.memory_mb, arguments.descriptors, arguments.callers
     cells = arguments.cell + [cell for group in arguments.group for cell in GROUPS[group]] or CELLS
-    fleet = LimitedFleet(os.path.join(fleets.BUILD, "unfinished-bodies-%d" % arguments.subnet), arguments.subnet,
-                         ("hal-1",), routers_each=1, workers_each=2)
+    play_cells(cells, arguments.subnet, "unfinished-bodies", LargeAnswers, play)
+
+
+def play_cells(cells, subnet, folder, make_server, play_cell):
+    """Calls `play_cell` with the fleet, the server behind the route "noise" and each cell."""
+    fleet = LimitedFleet(os.path.join(fleets.BUILD, "%s-%d" % (folder, subnet)), subnet, ("hal-1",), routers_each=1,
+                         workers_each=2)
     fleet.max_body_bytes = BODY_BYTES
-    ip = "127.0.%d.190" % arguments.subnet
-    server = LargeAnswers(ip)
+    ip = "127.0.%d.190" % subnet
+    server = make_server(ip)
     try:
         fleet.start()
         fleet.put_object("servers", "large", {
@@ -312,7 +388,7 @@
             "version": "1", "slots": 500, "state": "ready", "warmupLeftMs": 0, "seq": 1,
             "born": int(time.time() * 1000)})
         for cell in cells:
-            play(fleet, cell)
+            play_cell(fleet, server, cell)
     finally:
         server.listener.close()
         fleet.stop()
