Red test: a caller that reads no response keeps the memory of its request from others

What callers see: a request of 4 MiB, within all limits, gets a 503 (No buffer space available) for up to 10 s, as long as one other caller, which has sent as much, does not read a response of that size.

Cause: a request keeps its body and the body's share of the memory for callers until its response is written, although the server has answered and no further attempt can need the body.

--- a/fault_tests/largest_requests.py
+++ b/fault_tests/largest_requests.py
@@ -1,6 +1,7 @@
 """Sends a router with lowered limits single requests with the largest legal body, one at a time, in
 each form, and looks at what its server gets. In the cell "after-crowd" the process has met the crowd
-"mixed" of unfinished_bodies.py before. Real processes on loopback.
+"mixed" of unfinished_bodies.py before; in "beside-unread" another caller has sent as large a request and
+does not read its response, which is as large. Real processes on loopback.
 
     largest_requests.py [--cell NAME]... [--subnet N]
 
@@ -27,6 +28,7 @@
 TRAILER_FIELDS = b"X-A: b\r\n" * 2000  # of at most 16384 bytes
 SAMPLE_S = 0.01  # a request takes a fraction of a second
 REQUEST_S = 60.0  # generous: until the request is answered
+SETTLE_S = 1.0  # the server has answered by then, and the router has not given up the write yet
 
 
 def chunks(size, trailer=b""):
@@ -42,6 +44,7 @@
     "small-chunks": lambda: (CHUNKED, chunks(1)),
     "trailers": lambda: (CHUNKED, chunks(65536, TRAILER_FIELDS)),
     "after-crowd": lambda: (LENGTH + b"\r\n", BODY),
+    "beside-unread": lambda: (LENGTH + b"\r\n", BODY),
 }
 
 
@@ -88,11 +91,28 @@
         return 0, str(error)
 
 
+def leave_unread(fleet):
+    """Sends a request whose server returns its body; returns the connection once the server has run it."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.settimeout(REQUEST_S)
+    connection.connect((fleet.routers[0].ip, platform_fleet.CALLER_PORT))
+    connection.sendall((HEAD + KEY + LENGTH + b"\r\n").replace(b"/%s/x", b"/lookup/x").replace(b"%s", b"unread") + BODY)
+    until = time.monotonic() + REQUEST_S
+    while "unread" not in fleet.runs() and time.monotonic() < until:
+        time.sleep(SAMPLE_S)
+    time.sleep(SETTLE_S)
+    return connection
+
+
 def play(fleet, server, cell):
+    unread = None
     if cell == "after-crowd":
         unfinished_bodies.play(fleet, server, "mixed")
     else:
         unfinished_bodies.start_anew(fleet)
+    if cell == "beside-unread":
+        unread = leave_unread(fleet)
     router = fleet.routers[0]
     usage = unfinished_bodies.Usage(router)
     usage.sample()
@@ -113,6 +133,8 @@
     check("%s: it runs once, with its whole body" % cell, bodies == [BODY], [len(body) for body in bodies])
     check("%s: the router goes on" % cell, usage.sample())
     unfinished_bodies.check_usage(cell, usage, before)
+    if unread:
+        unread.close()
 
 
 def main():
