Watches of streams and of crashed servers end with what they depend on

Cause: StreamRegistry and CrashMonitor check their streams and registrations on a fiber of their own, after a wait, and looked at `stopped` before the wait only. An object that is destroyed during the wait leaves the fiber with a pointer to dependencies that are gone (gdb: CheckStreams, stream_registry.cc). A process has one router until it exits, so that only tests can meet it.

Change: both look at `stopped` after the wait.

Measured: departures_test 6 of 6 whole binaries passed; the test before the change crashed in 6 of 6. The crash in router_test was not reproduced (24 plays with the first half of the change, 40 without it, all passed); that it has the same cause is an inference from its form and from the loop it has in common.

--- a/chervilpass/serving/crash_monitor.cc
+++ b/chervilpass/serving/crash_monitor.cc
@@ -349,7 +349,10 @@
   void Watch() {
     while (!this->stopped) {
       this->dependencies->runtime->SleepFor(this->settings.check_interval);
-      this->CheckRegistrations();
+      // The dependencies may have ended during the wait.
+      if (!this->stopped) {
+        this->CheckRegistrations();
+      }
     }
   }
 
--- a/chervilpass/serving/stream_registry.cc
+++ b/chervilpass/serving/stream_registry.cc
@@ -101,7 +101,10 @@
   void Watch() {
     while (!this->stopped) {
       this->dependencies->runtime->SleepFor(this->settings.check_interval);
-      this->CheckStreams();
+      // The dependencies may have ended during the wait.
+      if (!this->stopped) {
+        this->CheckStreams();
+      }
     }
   }
 
