--- /dev/null
+++ b/review/6/play.py
@@ -0,0 +1,49 @@
+"""Case 6 as a script: servers leave while two of nine routers are cut off from the store. See claim.txt."""
+
+import asyncio
+import os
+import random
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "harness"))
+from harness import Fleet, now, play  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+CUT_S, CYCLE_S, CYCLES, LEAVING = 3.5, 9.5, 10, 3
+RECORD = os.environ.get("RECORD") or os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
+
+async def main():
+    fleet = Fleet(zones=("hal-1", "hal-2", "hal-3"), routers_each=3, servers=12)
+    lines = []
+    try:
+        await fleet.start()
+        begin = now()
+        tasks = [asyncio.create_task(fleet.client(router, 0.05)) for router in fleet.routers for _ in range(6)]
+        relays = [fleet.routers[0], fleet.routers[3], fleet.routers[6]]
+        for cycle in range(CYCLES):
+            cycle_begin = now()
+            cut = [relay for relay in relays if relay is not relays[cycle % 3]] if TROUBLE else []
+            for router in cut:
+                router.cut()
+            lines.append("%.3f cut off from the store: %s" % (now() - begin, [router.name for router in cut]))
+            await asyncio.sleep(0.05)
+            for server in random.sample([s for s in fleet.servers if s.acked is None], LEAVING):
+                tasks.append(asyncio.create_task(server.leave(linger_s=0.1)))
+                await asyncio.sleep(0)
+                lines.append("%.3f acknowledged: %s is draining" % (server.acked - begin, server.id))
+            await asyncio.sleep(CUT_S - (now() - cycle_begin))
+            for router in cut:
+                router.heal()
+            lines.append("%.3f cuts end" % (now() - begin))
+            for _ in range(LEAVING):
+                await fleet.add_server()
+            await asyncio.sleep(CYCLE_S - (now() - cycle_begin) + random.uniform(0, 0.5))
+        fleet.stopping = True
+        await asyncio.sleep(2.2)
+    finally:
+        fleet.stop()
+    return fleet.judge_drain(begin, lines, RECORD)
+
+
+play(main)
