Review cases 6 and 7: some servers go on for longer, free addresses, the script's own delay

Cause: all servers ended 0.1 s after drainMs, so that late requests passed the bound by 0.1 s at most, and the delay of the script's loop was not known. Two plays beside each other could draw the same addresses.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -9,7 +9,8 @@
 from harness import Fleet, now, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CUT_S, CYCLE_S, CYCLES, LEAVING = 3.5, 9.5, 10, 3
+CUT_S, CYCLE_S, CYCLES = 3.5, 9.5, 10
+LINGER_S = (0.1, 0.1, 1.0)  # of the servers that leave in a cycle
 RECORD = os.environ.get("RECORD") or os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 
 
@@ -28,19 +29,20 @@
                 router.cut()
             lines.append("%.3f cut off from the store: %s" % (now() - begin, [router.name for router in cut]))
             await asyncio.sleep(0.05)
-            for server in random.sample([s for s in fleet.servers if s.acked is None], LEAVING):
-                tasks.append(asyncio.create_task(server.leave(linger_s=0.1)))
+            staying = [server for server in fleet.servers if server.acked is None]
+            for server, linger_s in zip(random.sample(staying, len(LINGER_S)), LINGER_S):
+                tasks.append(asyncio.create_task(server.leave(linger_s)))
                 await asyncio.sleep(0)
                 lines.append("%.3f acknowledged: %s is draining" % (server.acked - begin, server.id))
             await asyncio.sleep(CUT_S - (now() - cycle_begin))
             for router in cut:
                 router.heal()
             lines.append("%.3f cuts end" % (now() - begin))
-            for _ in range(LEAVING):
+            for _ in LINGER_S:
                 await fleet.add_server()
             await asyncio.sleep(CYCLE_S - (now() - cycle_begin) + random.uniform(0, 0.5))
         fleet.stopping = True
-        await asyncio.sleep(2.2)
+        await asyncio.sleep(3.2)
     finally:
         fleet.stop()
     return fleet.judge_drain(begin, lines, RECORD)
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -10,7 +10,8 @@
 from harness import Fleet, now, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-FREEZE_S, CYCLE_S, CYCLES, LEAVING = 3.5, 8.5, 11, 3
+FREEZE_S, CYCLE_S, CYCLES = 3.5, 8.5, 11
+LINGER_S = (0.1, 0.1, 1.0)  # of the servers that leave in a cycle
 RECORD = os.environ.get("RECORD") or os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 
 
@@ -32,17 +33,18 @@
             if TROUBLE:
                 frozen.wake()
                 lines.append("%.3f awake: %s" % (now() - begin, frozen.name))
-            for server in random.sample([s for s in fleet.servers if s.acked is None], LEAVING):
+            staying = [server for server in fleet.servers if server.acked is None]
+            for server, linger_s in zip(random.sample(staying, len(LINGER_S)), LINGER_S):
                 await asyncio.sleep(0.08)
-                tasks.append(asyncio.create_task(server.leave(linger_s=0.1, reports=False)))
+                tasks.append(asyncio.create_task(server.leave(linger_s, reports=False)))
                 await asyncio.sleep(0)
                 lines.append("%.3f acknowledged: %s is removed" % (server.acked - begin, server.id))
             await asyncio.sleep(3)
-            for _ in range(LEAVING):
+            for _ in LINGER_S:
                 await fleet.add_server()
             await asyncio.sleep(CYCLE_S - (now() - cycle_begin) + random.uniform(0, 0.5))
         fleet.stopping = True
-        await asyncio.sleep(2.2)
+        await asyncio.sleep(3.2)
     finally:
         fleet.stop()
     return fleet.judge_drain(begin, lines, RECORD)
--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -7,6 +7,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -300,10 +301,22 @@
         self.out_since[-1][1] = now()
 
 
+def free_subnet():
+    """Of 127.0.N.0: another fleet on this machine has other addresses."""
+    for subnet in random.sample(range(70, 250), 180):
+        try:
+            for host, port in ((200, STORE_PORT), (1, FRONT), (1, GOSSIP)):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.%d.%d" % (subnet, host), port))
+            return subnet
+        except OSError:
+            continue
+    raise RuntimeError("no free addresses")
+
+
 class Fleet:
     def __init__(self, zones, routers_each, servers):
-        # Another fleet on this machine has other addresses, most likely.
-        self.subnet, self.zones = random.randrange(70, 250), zones
+        self.subnet, self.zones = free_subnet(), zones
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store("127.0.%d.200" % self.subnet)
         self.routers, self.servers, self.arrivals, self.sent = [], [], [], {}
@@ -312,6 +325,14 @@
                 self.routers.append(Router(self, 1 + index * routers_each + number, zone))
         self.next_server, self.initial = 0, servers
         self.stopping = False
+        self.lag = 0.0  # longest delay of this script's own loop
+        self.latest = 0.0  # longest time from an acknowledgement to a late request
+
+    async def watch_loop(self):
+        while not self.stopping:
+            begin = now()
+            await asyncio.sleep(0.005)
+            self.lag = max(self.lag, now() - begin - 0.005)
 
     def config(self):
         def route(name, kind, attempts):
@@ -345,6 +366,7 @@
                 raise RuntimeError("the routers are not ready")
             await asyncio.sleep(0.1)
         await asyncio.sleep(3)
+        self.loop_watch = asyncio.create_task(self.watch_loop())
 
     async def ready(self, router):
         try:
@@ -404,6 +426,7 @@
             if since and arrival["ran"] and arrival["at"] > since + DRAIN_S and routers[sent["router"]].in_touch(
                     arrival["at"]):
                 late.append(lines[-1])
+                self.latest = max(self.latest, arrival["at"] - since)
                 lost += arrival["method"] == "POST" and sent["status"] != 200
         return late, lost
 
@@ -414,6 +437,8 @@
         summary = ["requests %d, answered 200 %d" % (len(calls), sum(sent["status"] == 200 for sent in calls)),
                    "DRAIN: requests that ran later than %.1f s after the acknowledgement, by routers in touch: %d" % (
                        DRAIN_S, len(late)),
+                   "the latest of them %.3f s after it; the longest delay of this script's own loop %.3f s" % (
+                       self.latest, self.lag),
                    "of these, calls that may run once and got no answer of the server: %d" % lost]
         with open(record, "w") as file:
             file.write("\n".join(summary + late[:20] + [""] + lines) + "\n")
