--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -19,6 +19,7 @@
 DRAIN_S, CONTACT_S = 2.0, 3.0
 FRONT, READY, DIRECTORY, GOSSIP, STATE, FORWARD = 8227, 8220, 8224, 7340, 7341, 7342
 STORE_PORT, SERVER_PORT = 8223, 8100
+SLOTS = 32  # of a server
 
 
 def now():
@@ -72,6 +73,8 @@
                     return
                 writer.write(answer)
                 await writer.drain()
+                if b"\r\nConnection: close\r\n" in answer.split(b"\r\n\r\n")[0] + b"\r\n":
+                    return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
@@ -207,12 +210,12 @@
     def __init__(self, fleet, number, zone):
         super().__init__("127.0.%d.%d" % (fleet.subnet, 100 + number % 100), SERVER_PORT + number // 100)
         self.fleet, self.id, self.zone = fleet, "i-%04x" % (0x5a00 + number), zone
-        self.work_s, self.acked, self.ended = 0.06, None, False
+        self.work_s, self.acked, self.ended, self.running = 0.06, None, False, 0
         self.seq = 0
 
     def entry(self, state):
         return {"service": "register", "address": "%s:%d" % (self.ip, self.port), "zone": self.zone, "version": "1",
-                "slots": 32, "state": state, "warmupLeftMs": 0, "seq": 1, "born": self.born}
+                "slots": SLOTS, "state": state, "warmupLeftMs": 0, "seq": 1, "born": self.born}
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -230,11 +233,14 @@
         if headers.get("chervilpass-expect-instance", self.id) != self.id:
             return message("HTTP/1.1 421 X", [("Chervilpass-Request-Id", request), ("Chervilpass-Not-Executed", "1")])
         arrival["ran"] = True
+        self.running += 1
         await asyncio.sleep(self.work_s)
+        self.running -= 1
         arrival["done"] = not self.ended  # the end of the process cuts what is running
         return message("HTTP/1.1 200 OK", [("Chervilpass-Request-Id", request),
                                            ("Chervilpass-Server-Seal", "%s.%s" % (self.id, request)),
-                                           ("Chervilpass-Server-Load", "1,0,32")], b"x" * 200)
+                                           ("Chervilpass-Server-Load", "%d,0,%d" % (self.running, SLOTS))] +
+                       ([("Connection", "close")] if self.acked is not None else []), b"x" * 200)
 
     async def leave(self, linger_s, reports=True):
         """Some never report `draining`: their entry is removed, and they go on for the same time."""
@@ -433,6 +439,10 @@
     def judge_drain(self, begin, lines, record):
         """Writes the record. Returns the exit code."""
         late, lost = self.late_requests(begin, lines)
+        arrived = {arrival["id"] for arrival in self.arrivals}
+        lines += ["%.3f %s %s sent to %s reaches no server, the client gets %s" % (
+            sent["at"] - begin, sent["method"], sent["id"], sent["router"], sent["status"])
+            for sent in self.sent.values() if sent["id"] not in arrived]
         calls = [sent for sent in self.sent.values() if "ended" in sent]
         summary = ["requests %d, answered 200 %d" % (len(calls), sum(sent["status"] == 200 for sent in calls)),
                    "DRAIN: requests that ran later than %.1f s after the acknowledgement, by routers in touch: %d" % (
