Log the grace period and lost relays of a VM

The logs could not tell a VM that had not heard of the change from one that held it back: servers.grace names who opened the grace period, relay.poll the relay that stopped or began to answer and the time since servers were last confirmed, and worker.changed whether a removal was kept.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -162,6 +162,7 @@
     if (kind == StoreKind::kWorkers && this->workers_lost && this->watching) {
       this->workers_lost = false;
       this->routing_state->Servers().OnStoreRegained(now);
+      this->LogGrace("store", now);
     }
     if (this->store_up || !this->watching ||
         this->IsSilent(StoreKind::kConfig, now) ||
@@ -174,6 +175,14 @@
     this->events.store_changed(true);
   }
 
+  void LogGrace(std::string_view from, Instant now) const {
+    this->log->Info(
+        "servers.grace",
+        {{"from", from},
+         {"grace_ms",
+          ToMilliseconds(this->routing_state->Servers().GraceLeft(now))}});
+  }
+
   // ---- the store ----
 
   // Lists once, so that a new VM has the state before it has found its peers.
@@ -379,6 +388,7 @@
         {{"worker", change.object.name},
          {"revision", change.object.revision},
          {"deleted", change.deleted},
+         {"kept", change.deleted && server != nullptr},
          {"leaving", server != nullptr && server->leaving},
          {"service", server == nullptr ? "" : server->service},
          {"data_centre", server == nullptr ? "" : server->data_centre},
@@ -473,7 +483,18 @@
           slot < relays.size() && (!this->watching || !this->store_up);
       const Duration wait =
           last_failed ? Duration::zero() : this->settings.relay_wait;
+      const bool failed_before = last_failed;
       last_failed = follow && !this->PollRelay(relays[slot], wait);
+      if (follow && last_failed != failed_before) {
+        this->log->Info(
+            "relay.poll",
+            {{"relay", relays[slot].ToText()},
+             {"answered", !last_failed},
+             {"unconfirmed_ms",
+              ToMilliseconds(this->routing_state
+                                 ->ServersUnconfirmedFor(this->runtime->Now())
+                                 .value_or(Duration::zero()))}});
+      }
       if (!follow || last_failed) {
         this->runtime->SleepFor(follow ? backoff.Next(&this->random)
                                        : this->settings.relay_check_interval);
@@ -505,7 +526,12 @@
     const Instant now = this->runtime->Now();
     this->last_relay_response = now;
     if (received->expiry_grace > Duration::zero()) {
+      const bool starts =
+          this->routing_state->Servers().GraceLeft(now) == Duration::zero();
       this->routing_state->Servers().ExtendGrace(now + received->expiry_grace);
+      if (starts) {
+        this->LogGrace(relay.ToText(), now);
+      }
     }
     if (received->config) {
       this->ApplyConfig(*received->config, relay.ToText());
