Split what a VM has from the store out of StoreSync

SyncedState applies listings, changes and configurations, and keeps what followers lack; StoreSync keeps the watches, the followers and the relay. No change of behaviour: store_sync_test, silent_connections_test, fleet_test and odd_entries_test pass as before.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -9,8 +9,7 @@
 
 #include "chervilpass/core/backoff.h"
 #include "chervilpass/fleet/peer_state.h"
-#include "platform/config_decoder.h"
-#include "platform/worker_decoder.h"
+#include "chervilpass/fleet/synced_state.h"
 
 namespace chervilpass::fleet {
 namespace {
@@ -23,11 +22,8 @@
 using platform::StoreErrorCode;
 using platform::StoreKind;
 
-constexpr std::string_view kConfigName = "main";
 // Maximum time that a follower may ask a relay to wait, in milliseconds.
 constexpr std::uint64_t kMaxWaitMs = 10000;
-// What a log line says of unreadable items of a configuration.
-constexpr std::size_t kMaxItemsText = 600;  // bytes
 
 std::string_view NameOf(StoreKind kind) {
   return kind == StoreKind::kConfig ? "config" : "workers";
@@ -69,7 +65,12 @@
         events(std::move(events)),
         peers(std::move(peers)),
         random(routing_state->Rng().Next()),
-        state_log(settings.max_kept_changes) {}
+        synced(routing_state,
+               metrics,
+               log,
+               settings.max_kept_changes,
+               {this->events.config_changed,
+                [this] { this->NotifyFollowers(); }}) {}
 
   void Start() {
     const Instant now = this->runtime->Now();
@@ -193,7 +194,7 @@
                     this->settings.max_retry_delay);
     bool listed = false;
     while (!this->stopped) {
-      if (!this->watching && (listed || this->IsSynced())) {
+      if (!this->watching && (listed || this->synced.IsSynced())) {
         this->runtime->SleepFor(this->settings.relay_check_interval);
         continue;
       }
@@ -279,11 +280,6 @@
     }
   }
 
-  bool IsSynced() const {
-    return this->routing_state->Table() != nullptr &&
-           this->state_log.WorkersRevision() > 0;
-  }
-
   void OnStoreFailure(StoreKind kind, const StoreError& error) {
     if (!this->WatchOf(kind).last_call_failed) {
       this->WatchOf(kind).last_call_failed = true;
@@ -307,13 +303,14 @@
     this->LogUnreadable(kind, listing.unreadable);
     if (kind == StoreKind::kConfig) {
       for (const StoredObject& object : listing.objects) {
-        this->ApplyConfig(object, "store");
+        this->synced.ApplyConfig(object, "store");
       }
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
     this->routing_state->OnServersConfirmed(this->runtime->Now());
-    this->ApplyAllWorkers(listing.objects, listing.revision);
+    this->synced.ApplyWorkers(listing.objects, listing.revision,
+                              this->runtime->Now());
   }
 
   void ApplyChanges(StoreKind kind,
@@ -323,148 +320,15 @@
     if (kind == StoreKind::kConfig) {
       for (const ObjectChange& change : changes.changes) {
         if (!change.deleted) {
-          this->ApplyConfig(change.object, "store");
+          this->synced.ApplyConfig(change.object, "store");
         }
       }
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
     this->routing_state->OnServersConfirmed(this->runtime->Now());
-    this->ApplyWorkerChanges(changes.changes, since, changes.revision);
-  }
-
-  // ---- applying listings and changes ----
-
-  void ApplyAllWorkers(const std::vector<StoredObject>& objects,
-                       std::uint64_t revision) {
-    if (!this->state_log.ApplyListing(objects, revision)) {
-      return;
-    }
-    std::vector<routing::ServerRecord> records;
-    for (const StoredObject& object : objects) {
-      records.push_back(this->RecordOf(object));
-    }
-    this->routing_state->Servers().ApplyListing(records, revision,
-                                                this->runtime->Now());
-    this->log->Info("workers.listed",
-                    {{"count", records.size()}, {"revision", revision}});
-    this->NotifyFollowers();
-  }
-
-  // False if changes before these are missing.
-  bool ApplyWorkerChanges(const std::vector<ObjectChange>& changes,
-                          std::uint64_t since,
-                          std::uint64_t revision) {
-    const auto new_changes =
-        this->state_log.ApplyChanges(changes, since, revision);
-    if (!new_changes) {
-      return false;
-    }
-    for (const ObjectChange& change : *new_changes) {
-      const auto before = this->LayersOf(change.object.name);
-      this->routing_state->Servers().ApplyChange(
-          this->RecordOf(change.object), change.deleted, this->runtime->Now());
-      if (this->LayersOf(change.object.name) != before) {
-        this->routing_state->OnLayersChanged(change.object.name);
-      }
-      this->LogWorker(change);
-    }
-    if (!new_changes->empty()) {
-      this->NotifyFollowers();
-    }
-    return true;
-  }
-
-  placement::LayerRange LayersOf(const std::string& worker) const {
-    const auto* server = this->routing_state->Servers().Find(worker);
-    return server == nullptr ? placement::LayerRange{} : server->layers;
-  }
-
-  void LogWorker(const ObjectChange& change) const {
-    const auto* server =
-        this->routing_state->Servers().Find(change.object.name);
-    this->log->Info(
-        "worker.changed",
-        {{"worker", change.object.name},
-         {"revision", change.object.revision},
-         {"deleted", change.deleted},
-         {"kept", change.deleted && server != nullptr},
-         {"leaving", server != nullptr && server->leaving},
-         {"service", server == nullptr ? "" : server->service},
-         {"data_centre", server == nullptr ? "" : server->data_centre},
-         {"kind", server == nullptr ? "" : server->accelerator_kind},
-         {"from", server == nullptr ? 0 : server->layers.from},
-         {"to", server == nullptr ? 0 : server->layers.to}});
-  }
-
-  routing::ServerRecord RecordOf(const StoredObject& object) const {
-    auto server = platform::DecodeWorker(object.name, object.spec);
-    if (server.has_error()) {
-      this->log->Warning(
-          "worker.unreadable",
-          {{"worker", object.name}, {"reason", server.error().detail}});
-      return {object.name, object.revision, std::nullopt};
-    }
-    return {object.name, object.revision, std::move(server).value()};
-  }
-
-  std::uint64_t Version() const {
-    const auto& table = this->routing_state->Table();
-    return table == nullptr ? 0 : table->Version();
-  }
-
-  void ApplyConfig(const StoredObject& object, std::string_view from) {
-    if (object.name != kConfigName ||
-        object.revision <= this->state_log.ConfigRevision()) {
-      return;
-    }
-    const auto& known = this->routing_state->Table();
-    auto config = platform::DecodeConfig(
-        object.spec,
-        known == nullptr ? routing::RouteTableData{} : known->Data());
-    if (config.has_error()) {
-      this->log->Error("config.unreadable",
-                       {{"revision", object.revision},
-                        {"reason", config.error().detail},
-                        {"kept_version", this->Version()}});
-      this->metrics->Increment("chervil_config_unreadable_total");
-      return;
-    }
-    this->state_log.ApplyConfig(object);
-    this->ReportUnreadableItems(object.revision, config.value().unreadable);
-    const auto table =
-        routing::RouteTable::Create(std::move(config.value().data));
-    if (this->routing_state->ApplyConfig(table)) {
-      this->log->Info("config.in_force",
-                      {{"version", table->Version()},
-                       {"revision", object.revision},
-                       {"routes", table->Data().routes.size()},
-                       {"from", from}});
-      this->events.config_changed();
-    }
-    this->NotifyFollowers();
-  }
-
-  void ReportUnreadableItems(
-      std::uint64_t revision,
-      const std::vector<platform::UnreadableItem>& items) const {
-    if (items.empty()) {
-      return;
-    }
-    std::string text;
-    for (const platform::UnreadableItem& item : items) {
-      if (text.size() >= kMaxItemsText) {
-        break;
-      }
-      text += fmt::format("{}{} ({}{})", text.empty() ? "" : "; ", item.name,
-                          item.detail, item.last_kept ? ", last kept" : "");
-    }
-    this->metrics->Increment("chervil_config_unreadable_items_total", "",
-                             items.size());
-    this->log->Error("config.unreadable_items",
-                     {{"revision", revision},
-                      {"count", items.size()},
-                      {"items", text.substr(0, kMaxItemsText)}});
+    this->synced.ApplyWorkerChanges(changes.changes, since, changes.revision,
+                                    this->runtime->Now());
   }
 
   // ---- as a follower ----
@@ -508,9 +372,9 @@
     io::HttpRequest request;
     request.path = PeerStatePath();
     request.query = fmt::format(
-        "config={}&workers={}&wait_ms={}", this->state_log.ConfigRevision(),
-        this->state_log.WorkersRevision(), ToMilliseconds(wait));
-    const std::uint64_t since = this->state_log.WorkersRevision();
+        "config={}&workers={}&wait_ms={}", this->synced.Log().ConfigRevision(),
+        this->synced.Log().WorkersRevision(), ToMilliseconds(wait));
+    const std::uint64_t since = this->synced.Log().WorkersRevision();
     const auto response = this->peers->Call(
         relay, request,
         this->settings.relay_wait + this->settings.relay_timeout_margin);
@@ -534,7 +398,7 @@
       }
     }
     if (received->config) {
-      this->ApplyConfig(*received->config, relay.ToText());
+      this->synced.ApplyConfig(*received->config, relay.ToText());
     }
     this->routing_state->OnConfigConfirmed(now);
     this->routing_state->OnServersConfirmed(now);
@@ -543,11 +407,11 @@
       for (const ObjectChange& change : received->workers) {
         objects.push_back(change.object);
       }
-      this->ApplyAllWorkers(objects, received->workers_revision);
+      this->synced.ApplyWorkers(objects, received->workers_revision, now);
       return true;
     }
-    return this->ApplyWorkerChanges(received->workers, since,
-                                    received->workers_revision);
+    return this->synced.ApplyWorkerChanges(received->workers, since,
+                                           received->workers_revision, now);
   }
 
   void FetchConfig(const io::Endpoint& peer) {
@@ -557,8 +421,8 @@
     this->fetching_config = true;
     io::HttpRequest request;
     request.path = PeerStatePath();
-    request.query =
-        fmt::format("only=config&config={}", this->state_log.ConfigRevision());
+    request.query = fmt::format("only=config&config={}",
+                                this->synced.Log().ConfigRevision());
     const auto response =
         this->peers->Call(peer, request, this->settings.relay_timeout_margin);
     this->fetching_config = false;
@@ -566,7 +430,7 @@
                               ? std::nullopt
                               : DecodePeerState(response.value().body);
     if (received && received->config) {
-      this->ApplyConfig(*received->config, peer.ToText());
+      this->synced.ApplyConfig(*received->config, peer.ToText());
     }
   }
 
@@ -586,7 +450,7 @@
     response.headers.Add("Content-Type", "application/json");
     if (request.QueryParameter("only") == "config") {
       PeerState state =
-          this->state_log.Since(known_config_revision, UINT64_MAX);
+          this->synced.Log().Since(known_config_revision, UINT64_MAX);
       state.workers.clear();
       state.is_full = false;
       response.body = EncodePeerState(state);
@@ -600,17 +464,17 @@
         QueryNumber(request, "workers");
     const Duration wait =
         milliseconds(std::min(QueryNumber(request, "wait_ms"), kMaxWaitMs));
-    if (!this->state_log.HasUpdates(known_config_revision,
-                                    known_workers_revision)) {
+    if (!this->synced.Log().HasUpdates(known_config_revision,
+                                       known_workers_revision)) {
       std::unique_lock lock(this->mutex);
       this->state_changed.wait_for(lock, wait, [&] {
-        return this->state_log.HasUpdates(known_config_revision,
-                                          known_workers_revision) ||
+        return this->synced.Log().HasUpdates(known_config_revision,
+                                             known_workers_revision) ||
                !this->CanRelay();
       });
       lock.unlock();
-      if (this->state_log.HasUpdates(known_config_revision,
-                                     known_workers_revision)) {
+      if (this->synced.Log().HasUpdates(known_config_revision,
+                                        known_workers_revision)) {
         this->runtime->SleepFor(this->settings.relay_batch_delay);
       }
     }
@@ -619,7 +483,7 @@
       return response;
     }
     PeerState state =
-        this->state_log.Since(known_config_revision, known_workers_revision);
+        this->synced.Log().Since(known_config_revision, known_workers_revision);
     state.expiry_grace =
         this->routing_state->Servers().GraceLeft(this->runtime->Now());
     response.headers.Add("Content-Type", "application/json");
@@ -636,7 +500,7 @@
   StoreSyncEvents events;
   std::unique_ptr<io::HttpClient> peers;
   Random random;
-  StateLog state_log;
+  SyncedState synced;
 
   bool stopped = false;
   bool watching = false;  ///< this VM watches the store itself
@@ -680,7 +544,7 @@
 }
 
 bool StoreSync::IsSynced() const {
-  return this->state->IsSynced();
+  return this->state->synced.IsSynced();
 }
 
 void StoreSync::FetchConfig(const io::Endpoint& peer) {
