Followers of relays that lose the store ask it themselves

Callers saw requests to servers later than 2 s after the store had acknowledged that these leave, calls that may run once among them (502 as the server ended).

Cause: a relay whose path to the store had fallen silent went on answering its followers that nothing had changed, for up to 1.95 s after its last answer: the wait of a watch (1.0 s), the time limit of the call (0.7 s) and the question on a new connection (0.25 s). A follower counted each such answer as news, and watched the store 1.7 s and a check after the last one, or followed another relay once gossip said that this one had lost the store (2.6 s).

Change: a relay knows when its watch has to be answered. Once the answer is overdue (0.3 s, and what the last one was late) it refuses its followers at once, those that wait included. A follower that no relay answers asks the store for the changes since the revisions that it has, at once and then every second. So a change is known 1.0 s (watch) + 0.12 s (batch) + 0.3 s + 0.1 s (jitter) and a call after it at the latest; beside a silent relay 1.35 s + 0.1 s and a call. The configuration has the same chain where no VM that has it is left to announce it; relays state the revision up to which they know it, so that the question is small. Checks that are answered put off that a follower begins to watch (5 s). After a failed watch the next one does not wait, and a follower does not sit out its delay when another relay is to be followed.

--- a/chervilpass/fleet/peer_state.cc
+++ b/chervilpass/fleet/peer_state.cc
@@ -33,6 +33,7 @@
   body["workers_revision"] = state.workers_revision;
   body["whole"] = state.is_full;
   body["lapse_grace_ms"] = ToMilliseconds(state.expiry_grace);
+  body["config_checked"] = state.config_checked;
   return json::serialize(body);
 }
 
@@ -47,6 +48,7 @@
   state.is_full = fields.BoolOr("whole", false);
   state.expiry_grace = milliseconds(
       std::min<std::uint64_t>(fields.Integer("lapse_grace_ms"), 60000));
+  state.config_checked = fields.IntegerOr("config_checked", 0);
   if (const auto* config = fields.Find("config")) {
     state.config = platform::DecodeObject(*config);
   }
--- a/chervilpass/fleet/peer_state.h
+++ b/chervilpass/fleet/peer_state.h
@@ -26,6 +26,9 @@
   std::vector<platform::ObjectChange> workers;
   /// Time left in which registrations that expired during an outage may return.
   Duration expiry_grace{0};
+  /// Revision of the store up to which the sender knows the configuration; zero
+  /// from earlier builds.
+  std::uint64_t config_checked = 0;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <mutex>
@@ -39,6 +40,22 @@
 struct WatchState {
   bool last_call_failed = false;
   Instant last_response{};
+  /// The next answer to the watch arrives until then if the store is in reach
+  /// and not slow.
+  Instant answer_due{};
+};
+
+// The history that a watch needs is gone, or too much for one answer.
+bool NeedsListing(const StoreError& error) {
+  return error.code == StoreErrorCode::kRevisionCompacted ||
+         error.code == StoreErrorCode::kTooLarge ||
+         error.code == StoreErrorCode::kMalformed;
+}
+
+// One of the relays that this VM follows.
+struct FollowedRelay {
+  io::Endpoint address;
+  bool answers = false;  ///< the last poll was answered
 };
 
 }  // namespace
@@ -91,10 +108,7 @@
     for (; !this->stopped;
          this->runtime->SleepFor(this->settings.relay_check_interval)) {
       const Instant now = this->runtime->Now();
-      const bool relays_silent =
-          !this->watching &&
-          now - this->last_relay_response > this->settings.relay_lost_timeout;
-      if (this->events.is_relay() || relays_silent) {
+      if (this->events.is_relay() || this->AreRelaysLost(now)) {
         this->last_watch_needed = now;
       }
       const bool watch =
@@ -106,12 +120,25 @@
         this->log->Info("store.watch", {{"watching", watch}});
       }
       this->CheckStore(now);
+      this->CheckDirectly(Duration::zero());
     }
   }
 
+  // Answers to direct checks replace those of the relays for a while: these may
+  // be back soon, or be replaced.
+  bool AreRelaysLost(Instant now) const {
+    const Duration without = now - this->last_relay_response;
+    const bool checks_answered =
+        now - this->last_direct_answer < this->settings.relay_lost_timeout;
+    return !this->watching &&
+           without > (checks_answered ? this->settings.max_direct_check_time
+                                      : this->settings.relay_lost_timeout);
+  }
+
+  // No answer counts for followers until both watches have got one.
   void ResetWatchStates(Instant now) {
-    this->config_watch.last_response = now;
-    this->workers_watch.last_response = now;
+    this->config_watch = {false, now, now};
+    this->workers_watch = {false, now, now};
   }
 
   WatchState& WatchOf(StoreKind kind) {
@@ -156,9 +183,10 @@
     this->events.store_changed(false);
   }
 
-  void OnStoreResponse(StoreKind kind) {
+  // The store answered; its next answer is due at `answer_due`.
+  void OnStoreResponse(StoreKind kind, Instant answer_due) {
     const Instant now = this->runtime->Now();
-    this->WatchOf(kind) = {false, now};
+    this->WatchOf(kind) = {false, now, answer_due};
     // Before the response is applied: entries may have expired in the outage.
     if (kind == StoreKind::kWorkers && this->workers_lost && this->watching) {
       this->workers_lost = false;
@@ -198,6 +226,7 @@
         this->runtime->SleepFor(this->settings.relay_check_interval);
         continue;
       }
+      const Instant asked = this->runtime->Now();
       const auto listing = this->store->List(kind);
       if (listing.has_error()) {
         this->OnStoreFailure(kind, listing.error());
@@ -206,7 +235,7 @@
       }
       backoff.Reset();
       listed = true;
-      this->OnStoreResponse(kind);
+      this->OnStoreResponse(kind, this->AnswerDue(kind, asked));
       this->ApplyListing(kind, listing.value());
       this->WatchFrom(kind, listing.value().revision);
     }
@@ -216,31 +245,68 @@
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
     while (!this->stopped && this->watching) {
-      auto changes =
-          this->store->Watch(kind, revision, this->NextWatchWait(kind));
+      // After a failure the store is asked to respond at once, so that it is
+      // soon known whether it is in reach again.
+      const Duration wait = this->WatchOf(kind).last_call_failed
+                                ? Duration::zero()
+                                : this->NextWatchWait(kind);
+      const Instant end = this->runtime->Now() + wait;
+      auto changes = this->store->Watch(kind, revision, wait);
+      Instant current_at = this->CurrentAt(end);
       if (changes.has_error()) {
         this->ReplaceSilentConnection(kind, revision, &changes);
+        current_at = this->runtime->Now();
+      } else if (changes.value().changes.empty()) {
+        this->MeasureLateness(end);
       }
       if (changes.has_error()) {
         this->OnStoreFailure(kind, changes.error());
-        if (changes.error().code == StoreErrorCode::kRevisionCompacted ||
-            changes.error().code == StoreErrorCode::kTooLarge ||
-            changes.error().code == StoreErrorCode::kMalformed) {
+        if (NeedsListing(changes.error())) {
           return;
         }
         this->runtime->SleepFor(backoff.Next(&this->random));
         continue;
       }
       backoff.Reset();
-      this->OnStoreResponse(kind);
+      const bool batched =
+          kind == StoreKind::kWorkers && !changes.value().changes.empty();
+      const Duration pause =
+          batched ? this->settings.worker_batch_delay : Duration::zero();
+      this->OnStoreResponse(kind, this->AnswerDue(kind, current_at + pause));
       this->ApplyChanges(kind, changes.value(), revision);
       revision = std::max(revision, changes.value().revision);
-      if (kind == StoreKind::kWorkers && !changes.value().changes.empty()) {
-        this->runtime->SleepFor(this->settings.worker_batch_delay);
+      if (batched) {
+        this->runtime->SleepFor(pause);
       }
     }
   }
 
+  // The time as of which an answer that is received now is current, if its
+  // watch ended at `end`. A process that stood still reads old answers.
+  Instant CurrentAt(Instant end) const {
+    return std::min(this->runtime->Now(),
+                    end + this->settings.overdue_margin + this->lateness);
+  }
+
+  // When the next answer is due after one that is current at `current_at`.
+  Instant AnswerDue(StoreKind kind, Instant current_at) const {
+    const Duration wait = kind == StoreKind::kConfig
+                              ? this->settings.config_watch_wait
+                              : this->settings.workers_watch_wait;
+    return current_at + wait + this->settings.overdue_margin;
+  }
+
+  // A slow store answers later than its watch ends, and is not taken for one
+  // that is out of reach.
+  void MeasureLateness(Instant end) {
+    const Duration late = this->runtime->Now() - end;
+    const Duration longest = this->settings.max_watch_lateness;
+    // Later than a call may take only if this process stood still.
+    if (late <= longest + this->settings.overdue_margin) {
+      this->lateness = std::clamp(late, Duration::zero(), longest);
+    }
+  }
+
   Duration NextWatchWait(StoreKind kind) {
     const Duration longest = kind == StoreKind::kConfig
                                  ? this->settings.config_watch_wait
@@ -305,6 +371,7 @@
       for (const StoredObject& object : listing.objects) {
         this->synced.ApplyConfig(object, "store");
       }
+      this->config_checked = std::max(this->config_checked, listing.revision);
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
@@ -323,6 +390,7 @@
           this->synced.ApplyConfig(change.object, "store");
         }
       }
+      this->config_checked = std::max(this->config_checked, changes.revision);
       this->routing_state->OnConfigConfirmed(this->runtime->Now());
       return;
     }
@@ -338,33 +406,115 @@
   void FollowRelay(std::size_t slot) {
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
-    // A relay is asked to respond at once after a failure, so that it is soon
-    // known whether only the connection to it had failed.
-    bool last_failed = false;
+    FollowedRelay& followed = this->followed.at(slot);
     while (!this->stopped) {
       const auto relays = this->events.relays();
-      const bool follow =
-          slot < relays.size() && (!this->watching || !this->store_up);
-      const Duration wait =
-          last_failed ? Duration::zero() : this->settings.relay_wait;
-      const bool failed_before = last_failed;
-      last_failed = follow && !this->PollRelay(relays[slot], wait);
-      if (follow && last_failed != failed_before) {
-        this->log->Info(
-            "relay.poll",
-            {{"relay", relays[slot].ToText()},
-             {"answered", !last_failed},
-             {"unconfirmed_ms",
-              ToMilliseconds(this->routing_state
-                                 ->ServersUnconfirmedFor(this->runtime->Now())
-                                 .value_or(Duration::zero()))}});
+      if (slot >= relays.size() || !this->NeedsRelay()) {
+        followed = {};
+        this->runtime->SleepFor(this->settings.relay_check_interval);
+        continue;
+      }
+      if (followed.address != relays[slot]) {
+        followed = {relays[slot], false};
+        backoff.Reset();
       }
-      if (!follow || last_failed) {
-        this->runtime->SleepFor(follow ? backoff.Next(&this->random)
-                                       : this->settings.relay_check_interval);
+      // A relay is asked to respond at once at first and after a failure, so
+      // that it is soon known whether it is in reach.
+      const bool answered = this->PollRelay(
+          followed.address,
+          followed.answers ? this->settings.relay_wait : Duration::zero());
+      if (answered != followed.answers) {
+        followed.answers = answered;
+        this->LogPoll(followed);
+      }
+      if (answered) {
+        backoff.Reset();
         continue;
       }
-      backoff.Reset();
+      this->CheckDirectly(duration_cast<Duration>(
+          this->random.Unit() * this->settings.direct_check_jitter));
+      this->AwaitOtherRelay(slot, backoff.Next(&this->random));
+    }
+  }
+
+  // A VM whose own calls to the store are unanswered asks the relays too.
+  bool NeedsRelay() const { return !this->watching || !this->CanRelay(); }
+
+  bool HasRelay() const {
+    return std::any_of(
+        this->followed.begin(), this->followed.end(),
+        [](const FollowedRelay& relay) { return relay.answers; });
+  }
+
+  // Waits for `delay`, or until another relay is to be followed.
+  void AwaitOtherRelay(std::size_t slot, Duration delay) {
+    const Instant until = this->runtime->Now() + delay;
+    while (!this->stopped && this->runtime->Now() < until) {
+      this->runtime->SleepFor(std::min(this->settings.relay_check_interval,
+                                       until - this->runtime->Now()));
+      const auto relays = this->events.relays();
+      if (slot >= relays.size() ||
+          relays[slot] != this->followed.at(slot).address) {
+        return;
+      }
+    }
+  }
+
+  void LogPoll(const FollowedRelay& relay) const {
+    const auto unconfirmed =
+        this->routing_state->ServersUnconfirmedFor(this->runtime->Now());
+    this->log->Info(
+        "relay.poll",
+        {{"relay", relay.address.ToText()},
+         {"answered", relay.answers},
+         {"unconfirmed_ms", ToMilliseconds(unconfirmed.value_or(Duration()))}});
+  }
+
+  // ---- without a relay ----
+
+  // Asks the store for changes, after `delay`, if no relay answers. Before this
+  // VM watches the store itself it learns so of changes in time.
+  void CheckDirectly(Duration delay) {
+    const Instant now = this->runtime->Now();
+    const Instant last_asked =
+        std::max(this->last_direct_check, this->workers_watch.last_response);
+    if (this->checking || this->watching || this->HasRelay() ||
+        !this->synced.IsSynced() ||
+        now - last_asked < this->settings.direct_check_interval) {
+      return;
+    }
+    this->checking = true;
+    this->last_direct_check = now + delay;
+    this->runtime->Spawn([self = this->shared_from_this(), delay] {
+      self->runtime->SleepFor(delay);
+      self->CheckKind(StoreKind::kWorkers,
+                      self->synced.Log().WorkersRevision());
+      self->CheckKind(
+          StoreKind::kConfig,
+          std::max(self->config_checked, self->synced.Log().ConfigRevision()));
+      self->checking = false;
+    });
+  }
+
+  void CheckKind(StoreKind kind, std::uint64_t revision) {
+    if (this->stopped) {
+      return;
+    }
+    const auto changes = this->store->ChangesOnNewConnection(
+        kind, revision, this->settings.direct_check_timeout);
+    this->log->Info(
+        "store.direct_check",
+        {{"what", NameOf(kind)},
+         {"revision", revision},
+         {"answered", changes.has_value()},
+         {"changes",
+          changes.has_value() ? changes.value().changes.size() : 0}});
+    this->metrics->Increment("chervil_store_direct_checks_total");
+    if (changes.has_value()) {
+      this->last_direct_answer = this->runtime->Now();
+      this->ApplyChanges(kind, changes.value(), revision);
+    } else if (NeedsListing(changes.error())) {
+      this->last_watch_needed = this->runtime->Now();
     }
   }
 
@@ -400,6 +550,8 @@
     if (received->config) {
       this->synced.ApplyConfig(*received->config, relay.ToText());
     }
+    this->config_checked =
+        std::max(this->config_checked, received->config_checked);
     this->routing_state->OnConfigConfirmed(now);
     this->routing_state->OnServersConfirmed(now);
     if (received->is_full) {
@@ -436,10 +588,33 @@
 
   // ---- as a relay ----
 
-  // While calls to the store fail, the state of this VM may be stale.
+  // While calls to the store fail or get no answer, the state of this VM may be
+  // stale.
   bool CanRelay() const {
     return this->store_up && !this->config_watch.last_call_failed &&
-           !this->workers_watch.last_call_failed;
+           !this->workers_watch.last_call_failed &&
+           this->runtime->Now() <= this->NextAnswerDue();
+  }
+
+  Instant NextAnswerDue() const {
+    return std::min(this->config_watch.answer_due,
+                    this->workers_watch.answer_due) +
+           this->lateness;
+  }
+
+  // Waits until a follower lacks something, for `wait`, or until this VM cannot
+  // act as a relay.
+  void AwaitUpdates(std::uint64_t config_revision,
+                    std::uint64_t workers_revision,
+                    Duration wait) {
+    const Instant until = this->runtime->Now() + wait;
+    std::unique_lock lock(this->mutex);
+    while (this->runtime->Now() < until && this->CanRelay() &&
+           !this->synced.Log().HasUpdates(config_revision, workers_revision)) {
+      // An answer that is due may move the time at which the next one is.
+      this->state_changed.wait_until(
+          lock, std::min(until, this->NextAnswerDue() + milliseconds(1)));
+    }
   }
 
   void NotifyFollowers() { this->state_changed.notify_all(); }
@@ -466,13 +641,7 @@
         milliseconds(std::min(QueryNumber(request, "wait_ms"), kMaxWaitMs));
     if (!this->synced.Log().HasUpdates(known_config_revision,
                                        known_workers_revision)) {
-      std::unique_lock lock(this->mutex);
-      this->state_changed.wait_for(lock, wait, [&] {
-        return this->synced.Log().HasUpdates(known_config_revision,
-                                             known_workers_revision) ||
-               !this->CanRelay();
-      });
-      lock.unlock();
+      this->AwaitUpdates(known_config_revision, known_workers_revision, wait);
       if (this->synced.Log().HasUpdates(known_config_revision,
                                         known_workers_revision)) {
         this->runtime->SleepFor(this->settings.relay_batch_delay);
@@ -486,6 +655,7 @@
         this->synced.Log().Since(known_config_revision, known_workers_revision);
     state.expiry_grace =
         this->routing_state->Servers().GraceLeft(this->runtime->Now());
+    state.config_checked = this->config_checked;
     response.headers.Add("Content-Type", "application/json");
     response.body = EncodePeerState(state);
     return response;
@@ -508,9 +678,18 @@
   bool store_lost = false;
   bool workers_lost = false;     ///< their watch was silent for too long
   bool fetching_config = false;  ///< a FetchConfig is running
+  bool checking = false;         ///< a direct check is running
   WatchState config_watch;
   WatchState workers_watch;
+  /// How much later than its wait the last watch without a change was
+  /// answered.
+  Duration lateness{0};
+  /// Revision of the store up to which the configuration is known.
+  std::uint64_t config_checked = 0;
+  std::array<FollowedRelay, 2> followed;
   Instant last_relay_response{};
+  Instant last_direct_check{};
+  Instant last_direct_answer{};
   Instant last_watch_needed{};
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable state_changed;
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -40,6 +40,12 @@
   /// while a watch on another connection got no answer. One that was not may
   /// respond at any time once it is back, but hardly in this one.
   Duration prompt_response = milliseconds(250);
+  /// An answer of the store that is later than this after its watch has ended,
+  /// or later than that by the lateness of the last one, is overdue: a relay
+  /// then sends its followers elsewhere, since its state may be old.
+  Duration overdue_margin = milliseconds(300);
+  /// Greatest lateness that counts.
+  Duration max_watch_lateness = milliseconds(400);
   /// Interval of the check whether this VM should watch the store.
   Duration relay_check_interval = milliseconds(200);
   /// A VM continues to watch for this long after others have taken over.
@@ -50,8 +56,16 @@
   /// A call to a relay times out this long after `relay_wait`.
   Duration relay_timeout_margin = milliseconds(350);
   /// Without a response from any relay for this long a VM watches the store
-  /// itself.
+  /// itself, unless the store answers its direct checks.
   Duration relay_lost_timeout = milliseconds(1700);
+  /// A VM to which no relay responds asks the store for changes at once, and
+  /// again after this time, as long as it does not watch the store.
+  Duration direct_check_interval = milliseconds(1000);
+  /// After this time without a relay it watches the store in any case.
+  Duration max_direct_check_time = seconds(5);
+  /// Spreads the checks of VMs that lose a relay together.
+  Duration direct_check_jitter = milliseconds(100);
+  Duration direct_check_timeout = milliseconds(700);  ///< of one check
   /// A relay batches changes for this long before it sends them.
   Duration relay_batch_delay = milliseconds(30);
   /// Number of changes kept for followers; a follower that lacks more than
--- a/unit_tests/silent_connections_test.cc
+++ b/unit_tests/silent_connections_test.cc
@@ -1,15 +1,10 @@
 // Tests of open connections that fall silent, without a reset, while new ones
 // work: to the store, to relays and to backend servers. A store that is away
 // looks alike at first.
-#include <fmt/format.h>
-
-#include <functional>
-
-#include "chervilpass/fleet/peer_state.h"
-#include "chervilpass/fleet/store_sync.h"
 #include "chervilpass/io/http_client.h"
 #include "chervilpass/io/http_server.h"
 #include "unit_tests/silent_proxy.h"
+#include "unit_tests/sync_fixture.h"
 
 // Last: its macros clash with headers of Boost.
 #include <criterion/criterion.h>
@@ -19,164 +14,13 @@
 
 namespace {
 
-constexpr const char* kIp = "127.0.204.1";
-// A server that has left gets no requests later than this.
-constexpr Duration kDrainTime = milliseconds(2000);
-
-void OnRuntime(const std::function<void(io::Runtime&)>& body) {
-  io::Runtime::Run([&body](io::Runtime& runtime) { body(runtime); });
-}
-
-std::unique_ptr<io::HttpServer> Serve(io::Runtime& runtime,
-                                      std::uint16_t port,
-                                      io::HttpHandler handler) {
-  io::HttpServerSettings settings;
-  settings.listen = {kIp, port};
-  auto server =
-      io::HttpServer::Create(&runtime, settings, std::move(handler),
-                             [](unsigned status, std::string_view) {
-                               return io::HttpResponse{status, {}, ""};
-                             });
-  cr_assert(server.has_value());
-  return std::move(server).value();
-}
-
-// A store with two backend servers, which can lose them, freeze or be slow.
-class Store {
- public:
-  Store(io::Runtime& runtime, std::uint16_t port)
-      : runtime(runtime),
-        server(Serve(runtime, port, [this](io::HttpExchange& exchange) {
-          this->Handle(exchange);
-        })) {}
-
-  bool removed = false;  ///< the first server
-  bool lapsed = false;   ///< both servers
-  bool frozen = false;   ///< accepts connections and does not respond
-  Duration delay = milliseconds(4);
-  int watches = 0;
-
- private:
-  static std::string Object(const std::string& name, int revision) {
-    return fmt::format(
-        R"({{"metadata":{{"name":"{}","rev":{}}},"spec":{{"service":"app",)"
-        R"("address":"10.0.0.{}:8080","zone":"a","version":"v1","slots":4,)"
-        R"("state":"ready","seq":1}}}})",
-        name, revision, name == "a" ? 1 : 2);
-  }
-
-  int Revision() const { return this->lapsed ? 12 : this->removed ? 11 : 9; }
-
-  std::string EventsSince(int revision) const {
-    std::string events;
-    for (const auto& [name, gone, number] :
-         {std::tuple{"a", this->removed || this->lapsed, 11},
-          std::tuple{"b", this->lapsed, 12}}) {
-      if (gone && revision < number) {
-        events += fmt::format(R"({}{{"object":{},"deleted":true}})",
-                              events.empty() ? "" : ",", Object(name, number));
-      }
-    }
-    return events;
-  }
-
-  void Handle(io::HttpExchange& exchange) {
-    this->AwaitThaw();
-    this->runtime.SleepFor(this->delay);
-    const io::HttpRequest& request = exchange.Request();
-    const bool workers = request.path.ends_with("/servers");
-    if (const auto since = request.QueryParameter("watch")) {
-      ++this->watches;
-      const int revision = std::stoi(*since);
-      const Instant until =
-          this->runtime.Now() +
-          milliseconds(std::stoi(request.QueryParameter("waitMs").value()));
-      while (this->runtime.Now() < until &&
-             (!workers || this->EventsSince(revision).empty())) {
-        this->runtime.SleepFor(milliseconds(5));
-      }
-      this->AwaitThaw();
-      return exchange.Respond(
-          {200,
-           {},
-           fmt::format(R"({{"events":[{}],"storeRevision":{}}})",
-                       workers ? this->EventsSince(revision) : "",
-                       this->Revision())});
-    }
-    const std::string config =
-        R"({"metadata":{"name":"main","rev":7},"spec":{"version":3}})";
-    exchange.Respond(
-        {200,
-         {},
-         fmt::format(R"({{"items":[{}],"storeRevision":9}})",
-                     workers ? Object("a", 1) + "," + Object("b", 2)
-                     : request.path.ends_with("/config") ? config
-                                                         : "")});
-  }
-
-  void AwaitThaw() {
-    while (this->frozen) {
-      this->runtime.SleepFor(milliseconds(5));
-    }
-  }
-
-  io::Runtime& runtime;
-  std::unique_ptr<io::HttpServer> server;
-};
-
-class Vm {
- public:
-  Vm(io::Runtime& runtime,
-     std::uint16_t store_port,
-     std::vector<io::Endpoint> relays = {},
-     StoreSyncSettings settings = {})
-      : log({"test", "vm", LogLevel::kError, LogFormat::kKeyValue}),
-        routing_state({}, 1),
-        store(platform::StoreClient::Create(&runtime,
-                                            &this->metrics,
-                                            {{kIp, store_port}})) {
-    StoreSyncEvents events;
-    events.config_changed = [] {};
-    events.store_changed = [this](bool up) { this->losses += up ? 0 : 1; };
-    events.is_relay = [is_relay = relays.empty()] { return is_relay; };
-    events.relays = [relays] { return relays; };
-    this->sync = StoreSync::Create(&runtime, this->store.get(),
-                                   &this->routing_state, &this->metrics,
-                                   &this->log, settings, std::move(events));
-  }
-
-  std::size_t Usable() const {
-    return this->routing_state.Servers().Usable("app").size();
-  }
-
-  Duration GraceLeft(const io::Runtime& runtime) const {
-    return this->routing_state.Servers().GraceLeft(runtime.Now());
-  }
-
-  int losses = 0;  ///< of the store
-  Logger log;
-  MetricsRegistry metrics;
-  serving::RoutingState routing_state;
-  std::unique_ptr<platform::StoreClient> store;
-  std::unique_ptr<StoreSync> sync;
-};
-
-// Expires registrations as the program does.
-void RunFor(io::Runtime& runtime, Vm& vm, Duration time) {
-  const Instant until = runtime.Now() + time;
-  while (runtime.Now() < until) {
-    runtime.SleepFor(milliseconds(20));
-    vm.routing_state.Expire(runtime.Now(), runtime.WallNow());
-  }
-}
-
 // A server is removed at `delay` after the connections of the VM to the store
 // fell silent.
 void CheckRemovalIsSeen(std::uint16_t port, Duration delay) {
   OnRuntime([&](io::Runtime& runtime) {
-    Store store(runtime, port);
-    SilentProxy proxy(kIp, static_cast<std::uint16_t>(port + 1), port);
-    Vm vm(runtime, static_cast<std::uint16_t>(port + 1));
+    SyncStore store(runtime, port);
+    SilentProxy proxy(kSyncIp, static_cast<std::uint16_t>(port + 1), port);
+    SyncVm vm(runtime, static_cast<std::uint16_t>(port + 1));
     // Several connections are idle in the pool.
     for (int i = 0; i < 4; ++i) {
       runtime.Spawn(
@@ -186,7 +30,7 @@
     cr_assert_eq(vm.Usable(), 2);
     proxy.SilenceOpenConnections();
     RunFor(runtime, vm, delay);
-    store.removed = true;
+    store.Remove("a");
     RunFor(runtime, vm, kDrainTime);
     cr_assert_eq(vm.Usable(), 1, "removed %ld ms after the silence",
                  ToMilliseconds(delay));
@@ -217,12 +61,12 @@
 // connection is noticed.
 Test(silent_connections, a_silent_watch_of_the_configuration_is_no_outage) {
   OnRuntime([](io::Runtime& runtime) {
-    Store store(runtime, 23480);
-    SilentProxy proxy(kIp, 23481, 23480);
+    SyncStore store(runtime, 23480);
+    SilentProxy proxy(kSyncIp, 23481, 23480);
     StoreSyncSettings settings;
     settings.watch_wait_jitter = 0;
     settings.relay_check_interval = milliseconds(20);
-    Vm vm(runtime, 23481, {}, settings);
+    SyncVm vm(runtime, 23481, {}, settings);
     RunFor(runtime, vm, milliseconds(1500));
     proxy.SilenceOpenConnections();
     RunFor(runtime, vm, milliseconds(4000));
@@ -233,21 +77,21 @@
 // The same for a VM that gets the state from a relay.
 Test(silent_connections, a_follower_sees_a_removal) {
   OnRuntime([](io::Runtime& runtime) {
-    Store store(runtime, 23430);
-    Vm relay(runtime, 23430);
+    SyncStore store(runtime, 23430);
+    SyncVm relay(runtime, 23430);
     const auto relay_server =
         Serve(runtime, 23431, [&](io::HttpExchange& exchange) {
           exchange.Respond(relay.sync->HandleFollowerRequest(
               io::HttpRequest(exchange.Request())));
         });
-    SilentProxy proxy(kIp, 23432, 23431);
-    Vm follower(runtime, 23430, {{kIp, 23432}});
+    SilentProxy proxy(kSyncIp, 23432, 23431);
+    SyncVm follower(runtime, 23430, {{kSyncIp, 23432}});
     RunFor(runtime, follower, milliseconds(1500));
     cr_assert_eq(follower.Usable(), 2);
     const int watches = store.watches;
     proxy.SilenceOpenConnections();
     RunFor(runtime, follower, milliseconds(100));
-    store.removed = true;
+    store.Remove("a");
     RunFor(runtime, follower, kDrainTime);
     cr_assert_eq(follower.Usable(), 1);
     // The relay's own watches: some four a second at most.
@@ -259,14 +103,15 @@
 // it takes connections and does not answer, and all entries lapse meanwhile.
 Test(silent_connections, a_frozen_store_is_no_silent_connection) {
   OnRuntime([](io::Runtime& runtime) {
-    Store store(runtime, 23440);
-    Vm vm(runtime, 23440);
+    SyncStore store(runtime, 23440);
+    SyncVm vm(runtime, 23440);
     RunFor(runtime, vm, milliseconds(1200));
     cr_assert_eq(vm.Usable(), 2);
     store.frozen = true;
     RunFor(runtime, vm, milliseconds(4000));
     cr_assert_geq(vm.losses, 1);
-    store.lapsed = true;
+    store.Remove("a");
+    store.Remove("b");
     store.frozen = false;
     RunFor(runtime, vm, milliseconds(1900));
     cr_assert_eq(vm.Usable(), 2);
@@ -279,8 +124,8 @@
 // connections: it may not renew registrations either.
 Test(silent_connections, a_slow_store_counts_as_lost_as_before) {
   OnRuntime([](io::Runtime& runtime) {
-    Store store(runtime, 23450);
-    Vm vm(runtime, 23450);
+    SyncStore store(runtime, 23450);
+    SyncVm vm(runtime, 23450);
     RunFor(runtime, vm, milliseconds(1200));
     cr_assert(vm.sync->StoreUp());
     store.delay = milliseconds(1000);
@@ -296,12 +141,13 @@
       runtime.SleepFor(milliseconds(20));
       exchange.Respond({200, {}, "ok"});
     });
-    SilentProxy proxy(kIp, 23461, 23460);
+    SilentProxy proxy(kSyncIp, 23461, 23460);
     const auto client = io::HttpClient::Create(&runtime, {});
     io::HttpRequest request;
     request.path = "/x";
     const auto call = [&] {
-      return client->Call({kIp, 23461}, request, milliseconds(150)).has_value();
+      return client->Call({kSyncIp, 23461}, request, milliseconds(150))
+          .has_value();
     };
     for (int i = 0; i < 5; ++i) {
       runtime.Spawn([&] { cr_assert(call()); });
--- a/unit_tests/silent_proxy.h
+++ b/unit_tests/silent_proxy.h
@@ -1,9 +1,10 @@
 // A TCP proxy whose open connections can fall silent, without a reset, while
-// new ones work.
+// new ones work, or which holds everything back for a while.
 #pragma once
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -42,6 +43,10 @@
   /// Passes no more bytes on open connections.
   void SilenceOpenConnections() { ++this->epoch; }
 
+  /// Holds all bytes back, also those of new connections, until `Resume`.
+  void Pause() { this->paused = true; }
+  void Resume() { this->paused = false; }
+
  private:
   using Tcp = boost::asio::ip::tcp;
 
@@ -89,6 +94,9 @@
     while (true) {
       const std::size_t size =
           from.read_some(boost::asio::buffer(bytes), error);
+      while (this->paused && !this->stopping) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
       const bool silent = connection.epoch != this->epoch;
       if (error) {
         if (!silent) {
@@ -107,6 +115,7 @@
   Tcp::acceptor acceptor;
   std::atomic<int> epoch = 0;
   std::atomic<bool> stopping = false;
+  std::atomic<bool> paused = false;
   // Used by the accepting thread until it has ended.
   std::vector<std::shared_ptr<Connection>> connections;
   std::vector<std::thread> threads;
