Judge outages of the store by its answers to all VMs

Callers saw requests to servers later than 2 s after the store had removed these, by VMs that were never in trouble; calls that may run once got 502 as the server ended. After an outage of the store, callers of VMs that do not watch it got 503 until the sound servers had registered again.

Cause, one for both: the time without an answer was counted by each VM for itself. A relay that had stood still for 3.5 s took the store for lost as it woke (store.lost, 4.2 s), kept what was removed in the next 2.2 s, and told its followers to do so (servers.grace with its address in their logs, worker.changed with kept: true). A follower that began to watch in an outage counted from then, and saw none.

Change: StoreContact keeps the times in which the store is known to have answered any VM; only a gap of 2.7 s in all of them is an outage, and its end is the first answer to any VM. Relays state these times in their responses (store_silent_ms, store_reached_ms; optional, so that earlier builds can do without, and theirs are taken as before). A VM that finds a gap asks two relays, and drops what was removed as soon as one of them had answers in it. What is "confirmed" by a relay has the age that the relay states.

--- a/chervilpass/fleet/peer_state.cc
+++ b/chervilpass/fleet/peer_state.cc
@@ -14,6 +14,11 @@
 
 // From the root of a state to the specs, which other writers may have written.
 constexpr int kSpecLevel = 4;
+constexpr std::uint64_t kMaxDurationMs = 60000;
+
+Duration DurationOf(std::uint64_t ms) {
+  return milliseconds(std::min(ms, kMaxDurationMs));
+}
 
 }  // namespace
 
@@ -33,6 +38,10 @@
   body["workers_revision"] = state.workers_revision;
   body["whole"] = state.is_full;
   body["lapse_grace_ms"] = ToMilliseconds(state.expiry_grace);
+  if (state.store_reach) {
+    body["store_silent_ms"] = ToMilliseconds(state.store_reach->silent);
+    body["store_reached_ms"] = ToMilliseconds(state.store_reach->reached);
+  }
   body["config_checked"] = state.config_checked;
   return json::serialize(body);
 }
@@ -46,8 +55,12 @@
   PeerState state;
   state.workers_revision = fields.Integer("workers_revision");
   state.is_full = fields.BoolOr("whole", false);
-  state.expiry_grace = milliseconds(
-      std::min<std::uint64_t>(fields.Integer("lapse_grace_ms"), 60000));
+  state.expiry_grace = DurationOf(fields.Integer("lapse_grace_ms"));
+  if (fields.Find("store_silent_ms") != nullptr) {
+    state.store_reach =
+        StoreReach{DurationOf(fields.Integer("store_silent_ms")),
+                   DurationOf(fields.Integer("store_reached_ms"))};
+  }
   state.config_checked = fields.IntegerOr("config_checked", 0);
   if (const auto* config = fields.Find("config")) {
     state.config = platform::DecodeObject(*config);
--- a/chervilpass/fleet/peer_state.h
+++ b/chervilpass/fleet/peer_state.h
@@ -16,6 +16,15 @@
 
 namespace chervilpass::fleet {
 
+/// When the store answered a VM, as it tells others: durations, since their
+/// clocks differ.
+struct StoreReach {
+  Duration silent{0};   ///< since the last answer
+  Duration reached{0};  ///< of the answers before, without an outage
+
+  bool operator==(const StoreReach&) const = default;
+};
+
 /// A state message: a relay's response to a follower.
 struct PeerState {
   /// Set if newer than the follower's.
@@ -26,6 +35,8 @@
   std::vector<platform::ObjectChange> workers;
   /// Time left in which registrations that expired during an outage may return.
   Duration expiry_grace{0};
+  /// Not set by earlier builds, whose followers take `expiry_grace`.
+  std::optional<StoreReach> store_reach;
   /// Revision of the store up to which the sender knows the configuration; zero
   /// from earlier builds.
   std::uint64_t config_checked = 0;
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -10,7 +10,9 @@
 
 #include "chervilpass/core/backoff.h"
 #include "chervilpass/fleet/peer_state.h"
+#include "chervilpass/fleet/store_contact.h"
 #include "chervilpass/fleet/synced_state.h"
+#include "chervilpass/fleet/watch_deadlines.h"
 
 namespace chervilpass::fleet {
 namespace {
@@ -25,6 +27,8 @@
 
 // Maximum time that a follower may ask a relay to wait, in milliseconds.
 constexpr std::uint64_t kMaxWaitMs = 10000;
+// VMs state ages, so that they name slightly different times for one event.
+constexpr Duration kAgeRounding = milliseconds(100);
 
 std::string_view NameOf(StoreKind kind) {
   return kind == StoreKind::kConfig ? "config" : "workers";
@@ -40,9 +44,6 @@
 struct WatchState {
   bool last_call_failed = false;
   Instant last_response{};
-  /// The next answer to the watch arrives until then if the store is in reach
-  /// and not slow.
-  Instant answer_due{};
 };
 
 // The history that a watch needs is gone, or too much for one answer.
@@ -82,6 +83,8 @@
         events(std::move(events)),
         peers(std::move(peers)),
         random(routing_state->Rng().Next()),
+        deadlines({settings.config_watch_wait, settings.workers_watch_wait,
+                   settings.overdue_margin, settings.max_watch_lateness}),
         synced(routing_state,
                metrics,
                log,
@@ -135,10 +138,10 @@
                                       : this->settings.relay_lost_timeout);
   }
 
-  // No answer counts for followers until both watches have got one.
   void ResetWatchStates(Instant now) {
-    this->config_watch = {false, now, now};
-    this->workers_watch = {false, now, now};
+    this->config_watch = {false, now};
+    this->workers_watch = {false, now};
+    this->deadlines.Reset(now);
   }
 
   WatchState& WatchOf(StoreKind kind) {
@@ -163,16 +166,12 @@
   void CheckStore(Instant now) {
     const bool config_silent = this->IsSilent(StoreKind::kConfig, now);
     const bool workers_silent = this->IsSilent(StoreKind::kWorkers, now);
-    this->workers_lost =
-        this->workers_lost ||
-        ((this->store_up || this->store_lost) && workers_silent);
     const bool lost = config_silent || workers_silent || !this->watching;
     if (!this->store_up || !lost) {
       return;
     }
     this->store_up = false;
     if (this->watching) {
-      this->store_lost = true;
       this->log->Warning(
           "store.lost",
           {{"config_silent_ms",
@@ -183,31 +182,56 @@
     this->events.store_changed(false);
   }
 
-  // The store answered; its next answer is due at `answer_due`.
-  void OnStoreResponse(StoreKind kind, Instant answer_due) {
+  // The store has given an answer that is current as of `current_at`; the next
+  // watch begins `pause` after that.
+  void OnStoreResponse(StoreKind kind,
+                       Instant current_at,
+                       Duration pause = Duration::zero()) {
     const Instant now = this->runtime->Now();
-    this->WatchOf(kind) = {false, now, answer_due};
-    // Before the response is applied: entries may have expired in the outage.
-    if (kind == StoreKind::kWorkers && this->workers_lost && this->watching) {
-      this->workers_lost = false;
-      this->routing_state->Servers().OnStoreRegained(now);
-      this->LogGrace("store", now);
-    }
+    this->WatchOf(kind) = {false, now};
+    this->deadlines.OnAnswer(kind, current_at + pause);
+    // Before the response is applied: registrations may have expired.
+    this->OnStoreReached({now, now}, "store");
     if (this->store_up || !this->watching ||
         this->IsSilent(StoreKind::kConfig, now) ||
         this->IsSilent(StoreKind::kWorkers, now)) {
       return;
     }
     this->store_up = true;
-    this->store_lost = false;
     this->log->Info("store.regained", {});
     this->events.store_changed(true);
   }
 
+  // The store answered a VM in `span`, according to `from`. Registrations that
+  // expired in an outage of the store are kept for a while; a gap in the
+  // answers to this VM alone is none.
+  void OnStoreReached(AnswerSpan span, std::string_view from) {
+    const Instant now = this->runtime->Now();
+    routing::ServerRegistry& servers = this->routing_state->Servers();
+    const auto known_end = this->contact.OutageEnd();
+    this->contact.Add(span);
+    const auto end = this->contact.OutageEnd();
+    if (end == known_end ||
+        (end && known_end &&
+         std::chrono::abs(*end - *known_end) < kAgeRounding)) {
+      return;
+    }
+    if (end) {
+      servers.OnStoreRegained(*end);
+    } else {
+      servers.EndGrace(now);
+    }
+    this->metrics->Increment("chervil_store_gaps_total",
+                             end ? "judged=\"outage\"" : "judged=\"none\"");
+    this->LogGrace(from, now);
+  }
+
   void LogGrace(std::string_view from, Instant now) const {
+    const auto end = this->contact.OutageEnd();
     this->log->Info(
         "servers.grace",
         {{"from", from},
+         {"outage_end_ms", end ? ToMilliseconds(now - *end) : -1},
          {"grace_ms",
           ToMilliseconds(this->routing_state->Servers().GraceLeft(now))}});
   }
@@ -235,7 +259,7 @@
       }
       backoff.Reset();
       listed = true;
-      this->OnStoreResponse(kind, this->AnswerDue(kind, asked));
+      this->OnStoreResponse(kind, asked);
       this->ApplyListing(kind, listing.value());
       this->WatchFrom(kind, listing.value().revision);
     }
@@ -252,12 +276,12 @@
                                 : this->NextWatchWait(kind);
       const Instant end = this->runtime->Now() + wait;
       auto changes = this->store->Watch(kind, revision, wait);
-      Instant current_at = this->CurrentAt(end);
+      Instant current_at = this->deadlines.CurrentAt(end, this->runtime->Now());
       if (changes.has_error()) {
         this->ReplaceSilentConnection(kind, revision, &changes);
         current_at = this->runtime->Now();
       } else if (changes.value().changes.empty()) {
-        this->MeasureLateness(end);
+        this->deadlines.MeasureLateness(end, this->runtime->Now());
       }
       if (changes.has_error()) {
         this->OnStoreFailure(kind, changes.error());
@@ -272,7 +296,7 @@
           kind == StoreKind::kWorkers && !changes.value().changes.empty();
       const Duration pause =
           batched ? this->settings.worker_batch_delay : Duration::zero();
-      this->OnStoreResponse(kind, this->AnswerDue(kind, current_at + pause));
+      this->OnStoreResponse(kind, current_at, pause);
       this->ApplyChanges(kind, changes.value(), revision);
       revision = std::max(revision, changes.value().revision);
       if (batched) {
@@ -281,32 +305,6 @@
     }
   }
 
-  // The time as of which an answer that is received now is current, if its
-  // watch ended at `end`. A process that stood still reads old answers.
-  Instant CurrentAt(Instant end) const {
-    return std::min(this->runtime->Now(),
-                    end + this->settings.overdue_margin + this->lateness);
-  }
-
-  // When the next answer is due after one that is current at `current_at`.
-  Instant AnswerDue(StoreKind kind, Instant current_at) const {
-    const Duration wait = kind == StoreKind::kConfig
-                              ? this->settings.config_watch_wait
-                              : this->settings.workers_watch_wait;
-    return current_at + wait + this->settings.overdue_margin;
-  }
-
-  // A slow store answers later than its watch ends, and is not taken for one
-  // that is out of reach.
-  void MeasureLateness(Instant end) {
-    const Duration late = this->runtime->Now() - end;
-    const Duration longest = this->settings.max_watch_lateness;
-    // Later than a call may take only if this process stood still.
-    if (late <= longest + this->settings.overdue_margin) {
-      this->lateness = std::clamp(late, Duration::zero(), longest);
-    }
-  }
-
   Duration NextWatchWait(StoreKind kind) {
     const Duration longest = kind == StoreKind::kConfig
                                  ? this->settings.config_watch_wait
@@ -437,8 +435,13 @@
     }
   }
 
-  // A VM whose own calls to the store are unanswered asks the relays too.
-  bool NeedsRelay() const { return !this->watching || !this->CanRelay(); }
+  // A VM whose own calls to the store are unanswered, or were, asks the relays
+  // too: the store may have answered them.
+  bool NeedsRelay() const {
+    return !this->watching || !this->CanRelay() ||
+           this->routing_state->Servers().GraceLeft(this->runtime->Now()) >
+               Duration::zero();
+  }
 
   bool HasRelay() const {
     return std::any_of(
@@ -478,8 +481,8 @@
     const Instant now = this->runtime->Now();
     const Instant last_asked =
         std::max(this->last_direct_check, this->workers_watch.last_response);
-    if (this->checking || this->watching || this->HasRelay() ||
-        !this->synced.IsSynced() ||
+    if (this->checking || this->watching || !this->had_relay ||
+        this->HasRelay() || !this->synced.IsSynced() ||
         now - last_asked < this->settings.direct_check_interval) {
       return;
     }
@@ -487,18 +490,20 @@
     this->last_direct_check = now + delay;
     this->runtime->Spawn([self = this->shared_from_this(), delay] {
       self->runtime->SleepFor(delay);
-      self->CheckKind(StoreKind::kWorkers,
-                      self->synced.Log().WorkersRevision());
-      self->CheckKind(
-          StoreKind::kConfig,
-          std::max(self->config_checked, self->synced.Log().ConfigRevision()));
+      if (self->CheckKind(StoreKind::kWorkers,
+                          self->synced.Log().WorkersRevision())) {
+        self->CheckKind(StoreKind::kConfig,
+                        std::max(self->config_checked,
+                                 self->synced.Log().ConfigRevision()));
+      }
       self->checking = false;
     });
   }
 
-  void CheckKind(StoreKind kind, std::uint64_t revision) {
+  // False if there was no answer.
+  bool CheckKind(StoreKind kind, std::uint64_t revision) {
     if (this->stopped) {
-      return;
+      return false;
     }
     const auto changes = this->store->ChangesOnNewConnection(
         kind, revision, this->settings.direct_check_timeout);
@@ -512,10 +517,13 @@
     this->metrics->Increment("chervil_store_direct_checks_total");
     if (changes.has_value()) {
       this->last_direct_answer = this->runtime->Now();
+      this->OnStoreReached({this->last_direct_answer, this->last_direct_answer},
+                           "store");
       this->ApplyChanges(kind, changes.value(), revision);
     } else if (NeedsListing(changes.error())) {
       this->last_watch_needed = this->runtime->Now();
     }
+    return changes.has_value();
   }
 
   bool PollRelay(const io::Endpoint& relay, Duration wait) {
@@ -525,6 +533,7 @@
         "config={}&workers={}&wait_ms={}", this->synced.Log().ConfigRevision(),
         this->synced.Log().WorkersRevision(), ToMilliseconds(wait));
     const std::uint64_t since = this->synced.Log().WorkersRevision();
+    const Instant asked = this->runtime->Now();
     const auto response = this->peers->Call(
         relay, request,
         this->settings.relay_wait + this->settings.relay_timeout_margin);
@@ -539,21 +548,16 @@
     }
     const Instant now = this->runtime->Now();
     this->last_relay_response = now;
-    if (received->expiry_grace > Duration::zero()) {
-      const bool starts =
-          this->routing_state->Servers().GraceLeft(now) == Duration::zero();
-      this->routing_state->Servers().ExtendGrace(now + received->expiry_grace);
-      if (starts) {
-        this->LogGrace(relay.ToText(), now);
-      }
-    }
+    this->had_relay = true;
+    const Instant current_at =
+        this->OnRelayReach(*received, relay, asked + wait);
     if (received->config) {
       this->synced.ApplyConfig(*received->config, relay.ToText());
     }
     this->config_checked =
         std::max(this->config_checked, received->config_checked);
-    this->routing_state->OnConfigConfirmed(now);
-    this->routing_state->OnServersConfirmed(now);
+    this->routing_state->OnConfigConfirmed(current_at);
+    this->routing_state->OnServersConfirmed(current_at);
     if (received->is_full) {
       std::vector<StoredObject> objects;
       for (const ObjectChange& change : received->workers) {
@@ -566,6 +570,29 @@
                                            received->workers_revision, now);
   }
 
+  // Takes over when the store has answered a relay whose response was due at
+  // `due`. Returns the time as of which the response is current.
+  Instant OnRelayReach(const PeerState& received,
+                       const io::Endpoint& relay,
+                       Instant due) {
+    const Instant now = this->runtime->Now();
+    if (!received.store_reach) {
+      // An earlier build, which judges by itself whether there was an outage.
+      this->OnStoreReached({now, now}, relay.ToText());
+      if (received.expiry_grace > Duration::zero()) {
+        this->routing_state->Servers().ExtendGrace(now + received.expiry_grace);
+      }
+      return now;
+    }
+    const Instant current_at =
+        std::min(now, due + this->settings.relay_timeout_margin) -
+        received.store_reach->silent;
+    this->OnStoreReached(
+        {current_at - received.store_reach->reached, current_at},
+        relay.ToText());
+    return current_at;
+  }
+
   void FetchConfig(const io::Endpoint& peer) {
     if (this->fetching_config) {
       return;
@@ -593,13 +620,15 @@
   bool CanRelay() const {
     return this->store_up && !this->config_watch.last_call_failed &&
            !this->workers_watch.last_call_failed &&
-           this->runtime->Now() <= this->NextAnswerDue();
+           !this->deadlines.IsOverdue(this->runtime->Now());
   }
 
-  Instant NextAnswerDue() const {
-    return std::min(this->config_watch.answer_due,
-                    this->workers_watch.answer_due) +
-           this->lateness;
+  std::optional<StoreReach> Reach() const {
+    const auto span = this->contact.Newest();
+    if (!span) {
+      return std::nullopt;
+    }
+    return StoreReach{this->runtime->Now() - span->to, span->to - span->from};
   }
 
   // Waits until a follower lacks something, for `wait`, or until this VM cannot
@@ -613,7 +642,7 @@
            !this->synced.Log().HasUpdates(config_revision, workers_revision)) {
       // An answer that is due may move the time at which the next one is.
       this->state_changed.wait_until(
-          lock, std::min(until, this->NextAnswerDue() + milliseconds(1)));
+          lock, std::min(until, this->deadlines.NextDue() + milliseconds(1)));
     }
   }
 
@@ -656,6 +685,7 @@
     state.expiry_grace =
         this->routing_state->Servers().GraceLeft(this->runtime->Now());
     state.config_checked = this->config_checked;
+    state.store_reach = this->Reach();
     response.headers.Add("Content-Type", "application/json");
     response.body = EncodePeerState(state);
     return response;
@@ -670,20 +700,18 @@
   StoreSyncEvents events;
   std::unique_ptr<io::HttpClient> peers;
   Random random;
+  StoreContact contact;
+  WatchDeadlines deadlines;
   SyncedState synced;
 
   bool stopped = false;
-  bool watching = false;  ///< this VM watches the store itself
-  bool store_up = false;  ///< watching, and the store responds
-  bool store_lost = false;
-  bool workers_lost = false;     ///< their watch was silent for too long
+  bool watching = false;         ///< this VM watches the store itself
+  bool store_up = false;         ///< watching, and the store responds
   bool fetching_config = false;  ///< a FetchConfig is running
   bool checking = false;         ///< a direct check is running
+  bool had_relay = false;        ///< a relay has answered since the start
   WatchState config_watch;
   WatchState workers_watch;
-  /// How much later than its wait the last watch without a change was
-  /// answered.
-  Duration lateness{0};
   /// Revision of the store up to which the configuration is known.
   std::uint64_t config_checked = 0;
   std::array<FollowedRelay, 2> followed;
--- a/chervilpass/routing/server_registry.cc
+++ b/chervilpass/routing/server_registry.cc
@@ -236,8 +236,15 @@
   return former == this->former_starts.end() ? WallTime{} : former->second;
 }
 
-void ServerRegistry::OnStoreRegained(Instant now) {
-  this->ExtendGrace(now + this->settings.expiry_grace);
+void ServerRegistry::OnStoreRegained(Instant at) {
+  this->grace_until = at + this->settings.expiry_grace;
+}
+
+void ServerRegistry::EndGrace(Instant now) {
+  if (this->grace_until) {
+    this->grace_until = std::min(*this->grace_until, now);
+    this->Expire(now);
+  }
 }
 
 void ServerRegistry::ExtendGrace(Instant until) {
--- a/chervilpass/routing/server_registry.h
+++ b/chervilpass/routing/server_registry.h
@@ -67,12 +67,15 @@
   /// latest one; zero if it was never registered.
   WallTime StartOf(const std::string& id) const;
 
-  /// The store is reachable again after an outage; starts the grace period.
-  void OnStoreRegained(Instant now);
+  /// An outage of the store ended at `at`; the grace period begins then.
+  void OnStoreRegained(Instant at);
 
   /// Keeps expired registrations at least until `until`.
   void ExtendGrace(Instant until);
 
+  /// There was no outage; removes the expired registrations.
+  void EndGrace(Instant now);
+
   /// Time for which expired registrations are still kept.
   Duration GraceLeft(Instant now) const;
 
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -86,8 +86,10 @@
     return this->table;
   }
 
-  /// The store or a relay has said that no configuration is newer.
-  void OnConfigConfirmed(Instant now) { this->config_confirmed = now; }
+  /// The store or a relay has said that no configuration was newer at `at`.
+  void OnConfigConfirmed(Instant at) {
+    this->config_confirmed = std::max(this->config_confirmed.value_or(at), at);
+  }
 
   /// Time since that; none if it has not been said yet.
   std::optional<Duration> ConfigUnconfirmedFor(Instant now) const {
@@ -99,8 +101,11 @@
   /// Which requests may use how much of the workers' capacity.
   admission::CapacityPolicy& Capacity() { return this->capacity; }
   const admission::CapacityPolicy& Capacity() const { return this->capacity; }
-  /// The store or a relay has stated the registered servers.
-  void OnServersConfirmed(Instant now) { this->servers_confirmed = now; }
+  /// The store or a relay has stated the servers that were registered at `at`.
+  void OnServersConfirmed(Instant at) {
+    this->servers_confirmed =
+        std::max(this->servers_confirmed.value_or(at), at);
+  }
 
   /// Time since that; none if it has not been said yet.
   std::optional<Duration> ServersUnconfirmedFor(Instant now) const {
--- a/unit_tests/relayed_fleet.h
+++ b/unit_tests/relayed_fleet.h
@@ -15,12 +15,14 @@
 // both. Uses the five ports from `port` on.
 class RelayedFleet {
  public:
-  RelayedFleet(io::Runtime& runtime, std::uint16_t port)
+  RelayedFleet(io::Runtime& runtime,
+               std::uint16_t port,
+               const fleet::StoreSyncSettings& settings = {})
       : runtime(runtime),
         store(runtime, port),
-        first(runtime, port, 1, 3),
-        second(runtime, port, 3, 1),
-        follower(runtime, port, {first.address, second.address}) {
+        first(runtime, port, 1, 3, settings),
+        second(runtime, port, 3, 1, settings),
+        follower(runtime, port, {first.address, second.address}, settings) {
     this->RunFor(milliseconds(1700));
     cr_assert_eq(this->follower.Usable(), 2);
   }
@@ -59,7 +61,8 @@
     Relay(io::Runtime& runtime,
           std::uint16_t store_port,
           std::uint16_t offset,
-          std::uint16_t other)
+          std::uint16_t other,
+          const fleet::StoreSyncSettings& settings)
         : address{kSyncIp, static_cast<std::uint16_t>(store_port + offset + 1)},
           link(kSyncIp,
                static_cast<std::uint16_t>(store_port + offset),
@@ -67,7 +70,7 @@
           vm(runtime,
              static_cast<std::uint16_t>(store_port + offset),
              {{kSyncIp, static_cast<std::uint16_t>(store_port + other + 1)}},
-             {},
+             settings,
              true),
           server(Serve(runtime,
                        address.port,
