Keep the newest time as of which relays stated the servers

A follower of two relays gets statements of different ages; the older one must not replace the newer.

--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -556,8 +556,7 @@
     }
     this->config_checked =
         std::max(this->config_checked, received->config_checked);
-    this->routing_state->OnConfigConfirmed(current_at);
-    this->routing_state->OnServersConfirmed(current_at);
+    this->ConfirmAt(current_at);
     if (received->is_full) {
       std::vector<StoredObject> objects;
       for (const ObjectChange& change : received->workers) {
@@ -570,6 +569,20 @@
                                            received->workers_revision, now);
   }
 
+  // A relay has stated configuration and servers as of `at`. Another one may
+  // have stated newer ones.
+  void ConfirmAt(Instant at) {
+    const Instant now = this->runtime->Now();
+    const auto config_age = this->routing_state->ConfigUnconfirmedFor(now);
+    if (!config_age || now - at < *config_age) {
+      this->routing_state->OnConfigConfirmed(at);
+    }
+    const auto servers_age = this->routing_state->ServersUnconfirmedFor(now);
+    if (!servers_age || now - at < *servers_age) {
+      this->routing_state->OnServersConfirmed(at);
+    }
+  }
+
   // Takes over when the store has answered a relay whose response was due at
   // `due`. Returns the time as of which the response is current.
   Instant OnRelayReach(const PeerState& received,
--- a/chervilpass/serving/routing_state.h
+++ b/chervilpass/serving/routing_state.h
@@ -87,9 +87,7 @@
   }
 
   /// The store or a relay has said that no configuration was newer at `at`.
-  void OnConfigConfirmed(Instant at) {
-    this->config_confirmed = std::max(this->config_confirmed.value_or(at), at);
-  }
+  void OnConfigConfirmed(Instant at) { this->config_confirmed = at; }
 
   /// Time since that; none if it has not been said yet.
   std::optional<Duration> ConfigUnconfirmedFor(Instant now) const {
@@ -102,10 +100,7 @@
   admission::CapacityPolicy& Capacity() { return this->capacity; }
   const admission::CapacityPolicy& Capacity() const { return this->capacity; }
   /// The store or a relay has stated the servers that were registered at `at`.
-  void OnServersConfirmed(Instant at) {
-    this->servers_confirmed =
-        std::max(this->servers_confirmed.value_or(at), at);
-  }
+  void OnServersConfirmed(Instant at) { this->servers_confirmed = at; }
 
   /// Time since that; none if it has not been said yet.
   std::optional<Duration> ServersUnconfirmedFor(Instant now) const {
