Fewer questions to the store by VMs that lose their relays

By the logs VMs that are cut off from all relays asked for 5 s before they watched the store, and those whose relays were about to answer again asked as well.

A VM asks only if no relay answers 0.1 s after it lost them, and watches the store 1.7 s after that, as before the mends; only relays ask the store again without a wait. A change is known 1.62 s and a call after it at the latest, beside silent relays 1.55 s.

--- a/chervilpass/fleet/store_contact.h
+++ b/chervilpass/fleet/store_contact.h
@@ -20,7 +20,7 @@
 /// Settings of a StoreContact.
 struct StoreContactSettings {
   /// A longer time without any answer is an outage. A VM whose relays fall
-  /// silent asks the store itself at most 2.6 s after the last answer of which
+  /// silent asks the store itself at most 2.7 s after the last answer of which
   /// it knows.
   Duration max_gap = milliseconds(2700);
 
--- a/chervilpass/fleet/store_sync.cc
+++ b/chervilpass/fleet/store_sync.cc
@@ -94,7 +94,7 @@
 
   void Start() {
     const Instant now = this->runtime->Now();
-    this->last_relay_response = now;
+    this->last_had_relay = now;
     this->ResetWatchStates(now);
     this->last_watch_needed = now - this->settings.relay_handover_time;
     const auto self = this->shared_from_this();
@@ -111,7 +111,13 @@
     for (; !this->stopped;
          this->runtime->SleepFor(this->settings.relay_check_interval)) {
       const Instant now = this->runtime->Now();
-      if (this->events.is_relay() || this->AreRelaysLost(now)) {
+      if (this->HasRelay()) {
+        this->last_had_relay = now;
+      }
+      const bool relays_lost =
+          !this->watching &&
+          now - this->last_had_relay > this->settings.relay_lost_timeout;
+      if (this->events.is_relay() || relays_lost) {
         this->last_watch_needed = now;
       }
       const bool watch =
@@ -119,7 +125,7 @@
       if (watch != this->watching) {
         this->watching = watch;
         this->ResetWatchStates(now);
-        this->last_relay_response = now;
+        this->last_had_relay = now;
         this->log->Info("store.watch", {{"watching", watch}});
       }
       this->CheckStore(now);
@@ -127,17 +133,6 @@
     }
   }
 
-  // Answers to direct checks replace those of the relays for a while: these may
-  // be back soon, or be replaced.
-  bool AreRelaysLost(Instant now) const {
-    const Duration without = now - this->last_relay_response;
-    const bool checks_answered =
-        now - this->last_direct_answer < this->settings.relay_lost_timeout;
-    return !this->watching &&
-           without > (checks_answered ? this->settings.max_direct_check_time
-                                      : this->settings.relay_lost_timeout);
-  }
-
   void ResetWatchStates(Instant now) {
     this->config_watch = {false, now};
     this->workers_watch = {false, now};
@@ -269,11 +264,12 @@
     Backoff backoff(this->settings.min_retry_delay,
                     this->settings.max_retry_delay);
     while (!this->stopped && this->watching) {
-      // After a failure the store is asked to respond at once, so that it is
-      // soon known whether it is in reach again.
-      const Duration wait = this->WatchOf(kind).last_call_failed
-                                ? Duration::zero()
-                                : this->NextWatchWait(kind);
+      // After a failure a relay asks the store to respond at once, so that its
+      // followers soon have it again.
+      const Duration wait =
+          this->WatchOf(kind).last_call_failed && this->events.is_relay()
+              ? Duration::zero()
+              : this->NextWatchWait(kind);
       const Instant end = this->runtime->Now() + wait;
       auto changes = this->store->Watch(kind, revision, wait);
       Instant current_at = this->deadlines.CurrentAt(end, this->runtime->Now());
@@ -429,8 +425,10 @@
         backoff.Reset();
         continue;
       }
-      this->CheckDirectly(duration_cast<Duration>(
-          this->random.Unit() * this->settings.direct_check_jitter));
+      this->CheckDirectly(
+          this->settings.direct_check_delay +
+          duration_cast<Duration>(this->random.Unit() *
+                                  this->settings.direct_check_jitter));
       this->AwaitOtherRelay(slot, backoff.Next(&this->random));
     }
   }
@@ -475,8 +473,9 @@
 
   // ---- without a relay ----
 
-  // Asks the store for changes, after `delay`, if no relay answers. Before this
-  // VM watches the store itself it learns so of changes in time.
+  // Asks the store for changes if no relay answers, and still none does after
+  // `delay`. So this VM learns of changes in time before it watches the store
+  // itself.
   void CheckDirectly(Duration delay) {
     const Instant now = this->runtime->Now();
     const Instant last_asked =
@@ -490,7 +489,8 @@
     this->last_direct_check = now + delay;
     this->runtime->Spawn([self = this->shared_from_this(), delay] {
       self->runtime->SleepFor(delay);
-      if (self->CheckKind(StoreKind::kWorkers,
+      if (!self->HasRelay() &&
+          self->CheckKind(StoreKind::kWorkers,
                           self->synced.Log().WorkersRevision())) {
         self->CheckKind(StoreKind::kConfig,
                         std::max(self->config_checked,
@@ -516,9 +516,8 @@
           changes.has_value() ? changes.value().changes.size() : 0}});
     this->metrics->Increment("chervil_store_direct_checks_total");
     if (changes.has_value()) {
-      this->last_direct_answer = this->runtime->Now();
-      this->OnStoreReached({this->last_direct_answer, this->last_direct_answer},
-                           "store");
+      const Instant now = this->runtime->Now();
+      this->OnStoreReached({now, now}, "store");
       this->ApplyChanges(kind, changes.value(), revision);
     } else if (NeedsListing(changes.error())) {
       this->last_watch_needed = this->runtime->Now();
@@ -547,7 +546,6 @@
       return false;
     }
     const Instant now = this->runtime->Now();
-    this->last_relay_response = now;
     this->had_relay = true;
     const Instant current_at =
         this->OnRelayReach(*received, relay, asked + wait);
@@ -728,9 +726,8 @@
   /// Revision of the store up to which the configuration is known.
   std::uint64_t config_checked = 0;
   std::array<FollowedRelay, 2> followed;
-  Instant last_relay_response{};
+  Instant last_had_relay{};
   Instant last_direct_check{};
-  Instant last_direct_answer{};
   Instant last_watch_needed{};
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable state_changed;
--- a/chervilpass/fleet/store_sync.h
+++ b/chervilpass/fleet/store_sync.h
@@ -55,14 +55,13 @@
   Duration relay_wait = milliseconds(1000);
   /// A call to a relay times out this long after `relay_wait`.
   Duration relay_timeout_margin = milliseconds(350);
-  /// Without a response from any relay for this long a VM watches the store
-  /// itself, unless the store answers its direct checks.
+  /// A VM that no relay has answered for this long watches the store itself.
   Duration relay_lost_timeout = milliseconds(1700);
-  /// A VM to which no relay responds asks the store for changes at once, and
-  /// again after this time, as long as it does not watch the store.
+  /// A VM that loses its relays and has none after `direct_check_delay` asks
+  /// the store for changes, and again after this time, until it watches the
+  /// store.
   Duration direct_check_interval = milliseconds(1000);
-  /// After this time without a relay it watches the store in any case.
-  Duration max_direct_check_time = seconds(5);
+  Duration direct_check_delay = milliseconds(100);
   /// Spreads the checks of VMs that lose a relay together.
   Duration direct_check_jitter = milliseconds(100);
   Duration direct_check_timeout = milliseconds(700);  ///< of one check
