--- a/unit_tests/relayed_fleet.h
+++ b/unit_tests/relayed_fleet.h
@@ -75,12 +75,13 @@
           server(Serve(runtime,
                        address.port,
                        [this, &runtime](io::HttpExchange& exchange) {
-                         auto response = this->vm.sync->HandleFollowerRequest(
-                             io::HttpRequest(exchange.Request()));
+                         const auto response =
+                             this->vm.sync->HandleFollowerRequest(
+                                 io::HttpRequest(exchange.Request()));
                          while (this->silent) {
                            runtime.SleepFor(milliseconds(5));
                          }
-                         exchange.Respond(std::move(response));
+                         exchange.Respond(response);
                        })) {}
 
     io::Endpoint address;
