Test of streams whose callers understate their length (red)

Callers of a leaving VM lose streams that were begun later than 3 s after SIGTERM. The cells send long streams whose callers state a limit of 20 tokens, or a hint of 8, to each leaving router, beside ordinary traffic.

--- a/fault_tests/leaving_estimates.py
+++ b/fault_tests/leaving_estimates.py
@@ -8,11 +8,13 @@
     slow      answers slow down after SIGTERM, by several factors, at once or over some seconds
     restarts  a stop every 3.5 s while model workers restart
     cold      routers are stopped some seconds after their start
+    late-limit, late-hint  as steady, with fewer stops; beside it, each leaving router gets long streams
+              whose callers state a limit, or a hint, that is far too low
 
 Prints a table by the time from SIGTERM until a stream was sent (below 0: in progress at SIGTERM):
 how the streams ended, how many of the refused ones would have ended in time ("needl."), and how
-long those that were sent on took, as a multiple of the estimate. The cells "steady" and "cold" fail
-if a stream that was sent later than 3 s after SIGTERM is broken off."""
+long those that were sent on took, as a multiple of the estimate. The cells "steady", "cold" and "late"
+fail if a stream that was sent later than 3 s after SIGTERM is broken off."""
 
 import argparse
 import http.client
@@ -41,6 +43,8 @@
 SLOW_DOWNS = tuple((factor, over_ms) for over_ms in (0, 4000) for factor in (1.5, 2, 3, 5))
 SLOW_RECOVERY_S = 13.0     # until the samples of a slow-down have been replaced
 COLD_S = 4.0
+LATE_EVENTS, LATE_BEGIN_S, LATE_INTERVAL_S = 170, 0.45, 0.55
+LATE_STOPS = 4
 FAILED = []
 
 
@@ -90,19 +94,32 @@
             events = int(min(MOST_EVENTS, max(1, draw.lognormvariate(math.log(MEAN_EVENTS) - SPREAD ** 2 / 2, SPREAD))))
             hint = max(1, int(events * draw.lognormvariate(0, HINT_SPREAD)))
             time.sleep(max(0.0, due - time.monotonic()))
-            threading.Thread(target=self.send, args=(router, "%s-%d" % (router.name, number), events, hint),
+            threading.Thread(target=self.send, args=(router, "%s-%d" % (router.name, number), events, LIMIT, hint),
                              daemon=True).start()
 
-    def send(self, router, name, events, hint):
+    def send_late(self, stop, stop_number, limit, hint):
+        """Sends long streams to a leaving router at a steady rate, as a caller does that knows no other one."""
+        sent_after, number = LATE_BEGIN_S, 0
+        while sent_after < GRACE_S:
+            time.sleep(max(0.0, stop.begun + sent_after - time.monotonic()))
+            number += 1
+            threading.Thread(target=self.send, daemon=True, args=(
+                stop.router, "late-%s-%d-%d" % (stop.router.name, stop_number, number), LATE_EVENTS, limit,
+                hint)).start()
+            sent_after += LATE_INTERVAL_S
+
+    def send(self, router, name, events, limit, hint):
         kind, sent = "unsent", time.monotonic()
         connection = http.client.HTTPConnection(router.ip, platform_fleet.CALLER_PORT, timeout=30)
         try:
             connection.connect()
             kind = "silent"
-            connection.request("POST", "/once/x?events=%d" % events, headers={
+            headers = {
                 "Host": platform_fleet.HOST, "Chervilpass-Request-Id": name, "Authorization": "Token key-skagen",
-                "Chervilpass-Deadline-Ms": "20000", "Chervilpass-Token-Counts": "10,%d" % LIMIT,
-                "Chervilpass-Length-Hint": "%d" % hint})
+                "Chervilpass-Deadline-Ms": "20000", "Chervilpass-Token-Counts": "10,%d" % limit}
+            if hint:
+                headers["Chervilpass-Length-Hint"] = "%d" % hint
+            connection.request("POST", "/once/x?events=%d" % events, headers=headers)
             response = connection.getresponse()
             kind = "cut" if response.status == 200 else "failed"
             body = response.read()
@@ -191,7 +208,7 @@
                         item[4], label or name, item[1], item[2] - stop.begun, item[3] - item[2]))
                 if item[4] == "cut" and begin >= 0:
                     entry = taken.get(item[1], {})
-                    print("    cut: %s %s sent at %.2f s, %d events, hint %d, expected %s of %s ms" % (
+                    print("    cut: %s %s sent at %.2f s, %d events, hint %s, expected %s of %s ms" % (
                         label or name, item[1], item[2] - stop.begun, item[5], item[6], entry.get("expected_ms"),
                         entry.get("left_ms")))
                     if begin >= LATE_S:
@@ -245,8 +262,19 @@
         rig.restart(rig.stop(router, name + " again"))
 
 
+def play_late(limit, hint):
+    def play_stops(name, rig):
+        for index in range(LATE_STOPS):
+            rig.stop_in_background(rig.fleet.routers[index * 2 % len(rig.fleet.routers)])
+            threading.Thread(target=rig.send_late, args=(rig.stops[-1], index + 1, limit, hint), daemon=True).start()
+            time.sleep(STOP_INTERVAL_S)
+        time.sleep(GRACE_S)
+    return play_stops
+
+
 CELLS = {"steady": (play_steady, True), "slow": (play_slow, False), "restarts": (play_restarts, False),
-         "cold": (play_cold, True)}
+         "cold": (play_cold, True), "late-limit": (play_late(20, None), True),
+         "late-hint": (play_late(LIMIT, 8), True)}
 
 
 def play(name, subnet, seed, router):
