--- a/chervilpass/serving/router.cc
+++ b/chervilpass/serving/router.cc
@@ -342,6 +342,8 @@
     }
   }
 
+  // Of the fields in the log line, those that tell which process wrote it and
+  // what became of the request come first: collectors may shorten lines.
   void RecordResult(const RequestContext& context,
                     const RequestResult& result) {
     const Duration elapsed =
@@ -385,10 +387,12 @@
     this->dependencies.log->Write(
         unexplained ? LogLevel::kWarning : LogLevel::kInfo, "request.ended",
         {{"request", context.metadata.request_id},
+         {"uptime_ms",
+          ToMilliseconds(this->dependencies.runtime->Now() - this->started)},
          {"outcome", result.outcome},
-         {"reason", result.reason},
          {"elapsed_ms", ToMilliseconds(elapsed)},
          {"events", result.events},
+         {"reason", result.reason},
          {"route", context.route == nullptr ? "" : context.route->name},
          {"service", context.service},
          {"priority", context.rank.priority},
--- a/fault_tests/dense_stops.py
+++ b/fault_tests/dense_stops.py
@@ -188,8 +188,7 @@
                         continue
                     fields = json.loads(line)
                     self.lines[fields["request"]].append("%s %s" % (router.name, fields["event"]))
-                    if fields["event"] == "request.cut" and not all(
-                            '"%s"' % fact in line[:rolling_stops.KEPT_CHARACTERS] for fact in rolling_stops.FACTS):
+                    if rolling_stops.lacks_facts(fields["event"], line):
                         self.unclear.append(line[:rolling_stops.KEPT_CHARACTERS])
 
     # ---- the verdict ----
--- a/fault_tests/rolling_stops.py
+++ b/fault_tests/rolling_stops.py
@@ -53,11 +53,18 @@
 LONG_SHARE, LONG_EVENTS = 0.15, (170, 330)  # of 30 ms: 5 to 10 s
 MAX_EVENTS = 182                   # of the others
 STOP_ORDERS = (signal.SIGTERM, signal.SIGINT)
-FACTS = ("quiet_ms", "age_ms", "leaving_ms")  # in the part of a line that collectors keep
+PROGRESS_FACTS = ("quiet_ms", "age_ms", "leaving_ms")
+FACTS = {"request.cut": PROGRESS_FACTS, "request.unfinished": PROGRESS_FACTS, "request.draining": PROGRESS_FACTS,
+         "request.ended": ("uptime_ms", "outcome", "elapsed_ms")}  # in the part of a line that collectors keep
 KEPT_CHARACTERS = 200
 NOTED = ("request.cut", "request.unfinished", "request.unread", "response.unsent")
 FAILED = []
 
+
+def lacks_facts(event, line):
+    return not all('"%s"' % fact in line[:KEPT_CHARACTERS] for fact in FACTS.get(event, ()))
+
+
 Outcome = collections.namedtuple("Outcome", "request route form router sent ended kind status events expected")
 
 
@@ -263,8 +270,7 @@
                     if '"request":"r%d-' % self.seed in line:
                         fields = json.loads(line)
                         self.lines[fields["request"]].append("%s %s" % (router.name, fields["event"]))
-                        if fields["event"] in ("request.cut", "request.unfinished", "request.draining") and not all(
-                                '"%s"' % fact in line[:KEPT_CHARACTERS] for fact in FACTS):
+                        if lacks_facts(fields["event"], line):
                             self.late_facts.append(line[:KEPT_CHARACTERS])
 
     def read_start(self, line):
@@ -339,7 +345,7 @@
         lost = [outcome for outcome, verdict, _ in failed if verdict == "LOST"]
         check("%s: no request is lost" % name, not lost, "%d of %d requests" % (len(lost), len(self.outcomes)))
         if not self.arguments.router:  # earlier versions state them later
-            check("%s: lines of requests in progress begin with what tells why" % name, not self.late_facts,
+            check("%s: lines of requests begin with what tells why" % name, not self.late_facts,
                   self.late_facts[:3])
         beside = sum(verdict == "beside no stop" for _, verdict, _ in failed)
         check("%s: no request ends without an answer beside no stop" % name, not beside, beside)
