Begin no stream by an estimate once callers can know of the stop

Cause: such a stream was sent on if it was estimated to end in time, and the estimate took the limit, or the hint, that its caller states for a bound. No estimate is one: a stream can be longer than all before it, a server can stand still, and a stream that has begun cannot be refused any more.

Change: once callers can know of the stop (the lifetime of their addresses, 3 s at most), a stream is begun only if its deadline ends it before the process does, with 2 s to spare for an end that comes nearer. Others are refused at once, with a time to retry. Before that, estimates count as they did.

New plans: deadlines, and delays that begin during the stop.

--- a/chervilpass/serving/shutdown_gate.cc
+++ b/chervilpass/serving/shutdown_gate.cc
@@ -41,7 +41,7 @@
   }
   verdict.expected = time_left;
   if (const auto usual =
-          this->run_times.CallTime(route, this->settings.later)) {
+          this->run_times.CallTime(route, this->settings.calls)) {
     verdict.expected = std::min(*usual, time_left);
   } else if (objective > Duration::zero()) {
     verdict.expected =
@@ -58,17 +58,17 @@
 ShutdownVerdict ShutdownGate::JudgeStream(
     const std::string& service,
     const std::optional<GenerationSize>& size,
+    Duration time_left,
     Instant now,
     const std::vector<Duration>& intervals) const {
-  const bool late = this->NoticeEnded(now);
-  const EstimateCaution& caution =
-      late ? this->settings.later : this->settings.at_first;
   ShutdownVerdict verdict;
-  verdict.left =
-      *this->end - now - (late ? this->settings.max_silence : Duration::zero());
-  if (size) {
-    verdict.expected =
-        this->run_times.StreamTime(service, *size, caution, intervals);
+  verdict.left = *this->end - now;
+  if (this->NoticeEnded(now)) {
+    verdict.left -= this->settings.max_end_advance;
+    verdict.expected = time_left;
+  } else if (size) {
+    verdict.expected = this->run_times.StreamTime(
+        service, *size, this->settings.streams, intervals);
   }
   if (!verdict.expected) {
     verdict.objection =
@@ -93,9 +93,11 @@
 std::optional<std::string> ShutdownGate::ObjectionToStream(
     const std::string& service,
     const std::optional<GenerationSize>& size,
+    Duration time_left,
     Instant now,
     const std::vector<Duration>& intervals) const {
-  return this->end ? this->JudgeStream(service, size, now, intervals).objection
+  return this->end ? this->JudgeStream(service, size, time_left, now, intervals)
+                         .objection
                    : std::nullopt;
 }
 
--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -17,28 +17,24 @@
   RunTimeEstimatorSettings run_times;
   /// While callers cannot know that this VM leaves, a refusal costs them a
   /// retry, so that a few streams may be cut.
-  EstimateCaution at_first{.time_quantile = 0.5,
-                           .time_margin = 1.05,
-                           .length_deviations = 1.3,
-                           .present_quantile = 0.5};
+  EstimateCaution streams{.time_quantile = 0.5,
+                          .time_margin = 1.05,
+                          .length_deviations = 1.3,
+                          .present_quantile = 0.5};
   /// Callers have this long to learn of the shutdown, or the lifetime of their
-  /// addresses if that is shorter.
+  /// addresses if that is shorter. Streams are not begun by estimates
+  /// afterwards.
   Duration max_notice = seconds(3);
-  /// Afterwards hardly any may be.
-  EstimateCaution later{.time_quantile = 0.95,
-                        .time_margin = 1.1,
-                        .length_deviations = 3,
-                        .present_quantile = 0.9};
+  EstimateCaution calls{.time_quantile = 0.95, .time_margin = 1.1};
   /// A call of a route without recent calls is expected to take this many times
   /// the route's response objective.
   double unknown_call_objectives = 4;
   /// Before the end of the process, requests without a response get one. Longer
   /// than a connection to a backend server may take, which cannot be cancelled.
   Duration final_response_time = milliseconds(500);
-  /// A backend server may be silent for so long and go on, and the end of the
-  /// process may come nearer. Streams that are begun once callers can know of
-  /// the shutdown end in time all the same.
-  Duration max_silence = seconds(2);
+  /// The end of the process may come nearer by so much while it is slow.
+  /// Streams that are begun by their deadline end in time all the same.
+  Duration max_end_advance = seconds(2);
   /// Callers are told to retry at once if at least this share of the other VMs
   /// is ready.
   double min_ready_share = 0.5;
@@ -50,7 +46,8 @@
 
 /// What a leaving VM expects of a request, and whether it sends it.
 struct ShutdownVerdict {
-  std::optional<Duration> expected;      ///< time until its end, if known
+  std::optional<Duration> expected;      ///< time until its end, if known: an
+                                         ///< estimate, or until its deadline
   Duration left{0};                      ///< time in which it must end
   std::optional<std::string> objection;  ///< why it is not sent
 
@@ -88,12 +85,15 @@
                             Instant now) const;
 
   /// Whether to send a stream. A stream that has begun and outlasts the process
-  /// is lost, so that one of which nothing is known is not sent. `intervals`
-  /// are the present times between events of the service's streams. This VM
-  /// leaves.
+  /// is lost, so that one of which nothing is known is not sent. Once callers
+  /// can know of the shutdown, only `time_left`, the time until its deadline,
+  /// counts: a stream may exceed what its caller states, and whatever earlier
+  /// ones took. `intervals` are the present times between events of the
+  /// service's streams. This VM leaves.
   ShutdownVerdict JudgeStream(
       const std::string& service,
       const std::optional<GenerationSize>& size,
+      Duration time_left,
       Instant now,
       const std::vector<Duration>& intervals = {}) const;
 
@@ -106,6 +106,7 @@
   std::optional<std::string> ObjectionToStream(
       const std::string& service,
       const std::optional<GenerationSize>& size,
+      Duration time_left,
       Instant now,
       const std::vector<Duration>& intervals = {}) const;
 
--- a/chervilpass/serving/stream_proxy.cc
+++ b/chervilpass/serving/stream_proxy.cc
@@ -650,7 +650,7 @@
     }
     const ShutdownVerdict verdict = shutdown.JudgeStream(
         this->context.service, this->context.metadata.generation,
-        this->dependencies.runtime->Now(),
+        this->scope.TimeLeft(), this->dependencies.runtime->Now(),
         this->registry->EventIntervals(this->context.service));
     if (!verdict.objection && check == Check::kAtSend) {
       LogSentWhileLeaving(this->dependencies, this->context, verdict);
--- a/fault_tests/drain_matrix.cc
+++ b/fault_tests/drain_matrix.cc
@@ -31,6 +31,10 @@
     milliseconds(7520),  milliseconds(7540), milliseconds(7580),
     milliseconds(7620),  milliseconds(7640), milliseconds(7900)};
 
+// Beyond the end, right before it from 3 s on, and well before it.
+constexpr std::array kDeadlines = {milliseconds(20000), milliseconds(4510),
+                                   milliseconds(1500)};
+
 std::vector<std::optional<Duration>> ReceiveTimes() {
   return {Duration::zero(), milliseconds(300), milliseconds(1500),
           std::nullopt};
@@ -59,7 +63,13 @@
           plan.ended = at(end);
           for (const auto& receive_time : ReceiveTimes()) {
             plan.receive_time = receive_time;
-            plans.push_back(plan);
+            for (const Duration deadline : kDeadlines) {
+              plan.deadline = deadline;
+              plans.push_back(plan);
+              if (!stream) {
+                break;
+              }
+            }
           }
         }
         if (!has_middle) {
@@ -80,17 +90,19 @@
       {seconds(6), seconds(5)},  {milliseconds(7500), milliseconds(6500)},
       {seconds(10), seconds(3)}, {seconds(10), milliseconds(7200)}};
   struct Delay {
-    Duration lasting, until, single, at;
+    Duration lasting, from, until, single, at;
   };
   const std::vector<Delay> delays = {
       {},
-      {milliseconds(60), seconds(100), {}, {}},
-      {milliseconds(300), seconds(100), {}, {}},
-      {milliseconds(300), milliseconds(6400), {}, {}},
-      {{}, {}, milliseconds(300), milliseconds(5600)},
-      {{}, {}, milliseconds(300), milliseconds(7000)},
-      {{}, {}, milliseconds(300), milliseconds(7530)},
-      {{}, {}, milliseconds(300), milliseconds(7640)}};
+      {milliseconds(60), {}, seconds(100), {}, {}},
+      {milliseconds(300), {}, seconds(100), {}, {}},
+      {milliseconds(300), {}, milliseconds(6400), {}, {}},
+      {milliseconds(300), milliseconds(3500), milliseconds(6400), {}, {}},
+      {milliseconds(300), milliseconds(3500), seconds(100), {}, {}},
+      {{}, {}, {}, milliseconds(300), milliseconds(5600)},
+      {{}, {}, {}, milliseconds(300), milliseconds(7000)},
+      {{}, {}, {}, milliseconds(300), milliseconds(7530)},
+      {{}, {}, {}, milliseconds(300), milliseconds(7640)}};
   std::vector<ProcessPlan> plans;
   for (const Change& change : changes) {
     for (const Delay& delay : delays) {
@@ -100,6 +112,7 @@
         plan.new_grace = change.grace;
         plan.grace_changes = change.at;
         plan.lasting_delay = delay.lasting;
+        plan.delays_begin = delay.from;
         plan.delays_end = delay.until;
         plan.single_delay = delay.single;
         plan.delayed = delay.at;
@@ -229,6 +242,9 @@
   if (plan.kind == RequestKind::kStream ||
       plan.kind == RequestKind::kForwarded) {
     plan.begun = next();
+    plan.deadline = random->Chance(0.5)
+                        ? kDeadlines.front()
+                        : Draw(random, milliseconds(200), seconds(8));
   }
   plan.ended = next();
   const auto receive_times = ReceiveTimes();
--- a/fault_tests/leaving_estimates.py
+++ b/fault_tests/leaving_estimates.py
@@ -13,7 +13,7 @@
 
 Prints a table by the time from SIGTERM until a stream was sent (below 0: in progress at SIGTERM):
 how the streams ended, how many of the refused ones would have ended in time ("needl."), and how
-long those that were sent on took, as a multiple of the estimate. The cells "steady", "cold" and "late"
+long those that were sent on took, as a multiple of the estimate. The cells "steady", "cold" and "late-*"
 fail if a stream that was sent later than 3 s after SIGTERM is broken off."""
 
 import argparse
--- a/fault_tests/planned_work.py
+++ b/fault_tests/planned_work.py
@@ -6,8 +6,9 @@
 
 The cells "stop-*" send SIGTERM to one router and then requests of several lengths
 to it until it is gone. A cell fails if a request that was sent after the signal
-breaks off, if one that would end well before the process is refused, or if a
-refusal is late or names no time to retry.
+breaks off, if one that would end well before the process is refused, other than a
+stream whose caller can know of the stop, if such a stream is begun, or if a refusal
+is late or names no time to retry.
 
 The cell "stop-cold" stops a router that knows no usual times of calls yet. It fails as well
 if a call that may not be repeated gets 502.
@@ -34,8 +35,8 @@
 REFUSAL_S = 0.25           # a request that cannot be served is refused within this time
 CLEAR_EXCESS_S = 0.5       # work that takes so much longer than the time left cannot end in time
 SHORT_SHARE = 0.6          # work that takes at most this share of the time left is served
-ADDRESS_LIFETIME_S = 2.0   # afterwards callers can know of a SIGTERM
-LONGEST_SILENCE_S = 2.0    # of a server under a stream that is sent later
+ADDRESS_LIFETIME_S = 2.0   # afterwards callers can know of a SIGTERM, and streams are refused
+NOTICE_S = 0.25            # a process acts on SIGTERM within this time
 EVENT_S = 0.03             # pace of the stand-in's streams
 SILENCE_S = 1.0            # a sound server may be silent for so long
 CONFIG_INTERVAL_S = 0.25
@@ -129,11 +130,13 @@
           "; ".join("%s sent at %.2f s, %s after %.2f s" % (item.name, item.sent_at, item.kind, item.elapsed_s)
                     for item in broken[:5]))
 
-    def time_left(outcome):
-        late_stream = outcome.name.startswith("stream") and outcome.sent_at > ADDRESS_LIFETIME_S
-        return ended_s - outcome.sent_at - late_stream * LONGEST_SILENCE_S
-    short = [outcome for outcome in outcomes
-             if outcome.expected_s <= SHORT_SHARE * time_left(outcome) and outcome.kind != "served"]
+    def late_stream(outcome, margin_s):
+        return outcome.name.startswith("stream") and outcome.sent_at > ADDRESS_LIFETIME_S + margin_s
+    begun = [outcome for outcome in outcomes if late_stream(outcome, NOTICE_S) and outcome.name in ran]
+    check("%s: no stream is begun once callers can know of the stop" % name, not begun,
+          "; ".join("%s sent at %.2f s, %s" % (item.name, item.sent_at, item.kind) for item in begun[:5]))
+    short = [outcome for outcome in outcomes if not late_stream(outcome, 0) and
+             outcome.expected_s <= SHORT_SHARE * (ended_s - outcome.sent_at) and outcome.kind != "served"]
     check("%s: work that ends well before the process is served" % name, not short,
           "; ".join("%s sent at %.2f s, %s %d" % (item.name, item.sent_at, item.kind, item.status)
                     for item in short[:5]))
