Estimate streams beyond their limit where answers exceed it

A leaving VM on which every answer is longer than its caller's limit went on to expect the limit: the bound that it learns from the latest answers never rose above it. Streams that come right after SIGTERM are sent on by that estimate.

The bound now is the largest ratio of events and limit among these answers, also above one. Estimates stay as they are where answers keep to their limits.

--- a/chervilpass/serving/run_time_estimator.cc
+++ b/chervilpass/serving/run_time_estimator.cc
@@ -141,16 +141,16 @@
                      seconds_per_event * this->MaxEvents(known, size, caution));
 }
 
-// An event holds at least one token, so that an answer has at most as many
-// events as its limit; after some runs it is known how many at most.
+// An event usually holds at least one token, so that an answer has at most as
+// many events as its limit. After some runs it is known how many at most; more
+// than the limit if servers do not keep to it.
 double RunTimeEstimator::MaxEvents(const Streams& known,
                                    const GenerationSize& size,
                                    const EstimateCaution& caution) const {
   double most = size.max_answer_tokens;
   if (known.events_per_limit.size() >= this->settings.min_sized_runs) {
-    const double longest = *std::max_element(known.events_per_limit.begin(),
-                                             known.events_per_limit.end());
-    most *= std::min(1.0, longest);
+    most *= *std::max_element(known.events_per_limit.begin(),
+                              known.events_per_limit.end());
   }
   const Samples& ratios = known.log_events_per_hint;
   if (size.expected_answer_tokens.value_or(0) > 0 &&
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -674,6 +674,19 @@
             milliseconds(100 + 30 * 130));
 }
 
+// Guards against estimates that stay at the stated limit where no answer keeps
+// to it.
+Test(run_time_estimator, answers_beyond_their_limits_raise_the_estimate) {
+  RunTimeEstimator run_times({});
+  const GenerationSize size{100, 20, std::nullopt};
+  for (int i = 0; i < 64; ++i) {
+    run_times.OnStreamEnded(
+        "llm", {milliseconds(100), milliseconds(100 + 30 * 170), 170, size});
+  }
+  cr_assert(*run_times.StreamTime("llm", size, kCautious) >=
+            milliseconds(100 + 30 * 170));
+}
+
 Test(run_time_estimator, recent_runs_replace_earlier_ones) {
   RunTimeEstimator run_times({});
   for (const int milliseconds_each : {2000, 20}) {
