--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -46,8 +46,7 @@
 
 /// What a leaving VM expects of a request, and whether it sends it.
 struct ShutdownVerdict {
-  std::optional<Duration> expected;      ///< time until its end, if known: an
-                                         ///< estimate, or until its deadline
+  std::optional<Duration> expected;      ///< time until its end, if known
   Duration left{0};                      ///< time in which it must end
   std::optional<std::string> objection;  ///< why it is not sent
 
--- a/fault_tests/drain_model.cc
+++ b/fault_tests/drain_model.cc
@@ -445,9 +445,8 @@
   constexpr std::array<const char*, kRequestKinds> kKinds = {
       "call", "stream", "body in parts", "forwarded stream", "kept"};
   std::string text = fmt::format(
-      "grace {} to {} at {}, whole {}, late {} each from {} until {}, {} once "
-      "at "
-      "{}",
+      "grace {} to {} at {}, whole {}, late {} each from {} until "
+      "{}, {} once at {}",
       ToMilliseconds(process.grace), ToMilliseconds(process.new_grace),
       ToMilliseconds(process.grace_changes), process.whole_grace,
       ToMilliseconds(process.lasting_delay),
--- a/programs/router/shutdown_sequence.cc
+++ b/programs/router/shutdown_sequence.cc
@@ -19,10 +19,7 @@
 }  // namespace
 
 ShutdownSequence::ShutdownSequence(const ShutdownParts& parts)
-    : parts(parts),
-      start(parts.runtime->Now()),
-      controller(this->start),
-      in_progress_named_at(this->start) {}
+    : parts(parts), start(parts.runtime->Now()), controller(this->start) {}
 
 void ShutdownSequence::Run() {
   this->RefreshSettings();
@@ -32,9 +29,6 @@
        {"uptime_ms", ToMilliseconds(this->start - this->parts.started)},
        {"in_flight", this->parts.router->InFlight()},
        {"grace_ms", ToMilliseconds(this->parts.settings->shutdown_grace)}});
-  this->parts.router->LogDraining(
-      LogLevel::kInfo, this->controller.End(this->Settings()) - this->start,
-      this->max_wake_delay);
   this->parts.callers->DisableKeepAlive();
   this->parts.forwarded->DisableKeepAlive();
   std::optional<Duration> wake_delay;
@@ -117,10 +111,13 @@
       // What a process that is killed from now on leaves of them.
       this->parts.router->LogUnfinished(end - now, this->max_wake_delay);
     }
-  } else if (now >= this->in_progress_named_at + kNameInProgressInterval) {
+  } else if (!this->in_progress_named_at ||
+             now >= *this->in_progress_named_at + kNameInProgressInterval) {
+    // What is in progress at SIGTERM is no anomaly.
+    this->parts.router->LogDraining(
+        this->in_progress_named_at ? LogLevel::kWarning : LogLevel::kInfo,
+        end - now, this->max_wake_delay);
     this->in_progress_named_at = now;
-    this->parts.router->LogDraining(LogLevel::kWarning, end - now,
-                                    this->max_wake_delay);
   }
 }
 
--- a/programs/router/shutdown_sequence.h
+++ b/programs/router/shutdown_sequence.h
@@ -54,7 +54,7 @@
   drain::DrainController controller;
   Instant settings_read_at{};
   Instant draining_logged_at{};
-  Instant in_progress_named_at;
+  std::optional<Instant> in_progress_named_at;
   bool unfinished_logged = false;
   Duration max_wake_delay{0};  ///< of a sleep beyond its duration
 };
