Count half a second for a signal that is noticed late

A stream that is sent later than 3 s after SIGTERM must not be cut. The gate counted its 3 s from the notice of the signal: with addresses that live for 3 s or more, a stream that was sent after the 3 s and before the gate's end of them was begun by an estimate. The default lifetime, 2 s, is not affected.

--- a/chervilpass/serving/shutdown_gate.h
+++ b/chervilpass/serving/shutdown_gate.h
@@ -23,8 +23,9 @@
                           .present_quantile = 0.5};
   /// Callers have this long to learn of the shutdown, or the lifetime of their
   /// addresses if that is shorter. Streams are not begun by estimates
-  /// afterwards.
-  Duration max_notice = seconds(3);
+  /// afterwards. Shorter than the 3 s after SIGTERM in which a stream may be
+  /// begun and cut, since the signal may be noticed late.
+  Duration max_notice = milliseconds(2500);
   EstimateCaution calls{.time_quantile = 0.95, .time_margin = 1.1};
   /// A call of a route without recent calls is expected to take this many times
   /// the route's response objective.
--- a/unit_tests/serving_test.cc
+++ b/unit_tests/serving_test.cc
@@ -706,7 +706,7 @@
   cr_assert(!gate.ObjectionToStream("llm", size, seconds(60), kStart));
   cr_assert(
       !gate.ObjectionToCall("lookup", milliseconds(500), seconds(60), kStart));
-  gate.SetEnd(kStart, kStart + seconds(3), seconds(3));
+  gate.SetEnd(kStart, kStart + milliseconds(2500), seconds(3));
   cr_assert(gate.ObjectionToStream("llm", size, seconds(60), kStart),
             "nothing is known");
   cr_assert(
@@ -715,15 +715,16 @@
   for (int i = 0; i < 8; ++i) {
     gate.RunTimes().OnCallEnded("lookup", milliseconds(1000));
   }
-  for (Duration at{0}; at <= seconds(3); at += milliseconds(10)) {
-    const bool stream_fits = at <= seconds(3) - milliseconds(1800);
-    const bool stream_cut = at > seconds(3) - milliseconds(1600);
+  const Duration end = milliseconds(2500);
+  for (Duration at{0}; at <= end; at += milliseconds(10)) {
+    const bool stream_fits = at <= end - milliseconds(1800);
+    const bool stream_cut = at > end - milliseconds(1600);
     const bool stream_sent =
         !gate.ObjectionToStream("llm", size, seconds(60), kStart + at);
     cr_assert(!stream_fits || stream_sent);
     cr_assert(!stream_cut || !stream_sent);
-    const bool call_fits = at <= seconds(3) - milliseconds(1650);
-    const bool call_cut = at > seconds(2);
+    const bool call_fits = at <= end - milliseconds(1650);
+    const bool call_cut = at > end - seconds(1);
     const bool call_sent = !gate.ObjectionToCall("lookup", milliseconds(500),
                                                  seconds(60), kStart + at);
     cr_assert(!call_fits || call_sent);
@@ -798,15 +799,19 @@
 }
 
 // Guards against streams that are cut because callers keep addresses for long:
-// estimates count for 3 s after the signal at the most.
+// estimates count for less than 3 s after the signal, however late it is
+// noticed.
 Test(shutdown_gate, long_lived_addresses_do_not_delay_the_caution) {
   ShutdownGate gate({});
   ServeStreams(&gate.RunTimes(), 8);
   gate.SetEnd(kStart, kStart + seconds(8), seconds(60));
   const GenerationSize size{100, 130, std::nullopt};  // 4 to 4.5 s
   cr_assert(!gate.ObjectionToStream("llm", size, seconds(60),
-                                    kStart + milliseconds(2900)));
-  for (Duration at = seconds(3); at < seconds(8); at += milliseconds(10)) {
+                                    kStart + milliseconds(2400)));
+  // Half a second before the 3 s end that count for callers, which begin with
+  // the signal and not with its notice.
+  for (Duration at = milliseconds(2500); at < seconds(8);
+       at += milliseconds(10)) {
     cr_assert(gate.ObjectionToStream("llm", size, seconds(60), kStart + at));
   }
 }
@@ -816,7 +821,7 @@
 Test(shutdown_gate, a_slow_down_is_seen_in_streams_in_progress) {
   ShutdownGate gate({});
   ServeStreams(&gate.RunTimes(), 8);
-  gate.SetEnd(kStart, kStart + seconds(6), seconds(3));
+  gate.SetEnd(kStart, kStart + milliseconds(5500), seconds(3));
   const GenerationSize size{100, 50, std::nullopt};  // 1.6 to 1.8 s
   const auto sent = [&](Duration at, const std::vector<Duration>& intervals) {
     return !gate.ObjectionToStream("llm", size, seconds(60), kStart + at,
@@ -824,21 +829,21 @@
   };
   const std::vector<Duration> usual(10, milliseconds(30));
   const std::vector<Duration> slow(10, milliseconds(90));
-  for (const Duration at : {milliseconds(500), milliseconds(2900)}) {
+  for (const Duration at : {milliseconds(300), milliseconds(2400)}) {
     cr_assert(sent(at, usual));
   }
   // 4.6 to 5.1 s.
-  cr_assert(sent(milliseconds(500), slow));
-  cr_assert(!sent(milliseconds(2900), slow));
+  cr_assert(sent(milliseconds(300), slow));
+  cr_assert(!sent(milliseconds(2400), slow));
   const std::vector<Duration> few(3, milliseconds(90));
-  cr_assert(sent(milliseconds(2900), few));
+  cr_assert(sent(milliseconds(2400), few));
   std::vector<Duration> one_slow = usual;
   one_slow.front() = seconds(1);
-  cr_assert(sent(milliseconds(2900), one_slow), "it may wait for a worker");
+  cr_assert(sent(milliseconds(2400), one_slow), "it may wait for a worker");
   // A pace that is higher than that of ended runs promises nothing.
   const std::vector<Duration> fast(10, milliseconds(3));
-  gate.SetEnd(kStart, kStart + milliseconds(4450), seconds(3));
-  cr_assert(!sent(milliseconds(2900), fast));
+  gate.SetEnd(kStart, kStart + milliseconds(3950), seconds(3));
+  cr_assert(!sent(milliseconds(2400), fast));
 }
 
 // A stream shows a slow-down within few events, or by its silence.
